Add the project's frame: messages, wire format, checks

Cause: the processes need one contract before they can be written side by side. The messages are frozen data classes in the core; the .proto file is derived from them, so that a field is described once and cannot drift.

Ruled out: a hand-written converter per message (30 types, each twice); field numbers by position (a new field in the middle would break a rolling upgrade), so the tool keeps the numbers of the committed file.

--- /dev/null
+++ b/src/peridotfront/__init__.py
@@ -0,0 +1,1 @@
+"""peridotfront: a request scheduler for unlike model engines."""
--- /dev/null
+++ b/src/peridotfront/core/fleet.py
@@ -0,0 +1,116 @@
+"""What the core knows of the fleet from the configuration in force."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class UpstreamKind(StrEnum):
+    """Tells model engines from plain services."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSpec:
+    """Describes an upstream as the inventory does.
+
+    :param address: IP number and port.
+    :param service: name of the plain service; empty for a model engine.
+    :param models: the models that a model engine has loaded.
+    :param is_leaving: whether the operators or the inventory take it out.
+    :param prefill_tokens_per_s: first estimate; the true rate is learned.
+    :param decode_tokens_per_s: of one stream; first estimate.
+    :param kv_capacity_tokens: memory for running requests and cached prefixes.
+    :param max_slots: how many requests may run at once.
+    :param honours_fencing: whether it refuses orders with an old fencing token.
+    """
+
+    name: str
+    kind: UpstreamKind
+    data_centre: str
+    address: str
+    service: str = ""
+    models: tuple[str, ...] = ()
+    is_leaving: bool = False
+    prefill_tokens_per_s: int = 4000
+    decode_tokens_per_s: int = 40
+    kv_capacity_tokens: int = 60_000
+    max_slots: int = 16
+    honours_fencing: bool = False
+
+    @property
+    def cell(self) -> str:
+        """Return the name of the cell that schedules this upstream."""
+        return cell_name(self.data_centre, self.kind, self.service)
+
+
+def cell_name(data_centre: str, kind: UpstreamKind, service: str = "") -> str:
+    """Return the name of the cell for a kind of upstream in a data centre."""
+    if kind is UpstreamKind.ENGINE:
+        return f"{data_centre}/engines"
+    return f"{data_centre}/{service}"
+
+
+@dataclass(frozen=True, slots=True)
+class AccountSpec:
+    """Describes a client account.
+
+    :param key_sha256: hex digest of its bearer key.
+    :param highest_tier: the highest tier it may ask for; 1 is the highest of all.
+    :param weight: share among the accounts of one tier.
+    """
+
+    name: str
+    key_sha256: str
+    highest_tier: int = 3
+    weight: int = 1
+    requests_per_s: int = 100
+    burst_requests: int = 200
+    max_concurrent: int = 200
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """Describes a plain service.
+
+    :param non_idempotent_methods: HTTP methods whose calls run at most once.
+    :param timeout_ms: for one call.
+    """
+
+    name: str
+    non_idempotent_methods: tuple[str, ...] = ("POST",)
+    timeout_ms: int = 10_000
+    tier: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Holds the knobs of the placement policy.
+
+    :param prefill_weight: what a second of repeated prefill counts against a
+        second of waiting; above 1 favours cache hits over latency.
+    :param max_queue_ms: a want that would wait longer is refused at once.
+    :param slot_lease_ms: a slot whose holder is silent for longer lapses.
+    """
+
+    prefill_weight: float = 1.0
+    max_queue_ms: int = 30_000
+    first_token_ms: int = 1500
+    slot_lease_ms: int = 3000
+    suspect_after_ms: int = 2000
+    poison_strikes: int = 2
+    answer_buffer_bytes: int = 1_048_576
+    replay_body_bytes: int = 16_384
+    claim_retention_ms: int = 86_400_000
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Is the whole configuration in force, as the core reads it."""
+
+    version: int = 0
+    upstreams: tuple[UpstreamSpec, ...] = ()
+    accounts: tuple[AccountSpec, ...] = ()
+    services: tuple[ServiceSpec, ...] = ()
+    policy: Policy = field(default_factory=Policy)
--- /dev/null
+++ b/src/peridotfront/core/messages/__init__.py
@@ -0,0 +1,127 @@
+"""Messages between hosts: frozen data classes, mirrored by the .proto file.
+
+The tool ``tools/generate_proto.py`` derives the .proto file from these classes.
+Field numbers never change once they are assigned; new fields go to the end and
+need a default, so that hosts of two releases understand each other.
+"""
+
+from dataclasses import dataclass
+from typing import Union
+
+from .answers import ANSWER_MESSAGES, AnswerChunk, AttachRequest
+from .cells import (
+    CELL_MESSAGES,
+    CancelWant,
+    Grant,
+    HeldSlot,
+    Preempt,
+    Refuse,
+    Release,
+    ReleaseCause,
+    UpstreamReport,
+    Want,
+)
+from .control import (
+    CONTROL_MESSAGES,
+    ChangeStatus,
+    Claim,
+    ClaimBatch,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    Command,
+    ConfigChange,
+    ConfigProposal,
+    ConfigResult,
+    ConfigUpdate,
+    Header,
+    Heartbeat,
+    MembershipChange,
+    NoOp,
+    Outcome,
+    OutcomeAck,
+    OutcomeReport,
+    Replica,
+    StrikeBatch,
+    StrikeReport,
+    StrikeUpdate,
+)
+from .raft import (
+    RAFT_MESSAGES,
+    AppendReply,
+    AppendRequest,
+    BootstrapQuery,
+    BootstrapReply,
+    JoinRequest,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+MESSAGE_TYPES = RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES
+Message = Union[MESSAGE_TYPES]  # noqa: UP007
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """Gathers the messages that one host sends another in one turn.
+
+    :param sender: the sending host.
+    :param incarnation: drawn by the sender at its start.
+    """
+
+    sender: str
+    incarnation: int
+    messages: tuple[Message, ...]
+
+
+__all__ = [
+    "MESSAGE_TYPES",
+    "AnswerChunk",
+    "AppendReply",
+    "AppendRequest",
+    "AttachRequest",
+    "BootstrapQuery",
+    "BootstrapReply",
+    "CancelWant",
+    "ChangeStatus",
+    "Claim",
+    "ClaimBatch",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimStatus",
+    "Command",
+    "ConfigChange",
+    "ConfigProposal",
+    "ConfigResult",
+    "ConfigUpdate",
+    "Frame",
+    "Grant",
+    "Header",
+    "Heartbeat",
+    "HeldSlot",
+    "JoinRequest",
+    "LogEntry",
+    "MembershipChange",
+    "Message",
+    "NoOp",
+    "Outcome",
+    "OutcomeAck",
+    "OutcomeReport",
+    "Preempt",
+    "Refuse",
+    "Release",
+    "ReleaseCause",
+    "Replica",
+    "SnapshotChunk",
+    "SnapshotReply",
+    "StrikeBatch",
+    "StrikeReport",
+    "StrikeUpdate",
+    "UpstreamReport",
+    "VoteReply",
+    "VoteRequest",
+    "Want",
+]
--- /dev/null
+++ b/src/peridotfront/core/messages/answers.py
@@ -0,0 +1,33 @@
+"""Messages that bring an answer from its holder to another entry host."""
+
+from dataclasses import dataclass
+
+from .control import Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class AttachRequest:
+    """Asks the holder of a claim for its answer, from an offset on."""
+
+    request_id: str
+    key: str
+    offset_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerChunk:
+    """Carries a piece of an answer to an entry host that attached.
+
+    :param outcome: set on the last piece.
+    :param is_known: false if the receiver of the attach holds no such answer.
+    """
+
+    request_id: str
+    key: str
+    offset_bytes: int
+    data: bytes
+    is_known: bool = True
+    outcome: Outcome | None = None
+
+
+ANSWER_MESSAGES = (AttachRequest, AnswerChunk)
--- /dev/null
+++ b/src/peridotfront/core/messages/cells.py
@@ -0,0 +1,143 @@
+"""Messages between entry hosts and the scheduler of a cell of upstreams."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..verdicts import Reason
+
+
+class ReleaseCause(StrEnum):
+    """Names why a slot was given back."""
+
+    COMPLETED = "completed"
+    NOT_SENT = "not_sent"
+    CALLER_GONE = "caller_gone"
+    UPSTREAM_DIED = "upstream_died"
+    UPSTREAM_ERROR = "upstream_error"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    PREEMPTED = "preempted"
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """Asks the scheduler of a cell for a slot at one of its upstreams.
+
+    :param tier: 1 is the highest.
+    :param prefix_hashes: chained hashes of the prompt's blocks, first to last.
+    :param fingerprint: hash of the canonical body, for poison requests.
+    :param deadline_ms: time left until the answer must have begun.
+    """
+
+    request_id: str
+    cell: str
+    model: str
+    tier: int
+    client_account: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix_hashes: tuple[int, ...]
+    fingerprint: int
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Gives a slot at an upstream; it lapses unless confirmed or released.
+
+    :param lease_ms: how long the slot is held without a word of the holder.
+    :param predicted_prefix_tokens: prompt tokens expected in the cache there.
+    """
+
+    request_id: str
+    cell: str
+    upstream: str
+    lease_ms: int
+    predicted_prefix_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuses a want, or takes a queued one back; the request did not run."""
+
+    request_id: str
+    cell: str
+    reason: Reason
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CancelWant:
+    """Withdraws a want that is no longer needed."""
+
+    request_id: str
+    cell: str
+
+
+@dataclass(frozen=True, slots=True)
+class Preempt:
+    """Asks the holder of a slot to end its request for a higher tier."""
+
+    request_id: str
+    cell: str
+
+
+@dataclass(frozen=True, slots=True)
+class HeldSlot:
+    """Tells a (new) scheduler of a slot that is in use; renews its lease."""
+
+    want: Want
+    upstream: str
+    produced_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Gives a slot back with what was measured.
+
+    :param first_token_ms: from dispatch to first token; -1 if there was none.
+    :param duration_ms: from dispatch to the end.
+    :param cached_tokens: prompt tokens that the upstream had in its cache.
+    """
+
+    request_id: str
+    cell: str
+    upstream: str
+    cause: ReleaseCause
+    prompt_tokens: int
+    cached_tokens: int
+    produced_tokens: int
+    first_token_ms: int
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """Passes on what an upstream said of itself; it may be seconds old.
+
+    :param cache_sequence: number of the last cache event included; a gap in the
+        numbering lowers the trust in the cache model.
+    """
+
+    upstream: str
+    cell: str
+    is_alive: bool
+    is_leaving: bool
+    running: int
+    queued_prefill_tokens: int
+    used_kv_tokens: int
+    capacity_kv_tokens: int
+    cache_sequence: int
+    cached_hashes: tuple[int, ...] = ()
+    evicted_hashes: tuple[int, ...] = ()
+
+
+CELL_MESSAGES = (
+    Want,
+    Grant,
+    Refuse,
+    CancelWant,
+    Preempt,
+    HeldSlot,
+    Release,
+    UpstreamReport,
+)
--- /dev/null
+++ b/src/peridotfront/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf and gRPC code."""
--- /dev/null
+++ b/src/peridotfront/wire.py
@@ -0,0 +1,223 @@
+"""Conversion between the core's data classes and their protobuf twins.
+
+The converters are derived once from the type hints of each data class and kept.
+"""
+
+import types
+import typing
+from collections.abc import Callable
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from typing import Any
+
+from .core import messages
+from .proto import peridotfront_pb2
+
+UNIONS = {"Message": messages.Message, "Command": messages.Command}
+
+
+def encode(message: Any) -> bytes:
+    """Encode a data class into bytes.
+
+    :param message: an instance of a class in ``core.messages``.
+    :return: the protobuf encoding.
+    :rtype: bytes
+
+    Usage::
+
+        data = encode(Frame(sender="a", incarnation=1, messages=()))
+    """
+    return to_proto(message).SerializeToString()
+
+
+def decode(kind: type, data: bytes) -> Any:
+    """Decode bytes into a data class.
+
+    :param kind: the data class to build.
+    :param data: bytes made by :func:`encode`.
+    :return: an instance of ``kind``.
+    :raises google.protobuf.message.DecodeError: if the bytes are damaged.
+    """
+    proto = getattr(peridotfront_pb2, kind.__name__)()
+    proto.ParseFromString(data)
+    return from_proto(kind, proto)
+
+
+def encode_command(command: Any) -> bytes:
+    """Encode one command of the replicated log into bytes."""
+    proto = peridotfront_pb2.Command()
+    _union_writer("Command")(proto, command)
+    return proto.SerializeToString()
+
+
+def decode_command(data: bytes) -> Any:
+    """Decode one command of the replicated log from bytes."""
+    proto = peridotfront_pb2.Command()
+    proto.ParseFromString(data)
+    return _union_reader("Command")(proto)
+
+
+def to_proto(message: Any) -> Any:
+    """Return the protobuf twin of a data class instance."""
+    proto = getattr(peridotfront_pb2, type(message).__name__)()
+    _writer(type(message))(proto, message)
+    return proto
+
+
+def from_proto(kind: type, proto: Any) -> Any:
+    """Return the data class instance that a protobuf message stands for."""
+    return _reader(kind)(proto)
+
+
+def field_name(kind: type) -> str:
+    """Return the name of a class as a field of a oneof: lower-case words."""
+    letters = [f"_{c.lower()}" if c.isupper() else c for c in kind.__name__]
+    return "".join(letters).lstrip("_")
+
+
+def union_name(hint: Any) -> str | None:
+    """Return the name of the union of message classes that a hint denotes."""
+    for name, union in UNIONS.items():
+        if hint == union:
+            return name
+    return None
+
+
+def optional_of(hint: Any) -> Any | None:
+    """Return the type inside an optional hint, or None if it is not one."""
+    if typing.get_origin(hint) not in (typing.Union, types.UnionType):
+        return None
+    inner = [a for a in typing.get_args(hint) if a is not type(None)]
+    return inner[0] if len(inner) == 1 else None
+
+
+def element_of(hint: Any) -> Any | None:
+    """Return the element type of a ``tuple[X, ...]`` hint, or None."""
+    if typing.get_origin(hint) is tuple:
+        return typing.get_args(hint)[0]
+    return None
+
+
+Writer = Callable[[Any, Any], None]
+Reader = Callable[[Any], Any]
+
+
+@cache
+def _writer(kind: type) -> Writer:
+    hints = typing.get_type_hints(kind)
+    writers = [_field_writer(f.name, hints[f.name]) for f in fields(kind)]
+
+    def write(proto: Any, value: Any) -> None:
+        for write_field in writers:
+            write_field(proto, value)
+
+    return write
+
+
+def _field_writer(name: str, hint: Any) -> Writer:
+    if (element := element_of(hint)) is not None:
+        return _repeated_writer(name, element)
+    inner = optional_of(hint)
+    if inner is not None:
+        return _optional_writer(name, inner)
+    if union_name(hint) or is_dataclass(hint):
+        write_into = _value_writer(hint)
+
+        def write_message(proto: Any, value: Any) -> None:
+            child = getattr(proto, name)
+            child.SetInParent()
+            write_into(child, getattr(value, name))
+
+        return write_message
+
+    def write_scalar(proto: Any, value: Any) -> None:
+        setattr(proto, name, getattr(value, name))
+
+    return write_scalar
+
+
+def _value_writer(hint: Any) -> Writer:
+    name = union_name(hint)
+    return _union_writer(name) if name else _writer(hint)
+
+
+def _repeated_writer(name: str, element: Any) -> Writer:
+    if not (union_name(element) or is_dataclass(element)):
+        return lambda proto, value: getattr(proto, name).extend(getattr(value, name))
+    write_into = _value_writer(element)
+
+    def write(proto: Any, value: Any) -> None:
+        items = getattr(proto, name)
+        for item in getattr(value, name):
+            write_into(items.add(), item)
+
+    return write
+
+
+def _optional_writer(name: str, inner: Any) -> Writer:
+    write_present = _field_writer(name, inner)
+
+    def write(proto: Any, value: Any) -> None:
+        if getattr(value, name) is not None:
+            write_present(proto, value)
+
+    return write
+
+
+@cache
+def _union_writer(name: str) -> Writer:
+    names = {kind: field_name(kind) for kind in typing.get_args(UNIONS[name])}
+
+    def write(proto: Any, value: Any) -> None:
+        child = getattr(proto, names[type(value)])
+        child.SetInParent()
+        _writer(type(value))(child, value)
+
+    return write
+
+
+@cache
+def _union_reader(name: str) -> Reader:
+    kinds = {field_name(kind): kind for kind in typing.get_args(UNIONS[name])}
+
+    def read(proto: Any) -> Any:
+        chosen = proto.WhichOneof("kind")
+        return _reader(kinds[chosen])(getattr(proto, chosen))
+
+    return read
+
+
+@cache
+def _reader(kind: type) -> Reader:
+    hints = typing.get_type_hints(kind)
+    readers = [_field_reader(f.name, hints[f.name]) for f in fields(kind)]
+
+    def read(proto: Any) -> Any:
+        return kind(*[read_field(proto) for read_field in readers])
+
+    return read
+
+
+def _field_reader(name: str, hint: Any) -> Reader:
+    if (element := element_of(hint)) is not None:
+        read_item = _value_reader(element)
+        return lambda proto: tuple([read_item(i) for i in getattr(proto, name)])
+    if (inner := optional_of(hint)) is not None:
+        read_value = _value_reader(inner)
+        return lambda proto: (
+            read_value(getattr(proto, name)) if proto.HasField(name) else None
+        )
+    read_value = _value_reader(hint)
+    return lambda proto: read_value(getattr(proto, name))
+
+
+def _value_reader(hint: Any) -> Reader:
+    name = union_name(hint)
+    if name:
+        return _union_reader(name)
+    if is_dataclass(hint):
+        return _reader(hint)
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return hint
+    return lambda value: value
--- /dev/null
+++ b/tools/generate_proto.py
@@ -0,0 +1,171 @@
+"""Writes the .proto file from the core's message classes and compiles it.
+
+Numbers that the committed .proto file gives to fields are kept.
+
+Usage::
+
+    python tools/generate_proto.py          # rewrite the generated files
+    python tools/generate_proto.py --check  # fail if they are not current
+"""
+
+import re
+import sys
+import tempfile
+import typing
+from collections.abc import Iterator
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from pathlib import Path
+
+from grpc_tools import protoc
+
+ROOT = Path(__file__).resolve().parent.parent
+PROTO_DIR = ROOT / "src" / "peridotfront" / "proto"
+PROTO_FILE = PROTO_DIR / "peridotfront.proto"
+GENERATED = ("peridotfront.proto", "peridotfront_pb2.py", "peridotfront_pb2_grpc.py")
+SCALARS = {int: "int64", float: "double", str: "string", bytes: "bytes", bool: "bool"}
+HEADER = """\
+// Made by tools/generate_proto.py from peridotfront.core.messages; do not edit.
+syntax = "proto3";
+
+package peridotfront;
+
+// One stream a direction lies between any two hosts that talk to each other.
+service Peer {
+  rpc Exchange (stream Frame) returns (Received);
+}
+
+message Received {
+}
+"""
+
+
+def known_numbers() -> dict[tuple[str, str], int]:
+    """Return the numbers that the committed file gives to fields."""
+    numbers: dict[tuple[str, str], int] = {}
+    if not PROTO_FILE.exists():
+        return numbers
+    current = ""
+    for line in PROTO_FILE.read_text().splitlines():
+        if match := re.match(r"message (\w+) {", line):
+            current = match[1]
+        if match := re.search(r"(\w+) = (\d+);", line):
+            numbers[current, match[1]] = int(match[2])
+    return numbers
+
+
+def proto_type(hint: object) -> str:
+    """Return the protobuf type of a type hint."""
+    from peridotfront import wire
+
+    if name := wire.union_name(hint):
+        return name
+    if (element := wire.element_of(hint)) is not None:
+        return f"repeated {proto_type(element)}"
+    if (inner := wire.optional_of(hint)) is not None:
+        prefix = "" if is_dataclass(inner) else "optional "
+        return prefix + proto_type(inner)
+    if is_dataclass(hint):
+        return hint.__name__
+    if issubclass(hint, Enum):
+        return "string"
+    return SCALARS[hint]
+
+
+def reachable(kinds: tuple[type, ...]) -> Iterator[type]:
+    """Yield the data classes that the given ones refer to, each once."""
+    from peridotfront import wire
+
+    seen: set[type] = set()
+    pending = list(kinds)
+    while pending:
+        hint = pending.pop(0)
+        if wire.union_name(hint):
+            pending.extend(typing.get_args(hint))
+            continue
+        if (element := wire.element_of(hint)) is not None:
+            pending.append(element)
+            continue
+        if (inner := wire.optional_of(hint)) is not None:
+            pending.append(inner)
+            continue
+        if not is_dataclass(hint) or hint in seen:
+            continue
+        seen.add(hint)
+        yield hint
+        pending.extend(typing.get_type_hints(hint).values())
+
+
+def numbered(message: str, names: list[str], numbers: dict) -> list[tuple[str, int]]:
+    """Pair field names with their numbers, new ones after the highest."""
+    highest = max([n for (m, _), n in numbers.items() if m == message], default=0)
+    pairs = []
+    for name in names:
+        number = numbers.get((message, name))
+        if number is None:
+            highest += 1
+            number = highest
+        pairs.append((name, number))
+    return pairs
+
+
+def render() -> str:
+    """Return the text of the .proto file."""
+    from peridotfront import wire
+    from peridotfront.core.messages import Frame
+
+    numbers = known_numbers()
+    parts = [HEADER]
+    for name, union in wire.UNIONS.items():
+        kinds = {wire.field_name(kind): kind for kind in typing.get_args(union)}
+        lines = [
+            f"    {kinds[field].__name__} {field} = {number};"
+            for field, number in numbered(name, list(kinds), numbers)
+        ]
+        body = "\n".join(lines)
+        parts.append(f"message {name} {{\n  oneof kind {{\n{body}\n  }}\n}}\n")
+    for kind in reachable((Frame,)):
+        hints = typing.get_type_hints(kind)
+        names = [f.name for f in fields(kind)]
+        lines = [
+            f"  {proto_type(hints[name])} {name} = {number};\n"
+            for name, number in numbered(kind.__name__, names, numbers)
+        ]
+        parts.append(f"message {kind.__name__} {{\n{''.join(lines)}}}\n")
+    return "\n".join(parts)
+
+
+def generate(target: Path) -> None:
+    """Write the .proto file and the code made from it into a folder."""
+    text = render()
+    (target / "peridotfront.proto").write_text(text)
+    arguments = ["protoc", f"-I{target}", f"--python_out={target}"]
+    arguments += [f"--grpc_python_out={target}", str(target / "peridotfront.proto")]
+    if protoc.main(arguments) != 0:
+        raise SystemExit("protoc failed")
+    grpc_file = target / "peridotfront_pb2_grpc.py"
+    code = grpc_file.read_text()
+    code = code.replace(
+        "import peridotfront_pb2 as", "from . import peridotfront_pb2 as"
+    )
+    grpc_file.write_text(code)
+
+
+def main() -> None:
+    """Generate the files, or with ``--check`` compare them."""
+    if "--check" not in sys.argv:
+        generate(PROTO_DIR)
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        generate(Path(folder))
+        stale = [
+            name
+            for name in GENERATED
+            if (Path(folder) / name).read_text() != (PROTO_DIR / name).read_text()
+        ]
+    if stale:
+        raise SystemExit(f"not current: {', '.join(stale)}")
+
+
+if __name__ == "__main__":
+    main()
