Add settings and replicated configuration, checked with every fault named

Cause: each process must refuse bad settings before it opens a port, and a configuration must be checked before it is proposed. Change: INI text is read into pydantic models, which become the core's data classes; faults carry section, key, value and reason, all at once. Ruled out: one model for the whole file, since pydantic then reports paths that name no INI section.

--- /dev/null
+++ b/src/peridotfront/rules.py
@@ -0,0 +1,135 @@
+"""The replicated configuration: INI text, validated, as the core's ``Fleet``.
+
+It holds the inventory of upstreams and services, the client accounts and the
+policy. Operators propose it whole; it is checked here before it is proposed.
+"""
+
+import dataclasses
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from .core.fleet import (
+    AccountSpec,
+    Fleet,
+    Policy,
+    ServiceSpec,
+    UpstreamKind,
+    UpstreamSpec,
+)
+from .exceptions import SettingsInvalid
+from .ini import Fault, Ini, Section, Words
+from .settings import Address, Name
+
+LOWEST_TIER = 5
+KNOWN_SECTIONS = {"upstream", "client_account", "service", "policy"}
+TierNumber = Annotated[int, Field(ge=1, le=LOWEST_TIER)]
+
+
+class UpstreamSection(Section):
+    """Describes one upstream; see :class:`peridotfront.core.fleet.UpstreamSpec`."""
+
+    name: Name
+    kind: Literal["engine", "service"]
+    data_centre: Name
+    address: Address
+    service: str = ""
+    models: Words = ()
+    is_leaving: bool = False
+    prefill_tokens_per_s: int = Field(default=4000, ge=1)
+    decode_tokens_per_s: int = Field(default=40, ge=1)
+    kv_capacity_tokens: int = Field(default=60_000, ge=1)
+    max_slots: int = Field(default=16, ge=1)
+    honours_fencing: bool = False
+
+
+class AccountSection(Section):
+    """Describes a client account; see :class:`peridotfront.core.fleet.AccountSpec`."""
+
+    name: Name
+    key_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+    highest_tier: TierNumber = 3
+    weight: int = Field(default=1, ge=1)
+    requests_per_s: int = Field(default=100, ge=1)
+    burst_requests: int = Field(default=200, ge=1)
+    max_concurrent: int = Field(default=200, ge=1)
+
+
+class ServiceSection(Section):
+    """Describes a plain service; see :class:`peridotfront.core.fleet.ServiceSpec`."""
+
+    name: Name
+    non_idempotent_methods: Words = ("POST",)
+    timeout_ms: int = Field(default=10_000, ge=1)
+    tier: TierNumber = 1
+
+
+class PolicySection(Section):
+    """Holds the knobs of the policy; see :class:`peridotfront.core.fleet.Policy`."""
+
+    prefill_weight: float = Field(default=1.0, ge=0)
+    max_queue_ms: int = Field(default=30_000, ge=1)
+    first_token_ms: int = Field(default=1500, ge=1)
+    slot_lease_ms: int = Field(default=3000, ge=100)
+    suspect_after_ms: int = Field(default=2000, ge=50)
+    poison_strikes: int = Field(default=2, ge=1)
+    answer_buffer_bytes: int = Field(default=1_048_576, ge=1024)
+    replay_body_bytes: int = Field(default=16_384, ge=0)
+    claim_retention_ms: int = Field(default=86_400_000, ge=1000)
+
+
+def parse_rules(text: str, version: int = 0, source: str = "configuration") -> Fleet:
+    """Check configuration text and return what it describes.
+
+    :param text: the whole configuration as INI.
+    :param version: the version under which it is in force.
+    :return: the fleet as the core reads it.
+    :rtype: Fleet
+    :raises SettingsInvalid: with every fault.
+
+    Usage::
+
+        fleet = parse_rules(Path("rules.ini").read_text(), version=7)
+    """
+    ini = Ini.parse(text, source)
+    faults = list(ini.unknown_sections(KNOWN_SECTIONS))
+    upstreams = _named(ini, "upstream", UpstreamSection, UpstreamSpec, faults)
+    accounts = _named(ini, "client_account", AccountSection, AccountSpec, faults)
+    services = _named(ini, "service", ServiceSection, ServiceSpec, faults)
+    policy = ini.read(PolicySection, "policy", faults)
+    faults.extend(_unknown_services(upstreams, services))
+    if faults:
+        raise SettingsInvalid(source, tuple(faults))
+    return Fleet(
+        version=version,
+        upstreams=upstreams,
+        accounts=accounts,
+        services=services,
+        policy=Policy(**policy.model_dump()),
+    )
+
+
+def _named(ini: Ini, kind: str, model: type, spec: type, faults: list[Fault]) -> tuple:
+    names = {f.name for f in dataclasses.fields(spec)}
+    specs = []
+    for section, name in ini.sections(kind):
+        checked = ini.read(model, section, faults, name=name)
+        if checked is None:
+            continue
+        values = {k: v for k, v in checked.model_dump().items() if k in names}
+        if "kind" in values:
+            values["kind"] = UpstreamKind(values["kind"])
+        specs.append(spec(**values))
+    return tuple(specs)
+
+
+def _unknown_services(upstreams: tuple, services: tuple) -> list[Fault]:
+    known = {service.name for service in services}
+    faults = []
+    for upstream in upstreams:
+        is_service = upstream.kind is UpstreamKind.SERVICE
+        if is_service and upstream.service not in known:
+            section = f"upstream {upstream.name}"
+            reason = "names no [service ...] section"
+            faults.append(Fault(section, "service", upstream.service, reason))
+    return faults
--- /dev/null
+++ b/src/peridotfront/settings.py
@@ -0,0 +1,221 @@
+"""Start-up settings of one process: its name, addresses, peers and files."""
+
+import sys
+from dataclasses import dataclass
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field
+
+from .exceptions import SettingsInvalid
+from .ini import Fault, Ini, Section
+
+EXIT_BAD_SETTINGS = 2
+
+
+def check_address(value: str) -> str:
+    """Check that a value is an IP number and a port.
+
+    :raises ValueError: if it is not.
+    """
+    host, separator, port = value.rpartition(":")
+    if not separator:
+        raise ValueError("must be IP:PORT")
+    ip_address(host.strip("[]"))
+    if not port.isdigit() or int(port) > 65535:
+        raise ValueError("the port must be a number up to 65535")
+    return value
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT`` into its parts."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+class HostSection(Section):
+    """Names the process and says where it listens.
+
+    :param listen_address: for peers.
+    :param admin_address: for operators.
+    :param admin_token: what operators show; at least 8 characters.
+    """
+
+    name: Name
+    data_centre: Name
+    listen_address: Address
+    admin_address: Address
+    admin_token: str = Field(min_length=8)
+
+
+class PeerSection(Section):
+    """Names another process of the deployment.
+
+    :param address: where it listens for peers.
+    """
+
+    role: Literal["entry", "control"]
+    data_centre: Name
+    address: Address
+
+
+class TlsSection(Section):
+    """Names the PEM files for TLS; empty paths together with ``is_off``.
+
+    :param is_off: must be set plainly to run without TLS.
+    """
+
+    is_off: bool = False
+    ca_file: str = ""
+    certificate_file: str = ""
+    key_file: str = ""
+    caller_certificate_file: str = ""
+    caller_key_file: str = ""
+
+
+class LogSection(Section):
+    """Chooses how logs are written."""
+
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class CallersSection(Section):
+    """Holds the limits towards callers."""
+
+    listen_address: Address
+    max_connections: int = Field(default=1000, ge=1)
+    max_header_bytes: int = Field(default=16_384, ge=1024)
+    max_body_bytes: int = Field(default=8_388_608, ge=1024)
+    idle_timeout_ms: int = Field(default=60_000, ge=100)
+    request_timeout_ms: int = Field(default=15_000, ge=100)
+    request_deadline_ms: int = Field(default=30_000, ge=100)
+    drain_grace_ms: int = Field(default=2000, ge=0)
+
+
+class StorageSection(Section):
+    """Names the folder for all durable state."""
+
+    data_folder: Path
+
+
+class TimingSection(Section):
+    """Holds the times of heartbeats and elections."""
+
+    heartbeat_ms: int = Field(default=150, ge=10)
+    host_timeout_ms: int = Field(default=1500, ge=50)
+    election_timeout_ms: int = Field(default=600, ge=50)
+    claim_timeout_ms: int = Field(default=2000, ge=50)
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Is another process of the deployment."""
+
+    name: str
+    role: str
+    data_centre: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Holds all settings of an entry host's process."""
+
+    host: HostSection
+    callers: CallersSection
+    tls: TlsSection
+    log: LogSection
+    timing: TimingSection
+    peers: tuple[Peer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Holds all settings of a control host's process."""
+
+    host: HostSection
+    storage: StorageSection
+    tls: TlsSection
+    log: LogSection
+    timing: TimingSection
+    peers: tuple[Peer, ...]
+
+
+def load_entry(text: str, source: str = "settings") -> EntrySettings:
+    """Read the settings of an entry host.
+
+    :raises SettingsInvalid: with every fault.
+    """
+    ini = Ini.parse(text, source)
+    faults = list(ini.unknown_sections(set(["host", "callers", "tls", "log", "timing", "peer"])))
+    settings = EntrySettings(
+        host=ini.read(HostSection, "host", faults),
+        callers=ini.read(CallersSection, "callers", faults),
+        tls=_read_tls(ini, faults),
+        log=ini.read(LogSection, "log", faults),
+        timing=ini.read(TimingSection, "timing", faults),
+        peers=_read_peers(ini, faults),
+    )
+    if faults:
+        raise SettingsInvalid(source, tuple(faults))
+    return settings
+
+
+def load_control(text: str, source: str = "settings") -> ControlSettings:
+    """Read the settings of a control host.
+
+    :raises SettingsInvalid: with every fault.
+    """
+    ini = Ini.parse(text, source)
+    faults = list(ini.unknown_sections(set(["host", "storage", "tls", "log", "timing", "peer"])))
+    settings = ControlSettings(
+        host=ini.read(HostSection, "host", faults),
+        storage=ini.read(StorageSection, "storage", faults),
+        tls=_read_tls(ini, faults),
+        log=ini.read(LogSection, "log", faults),
+        timing=ini.read(TimingSection, "timing", faults),
+        peers=_read_peers(ini, faults),
+    )
+    if faults:
+        raise SettingsInvalid(source, tuple(faults))
+    return settings
+
+
+def load_file(load, path: str):
+    """Load a settings file, or print its faults and exit.
+
+    :param load: :func:`load_entry` or :func:`load_control`.
+    """
+    try:
+        return load(Path(path).read_text(encoding="utf-8"), path)
+    except SettingsInvalid as error:
+        print(error, file=sys.stderr)
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+    raise SystemExit(EXIT_BAD_SETTINGS)
+
+
+def _read_peers(ini: Ini, faults: list[Fault]) -> tuple[Peer, ...]:
+    peers = []
+    for section, name in ini.sections("peer"):
+        peer = ini.read(PeerSection, section, faults)
+        if peer is not None:
+            peers.append(Peer(name, peer.role, peer.data_centre, peer.address))
+    return tuple(peers)
+
+
+def _read_tls(ini: Ini, faults: list[Fault]) -> TlsSection | None:
+    tls = ini.read(TlsSection, "tls", faults)
+    if tls is None or tls.is_off:
+        return tls
+    for key in ("ca_file", "certificate_file", "key_file"):
+        if not getattr(tls, key):
+            reason = "must name a PEM file unless is_off = true"
+            faults.append(Fault("tls", key, "", reason))
+    return tls
