--- a/src/peridotfront/settings.py
+++ b/src/peridotfront/settings.py
@@ -12,6 +12,8 @@
 from .ini import Fault, Ini, Section
 
 EXIT_BAD_SETTINGS = 2
+ENTRY_SECTIONS = {"host", "callers", "tls", "log", "timing", "peer"}
+CONTROL_SECTIONS = {"host", "storage", "tls", "log", "timing", "peer"}
 
 
 def check_address(value: str) -> str:
@@ -153,7 +155,7 @@
     :raises SettingsInvalid: with every fault.
     """
     ini = Ini.parse(text, source)
-    faults = list(ini.unknown_sections(set(["host", "callers", "tls", "log", "timing", "peer"])))
+    faults = list(ini.unknown_sections(ENTRY_SECTIONS))
     settings = EntrySettings(
         host=ini.read(HostSection, "host", faults),
         callers=ini.read(CallersSection, "callers", faults),
@@ -173,7 +175,7 @@
     :raises SettingsInvalid: with every fault.
     """
     ini = Ini.parse(text, source)
-    faults = list(ini.unknown_sections(set(["host", "storage", "tls", "log", "timing", "peer"])))
+    faults = list(ini.unknown_sections(CONTROL_SECTIONS))
     settings = ControlSettings(
         host=ini.read(HostSection, "host", faults),
         storage=ini.read(StorageSection, "storage", faults),
