--- /dev/null
+++ b/src/peridotfront/exceptions.py
@@ -0,0 +1,76 @@
+"""Exceptions of peridotfront; all share the root :class:`PeridotfrontError`."""
+
+from .core.verdicts import Reason, Verdict
+
+
+class PeridotfrontError(Exception):
+    """Is the root of all exceptions of this package."""
+
+
+class CallerGone(PeridotfrontError):
+    """Signals that the caller's connection is closed and takes no more data."""
+
+
+class InvalidRequest(PeridotfrontError):
+    """Signals a request of a caller that cannot be understood; it did not run."""
+
+    verdict = Verdict.NOT_RUN
+    reason = Reason.INVALID_REQUEST
+
+
+class UpstreamError(PeridotfrontError):
+    """Signals a call to an upstream that brought no whole answer.
+
+    :param detail: what happened, for the log.
+    :param address: the upstream's IP number and port.
+    """
+
+    verdict = Verdict.MAY_HAVE_RUN
+    reason = Reason.UPSTREAM_ERROR
+
+    def __init__(self, detail: str = "", address: str = ""):
+        super().__init__(detail)
+        self.detail = detail
+        self.address = address
+
+
+class ConnectFailed(UpstreamError):
+    """Signals that not one byte of the request was handed to a socket."""
+
+    verdict = Verdict.NOT_RUN
+    reason = Reason.NO_UPSTREAM
+
+
+class UpstreamDied(UpstreamError):
+    """Signals a connection that closed after bytes of the request were sent.
+
+    :param on_kept_connection: whether an earlier request had used the connection.
+    """
+
+    reason = Reason.UPSTREAM_DIED
+
+    def __init__(
+        self, detail: str = "", address: str = "", on_kept_connection: bool = False
+    ):
+        super().__init__(detail, address)
+        self.on_kept_connection = on_kept_connection
+
+
+class UpstreamTimedOut(UpstreamError):
+    """Signals an upstream that was silent for longer than allowed."""
+
+    reason = Reason.UPSTREAM_TIMEOUT
+
+
+class AnswerTooLarge(UpstreamError):
+    """Signals an answer longer than the reader allows."""
+
+
+class AnswerTruncated(UpstreamError):
+    """Signals an answer that began and ended before it was whole."""
+
+    reason = Reason.UPSTREAM_DIED
+
+
+class AnswerMalformed(UpstreamError):
+    """Signals an answer that is no valid HTTP, or not what the API promises."""
--- /dev/null
+++ b/src/peridotfront/http_messages.py
@@ -0,0 +1,89 @@
+"""Parts of HTTP messages that the server and the client share."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from .exceptions import InvalidRequest
+
+MAX_JSON_INTEGER_DIGITS = 19
+
+
+class Header(NamedTuple):
+    """Holds one header field; names are in lower case."""
+
+    name: str
+    value: str
+
+
+def find_header(headers: Iterable[Header], name: str, default: str = "") -> str:
+    """Return the value of the first header field with a name in lower case."""
+    return next((value for key, value in headers if key == name), default)
+
+
+def decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> tuple[Header, ...]:
+    """Convert header fields from bytes."""
+    return tuple(Header(k.decode("latin-1"), v.decode("latin-1")) for k, v in raw)
+
+
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Convert header fields to bytes."""
+    return [(k.encode("latin-1"), v.encode("latin-1")) for k, v in headers]
+
+
+def _parse_integer(digits: str) -> int:
+    if len(digits) > MAX_JSON_INTEGER_DIGITS:
+        raise ValueError("an integer has too many digits")
+    return int(digits)
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def parse_json(data: bytes) -> Any:
+    """Parse strict JSON in UTF-8.
+
+    :raises InvalidRequest: on bad UTF-8, bad JSON, huge numbers or deep nesting.
+    """
+    try:
+        return json.loads(
+            data.decode("utf-8"),
+            parse_int=_parse_integer,
+            parse_constant=_refuse_constant,
+        )
+    except UnicodeDecodeError as error:
+        raise InvalidRequest("the body is not valid UTF-8") from error
+    except RecursionError as error:
+        raise InvalidRequest("the body is nested too deeply") from error
+    except ValueError as error:
+        raise InvalidRequest("the body is not valid JSON") from error
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """Holds one whole request of a caller.
+
+    :param target: path and query as they were sent, still percent-encoded.
+    :param client_certificate: the verified certificate of the caller, if any.
+    """
+
+    method: str
+    target: str
+    path: str
+    query: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = field(default=b"", repr=False)
+    client_certificate: None = None
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first header field with this name in lower case."""
+        return find_header(self.headers, name, default)
+
+    def json(self) -> Any:
+        """Parse the body as strict JSON.
+
+        :raises InvalidRequest: if it is not.
+        """
+        return parse_json(self.body)
