--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -16,3 +16,7 @@
         self.faults = faults
         lines = [f"{source}: {fault}" for fault in faults]
         super().__init__("\n".join(lines))
+
+
+class LogEventUnknown(PeridotfrontError):
+    """Reports a log event that the catalogue does not list."""
--- a/src/peridotfront/ini.py
+++ b/src/peridotfront/ini.py
@@ -8,8 +8,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, ValidationError
 
 from .exceptions import SettingsInvalid
-
-MASKED_WORDS = ("token", "secret", "password")
+from .masking import MASK, is_secret
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +108,6 @@
     for detail in error.errors():
         key = str(detail["loc"][0]) if detail["loc"] else ""
         value = str(values.get(key, ""))
-        if any(word in key for word in MASKED_WORDS):
-            value = "***"
+        if is_secret(key):
+            value = MASK
         yield Fault(section, key, value, detail["msg"])
--- /dev/null
+++ b/src/peridotfront/logs.py
@@ -0,0 +1,644 @@
+"""Numbered log events: their catalogue, and the one function that writes them.
+
+Every line has the event's number and name, the host, and the id of the request
+that it is about (empty if it is about none).
+"""
+
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, TextIO
+
+import structlog
+
+from .exceptions import LogEventUnknown
+from .masking import MASK, is_secret
+from .settings import LogSection
+
+
+class Level(StrEnum):
+    """Names how much attention an event needs."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+LEVEL_NUMBERS = {
+    Level.DEBUG: 10,
+    Level.INFO: 20,
+    Level.WARNING: 30,
+    Level.ERROR: 40,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """Describes one kind of log line.
+
+    :param number: never changes and is never used again for another event.
+    :param name: the name in the code, see :func:`write`.
+    :param text: the sentence in the line.
+    :param meaning: what it means for an operator and what to do about it.
+    """
+
+    number: int
+    name: str
+    level: Level
+    text: str
+    meaning: str
+
+
+PROCESS_EVENTS = (
+    LogEvent(
+        100,
+        "process_started",
+        Level.INFO,
+        "the process has started",
+        "Settings were accepted and all ports are open. Nothing to do.",
+    ),
+    LogEvent(
+        101,
+        "process_ready",
+        Level.INFO,
+        "the process takes work",
+        "/readyz answers 200 from here on. Nothing to do.",
+    ),
+    LogEvent(
+        102,
+        "drain_started",
+        Level.INFO,
+        "graceful shutdown has begun",
+        "/readyz answers 503 and requests in progress run on. Nothing to do.",
+    ),
+    LogEvent(
+        103,
+        "drain_signal_repeated",
+        Level.WARNING,
+        "another signal to stop was ignored while requests are in progress",
+        "The process still waits for the requests named in the line. Kill it only"
+        " if their callers may lose their answers.",
+    ),
+    LogEvent(
+        104,
+        "process_stopped",
+        Level.INFO,
+        "the process has stopped",
+        "Nothing is in progress any more. Nothing to do.",
+    ),
+    LogEvent(
+        105,
+        "internal_error",
+        Level.ERROR,
+        "an unexpected error was caught",
+        "A fault in the program; the request or message named was given up and the"
+        " process goes on. Report it with the line.",
+    ),
+    LogEvent(
+        106,
+        "loop_delayed",
+        Level.WARNING,
+        "the event loop stood still",
+        "The host is overloaded or was frozen. Check its processor and memory.",
+    ),
+    LogEvent(
+        107,
+        "port_unavailable",
+        Level.ERROR,
+        "a port could not be opened",
+        "Another process holds the address, or it is not of this host. Mend the"
+        " address in the settings or end the other process.",
+    ),
+)
+
+PEER_EVENTS = (
+    LogEvent(
+        200,
+        "peer_connected",
+        Level.INFO,
+        "the link to a peer is open",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        201,
+        "peer_disconnected",
+        Level.INFO,
+        "the link to a peer has ended",
+        "It is opened again by itself. Nothing to do unless event 203 follows.",
+    ),
+    LogEvent(
+        202,
+        "peer_alive",
+        Level.INFO,
+        "a peer is alive",
+        "Heartbeats arrive. Nothing to do.",
+    ),
+    LogEvent(
+        203,
+        "peer_silent",
+        Level.WARNING,
+        "a peer has been silent for longer than the time-out",
+        "The peer died, was frozen, or the network between the two is cut. Check"
+        " the peer's host, then the network.",
+    ),
+    LogEvent(
+        204,
+        "peer_restarted",
+        Level.INFO,
+        "a peer came back with a new incarnation",
+        "It was restarted; what its old process held is given up. Nothing to do.",
+    ),
+    LogEvent(
+        205,
+        "frame_invalid",
+        Level.ERROR,
+        "a message of a peer could not be read",
+        "The message was dropped. Check that both hosts run compatible releases.",
+    ),
+    LogEvent(
+        206,
+        "send_queue_full",
+        Level.WARNING,
+        "messages to a slow peer were dropped",
+        "The peer or the network is too slow. Messages are repeated where needed.",
+    ),
+    LogEvent(
+        207,
+        "peer_unauthenticated",
+        Level.ERROR,
+        "a connection without a valid certificate was refused",
+        "Check the certificate files of the host named, and whether it belongs here.",
+    ),
+)
+
+CONTROL_EVENTS = (
+    LogEvent(
+        300,
+        "leader_elected",
+        Level.INFO,
+        "this host leads the control group",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        301,
+        "leader_stepped_down",
+        Level.WARNING,
+        "this host no longer leads the control group",
+        "It lost its quorum or saw a later term. If no other host reports 300,"
+        " check the hosts and the network of the control group.",
+    ),
+    LogEvent(
+        302,
+        "leader_changed",
+        Level.INFO,
+        "the leader of the control group is another host",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        303,
+        "quorum_lost",
+        Level.ERROR,
+        "there is no leader with a quorum in reach",
+        "Non-idempotent requests and changes are refused until it is back. Start"
+        " the missing control hosts, or mend the network between them.",
+    ),
+    LogEvent(
+        304,
+        "quorum_found",
+        Level.INFO,
+        "a leader with a quorum is in reach again",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        310,
+        "bootstrapped",
+        Level.INFO,
+        "a new control group was formed",
+        "All configured hosts were blank. On a running deployment this must never"
+        " appear: then stop the host and check its settings and data folder.",
+    ),
+    LogEvent(
+        311,
+        "replica_joined",
+        Level.INFO,
+        "a blank replica joined as a learner",
+        "It catches up and becomes a voter by itself. Replace no second host before"
+        " event 312.",
+    ),
+    LogEvent(
+        312,
+        "replica_promoted",
+        Level.INFO,
+        "a replica that has caught up became a voter",
+        "The repair is finished. Nothing to do.",
+    ),
+    LogEvent(
+        313,
+        "replica_removed",
+        Level.INFO,
+        "a replica was removed from the control group",
+        "Its place is taken by another. Nothing to do.",
+    ),
+    LogEvent(
+        320,
+        "storage_opened",
+        Level.INFO,
+        "the data folder was read",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        321,
+        "storage_tail_cut",
+        Level.WARNING,
+        "an unfinished record at the end of the log was removed",
+        "The host died while it wrote; nothing acknowledged is lost.",
+    ),
+    LogEvent(
+        322,
+        "storage_damaged",
+        Level.ERROR,
+        "the data folder is damaged",
+        "The host refuses to start. Follow 'Lost disk' in the operators' guide.",
+    ),
+    LogEvent(
+        323,
+        "storage_failed",
+        Level.ERROR,
+        "a write or sync failed and the replica stops",
+        "Check the disk for space and faults, then start the host again.",
+    ),
+    LogEvent(
+        324,
+        "snapshot_written",
+        Level.INFO,
+        "a snapshot was written and the log before it removed",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        325,
+        "snapshot_installed",
+        Level.INFO,
+        "a snapshot of the leader was taken over",
+        "The host was far behind or blank. Nothing to do.",
+    ),
+)
+
+CONFIGURATION_EVENTS = (
+    LogEvent(
+        400,
+        "config_accepted",
+        Level.INFO,
+        "a configuration was accepted",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        401,
+        "config_conflict",
+        Level.WARNING,
+        "a configuration was refused since another was accepted before it",
+        "The author was told who won. Look at the difference and propose again.",
+    ),
+    LogEvent(
+        402,
+        "config_invalid",
+        Level.WARNING,
+        "a configuration with faults was refused",
+        "The author was told every fault. Nothing is changed.",
+    ),
+    LogEvent(
+        403,
+        "config_in_force",
+        Level.INFO,
+        "a configuration is in force on this host",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        404,
+        "config_stale",
+        Level.WARNING,
+        "this host goes on with its last configuration",
+        "It is cut off from the control group; changes reach it later.",
+    ),
+    LogEvent(
+        405,
+        "config_unconfirmed",
+        Level.WARNING,
+        "a host has not confirmed the configuration in force",
+        "It is cut off, frozen or slow. Check the host that the line names.",
+    ),
+    LogEvent(
+        406,
+        "config_unreadable",
+        Level.ERROR,
+        "a configuration that was accepted can't be read by this host",
+        "The host runs an older release than the configuration needs; it goes on"
+        " with its last one. Upgrade it.",
+    ),
+)
+
+REQUEST_EVENTS = (
+    LogEvent(
+        500,
+        "request_received",
+        Level.DEBUG,
+        "a request arrived",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        501,
+        "request_completed",
+        Level.INFO,
+        "a request was answered in full",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        502,
+        "request_refused",
+        Level.INFO,
+        "a request was refused and did not run",
+        "The reason is in the line. Many of 'overloaded' mean too little capacity.",
+    ),
+    LogEvent(
+        503,
+        "request_failed",
+        Level.WARNING,
+        "a request that may have run ended without a whole answer",
+        "The reason is in the line. Check the upstream that it names.",
+    ),
+    LogEvent(
+        504,
+        "caller_gone",
+        Level.INFO,
+        "the caller went away before its answer was complete",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        505,
+        "caller_malformed",
+        Level.INFO,
+        "a caller sent something that is not HTTP",
+        "Nothing to do unless one address does so again and again.",
+    ),
+    LogEvent(
+        506,
+        "caller_timed_out",
+        Level.INFO,
+        "a caller was too slow to send its request or take its answer",
+        "Nothing to do unless there are many.",
+    ),
+    LogEvent(
+        507,
+        "connections_exhausted",
+        Level.WARNING,
+        "the bound on connections is reached and new ones are refused",
+        "Add entry hosts or raise max_connections.",
+    ),
+    LogEvent(
+        508,
+        "answer_replayed",
+        Level.INFO,
+        "a recorded answer was given to a caller that asked again",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        509,
+        "claim_taken_over",
+        Level.WARNING,
+        "this host took a request over whose holder died",
+        "Nothing to do; look for event 203 on the holder.",
+    ),
+    LogEvent(
+        510,
+        "poison_refused",
+        Level.WARNING,
+        "a request that took upstreams down was refused for good",
+        "Tell the client account; the fingerprint is in the line.",
+    ),
+)
+
+UPSTREAM_EVENTS = (
+    LogEvent(
+        600,
+        "upstream_alive",
+        Level.INFO,
+        "an upstream answers",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        601,
+        "upstream_silent",
+        Level.WARNING,
+        "an upstream no longer answers",
+        "It gets no new work. Check its host.",
+    ),
+    LogEvent(
+        602,
+        "upstream_leaving",
+        Level.INFO,
+        "an upstream is leaving and gets no new work",
+        "It may be stopped once 'upstreams' shows nothing running there.",
+    ),
+    LogEvent(
+        603,
+        "upstream_slow",
+        Level.WARNING,
+        "an upstream is much slower than it was",
+        "It gets less work. Check its host.",
+    ),
+    LogEvent(
+        604,
+        "upstream_recovered",
+        Level.INFO,
+        "an upstream is as fast as before",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        605,
+        "upstream_invalid_answer",
+        Level.WARNING,
+        "an upstream sent something that could not be read",
+        "Check the release of the upstream named.",
+    ),
+    LogEvent(
+        606,
+        "cache_events_missed",
+        Level.DEBUG,
+        "cache events of an upstream are missing",
+        "The prefix cache model is trusted less for a while. Nothing to do.",
+    ),
+)
+
+SCHEDULING_EVENTS = (
+    LogEvent(
+        700,
+        "scheduler_started",
+        Level.INFO,
+        "this host schedules a cell of upstreams",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        701,
+        "scheduler_stopped",
+        Level.INFO,
+        "another host schedules a cell of upstreams",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        702,
+        "shedding_started",
+        Level.WARNING,
+        "requests of a tier are refused for lack of capacity",
+        "Demand is above capacity. Add upstreams or reduce lower tiers.",
+    ),
+    LogEvent(
+        703,
+        "shedding_ended",
+        Level.INFO,
+        "requests of a tier are admitted again",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        704,
+        "request_preempted",
+        Level.WARNING,
+        "a request of a lower tier was ended for one of a higher tier",
+        "Demand of the higher tiers is above capacity. Add upstreams.",
+    ),
+    LogEvent(
+        705,
+        "slot_lapsed",
+        Level.WARNING,
+        "a slot was taken back from a silent holder",
+        "The entry host named died or is cut off. Look for event 203.",
+    ),
+)
+
+OPERATOR_EVENTS = (
+    LogEvent(
+        800,
+        "operator_changed_config",
+        Level.INFO,
+        "an operator proposed a configuration",
+        "Kept for audit; author and change id are in the line.",
+    ),
+    LogEvent(
+        801,
+        "operator_refused",
+        Level.WARNING,
+        "a request on the admin address had no valid token",
+        "Check who asks. The address is in the line.",
+    ),
+    LogEvent(
+        802,
+        "operator_read_failed",
+        Level.WARNING,
+        "an operator's question could not be answered",
+        "There is no leader in reach of this host; see event 303.",
+    ),
+    LogEvent(
+        803,
+        "state_dumped",
+        Level.INFO,
+        "an operator read the state of this process",
+        "Kept for audit. Nothing to do.",
+    ),
+)
+
+EVENTS = (
+    PROCESS_EVENTS
+    + PEER_EVENTS
+    + CONTROL_EVENTS
+    + CONFIGURATION_EVENTS
+    + REQUEST_EVENTS
+    + UPSTREAM_EVENTS
+    + SCHEDULING_EVENTS
+    + OPERATOR_EVENTS
+)
+EVENTS_BY_NAME = {event.name: event for event in EVENTS}
+
+_request_id: ContextVar[str] = ContextVar("request_id", default="")
+
+
+@dataclass(slots=True)
+class Output:
+    """Says where log lines go and which are left out."""
+
+    logger: Any = None
+    lowest_level: int = LEVEL_NUMBERS[Level.INFO]
+
+
+_output = Output()
+
+
+def configure(section: LogSection, host: str, stream: TextIO | None = None) -> None:
+    """Set the form of log lines; called once when a process starts.
+
+    :param section: the ``[log]`` section of the settings.
+    :param host: the host's name, put into each line.
+    :param stream: where lines go, standard error if not given.
+    """
+    renderer: Any = structlog.processors.JSONRenderer()
+    if section.format == "console":
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    processors = [
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        renderer,
+    ]
+    logger = structlog.PrintLogger(stream or sys.stderr)
+    _output.logger = structlog.wrap_logger(
+        logger,
+        processors=processors,
+        wrapper_class=structlog.BoundLogger,
+        host=host,
+    )
+    _output.lowest_level = LEVEL_NUMBERS[Level(section.level)]
+
+
+@contextmanager
+def request_context(request_id: str) -> Iterator[None]:
+    """Put a request's id into every line written inside the block."""
+    reset = _request_id.set(request_id)
+    try:
+        yield
+    finally:
+        _request_id.reset(reset)
+
+
+def write(event_name: str, **fields: Any) -> None:
+    """Write one line.
+
+    :param event_name: the name of an event of the catalogue.
+    :param fields: values that go with it; those with a secret name are masked.
+    :raises LogEventUnknown: if the catalogue has no such event.
+
+    Usage::
+
+        write("peer_silent", peer="entry-2", silent_ms=1500)
+    """
+    event = EVENTS_BY_NAME.get(event_name)
+    if event is None:
+        raise LogEventUnknown(event_name)
+    if LEVEL_NUMBERS[event.level] < _output.lowest_level:
+        return
+    if _output.logger is None:
+        configure(LogSection(), host="")
+    fields.setdefault("request_id", _request_id.get())
+    values = {name: _loggable(name, value) for name, value in fields.items()}
+    method = getattr(_output.logger, event.level)
+    method(event.text, number=event.number, name=event.name, **values)
+
+
+def _loggable(name: str, value: Any) -> Any:
+    if is_secret(name):
+        return MASK
+    if isinstance(value, dict):
+        return {str(key): _loggable(str(key), item) for key, item in value.items()}
+    if isinstance(value, bytes):
+        return f"{len(value)} bytes"
+    if isinstance(value, str | int | float | None):
+        return value
+    return str(value)
--- /dev/null
+++ b/src/peridotfront/metrics.py
@@ -0,0 +1,159 @@
+"""The metrics of one process, in the text format of Prometheus."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from .core.verdicts import Reason, Verdict
+
+LATENCY_BUCKETS_MS = (
+    1,
+    2,
+    5,
+    10,
+    20,
+    50,
+    100,
+    200,
+    500,
+    1000,
+    1500,
+    2000,
+    5000,
+    10_000,
+    30_000,
+    60_000,
+)
+PREFIX = "peridotfront_"
+
+
+class Metrics:
+    """Counts what one process does.
+
+    :param host: the host's name, a label of every metric.
+    :param data_centre: the host's data centre, a label of every metric.
+
+    Usage::
+
+        metrics = Metrics("entry-1", "cardiff")
+        metrics.count_dispatch("engine")
+        body = metrics.render()
+    """
+
+    def __init__(self, host: str, data_centre: str):
+        self._labels = {"host": host, "data_centre": data_centre}
+        self._registry = Registry()
+        self._goodput = self._make(
+            Counter,
+            "goodput_total",
+            "Requests answered in full and within the times of their tier.",
+        )
+        self._answers = self._make(
+            Counter, "answers_total", "Requests ended, by tier, verdict and reason."
+        )
+        self._dispatches = self._make(
+            Counter, "dispatches_total", "Requests sent to an upstream."
+        )
+        self._wasted = self._make(
+            Counter,
+            "wasted_prefill_tokens_total",
+            "Prompt tokens processed in vain or again, by cause.",
+        )
+        self._claims = self._make(
+            Counter, "claims_total", "Claims asked for, by the status of the reply."
+        )
+        self._queue = self._make_histogram(
+            "queue_ms", "Time from arrival to the grant of a slot, in milliseconds."
+        )
+        self._first_token = self._make_histogram(
+            "first_token_ms", "Time from arrival to the first token, in milliseconds."
+        )
+        self._leadership = self._make(
+            Gauge, "is_leader", "1 on the leader of the control group, else 0."
+        )
+        self._config_version = self._make(
+            Gauge, "config_version", "Version of the configuration in force here."
+        )
+        self._alive = self._make(
+            Gauge, "alive_peers", "Peers that are alive, by role, as seen from here."
+        )
+        self._in_progress = self._make(
+            Gauge, "requests_in_progress", "Requests that have not ended yet."
+        )
+
+    def _make(self, kind: type, name: str, doc: str):
+        return kind(
+            PREFIX + name, doc, const_labels=self._labels, registry=self._registry
+        )
+
+    def _make_histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            PREFIX + name,
+            doc,
+            const_labels=self._labels,
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_MS,
+        )
+
+    def count_answer(
+        self, tier: int, verdict: Verdict, reason: Reason, is_good: bool = False
+    ) -> None:
+        """Count a request that ended.
+
+        :param tier: 1 is the highest.
+        :param is_good: whether the answer was whole and in time.
+        """
+        labels = {
+            "tier": str(tier),
+            "verdict": str(verdict),
+            "reason": str(reason) or "none",
+        }
+        self._answers.inc(labels)
+        if is_good:
+            self._goodput.inc({"tier": str(tier)})
+
+    def count_dispatch(self, kind: str) -> None:
+        """Count a request sent to an upstream.
+
+        :param kind: ``engine`` or ``service``.
+        """
+        self._dispatches.inc({"kind": str(kind)})
+
+    def count_wasted_prefill(self, cause: str, tokens: int) -> None:
+        """Count prompt tokens that were processed in vain or again."""
+        self._wasted.add({"cause": str(cause)}, tokens)
+
+    def count_claim(self, status: str) -> None:
+        """Count the reply to a claim by its status."""
+        self._claims.inc({"status": str(status)})
+
+    def observe_queue(self, tier: int, queue_ms: float) -> None:
+        """Record how long a request waited for its slot."""
+        self._queue.observe({"tier": str(tier)}, queue_ms)
+
+    def observe_first_token(self, tier: int, first_token_ms: float) -> None:
+        """Record how long a request waited for its first token."""
+        self._first_token.observe({"tier": str(tier)}, first_token_ms)
+
+    def set_is_leader(self, is_leader: bool) -> None:
+        """Record whether this host leads the control group."""
+        self._leadership.set({}, int(is_leader))
+
+    def set_config_version(self, version: int) -> None:
+        """Record the version of the configuration in force here."""
+        self._config_version.set({}, version)
+
+    def set_alive_peers(self, role: str, count: int) -> None:
+        """Record how many peers of a role are alive."""
+        self._alive.set({"role": role}, count)
+
+    def set_requests_in_progress(self, count: int) -> None:
+        """Record how many requests have not ended yet."""
+        self._in_progress.set({}, count)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus.
+
+        :rtype: bytes
+        """
+        body, _ = render(self._registry, ["text/plain"])
+        return body
