--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -4,7 +4,24 @@
 
 
 class PeridotfrontError(Exception):
-    """Is the root of all exceptions of this package."""
+    """Is the root of all exceptions of peridotfront."""
+
+
+class SettingsInvalid(PeridotfrontError):
+    """Reports every fault of a settings or configuration file at once.
+
+    :param faults: one :class:`~peridotfront.ini.Fault` for each bad value.
+    """
+
+    def __init__(self, source: str, faults: tuple):
+        self.source = source
+        self.faults = faults
+        lines = [f"{source}: {fault}" for fault in faults]
+        super().__init__("\n".join(lines))
+
+
+class LogEventUnknown(PeridotfrontError):
+    """Reports a log event that the catalogue does not list."""
 
 
 class CallerGone(PeridotfrontError):
@@ -74,17 +91,3 @@
 
 class AnswerMalformed(UpstreamError):
     """Signals an answer that is no valid HTTP, or not what the API promises."""
-
-
-class SettingsInvalid(PeridotfrontError):
-    """Reports every fault of a settings or configuration file at once.
-
-    :param source: a name for messages, such as the file's path.
-    :param faults: one :class:`~peridotfront.ini.Fault` for each bad value.
-    """
-
-    def __init__(self, source: str, faults: tuple):
-        self.source = source
-        self.faults = faults
-        lines = [f"{source}: {fault}" for fault in faults]
-        super().__init__("\n".join(lines))
