--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -74,3 +74,14 @@
 
 class AnswerMalformed(UpstreamError):
     """Signals an answer that is no valid HTTP, or not what the API promises."""
+
+
+class SettingsInvalid(PeridotfrontError):
+    """Signals settings with at least one fault.
+
+    :param faults: one line for each fault: section, key, value and reason.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
--- /dev/null
+++ b/src/peridotfront/http_client.py
@@ -0,0 +1,452 @@
+"""HTTP/1.1 client: kept connections, deadlines and verdicts."""
+
+import asyncio
+import math
+import ssl
+from collections import defaultdict, deque
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass
+
+import h11
+
+from .exceptions import (
+    AnswerMalformed,
+    AnswerTooLarge,
+    AnswerTruncated,
+    ConnectFailed,
+    InvalidRequest,
+    UpstreamDied,
+    UpstreamTimedOut,
+)
+from .http_messages import Header, decode_headers, encode_headers, find_header
+
+__all__ = [
+    "ClientLimits",
+    "HttpClient",
+    "UpstreamAnswer",
+    "UpstreamTimeouts",
+]
+
+DEFAULT_READ_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Bounds what the client keeps.
+
+    :param kept_connections: idle connections kept open to one address.
+    :param kept_idle_ms: how long an idle connection is kept.
+    :param read_buffer_bytes: received data of one answer that nobody has read.
+    """
+
+    header_bytes: int = 16 * 1024
+    kept_connections: int = 64
+    kept_idle_ms: int = 30_000
+    read_buffer_bytes: int = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamTimeouts:
+    """Bounds the steps of one call.
+
+    :param first_byte_ms: from the request being sent to the answer's headers.
+    :param between_bytes_ms: silence within the answer.
+    """
+
+    connect_ms: int = 1_000
+    first_byte_ms: int = 30_000
+    between_bytes_ms: int = 30_000
+
+
+class UpstreamAnswer:
+    """Is the answer to one call; its body arrives while it is read."""
+
+    def __init__(
+        self, status_code: int, headers: tuple[Header, ...], connection: "_Connection"
+    ):
+        self.status_code = status_code
+        self.headers = headers
+        self._connection = connection
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first header field with this name in lower case."""
+        return find_header(self.headers, name, default)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; ends only if the answer is whole.
+
+        :raises AnswerTruncated: if the connection ended before the answer.
+        :raises UpstreamTimedOut: if the upstream was silent for too long.
+        :raises AnswerMalformed: if the answer is no valid HTTP.
+        """
+        connection = self._connection
+        try:
+            while data := await connection.receive():
+                yield data
+        finally:
+            connection.release()
+
+    async def read(self, max_bytes: int = DEFAULT_READ_BYTES) -> bytes:
+        """Return the whole body.
+
+        :param max_bytes: the longest body to accept.
+        :raises AnswerTooLarge: if it is longer; the call is cancelled.
+        :raises AnswerTruncated: if the connection ended before the answer.
+        :raises UpstreamTimedOut: if the upstream was silent for too long.
+        """
+        parts = []
+        size_bytes = 0
+        async for data in self.chunks():
+            size_bytes += len(data)
+            if size_bytes > max_bytes:
+                self.cancel()
+                raise AnswerTooLarge(f"longer than {max_bytes} bytes")
+            parts.append(data)
+        return b"".join(parts)
+
+    def cancel(self) -> None:
+        """Close the connection unless the answer has been read to its end."""
+        self._connection.cancel()
+
+
+class _Connection(asyncio.Protocol):
+    """Carries one call after the other to one address."""
+
+    def __init__(self, client: "HttpClient", address: str):
+        self.address = address
+        self.idle_since_s = 0.0
+        self.calls = 0
+        self._client = client
+        self._limits = client.limits
+        self._loop = asyncio.get_running_loop()
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=client.limits.header_bytes
+        )
+        self._transport: asyncio.Transport | None = None
+        self._head: h11.Response | None = None
+        self._parts: list[bytes] = []
+        self._buffered_bytes = 0
+        self._is_whole = False
+        self._error: Exception | None = None
+        self._waiter: asyncio.Future | None = None
+        self._silence_ms = 0
+        self._deadline_s = math.inf
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether a new call may be sent."""
+        return self._error is None and not self._transport.is_closing()
+
+    # Events of the transport.
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._deadline_s = self._loop.time() + self._silence_ms / 1000
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(AnswerMalformed(str(error), self.address))
+        self._wake()
+
+    def eof_received(self) -> bool:
+        try:
+            self._http.receive_data(b"")
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self._fail(self._lost())
+        self._wake()
+        return False
+
+    def connection_lost(self, exc) -> None:
+        if not self._is_whole:
+            self._fail(self._lost())
+        self._stop_timer()
+        self._client.forget(self)
+        self._wake()
+
+    # Reading.
+
+    def _read_events(self) -> None:
+        while not self._is_whole:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            self._take(event)
+        if self._buffered_bytes > self._limits.read_buffer_bytes:
+            self._transport.pause_reading()
+
+    def _take(self, event) -> None:
+        if isinstance(event, h11.Data):
+            self._parts.append(event.data)
+            self._buffered_bytes += len(event.data)
+        elif isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.EndOfMessage):
+            self._is_whole = True
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("the connection was closed")
+
+    def _lost(self) -> Exception:
+        if self._head is not None:
+            return AnswerTruncated("closed within the answer", self.address)
+        return UpstreamDied("closed before the answer", self.address, self.calls > 1)
+
+    def _fail(self, error: Exception) -> None:
+        if self._error is None:
+            self._error = error
+        self._transport.abort()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    # Calls.
+
+    def send(self, request: h11.Request, body: bytes, first_byte_ms: int) -> None:
+        """Write one whole request."""
+        if self.calls:
+            self._http.start_next_cycle()
+        head = self._http.send(request)
+        parts = [head, self._http.send(h11.Data(data=body)) if body else b""]
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self.calls += 1
+        self._head = None
+        self._is_whole = False
+        self._silence_ms = first_byte_ms
+        self._deadline_s = self._loop.time() + first_byte_ms / 1000
+        self._arm()
+        self._transport.write(b"".join(parts))
+
+    async def receive_head(self, between_bytes_ms: int) -> h11.Response:
+        """Return the head of the answer."""
+        while self._head is None:
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        self._silence_ms = between_bytes_ms
+        self._deadline_s = self._loop.time() + between_bytes_ms / 1000
+        self._arm()
+        return self._head
+
+    async def receive(self) -> bytes:
+        """Return all data that has arrived; empty at the end of the answer."""
+        while not self._parts:
+            if self._is_whole:
+                return b""
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        parts = self._parts
+        data = parts[0] if len(parts) == 1 else b"".join(parts)
+        self._parts = []
+        if self._buffered_bytes > self._limits.read_buffer_bytes:
+            self._deadline_s = self._loop.time() + self._silence_ms / 1000
+            self._transport.resume_reading()
+        self._buffered_bytes = 0
+        return data
+
+    def release(self) -> None:
+        """Keep the connection if the answer was read whole, else close it."""
+        self._stop_timer()
+        is_reusable = (
+            self._is_whole
+            and not self._parts
+            and self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+        )
+        if is_reusable and self.is_usable:
+            self._client.keep(self)
+            return
+        self.close()
+
+    def cancel(self) -> None:
+        """Close the connection of a call that has not ended."""
+        if not self._is_whole or self._parts:
+            self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        self._stop_timer()
+        if self._error is None and not self._is_whole:
+            self._error = AnswerTruncated("cancelled", self.address)
+        self._transport.abort()
+
+    # Time-outs: one timer for a call; it re-arms itself while bytes arrive.
+
+    def _arm(self) -> None:
+        self._stop_timer()
+        if self._deadline_s < math.inf:
+            self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
+
+    def _check_deadline(self) -> None:
+        self._timer = None
+        is_unread = self._buffered_bytes > self._limits.read_buffer_bytes
+        if self._is_whole or is_unread or self._loop.time() < self._deadline_s:
+            self._deadline_s = max(
+                self._deadline_s, self._loop.time() + self._silence_ms / 1000 / 4
+            )
+            self._arm()
+            return
+        self._fail(UpstreamTimedOut("silent for too long", self.address))
+        self._wake()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class HttpClient:
+    """Sends requests to upstreams over HTTP/1.1.
+
+    A request is handed to a socket at most once: the client never repeats it.
+
+    :param limits: bounds on kept connections and buffers.
+    :param ssl_context: for TLS; None uses plain TCP.
+    """
+
+    def __init__(
+        self,
+        limits: ClientLimits | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ):
+        self.limits = limits or ClientLimits()
+        self._ssl_context = ssl_context
+        self._kept: dict[str, deque[_Connection]] = defaultdict(deque)
+        self._open: set[_Connection] = set()
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open)
+
+    async def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> UpstreamAnswer:
+        """Send one request and wait for the head of the answer.
+
+        :param address: IP number and port.
+        :param target: path and query.
+        :return: the answer; read it to its end or cancel it.
+        :raises ConnectFailed: not one byte was handed to a socket (not run).
+        :raises UpstreamDied: the connection closed before the answer.
+        :raises UpstreamTimedOut: the answer did not begin in time.
+        :raises AnswerMalformed: the answer is no valid HTTP.
+        :raises InvalidRequest: the request cannot be written as HTTP (not run).
+        """
+        timeouts = timeouts or UpstreamTimeouts()
+        request = self._request(address, method, target, headers, body)
+        connection = self._take_kept(address)
+        if connection is None:
+            connection = await self._connect(address, timeouts.connect_ms)
+        try:
+            connection.send(request, body, timeouts.first_byte_ms)
+            head = await connection.receive_head(timeouts.between_bytes_ms)
+        except BaseException:
+            connection.close()
+            raise
+        return UpstreamAnswer(
+            head.status_code, decode_headers(head.headers), connection
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self._open):
+            connection.close()
+        while self._open:
+            await asyncio.sleep(0)
+
+    def keep(self, connection: _Connection) -> None:
+        """Keep an idle connection for the next call."""
+        kept = self._kept[connection.address]
+        if len(kept) >= self.limits.kept_connections:
+            connection.close()
+            return
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        kept.append(connection)
+        if self._sweeper is None:
+            self._sweep()
+
+    def forget(self, connection: _Connection) -> None:
+        """Drop a closed connection."""
+        self._open.discard(connection)
+        kept = self._kept.get(connection.address)
+        if kept is None:
+            return
+        if connection in kept:
+            kept.remove(connection)
+        if not kept:
+            del self._kept[connection.address]
+
+    @staticmethod
+    def _request(address, method, target, headers, body) -> h11.Request:
+        fields = [("host", address), *headers]
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            fields.append(("content-length", str(len(body))))
+        try:
+            return h11.Request(
+                method=method, target=target, headers=encode_headers(fields)
+            )
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise InvalidRequest(str(error)) from error
+
+    def _take_kept(self, address: str) -> _Connection | None:
+        kept = self._kept.get(address)
+        while kept:
+            connection = kept.pop()
+            if connection.is_usable:
+                return connection
+        return None
+
+    async def _connect(self, address: str, connect_ms: int) -> _Connection:
+        host_ip, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(connect_ms / 1000):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self, address),
+                    host_ip.strip("[]"),
+                    int(port),
+                    ssl=self._ssl_context,
+                )
+        except (OSError, ValueError) as error:
+            raise ConnectFailed(f"cannot connect: {error}", address) from error
+        self._open.add(connection)
+        if not connection.is_usable:
+            connection.close()
+            raise ConnectFailed("closed at once", address)
+        return connection
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        kept_s = self.limits.kept_idle_ms / 1000
+        oldest_s = loop.time() - kept_s
+        for kept in list(self._kept.values()):
+            for connection in [c for c in kept if c.idle_since_s <= oldest_s]:
+                kept.remove(connection)
+                connection.close()
+        self._sweeper = None
+        if any(self._kept.values()):
+            self._sweeper = loop.call_later(kept_s / 4, self._sweep)
--- /dev/null
+++ b/src/peridotfront/standin.py
@@ -0,0 +1,102 @@
+"""Program ``peridotfront-standin``: a fake upstream for demonstrations and tests."""
+
+import asyncio
+import signal
+import sys
+
+import fire
+
+from .callers import Exchange, HttpServer
+from .exceptions import SettingsInvalid
+from .standin_api import StandinEngine, parse_body
+from .standin_service import Faults, RunFile, StandinService
+from .standin_settings import StandinSettings, load_settings
+from .standin_text import expected_text
+
+__all__ = ["expected_text", "main", "run"]
+
+EXIT_BAD_SETTINGS = 2
+DRAIN_MS = 600_000
+
+
+class Standin:
+    """Serves one stand-in until it is told to leave."""
+
+    def __init__(self, settings: StandinSettings):
+        self._settings = settings
+        self._run_file = RunFile(settings.standin.run_file)
+        if settings.standin.kind == "engine":
+            self._backend = StandinEngine(settings.engine, self._run_file)
+        else:
+            self._backend = StandinService(self._run_file, settings.service.call_ms)
+        self._server = HttpServer(self._handle)
+        self._leave = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """Return the IP number and port that it listens on."""
+        host_ip = self._settings.standin.listen.rpartition(":")[0]
+        return f"{host_ip}:{self._server.port}"
+
+    async def start(self) -> None:
+        """Open the port.
+
+        :raises OSError: if the address cannot be bound.
+        """
+        host_ip, _, port = self._settings.standin.listen.rpartition(":")
+        await self._server.start(host_ip.strip("[]"), int(port))
+
+    def leave(self) -> None:
+        """Begin a graceful shutdown."""
+        self._backend.is_leaving = True
+        self._leave.set()
+
+    async def serve(self) -> None:
+        """Serve until told to leave; report it, finish what runs, close."""
+        await self._leave.wait()
+        await asyncio.sleep(self._settings.standin.leave_ms / 1000)
+        self._server.close_listener()
+        await self._server.drain(DRAIN_MS)
+        await self._backend.drained()
+        await self._server.close()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.method == "POST" and request.path == "/faults":
+            self._backend.apply_faults(parse_body(Faults, request))
+            await exchange.respond(204)
+            return
+        await self._backend.handle(exchange)
+
+
+async def run(settings: StandinSettings) -> None:
+    """Run a stand-in until SIGTERM."""
+    standin = Standin(settings)
+    await standin.start()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, standin.leave)
+    print(f"ready {standin.address}", flush=True)
+    await standin.serve()
+
+
+def serve(settings: str) -> None:
+    """Run a stand-in upstream.
+
+    :param settings: path of the INI file.
+    """
+    try:
+        checked = load_settings(settings)
+    except SettingsInvalid as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    asyncio.run(run(checked))
+
+
+def main() -> None:
+    """Read the command line and run."""
+    fire.Fire(serve, name="peridotfront-standin")
+
+
+if __name__ == "__main__":
+    main()
