Add the scheduler of a cell: tiers, placement, health, poison, shedding

Change: CellScheduler with tier queues (deficit round robin on tokens between accounts, deadlines inside), late binding, slots and prefill rates learned from releases and held slots, a prefix cache model, circuit breaking with probes and slow start, strikes, shedding in strict order. Policy gets its knobs. Shown: 22 scenarios in features/scheduler.feature and features/placement.feature pass. Nothing of the policy is measured yet.

--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,50 @@
+Feature: Wants are placed where they start soonest
+  Placement follows prefixes, learned rates, health and suspicion.
+
+  Background:
+    Given a cell with 2 engines of 4 slots
+
+  Scenario: A prompt goes where its prefix was sent before
+    When a prompt with a long prefix was completed at an upstream
+    And another upstream is idle as well
+    And a prompt with the same prefix arrives
+    Then both ran at the same upstream
+
+  Scenario: A gap in the cache events lowers the trust
+    When cache events 1 and 2 arrive from "e0"
+    Then the trust in the cache of "e0" is 1.0
+    When cache event 9 arrives from "e0"
+    Then the trust in the cache of "e0" is below 1.0
+
+  Scenario: A long lower prefill does not stand before every engine
+    When 2 long prompts of tier 3 arrive
+    Then 1 slot is in use
+    When a short want of tier 1 arrives
+    Then it is granted at the engine without the long prefill
+
+  Scenario: A leaving upstream gets no new grants
+    When upstream "e0" says that it leaves
+    And 4 wants of tier 1 arrive
+    Then upstream "e0" has 0 slots in use
+
+  Scenario: An upstream that died is probed before it is trusted
+    When the upstream of a running request dies
+    Then it gets no new grants
+    When 1100 ms pass
+    Then it gets 1 request as a probe
+
+  Scenario: A request at its second strike is refused
+    When a poison request kills an upstream beside a stranger
+    And the poison request kills another upstream beside a stranger
+    Then the poison request is refused for good
+    And no stranger is refused for good
+
+  Scenario: Two suspects never share an upstream
+    When a poison request kills an upstream beside a stranger
+    And both come back while one upstream is left
+    Then only one of them is granted
+
+  Scenario: A plain service is scheduled by slot counts only
+    Given a cell of a plain service with 2 upstreams of 1 slot
+    When 3 wants of tier 1 arrive
+    Then 2 slots are in use
--- /dev/null
+++ b/features/scheduler.feature
@@ -0,0 +1,95 @@
+Feature: Wants are granted by tier, and refused honestly
+  The scheduler of a cell grants slots at its upstreams.
+
+  Background:
+    Given a cell with 2 engines of 2 slots
+
+  Scenario: A want is granted a slot at once when one is free
+    When host "a" wants "r1" at tier 1
+    Then "r1" is granted
+
+  Scenario: A new scheduler only listens while it settles
+    Given a scheduler that has not settled
+    When host "a" wants "r1" at tier 1
+    Then "r1" has no answer
+    When 300 ms pass
+    Then "r1" is granted
+
+  Scenario: A repeated want gets the same grant again
+    When host "a" wants "r1" at tier 1
+    And host "a" wants "r1" at tier 1
+    Then "r1" is granted 2 times at one upstream
+    And 1 slot is in use
+
+  Scenario: A want of another host for a held request is refused
+    When host "a" wants "r1" at tier 1
+    And host "b" wants "r1" at tier 1
+    Then "r1" is refused to host "b" as "in_progress"
+
+  Scenario: A higher tier goes first when a slot comes free
+    Given all slots are held at tier 2
+    When host "a" wants "low" at tier 3
+    And host "a" wants "high" at tier 1
+    And a slot is released
+    Then "high" is granted
+    And "low" has no answer
+
+  Scenario: A slot whose holder is silent lapses
+    When host "a" wants "r1" at tier 1
+    And 3200 ms pass
+    Then 0 slots are in use
+
+  Scenario: A held slot renews its lease
+    When host "a" wants "r1" at tier 1
+    And host "a" holds "r1" for 5000 ms
+    Then 1 slot is in use
+
+  Scenario: A held slot is adopted by a new scheduler
+    Given a scheduler that has not settled
+    When host "a" tells that it holds "r1" at "e0"
+    Then 1 slot is in use
+    And upstream "e0" has 1 slot in use
+
+  Scenario: Wants of a lost host lapse and its slots stay until their lease ran out
+    Given all slots are held at tier 2
+    When host "b" wants "r1" at tier 1
+    And host "b" is lost
+    And host "h" is lost
+    Then 4 slots are in use
+    When 3200 ms pass
+    Then 0 slots are in use
+    And "r1" has no answer
+
+  Scenario: Queued lower work is evicted before a higher want is refused
+    Given all slots are held at tier 1
+    When 20 wants of tier 3 arrive
+    And 200 wants of tier 1 arrive
+    Then some wants of tier 1 are refused
+    And no want of tier 3 is queued
+    And there was no inversion
+
+  Scenario: A lower running request is cut only for an urgent higher one
+    Given all slots are held at tier 3
+    When 3 wants of tier 1 arrive
+    And 200 ms pass
+    Then no request is preempted
+    And 4 slots are in use
+    When the holders keep their slots for 1200 ms
+    Then 6 slots are in use
+    And 1 request is preempted
+
+  Scenario: A refusal for overload carries the time to come back
+    Given all slots are held at tier 1
+    When 200 wants of tier 1 arrive
+    Then every refusal for overload carries a time to come back
+
+  Scenario: A want for a model that no upstream serves is refused
+    When host "a" wants "r1" of model "other"
+    Then "r1" is refused to host "a" as "no_upstream"
+
+  Scenario: Accounts share the slots of a tier by tokens
+    Given all slots are held at tier 1
+    When 10 wants of account "large" arrive
+    And 1 want of account "small" arrives
+    And 2 slots are released
+    Then account "small" was granted 1 want
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,193 @@
+"""Steps on placement, health and poison requests."""
+
+from behave import given, then, when
+from cell_fixtures import Cell, make_fleet
+
+from peridotfront.core.fleet import UpstreamKind
+from peridotfront.core.messages import Grant, Refuse, ReleaseCause, UpstreamReport
+
+PREFIX = tuple(range(1000, 1030))
+POISON = 666
+LONG_PROMPT_TOKENS = 4000
+
+
+def report(cell, upstream, **fields):
+    values = {
+        "is_alive": True,
+        "is_leaving": False,
+        "running": 0,
+        "queued_prefill_tokens": 0,
+        "used_kv_tokens": 0,
+        "capacity_kv_tokens": 0,
+        "cache_sequence": -1,
+    }
+    values.update(fields)
+    message = UpstreamReport(upstream=upstream, cell=cell.scheduler.cell, **values)
+    cell.receive("h", message)
+
+
+def granted_at(cell, request_id):
+    grants = cell.answers(request_id, Grant)
+    return grants[-1].message.upstream if grants else None
+
+
+@given("a cell of a plain service with {count:d} upstreams of {slots:d} slot")
+def make_service(context, count, slots):
+    context.cell = Cell(make_fleet(count, slots, UpstreamKind.SERVICE))
+
+
+@when("a prompt with a long prefix was completed at an upstream")
+def run_prefix(context):
+    context.cell.want("p1", prompt_tokens=2000, prefix_hashes=PREFIX)
+    context.cell.pass_time(600)
+    context.cell.release("p1", first_token_ms=500)
+
+
+@when("another upstream is idle as well")
+def other_is_idle(context):
+    assert context.cell.slots_in_use == 0
+
+
+@when("a prompt with the same prefix arrives")
+def run_prefix_again(context):
+    context.cell.want("p2", prompt_tokens=2000, prefix_hashes=PREFIX)
+
+
+@then("both ran at the same upstream")
+def same_upstream(context):
+    cell = context.cell
+    assert granted_at(cell, "p1") == granted_at(cell, "p2")
+    assert cell.answers("p2", Grant)[0].message.predicted_prefix_tokens > 0
+
+
+@when('cache events {first:d} and {second:d} arrive from "{upstream}"')
+def two_events(context, first, second, upstream):
+    for sequence in (first, second):
+        report(context.cell, upstream, cache_sequence=sequence)
+
+
+@when('cache event {sequence:d} arrives from "{upstream}"')
+def one_event(context, sequence, upstream):
+    report(context.cell, upstream, cache_sequence=sequence)
+
+
+@then('the trust in the cache of "{upstream}" is {trust:g}')
+def trust_is(context, upstream, trust):
+    assert context.cell.upstream(upstream).cache_trust == trust
+
+
+@then('the trust in the cache of "{upstream}" is below {trust:g}')
+def trust_below(context, upstream, trust):
+    assert context.cell.upstream(upstream).cache_trust < trust
+
+
+@when("{count:d} long prompts of tier {tier:d} arrive")
+def long_prompts(context, count, tier):
+    for index in range(count):
+        context.cell.want(
+            f"long{index}", tier, prompt_tokens=LONG_PROMPT_TOKENS, deadline_ms=20_000
+        )
+
+
+@when("a short want of tier {tier:d} arrives")
+def short_want(context, tier):
+    context.cell.want("short", tier)
+
+
+@then("it is granted at the engine without the long prefill")
+def granted_beside(context):
+    assert granted_at(context.cell, "short") not in (
+        None,
+        granted_at(context.cell, "long0"),
+    )
+
+
+@when('upstream "{upstream}" says that it leaves')
+def says_leaving(context, upstream):
+    report(context.cell, upstream, is_leaving=True)
+
+
+@when("the upstream of a running request dies")
+def upstream_dies(context):
+    context.cell.want("victim")
+    context.dead = granted_at(context.cell, "victim")
+    context.cell.pass_time(10)
+    context.cell.release("victim", ReleaseCause.UPSTREAM_DIED, first_token_ms=-1)
+
+
+@then("it gets no new grants")
+def no_new_grants(context):
+    for index in range(4):
+        context.cell.want(f"after{index}", deadline_ms=20_000)
+        assert granted_at(context.cell, f"after{index}") != context.dead
+
+
+@then("it gets {count:d} request as a probe")
+def gets_probe(context, count):
+    for index in range(4):
+        context.cell.want(f"probe{index}", deadline_ms=20_000)
+    assert context.cell.upstream(context.dead).slots == count
+
+
+@when("a poison request kills an upstream beside a stranger")
+def poison_kills(context):
+    kill(context, 1)
+
+
+@when("the poison request kills another upstream beside a stranger")
+def poison_kills_again(context):
+    kill(context, 2)
+
+
+def kill(context, attempt):
+    cell = context.cell
+    cell.want(f"poison{attempt}", fingerprint=POISON)
+    upstream = granted_at(cell, f"poison{attempt}")
+    strangers = []
+    for index in range(3):
+        name = f"stranger{attempt}-{index}"
+        cell.want(name, fingerprint=100 * attempt + index)
+        if granted_at(cell, name) == upstream:
+            strangers.append(name)
+    assert strangers
+    cell.pass_time(10)
+    for name in (*strangers, f"poison{attempt}"):
+        cell.release(name, ReleaseCause.UPSTREAM_DIED, first_token_ms=-1)
+    for name in list(cell.held()):
+        cell.release(name)
+    context.dead = upstream
+    context.strangers = getattr(context, "strangers", []) + [
+        cell.wants[name].fingerprint for name in strangers
+    ]
+
+
+@then("the poison request is refused for good")
+def poison_refused(context):
+    context.cell.want("poison3", fingerprint=POISON)
+    refusal = context.cell.answers("poison3", Refuse)[0].message
+    assert refusal.reason.value == "poison"
+    assert refusal.retry_after_ms == 0
+
+
+@then("no stranger is refused for good")
+def stranger_not_refused(context):
+    for fingerprint in context.strangers:
+        context.cell.want(f"again{fingerprint}", fingerprint=fingerprint)
+        refusals = context.cell.answers(f"again{fingerprint}", Refuse)
+        assert all(one.message.reason.value != "poison" for one in refusals)
+
+
+@when("both come back while one upstream is left")
+def suspects_return(context):
+    context.cell.want("poison-again", fingerprint=POISON)
+    context.cell.want("stranger-again", fingerprint=context.strangers[0])
+
+
+@then("only one of them is granted")
+def one_granted(context):
+    granted = [
+        name
+        for name in ("poison-again", "stranger-again")
+        if granted_at(context.cell, name)
+    ]
+    assert len(granted) == 1
--- /dev/null
+++ b/features/steps/scheduler_steps.py
@@ -0,0 +1,167 @@
+"""Steps on the queues, answers and leases of a cell's scheduler."""
+
+from behave import given, then, when
+from cell_fixtures import Cell, make_fleet
+
+from peridotfront.core.cell_events import HostLost
+from peridotfront.core.messages import Grant, Refuse
+
+
+@given("a cell with {engines:d} engines of {slots:d} slots")
+def make_cell(context, engines, slots):
+    context.cell = Cell(make_fleet(engines, slots))
+
+
+@given("a scheduler that has not settled")
+def make_unsettled(context):
+    context.cell = Cell(context.cell.fleet, settled=False)
+
+
+@given("all slots are held at tier {tier:d}")
+def fill_cell(context, tier):
+    specs = context.cell.fleet.upstreams
+    for index in range(sum(spec.max_slots for spec in specs)):
+        context.cell.want(f"held{index}", tier)
+        assert context.cell.answers(f"held{index}", Grant)
+
+
+@when('host "{host}" wants "{request_id}" at tier {tier:d}')
+def want_one(context, host, request_id, tier):
+    context.cell.want(request_id, tier, host)
+
+
+@when('host "{host}" wants "{request_id}" of model "{model}"')
+def want_model(context, host, request_id, model):
+    context.cell.want(request_id, host=host, model=model)
+
+
+@when("{count:d} wants of tier {tier:d} arrive")
+def want_many(context, count, tier):
+    for index in range(count):
+        context.cell.want(f"t{tier}-{index}", tier)
+
+
+@when('{count:d} wants of account "{account}" arrive')
+@when('{count:d} want of account "{account}" arrives')
+def want_account(context, count, account):
+    for index in range(count):
+        context.cell.want(f"{account}-{index}", client_account=account)
+
+
+@when("a slot is released")
+def release_one(context):
+    context.cell.release("held0")
+
+
+@when("{count:d} slots are released")
+def release_some(context, count):
+    for index in range(count):
+        context.cell.release(f"held{index}")
+
+
+@when("{duration:d} ms pass")
+def pass_time(context, duration):
+    context.cell.pass_time(duration)
+
+
+@when("the holders keep their slots for {duration:d} ms")
+def keep_slots(context, duration):
+    context.cell.pass_time(duration, keep=True)
+
+
+@when('host "{host}" holds "{request_id}" for {duration:d} ms')
+def hold_on(context, host, request_id, duration):
+    context.cell.pass_time(duration, keep=True)
+
+
+@when('host "{host}" tells that it holds "{request_id}" at "{upstream}"')
+def tell_held(context, host, request_id, upstream):
+    other = Cell(context.cell.fleet)
+    other.want(request_id)
+    context.cell.wants.update(other.wants)
+    context.cell.hold(request_id, host, upstream, 5)
+
+
+@when('host "{host}" is lost')
+def lose_host(context, host):
+    context.cell.step(HostLost(host))
+
+
+@then('"{request_id}" is granted')
+def is_granted(context, request_id):
+    assert len(context.cell.answers(request_id, Grant)) == 1
+
+
+@then('"{request_id}" is granted {count:d} times at one upstream')
+def is_granted_again(context, request_id, count):
+    grants = context.cell.answers(request_id, Grant)
+    assert len(grants) == count
+    assert len({grant.message.upstream for grant in grants}) == 1
+
+
+@then('"{request_id}" has no answer')
+def has_no_answer(context, request_id):
+    assert context.cell.answers(request_id) == []
+
+
+@then('"{request_id}" is refused to host "{host}" as "{reason}"')
+def is_refused(context, request_id, host, reason):
+    refusals = context.cell.answers(request_id, Refuse)
+    assert [(r.to_host, r.message.reason.value) for r in refusals] == [(host, reason)]
+
+
+@then("{count:d} slots are in use")
+@then("{count:d} slot is in use")
+def slots_in_use(context, count):
+    assert context.cell.slots_in_use == count, context.cell.slots_in_use
+
+
+@then('upstream "{name}" has {count:d} slots in use')
+@then('upstream "{name}" has {count:d} slot in use')
+def upstream_slots(context, name, count):
+    assert context.cell.upstream(name).slots == count
+
+
+@then("some wants of tier {tier:d} are refused")
+def some_refused(context, tier):
+    assert any(
+        context.cell.wants[send.message.request_id].tier == tier
+        for send in context.cell.all_of(Refuse)
+    )
+
+
+@then("no want of tier {tier:d} is queued")
+def none_queued(context, tier):
+    assert all(queue.tier != tier for queue in context.cell.scheduler.dump().queues)
+
+
+@then("there was no inversion")
+def no_inversion(context):
+    assert context.cell.scheduler.stats.inversions == 0
+
+
+@then("no request is preempted")
+def none_preempted(context):
+    assert context.cell.preempted() == []
+
+
+@then("{count:d} request is preempted")
+def some_preempted(context, count):
+    assert len(context.cell.preempted()) == count, context.cell.preempted()
+
+
+@then("every refusal for overload carries a time to come back")
+def carries_retry(context):
+    refusals = [send.message for send in context.cell.all_of(Refuse)]
+    assert refusals
+    assert all(refusal.retry_after_ms > 0 for refusal in refusals)
+
+
+@then('account "{account}" was granted {count:d} want')
+def account_granted(context, account, count):
+    granted = [
+        send
+        for send in context.cell.all_of(Grant)
+        if context.cell.wants[send.message.request_id].client_account == account
+    ]
+    assert len(granted) == count
--- /dev/null
+++ b/src/peridotfront/core/budgets.py
@@ -0,0 +1,170 @@
+"""Slots in use at one upstream, and the budget learned from what it does."""
+
+from dataclasses import dataclass
+
+from .messages import Want
+
+MIN_RATE_SAMPLE_TOKENS = 300
+RATE_GAIN = 0.15
+GAP_GAIN = 0.1
+GAP_WINDOW_MS = 500
+GAP_HIGH = 0.97
+GAP_LOW = 0.9
+LIMIT_DECREASE = 0.93
+MIN_LIMIT_SLOTS = 2.0
+KV_SHARE = 0.95
+MIN_PREFILL_TOKENS_PER_S = 50.0
+OVERDUE_RATE_DECREASE = 0.9
+
+
+@dataclass(slots=True)
+class Slot:
+    """Is one request that runs, or may run, at an upstream.
+
+    :param busy_tokens: prompt tokens to process there until its first token.
+    :param prefill_tokens: of these, the ones of its own.
+    :param first_due_ms: when its first token is expected.
+    """
+
+    want: Want
+    host: str
+    upstream: str
+    granted_ms: int
+    lease_until_ms: int
+    predicted_prefix_tokens: int = 0
+    busy_tokens: float = 0.0
+    prefill_tokens: int = 0
+    first_due_ms: int = 0
+    produced_tokens: int = 0
+    progress_ms: int = 0
+    is_preempted: bool = False
+
+    @property
+    def kv_tokens(self) -> int:
+        """Return the memory that the request may come to use."""
+        return self.want.prompt_tokens + self.want.output_tokens
+
+
+class Budget:
+    """Holds the slots of one upstream and learns how many it can take.
+
+    :param max_slots: how many requests may run at once by the inventory.
+    :param kv_capacity_tokens: its memory.
+    :param prefill_tokens_per_s: first estimate.
+    :param gap_ms: first estimate of the time between two tokens.
+    :param target_gap_ms: the time between two tokens that callers accept.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_slots: int,
+        kv_capacity_tokens: int,
+        prefill_tokens_per_s: float,
+        gap_ms: float,
+        target_gap_ms: float,
+        learns: bool = True,
+    ):
+        self.max_slots = max_slots
+        self.kv_capacity_tokens = kv_capacity_tokens
+        self.prefill_tokens_per_s = float(prefill_tokens_per_s)
+        self.gap_ms = gap_ms
+        self.target_gap_ms = target_gap_ms
+        self.learns = learns
+        self.limit_slots = float(max_slots)
+        self.slots: dict[str, Slot] = {}
+        self.kv_tokens = 0
+        self._clear_ms = 0.0
+        self._window_start_ms = 0
+        self._window: list[float] = []
+        self._window_peak = 0
+
+    def backlog_ms(self, now_ms: int) -> float:
+        """Return how long the upstream's prefill queue is expected to take."""
+        return max(0.0, self._clear_ms - now_ms)
+
+    def prefill_ms(self, tokens: float) -> float:
+        """Return how long the upstream takes to process so many prompt tokens."""
+        return tokens * 1000.0 / self.prefill_tokens_per_s
+
+    def fits_memory(self, want: Want) -> bool:
+        """Return whether the want's tokens fit beside those of the others."""
+        need = want.prompt_tokens + want.output_tokens
+        return self.kv_tokens + need <= self.kv_capacity_tokens * KV_SHARE
+
+    def occupy(self, slot: Slot, now_ms: int) -> None:
+        """Take a slot and queue its prefill."""
+        self.slots[slot.want.request_id] = slot
+        self.kv_tokens += slot.kv_tokens
+        backlog_ms = self.backlog_ms(now_ms)
+        own_ms = self.prefill_ms(slot.prefill_tokens)
+        self._clear_ms = now_ms + backlog_ms + own_ms
+        slot.busy_tokens = (
+            backlog_ms * self.prefill_tokens_per_s / 1000.0 + slot.prefill_tokens
+        )
+        slot.first_due_ms = int(self._clear_ms)
+        slot.progress_ms = now_ms
+        self._window_peak = max(self._window_peak, len(self.slots))
+
+    def vacate(self, request_id: str) -> Slot:
+        """Give a slot back."""
+        slot = self.slots.pop(request_id)
+        self.kv_tokens -= slot.kv_tokens
+        if not self.slots:
+            self._clear_ms = 0.0
+        return slot
+
+    def first_token(self, slot: Slot, first_token_ms: int, cached_tokens: int) -> None:
+        """Learn the prefill rate from a measured time to the first token."""
+        busy_tokens = slot.busy_tokens + slot.predicted_prefix_tokens - cached_tokens
+        if not self.learns or first_token_ms <= 0:
+            return
+        if busy_tokens < MIN_RATE_SAMPLE_TOKENS:
+            return
+        rate = busy_tokens * 1000.0 / first_token_ms
+        self._blend_rate(rate)
+
+    def overdue(self, slot: Slot, now_ms: int) -> None:
+        """Note that a first token is late: the backlog is longer than thought."""
+        own_ms = self.prefill_ms(slot.prefill_tokens)
+        self._clear_ms = max(self._clear_ms, now_ms + own_ms / 2)
+        if self.learns:
+            rate = self.prefill_tokens_per_s * OVERDUE_RATE_DECREASE
+            self.prefill_tokens_per_s = max(MIN_PREFILL_TOKENS_PER_S, rate)
+
+    def progress(self, slot: Slot, produced_tokens: int, now_ms: int) -> None:
+        """Learn the time between tokens from a running request."""
+        tokens = produced_tokens - slot.produced_tokens
+        if slot.produced_tokens > 0 and tokens > 0:
+            self.observe_gap((now_ms - slot.progress_ms) / tokens, now_ms)
+        if tokens > 0:
+            slot.produced_tokens = produced_tokens
+            slot.progress_ms = now_ms
+
+    def observe_gap(self, gap_ms: float, now_ms: int) -> None:
+        """Learn the time between tokens, and from it the number of slots."""
+        self.gap_ms += (gap_ms - self.gap_ms) * GAP_GAIN
+        self._window.append(gap_ms)
+        if now_ms - self._window_start_ms < GAP_WINDOW_MS:
+            return
+        if self.learns:
+            self._adjust_limit(sum(self._window) / len(self._window))
+        self._window.clear()
+        self._window_start_ms = now_ms
+        self._window_peak = len(self.slots)
+
+    def _adjust_limit(self, mean_gap_ms: float) -> None:
+        if mean_gap_ms > self.target_gap_ms * GAP_HIGH:
+            limit = min(self.limit_slots, self._window_peak) * LIMIT_DECREASE
+            floor = max(MIN_LIMIT_SLOTS, self.max_slots / 4)
+            self.limit_slots = max(floor, limit)
+            return
+        is_full = self._window_peak >= int(self.limit_slots)
+        if is_full and mean_gap_ms < self.target_gap_ms * GAP_LOW:
+            self.limit_slots = min(float(self.max_slots), self.limit_slots + 1)
+
+    def _blend_rate(self, rate: float) -> None:
+        blended = self.prefill_tokens_per_s + RATE_GAIN * (
+            rate - self.prefill_tokens_per_s
+        )
+        self.prefill_tokens_per_s = max(MIN_PREFILL_TOKENS_PER_S, blended)
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -92,6 +92,18 @@
         second of waiting; above 1 favours cache hits over latency.
     :param max_queue_ms: a want that would wait longer is refused at once.
     :param slot_lease_ms: a slot whose holder is silent for longer lapses.
+    :param suspect_after_ms: an upstream that shows no progress for longer gets no
+        new work.
+    :param token_gap_ms: the longest time between two tokens that callers accept.
+    :param settle_ms: a new scheduler only listens for this long.
+    :param prefix_block_tokens: prompt tokens behind one prefix hash.
+    :param engine_queue_ms: prefill that may stand before a new request at an engine.
+    :param headroom_ms: the same bound for all but the highest tier.
+    :param overfill_ratio: how far an urgent request may exceed the learned slots.
+    :param urgent_ms: a want with less patience left is urgent.
+    :param preempts: whether running requests may be cut for urgent higher ones.
+    :param affinity_ms: how long a want may wait for the upstream that holds its
+        prefix.
     """
 
     prefill_weight: float = 1.0
@@ -103,6 +115,15 @@
     answer_buffer_bytes: int = 1_048_576
     replay_body_bytes: int = 16_384
     claim_retention_ms: int = 86_400_000
+    token_gap_ms: float = 27.0
+    settle_ms: int = 300
+    prefix_block_tokens: int = 64
+    engine_queue_ms: int = 200
+    headroom_ms: int = 400
+    overfill_ratio: float = 1.25
+    urgent_ms: int = 500
+    preempts: bool = True
+    affinity_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/peridotfront/core/prefixes.py
@@ -0,0 +1,76 @@
+"""Model of the prefixes that an engine holds in its cache."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+TRUST_GAIN = 0.05
+TRUST_AFTER_GAP = 0.9
+TRUST_AFTER_MISS = 0.9
+MIN_TRUST = 0.2
+
+
+class PrefixModel:
+    """Records the prompt blocks sent to an engine, bounded like its memory.
+
+    :param block_tokens: prompt tokens behind one hash.
+    :param capacity_blocks: blocks that the engine's memory holds.
+    """
+
+    def __init__(self, block_tokens: int, capacity_blocks: int):
+        self.block_tokens = block_tokens
+        self.capacity_blocks = capacity_blocks
+        self.trust = 1.0
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._sequence = -1
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def hit_tokens(self, hashes: tuple[int, ...], prompt_tokens: int) -> int:
+        """Return the prompt tokens that are expected in the cache."""
+        blocks = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            blocks += 1
+        return min(blocks * self.block_tokens, max(0, prompt_tokens - 1))
+
+    def record(self, hashes: tuple[int, ...], spare_blocks: int) -> None:
+        """Record a prompt that was sent; the oldest blocks make room.
+
+        :param spare_blocks: blocks that running requests leave to the cache.
+        """
+        self._add(reversed(hashes))
+        limit = max(len(hashes), min(spare_blocks, self.capacity_blocks))
+        while len(self._blocks) > limit:
+            self._blocks.popitem(last=False)
+
+    def correct(self, predicted_tokens: int, cached_tokens: int) -> None:
+        """Compare a prediction with what the engine found in its cache."""
+        if cached_tokens >= predicted_tokens:
+            self.trust += (1 - self.trust) * TRUST_GAIN
+            return
+        self.trust = max(MIN_TRUST, self.trust * TRUST_AFTER_MISS)
+
+    def apply_events(
+        self, sequence: int, cached: Iterable[int], evicted: Iterable[int]
+    ) -> None:
+        """Take in cache events; a gap in their numbering lowers the trust."""
+        if sequence <= self._sequence:
+            return
+        if self._sequence >= 0 and sequence > self._sequence + 1:
+            self.trust = max(MIN_TRUST, self.trust * TRUST_AFTER_GAP)
+        self._sequence = sequence
+        self._add(cached)
+        for block in evicted:
+            self._blocks.pop(block, None)
+
+    def clear(self) -> None:
+        """Forget all blocks, as an engine that restarted does."""
+        self._blocks.clear()
+        self._sequence = -1
+
+    def _add(self, hashes: Iterable[int]) -> None:
+        for block in hashes:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
--- /dev/null
+++ b/src/peridotfront/core/scheduler.py
@@ -0,0 +1,635 @@
+"""The scheduler of a cell: which want gets a slot, at which upstream, when."""
+
+from collections.abc import Iterable, Iterator
+from functools import singledispatchmethod
+from typing import Any
+
+from .actions import Log, Received, Send, Tick
+from .budgets import Budget, Slot
+from .cell_dump import CellDump, CellStats, QueueDump, UpstreamDump
+from .cell_events import FleetChanged, HostLost, StrikesChanged
+from .fleet import Fleet, UpstreamKind, UpstreamSpec
+from .health import Health
+from .messages import (
+    CancelWant,
+    Grant,
+    HeldSlot,
+    Preempt,
+    Refuse,
+    Release,
+    ReleaseCause,
+    UpstreamReport,
+    Want,
+)
+from .placement import Placement, Upstream, new_slot
+from .poison import StrikeBook
+from .prefixes import PrefixModel
+from .queues import QueuedWant, TierQueues
+from .shedding import (
+    MAX_RETRY_AFTER_MS,
+    MIN_RETRY_AFTER_MS,
+    DrainRate,
+    lower_slots,
+    patience_ms,
+    preempt_order,
+)
+from .verdicts import Reason
+
+Action = Send | Log
+
+__all__ = ["CellScheduler", "FleetChanged", "HostLost", "StrikesChanged"]
+
+HIGHEST_TIER = 1
+CHECK_SLOTS_EVERY_MS = 100
+LEAVING_HOLD_MS = 10_000
+OVERDUE_FACTOR = 2
+RESEND_AFTER_ELSEWHERE_MS = 500
+SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED, Reason.DEADLINE)
+WASTING_CAUSES = (
+    ReleaseCause.CALLER_GONE,
+    ReleaseCause.UPSTREAM_DIED,
+    ReleaseCause.UPSTREAM_ERROR,
+    ReleaseCause.UPSTREAM_TIMEOUT,
+    ReleaseCause.PREEMPTED,
+)
+
+
+class CellScheduler:
+    """Places the wants of a cell onto its upstreams.
+
+    Its state is soft: a new scheduler listens for a settling time, while the
+    entry hosts tell it the slots that they hold and repeat their wants.
+
+    :param cell: the cell's name.
+    :param fleet: the configuration in force.
+    """
+
+    def __init__(self, cell: str, fleet: Fleet):
+        self.cell = cell
+        self.stats = CellStats()
+        self._fleet = fleet
+        self._weights: dict[str, int] = {}
+        self._upstreams: dict[str, Upstream] = {}
+        self._reach: dict[str, list[Upstream]] = {}
+        self._slots: dict[str, Slot] = {}
+        self._leaving_until_ms: dict[str, int] = {}
+        self._queues = TierQueues(lambda account: self._weights.get(account, 1))
+        self._strikes = StrikeBook(fleet.policy.poison_strikes)
+        self._drain = DrainRate(self._queues)
+        self._settled_ms: int | None = None
+        self._now_ms = 0
+        self._checked_ms = 0
+        self._apply_fleet(fleet)
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Action]:
+        """Take in an event and yield what follows from it.
+
+        :param event: ``Tick``, ``Received``, ``FleetChanged``, ``StrikesChanged``
+            or ``HostLost``.
+        :param now_ms: the time on the caller's monotonic clock.
+        """
+        if self._settled_ms is None:
+            self._settled_ms = now_ms + self._fleet.policy.settle_ms
+        self._now_ms = now_ms
+        yield from self._on(event, now_ms)
+
+    def dump(self) -> CellDump:
+        """Return the state for operators, as of the last event."""
+        now_ms = self._now_ms
+        return CellDump(
+            cell=self.cell,
+            config_version=self._fleet.version,
+            is_settling=not self._is_settled(now_ms),
+            queues=tuple(self._dump_queues(now_ms)),
+            upstreams=tuple(map(self._dump_upstream(now_ms), self._all_upstreams())),
+            struck_fingerprints=len(self._strikes),
+            stats=self.stats,
+        )
+
+    # Events
+
+    @singledispatchmethod
+    def _on(self, event: Any, now_ms: int) -> Iterator[Action]:
+        raise TypeError(f"not an event of a scheduler: {event!r}")
+
+    @_on.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Action]:
+        if now_ms - self._checked_ms >= CHECK_SLOTS_EVERY_MS:
+            self._checked_ms = now_ms
+            yield from self._check_slots(now_ms)
+        if not self._is_settled(now_ms):
+            return
+        if len(self._queues):
+            yield from self._place(now_ms)
+            yield from self._shed_all(now_ms)
+
+    @_on.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Action]:
+        yield from self._receive(event.message, event.sender, now_ms)
+
+    @_on.register
+    def _(self, event: FleetChanged, now_ms: int) -> Iterator[Action]:
+        self._apply_fleet(event.fleet)
+        yield from self._place(now_ms)
+
+    @_on.register
+    def _(self, event: StrikesChanged, now_ms: int) -> Iterator[Action]:
+        self._strikes.tell(event.fingerprint, event.strikes)
+        yield from self._strikes_changed(now_ms)
+
+    @_on.register
+    def _(self, event: HostLost, now_ms: int) -> Iterator[Action]:
+        for queued in self._queues:
+            if queued.host == event.host:
+                self._queues.discard(queued)
+        yield from self._place(now_ms)
+
+    # Messages
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str, now_ms: int) -> Iterator[Action]:
+        raise TypeError(f"not a message to a scheduler: {message!r}")
+
+    @_receive.register
+    def _(self, want: Want, sender: str, now_ms: int) -> Iterator[Action]:
+        if self._is_service:
+            want = _without_model(want)
+        slot = self._slots.get(want.request_id)
+        if slot is not None:
+            yield self._answer_held(slot, sender)
+            return
+        known = self._queues.get(want.request_id)
+        if known is not None and known.host == sender:
+            return
+        if known is not None:
+            yield self._refuse(known, Reason.IN_PROGRESS, RESEND_AFTER_ELSEWHERE_MS)
+        queued = self._queued(want, sender, now_ms)
+        reason = self._final_reason(want)
+        if reason is not Reason.NONE:
+            yield self._refusal(queued, reason, 0)
+            return
+        self._queues.add(queued)
+        if self._is_settled(now_ms):
+            yield from self._place(now_ms)
+            yield from self._shed(want.model, now_ms)
+
+    @_receive.register
+    def _(self, cancel: CancelWant, sender: str, now_ms: int) -> Iterator[Action]:
+        queued = self._queues.get(cancel.request_id)
+        if queued is not None and queued.host == sender:
+            self._queues.discard(queued)
+        slot = self._slots.get(cancel.request_id)
+        if slot is not None and slot.host == sender:
+            self._vacate(slot)
+            yield from self._place(now_ms)
+
+    @_receive.register
+    def _(self, held: HeldSlot, sender: str, now_ms: int) -> Iterator[Action]:
+        slot = self._slots.get(held.want.request_id)
+        if slot is not None and slot.upstream != held.upstream:
+            self._vacate(slot)
+            slot = None
+        if slot is None:
+            slot = self._adopt(held, sender, now_ms)
+        if slot is not None:
+            slot.host = sender
+            self._renew(slot, held.produced_tokens, now_ms)
+        yield from ()
+
+    @_receive.register
+    def _(self, release: Release, sender: str, now_ms: int) -> Iterator[Action]:
+        slot = self._slots.get(release.request_id)
+        if slot is None or slot.host != sender:
+            return
+        self._learn(slot, release, now_ms)
+        self._vacate(slot)
+        self._after_release(slot, release.cause, now_ms)
+        if release.cause is ReleaseCause.UPSTREAM_DIED:
+            yield from self._strikes_changed(now_ms)
+        yield from self._place(now_ms)
+
+    @_receive.register
+    def _(self, report: UpstreamReport, sender: str, now_ms: int) -> Iterator[Action]:
+        upstream = self._upstreams.get(report.upstream)
+        if upstream is None:
+            return
+        if report.is_leaving:
+            self._leaving_until_ms[upstream.name] = now_ms + LEAVING_HOLD_MS
+            self._set_leaving(upstream, True)
+        if not report.is_alive:
+            suspect_ms = self._fleet.policy.suspect_after_ms
+            upstream.health.reported_dead(suspect_ms, now_ms)
+        upstream.prefixes.apply_events(
+            report.cache_sequence, report.cached_hashes, report.evicted_hashes
+        )
+        if report.capacity_kv_tokens > 0:
+            upstream.budget.kv_capacity_tokens = report.capacity_kv_tokens
+        yield from ()
+
+    # Wants
+
+    def _queued(self, want: Want, sender: str, now_ms: int) -> QueuedWant:
+        patience = min(want.deadline_ms, self._fleet.policy.max_queue_ms)
+        return QueuedWant(want, sender, now_ms, now_ms + patience)
+
+    def _final_reason(self, want: Want) -> Reason:
+        if self._strikes.is_poison(want.fingerprint):
+            return Reason.POISON
+        reach = self._reach.get(want.model, ())
+        if not any(upstream.takes_work for upstream in reach):
+            return Reason.NO_UPSTREAM
+        if not any(upstream.can_hold(want) for upstream in reach):
+            return Reason.TOO_LARGE
+        return Reason.NONE
+
+    def _answer_held(self, slot: Slot, sender: str) -> Action:
+        if slot.host == sender:
+            return Send(sender, self._grant_message(slot))
+        request_id = slot.want.request_id
+        refuse = Refuse(
+            request_id, self.cell, Reason.IN_PROGRESS, RESEND_AFTER_ELSEWHERE_MS
+        )
+        return Send(sender, refuse)
+
+    def _grant_message(self, slot: Slot) -> Grant:
+        return Grant(
+            request_id=slot.want.request_id,
+            cell=self.cell,
+            upstream=slot.upstream,
+            lease_ms=self._fleet.policy.slot_lease_ms,
+            predicted_prefix_tokens=slot.predicted_prefix_tokens,
+        )
+
+    # Placement
+
+    def _place(self, now_ms: int) -> Iterator[Action]:
+        if not self._is_settled(now_ms):
+            return
+        blocked: set[str] = set()
+        for tier in self._queues.tiers():
+            for model, queue in self._queues.models(tier):
+                reach = self._reach.get(model, [])
+                free = [one for one in reach if one.name not in blocked]
+                while free and (queued := queue.head()) is not None:
+                    granted = self._grant(queued, free, now_ms)
+                    if granted is None:
+                        break
+                    yield granted
+                if len(queue):
+                    blocked.update(one.name for one in reach if not one.is_slow)
+
+    def _grant(
+        self, queued: QueuedWant, upstreams: list[Upstream], now_ms: int
+    ) -> Action | None:
+        want = queued.want
+        is_highest = want.tier == HIGHEST_TIER
+        choice = self._placement.choose(
+            queued, upstreams, is_highest=is_highest, now_ms=now_ms
+        )
+        if choice is None:
+            return None
+        self._queues.take(queued)
+        lease_ms = self._fleet.policy.slot_lease_ms
+        slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
+        self._occupy(slot, now_ms)
+        self.stats.granted[want.tier] += 1
+        return Send(queued.host, self._grant_message(slot))
+
+    def _occupy(self, slot: Slot, now_ms: int) -> None:
+        upstream = self._upstreams[slot.upstream]
+        self._slots[slot.want.request_id] = slot
+        upstream.budget.occupy(slot, now_ms)
+        spare_tokens = upstream.budget.kv_capacity_tokens - upstream.budget.kv_tokens
+        block_tokens = upstream.prefixes.block_tokens
+        upstream.prefixes.record(
+            slot.want.prefix_hashes, max(0, spare_tokens) // block_tokens
+        )
+        self._count_suspects(upstream)
+
+    def _vacate(self, slot: Slot) -> None:
+        del self._slots[slot.want.request_id]
+        upstream = self._upstreams[slot.upstream]
+        upstream.budget.vacate(slot.want.request_id)
+        self._count_suspects(upstream)
+        if slot.upstream not in self._configured and not upstream.budget.slots:
+            del self._upstreams[slot.upstream]
+
+    def _adopt(self, held: HeldSlot, sender: str, now_ms: int) -> Slot | None:
+        if held.upstream not in self._upstreams:
+            return None
+        queued = self._queues.get(held.want.request_id)
+        if queued is not None:
+            self._queues.discard(queued)
+        want = _without_model(held.want) if self._is_service else held.want
+        lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
+        slot = Slot(want, sender, held.upstream, now_ms, lease_until_ms)
+        if held.produced_tokens == 0 and not self._is_service:
+            slot.prefill_tokens = want.prompt_tokens
+        self._occupy(slot, now_ms)
+        return slot
+
+    # Slots
+
+    def _renew(self, slot: Slot, produced_tokens: int, now_ms: int) -> None:
+        slot.lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
+        upstream = self._upstreams[slot.upstream]
+        if produced_tokens > slot.produced_tokens:
+            limit = int(upstream.budget.limit_slots)
+            upstream.health.progressed(slot.granted_ms, limit, now_ms)
+        upstream.budget.progress(slot, produced_tokens, now_ms)
+
+    def _learn(self, slot: Slot, release: Release, now_ms: int) -> None:
+        upstream = self._upstreams[slot.upstream]
+        wasted = self.stats.wasted_prefill_tokens
+        if release.first_token_ms >= 0:
+            predicted = slot.predicted_prefix_tokens
+            upstream.prefixes.correct(predicted, release.cached_tokens)
+            upstream.budget.first_token(
+                slot, release.first_token_ms, release.cached_tokens
+            )
+            self.stats.predicted_cached_tokens += predicted
+            self.stats.actual_cached_tokens += release.cached_tokens
+            wasted["cache_missed"] += max(0, predicted - release.cached_tokens)
+        if release.cause in WASTING_CAUSES:
+            wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
+        if release.cause is ReleaseCause.COMPLETED:
+            self._drain.observe(release.duration_ms)
+            self._learn_gap(upstream, release, now_ms)
+
+    def _learn_gap(self, upstream: Upstream, release: Release, now_ms: int) -> None:
+        decode_ms = release.duration_ms - release.first_token_ms
+        if self._is_service:
+            gap_ms = upstream.budget.gap_ms
+            upstream.budget.gap_ms += (release.duration_ms - gap_ms) / 10
+        elif release.produced_tokens > 1 and release.first_token_ms >= 0:
+            gap_ms = decode_ms / (release.produced_tokens - 1)
+            upstream.budget.observe_gap(gap_ms, now_ms)
+
+    def _after_release(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> None:
+        upstream = self._upstreams.get(slot.upstream)
+        if upstream is None:
+            return
+        health = upstream.health
+        if cause is ReleaseCause.COMPLETED:
+            limit = int(upstream.budget.limit_slots)
+            health.progressed(slot.granted_ms, limit, now_ms)
+            self._strikes.completed(slot.want.fingerprint)
+        elif cause is ReleaseCause.UPSTREAM_DIED:
+            self._upstream_died(upstream, slot, now_ms)
+        elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
+            health.failed(True, now_ms)
+        elif cause is ReleaseCause.UPSTREAM_ERROR:
+            health.failed(False, now_ms)
+
+    def _upstream_died(self, upstream: Upstream, slot: Slot, now_ms: int) -> None:
+        if not upstream.health.died(slot.granted_ms, now_ms):
+            return
+        ran = [one.want.fingerprint for one in upstream.budget.slots.values()]
+        self._strikes.upstream_died([slot.want.fingerprint, *ran])
+        upstream.prefixes.clear()
+        self._drain.forget_capacity()
+
+    def _check_slots(self, now_ms: int) -> Iterator[Action]:
+        for slot in tuple(self._slots.values()):
+            if slot.lease_until_ms <= now_ms:
+                self._vacate(slot)
+                self.stats.lapsed_slots += 1
+                fields = (("request_id", slot.want.request_id),)
+                yield Log("slot_lapsed", (*fields, ("upstream", slot.upstream)))
+        for upstream in self._all_upstreams():
+            self._check_stall(upstream, now_ms)
+            self._check_leaving(upstream, now_ms)
+
+    def _check_stall(self, upstream: Upstream, now_ms: int) -> None:
+        if self._is_service:
+            return
+        suspect_ms = self._fleet.policy.suspect_after_ms
+        budget = upstream.budget
+        is_overdue = False
+        for slot in budget.slots.values():
+            if slot.produced_tokens > 0:
+                is_late = now_ms - slot.progress_ms > suspect_ms
+            else:
+                expected_ms = slot.first_due_ms - slot.granted_ms
+                late_ms = now_ms - slot.granted_ms - OVERDUE_FACTOR * expected_ms
+                is_late = late_ms > suspect_ms
+            is_overdue = is_overdue or is_late
+        if is_overdue:
+            upstream.health.stalled()
+        if not budget.slots:
+            upstream.health.emptied(now_ms)
+
+    def _check_leaving(self, upstream: Upstream, now_ms: int) -> None:
+        until_ms = self._leaving_until_ms.get(upstream.name)
+        if until_ms is not None and now_ms >= until_ms:
+            del self._leaving_until_ms[upstream.name]
+            self._set_leaving(upstream, upstream.spec.is_leaving)
+
+    def _set_leaving(self, upstream: Upstream, is_leaving: bool) -> None:
+        if upstream.is_leaving != is_leaving:
+            upstream.is_leaving = is_leaving
+            self._drain.forget_capacity()
+
+    # Poison requests
+
+    def _strikes_changed(self, now_ms: int) -> Iterator[Action]:
+        for upstream in self._all_upstreams():
+            self._count_suspects(upstream)
+        for queued in self._queues:
+            if self._strikes.is_poison(queued.want.fingerprint):
+                yield self._refuse(queued, Reason.POISON, 0)
+
+    def _count_suspects(self, upstream: Upstream) -> None:
+        if not len(self._strikes):
+            upstream.suspects = 0
+            return
+        upstream.suspects = sum(
+            self._strikes.is_suspect(slot.want.fingerprint)
+            for slot in upstream.budget.slots.values()
+        )
+
+    # Shedding
+
+    def _shed_all(self, now_ms: int) -> Iterator[Action]:
+        for model in tuple(self._reach):
+            yield from self._shed(model, now_ms)
+
+    def _shed(self, model: str, now_ms: int) -> Iterator[Action]:
+        for tier in reversed(self._queues.tiers()):
+            queue = self._queues.queue(tier, model)
+            if queue is not None and len(queue):
+                yield from self._shed_tier(tier, model, now_ms)
+
+    def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
+        queue = self._queues.queue(tier, model)
+        reach = self._reach.get(model, [])
+        while (victim := queue.victim()) is not None:
+            wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
+            left_ms = patience_ms(victim, reach, now_ms)
+            if wait_ms <= left_ms:
+                break
+            if not self._may_refuse(tier, model, with_preempted=True):
+                yield from self._make_room(tier, model, now_ms)
+                return
+            yield from self._evict_lower(tier, model, now_ms)
+            yield self._shed_one(victim, wait_ms - left_ms, now_ms)
+
+    def _may_refuse(self, tier: int, model: str, *, with_preempted: bool) -> bool:
+        reach = self._reach.get(model, [])
+        return not any(lower_slots(tier, reach, with_preempted=with_preempted))
+
+    def _evict_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
+        for lower in reversed(self._queues.tiers()):
+            queue = self._queues.queue(lower, model)
+            if lower <= tier or queue is None:
+                continue
+            for queued in tuple(queue):
+                yield self._shed_one(queued, 0, now_ms)
+
+    def _make_room(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
+        yield from self._evict_lower(tier, model, now_ms)
+        policy = self._fleet.policy
+        if not policy.preempts:
+            return
+        urgent = sum(
+            queued.deadline_at_ms - now_ms < policy.urgent_ms
+            for queued in self._queues.queue(tier, model)
+        )
+        reach = self._reach.get(model, [])
+        running = list(lower_slots(tier, reach, with_preempted=True))
+        urgent -= sum(slot.is_preempted for slot in running)
+        candidates = [slot for slot in running if not slot.is_preempted]
+        for slot in sorted(candidates, key=preempt_order)[: max(0, urgent)]:
+            slot.is_preempted = True
+            self.stats.preempted[slot.want.tier] += 1
+            yield Send(slot.host, Preempt(slot.want.request_id, self.cell))
+
+    def _shed_one(self, queued: QueuedWant, excess_ms: float, now_ms: int) -> Action:
+        is_new = queued.since_ms == now_ms
+        reason = Reason.OVERLOADED if is_new else Reason.EVICTED
+        if not is_new:
+            self.stats.evicted[queued.want.tier] += 1
+        retry_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(excess_ms)))
+        return self._refuse(queued, reason, retry_ms)
+
+    def _refuse(self, queued: QueuedWant, reason: Reason, retry_ms: int) -> Action:
+        self._queues.discard(queued)
+        return self._refusal(queued, reason, retry_ms)
+
+    def _refusal(self, queued: QueuedWant, reason: Reason, retry_ms: int) -> Action:
+        want = queued.want
+        self.stats.refused[want.tier, reason.value] += 1
+        if reason in SHED_REASONS and self._has_lower(want):
+            self.stats.inversions += 1
+        return Send(queued.host, Refuse(want.request_id, self.cell, reason, retry_ms))
+
+    def _has_lower(self, want: Want) -> bool:
+        if self._queues.has_lower(want.tier, want.model):
+            return True
+        return not self._may_refuse(want.tier, want.model, with_preempted=True)
+
+    # Configuration
+
+    @property
+    def _is_service(self) -> bool:
+        return not self.cell.endswith(f"/{UpstreamKind.ENGINE.value}s")
+
+    def _is_settled(self, now_ms: int) -> bool:
+        return self._settled_ms is not None and now_ms >= self._settled_ms
+
+    def _all_upstreams(self) -> Iterable[Upstream]:
+        return tuple(self._upstreams.values())
+
+    def _apply_fleet(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._weights = {one.name: one.weight for one in fleet.accounts}
+        self._strikes.limit = fleet.policy.poison_strikes
+        self._placement = Placement(fleet.policy, self._strikes)
+        specs = {one.name: one for one in fleet.upstreams if one.cell == self.cell}
+        self._configured = frozenset(specs)
+        for name, upstream in tuple(self._upstreams.items()):
+            if name not in specs:
+                upstream.is_leaving = True
+                if not upstream.budget.slots:
+                    del self._upstreams[name]
+        for name, spec in specs.items():
+            self._apply_spec(name, spec)
+        self._reach = {}
+        for upstream in self._upstreams.values():
+            for model in ("",) if self._is_service else upstream.spec.models:
+                self._reach.setdefault(model, []).append(upstream)
+        self._drain.forget_capacity()
+
+    def _apply_spec(self, name: str, spec: UpstreamSpec) -> None:
+        upstream = self._upstreams.get(name)
+        if upstream is None:
+            self._upstreams[name] = self._new_upstream(spec)
+            return
+        upstream.spec = spec
+        upstream.budget.max_slots = spec.max_slots
+        upstream.budget.target_gap_ms = self._fleet.policy.token_gap_ms
+        upstream.is_leaving = spec.is_leaving or name in self._leaving_until_ms
+
+    def _new_upstream(self, spec: UpstreamSpec) -> Upstream:
+        policy = self._fleet.policy
+        budget = Budget(
+            max_slots=spec.max_slots,
+            kv_capacity_tokens=spec.kv_capacity_tokens,
+            prefill_tokens_per_s=spec.prefill_tokens_per_s,
+            gap_ms=1000.0 / spec.decode_tokens_per_s,
+            target_gap_ms=policy.token_gap_ms,
+        )
+        blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
+        prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
+        return Upstream(spec, budget, prefixes, Health(), spec.is_leaving)
+
+    # Dump
+
+    def _dump_queues(self, now_ms: int) -> Iterator[QueueDump]:
+        for tier in self._queues.tiers():
+            for model, queue in self._queues.models(tier):
+                reach = self._reach.get(model, [])
+                yield QueueDump(
+                    tier=tier,
+                    model=model,
+                    wants=len(queue),
+                    accounts=queue.accounts,
+                    prompt_tokens=queue.prefill_tokens,
+                    wait_ms=int(self._drain.wait_ms(tier, model, reach, now_ms)),
+                )
+
+    def _dump_upstream(self, now_ms: int):
+        def dump(upstream: Upstream) -> UpstreamDump:
+            budget = upstream.budget
+            return UpstreamDump(
+                name=upstream.name,
+                health=upstream.health.state.value,
+                is_leaving=upstream.is_leaving,
+                slots=len(budget.slots),
+                limit_slots=int(budget.limit_slots),
+                max_slots=budget.max_slots,
+                used_kv_tokens=budget.kv_tokens,
+                capacity_kv_tokens=budget.kv_capacity_tokens,
+                backlog_ms=int(budget.backlog_ms(now_ms)),
+                prefill_tokens_per_s=int(budget.prefill_tokens_per_s),
+                token_gap_ms=round(budget.gap_ms, 1),
+                cached_blocks=len(upstream.prefixes),
+                cache_trust=round(upstream.prefixes.trust, 2),
+            )
+
+        return dump
+
+
+def _without_model(want: Want) -> Want:
+    return Want(
+        request_id=want.request_id,
+        cell=want.cell,
+        model="",
+        tier=want.tier,
+        client_account=want.client_account,
+        prompt_tokens=0,
+        output_tokens=0,
+        prefix_hashes=(),
+        fingerprint=want.fingerprint,
+        deadline_ms=want.deadline_ms,
+    )
