Add the flow of a request through an entry host

Cause: the parts (HTTP, scheduler) need the role that joins them.

Change: the dispatcher carries a request from its arrival over want, grant, claim and dispatch to its last word; membership judges hosts by silence; answers are buffered so that a caller that returns gets them from the first byte; another host fetches them piece by piece.

Ruled out: a claim for each request. A request without an idempotency key can only be sent by the host that took it, so its own memory suffices and the control group's log is spared.

--- /dev/null
+++ b/src/peridotfront/calls.py
@@ -0,0 +1,276 @@
+"""Calls to upstreams: one dispatch each, pumped into an answer."""
+
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+from .answers import Answer
+from .core.dispatcher import DispatchEnded, Progress
+from .core.fleet import Policy, UpstreamKind, UpstreamSpec
+from .core.messages import Header, Outcome, ReleaseCause
+from .core.verdicts import Reason, Verdict
+from .exceptions import (
+    AnswerTruncated,
+    ConnectFailed,
+    UpstreamDied,
+    UpstreamError,
+    UpstreamTimedOut,
+)
+from .intake import Admission
+from .prompts import fingerprint
+from .upstreams import EngineClient, UpstreamAnswer, UpstreamTimeouts
+
+TOKEN_EVENT = b"data: "
+CACHED_TOKENS = re.compile(rb'"cached_tokens": ?(\d{1,9})')
+COMPLETION_TOKENS = re.compile(rb'"completion_tokens": ?(\d{1,9})')
+TAIL_BYTES = 512
+MAX_RESUMES = 3
+PROGRESS_INTERVAL_MS = 200
+PASSED_HEADERS = ("content-type", "cache-control", "location", "etag")
+ENGINE_TIMEOUTS = UpstreamTimeouts(
+    connect_ms=1000, first_byte_ms=60_000, between_bytes_ms=10_000
+)
+CANCEL_TIMEOUTS = UpstreamTimeouts(
+    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000
+)
+
+
+def engine_request_id(request_id: str, key: str) -> str:
+    """Return the id under which an engine knows a request.
+
+    A request with an idempotency key has the same id on every host, so that any
+    of them can resume its stream.
+    """
+    if not key:
+        return request_id
+    return f"k{fingerprint(key.encode()):x}"
+
+
+@dataclass(slots=True)
+class Measures:
+    """Holds what is measured during one call."""
+
+    started_ms: int
+    first_token_ms: int = -1
+    produced_tokens: int = 0
+    cached_tokens: int = 0
+    reported_ms: int = 0
+    tail: bytes = b""
+
+
+@dataclass(slots=True)
+class Call:
+    """Is one dispatch of a request to an upstream.
+
+    :param cancel_cause: why the call is cut short, if it is.
+    """
+
+    admission: Admission
+    answer: Answer
+    upstream: UpstreamSpec
+    measures: Measures
+    cancel_cause: ReleaseCause | None = None
+    body: bytearray = field(default_factory=bytearray)
+
+    @property
+    def engine_id(self) -> str:
+        """Return the id under which the engine knows the request."""
+        request = self.admission.request
+        return engine_request_id(request.request_id, request.key)
+
+
+class Caller:
+    """Makes calls to upstreams and reports how they go.
+
+    :param client: sends to upstreams.
+    :param feed: takes the events of the core.
+    """
+
+    def __init__(self, client: EngineClient, feed: Callable[[Any], None]):
+        self._client = client
+        self._feed = feed
+
+    async def dispatch(self, call: Call, policy: Policy) -> None:
+        """Send a request to its upstream and pump the answer."""
+        await self._run(call, policy, self._send)
+
+    async def resume(self, call: Call, policy: Policy) -> None:
+        """Take a stream over that another host dispatched, from its first byte."""
+        await self._run(call, policy, self._take_over)
+
+    async def cancel(self, call: Call) -> None:
+        """Stop a request at its engine."""
+        if call.upstream.kind is not UpstreamKind.ENGINE:
+            return
+        try:
+            await self._client.cancel(
+                call.upstream.address, call.engine_id, timeouts=CANCEL_TIMEOUTS
+            )
+        except UpstreamError:
+            return
+
+    async def _run(self, call: Call, policy: Policy, connect: Any) -> None:
+        try:
+            answer = await connect(call)
+            await self._pump(call, answer)
+            outcome = self._outcome(call, policy)
+            cause = ReleaseCause.COMPLETED
+            if call.answer.status_code >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                cause = ReleaseCause.UPSTREAM_ERROR
+            call.answer.end(outcome)
+        except UpstreamError as error:
+            cause = _cause(error)
+            outcome = Outcome(error.verdict, _reason(error))
+        self._feed(_ended(call, cause, outcome))
+
+    async def _send(self, call: Call) -> UpstreamAnswer:
+        admission = call.admission
+        request = admission.request
+        if request.kind is UpstreamKind.ENGINE:
+            return await self._client.complete(
+                call.upstream.address,
+                admission.target,
+                admission.body,
+                call.engine_id,
+                key=request.key,
+                timeouts=ENGINE_TIMEOUTS,
+            )
+        return await self._client.send(
+            call.upstream.address,
+            admission.method,
+            admission.target,
+            _service_headers(admission),
+            admission.body,
+            timeouts=_service_timeouts(admission),
+        )
+
+    async def _take_over(self, call: Call) -> UpstreamAnswer:
+        if call.upstream.kind is not UpstreamKind.ENGINE:
+            raise UpstreamDied("a plain service has no streams to resume")
+        return await self._resume_at(call, 0)
+
+    async def _resume_at(self, call: Call, offset_bytes: int) -> UpstreamAnswer:
+        answer = await self._client.resume(
+            call.upstream.address, call.engine_id, offset_bytes, timeouts=ENGINE_TIMEOUTS
+        )
+        if answer.status_code != HTTPStatus.OK:
+            answer.cancel()
+            raise UpstreamDied("the engine does not know the request")
+        return answer
+
+    async def _pump(self, call: Call, answer: UpstreamAnswer) -> None:
+        resumes = 0
+        while True:
+            if not call.answer.is_started:
+                call.answer.start(answer.status_code, _passed(answer.headers))
+            try:
+                await self._copy(call, answer)
+                return
+            except AnswerTruncated:
+                resumes += 1
+                is_engine = call.upstream.kind is UpstreamKind.ENGINE
+                if not is_engine or resumes > MAX_RESUMES:
+                    raise
+                answer = await self._resume_at(call, call.answer.size_bytes)
+
+    async def _copy(self, call: Call, answer: UpstreamAnswer) -> None:
+        async for chunk in answer.chunks():
+            self._measure(call, chunk)
+            if call.answer.key:
+                call.body += chunk
+            await call.answer.write(chunk)
+
+    def _measure(self, call: Call, chunk: bytes) -> None:
+        measures = call.measures
+        elapsed_ms = _now_ms() - measures.started_ms
+        if measures.first_token_ms < 0 and call.admission.is_stream:
+            measures.first_token_ms = elapsed_ms
+        measures.produced_tokens += chunk.count(TOKEN_EVENT)
+        measures.tail = (measures.tail + chunk)[-TAIL_BYTES:]
+        if elapsed_ms - measures.reported_ms >= PROGRESS_INTERVAL_MS:
+            measures.reported_ms = elapsed_ms
+            request_id = call.admission.request.request_id
+            self._feed(Progress(request_id, measures.produced_tokens))
+
+    def _outcome(self, call: Call, policy: Policy) -> Outcome:
+        is_replayable = len(call.body) <= policy.replay_body_bytes
+        return Outcome(
+            verdict=Verdict.COMPLETED,
+            reason=Reason.NONE,
+            status_code=call.answer.status_code,
+            headers=call.answer.headers,
+            body=bytes(call.body) if is_replayable else b"",
+            is_replayable=is_replayable,
+        )
+
+
+def ended_early(call: Call, cause: ReleaseCause) -> DispatchEnded:
+    """Return the event for a call that was cut short."""
+    reasons = {
+        ReleaseCause.PREEMPTED: Reason.PREEMPTED,
+        ReleaseCause.CALLER_GONE: Reason.CALLER_GONE,
+    }
+    reason = reasons.get(cause, Reason.UPSTREAM_ERROR)
+    return _ended(call, cause, Outcome(Verdict.MAY_HAVE_RUN, reason))
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+def _ended(call: Call, cause: ReleaseCause, outcome: Outcome) -> DispatchEnded:
+    measures = call.measures
+    return DispatchEnded(
+        request_id=call.admission.request.request_id,
+        cause=cause,
+        outcome=outcome,
+        cached_tokens=_usage(CACHED_TOKENS, measures.tail, 0),
+        produced_tokens=_usage(
+            COMPLETION_TOKENS, measures.tail, measures.produced_tokens
+        ),
+        first_token_ms=measures.first_token_ms,
+    )
+
+
+def _usage(pattern: re.Pattern, tail: bytes, default: int) -> int:
+    found = pattern.findall(tail)
+    return int(found[-1]) if found else default
+
+
+def _cause(error: UpstreamError) -> ReleaseCause:
+    if isinstance(error, ConnectFailed | UpstreamDied | AnswerTruncated):
+        return ReleaseCause.UPSTREAM_DIED
+    if isinstance(error, UpstreamTimedOut):
+        return ReleaseCause.UPSTREAM_TIMEOUT
+    return ReleaseCause.UPSTREAM_ERROR
+
+
+def _reason(error: UpstreamError) -> Reason:
+    if isinstance(error, ConnectFailed):
+        return Reason.UPSTREAM_DIED
+    return error.reason
+
+
+def _passed(headers: tuple) -> tuple[Header, ...]:
+    return tuple([Header(n, v) for n, v in headers if n in PASSED_HEADERS])
+
+
+def _service_headers(admission: Admission) -> list[Header]:
+    request = admission.request
+    headers = [("x-request-id", request.request_id)]
+    if admission.body:
+        headers.append(("content-type", admission.content_type))
+    if request.key:
+        headers.append(("idempotency-key", request.key))
+    return headers
+
+
+def _service_timeouts(admission: Admission) -> UpstreamTimeouts:
+    return UpstreamTimeouts(
+        connect_ms=1000,
+        first_byte_ms=admission.timeout_ms,
+        between_bytes_ms=admission.timeout_ms,
+    )
--- /dev/null
+++ b/src/peridotfront/core/entry_role.py
@@ -0,0 +1,316 @@
+"""The role of an entry host: membership, cells, claims and requests together."""
+
+import hashlib
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from .actions import Log, Received, Send, Tick
+from .cell_events import FleetChanged, HostLost, StrikesChanged
+from .claimant import (
+    Claimant,
+    ClaimDecided,
+    ClaimUnknown,
+    OutcomeSettled,
+    ReportOutcome,
+    WantClaim,
+)
+from .dispatcher import (
+    Arrived,
+    CallerGone,
+    Dispatcher,
+    DispatchEnded,
+    FollowEnded,
+    Progress,
+)
+from .fleet import Fleet, UpstreamSpec
+from .follower import ConfigFollower
+from .membership import HostsChanged, Membership
+from .messages import (
+    AnswerChunk,
+    AttachRequest,
+    CancelWant,
+    ClaimReply,
+    ConfigQuery,
+    ConfigUpdate,
+    Grant,
+    Heartbeat,
+    HeldSlot,
+    OutcomeAck,
+    Preempt,
+    Refuse,
+    Release,
+    ReleaseCause,
+    StrikeReport,
+    StrikeUpdate,
+    UpstreamReport,
+    Want,
+)
+from .requests import Request
+from .scheduler import CellScheduler
+
+SCHEDULER_MESSAGES = (Want, CancelWant, HeldSlot, Release, UpstreamReport)
+DISPATCHER_MESSAGES = (Grant, Refuse, Preempt)
+CLAIM_MESSAGES = (ClaimReply, OutcomeAck)
+CONFIG_MESSAGES = (ConfigUpdate, ConfigQuery)
+ANSWER_MESSAGES = (AttachRequest, AnswerChunk)
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """Hands a message about an answer to the program, which holds the bytes."""
+
+    sender: str
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmLeaving:
+    """Tells the role that the own host leaves."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryDump:
+    """Describes an entry host to operators."""
+
+    host: str
+    data_centre: str
+    is_leaving: bool
+    config_version: int
+    hosts: tuple
+    requests: tuple
+    cells: tuple
+
+
+def rendezvous(name: str, hosts: list[str]) -> str:
+    """Return the host that all hosts with the same list pick for a name.
+
+    :param hosts: candidates in any order.
+    :return: one of them, or an empty string if there are none.
+    """
+    if not hosts:
+        return ""
+    return max(hosts, key=lambda host: _weight(name, host))
+
+
+def _weight(name: str, host: str) -> bytes:
+    return hashlib.blake2b(f"{name}|{host}".encode(), digest_size=8).digest()
+
+
+class EntryRole:
+    """Composes the parts of an entry host and passes messages between them.
+
+    Messages to the own host never leave it; they are handled in the same turn.
+
+    :param membership: knows the live hosts.
+    :param follower: knows the configuration in force.
+    :param claimant: asks the control group for claims.
+    :param incarnation: drawn anew at each start.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        follower: ConfigFollower,
+        claimant: Claimant,
+        incarnation: int,
+    ):
+        self.host = membership.name
+        self.data_centre = membership.data_centre
+        self.incarnation = incarnation
+        self.membership = membership
+        self.follower = follower
+        self.claimant = claimant
+        self.fleet = Fleet()
+        self.schedulers: dict[str, CellScheduler] = {}
+        self.dispatcher = Dispatcher(
+            self.host, incarnation, self.choose_cell, self.scheduler_of
+        )
+        self._cells: dict[str, list[UpstreamSpec]] = {}
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        """Take an event and yield what the program has to do.
+
+        :param event: a tick, a received message, or an event of the dispatcher.
+        :param now_ms: the process's own monotonic clock.
+        """
+        pending = deque(self._handle(event, now_ms))
+        while pending:
+            action = pending.popleft()
+            is_own = isinstance(action, Send) and action.to_host == self.host
+            if is_own:
+                received = Received(self.host, self.incarnation, action.message)
+                pending.extend(self._handle(received, now_ms))
+            elif isinstance(action, INTERNAL_ACTIONS):
+                pending.extend(self._handle(action, now_ms))
+            else:
+                yield action
+
+    def scheduler_of(self, cell: str) -> str:
+        """Return the host that schedules a cell: one of its data centre if any."""
+        data_centre = cell.partition("/")[0]
+        hosts = self.membership.entry_hosts(data_centre)
+        return rendezvous(cell, hosts or self.membership.entry_hosts())
+
+    def choose_cell(self, request: Request, refused: frozenset[str]) -> str:
+        """Return the cell to ask next; empty if all that could serve refused."""
+        cells = [
+            cell
+            for cell, upstreams in self._cells.items()
+            if cell not in refused and any(_serves(u, request) for u in upstreams)
+        ]
+        local = [cell for cell in cells if cell.startswith(f"{self.data_centre}/")]
+        return rendezvous(request.request_id, local or cells)
+
+    def dump(self) -> EntryDump:
+        """Return the state for operators."""
+        return EntryDump(
+            host=self.host,
+            data_centre=self.data_centre,
+            is_leaving=self.membership.is_leaving,
+            config_version=self.fleet.version,
+            hosts=tuple(self.membership.hosts.values()),
+            requests=tuple(self.dispatcher.flows.values()),
+            cells=tuple(one.dump() for one in self.schedulers.values()),
+        )
+
+    @singledispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        raise TypeError(f"unexpected event {event!r}")
+
+    @_handle.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        yield from self.membership.handle(event, now_ms)
+        yield from self.follower.handle(event, now_ms)
+        yield from self.claimant.handle(event, now_ms)
+        for scheduler in list(self.schedulers.values()):
+            yield from scheduler.handle(event, now_ms)
+        yield from self.dispatcher.handle(event, now_ms)
+
+    @_handle.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Any]:
+        message = event.message
+        if isinstance(message, SCHEDULER_MESSAGES):
+            yield from self._to_scheduler(event, now_ms)
+        elif isinstance(message, DISPATCHER_MESSAGES):
+            yield from self.dispatcher.handle(event, now_ms)
+        elif isinstance(message, CLAIM_MESSAGES):
+            yield from self.claimant.handle(event, now_ms)
+        elif isinstance(message, ANSWER_MESSAGES):
+            yield Attach(event.sender, message)
+        else:
+            yield from self._to_state(event, now_ms)
+
+    def _to_state(self, event: Received, now_ms: int) -> Iterator[Any]:
+        message = event.message
+        if isinstance(message, Heartbeat):
+            yield from self.membership.handle(event, now_ms)
+            yield from self.follower.handle(event, now_ms)
+            yield from self.claimant.handle(event, now_ms)
+        elif isinstance(message, CONFIG_MESSAGES):
+            yield from self.follower.handle(event, now_ms)
+        elif isinstance(message, StrikeUpdate):
+            changed = StrikesChanged(message.fingerprint, message.strikes)
+            yield from self._to_all_schedulers(changed, now_ms)
+        else:
+            yield Log("message_unexpected", (("kind", type(message).__name__),))
+
+    @_handle.register(Arrived)
+    @_handle.register(CallerGone)
+    @_handle.register(Progress)
+    @_handle.register(FollowEnded)
+    @_handle.register(ClaimDecided)
+    @_handle.register(ClaimUnknown)
+    def _(self, event: Any, now_ms: int) -> Iterator[Any]:
+        yield from self.dispatcher.handle(event, now_ms)
+
+    @_handle.register
+    def _(self, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
+        flow = self.dispatcher.flows.get(event.request_id)
+        if flow is not None and event.cause is ReleaseCause.UPSTREAM_DIED:
+            report = StrikeReport(flow.upstream, (flow.request.fingerprint,))
+            leader = self.claimant.leader(now_ms)
+            if leader:
+                yield Send(leader, report)
+        yield from self.dispatcher.handle(event, now_ms)
+
+    @_handle.register(WantClaim)
+    @_handle.register(ReportOutcome)
+    def _(self, event: Any, now_ms: int) -> Iterator[Any]:
+        yield from self.claimant.handle(event, now_ms)
+
+    @_handle.register
+    def _(self, event: OutcomeSettled, now_ms: int) -> Iterator[Any]:
+        yield Log("outcome_recorded", (("key", event.key), ("epoch", event.epoch)))
+
+    @_handle.register
+    def _(self, event: HostLost, now_ms: int) -> Iterator[Any]:
+        yield Log("peer_silent", (("peer", event.host),))
+        yield from self._to_all_schedulers(event, now_ms)
+        yield from self.dispatcher.host_lost(event.host, now_ms)
+
+    @_handle.register
+    def _(self, event: HostsChanged, now_ms: int) -> Iterator[Any]:
+        yield from self._settle_cells(now_ms)
+
+    @_handle.register
+    def _(self, event: ConfirmLeaving, now_ms: int) -> Iterator[Any]:
+        self.membership.is_leaving = True
+        self.membership.beat_now()
+        yield from self._settle_cells(now_ms)
+
+    @_handle.register
+    def _(self, event: FleetChanged, now_ms: int) -> Iterator[Any]:
+        self.fleet = event.fleet
+        self.membership.config_version = event.fleet.version
+        self.membership.beat_now()
+        self._cells = {}
+        for upstream in event.fleet.upstreams:
+            self._cells.setdefault(upstream.cell, []).append(upstream)
+        yield from self._settle_cells(now_ms)
+        yield from self._to_all_schedulers(event, now_ms)
+
+    def _settle_cells(self, now_ms: int) -> Iterator[Any]:
+        for cell in self._cells:
+            is_mine = self.scheduler_of(cell) == self.host
+            if is_mine and cell not in self.schedulers:
+                self.schedulers[cell] = CellScheduler(cell, self.fleet)
+                yield Log("scheduler_started", (("cell", cell),))
+            elif not is_mine and cell in self.schedulers:
+                del self.schedulers[cell]
+                yield Log("scheduler_stopped", (("cell", cell),))
+        for cell in [one for one in self.schedulers if one not in self._cells]:
+            del self.schedulers[cell]
+        yield from self.dispatcher.schedulers_changed(now_ms)
+
+    def _to_scheduler(self, event: Received, now_ms: int) -> Iterator[Any]:
+        message = event.message
+        cell = message.want.cell if isinstance(message, HeldSlot) else message.cell
+        scheduler = self.schedulers.get(cell)
+        if scheduler is not None:
+            yield from scheduler.handle(event, now_ms)
+
+    def _to_all_schedulers(self, event: Any, now_ms: int) -> Iterator[Any]:
+        for scheduler in list(self.schedulers.values()):
+            yield from scheduler.handle(event, now_ms)
+
+
+INTERNAL_ACTIONS = (
+    HostLost,
+    HostsChanged,
+    ClaimDecided,
+    ClaimUnknown,
+    OutcomeSettled,
+    ReportOutcome,
+    WantClaim,
+)
+
+
+def _serves(upstream: UpstreamSpec, request: Request) -> bool:
+    if upstream.is_leaving or upstream.kind is not request.kind:
+        return False
+    if request.service:
+        return upstream.service == request.service
+    return request.model in upstream.models
--- a/src/peridotfront/core/messages/answers.py
+++ b/src/peridotfront/core/messages/answers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .control import Outcome
+from .control import Header, Outcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +19,7 @@
     """Carries a piece of an answer to an entry host that attached.
 
     :param outcome: set on the last piece.
+    :param status_code: HTTP status of the answer; 0 while it is not known.
     :param is_known: false if the receiver of the attach holds no such answer.
     """
 
@@ -28,6 +29,8 @@
     data: bytes
     is_known: bool = True
     outcome: Outcome | None = None
+    status_code: int = 0
+    headers: tuple[Header, ...] = ()
 
 
 ANSWER_MESSAGES = (AttachRequest, AnswerChunk)
--- /dev/null
+++ b/src/peridotfront/core/requests.py
@@ -0,0 +1,52 @@
+"""Requests of callers as the core sees them: sizes and rights, no bodies."""
+
+from dataclasses import dataclass
+
+from .fleet import UpstreamKind
+from .messages import Want
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Describes one request of a caller.
+
+    :param request_id: unique for each arrival.
+    :param key: client account, target and idempotency key, joined; empty if the
+        caller gave no key.
+    :param fingerprint: hash of the canonical body.
+    :param tier: 1 is the highest.
+    :param deadline_ms: how long the request may wait for its dispatch.
+    :param is_idempotent: whether running it twice does no harm.
+    :param is_repeatable: whether it may be sent again after it may have run.
+    """
+
+    request_id: str
+    key: str
+    fingerprint: int
+    client_account: str
+    tier: int
+    kind: UpstreamKind
+    service: str
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix_hashes: tuple[int, ...]
+    deadline_ms: int
+    is_idempotent: bool
+    is_repeatable: bool = False
+    attempt: int = 1
+
+    def want(self, cell: str, waited_ms: int) -> Want:
+        """Return the message that asks a cell for a slot."""
+        return Want(
+            request_id=self.request_id,
+            cell=cell,
+            model=self.model,
+            tier=self.tier,
+            client_account=self.client_account,
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=self.output_tokens,
+            prefix_hashes=self.prefix_hashes,
+            fingerprint=self.fingerprint,
+            deadline_ms=max(0, self.deadline_ms - waited_ms),
+        )
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -1,6 +1,6 @@
 """Exceptions of peridotfront; all share the root :class:`PeridotfrontError`."""
 
-from .core.verdicts import Reason, Verdict
+from .core.verdicts import Reason, Refusal, Verdict
 
 
 class PeridotfrontError(Exception):
@@ -102,3 +102,20 @@
     def __init__(self, faults: list[str]):
         super().__init__("\n".join(faults))
         self.faults = faults
+
+
+class AnswerLost(PeridotfrontError):
+    """Signals that the wanted part of an answer is no longer kept."""
+
+
+class RequestRefused(PeridotfrontError):
+    """Signals a request that is refused at the border; it did not run.
+
+    :param status_code: the HTTP status for the caller.
+    :param refusal: what the caller is told.
+    """
+
+    def __init__(self, status_code: int, refusal: Refusal):
+        super().__init__(refusal.detail or refusal.reason.value)
+        self.status_code = status_code
+        self.refusal = refusal
--- /dev/null
+++ b/src/peridotfront/runtime.py
@@ -0,0 +1,104 @@
+"""What every program shares: clock, ticks, signals and the event loop."""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+INCARNATION_BITS = 62
+TICK_MS = 10
+
+
+def now_ms() -> int:
+    """Return the monotonic clock of this process in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+def new_incarnation() -> int:
+    """Draw the number that tells this start of a process from all others."""
+    return secrets.randbits(INCARNATION_BITS) | 1
+
+
+def new_request_id() -> str:
+    """Draw an id for one arrival of a request."""
+    return secrets.token_hex(12)
+
+
+class Ticker:
+    """Calls a function every few milliseconds until it is stopped."""
+
+    def __init__(self, on_tick: Callable[[], None], interval_ms: int = TICK_MS):
+        self._on_tick = on_tick
+        self._interval_s = interval_ms / 1000
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Start to tick."""
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(self._interval_s, self._tick)
+
+    def stop(self) -> None:
+        """Stop to tick."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _tick(self) -> None:
+        self.start()
+        self._on_tick()
+
+
+class Tasks:
+    """Keeps background tasks until they end, so that none is lost."""
+
+    def __init__(self):
+        self._tasks: set[asyncio.Task] = set()
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def start(self, coroutine: Coroutine) -> asyncio.Task:
+        """Run a coroutine in the background."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class StopSignal:
+    """Is set by SIGTERM or SIGINT; later signals are only counted."""
+
+    def __init__(self, on_repeat: Callable[[], None]):
+        self._event = asyncio.Event()
+        self._on_repeat = on_repeat
+
+    def install(self) -> None:
+        """Take the signals."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._set)
+
+    async def wait(self) -> None:
+        """Wait for the first signal."""
+        await self._event.wait()
+
+    def _set(self) -> None:
+        if self._event.is_set():
+            self._on_repeat()
+        self._event.set()
+
+
+def run(main: Coroutine[Any, Any, int]) -> int:
+    """Run a program's coroutine and return its exit code."""
+    with contextlib.suppress(KeyboardInterrupt):
+        return asyncio.run(main)
+    return 130
--- /dev/null
+++ b/src/peridotfront/serving.py
@@ -0,0 +1,199 @@
+"""The callers' side of an entry host: from an HTTP request to its answer."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from . import logs
+from .answers import Answer
+from .callers import Exchange, problem
+from .core.dispatcher import CallerGone as CallerLeft
+from .core.fleet import AccountSpec
+from .core.limits import AccountLimits
+from .core.messages import Outcome
+from .core.verdicts import Reason, Refusal, Verdict
+from .exceptions import AnswerLost, CallerGone, RequestRefused
+from .intake import Admission, Intake
+from .metrics import Metrics
+from .runtime import new_request_id, now_ms
+
+REQUEST_ID_HEADER = "x-request-id"
+STATUS_BY_REASON = {
+    Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.OVERLOADED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.EVICTED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.POISON: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.UPSTREAM_TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.UPSTREAM_DIED: HTTPStatus.BAD_GATEWAY,
+    Reason.UPSTREAM_ERROR: HTTPStatus.BAD_GATEWAY,
+}
+
+
+class Opener(Protocol):
+    """Starts the work on an admitted request."""
+
+    def open(self, admission: Admission) -> Answer:
+        """Return the answer, which fills as the work goes on."""
+
+
+class Serving:
+    """Answers the callers of one entry host.
+
+    :param opener: starts the work on a request.
+    :param feed: takes the events of the core.
+    :param live_hosts: returns the number of entry hosts that share the limits.
+    """
+
+    def __init__(
+        self,
+        intake: Intake,
+        opener: Opener,
+        feed: Callable[[Any], None],
+        metrics: Metrics,
+        live_hosts: Callable[[], int],
+    ):
+        self._intake = intake
+        self._opener = opener
+        self._feed = feed
+        self._metrics = metrics
+        self._live_hosts = live_hosts
+        self._limits = AccountLimits()
+        self.in_progress = 0
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request; the handler of the callers' HTTP server."""
+        request_id = new_request_id()
+        with logs.request_context(request_id):
+            try:
+                admission = self._intake.admit(exchange.request, request_id)
+                self._admit_account(admission.account)
+            except RequestRefused as error:
+                self._count_refusal(error.refusal)
+                await _refuse(exchange, error.status_code, error.refusal, request_id)
+                return
+            await self._serve(exchange, admission)
+
+    async def _serve(self, exchange: Exchange, admission: Admission) -> None:
+        self.in_progress += 1
+        try:
+            answer = self._opener.open(admission)
+            await self._deliver_or_leave(exchange, admission, answer)
+        finally:
+            self.in_progress -= 1
+            self._limits.leave(admission.account.name)
+
+    def _admit_account(self, account: AccountSpec) -> None:
+        refusal = self._limits.admit(account, self._live_hosts(), now_ms())
+        if refusal is not None:
+            raise RequestRefused(HTTPStatus.TOO_MANY_REQUESTS, refusal)
+
+    async def _deliver_or_leave(
+        self, exchange: Exchange, admission: Admission, answer: Answer
+    ) -> None:
+        request_id = admission.request.request_id
+        answer.readers += 1
+        delivery = asyncio.ensure_future(self._deliver(exchange, admission, answer))
+        gone = asyncio.ensure_future(exchange.gone.wait())
+        try:
+            await asyncio.wait((delivery, gone), return_when=asyncio.FIRST_COMPLETED)
+            if not delivery.done():
+                raise CallerGone
+            delivery.result()
+        except CallerGone:
+            logs.write("caller_gone")
+            self._feed(CallerLeft(request_id))
+        finally:
+            answer.readers -= 1
+            delivery.cancel()
+            gone.cancel()
+
+    async def _deliver(
+        self, exchange: Exchange, admission: Admission, answer: Answer
+    ) -> None:
+        started_ms = now_ms()
+        await answer.started()
+        if answer.is_started and admission.is_stream:
+            outcome = await self._stream(exchange, admission, answer)
+        else:
+            outcome = await self._respond(exchange, admission, answer)
+        tier = admission.request.tier
+        is_good = outcome.verdict is Verdict.COMPLETED
+        self._metrics.count_answer(tier, outcome.verdict, outcome.reason, is_good)
+        logs.write(
+            "request_ended",
+            tier=tier,
+            verdict=outcome.verdict,
+            reason=outcome.reason,
+            duration_ms=now_ms() - started_ms,
+        )
+
+    async def _stream(
+        self, exchange: Exchange, admission: Admission, answer: Answer
+    ) -> Outcome:
+        request_id = admission.request.request_id
+        await exchange.start(answer.status_code, _headers(answer, request_id))
+        try:
+            async for chunk in answer.chunks():
+                await exchange.write(chunk)
+        except AnswerLost:
+            answer.end(Outcome(Verdict.MAY_HAVE_RUN, Reason.HOLDER_LOST))
+        outcome = await answer.ended()
+        if outcome.verdict is Verdict.COMPLETED:
+            await exchange.finish()
+            return outcome
+        await exchange.write(_error_event(outcome, request_id))
+        exchange.abort()
+        return outcome
+
+    async def _respond(
+        self, exchange: Exchange, admission: Admission, answer: Answer
+    ) -> Outcome:
+        request_id = admission.request.request_id
+        body = bytearray()
+        async for chunk in answer.chunks():
+            body += chunk
+        outcome = await answer.ended()
+        if outcome.verdict is Verdict.COMPLETED and answer.is_started:
+            headers = _headers(answer, request_id)
+            await exchange.respond(answer.status_code, headers, bytes(body))
+            return outcome
+        refusal = answer.refusal or Refusal(outcome.verdict, outcome.reason)
+        await _refuse(exchange, _status(refusal), refusal, request_id)
+        return outcome
+
+    def _count_refusal(self, refusal: Refusal) -> None:
+        self._metrics.count_answer(0, refusal.verdict, refusal.reason)
+        logs.write("request_refused", reason=refusal.reason, detail=refusal.detail)
+
+
+async def _refuse(
+    exchange: Exchange, status_code: int, refusal: Refusal, request_id: str
+) -> None:
+    headers, body = problem(status_code, refusal, request_id)
+    fields = [*headers, (REQUEST_ID_HEADER, request_id)]
+    await exchange.respond(status_code, fields, body)
+
+
+def _status(refusal: Refusal) -> int:
+    if refusal.verdict is Verdict.COMPLETED:
+        return HTTPStatus.CONFLICT
+    return STATUS_BY_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _headers(answer: Answer, request_id: str) -> list[tuple[str, str]]:
+    headers = [(header.name, header.value) for header in answer.headers]
+    return [*headers, (REQUEST_ID_HEADER, request_id)]
+
+
+def _error_event(outcome: Outcome, request_id: str) -> bytes:
+    content = {
+        "verdict": outcome.verdict.value,
+        "reason": outcome.reason.value,
+        "request_id": request_id,
+    }
+    return b"event: error\ndata: " + json.dumps({"error": content}).encode() + b"\n\n"
