--- /dev/null
+++ b/features/steps/storage_steps.py
@@ -0,0 +1,471 @@
+"""Steps on the data folder."""
+
+import errno
+import os
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from peridotfront import storage as storage_module
+from peridotfront.core.messages import (
+    HardState,
+    LogEntry,
+    Replica,
+    Snapshot,
+    StrikeBatch,
+)
+from peridotfront.core.raft import (
+    AppendEntries,
+    InstallSnapshot,
+    RaftState,
+    SaveHardState,
+    TruncateLog,
+)
+from peridotfront.exceptions import FolderInUse, StorageDamaged, StorageFailed
+from peridotfront.storage import Storage
+
+
+class FaultyDisk:
+    """Stands for ``os.write`` and ``os.fsync`` with faults on request."""
+
+    def __init__(self):
+        self.syncs = 0
+        self.calls = 0
+        self.is_full = False
+        self.sync_fails = False
+        self.fail_at_call = 0
+        self.write_limit_bytes = None
+
+    def write(self, fd, data):
+        self._count()
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return os.write(fd, data[: self.write_limit_bytes])
+
+    def sync(self, fd):
+        self._count()
+        if self.sync_fails:
+            raise OSError(errno.EIO, "input/output error")
+        self.syncs += 1
+        os.fsync(fd)
+
+    def _count(self):
+        self.calls += 1
+        if self.calls == self.fail_at_call:
+            raise OSError(errno.EIO, "input/output error")
+
+
+def entry(index, term=1):
+    return LogEntry(index, term, StrikeBatch(time_ms=index, reports=()))
+
+
+def entries(first, last, term=1):
+    return tuple([entry(index, term) for index in range(first, last + 1)])
+
+
+def new_folder(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    return Path(folder.name) / "data"
+
+
+def open_storage(context):
+    context.disk = FaultyDisk()
+    context.storage = Storage.open(
+        context.folder, context.disk.write, context.disk.sync
+    )
+    return context.storage
+
+
+def reopen(context):
+    context.storage.close()
+    context.error = None
+    try:
+        open_storage(context)
+    except (StorageDamaged, StorageFailed) as error:
+        context.error = error
+
+
+def segments(context):
+    return sorted(context.folder.glob("segment-*"))
+
+
+def close_at_end(context):
+    context.add_cleanup(lambda: context.storage.close() if is_open(context) else None)
+
+
+def is_open(context):
+    try:
+        os.fstat(context.storage._lock_fd)
+    except OSError:
+        return False
+    return True
+
+
+@given("an empty data folder")
+def empty_folder(context):
+    context.folder = new_folder(context)
+
+
+@given("two data folders")
+def two_folders(context):
+    context.storages = [Storage.open(new_folder(context)) for _ in range(2)]
+
+
+@given("a data folder with {count:d} entries")
+def folder_with_entries(context, count):
+    context.folder = new_folder(context)
+    storage = open_storage(context)
+    close_at_end(context)
+    storage.run([SaveHardState(HardState(1, Replica("a", 5), True))])
+    for item in entries(1, count):
+        storage.run([AppendEntries((item,))])
+
+
+@given("a data folder whose disk takes {count:d} bytes at a time")
+def slow_disk(context, count):
+    context.folder = new_folder(context)
+    open_storage(context)
+    close_at_end(context)
+    context.disk.write_limit_bytes = count
+
+
+@given("a data folder that rolls its segments at 2,000 bytes")
+def small_segments(context):
+    before = storage_module.SEGMENT_SIZE_BYTES
+    storage_module.SEGMENT_SIZE_BYTES = 2000
+    context.add_cleanup(setattr, storage_module, "SEGMENT_SIZE_BYTES", before)
+    context.folder = new_folder(context)
+    open_storage(context)
+    close_at_end(context)
+
+
+@given("a data folder with several segments and a snapshot")
+def several_segments(context):
+    small_segments(context)
+    storage = context.storage
+    storage.run([AppendEntries(entries(1, 5))])
+    storage.run([InstallSnapshot(snapshot_of(3), entries(4, 5))])
+    for item in entries(6, 300):
+        storage.run([AppendEntries((item,))])
+    assert len(segments(context)) > 3
+
+
+def snapshot_of(index, term=1):
+    return Snapshot(index, term, (Replica("a", 5),), (), b"state")
+
+
+@when("the storage is opened and closed and opened")
+def opened_twice(context):
+    context.first = open_storage(context).incarnation
+    close_at_end(context)
+    reopen(context)
+
+
+@when("the storage is opened a second time")
+def opened_beside(context):
+    try:
+        Storage.open(context.folder)
+        context.error = None
+    except FolderInUse as error:
+        context.error = error
+
+
+@when("the storage is opened again")
+@then("the storage is opened again")
+def opened_again(context):
+    reopen(context)
+
+
+@when("entries 4 to 5 are replaced by entries of term 2")
+def entries_replaced(context):
+    context.hard = HardState(2, None, True)
+    context.storage.run(
+        [SaveHardState(context.hard), TruncateLog(4), AppendEntries(entries(4, 5, 2))]
+    )
+
+
+@when("{count:d} changes are run in one turn")
+def many_changes(context, count):
+    context.disk.syncs = 0
+    changes = [AppendEntries((entry(6 + i),)) for i in range(count)]
+    context.storage.run(changes)
+
+
+@when("{count:d} entries are written")
+def entries_written(context, count):
+    context.storage.run([AppendEntries(entries(1, count))])
+
+
+def cut_and_load(context, data, size):
+    path = segments(context)[-1]
+    path.write_bytes(data[:size])
+    storage = Storage.open(context.folder)
+    try:
+        found = storage.state.entries
+        storage.run([AppendEntries((entry(len(found) + 1, 7),))])
+    finally:
+        storage.close()
+    again = Storage.open(context.folder)
+    again.close()
+    return found, again.state.entries
+
+
+@when("{count:d} more entries are written and the file is cut at any byte of them")
+def torn_anywhere(context, count):
+    path = segments(context)[-1]
+    before = path.stat().st_size
+    context.storage.run([AppendEntries(entries(6, 5 + count))])
+    context.storage.close()
+    data = path.read_bytes()
+    context.loads = [cut_and_load(context, data, n) for n in range(before, len(data))]
+
+
+@when("{count:d} more entries are written and the first of them is zeroed")
+def torn_first(context, count):
+    path = segments(context)[-1]
+    before = path.stat().st_size
+    context.storage.run([AppendEntries(entries(6, 5 + count))])
+    data = bytearray(path.read_bytes())
+    data[before : before + 30] = bytes(30)
+    path.write_bytes(data)
+
+
+@when("{count:d} more entries are written and any earlier byte is changed")
+def bit_changed(context, count):
+    path = segments(context)[-1]
+    before = path.stat().st_size
+    context.storage.run([AppendEntries(entries(6, 5 + count))])
+    context.storage.close()
+    data = path.read_bytes()
+    context.errors = []
+    for offset in range(before):
+        changed = bytearray(data)
+        changed[offset] ^= 4
+        path.write_bytes(changed)
+        context.errors.append(error_of_opening(context))
+
+
+def error_of_opening(context):
+    try:
+        Storage.open(context.folder).close()
+    except StorageDamaged as error:
+        return error
+    return None
+
+
+def path_of(context, file):
+    if file == "incarnation":
+        return context.folder / "incarnation"
+    if file == "snapshot":
+        return next(context.folder.glob("snapshot-*"))
+    return segments(context)[1]
+
+
+@when("the {file} is damaged")
+def file_damaged(context, file):
+    path = path_of(context, file)
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 1
+    path.write_bytes(data)
+
+
+@when("the {file} is removed")
+def file_removed(context, file):
+    path_of(context, file).unlink()
+
+
+@when("the disk is full")
+def disk_full(context):
+    context.disk.is_full = True
+
+
+@when("the disk fails to sync")
+def disk_fails(context):
+    context.disk.sync_fails = True
+
+
+@when("a snapshot of entry {index:d} is installed")
+def snapshot_installed(context, index):
+    tail = entries(index + 1, 5)
+    context.storage.run([InstallSnapshot(snapshot_of(index), tail)])
+
+
+@when("the disk fails at step {step:d} of installing a snapshot of entry 3")
+def snapshot_fails(context, step):
+    context.disk.calls = 0
+    context.disk.fail_at_call = step
+    try:
+        snapshot_installed(context, 3)
+        raise AssertionError("the disk did not fail")
+    except StorageFailed:
+        pass
+
+
+@when(
+    "a snapshot of entry {index:d} of term {term:d} is installed"
+    " and only its file reached the disk"
+)
+def snapshot_of_other_term(context, index, term):
+    kept = {path: path.read_bytes() for path in segments(context)}
+    context.storage.run([InstallSnapshot(snapshot_of(index, term), ())])
+    for path in segments(context):
+        path.unlink()
+    for path, data in kept.items():
+        path.write_bytes(data)
+    reopen(context)
+
+
+@when("{count:d} entries are written with a snapshot after every {interval:d}")
+def many_snapshots(context, count, interval):
+    context.sizes = []
+    for index in range(1, count + 1):
+        context.storage.run([AppendEntries((entry(index),))])
+        if index % interval == 0:
+            context.sizes.append(folder_size(context))
+            context.storage.run([InstallSnapshot(snapshot_of(index), ())])
+
+
+def folder_size(context):
+    return sum(path.stat().st_size for path in context.folder.iterdir())
+
+
+@then("the incarnation is the same")
+def same_incarnation(context):
+    assert context.storage.incarnation == context.first > 0
+
+
+@then("the state is blank")
+def blank_state(context):
+    assert context.storage.state == RaftState()
+
+
+@then("their incarnations differ")
+def unlike_incarnations(context):
+    first, second = [storage.incarnation for storage in context.storages]
+    for storage in context.storages:
+        storage.close()
+    assert first != second
+
+
+@then("it raises FolderInUse")
+def folder_in_use(context):
+    assert isinstance(context.error, FolderInUse)
+
+
+@then("the entries are 1 to 5 with the terms {terms}")
+def entries_with_terms(context, terms):
+    found = context.storage.state.entries
+    assert [e.index for e in found] == [1, 2, 3, 4, 5], found
+    assert [e.term for e in found] == [int(term) for term in terms.split(", ")]
+
+
+@then("the hard state is the last one written")
+def last_hard_state(context):
+    assert context.storage.state.hard == context.hard
+
+
+@then("there was one sync")
+def one_sync(context):
+    assert context.disk.syncs == 1
+
+
+@then("the first 5 entries are there and at most 3 more, without a gap")
+def synced_part(context):
+    whole = entries(1, 8)
+    counts = [len(found) for found, _ in context.loads]
+    assert min(counts) == 5
+    assert max(counts) == 7
+    assert all(found == whole[: len(found)] for found, _ in context.loads)
+
+
+@then("the folder takes new entries and keeps them")
+def new_entries_kept(context):
+    for found, again in context.loads:
+        assert again == (*found, entry(len(found) + 1, 7))
+
+
+@then("it raises StorageDamaged with the file and the offset")
+def damaged_everywhere(context):
+    path = str(segments(context)[-1])
+    missed = [i for i, error in enumerate(context.errors) if error is None]
+    assert missed == [], f"changes at these bytes went unseen: {missed}"
+    assert {error.file for error in context.errors} == {path}
+    offsets = [error.offset_bytes for error in context.errors]
+    assert all(offset <= i for i, offset in enumerate(offsets))
+    assert offsets == sorted(offsets)
+
+
+@then("it raises StorageDamaged that names the {file}")
+def damaged_file(context, file):
+    assert isinstance(context.error, StorageDamaged), context.error
+    expected = "incarnation" if file == "incarnation" else str(path_of(context, file))
+    assert expected in context.error.file
+
+
+@then("it raises StorageDamaged")
+def damaged(context):
+    assert isinstance(context.error, StorageDamaged), context.error
+
+
+def write_error(context):
+    try:
+        context.storage.run([AppendEntries((entry(6),))])
+    except StorageFailed as error:
+        return error
+    return None
+
+
+@then("writing raises StorageFailed")
+def write_fails(context):
+    assert write_error(context) is not None
+
+
+@then("writing raises StorageFailed even when the disk is well again")
+def write_still_fails(context):
+    context.disk.is_full = False
+    context.disk.sync_fails = False
+    assert write_error(context) is not None
+
+
+@then("the entries are 1 to 5 after a restart")
+def synced_entries_left(context):
+    reopen(context)
+    assert context.storage.state.entries[:5] == entries(1, 5)
+
+
+@then("the snapshot is that of entry {index:d}, followed by entries {first:d} to 5")
+def snapshot_and_tail(context, index, first):
+    assert context.storage.state.snapshot == snapshot_of(index)
+    assert context.storage.state.entries == entries(first, 5)
+
+
+@then("one segment and one snapshot file are left")
+def few_files(context):
+    assert len(segments(context)) == 1
+    assert len(list(context.folder.glob("snapshot-*"))) == 1
+
+
+@then("the log from entry 4 on is there, after a snapshot or the entries before")
+def whole_or_absent(context):
+    assert context.error is None, context.error
+    state = context.storage.state
+    whole = entries(1, 5)
+    if state.snapshot.last_index:
+        assert state.snapshot == snapshot_of(3)
+        assert state.entries == whole[3:]
+    else:
+        assert state.entries == whole
+    assert state.hard == HardState(1, Replica("a", 5), True)
+
+
+@then("the snapshot is that of entry {index:d}, followed by no entries")
+def snapshot_alone(context, index):
+    assert context.storage.state.snapshot.last_index == index
+    assert context.storage.state.entries == ()
+
+
+@then("the folder never held more than 40,000 bytes")
+def bounded(context):
+    assert max(context.sizes) <= 40_000, max(context.sizes)
--- /dev/null
+++ b/features/support/raft_group.py
@@ -0,0 +1,323 @@
+"""A group of Raft replicas in virtual time, with a network and disks that fail."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from peridotfront.core.actions import Log, Received, Send, Tick
+from peridotfront.core.messages import (
+    HardState,
+    MembershipChange,
+    Snapshot,
+    StrikeBatch,
+)
+from peridotfront.core.raft import (
+    AppendEntries,
+    Committed,
+    InstallSnapshot,
+    Persist,
+    ProposalDropped,
+    Propose,
+    Raft,
+    RaftState,
+    RaftTiming,
+    Read,
+    ReadFailed,
+    ReadReady,
+    Restore,
+    RoleChanged,
+    SaveHardState,
+    TruncateLog,
+)
+
+TICK_MS = 10
+TIMING = RaftTiming(max_entries_per_append=8, max_chunk_bytes=16)
+
+
+@dataclass
+class Disk:
+    """The synced state of a data folder, as storage would load it."""
+
+    incarnation: int
+    hard: HardState = field(default_factory=HardState)
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    entries: list = field(default_factory=list)
+
+    def run(self, persist):
+        if isinstance(persist, SaveHardState):
+            self.hard = persist.hard
+        elif isinstance(persist, AppendEntries):
+            expected = self.snapshot.last_index + len(self.entries) + 1
+            assert persist.entries[0].index == expected, "a gap in the log"
+            self.entries += persist.entries
+        elif isinstance(persist, TruncateLog):
+            del self.entries[persist.from_index - self.snapshot.last_index - 1 :]
+        elif isinstance(persist, InstallSnapshot):
+            self.snapshot = persist.snapshot
+            self.entries = list(persist.entries)
+
+    def load(self):
+        return RaftState(self.hard, self.snapshot, tuple(self.entries))
+
+
+class Host:
+    """One control host: a replica, its disk, its clock and a state machine."""
+
+    def __init__(self, name, disk, clock_rate=1.0):
+        self.name = name
+        self.disk = disk
+        self.clock_rate = clock_rate
+        self.raft = None
+        self.is_frozen = False
+        self.writes_left = None
+        self.inbox = []
+        self.applied = []
+        self.applied_index = 0
+
+
+class Group:
+    """Drives replicas on a shared virtual clock.
+
+    :param seed: of all randomness: jitter, delays, loss, incarnations.
+    """
+
+    def __init__(self, names="abc", seed=0, timing=TIMING):
+        self.names = tuple(names)
+        self.timing = timing
+        self.random = random.Random(seed)
+        self.now_ms = 0
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.delay_ms = (1, 5)
+        self.cuts = set()
+        self.in_flight = []
+        self.leaders = {}
+        self.log = {}
+        self.logged = Counter()
+        self.completed = set()
+        self.dropped = []
+        self.reads = {}
+        self.read_results = {}
+        self.delivered = []
+        self.sent = []
+        self.ticket = 0
+        self.sequence = 0
+        self.hosts = {name: Host(name, self.blank_disk()) for name in self.names}
+        for name in self.names:
+            self.start(name)
+
+    def blank_disk(self):
+        return Disk(self.random.getrandbits(62) or 1)
+
+    def start(self, name):
+        host = self.hosts[name]
+        disk = host.disk
+        host.raft = Raft(
+            name,
+            disk.incarnation,
+            self.names,
+            disk.load(),
+            self.timing,
+            self.random.random,
+        )
+        host.is_frozen = False
+        host.inbox = []
+        host.applied = []
+        host.applied_index = 0
+
+    def crash(self, name):
+        self.hosts[name].raft = None
+
+    def lose_disk(self, name):
+        self.crash(name)
+        self.hosts[name].disk = self.blank_disk()
+
+    def lose_power(self, name, writes_left):
+        """Let a host's power fail after so many more writes."""
+        self.hosts[name].writes_left = writes_left
+
+    def freeze(self, name):
+        self.hosts[name].is_frozen = True
+
+    def thaw(self, name):
+        host = self.hosts[name]
+        host.is_frozen = False
+        inbox, host.inbox = host.inbox, []
+        for event in inbox:
+            self.handle(name, event)
+
+    def cut(self, sender, receiver):
+        self.cuts.add((sender, receiver))
+
+    def isolate(self, name):
+        for other in self.names:
+            self.cuts |= {(name, other), (other, name)}
+
+    def heal(self):
+        self.cuts = set()
+
+    def handle(self, name, event):
+        """Let a host handle an event as one turn of the program would."""
+        host = self.hosts[name]
+        if host.raft is None:
+            return
+        if host.is_frozen:
+            host.inbox.append(event)
+            return
+        self.run(host, list(host.raft.handle(event, self.now_ms * host.clock_rate)))
+
+    def run(self, host, actions):
+        """Write and sync, then do all else; a loss of power leaves a part."""
+        writes = [a for a in actions if isinstance(a, Persist)]
+        for write in writes:
+            host.disk.run(write)
+            if host.writes_left is not None:
+                host.writes_left -= 1
+                if host.writes_left == 0:
+                    host.writes_left = None
+                    self.crash(host.name)
+                    return
+        for action in actions:
+            self.run_one(host, action)
+
+    def run_one(self, host, action):
+        if isinstance(action, Send):
+            self.send(host, action)
+        elif isinstance(action, Committed):
+            self.apply(host, action.entry)
+        elif isinstance(action, Restore):
+            host.applied = decode_state(action.data)
+            host.applied_index = action.last_index
+        elif isinstance(action, RoleChanged) and action.role == "leader":
+            identity = (host.name, host.disk.incarnation)
+            known = self.leaders.setdefault(action.term, identity)
+            assert known == identity, f"two leaders in term {action.term}"
+        elif isinstance(action, ReadReady):
+            self.finish_read(host, action.ticket)
+        elif isinstance(action, ReadFailed):
+            self.read_results[action.ticket] = None
+        elif isinstance(action, ProposalDropped):
+            self.dropped.append(action.command)
+        elif isinstance(action, Log):
+            self.logged[action.event] += 1
+
+    def apply(self, host, entry):
+        assert entry.index == host.applied_index + 1, "applied out of order"
+        known = self.log.setdefault(entry.index, entry)
+        assert known == entry, f"replicas disagree on entry {entry.index}"
+        host.applied_index = entry.index
+        if isinstance(entry.command, StrikeBatch):
+            host.applied.append(entry.command.time_ms)
+            if host.raft.is_leader:
+                self.completed.add(entry.command.time_ms)
+
+    def compact(self, name):
+        host = self.hosts[name]
+        data = encode_state(host.applied)
+        self.run(host, list(host.raft.compact(host.applied_index, data)))
+
+    def send(self, host, action):
+        self.sent.append(action)
+        copies = 2 if self.random.random() < self.doubling else 1
+        if self.random.random() < self.loss:
+            copies = 0
+        event = Received(host.name, 0, action.message)
+        for _ in range(copies):
+            due_ms = self.now_ms + self.random.randint(*self.delay_ms)
+            self.sequence += 1
+            self.in_flight.append((due_ms, self.sequence, action.to_host, event))
+
+    def step(self):
+        """Go on by one tick: deliver what is due, then tick every host."""
+        self.now_ms += TICK_MS
+        due = sorted([m for m in self.in_flight if m[0] <= self.now_ms])
+        self.in_flight = [m for m in self.in_flight if m[0] > self.now_ms]
+        for _, _, to_host, event in due:
+            if (event.sender, to_host) not in self.cuts:
+                self.delivered.append(event)
+                self.handle(to_host, event)
+        for name in self.names:
+            if not self.hosts[name].is_frozen:
+                self.handle(name, Tick())
+
+    def run_for(self, duration_ms):
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.step()
+
+    def run_until(self, condition, limit_ms=60_000):
+        end_ms = self.now_ms + limit_ms
+        while not condition():
+            assert self.now_ms < end_ms, "the condition was never met"
+            self.step()
+
+    def leader(self):
+        """Return the leader with the highest term that runs, or None."""
+        leading = [
+            host
+            for host in self.hosts.values()
+            if host.raft is not None and host.raft.is_leader and not host.is_frozen
+        ]
+        return max(leading, key=lambda host: host.raft.term, default=None)
+
+    def await_leader(self, limit_ms=60_000):
+        self.run_until(
+            lambda: (
+                self.leader() is not None
+                and self.log.get(self.leader().raft.commit_index) is not None
+            ),
+            limit_ms,
+        )
+        return self.leader()
+
+    def propose(self, name, value):
+        command = StrikeBatch(time_ms=value, reports=())
+        self.handle(name, Propose(command))
+
+    def write(self, value, limit_ms=60_000):
+        """Propose until the value is committed, as a client that repeats."""
+        end_ms = self.now_ms + limit_ms
+        while value not in self.completed:
+            assert self.now_ms < end_ms, f"value {value} was never committed"
+            leader = self.await_leader(limit_ms)
+            self.propose(leader.name, value)
+            self.run_for(300)
+
+    def read(self, name):
+        """Start a read; its result lands in ``read_results``."""
+        self.ticket += 1
+        self.reads[self.ticket] = frozenset(self.completed)
+        self.handle(name, Read(self.ticket))
+        return self.ticket
+
+    def finish_read(self, host, ticket):
+        seen = frozenset(host.applied)
+        missing = self.reads[ticket] - seen
+        assert not missing, f"a read misses the completed writes {missing}"
+        self.read_results[ticket] = seen
+
+    def memberships(self):
+        """Return the committed memberships in order."""
+        commands = [self.log[index].command for index in sorted(self.log)]
+        return [c for c in commands if isinstance(c, MembershipChange)]
+
+    def settled(self):
+        """Tell whether all hosts are voters and hold the same log."""
+        rafts = [host.raft for host in self.hosts.values()]
+        if any(raft is None for raft in rafts) or self.leader() is None:
+            return False
+        wanted = {(h.name, h.disk.incarnation) for h in self.hosts.values()}
+        members = {
+            tuple(sorted((v.host, v.incarnation) for v in r.voters)) for r in rafts
+        }
+        same = {host.applied_index for host in self.hosts.values()}
+        same |= {raft.dump().last_index for raft in rafts}
+        return members == {tuple(sorted(wanted))} and len(same) == 1
+
+
+def encode_state(values):
+    return ",".join(map(str, values)).encode()
+
+
+def decode_state(data):
+    return [int(value) for value in data.decode().split(",") if value]
--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -59,6 +59,7 @@
     VoteReply,
     VoteRequest,
 )
+from .records import HardState, LogStart, Snapshot, StorageRecord, Truncation
 
 MESSAGE_TYPES = RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES
 Message = Union[MESSAGE_TYPES]  # noqa: UP007
@@ -99,11 +100,13 @@
     "ConfigUpdate",
     "Frame",
     "Grant",
+    "HardState",
     "Header",
     "Heartbeat",
     "HeldSlot",
     "JoinRequest",
     "LogEntry",
+    "LogStart",
     "MembershipChange",
     "Message",
     "NoOp",
@@ -115,11 +118,14 @@
     "Release",
     "ReleaseCause",
     "Replica",
+    "Snapshot",
     "SnapshotChunk",
     "SnapshotReply",
+    "StorageRecord",
     "StrikeBatch",
     "StrikeReport",
     "StrikeUpdate",
+    "Truncation",
     "UpstreamReport",
     "VoteReply",
     "VoteRequest",
--- a/src/peridotfront/core/messages/raft.py
+++ b/src/peridotfront/core/messages/raft.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .control import Command
+from .control import Command, Replica
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteReply:
-    """Answers a :class:`VoteRequest`."""
+    """Answers a :class:`VoteRequest`.
+
+    :param candidate_incarnation: of the request; an answer to a predecessor of
+        the candidate on the same host must not count.
+    """
 
     term: int
     voter_incarnation: int
     is_granted: bool
     is_pre_vote: bool
+    candidate_incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +89,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotChunk:
-    """Carries a piece of a snapshot to a replica that is far behind."""
+    """Carries a piece of a snapshot to a replica that is far behind.
+
+    :param voters: the group's voters as of the snapshot.
+    :param learners: the group's learners as of the snapshot.
+    """
 
     term: int
     last_index: int
@@ -92,6 +101,8 @@
     offset_bytes: int
     total_bytes: int
     data: bytes
+    voters: tuple[Replica, ...] = ()
+    learners: tuple[Replica, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/peridotfront/core/raft.py
@@ -0,0 +1,481 @@
+"""The replicated log of the control group: the Raft protocol, free of I/O.
+
+The program feeds :class:`Raft` events and runs the actions that it yields. All
+:class:`Persist` actions of a turn are run and synced before any other action of
+that turn.
+"""
+
+from collections.abc import Callable, Iterator
+from functools import singledispatchmethod
+from typing import Any
+
+from .actions import Received, Send, Tick
+from .messages import (
+    AppendReply,
+    AppendRequest,
+    BootstrapQuery,
+    BootstrapReply,
+    JoinRequest,
+    MembershipChange,
+    Message,
+    Replica,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from .raft_bootstrap import Bootstrap
+from .raft_leader import Leadership
+from .raft_membership import quorum_size
+from .raft_replica import LocalReplica
+from .raft_transfer import SnapshotReceiver
+from .raft_types import (
+    AppendEntries,
+    Committed,
+    InstallSnapshot,
+    Persist,
+    ProposalDropped,
+    Propose,
+    RaftDump,
+    RaftState,
+    RaftTiming,
+    Read,
+    ReadFailed,
+    ReadReady,
+    Restore,
+    Role,
+    RoleChanged,
+    SaveHardState,
+    TruncateLog,
+)
+
+__all__ = [
+    "AppendEntries",
+    "Committed",
+    "InstallSnapshot",
+    "Persist",
+    "ProposalDropped",
+    "Propose",
+    "Raft",
+    "RaftDump",
+    "RaftState",
+    "RaftTiming",
+    "Read",
+    "ReadFailed",
+    "ReadReady",
+    "Restore",
+    "Role",
+    "RoleChanged",
+    "SaveHardState",
+    "TruncateLog",
+]
+
+
+class Raft:
+    """One replica of the control group.
+
+    :param host: the own host name.
+    :param incarnation: of the own data folder.
+    :param configured_hosts: the control hosts that the settings name.
+    :param state: what storage loaded at the start.
+    :param timing: times and sizes of the protocol.
+    :param jitter: returns a number from 0 to 1, new at each call.
+
+    Usage::
+
+        raft = Raft("a", storage.incarnation, ("a", "b", "c"), storage.state,
+                    RaftTiming(), random.random)
+        actions = list(raft.handle(Tick(), now_ms))
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        configured_hosts: tuple[str, ...],
+        state: RaftState,
+        timing: RaftTiming,
+        jitter: Callable[[], float],
+    ) -> None:
+        identity = Replica(host, incarnation)
+        local = LocalReplica(identity, configured_hosts, state, timing, jitter)
+        self._local = local
+        self._bootstrap = Bootstrap(local)
+        self._receiver = SnapshotReceiver()
+        self._role = Role.FOLLOWER
+        self._leader = ""
+        self._leadership: Leadership | None = None
+        self._founders: MembershipChange | None = None
+        self._votes: set[Replica] = set()
+        self._heard_ms = 0.0
+        self._election_due_ms = 0.0
+        self._is_started = False
+        self._now_ms = 0.0
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads."""
+        return self._leadership is not None
+
+    @property
+    def leader(self) -> str:
+        """Return the host name of the known leader, or an empty string."""
+        return self._leader
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._local.term
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index of the last entry known to be committed."""
+        return self._local.commit_index
+
+    @property
+    def last_applied(self) -> int:
+        """Return the index of the last entry yielded as committed."""
+        return self._local.commit_index
+
+    @property
+    def voters(self) -> tuple[Replica, ...]:
+        """Return the voters that the log names."""
+        return self._local.log.membership.voters
+
+    @property
+    def learners(self) -> tuple[Replica, ...]:
+        """Return the learners that the log names."""
+        return self._local.log.membership.learners
+
+    def handle(self, event: Any, now_ms: float) -> Iterator[Any]:
+        """Take in an event.
+
+        :param event: a :class:`Tick`, :class:`Received`, :class:`Propose` or
+            :class:`Read`.
+        :param now_ms: the process's own monotonic clock.
+        :return: the actions to run, in order.
+        """
+        self._now_ms = now_ms
+        if not self._is_started:
+            yield from self._start()
+        if self._leadership and not self._leadership.has_quorum(now_ms):
+            yield from self._follow("")
+        yield from self._on_event(event)
+
+    def compact(self, index: int, data: bytes) -> Iterator[Any]:
+        """Replace the log up to an applied entry by the state machine's snapshot.
+
+        :param index: the last entry that the snapshot holds.
+        :param data: the encoded state.
+        :raises ValueError: if that entry is not applied yet.
+        """
+        if index > self._local.commit_index:
+            raise ValueError(f"entry {index} is not applied")
+        if index > self._local.log.snapshot.last_index:
+            yield from self._local.compact(index, data)
+
+    def dump(self) -> RaftDump:
+        """Describe the state for operators."""
+        local = self._local
+        log = local.log
+        leading = self._leadership
+        return RaftDump(
+            identity=local.identity,
+            role=self._role,
+            term=local.term,
+            leader=self._leader,
+            voted_for=local.hard.voted_for,
+            membership=log.membership,
+            is_membership_committed=log.membership_index <= local.commit_index,
+            snapshot_index=log.snapshot.last_index,
+            last_index=log.last_index,
+            commit_index=local.commit_index,
+            last_applied=local.commit_index,
+            pending_reads=leading.pending_reads if leading else 0,
+            peers=leading.dump(self._now_ms) if leading else (),
+        )
+
+    def _start(self) -> Iterator[Any]:
+        self._is_started = True
+        self._delay_election()
+        snapshot = self._local.log.snapshot
+        if snapshot.last_index:
+            yield Restore(snapshot.last_index, snapshot.data)
+
+    @singledispatchmethod
+    def _on_event(self, event: Any) -> Iterator[Any]:
+        raise TypeError(f"unexpected event: {type(event).__name__}")
+
+    @_on_event.register
+    def _(self, event: Tick) -> Iterator[Any]:
+        if self._leadership:
+            yield from self._leadership.tick(self._now_ms)
+            return
+        if self._now_ms >= self._election_due_ms:
+            yield from self._on_silence()
+        yield from self._bootstrap.tick(self._leader, self._now_ms)
+
+    @_on_event.register
+    def _(self, event: Received) -> Iterator[Any]:
+        yield from self._on_message(event.message, event.sender)
+
+    @_on_event.register
+    def _(self, event: Propose) -> Iterator[Any]:
+        if not self._leadership or isinstance(event.command, MembershipChange):
+            yield ProposalDropped(event.command)
+            return
+        yield from self._leadership.propose(event.command, self._now_ms)
+
+    @_on_event.register
+    def _(self, event: Read) -> Iterator[Any]:
+        if not self._leadership:
+            yield ReadFailed(event.ticket)
+            return
+        yield from self._leadership.read(event.ticket, self._now_ms)
+
+    @singledispatchmethod
+    def _on_message(self, message: Message, sender: str) -> Iterator[Any]:
+        raise TypeError(f"unexpected message: {type(message).__name__}")
+
+    @_on_message.register
+    def _(self, message: BootstrapQuery, sender: str) -> Iterator[Any]:
+        yield from self._bootstrap.on_query(sender)
+
+    @_on_message.register
+    def _(self, message: BootstrapReply, sender: str) -> Iterator[Any]:
+        self._bootstrap.on_reply(sender, message)
+        yield from ()
+
+    @_on_message.register
+    def _(self, message: JoinRequest, sender: str) -> Iterator[Any]:
+        if self._leadership:
+            joiner = Replica(sender, message.incarnation)
+            yield from self._leadership.on_join(joiner, self._now_ms)
+
+    @_on_message.register
+    def _(self, message: VoteRequest, sender: str) -> Iterator[Any]:
+        if message.is_pre_vote:
+            yield self._answer_pre_vote(message, sender)
+            return
+        if self._is_leader_alive():
+            return
+        if message.term > self.term:
+            yield from self._enter_term(message.term)
+        candidate = Replica(sender, message.candidate_incarnation)
+        is_granted = self._may_vote_for(candidate, message)
+        if is_granted:
+            self._delay_election()
+            yield from self._local.vote_for(candidate)
+        yield Send(sender, self._vote_reply(message, self.term, is_granted))
+
+    @_on_message.register
+    def _(self, message: VoteReply, sender: str) -> Iterator[Any]:
+        own = self._local.identity.incarnation
+        if message.candidate_incarnation != own:
+            return
+        if message.term > self.term and not message.is_granted:
+            yield from self._enter_term(message.term)
+            return
+        if not message.is_granted or not self._awaits(message):
+            return
+        self._votes.add(Replica(sender, message.voter_incarnation))
+        yield from self._count_votes()
+
+    @_on_message.register
+    def _(self, message: AppendRequest, sender: str) -> Iterator[Any]:
+        if message.term < self.term:
+            yield Send(sender, self._append_reply(message, False, 0))
+            return
+        yield from self._hear_leader(sender, message.term)
+        log = self._local.log
+        previous_term = log.term_at(message.previous_index)
+        is_before = message.previous_index <= log.snapshot.last_index
+        if not is_before and previous_term != message.previous_term:
+            hint = self._conflict_hint(message.previous_index)
+            yield Send(sender, self._append_reply(message, False, hint))
+            return
+        yield from self._local.accept(message)
+        match_index = message.previous_index + len(message.entries)
+        yield from self._local.commit_up_to(min(message.commit_index, match_index))
+        yield Send(sender, self._append_reply(message, True, match_index))
+
+    @_on_message.register
+    def _(self, message: AppendReply, sender: str) -> Iterator[Any]:
+        if message.term > self.term:
+            yield from self._enter_term(message.term)
+        if self._leadership and message.term == self.term:
+            peer = Replica(sender, message.follower_incarnation)
+            leading = self._leadership
+            yield from leading.on_append_reply(peer, message, self._now_ms)
+
+    @_on_message.register
+    def _(self, message: SnapshotChunk, sender: str) -> Iterator[Any]:
+        if message.term < self.term:
+            yield Send(sender, self._snapshot_reply(message, 0))
+            return
+        yield from self._hear_leader(sender, message.term)
+        if message.last_index <= self._local.commit_index:
+            yield Send(sender, self._snapshot_reply(message, message.total_bytes))
+            return
+        received_bytes = self._receiver.take(message)
+        snapshot = self._receiver.finished()
+        if snapshot is not None:
+            yield from self._local.install(snapshot)
+        yield Send(sender, self._snapshot_reply(message, received_bytes))
+
+    @_on_message.register
+    def _(self, message: SnapshotReply, sender: str) -> Iterator[Any]:
+        if message.term > self.term:
+            yield from self._enter_term(message.term)
+        if self._leadership and message.term == self.term:
+            peer = Replica(sender, message.follower_incarnation)
+            leading = self._leadership
+            yield from leading.on_snapshot_reply(peer, message, self._now_ms)
+
+    def _on_silence(self) -> Iterator[Any]:
+        self._delay_election()
+        if self._bootstrap.is_founder:
+            yield from self._seek_votes(self._bootstrap.founders())
+            self._bootstrap.forget_answers()
+        elif self._local.is_voter:
+            yield from self._seek_pre_votes()
+        else:
+            yield from self._follow("")
+
+    def _seek_pre_votes(self) -> Iterator[Any]:
+        yield from self._change_role(Role.PRE_CANDIDATE, "")
+        self._votes = {self._local.identity}
+        yield from self._ask_voters(self.term + 1, is_pre_vote=True)
+        yield from self._count_votes()
+
+    def _seek_votes(self, founders: MembershipChange | None = None) -> Iterator[Any]:
+        identity = self._local.identity
+        yield from self._local.enter_term(self.term + 1, identity)
+        yield from self._change_role(Role.CANDIDATE, "")
+        self._founders = founders
+        self._votes = {identity}
+        yield from self._ask_voters(self.term, is_pre_vote=False)
+        yield from self._count_votes()
+
+    def _ask_voters(self, term: int, is_pre_vote: bool) -> Iterator[Send]:
+        request = self._local.vote_request(term, is_pre_vote)
+        for voter in self._electorate():
+            if voter != self._local.identity:
+                yield Send(voter.host, request)
+
+    def _electorate(self) -> tuple[Replica, ...]:
+        return self._founders.voters if self._founders else self.voters
+
+    def _awaits(self, reply: VoteReply) -> bool:
+        if reply.is_pre_vote:
+            return self._role is Role.PRE_CANDIDATE and reply.term == self.term + 1
+        return self._role is Role.CANDIDATE and reply.term == self.term
+
+    def _count_votes(self) -> Iterator[Any]:
+        electorate = self._electorate()
+        count = len(self._votes.intersection(electorate))
+        needed = len(electorate) if self._founders else quorum_size(electorate)
+        if count < needed:
+            return
+        if self._role is Role.PRE_CANDIDATE:
+            yield from self._seek_votes()
+            return
+        yield from self._lead()
+
+    def _lead(self) -> Iterator[Any]:
+        founders = self._founders
+        self._founders = None
+        leadership = Leadership(self._local, self._now_ms)
+        self._leadership = leadership
+        yield from self._change_role(Role.LEADER, self._local.identity.host)
+        yield from leadership.begin(founders, self._now_ms)
+
+    def _enter_term(self, term: int) -> Iterator[Any]:
+        yield from self._local.enter_term(term)
+        yield from self._follow("")
+
+    def _hear_leader(self, sender: str, term: int) -> Iterator[Any]:
+        if term > self.term:
+            yield from self._local.enter_term(term)
+        self._heard_ms = self._now_ms
+        self._delay_election()
+        yield from self._follow(sender)
+
+    def _follow(self, leader: str) -> Iterator[Any]:
+        leadership = self._leadership
+        self._leadership = None
+        self._founders = None
+        if leadership is not None:
+            self._delay_election()
+            yield from leadership.abandon()
+        yield from self._change_role(Role.FOLLOWER, leader)
+
+    def _change_role(self, role: Role, leader: str) -> Iterator[RoleChanged]:
+        if (role, leader) == (self._role, self._leader):
+            return
+        self._role = role
+        self._leader = leader
+        yield RoleChanged(role, self.term, leader)
+
+    def _delay_election(self) -> None:
+        self._election_due_ms = self._now_ms + self._local.election_timeout_ms()
+
+    def _is_leader_alive(self) -> bool:
+        if self._leadership:
+            return True
+        silent_ms = self._now_ms - self._heard_ms
+        is_recent = silent_ms < self._local.timing.election_timeout_ms
+        return bool(self._leader) and is_recent
+
+    def _may_vote_for(self, candidate: Replica, request: VoteRequest) -> bool:
+        if request.term != self.term or not self._local.is_up_to_date(request):
+            return False
+        return self._local.hard.voted_for in (None, candidate)
+
+    def _answer_pre_vote(self, request: VoteRequest, sender: str) -> Send:
+        is_granted = (
+            request.term > self.term
+            and not self._is_leader_alive()
+            and self._local.is_up_to_date(request)
+        )
+        term = request.term if is_granted else self.term
+        return Send(sender, self._vote_reply(request, term, is_granted))
+
+    def _vote_reply(
+        self, request: VoteRequest, term: int, is_granted: bool
+    ) -> VoteReply:
+        return VoteReply(
+            term=term,
+            voter_incarnation=self._local.identity.incarnation,
+            is_granted=is_granted,
+            is_pre_vote=request.is_pre_vote,
+            candidate_incarnation=request.candidate_incarnation,
+        )
+
+    def _conflict_hint(self, previous_index: int) -> int:
+        log = self._local.log
+        if previous_index > log.last_index:
+            return log.last_index
+        first = log.first_index_of_term(previous_index)
+        return max(first - 1, self._local.commit_index)
+
+    def _append_reply(
+        self, request: AppendRequest, is_success: bool, match_index: int
+    ) -> AppendReply:
+        return AppendReply(
+            term=self.term,
+            follower_incarnation=self._local.identity.incarnation,
+            is_success=is_success,
+            match_index=match_index,
+            round_number=request.round_number,
+        )
+
+    def _snapshot_reply(
+        self, chunk: SnapshotChunk, received_bytes: int
+    ) -> SnapshotReply:
+        return SnapshotReply(
+            term=self.term,
+            follower_incarnation=self._local.identity.incarnation,
+            last_index=chunk.last_index,
+            received_bytes=received_bytes,
+        )
--- /dev/null
+++ b/src/peridotfront/core/raft_bootstrap.py
@@ -0,0 +1,80 @@
+"""The founding of a new group by hosts whose data folders are all blank.
+
+The configured host with the lowest name asks all others whether they are blank,
+and then for their votes. It founds the group only with the votes of every one of
+them, in the term of these votes. So two hosts never found the group in the same
+term, and a group that exists on any answering host is never founded again.
+"""
+
+from collections.abc import Iterator
+
+from .actions import Send
+from .messages import (
+    BootstrapQuery,
+    BootstrapReply,
+    JoinRequest,
+    MembershipChange,
+    Replica,
+)
+from .raft_replica import LocalReplica
+
+
+class Bootstrap:
+    """Finds out whether the group exists, and who would found it.
+
+    :param local: the own replica.
+    """
+
+    def __init__(self, local: LocalReplica) -> None:
+        self._local = local
+        self._blank_peers: dict[str, Replica] = {}
+        self._has_group = False
+        self._query_due_ms = 0.0
+
+    @property
+    def is_founder(self) -> bool:
+        """Tell whether this host may ask for the votes to found the group."""
+        local = self._local
+        if not local.is_blank or self._has_group:
+            return False
+        is_lowest = local.identity.host == min(local.configured_hosts)
+        return is_lowest and set(self._blank_peers) == set(local.peer_hosts)
+
+    def founders(self) -> MembershipChange:
+        """Return the first members of a group founded now."""
+        members = [self._local.identity, *self._blank_peers.values()]
+        return MembershipChange(tuple(sorted(members, key=lambda r: r.host)), ())
+
+    def forget_answers(self) -> None:
+        """Ask all over again, after a founding that failed."""
+        self._blank_peers = {}
+
+    def tick(self, leader: str, now_ms: float) -> Iterator[Send]:
+        """Send the queries or the request to join that are due."""
+        local = self._local
+        if local.is_member or now_ms < self._query_due_ms:
+            return
+        self._query_due_ms = now_ms + local.timing.heartbeat_ms
+        if local.is_blank and not leader:
+            query = BootstrapQuery(local.identity.incarnation)
+            yield from [Send(host, query) for host in local.peer_hosts]
+        if leader or self._has_group or not local.is_blank:
+            request = JoinRequest(local.identity.incarnation)
+            hosts = (leader,) if leader else local.peer_hosts
+            yield from [Send(host, request) for host in hosts]
+
+    def on_query(self, sender: str) -> Iterator[Send]:
+        """Answer whether the own data folder is blank."""
+        local = self._local
+        reply = BootstrapReply(local.identity.incarnation, local.is_blank)
+        yield Send(sender, reply)
+
+    def on_reply(self, sender: str, reply: BootstrapReply) -> None:
+        """Take in whether a peer is blank."""
+        if sender not in self._local.peer_hosts:
+            return
+        if reply.is_blank:
+            self._blank_peers[sender] = Replica(sender, reply.incarnation)
+            return
+        self._has_group = True
+        self._blank_peers.pop(sender, None)
--- /dev/null
+++ b/src/peridotfront/core/raft_leader.py
@@ -0,0 +1,400 @@
+"""What a replica does while it leads: replication, reads, members."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .actions import Log, Send
+from .messages import (
+    AppendReply,
+    AppendRequest,
+    Command,
+    LogEntry,
+    MembershipChange,
+    NoOp,
+    Replica,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from .raft_membership import (
+    Contact,
+    add_learner,
+    is_member,
+    is_superseded,
+    next_step,
+    quorum_value,
+)
+from .raft_replica import LocalReplica
+from .raft_types import PeerDump, ReadFailed, ReadReady
+
+RESEND_HEARTBEATS = 2
+
+
+@dataclass(slots=True)
+class Progress:
+    """Holds how far a peer has come.
+
+    :param contact_ms: when the latest round that it answered was sent.
+    :param sent_index: last index of the request in flight; 0 for none.
+    :param sent_ms: when the request or piece in flight was sent.
+    :param transfer: the snapshot that is being sent, if any.
+    :param transferred_bytes: how much of it the peer has.
+    """
+
+    next_index: int
+    contact_ms: float
+    match_index: int = 0
+    round_number: int = 0
+    sent_index: int = 0
+    sent_ms: float = 0
+    transfer: Snapshot | None = None
+    transferred_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PendingRead:
+    """A read that waits until a round as late as the given one is confirmed."""
+
+    ticket: int
+    round_number: int
+
+
+@dataclass(slots=True)
+class Rounds:
+    """Numbers the heartbeat rounds and keeps when each was sent."""
+
+    current: int = 0
+    sent_ms: dict[int, float] = field(default_factory=dict)
+
+    def start(self, now_ms: float, horizon_ms: float) -> None:
+        """Open a new round, and forget those older than the horizon."""
+        self.current += 1
+        self.sent_ms[self.current] = now_ms
+        for number in list(self.sent_ms):
+            if self.sent_ms[number] >= now_ms - horizon_ms:
+                break
+            del self.sent_ms[number]
+
+
+class Leadership:
+    """Leads the group for one term.
+
+    :param local: the own replica.
+    :param now_ms: when the term was won.
+    """
+
+    def __init__(self, local: LocalReplica, now_ms: float) -> None:
+        self._local = local
+        self._rounds = Rounds()
+        self._progress: dict[Replica, Progress] = {}
+        self._reads: list[PendingRead] = []
+        self._heartbeat_due_ms = now_ms
+        self._adopt_members(now_ms)
+
+    def begin(self, founders: MembershipChange | None, now_ms: float) -> Iterator:
+        """Open the term with an entry of its own, the first one ever included."""
+        if founders is not None:
+            yield from self._append(founders, now_ms)
+            yield Log("raft_bootstrapped", (("term", self._local.term),))
+        yield from self._append(NoOp(), now_ms)
+        yield from self._start_round(now_ms)
+        yield from self._advance(now_ms)
+
+    def has_quorum(self, now_ms: float) -> bool:
+        """Tell whether a majority answered within the election timeout."""
+        contacts = [
+            now_ms if voter == self._local.identity else self._contact_ms(voter)
+            for voter in self._local.log.membership.voters
+        ]
+        horizon_ms = now_ms - self._local.timing.election_timeout_ms
+        return quorum_value(contacts) > horizon_ms
+
+    def tick(self, now_ms: float) -> Iterator:
+        """Send the heartbeat that is due and go on with member changes."""
+        if now_ms < self._heartbeat_due_ms:
+            return
+        self._expire_requests(now_ms)
+        yield from self._start_round(now_ms)
+        yield from self._step_membership(now_ms)
+
+    def propose(self, command: Command, now_ms: float) -> Iterator:
+        """Append a command and replicate it."""
+        yield from self._append(command, now_ms)
+        yield from self._replicate(now_ms)
+        yield from self._advance(now_ms)
+
+    def read(self, ticket: int, now_ms: float) -> Iterator:
+        """Answer a read once a round that starts from now on is confirmed."""
+        self._reads.append(PendingRead(ticket, self._rounds.current + 1))
+        if self._confirmed_round() == self._rounds.current:
+            yield from self._start_round(now_ms)
+        yield from self._answer_reads()
+
+    def abandon(self) -> Iterator[ReadFailed]:
+        """Fail all pending reads, since the leadership has ended."""
+        for read in self._reads:
+            yield ReadFailed(read.ticket)
+        self._reads = []
+
+    def on_append_reply(
+        self, peer: Replica, reply: AppendReply, now_ms: float
+    ) -> Iterator:
+        """Take in how far a peer's log matches."""
+        progress = self._progress.get(peer)
+        if progress is None:
+            return
+        self._note_round(progress, reply.round_number)
+        if reply.is_success:
+            self._note_match(progress, reply.match_index)
+        else:
+            self._step_back(progress, reply.match_index)
+        yield from self._advance(now_ms)
+        yield from self._send_entries(peer, progress, now_ms)
+
+    def on_snapshot_reply(
+        self, peer: Replica, reply: SnapshotReply, now_ms: float
+    ) -> Iterator:
+        """Take in how much of a snapshot a peer has, and send the next piece."""
+        progress = self._progress.get(peer)
+        if progress is None or progress.transfer is None:
+            return
+        snapshot = progress.transfer
+        if reply.last_index != snapshot.last_index:
+            return
+        if reply.received_bytes < len(snapshot.data):
+            if reply.received_bytes != progress.transferred_bytes:
+                progress.transferred_bytes = reply.received_bytes
+                yield self._chunk(peer, progress, now_ms)
+            return
+        self._note_match(progress, snapshot.last_index)
+        yield from self._send_entries(peer, progress, now_ms)
+
+    def on_join(self, joiner: Replica, now_ms: float) -> Iterator:
+        """Admit a replica with an empty data folder as learner."""
+        membership = self._local.log.membership
+        if is_member(membership, joiner) or not self._may_change_members():
+            return
+        known = {*self._local.configured_hosts, *[v.host for v in membership.voters]}
+        if joiner.host not in known:
+            yield Log("raft_join_refused", (("host", joiner.host),))
+            return
+        yield from self._change_members(add_learner(membership, joiner), now_ms)
+
+    def dump(self, now_ms: float) -> tuple[PeerDump, ...]:
+        """Describe the peers for operators."""
+        return tuple(
+            [
+                PeerDump(
+                    replica=replica,
+                    match_index=progress.match_index,
+                    next_index=progress.next_index,
+                    silent_ms=int(now_ms - progress.contact_ms),
+                    snapshot_bytes_sent=progress.transferred_bytes,
+                )
+                for replica, progress in self._progress.items()
+            ]
+        )
+
+    @property
+    def pending_reads(self) -> int:
+        """Return how many reads wait."""
+        return len(self._reads)
+
+    def _append(self, command: Command, now_ms: float) -> Iterator:
+        local = self._local
+        entry = LogEntry(local.log.last_index + 1, local.term, command)
+        yield from local.append((entry,))
+        if isinstance(command, MembershipChange):
+            self._adopt_members(now_ms)
+
+    def _adopt_members(self, now_ms: float) -> None:
+        membership = self._local.log.membership
+        members = [*membership.voters, *membership.learners]
+        next_index = self._local.log.last_index + 1
+        self._progress = {
+            member: self._progress.get(member) or Progress(next_index, now_ms)
+            for member in members
+            if member != self._local.identity
+        }
+
+    def _contact_ms(self, voter: Replica) -> float:
+        return self._progress[voter].contact_ms
+
+    def _note_round(self, progress: Progress, round_number: int) -> None:
+        if round_number <= progress.round_number:
+            return
+        progress.round_number = round_number
+        sent_ms = self._rounds.sent_ms.get(round_number)
+        if sent_ms is not None:
+            progress.contact_ms = sent_ms
+
+    def _note_match(self, progress: Progress, match_index: int) -> None:
+        progress.match_index = max(progress.match_index, match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        if progress.match_index >= progress.sent_index:
+            progress.sent_index = 0
+        transfer = progress.transfer
+        if transfer is not None and progress.match_index >= transfer.last_index:
+            progress.transfer = None
+
+    def _step_back(self, progress: Progress, hint: int) -> None:
+        if hint + 1 < progress.next_index:
+            progress.next_index = max(progress.match_index, hint) + 1
+            progress.sent_index = 0
+
+    def _advance(self, now_ms: float) -> Iterator:
+        log = self._local.log
+        matches = [
+            log.last_index
+            if voter == self._local.identity
+            else self._progress[voter].match_index
+            for voter in log.membership.voters
+        ]
+        index = quorum_value(matches)
+        if log.term_at(index) == self._local.term:
+            yield from self._local.commit_up_to(index)
+        yield from self._continue_reads(now_ms)
+
+    def _continue_reads(self, now_ms: float) -> Iterator:
+        yield from self._answer_reads()
+        if not self._reads:
+            return
+        is_idle = self._confirmed_round() == self._rounds.current
+        if is_idle and self._reads[-1].round_number > self._rounds.current:
+            yield from self._start_round(now_ms)
+            yield from self._answer_reads()
+
+    def _answer_reads(self) -> Iterator[ReadReady]:
+        if not self._has_committed_own_term():
+            return
+        confirmed = self._confirmed_round()
+        while self._reads and self._reads[0].round_number <= confirmed:
+            yield ReadReady(self._reads.pop(0).ticket)
+
+    def _confirmed_round(self) -> int:
+        rounds = [
+            self._rounds.current
+            if voter == self._local.identity
+            else self._progress[voter].round_number
+            for voter in self._local.log.membership.voters
+        ]
+        return quorum_value(rounds)
+
+    def _has_committed_own_term(self) -> bool:
+        local = self._local
+        return local.log.term_at(local.commit_index) == local.term
+
+    def _may_change_members(self) -> bool:
+        is_settled = self._local.log.membership_index <= self._local.commit_index
+        return is_settled and self._has_committed_own_term()
+
+    def _step_membership(self, now_ms: float) -> Iterator:
+        if not self._may_change_members():
+            return
+        contacts = [self._contact(r, p, now_ms) for r, p in self._progress.items()]
+        step = next_step(self._local.log.membership, contacts)
+        if step is not None:
+            yield from self._change_members(step, now_ms)
+
+    def _contact(self, replica: Replica, progress: Progress, now_ms: float) -> Contact:
+        silent_ms = now_ms - progress.contact_ms
+        return Contact(
+            replica=replica,
+            is_live=silent_ms < self._local.timing.election_timeout_ms,
+            is_caught_up=progress.match_index >= self._local.commit_index,
+        )
+
+    def _change_members(self, change: MembershipChange, now_ms: float) -> Iterator:
+        voters = ",".join([f"{v.host}/{v.incarnation}" for v in change.voters])
+        learners = ",".join([f"{m.host}/{m.incarnation}" for m in change.learners])
+        yield Log("raft_members_changed", (("voters", voters), ("learners", learners)))
+        yield from self.propose(change, now_ms)
+
+    def _expire_requests(self, now_ms: float) -> None:
+        limit_ms = RESEND_HEARTBEATS * self._local.timing.heartbeat_ms
+        for progress in self._progress.values():
+            if progress.sent_index and now_ms - progress.sent_ms >= limit_ms:
+                progress.sent_index = 0
+                progress.next_index = progress.match_index + 1
+
+    def _start_round(self, now_ms: float) -> Iterator[Send]:
+        timing = self._local.timing
+        self._rounds.start(now_ms, timing.election_timeout_ms)
+        self._heartbeat_due_ms = now_ms + timing.heartbeat_ms
+        for peer, progress in self._progress.items():
+            sends = tuple(self._send_entries(peer, progress, now_ms))
+            yield from sends
+            if not any(isinstance(send.message, AppendRequest) for send in sends):
+                yield Send(peer.host, self._heartbeat(progress))
+
+    def _replicate(self, now_ms: float) -> Iterator[Send]:
+        for peer, progress in self._progress.items():
+            yield from self._send_entries(peer, progress, now_ms)
+
+    def _can_send_entries(self, peer: Replica, progress: Progress) -> bool:
+        if progress.sent_index or progress.next_index > self._local.log.last_index:
+            return False
+        return not is_superseded(self._local.log.membership, peer)
+
+    def _send_entries(
+        self, peer: Replica, progress: Progress, now_ms: float
+    ) -> Iterator[Send]:
+        if not self._can_send_entries(peer, progress):
+            return
+        log = self._local.log
+        previous_term = log.term_at(progress.next_index - 1)
+        if previous_term is None:
+            yield from self._begin_transfer(peer, progress, now_ms)
+            return
+        limit = self._local.timing.max_entries_per_append
+        entries = log.entries(progress.next_index, limit)
+        yield Send(peer.host, self._request(progress.next_index - 1, entries))
+        progress.next_index += len(entries)
+        progress.sent_index = progress.next_index - 1
+        progress.sent_ms = now_ms
+
+    def _begin_transfer(
+        self, peer: Replica, progress: Progress, now_ms: float
+    ) -> Iterator[Send]:
+        if progress.transfer is None:
+            progress.transfer = self._local.log.snapshot
+            progress.transferred_bytes = 0
+        yield self._chunk(peer, progress, now_ms)
+
+    def _chunk(self, peer: Replica, progress: Progress, now_ms: float) -> Send:
+        snapshot = progress.transfer
+        progress.sent_index = snapshot.last_index
+        progress.sent_ms = now_ms
+        offset = progress.transferred_bytes
+        chunk = SnapshotChunk(
+            term=self._local.term,
+            last_index=snapshot.last_index,
+            last_term=snapshot.last_term,
+            offset_bytes=offset,
+            total_bytes=len(snapshot.data),
+            data=snapshot.data[offset : offset + self._local.timing.max_chunk_bytes],
+            voters=snapshot.voters,
+            learners=snapshot.learners,
+        )
+        return Send(peer.host, chunk)
+
+    def _heartbeat(self, progress: Progress) -> AppendRequest:
+        is_probe = progress.sent_index == 0
+        previous_index = progress.next_index - 1 if is_probe else progress.match_index
+        if self._local.log.term_at(previous_index) is None:
+            previous_index = 0
+        return self._request(previous_index, ())
+
+    def _request(
+        self, previous_index: int, entries: tuple[LogEntry, ...]
+    ) -> AppendRequest:
+        log = self._local.log
+        return AppendRequest(
+            term=self._local.term,
+            leader_incarnation=self._local.identity.incarnation,
+            previous_index=previous_index,
+            previous_term=log.term_at(previous_index) or 0,
+            entries=entries,
+            commit_index=self._local.commit_index,
+            round_number=self._rounds.current,
+        )
--- /dev/null
+++ b/src/peridotfront/core/raft_membership.py
@@ -0,0 +1,105 @@
+"""Quorums, and the order of single steps by which members change."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from .messages import MembershipChange, Replica
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """Tells the leader's view of a member at one moment.
+
+    :param is_live: whether it answered within an election timeout.
+    :param is_caught_up: whether it holds all that is committed.
+    """
+
+    replica: Replica
+    is_live: bool
+    is_caught_up: bool
+
+
+def quorum_size(voters: Collection[Replica]) -> int:
+    """Return how many voters make a majority."""
+    return len(voters) // 2 + 1
+
+
+def quorum_value(values: Iterable[int]) -> int:
+    """Return the highest value that a majority has reached, or 0 for none."""
+    ordered = sorted(values, reverse=True)
+    return ordered[len(ordered) // 2] if ordered else 0
+
+
+def is_member(membership: MembershipChange, replica: Replica) -> bool:
+    """Tell whether a replica is a voter or learner."""
+    return replica in membership.voters or replica in membership.learners
+
+
+def is_superseded(membership: MembershipChange, replica: Replica) -> bool:
+    """Tell whether a voter's host came back with a new data folder."""
+    hosts = {learner.host for learner in membership.learners}
+    return replica in membership.voters and replica.host in hosts
+
+
+def add_learner(membership: MembershipChange, joiner: Replica) -> MembershipChange:
+    """Return the members with a learner more, in place of one of its host."""
+    others = [m for m in membership.learners if m.host != joiner.host]
+    return MembershipChange(membership.voters, _ordered([*others, joiner]))
+
+
+def next_step(
+    membership: MembershipChange, contacts: Iterable[Contact]
+) -> MembershipChange | None:
+    """Return the next single change that the learners call for, if any.
+
+    A learner that caught up first has its predecessor removed from the voters
+    and becomes a voter in a second step. A learner that is silent while a voter
+    of its host answers is removed.
+    """
+    known = {contact.replica: contact for contact in contacts}
+    for learner in membership.learners:
+        step = _step_for(membership, learner, known)
+        if step is not None:
+            return step
+    return None
+
+
+def _step_for(
+    membership: MembershipChange, learner: Replica, known: dict[Replica, Contact]
+) -> MembershipChange | None:
+    contact = known.get(learner)
+    if contact is None:
+        return None
+    predecessors = [v for v in membership.voters if v.host == learner.host]
+    if contact.is_live and contact.is_caught_up:
+        if predecessors:
+            return _without_voter(membership, predecessors[0])
+        return _promoted(membership, learner)
+    if not contact.is_live and any(_is_live(known.get(v)) for v in predecessors):
+        return _without_learner(membership, learner)
+    return None
+
+
+def _is_live(contact: Contact | None) -> bool:
+    return contact is not None and contact.is_live
+
+
+def _without_voter(membership: MembershipChange, voter: Replica) -> MembershipChange:
+    voters = tuple([v for v in membership.voters if v != voter])
+    return MembershipChange(voters, membership.learners)
+
+
+def _without_learner(
+    membership: MembershipChange, learner: Replica
+) -> MembershipChange:
+    learners = tuple([m for m in membership.learners if m != learner])
+    return MembershipChange(membership.voters, learners)
+
+
+def _promoted(membership: MembershipChange, learner: Replica) -> MembershipChange:
+    reduced = _without_learner(membership, learner)
+    return MembershipChange(_ordered([*reduced.voters, learner]), reduced.learners)
+
+
+def _ordered(replicas: Iterable[Replica]) -> tuple[Replica, ...]:
+    return tuple(sorted(replicas, key=lambda r: (r.host, r.incarnation)))
--- /dev/null
+++ b/src/peridotfront/core/raft_replica.py
@@ -0,0 +1,166 @@
+"""The state of the own replica that all its roles share."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+from ..exceptions import LogDiverged
+from .messages import (
+    AppendRequest,
+    HardState,
+    LogEntry,
+    Message,
+    Replica,
+    Snapshot,
+    VoteRequest,
+)
+from .raft_log import RaftLog
+from .raft_membership import is_member
+from .raft_types import (
+    AppendEntries,
+    Committed,
+    InstallSnapshot,
+    RaftState,
+    RaftTiming,
+    Restore,
+    SaveHardState,
+    TruncateLog,
+)
+
+Jitter = Callable[[], float]
+
+
+class LocalReplica:
+    """Holds term, vote, log and progress of the own replica.
+
+    Its methods yield the actions that make each change durable, in order.
+
+    :param identity: the own host and the incarnation of its data folder.
+    :param configured_hosts: the control hosts that the settings name.
+    :param state: what storage loaded.
+    :param jitter: returns a number from 0 to 1, new at each call.
+    """
+
+    def __init__(
+        self,
+        identity: Replica,
+        configured_hosts: tuple[str, ...],
+        state: RaftState,
+        timing: RaftTiming,
+        jitter: Jitter,
+    ) -> None:
+        self.identity = identity
+        self.configured_hosts = configured_hosts
+        self.hard = state.hard
+        self.log = RaftLog(state.snapshot, state.entries)
+        self.timing = timing
+        self.commit_index = state.snapshot.last_index
+        self._jitter = jitter
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether the own replica is a voter."""
+        return self.identity in self.log.membership.voters
+
+    @property
+    def is_member(self) -> bool:
+        """Tell whether the own replica is a voter or learner."""
+        return is_member(self.log.membership, self.identity)
+
+    @property
+    def is_blank(self) -> bool:
+        """Tell whether the log has never held an entry."""
+        return not self.hard.is_bootstrapped and self.log.last_index == 0
+
+    @property
+    def peer_hosts(self) -> tuple[str, ...]:
+        """Return the other hosts that the settings name."""
+        hosts = self.configured_hosts
+        return tuple([host for host in hosts if host != self.identity.host])
+
+    def election_timeout_ms(self) -> float:
+        """Return a new election timeout, from one to two times the set one."""
+        return self.timing.election_timeout_ms * (1 + self._jitter())
+
+    def save(self, hard: HardState) -> Iterator[SaveHardState]:
+        """Make a new term or vote durable."""
+        if hard != self.hard:
+            self.hard = hard
+            yield SaveHardState(hard)
+
+    def enter_term(self, term: int, vote: Replica | None = None) -> Iterator:
+        """Go to a higher term."""
+        yield from self.save(replace(self.hard, term=term, voted_for=vote))
+
+    def vote_for(self, candidate: Replica) -> Iterator[SaveHardState]:
+        """Give the vote of the current term."""
+        yield from self.save(replace(self.hard, voted_for=candidate))
+
+    def append(self, entries: tuple[LogEntry, ...]) -> Iterator:
+        """Add entries that follow the last one."""
+        if not entries:
+            return
+        self.log.append(entries)
+        yield AppendEntries(entries)
+        yield from self.save(replace(self.hard, is_bootstrapped=True))
+
+    def accept(self, request: AppendRequest) -> Iterator:
+        """Take in the entries of a leader whose log matches before them.
+
+        :raises LogDiverged: if they contradict a committed entry.
+        """
+        entries = request.entries
+        for position, entry in enumerate(entries):
+            if entry.index <= self.log.snapshot.last_index:
+                continue
+            term = self.log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                yield from self._truncate(entry.index)
+            yield from self.append(entries[position:])
+            return
+
+    def _truncate(self, from_index: int) -> Iterator[TruncateLog]:
+        if from_index <= self.commit_index:
+            raise LogDiverged(f"entry {from_index} is committed here")
+        self.log.truncate(from_index)
+        yield TruncateLog(from_index)
+
+    def commit_up_to(self, index: int) -> Iterator[Committed]:
+        """Commit entries; an index that is committed already changes nothing."""
+        while self.commit_index < index:
+            self.commit_index += 1
+            yield Committed(self.log.entry(self.commit_index))
+
+    def compact(self, index: int, data: bytes) -> Iterator[InstallSnapshot]:
+        """Replace all entries up to a committed one by a snapshot."""
+        snapshot = self.log.compact(index, data)
+        yield InstallSnapshot(snapshot, self.log.entries(index + 1))
+
+    def install(self, snapshot: Snapshot) -> Iterator:
+        """Take over a leader's snapshot that reaches beyond the commit index."""
+        kept = self.log.install(snapshot)
+        self.commit_index = snapshot.last_index
+        yield InstallSnapshot(snapshot, kept)
+        yield from self.save(replace(self.hard, is_bootstrapped=True))
+        yield Restore(snapshot.last_index, snapshot.data)
+
+    def vote_request(self, term: int, is_pre_vote: bool) -> Message:
+        """Return the request by which this replica asks for votes."""
+        return VoteRequest(
+            term=term,
+            candidate_incarnation=self.identity.incarnation,
+            last_log_index=self.log.last_index,
+            last_log_term=self.log.last_term,
+            is_pre_vote=is_pre_vote,
+        )
+
+    def is_up_to_date(self, request: VoteRequest) -> bool:
+        """Tell whether a candidate's log holds at least what this one holds."""
+        own = (self.log.last_term, self.log.last_index)
+        return (request.last_log_term, request.last_log_index) >= own
--- /dev/null
+++ b/src/peridotfront/storage.py
@@ -0,0 +1,416 @@
+"""The data folder of a control host: log segments, snapshots and an identity.
+
+Files in the folder:
+
+- ``lock``: held by the process that uses the folder;
+- ``incarnation``: the random identity of this folder;
+- ``segment-N``: records of the log, numbered without gaps;
+- ``snapshot-N``: the state machine's state after entry N.
+
+A fault in the last record of all can't be told from a torn write and is cut off.
+"""
+
+import fcntl
+import os
+import secrets
+from collections.abc import Callable, Iterator
+from functools import singledispatchmethod
+from pathlib import Path
+
+from google.protobuf.message import DecodeError
+
+from . import wire
+from .core.messages import (
+    HardState,
+    LogEntry,
+    LogStart,
+    Replica,
+    Snapshot,
+    StorageRecord,
+    Truncation,
+)
+from .core.raft_types import (
+    AppendEntries,
+    InstallSnapshot,
+    Persist,
+    RaftState,
+    SaveHardState,
+    TruncateLog,
+)
+from .exceptions import FolderInUse, StorageDamaged, StorageFailed
+from .records import FramedRecord, frame, is_torn, read_frame, read_frames
+
+INCARNATION_BITS = 62
+SEGMENT_SIZE_BYTES = 8 * 1024 * 1024
+TEMPORARY_SUFFIX = ".tmp"
+
+Write = Callable[[int, bytes], int]
+Sync = Callable[[int], None]
+
+
+class Storage:
+    """Keeps what a replica must not forget; made by :meth:`open`.
+
+    :param folder: the data folder, which is locked.
+    :param write: writes bytes to a file descriptor, as ``os.write`` does.
+    :param sync: syncs a file descriptor, as ``os.fsync`` does.
+    """
+
+    def __init__(self, folder: Path, lock_fd: int, write: Write, sync: Sync) -> None:
+        self._folder = folder
+        self._lock_fd = lock_fd
+        self._files = SyncedFiles(folder, write, sync)
+        self._segment_fd = -1
+        self._segment_number = 0
+        self._segment_bytes = 0
+        self._batch = 0
+        self._pending: list[StorageRecord] = []
+        self._has_failed = False
+        self.incarnation = 0
+        self.state = RaftState()
+        self._hard = self.state.hard
+
+    @classmethod
+    def open(
+        cls, folder: Path | str, write: Write = os.write, sync: Sync = os.fsync
+    ) -> "Storage":
+        """Open a data folder, which is made if it doesn't exist.
+
+        :param folder: path of the folder.
+        :return: the storage; its ``state`` holds what was found.
+        :raises FolderInUse: if another process holds the folder.
+        :raises StorageDamaged: if a file is damaged.
+        :raises StorageFailed: if the folder can't be read or written.
+        """
+        path = Path(folder)
+        try:
+            path.mkdir(parents=True, exist_ok=True)
+            storage = cls(path, _lock(path), write, sync)
+        except OSError as error:
+            raise StorageFailed(f"{path}: {error}") from error
+        try:
+            storage._load()
+        except OSError as error:
+            storage.close()
+            raise StorageFailed(f"{path}: {error}") from error
+        except StorageDamaged:
+            storage.close()
+            raise
+        return storage
+
+    def run(self, persists: list[Persist]) -> None:
+        """Write changes in order, and sync them once.
+
+        :raises StorageFailed: if that fails, and at every call from then on.
+        """
+        if self._has_failed:
+            raise StorageFailed("an earlier write failed")
+        try:
+            for persist in persists:
+                self._run(persist)
+            self._flush()
+        except OSError as error:
+            self._has_failed = True
+            raise StorageFailed(f"{self._folder}: {error}") from error
+
+    def close(self) -> None:
+        """Close all files and give the folder free."""
+        if self._segment_fd >= 0:
+            os.close(self._segment_fd)
+        self._segment_fd = -1
+        self._has_failed = True
+        os.close(self._lock_fd)
+
+    @singledispatchmethod
+    def _run(self, persist: Persist) -> None:
+        raise TypeError(f"unexpected action: {type(persist).__name__}")
+
+    @_run.register
+    def _(self, persist: SaveHardState) -> None:
+        self._hard = persist.hard
+        self._pending.append(StorageRecord(hard_state=persist.hard))
+
+    @_run.register
+    def _(self, persist: AppendEntries) -> None:
+        self._pending += [StorageRecord(entry=entry) for entry in persist.entries]
+
+    @_run.register
+    def _(self, persist: TruncateLog) -> None:
+        truncation = Truncation(persist.from_index)
+        self._pending.append(StorageRecord(truncation=truncation))
+
+    @_run.register
+    def _(self, persist: InstallSnapshot) -> None:
+        self._flush()
+        snapshot = persist.snapshot
+        record = frame(wire.encode(StorageRecord(snapshot=snapshot)), 0, True)
+        self._files.replace(_snapshot_name(snapshot.last_index), record)
+        self._begin_segment(snapshot, persist.entries)
+        self._drop_files_before(self._segment_number, snapshot.last_index)
+
+    def _flush(self) -> None:
+        if not self._pending:
+            return
+        data = self._encode_pending()
+        if self._segment_bytes >= SEGMENT_SIZE_BYTES or self._segment_fd < 0:
+            self._open_segment(self._segment_number + 1)
+        self._files.append(self._segment_fd, data)
+        self._segment_bytes += len(data)
+
+    def _encode_pending(self) -> bytes:
+        self._batch += 1
+        bodies = [wire.encode(record) for record in self._pending]
+        self._pending = []
+        last = len(bodies) - 1
+        frames = [frame(body, self._batch, i == last) for i, body in enumerate(bodies)]
+        return b"".join(frames)
+
+    def _begin_segment(self, snapshot: Snapshot, entries: tuple[LogEntry, ...]) -> None:
+        start = LogStart(snapshot.last_index, snapshot.last_term)
+        self._pending.append(StorageRecord(log_start=start))
+        self._pending.append(StorageRecord(hard_state=self._hard))
+        self._pending += [StorageRecord(entry=entry) for entry in entries]
+        name = _segment_name(self._segment_number + 1)
+        self._files.replace(name, self._encode_pending())
+        self._open_segment(self._segment_number + 1)
+
+    def _open_segment(self, number: int) -> None:
+        if self._segment_fd >= 0:
+            os.close(self._segment_fd)
+        self._segment_fd = self._files.open_to_append(_segment_name(number))
+        self._segment_number = number
+        self._segment_bytes = os.fstat(self._segment_fd).st_size
+
+    def _drop_files_before(self, segment_number: int, snapshot_index: int) -> None:
+        for number, path in _numbered(self._folder, "segment"):
+            if number < segment_number:
+                path.unlink()
+        for index, path in _numbered(self._folder, "snapshot"):
+            if index < snapshot_index:
+                path.unlink()
+
+    def _load(self) -> None:
+        for path in self._folder.glob(f"*{TEMPORARY_SUFFIX}"):
+            path.unlink()
+        self._load_incarnation()
+        loader = _Loader(self._folder)
+        self.state = loader.load()
+        self._hard = self.state.hard
+        self._batch = loader.batch
+        self._segment_number = loader.segment_number
+        if loader.segment_number:
+            self._open_segment(loader.segment_number)
+            os.ftruncate(self._segment_fd, loader.valid_bytes)
+            self._segment_bytes = loader.valid_bytes
+            self._files.sync(self._segment_fd)
+        self._files.sync_folder()
+        self._drop_files_before(
+            loader.first_segment_number, self.state.snapshot.last_index
+        )
+
+    def _load_incarnation(self) -> None:
+        path = self._folder / "incarnation"
+        if path.exists():
+            record = read_frame(path.read_bytes(), 0)
+            if record is None:
+                raise StorageDamaged(str(path), 0, "the checksum does not match")
+            self.incarnation = wire.decode(Replica, record.body).incarnation
+            return
+        if _numbered(self._folder, "segment") or _numbered(self._folder, "snapshot"):
+            raise StorageDamaged(str(path), 0, "the file is missing beside a log")
+        self.incarnation = secrets.randbits(INCARNATION_BITS) or 1
+        body = wire.encode(Replica("", self.incarnation))
+        self._files.replace(path.name, frame(body, 0, True))
+
+
+class SyncedFiles:
+    """Writes files of one folder so that they last."""
+
+    def __init__(self, folder: Path, write: Write, sync: Sync) -> None:
+        self._folder = folder
+        self._write = write
+        self.sync = sync
+
+    def append(self, fd: int, data: bytes) -> None:
+        """Write bytes to an open file and sync it."""
+        self._write_all(fd, data)
+        self.sync(fd)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Make a file with the given content, whole or not at all."""
+        temporary = self._folder / f"{name}{TEMPORARY_SUFFIX}"
+        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            self.append(fd, data)
+        finally:
+            os.close(fd)
+        os.rename(temporary, self._folder / name)
+        self.sync_folder()
+
+    def open_to_append(self, name: str) -> int:
+        """Open a file to add to it; a new one is made to last."""
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        fd = os.open(self._folder / name, flags, 0o600)
+        self.sync_folder()
+        return fd
+
+    def sync_folder(self) -> None:
+        """Sync the names of the files."""
+        fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            self.sync(fd)
+        finally:
+            os.close(fd)
+
+    def _write_all(self, fd: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[self._write(fd, view) :]
+
+
+class _Loader:
+    """Reads a data folder back into the state of a replica."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._hard = HardState()
+        self._entries: list[LogEntry] = []
+        self._start = LogStart(0, 0)
+        self._file = ""
+        self._is_batch_whole = True
+        self.batch = 0
+        self.segment_number = 0
+        self.first_segment_number = 0
+        self.valid_bytes = 0
+
+    def load(self) -> RaftState:
+        """Return the state.
+
+        :raises StorageDamaged: if a file is damaged.
+        """
+        snapshot = self._load_snapshot()
+        segments = self._current_segments()
+        for position, (number, path) in enumerate(segments):
+            self._check_number(number, path)
+            is_last = position == len(segments) - 1
+            for record in self._read_segment(path, is_last):
+                self._take(record)
+        entries = self._entries_after(snapshot)
+        return RaftState(self._hard, snapshot, entries)
+
+    def _load_snapshot(self) -> Snapshot:
+        files = _numbered(self._folder, "snapshot")
+        if not files:
+            return Snapshot()
+        path = files[-1][1]
+        record = read_frame(path.read_bytes(), 0)
+        if record is None:
+            raise StorageDamaged(str(path), 0, "the checksum does not match")
+        return wire.decode(StorageRecord, record.body).snapshot
+
+    def _current_segments(self) -> list[tuple[int, Path]]:
+        segments = _numbered(self._folder, "segment")
+        for position in range(len(segments) - 1, 0, -1):
+            if _opens_log(segments[position][1]):
+                segments = segments[position:]
+                break
+        if segments:
+            self.first_segment_number = segments[0][0]
+        return segments
+
+    def _check_number(self, number: int, path: Path) -> None:
+        if self.segment_number and number != self.segment_number + 1:
+            detail = f"segment {self.segment_number + 1} is missing before it"
+            raise StorageDamaged(str(path), 0, detail)
+        if not self.segment_number and number != 1 and not _opens_log(path):
+            raise StorageDamaged(str(path), 0, "the segments before it are missing")
+        self.segment_number = number
+
+    def _read_segment(self, path: Path, is_last: bool) -> Iterator[FramedRecord]:
+        self._file = str(path)
+        data = path.read_bytes()
+        self.valid_bytes = 0
+        for record in read_frames(data):
+            if record.batch < self.batch:
+                detail = "a batch is older than the one before it"
+                raise StorageDamaged(self._file, record.offset_bytes, detail)
+            self.batch = record.batch
+            self._is_batch_whole = record.is_last
+            self.valid_bytes = record.end_bytes
+            yield record
+        if self.valid_bytes == len(data):
+            return
+        torn_batch = self.batch + 1 if self._is_batch_whole else self.batch
+        if not is_last or not is_torn(data, self.valid_bytes, torn_batch):
+            detail = "the record is not whole, yet later ones are"
+            raise StorageDamaged(self._file, self.valid_bytes, detail)
+
+    def _take(self, framed: FramedRecord) -> None:
+        try:
+            record = wire.decode(StorageRecord, framed.body)
+        except DecodeError as error:
+            raise StorageDamaged(self._file, framed.offset_bytes, str(error)) from error
+        if record.hard_state is not None:
+            self._hard = record.hard_state
+        if record.log_start is not None:
+            self._start = record.log_start
+            self._entries = []
+        if record.truncation is not None:
+            self._truncate(record.truncation.from_index)
+        if record.entry is not None:
+            self._append(record.entry, framed.offset_bytes)
+
+    def _truncate(self, from_index: int) -> None:
+        keep = max(0, from_index - self._start.last_index - 1)
+        del self._entries[keep:]
+
+    def _append(self, entry: LogEntry, offset_bytes: int) -> None:
+        expected = self._start.last_index + len(self._entries) + 1
+        if entry.index != expected:
+            detail = f"entry {entry.index} stands where {expected} is due"
+            raise StorageDamaged(self._file, offset_bytes, detail)
+        self._entries.append(entry)
+
+    def _entries_after(self, snapshot: Snapshot) -> tuple[LogEntry, ...]:
+        start = self._start
+        if snapshot.last_index < start.last_index:
+            detail = f"the snapshot of entry {start.last_index} is missing"
+            raise StorageDamaged(self._file, 0, detail)
+        if snapshot.last_index == start.last_index:
+            return tuple(self._entries)
+        position = snapshot.last_index - start.last_index
+        if position > len(self._entries):
+            return ()
+        if self._entries[position - 1].term != snapshot.last_term:
+            return ()
+        return tuple(self._entries[position:])
+
+
+def _lock(folder: Path) -> int:
+    fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(fd)
+        raise FolderInUse(f"{folder} is in use by another process") from error
+    return fd
+
+
+def _opens_log(path: Path) -> bool:
+    first = read_frame(path.read_bytes(), 0)
+    if first is None:
+        return False
+    return wire.decode(StorageRecord, first.body).log_start is not None
+
+
+def _numbered(folder: Path, kind: str) -> list[tuple[int, Path]]:
+    paths = folder.glob(f"{kind}-*[0-9]")
+    return sorted([(int(path.name.split("-")[1]), path) for path in paths])
+
+
+def _segment_name(number: int) -> str:
+    return f"segment-{number:012d}"
+
+
+def _snapshot_name(index: int) -> str:
+    return f"snapshot-{index:020d}"
--- a/tools/generate_proto.py
+++ b/tools/generate_proto.py
@@ -112,7 +112,7 @@
 def render() -> str:
     """Return the text of the .proto file."""
     from peridotfront import wire
-    from peridotfront.core.messages import Frame
+    from peridotfront.core.messages import Frame, StorageRecord
 
     numbers = known_numbers()
     parts = [HEADER]
@@ -124,7 +124,7 @@
         ]
         body = "\n".join(lines)
         parts.append(f"message {name} {{\n  oneof kind {{\n{body}\n  }}\n}}\n")
-    for kind in reachable((Frame,)):
+    for kind in reachable((Frame, StorageRecord)):
         hints = typing.get_type_hints(kind)
         names = [f.name for f in fields(kind)]
         lines = [
