Add the replicated state of the control group

Cause: configuration, claims and strikes must survive and agree on all replicas. Ruled out: wall clocks for retention (a leader with a wrong clock would expire keys early); a lease as the guard against a second dispatch (a take-over never dispatches instead).

--- /dev/null
+++ b/src/peridotfront/core/claimant.py
@@ -0,0 +1,339 @@
+"""Claims of an entry host: asked before a dispatch, reported after the end.
+
+A request goes through these states:
+
+- waiting: the claim was asked for; it is sent again, to the leader known then,
+  until an answer decides it or its deadline has passed.
+- held: the claim was granted. The entry host may dispatch while the lease runs,
+  which is counted from the first time the claim was sent, on its own clock. If
+  the lease runs out before the dispatch, the entry host reports ``NOT_RUN``.
+- given up: the deadline passed. ``ClaimUnknown`` was yielded, the entry host
+  refused the request as ``NOT_RUN`` and never dispatches it. That is true although
+  the claim may still be recorded, since only its holder may dispatch. So that the
+  key is not stuck the claim goes on being asked for, slowly, until its state is
+  known; if it was granted, the outcome ``NOT_RUN`` is reported.
+- reported: the outcome is sent until it is acknowledged as durable.
+
+A grant that matches none of these, such as a late copy, is answered by ``NOT_RUN``.
+That changes nothing if the claim has an outcome, and frees the key otherwise.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from .actions import Received, Send, Tick
+from .leader_hints import LeaderHints
+from .messages import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    Heartbeat,
+    Outcome,
+    OutcomeAck,
+    OutcomeReport,
+)
+from .verdicts import Reason, Verdict
+
+GIVEN_UP = Outcome(verdict=Verdict.NOT_RUN, reason=Reason.NO_QUORUM)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimantTiming:
+    """Holds the times and bounds of a claimant.
+
+    :param resend_ms: until a claim or outcome is sent again; doubles each time.
+    :param max_resend_ms: bound of the doubling.
+    :param claim_timeout_ms: until a claim is given up.
+    :param lease_ms: how long after it was first sent a claim allows a dispatch;
+        must be shorter than the silence after which control judges a host dead.
+    :param leaderless_ms: no claim is tried once no leader was known for so long.
+    :param max_open: claims and outcomes that are not settled at most; above it
+        new claims are refused at once.
+    """
+
+    host_timeout_ms: int = 1500
+    resend_ms: int = 100
+    max_resend_ms: int = 1600
+    claim_timeout_ms: int = 2000
+    lease_ms: int = 3000
+    leaderless_ms: int = 1500
+    max_open: int = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class WantClaim:
+    """Event: a request has a slot and needs its claim.
+
+    :param request: its ``request_id`` is new for each attempt of a caller; its
+        claim names this host and the incarnation of this process.
+    :param timeout_ms: until it is given up; 0 for the setting.
+    """
+
+    request: ClaimRequest
+    timeout_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReportOutcome:
+    """Event: a request whose claim is held here has ended."""
+
+    key: str
+    epoch: int
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDecided:
+    """Action: the claim is granted, or the reply says what stands instead."""
+
+    request_id: str
+    reply: ClaimReply
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnknown:
+    """Action: no answer in time; the request must not be dispatched any more."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeSettled:
+    """Action: the outcome is durable, or another one stands."""
+
+    key: str
+    epoch: int
+    is_superseded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimantDump:
+    """Describes a claimant to operators."""
+
+    leader: str
+    waiting: int
+    given_up: int
+    held: int
+    unreported: int
+
+
+@dataclass(frozen=True, slots=True)
+class _ClaimId:
+    key: str
+    epoch: int
+
+
+@dataclass(slots=True)
+class _Pending:
+    """Is a message that is sent again until it is answered."""
+
+    message: ClaimRequest | OutcomeReport
+    deadline_ms: int
+    due_ms: int
+    first_sent_ms: int | None = None
+    resend_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Held:
+    claim: Claim
+    lease_end_ms: int
+
+
+class Claimant:
+    """Asks the control group for claims and reports outcomes.
+
+    :param host: the own host name.
+    :param incarnation: of this process.
+    """
+
+    def __init__(
+        self, host: str, incarnation: int, timing: ClaimantTiming | None = None
+    ):
+        self._host = host
+        self._incarnation = incarnation
+        self._timing = timing or ClaimantTiming()
+        self._hints = LeaderHints(self._timing.host_timeout_ms)
+        self._waiting: dict[str, _Pending] = {}
+        self._given_up: dict[str, _Pending] = {}
+        self._held: dict[_ClaimId, _Held] = {}
+        self._outcomes: dict[_ClaimId, _Pending] = {}
+
+    def may_dispatch(self, key: str, epoch: int, now_ms: int) -> bool:
+        """Return whether a request may be dispatched; ask right before it is.
+
+        :param now_ms: the monotonic clock, read anew.
+        """
+        held = self._held.get(_ClaimId(key, epoch))
+        if held is None or held.claim.is_resume_only:
+            return False
+        is_reported = _ClaimId(key, epoch) in self._outcomes
+        return not is_reported and now_ms < held.lease_end_ms
+
+    def leader(self, now_ms: int) -> str:
+        """Return the control leader; empty if none is known."""
+        return self._hints.leader(now_ms)
+
+    def has_quorum(self, now_ms: int) -> bool:
+        """Return whether a leader was known lately."""
+        return self._hints.leaderless_ms(now_ms) < self._timing.leaderless_ms
+
+    def dump(self, now_ms: int) -> ClaimantDump:
+        """Return what operators may want to know."""
+        return ClaimantDump(
+            leader=self.leader(now_ms),
+            waiting=len(self._waiting),
+            given_up=len(self._given_up),
+            held=len(self._held),
+            unreported=len(self._outcomes),
+        )
+
+    @singledispatchmethod
+    def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        """Handle one event; those that are not for a claimant are ignored.
+
+        :param now_ms: monotonic clock of this host.
+        :return: actions: ``Send``, ``ClaimDecided``, ``ClaimUnknown`` and
+            ``OutcomeSettled``.
+        """
+        yield from ()
+
+    @handle.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        yield from self._give_up_late(now_ms)
+        for pending in self._all_pending():
+            if now_ms >= pending.due_ms:
+                yield from self._send(pending, now_ms)
+
+    @handle.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._receive(event.message, event.sender, now_ms)
+
+    @handle.register
+    def _(self, event: WantClaim, now_ms: int) -> Iterator[Any]:
+        request = event.request
+        if not self.has_quorum(now_ms) or self._is_full():
+            yield ClaimUnknown(request.request_id)
+            return
+        timeout_ms = event.timeout_ms or self._timing.claim_timeout_ms
+        pending = _Pending(request, now_ms + timeout_ms, now_ms)
+        self._waiting[request.request_id] = pending
+        yield from self._send(pending, now_ms)
+
+    @handle.register
+    def _(self, event: ReportOutcome, now_ms: int) -> Iterator[Any]:
+        yield from self._report(event.key, event.epoch, event.outcome, now_ms)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str, now_ms: int) -> Iterator[Any]:
+        yield from ()
+
+    @_receive.register
+    def _(self, message: Heartbeat, sender: str, now_ms: int) -> Iterator[Any]:
+        before = self._hints.leader(now_ms)
+        self._hints.record(sender, message, now_ms)
+        leader = self._hints.leader(now_ms)
+        if leader and leader != before:
+            for pending in self._all_pending():
+                pending.resend_ms = 0
+                yield from self._send(pending, now_ms)
+
+    @_receive.register
+    def _(self, message: ClaimReply, sender: str, now_ms: int) -> Iterator[Any]:
+        pending = self._waiting.get(message.request_id)
+        if pending is not None and now_ms >= pending.deadline_ms:
+            yield from self._give_up(message.request_id)
+        if message.status is ClaimStatus.UNAVAILABLE:
+            yield from self._follow_leader(message.request_id, sender, now_ms)
+            return
+        if message.status is ClaimStatus.GRANTED:
+            yield from self._granted(message, now_ms)
+            return
+        self._given_up.pop(message.request_id, None)
+        if self._waiting.pop(message.request_id, None):
+            yield ClaimDecided(message.request_id, message)
+
+    @_receive.register
+    def _(self, message: OutcomeAck, sender: str, now_ms: int) -> Iterator[Any]:
+        claim_id = _ClaimId(message.key, message.epoch)
+        if self._outcomes.pop(claim_id, None) is None:
+            return
+        self._held.pop(claim_id, None)
+        yield OutcomeSettled(message.key, message.epoch, message.is_superseded)
+
+    def _granted(self, reply: ClaimReply, now_ms: int) -> Iterator[Any]:
+        claim = reply.claim
+        if not self._is_own(claim):
+            return
+        claim_id = _ClaimId(claim.key, claim.epoch)
+        pending = self._waiting.pop(reply.request_id, None)
+        if pending is not None and pending.first_sent_ms is not None:
+            lease_end_ms = pending.first_sent_ms + self._timing.lease_ms
+            self._held[claim_id] = _Held(claim, lease_end_ms)
+            yield ClaimDecided(reply.request_id, reply)
+            return
+        self._given_up.pop(reply.request_id, None)
+        if claim_id not in self._held:
+            yield from self._report(claim.key, claim.epoch, GIVEN_UP, now_ms)
+
+    def _is_own(self, claim: Claim) -> bool:
+        return (
+            claim.holder_host == self._host
+            and claim.holder_incarnation == self._incarnation
+        )
+
+    def _report(
+        self, key: str, epoch: int, outcome: Outcome, now_ms: int
+    ) -> Iterator[Any]:
+        claim_id = _ClaimId(key, epoch)
+        if claim_id in self._outcomes:
+            return
+        report = OutcomeReport(key, epoch, outcome)
+        pending = _Pending(report, deadline_ms=0, due_ms=now_ms)
+        self._outcomes[claim_id] = pending
+        yield from self._send(pending, now_ms)
+
+    def _follow_leader(
+        self, request_id: str, sender: str, now_ms: int
+    ) -> Iterator[Any]:
+        pending = self._waiting.get(request_id)
+        if pending is not None and self.leader(now_ms) not in ("", sender):
+            yield from self._send(pending, now_ms)
+
+    def _give_up_late(self, now_ms: int) -> Iterator[Any]:
+        late = [r for r, p in self._waiting.items() if now_ms >= p.deadline_ms]
+        for request_id in late:
+            yield from self._give_up(request_id)
+
+    def _give_up(self, request_id: str) -> Iterator[Any]:
+        pending = self._waiting.pop(request_id)
+        if pending.first_sent_ms is not None:
+            self._given_up[request_id] = pending
+        yield ClaimUnknown(request_id)
+
+    def _send(self, pending: _Pending, now_ms: int) -> Iterator[Any]:
+        doubled_ms = max(2 * pending.resend_ms, self._timing.resend_ms)
+        pending.resend_ms = min(doubled_ms, self._timing.max_resend_ms)
+        pending.due_ms = now_ms + pending.resend_ms
+        leader = self.leader(now_ms)
+        if not leader:
+            return
+        if pending.first_sent_ms is None:
+            pending.first_sent_ms = now_ms
+        yield Send(leader, pending.message)
+
+    def _all_pending(self) -> list[_Pending]:
+        groups = (self._waiting, self._given_up, self._outcomes)
+        return [pending for group in groups for pending in group.values()]
+
+    def _is_full(self) -> bool:
+        open_count = (
+            len(self._waiting)
+            + len(self._given_up)
+            + len(self._held)
+            + len(self._outcomes)
+        )
+        return open_count >= self._timing.max_open
--- /dev/null
+++ b/src/peridotfront/core/control_state.py
@@ -0,0 +1,62 @@
+"""The whole replicated state of the control group, applied command by command."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from .claims import Claims
+from .configuration import Configuration
+from .messages import (
+    ClaimBatch,
+    Command,
+    ConfigChange,
+    ControlSnapshot,
+    StrikeBatch,
+)
+from .strikes import Strikes
+
+Encode = Callable[[ControlSnapshot], bytes]
+Decode = Callable[[bytes], ControlSnapshot]
+
+
+class ControlState:
+    """Composes configuration, claims and strikes."""
+
+    def __init__(self):
+        self.configuration = Configuration()
+        self.claims = Claims()
+        self.strikes = Strikes()
+
+    @singledispatchmethod
+    def apply(self, command: Command) -> Any:
+        """Apply one committed command.
+
+        :return: the result of the part that the command is for; None for a
+            command that changes no state.
+        """
+
+    @apply.register
+    def _(self, command: ConfigChange):
+        return self.configuration.apply(command)
+
+    @apply.register
+    def _(self, command: ClaimBatch):
+        return self.claims.apply(command)
+
+    @apply.register
+    def _(self, command: StrikeBatch):
+        return self.strikes.apply(command)
+
+    def snapshot(self) -> ControlSnapshot:
+        """Return the whole state as one record."""
+        return ControlSnapshot(
+            configuration=self.configuration.snapshot(),
+            claims=self.claims.snapshot(),
+            strikes=self.strikes.snapshot(),
+        )
+
+    def restore(self, snapshot: ControlSnapshot) -> None:
+        """Replace the whole state by that of a snapshot."""
+        self.configuration.restore(snapshot.configuration)
+        self.claims.restore(snapshot.claims)
+        self.strikes.restore(snapshot.strikes)
--- /dev/null
+++ b/src/peridotfront/core/host_table.py
@@ -0,0 +1,98 @@
+"""What a control host knows of the other hosts from their heartbeats."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .messages import Heartbeat, Replica
+
+ENTRY_ROLE = "entry"
+NEVER_MS = -(2**62)
+
+
+@dataclass(slots=True)
+class HostState:
+    """Is what is known of one host.
+
+    :param first_heard_ms: of this incarnation.
+    :param update_sent_ms: when a configuration was last sent to it.
+    :param update_version: the version that was sent then.
+    """
+
+    host: str
+    incarnation: int
+    heartbeat: Heartbeat
+    first_heard_ms: int
+    last_heard_ms: int
+    update_sent_ms: int = NEVER_MS
+    update_version: int = 0
+
+
+class HostTable:
+    """Judges hosts by the silence since their last heartbeat.
+
+    :param host_timeout_ms: silence after which a host no longer counts as alive.
+    """
+
+    def __init__(self, host_timeout_ms: int):
+        self._host_timeout_ms = host_timeout_ms
+        self._hosts: dict[str, HostState] = {}
+
+    def record(
+        self, host: str, incarnation: int, heartbeat: Heartbeat, now_ms: int
+    ) -> HostState:
+        """Record a heartbeat and return what is known of its sender."""
+        state = self._hosts.get(host)
+        if state is None or state.incarnation != incarnation:
+            state = HostState(host, incarnation, heartbeat, now_ms, now_ms)
+            self._hosts[host] = state
+            return state
+        state.last_heard_ms = now_ms
+        if heartbeat.sequence >= state.heartbeat.sequence:
+            state.heartbeat = heartbeat
+        return state
+
+    def get(self, host: str) -> HostState | None:
+        """Return what is known of a host, or None."""
+        return self._hosts.get(host)
+
+    def all(self) -> tuple[HostState, ...]:
+        """Return all hosts that were ever heard, by name."""
+        return tuple([self._hosts[name] for name in sorted(self._hosts)])
+
+    def is_alive(self, state: HostState, now_ms: int) -> bool:
+        """Return whether a host was heard within the time-out."""
+        return now_ms - state.last_heard_ms < self._host_timeout_ms
+
+    def live_entry_hosts(self, now_ms: int) -> Iterator[HostState]:
+        """Yield the entry hosts that are alive."""
+        for state in self._hosts.values():
+            if state.heartbeat.role == ENTRY_ROLE and self.is_alive(state, now_ms):
+                yield state
+
+    def silent_ms(self, holder: Replica, since_ms: int, now_ms: int) -> int:
+        """Return how long a holder has certainly been silent.
+
+        :param holder: host and incarnation of a claim's holder.
+        :param since_ms: when the listening began.
+        """
+        state = self._hosts.get(holder.host)
+        if state is None:
+            return now_ms - since_ms
+        if state.incarnation == holder.incarnation:
+            return now_ms - max(since_ms, state.last_heard_ms)
+        return now_ms - max(since_ms, state.first_heard_ms)
+
+    def laggards(self, version: int) -> tuple[str, ...]:
+        """Return the entry hosts that have not confirmed a version, by name.
+
+        Hosts that are silent are named too: they may still run with an old one.
+        """
+        hosts = self.all()
+        return tuple(
+            [
+                state.host
+                for state in hosts
+                if state.heartbeat.role == ENTRY_ROLE
+                and state.heartbeat.config_version < version
+            ]
+        )
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -15,6 +15,7 @@
     ENDED = "ended"
     KEY_REUSED = "key_reused"
     UNAVAILABLE = "unavailable"
+    FULL = "full"
 
 
 class ChangeStatus(StrEnum):
@@ -58,7 +59,10 @@
     :param key: client account, service and idempotency key, joined.
     :param fingerprint: hash of the canonical request; a key may not be used
         for a different request.
-    :param epoch: 1 for the first holder; one more for each take-over.
+    :param epoch: 1 for the first holder; one more for each take-over, and for
+        each new holder after an outcome that says "not run".
+    :param is_resume_only: set for a take-over; its holder may resume the answer
+        at the upstream but never dispatches the request.
     """
 
     key: str
@@ -68,6 +72,7 @@
     holder_incarnation: int
     upstream: str
     is_idempotent: bool
+    is_resume_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,19 +100,30 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeReport:
-    """Reports how a claimed request ended; repeated until acknowledged."""
+    """Reports how a claimed request ended; repeated until acknowledged.
+
+    :param holder_host: the reporter; filled in by the control host that receives
+        the report, so that only the holder itself can end a claim.
+    :param holder_incarnation: of the reporter; filled in likewise.
+    """
 
     key: str
     epoch: int
     outcome: Outcome
+    holder_host: str = ""
+    holder_incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class OutcomeAck:
-    """Acknowledges an :class:`OutcomeReport` that is durable."""
+    """Acknowledges an :class:`OutcomeReport` that is durable.
+
+    :param is_superseded: whether another outcome or a later epoch stands.
+    """
 
     key: str
     epoch: int
+    is_superseded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +172,7 @@
 
     :param config_version: the configuration version that is in force there.
     :param leader: the control leader that the sender knows; empty if none.
+    :param term: the term of that leader; 0 if the sender is no replica.
     """
 
     data_centre: str
@@ -164,14 +181,19 @@
     config_version: int
     is_leaving: bool
     leader: str = ""
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class StrikeReport:
-    """Reports that an upstream died while it ran the named requests."""
+    """Reports that an upstream died while it ran the named requests.
+
+    :param report_id: tells reports apart; a repeat counts once.
+    """
 
     upstream: str
     fingerprints: tuple[int, ...]
+    report_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,11 +227,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimBatch:
-    """Records claims and outcomes that arrived in one round (group commit)."""
+    """Records claims and outcomes that arrived in one round (group commit).
+
+    :param time_ms: on the clock of the claims, which only runs under a leader.
+    :param dead_holders: those that the leader judged dead; a take-over from any
+        other holder is not granted.
+    :param retention_ms: how long the keys of ended claims are kept; 0 leaves
+        the limits as they are, here and below.
+    :param idempotent_retention_ms: the same for idempotent requests.
+    :param max_bytes: size bound of all claims together.
+    """
 
     time_ms: int
     claims: tuple[ClaimRequest, ...] = ()
     outcomes: tuple[OutcomeReport, ...] = ()
+    dead_holders: tuple[Replica, ...] = ()
+    retention_ms: int = 0
+    idempotent_retention_ms: int = 0
+    max_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +263,103 @@
     reports: tuple[StrikeReport, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigQuery:
+    """Asks a peer for its configuration, if it is newer than the version named."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRecord:
+    """Is one accepted configuration in the history.
+
+    :param time_ms: wall-clock time of the proposal, for display only.
+    :param content: empty if it was dropped to keep the history small.
+    """
+
+    version: int
+    change_id: str
+    author: str
+    time_ms: int
+    content: str
+    is_content_kept: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """Is the first outcome of a change id.
+
+    :param digest: of the proposal; a change id may not be used for another.
+    """
+
+    digest: int
+    result: ConfigResult
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """Holds the whole state of the configuration."""
+
+    history: tuple[ConfigRecord, ...]
+    changes: tuple[ChangeRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """Is one claim with its outcome.
+
+    :param request_id: of the request that was granted the claim.
+    :param time_ms: when it was granted, or when it ended.
+    """
+
+    claim: Claim
+    request_id: str
+    time_ms: int
+    outcome: Outcome | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsSnapshot:
+    """Holds the whole state of the claims, oldest first."""
+
+    time_ms: int
+    retention_ms: int
+    idempotent_retention_ms: int
+    max_bytes: int
+    records: tuple[ClaimRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StrikeRecord:
+    """Is what stands against one request.
+
+    :param report_ids: of the reports that count, one strike each.
+    :param time_ms: of the last strike.
+    """
+
+    fingerprint: int
+    report_ids: tuple[str, ...]
+    time_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StrikesSnapshot:
+    """Holds the whole state of the strikes, oldest first."""
+
+    time_ms: int
+    records: tuple[StrikeRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSnapshot:
+    """Holds the whole replicated state of the control group."""
+
+    configuration: ConfigurationSnapshot
+    claims: ClaimsSnapshot
+    strikes: StrikesSnapshot
+
+
 Command = Union[NoOp, MembershipChange, ClaimBatch, ConfigChange, StrikeBatch]  # noqa: UP007
 
 CONTROL_MESSAGES = (
@@ -241,4 +373,6 @@
     Heartbeat,
     StrikeReport,
     StrikeUpdate,
+    ConfigQuery,
+    ControlSnapshot,
 )
