--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -68,6 +68,7 @@
     VoteReply,
     VoteRequest,
 )
+from .records import HardState, LogStart, Snapshot, StorageRecord, Truncation
 
 MESSAGE_TYPES = RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES
 Message = Union[MESSAGE_TYPES]  # noqa: UP007
@@ -115,11 +116,13 @@
     "ControlSnapshot",
     "Frame",
     "Grant",
+    "HardState",
     "Header",
     "Heartbeat",
     "HeldSlot",
     "JoinRequest",
     "LogEntry",
+    "LogStart",
     "MembershipChange",
     "Message",
     "NoOp",
@@ -131,13 +134,16 @@
     "Release",
     "ReleaseCause",
     "Replica",
+    "Snapshot",
     "SnapshotChunk",
     "SnapshotReply",
+    "StorageRecord",
     "StrikeBatch",
     "StrikeRecord",
     "StrikeReport",
     "StrikeUpdate",
     "StrikesSnapshot",
+    "Truncation",
     "UpstreamReport",
     "VoteReply",
     "VoteRequest",
