--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -1,6 +1,7 @@
 """Exceptions of peridotfront; all share the root :class:`PeridotfrontError`."""
 
 from .core.verdicts import Reason, Refusal, Verdict
+"""All exceptions of peridotfront, under one root."""
 
 
 class PeridotfrontError(Exception):
