--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import math
+import select
 import ssl
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
+from ipaddress import ip_address
 
 import h11
 
@@ -18,7 +20,13 @@
     UpstreamDied,
     UpstreamTimedOut,
 )
-from .http_messages import Header, decode_headers, encode_headers, find_header
+from .http_messages import (
+    Header,
+    decode_headers,
+    encode_headers,
+    find_header,
+    without_hop_headers,
+)
 
 __all__ = [
     "ClientLimits",
@@ -59,14 +67,20 @@
 
 
 class UpstreamAnswer:
-    """Is the answer to one call; its body arrives while it is read."""
+    """Is the answer to one call; its body arrives while it is read.
+
+    Read it to its end or cancel it, so that its connection is given back.
+    """
 
     def __init__(
-        self, status_code: int, headers: tuple[Header, ...], connection: "_Connection"
+        self,
+        status_code: int,
+        headers: tuple[Header, ...],
+        connection: "UpstreamConnection",
     ):
         self.status_code = status_code
         self.headers = headers
-        self._connection = connection
+        self._connection: UpstreamConnection | None = connection
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first header field with this name in lower case."""
@@ -79,12 +93,14 @@
         :raises UpstreamTimedOut: if the upstream was silent for too long.
         :raises AnswerMalformed: if the answer is no valid HTTP.
         """
-        connection = self._connection
         try:
-            while data := await connection.receive():
+            while self._connection is not None:
+                data = await self._connection.receive()
+                if not data:
+                    break
                 yield data
         finally:
-            connection.release()
+            self._release()
 
     async def read(self, max_bytes: int = DEFAULT_READ_BYTES) -> bytes:
         """Return the whole body.
@@ -106,16 +122,22 @@
 
     def cancel(self) -> None:
         """Close the connection unless the answer has been read to its end."""
-        self._connection.cancel()
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
+    def _release(self) -> None:
+        if self._connection is not None:
+            self._connection.release()
+            self._connection = None
 
-class _Connection(asyncio.Protocol):
+
+class UpstreamConnection(asyncio.Protocol):
     """Carries one call after the other to one address."""
 
     def __init__(self, client: "HttpClient", address: str):
         self.address = address
         self.idle_since_s = 0.0
-        self.calls = 0
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -123,10 +145,12 @@
             h11.CLIENT, max_incomplete_event_size=client.limits.header_bytes
         )
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
+        self._calls = 0
         self._head: h11.Response | None = None
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
-        self._is_whole = False
+        self._is_whole = True
         self._error: Exception | None = None
         self._waiter: asyncio.Future | None = None
         self._silence_ms = 0
@@ -138,18 +162,28 @@
         """Tell whether a new call may be sent."""
         return self._error is None and not self._transport.is_closing()
 
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether nothing, not even an end, has come in while it was idle."""
+        return not self._poll.poll(0)
+
     # Events of the transport.
 
     def connection_made(self, transport) -> None:
         self._transport = transport
+        self._poll.register(transport.get_extra_info("socket"), select.POLLIN)
 
     def data_received(self, data: bytes) -> None:
-        self._deadline_s = self._loop.time() + self._silence_ms / 1000
+        if self._is_whole:
+            self._fail(AnswerMalformed("data after the answer", self.address))
+            return
         try:
             self._http.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._fail(AnswerMalformed(str(error), self.address))
+        if self._head is not None:
+            self._extend_deadline()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -176,7 +210,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
             self._take(event)
-        if self._buffered_bytes > self._limits.read_buffer_bytes:
+        if self._is_full:
             self._transport.pause_reading()
 
     def _take(self, event) -> None:
@@ -190,10 +224,14 @@
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("the connection was closed")
 
+    @property
+    def _is_full(self) -> bool:
+        return self._buffered_bytes > self._limits.read_buffer_bytes
+
     def _lost(self) -> Exception:
         if self._head is not None:
             return AnswerTruncated("closed within the answer", self.address)
-        return UpstreamDied("closed before the answer", self.address, self.calls > 1)
+        return UpstreamDied("closed before the answer", self.address, self._calls > 1)
 
     def _fail(self, error: Exception) -> None:
         if self._error is None:
@@ -215,17 +253,16 @@
 
     def send(self, request: h11.Request, body: bytes, first_byte_ms: int) -> None:
         """Write one whole request."""
-        if self.calls:
+        if self._calls:
             self._http.start_next_cycle()
-        head = self._http.send(request)
-        parts = [head, self._http.send(h11.Data(data=body)) if body else b""]
-        parts.append(self._http.send(h11.EndOfMessage()))
-        self.calls += 1
+        self._calls += 1
         self._head = None
         self._is_whole = False
-        self._silence_ms = first_byte_ms
-        self._deadline_s = self._loop.time() + first_byte_ms / 1000
-        self._arm()
+        parts = [self._http.send(request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self._start_timer(first_byte_ms)
         self._transport.write(b"".join(parts))
 
     async def receive_head(self, between_bytes_ms: int) -> h11.Response:
@@ -234,9 +271,7 @@
             if self._error is not None:
                 raise self._error
             await self._wait()
-        self._silence_ms = between_bytes_ms
-        self._deadline_s = self._loop.time() + between_bytes_ms / 1000
-        self._arm()
+        self._start_timer(between_bytes_ms)
         return self._head
 
     async def receive(self) -> bytes:
@@ -248,13 +283,12 @@
                 raise self._error
             await self._wait()
         parts = self._parts
-        data = parts[0] if len(parts) == 1 else b"".join(parts)
         self._parts = []
-        if self._buffered_bytes > self._limits.read_buffer_bytes:
-            self._deadline_s = self._loop.time() + self._silence_ms / 1000
+        if self._is_full:
+            self._extend_deadline()
             self._transport.resume_reading()
         self._buffered_bytes = 0
-        return data
+        return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
     def release(self) -> None:
         """Keep the connection if the answer was read whole, else close it."""
@@ -271,33 +305,34 @@
             return
         self.close()
 
-    def cancel(self) -> None:
-        """Close the connection of a call that has not ended."""
-        if not self._is_whole or self._parts:
-            self.close()
-
     def close(self) -> None:
         """Close at once."""
-        self._stop_timer()
         if self._error is None and not self._is_whole:
             self._error = AnswerTruncated("cancelled", self.address)
+        self._stop_timer()
         self._transport.abort()
+        self._wake()
 
-    # Time-outs: one timer for a call; it re-arms itself while bytes arrive.
+    # Time-outs: one timer for a call, which finds its deadline moved by new bytes.
 
-    def _arm(self) -> None:
+    def _extend_deadline(self) -> None:
+        self._deadline_s = self._loop.time() + self._silence_ms / 1000
+
+    def _start_timer(self, silence_ms: int) -> None:
         self._stop_timer()
-        if self._deadline_s < math.inf:
-            self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
+        self._silence_ms = silence_ms
+        self._extend_deadline()
+        self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
 
     def _check_deadline(self) -> None:
         self._timer = None
-        is_unread = self._buffered_bytes > self._limits.read_buffer_bytes
-        if self._is_whole or is_unread or self._loop.time() < self._deadline_s:
-            self._deadline_s = max(
-                self._deadline_s, self._loop.time() + self._silence_ms / 1000 / 4
-            )
-            self._arm()
+        if self._is_whole:
+            return
+        if self._is_full:
+            # The reader of the answer is slow, not the upstream.
+            self._extend_deadline()
+        if self._loop.time() < self._deadline_s:
+            self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
             return
         self._fail(UpstreamTimedOut("silent for too long", self.address))
         self._wake()
@@ -324,8 +359,8 @@
     ):
         self.limits = limits or ClientLimits()
         self._ssl_context = ssl_context
-        self._kept: dict[str, deque[_Connection]] = defaultdict(deque)
-        self._open: set[_Connection] = set()
+        self._kept: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
+        self._open: set[UpstreamConnection] = set()
         self._sweeper: asyncio.TimerHandle | None = None
 
     @property
@@ -378,7 +413,7 @@
         while self._open:
             await asyncio.sleep(0)
 
-    def keep(self, connection: _Connection) -> None:
+    def keep(self, connection: UpstreamConnection) -> None:
         """Keep an idle connection for the next call."""
         kept = self._kept[connection.address]
         if len(kept) >= self.limits.kept_connections:
@@ -389,7 +424,7 @@
         if self._sweeper is None:
             self._sweep()
 
-    def forget(self, connection: _Connection) -> None:
+    def forget(self, connection: UpstreamConnection) -> None:
         """Drop a closed connection."""
         self._open.discard(connection)
         kept = self._kept.get(connection.address)
@@ -402,7 +437,8 @@
 
     @staticmethod
     def _request(address, method, target, headers, body) -> h11.Request:
-        fields = [("host", address), *headers]
+        fields = [("host", address), *without_hop_headers(headers)]
+        fields = [(k, v) for k, v in fields if k.lower() != "content-length"]
         if body or method not in ("GET", "HEAD", "DELETE"):
             fields.append(("content-length", str(len(body))))
         try:
@@ -412,26 +448,29 @@
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise InvalidRequest(str(error)) from error
 
-    def _take_kept(self, address: str) -> _Connection | None:
+    def _take_kept(self, address: str) -> UpstreamConnection | None:
         kept = self._kept.get(address)
         while kept:
             connection = kept.pop()
-            if connection.is_usable:
+            if connection.is_usable and connection.is_silent:
                 return connection
+            connection.close()
         return None
 
-    async def _connect(self, address: str, connect_ms: int) -> _Connection:
+    async def _connect(self, address: str, connect_ms: int) -> UpstreamConnection:
         host_ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
+            # A name would be looked up in another thread.
+            host_ip = str(ip_address(host_ip.strip("[]")))
             async with asyncio.timeout(connect_ms / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self, address),
-                    host_ip.strip("[]"),
+                    lambda: UpstreamConnection(self, address),
+                    host_ip,
                     int(port),
                     ssl=self._ssl_context,
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             raise ConnectFailed(f"cannot connect: {error}", address) from error
         self._open.add(connection)
         if not connection.is_usable:
--- a/src/peridotfront/http_messages.py
+++ b/src/peridotfront/http_messages.py
@@ -8,6 +8,19 @@
 from .exceptions import InvalidRequest
 
 MAX_JSON_INTEGER_DIGITS = 19
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
 
 
 class Header(NamedTuple):
@@ -32,6 +45,22 @@
     return [(k.encode("latin-1"), v.encode("latin-1")) for k, v in headers]
 
 
+def without_hop_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the header fields that do not belong to one connection only."""
+    return [(k, v) for k, v in headers if k.lower() not in HOP_HEADERS]
+
+
+def origin_target(target: str) -> str:
+    """Return path and query of a request target; empty if there is no path."""
+    if target.startswith("/") or target == "*":
+        return target
+    scheme, _, rest = target.partition("://")
+    if scheme.lower() not in ("http", "https") or not rest:
+        return ""
+    _, slash, path = rest.partition("/")
+    return slash + path if slash else "/"
+
+
 def _parse_integer(digits: str) -> int:
     if len(digits) > MAX_JSON_INTEGER_DIGITS:
         raise ValueError("an integer has too many digits")
