Test the server for callers through raw sockets

Change: 43 scenarios on malformed, slow, vanishing and crowding callers, cut streams, back-pressure, drain and TLS.

--- /dev/null
+++ b/features/callers.feature
@@ -0,0 +1,143 @@
+Feature: Callers get a clear answer or a clean close
+  Whatever a caller sends, it gets a whole answer, a problem answer with a
+  verdict, or a closed connection; the server never holds a task for it.
+
+  Scenario Outline: A request that breaks the rules of HTTP is refused: <fault>
+    Given a server whose handler repeats the body
+    When a caller sends a request with <fault>
+    Then the answer is a problem with status <status> and verdict not_run
+    And the handler ran no request
+    And a good request is served afterwards
+
+    Examples:
+      | fault                           | status |
+      | a broken request line           | 400    |
+      | a header without a colon        | 400    |
+      | no Host                         | 400    |
+      | two lengths                     | 400    |
+      | a length and chunks             | 400    |
+      | a negative length               | 400    |
+      | a length of 30 digits           | 400    |
+      | a length over the limit         | 413    |
+      | chunks over the limit           | 413    |
+      | a bad chunk size                | 400    |
+      | very small chunks               | 400    |
+      | very long chunk extensions      | 413    |
+      | a header over the limit         | 431    |
+      | a header over the limit in bits | 431    |
+      | raw UTF-8 in the target         | 400    |
+      | a target without a path         | 400    |
+      | a body cut short                | 400    |
+
+  Scenario Outline: A body that is no strict JSON is refused: <fault>
+    Given a server whose handler reads JSON
+    When a caller sends <fault> as JSON
+    Then the answer is a problem with status 400 and verdict not_run
+
+    Examples:
+      | fault             |
+      | bad UTF-8         |
+      | a huge integer    |
+      | a number that is no number |
+      | deep nesting      |
+
+  Scenario: A slow sender is told so
+    Given a server with a request_ms limit of 60
+    When a caller sends half a request and waits
+    Then the answer is a problem with status 408 and verdict not_run
+
+  Scenario: An idle connection is closed without an answer
+    Given a server with a idle_ms limit of 40
+    When a caller connects and sends nothing
+    Then it reads the end without any byte
+
+  Scenario: One connection too many is refused and does not use a place
+    Given a server with a connections limit of 1
+    When a caller holds a connection and three others come
+    Then each of the three gets a problem with status 503 and Retry-After
+    And the held connection is served, and after its end another one
+
+  Scenario: Pipelined requests are answered in order
+    Given a server whose handler repeats the body
+    When a caller sends 50 requests at once
+    Then 50 answers come back in the order of the requests
+
+  Scenario: A caller that asks first is told to go on
+    Given a server whose handler repeats the body
+    When a caller sends a head with Expect and then the body
+    Then it reads 100 Continue and then the answer
+
+  Scenario: A slow reader holds a bounded buffer and gets every byte
+    Given a server whose handler streams 20 megabytes
+    When a caller reads nothing until the handler waits
+    Then the handler has written no more than the buffers of both sides
+    And the caller then reads all bytes in order
+
+  Scenario: A caller that stops reading is cut off
+    Given a server with a write_ms limit of 80 that streams 20 megabytes
+    When a caller reads nothing for longer
+    Then the handler is told that the caller is gone
+
+  Scenario Outline: A caller that vanishes is noticed while its request <state>
+    Given a server whose handler waits for the caller to vanish
+    When a caller closes its connection while its request <state>
+    Then no task and no connection is left
+
+    Examples:
+      | state     |
+      | runs      |
+      | streams   |
+      | is read   |
+
+  Scenario Outline: A stream that is cut never looks whole to <version>
+    Given a server whose handler cuts its stream
+    When a caller reads the stream by <version>
+    Then it sees the data and that the stream is not whole
+
+    Examples:
+      | version  |
+      | HTTP/1.1 |
+      | HTTP/1.0 |
+
+  Scenario Outline: A handler that fails <when> shows no internals
+    Given a server whose handler fails <when>
+    When a caller asks it
+    Then the caller sees <result> and nothing of the cause
+
+    Examples:
+      | when               | result         |
+      | before its answer  | status 500     |
+      | within its answer  | a cut stream   |
+      | by not answering   | status 500     |
+      | with a bad header  | status 500     |
+
+  Scenario: What a handler writes after its end reaches nobody
+    Given a server whose handler writes after its end
+    When a caller sends two requests on one connection
+    Then both answers are as they should be
+
+  Scenario: HEAD and empty answers carry no body
+    Given a server whose handler repeats the body
+    When a caller sends HEAD and then GET on one connection
+    Then the answer to HEAD has a length but no body
+
+  Scenario: A drain lets requests finish and still accepts others
+    Given a server whose handler waits for a word
+    When it is drained while a request runs and another comes
+    Then both are answered with Connection close
+    And after the listener is closed nobody can connect
+
+  Scenario: A drain waits for connections that were used just now
+    Given a server whose handler repeats the body
+    When it is drained right after a request on a kept connection
+    Then a request on that connection is served during the drain
+
+  Scenario: Callers are served over TLS
+    Given a server with a certificate
+    When a client that trusts it sends a megabyte
+    Then the answer over TLS is the same megabyte
+    And a client that does not trust it knows that nothing ran
+
+  Scenario: Coming back is told in whole seconds, rounded up
+    When a refusal says to come back in 1200 ms
+    Then its Retry-After is 2 and its body has every field
