--- /dev/null
+++ b/src/peridotfront/admin.py
@@ -0,0 +1,197 @@
+"""The pages of the admin address: state, metrics and health of one process."""
+
+import hmac
+import re
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from pydantic import BaseModel
+
+from .admin_messages import ProblemBody
+from .callers import Exchange, HttpRequest
+from .dump import MAX_ITEMS, dump
+from .http_messages import Header
+from .logs import write
+from .metrics import Metrics
+
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+TEXT_TYPE = "text/plain; charset=utf-8"
+BEARER = "bearer "
+MAX_DUMP_ITEMS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class AdminAnswer:
+    """Is a whole answer of a page."""
+
+    status_code: int
+    body: bytes
+    content_type: str = JSON_TYPE
+    headers: tuple[Header, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AdminRequest:
+    """Is a request that passed the check of its token.
+
+    :param argument: what stood in the place of ``{}`` in the route's path.
+    """
+
+    http: HttpRequest
+    argument: str = ""
+
+    def number(self, name: str, default: int) -> int | None:
+        """Return a number of the query; None if it is not a number."""
+        values = parse_qs(self.http.query).get(name)
+        if values is None:
+            return default
+        return int(values[0]) if values[0].isdecimal() else None
+
+
+Page = Callable[[AdminRequest], Awaitable[AdminAnswer]]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Maps a method and a path to a page.
+
+    :param path: may contain ``{}`` for one argument.
+    :param is_open: whether it is answered without a token.
+    """
+
+    method: str
+    path: str
+    page: Page
+    is_open: bool = False
+    pattern: re.Pattern = field(init=False)
+
+    def __post_init__(self):
+        pattern = re.escape(self.path).replace(r"\{\}", "([^/]+)")
+        object.__setattr__(self, "pattern", re.compile(pattern))
+
+
+def json_answer(body: BaseModel, status_code: int = HTTPStatus.OK) -> AdminAnswer:
+    """Return a model as a JSON answer."""
+    return AdminAnswer(int(status_code), body.model_dump_json().encode())
+
+
+def problem_answer(
+    status_code: int,
+    detail: str,
+    *,
+    leader: str = "",
+    faults: tuple = (),
+    headers: tuple[Header, ...] = (),
+) -> AdminAnswer:
+    """Return a refusal as ``application/problem+json``."""
+    body = ProblemBody(
+        title=HTTPStatus(status_code).phrase,
+        status=int(status_code),
+        detail=detail,
+        leader=leader,
+        faults=faults,
+    )
+    content = body.model_dump_json().encode()
+    return AdminAnswer(int(status_code), content, PROBLEM_TYPE, headers)
+
+
+class AdminPages:
+    """Answers requests on the admin address; a handler for ``HttpServer``.
+
+    :param token: what operators show as bearer token.
+    :param state: returns what ``/state`` shows.
+    :param metrics: the metrics of the process.
+    :param is_ready: whether the process takes work.
+
+    Usage::
+
+        pages = AdminPages(token, lambda: role, metrics, lambda: True)
+        pages.add("GET", "/status", status_page)
+        server = HttpServer(pages.handle)
+    """
+
+    def __init__(
+        self,
+        token: str,
+        state: Callable[[], Any],
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+    ):
+        self._token = token.encode()
+        self._state = state
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._routes: list[Route] = []
+        self.add("GET", "/healthz", self._show_health, is_open=True)
+        self.add("GET", "/readyz", self._show_readiness, is_open=True)
+        self.add("GET", "/state", self._show_state)
+        self.add("GET", "/metrics", self._show_metrics)
+
+    def add(self, method: str, path: str, page: Page, is_open: bool = False) -> None:
+        """Add a page.
+
+        :param path: may contain ``{}`` for one argument.
+        :param is_open: whether it is answered without a token.
+        """
+        self._routes.append(Route(method, path, page, is_open))
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request.
+
+        :raises CallerGone: if the operator's connection is closed.
+        """
+        answer = await self.answer(exchange.request)
+        headers = [Header("content-type", answer.content_type), *answer.headers]
+        await exchange.respond(answer.status_code, headers, answer.body)
+
+    async def answer(self, request: HttpRequest) -> AdminAnswer:
+        """Return the answer to one request."""
+        matching = [r for r in self._routes if r.pattern.fullmatch(request.path)]
+        is_open = any(route.is_open for route in matching)
+        if not is_open and not self._has_token(request):
+            write("operator_refused", method=request.method, path=request.path)
+            challenge = Header("www-authenticate", "Bearer")
+            return problem_answer(
+                HTTPStatus.UNAUTHORIZED, "a valid token is needed", headers=(challenge,)
+            )
+        if not matching:
+            return problem_answer(HTTPStatus.NOT_FOUND, "no such page")
+        route = next((r for r in matching if r.method == request.method), None)
+        if route is None:
+            allowed = Header("allow", ", ".join(sorted({r.method for r in matching})))
+            return problem_answer(
+                HTTPStatus.METHOD_NOT_ALLOWED, "no such method", headers=(allowed,)
+            )
+        argument = "".join(route.pattern.fullmatch(request.path).groups())
+        return await route.page(AdminRequest(request, unquote(argument)))
+
+    def _has_token(self, request: HttpRequest) -> bool:
+        value = request.header("authorization")
+        if not value.lower().startswith(BEARER):
+            return False
+        shown = value[len(BEARER) :].strip().encode()
+        return hmac.compare_digest(shown, self._token)
+
+    async def _show_health(self, request: AdminRequest) -> AdminAnswer:
+        return AdminAnswer(HTTPStatus.OK, b"ok\n", TEXT_TYPE)
+
+    async def _show_readiness(self, request: AdminRequest) -> AdminAnswer:
+        if self._is_ready():
+            return AdminAnswer(HTTPStatus.OK, b"ready\n", TEXT_TYPE)
+        return AdminAnswer(HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n", TEXT_TYPE)
+
+    async def _show_state(self, request: AdminRequest) -> AdminAnswer:
+        max_items = request.number("max_items", MAX_ITEMS)
+        if max_items is None or not 1 <= max_items <= MAX_DUMP_ITEMS:
+            detail = f"max_items must be a number from 1 to {MAX_DUMP_ITEMS}"
+            return problem_answer(HTTPStatus.BAD_REQUEST, detail)
+        write("state_dumped")
+        return AdminAnswer(HTTPStatus.OK, dump(self._state(), max_items))
+
+    async def _show_metrics(self, request: AdminRequest) -> AdminAnswer:
+        return AdminAnswer(HTTPStatus.OK, self._metrics.render(), METRICS_TYPE)
--- /dev/null
+++ b/src/peridotfront/ctl_settings.py
@@ -0,0 +1,148 @@
+"""Settings of the operators' command line: whom to ask, and in whose name."""
+
+from dataclasses import dataclass
+from typing import Literal
+
+from pydantic import Field
+
+from .admin_messages import Author
+from .exceptions import SettingsInvalid
+from .ini import Fault, Ini, Section
+from .inventory import KEYS, Column
+from .settings import Address, Name
+
+CTL_SECTIONS = {"operator", "host", "tls", "timing", "register"}
+CONTROL_ROLE = "control"
+
+
+class OperatorSection(Section):
+    """Names the operator.
+
+    :param author: written beside every change.
+    :param token: for all hosts that name none of their own; at least 8 characters.
+    """
+
+    author: Author
+    token: str = Field(min_length=8)
+
+
+class AdminHostSection(Section):
+    """Names a host of the deployment.
+
+    :param admin_address: where it listens for operators.
+    :param token: if it differs from that of ``[operator]``.
+    """
+
+    role: Literal["entry", "control"]
+    data_centre: Name
+    admin_address: Address
+    token: str = ""
+
+
+class CtlTlsSection(Section):
+    """Chooses TLS towards the admin addresses.
+
+    :param is_off: must be set plainly to run without TLS.
+    :param ca_file: PEM file of the authority that signed the hosts' certificates.
+    """
+
+    is_off: bool = False
+    ca_file: str = ""
+
+
+class CtlTimingSection(Section):
+    """Bounds how long commands wait.
+
+    :param answer_timeout_ms: for the answer of one host.
+    :param leader_timeout_ms: until some host has answered as the leader.
+    """
+
+    answer_timeout_ms: int = Field(default=2000, ge=50)
+    leader_timeout_ms: int = Field(default=10_000, ge=50)
+
+
+class RegisterSection(Section):
+    """Names the column of the asset register for each key of an upstream."""
+
+    name: str = "name"
+    kind: str = "kind"
+    data_centre: str = "data_centre"
+    address: str = "address"
+    service: str = "service"
+    models: str = "models"
+    is_leaving: str = "is_leaving"
+    prefill_tokens_per_s: str = "prefill_tokens_per_s"
+    decode_tokens_per_s: str = "decode_tokens_per_s"
+    kv_capacity_tokens: str = "kv_capacity_tokens"
+    max_slots: str = "max_slots"
+    honours_fencing: str = "honours_fencing"
+
+
+@dataclass(frozen=True, slots=True)
+class AdminHost:
+    """Is a host that operators can ask."""
+
+    name: str
+    role: str
+    data_centre: str
+    admin_address: str
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class CtlSettings:
+    """Holds all settings of the command line."""
+
+    operator: OperatorSection
+    tls: CtlTlsSection
+    timing: CtlTimingSection
+    columns: tuple[Column, ...]
+    hosts: tuple[AdminHost, ...]
+
+    @property
+    def control_hosts(self) -> tuple[AdminHost, ...]:
+        """Return the control hosts."""
+        return tuple([host for host in self.hosts if host.role == CONTROL_ROLE])
+
+    def host(self, name: str) -> AdminHost | None:
+        """Return the host with a name, or None."""
+        return next((host for host in self.hosts if host.name == name), None)
+
+
+def load_ctl(text: str, source: str = "settings") -> CtlSettings:
+    """Read the settings of the command line.
+
+    :raises SettingsInvalid: with every fault.
+    """
+    ini = Ini.parse(text, source)
+    faults = list(ini.unknown_sections(CTL_SECTIONS))
+    operator = ini.read(OperatorSection, "operator", faults)
+    tls = ini.read(CtlTlsSection, "tls", faults)
+    timing = ini.read(CtlTimingSection, "timing", faults)
+    register = ini.read(RegisterSection, "register", faults)
+    hosts = _read_hosts(ini, operator, faults)
+    if tls is not None and not tls.is_off and not tls.ca_file:
+        reason = "must name a PEM file unless is_off = true"
+        faults.append(Fault("tls", "ca_file", "", reason))
+    if not any(host.role == CONTROL_ROLE for host in hosts):
+        faults.append(Fault("host ...", "role", "", "there is no control host"))
+    if faults:
+        raise SettingsInvalid(source, tuple(faults))
+    columns = [Column(getattr(register, key), key) for key in KEYS]
+    return CtlSettings(operator, tls, timing, tuple(columns), hosts)
+
+
+def _read_hosts(
+    ini: Ini, operator: OperatorSection | None, faults: list[Fault]
+) -> tuple[AdminHost, ...]:
+    default_token = operator.token if operator else ""
+    hosts = []
+    for section, name in ini.sections("host"):
+        host = ini.read(AdminHostSection, section, faults)
+        if host is None:
+            continue
+        token = host.token or default_token
+        hosts.append(
+            AdminHost(name, host.role, host.data_centre, host.admin_address, token)
+        )
+    return tuple(hosts)
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -91,3 +91,38 @@
 
 class AnswerMalformed(UpstreamError):
     """Signals an answer that is no valid HTTP, or not what the API promises."""
+
+
+class NotLeader(PeridotfrontError):
+    """Signals that another control host must be asked.
+
+    :param leader: the leader's host name; empty if none is known.
+    """
+
+    def __init__(self, leader: str = ""):
+        super().__init__(f"the leader is {leader or 'not known'}")
+        self.leader = leader
+
+
+class EditFailed(PeridotfrontError):
+    """Signals INI text that could not be edited without a side effect."""
+
+
+class OperatorError(PeridotfrontError):
+    """Is the root of what ends an operator's command without success."""
+
+
+class ChangeRefused(OperatorError):
+    """Signals a change that was refused or lost against another one."""
+
+
+class UsageInvalid(OperatorError):
+    """Signals a command whose arguments or files cannot be used."""
+
+
+class ControlUnavailable(OperatorError):
+    """Signals that no host answered in time."""
+
+
+class ChangeUnconfirmed(OperatorError):
+    """Signals an accepted change that is not yet in force on every live host."""
--- /dev/null
+++ b/src/peridotfront/operators.py
@@ -0,0 +1,270 @@
+"""The operators' pages of a control host: configuration, status and claims."""
+
+from http import HTTPStatus
+from typing import Protocol
+
+from pydantic import ValidationError
+
+from .admin import AdminAnswer, AdminPages, AdminRequest, json_answer, problem_answer
+from .admin_messages import (
+    ChangeAnswer,
+    ChangeRequest,
+    ClaimAnswer,
+    ConfigAnswer,
+    ConfigVersion,
+    FaultBody,
+    HistoryAnswer,
+    HostStatus,
+    ReplicaStatus,
+    StatusAnswer,
+)
+from .core.control_types import ControlView
+from .core.messages import ChangeStatus, ClaimRecord, ConfigProposal, ConfigResult
+from .exceptions import NotLeader, SettingsInvalid
+from .http_messages import Header
+from .logs import write
+from .rules import parse_rules
+
+RETRY_AFTER_S = 1
+CURRENT = -1
+STATUS_CODES = {
+    ChangeStatus.ACCEPTED: HTTPStatus.OK,
+    ChangeStatus.CONFLICT: HTTPStatus.CONFLICT,
+    ChangeStatus.INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ChangeStatus.UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+}
+
+
+class ControlShell(Protocol):
+    """Is what the pages need of a control program."""
+
+    async def read(self) -> ControlView:
+        """Return the state that stands, confirmed by a quorum.
+
+        :raises NotLeader: if this host cannot tell.
+        """
+
+    async def propose(self, proposal: ConfigProposal) -> ConfigResult:
+        """Propose a configuration.
+
+        :raises NotLeader: if this host does not lead, or lost its quorum; the
+            proposal may still be accepted.
+        """
+
+    async def claim(self, key: str) -> ClaimRecord | None:
+        """Return the claim of a key, None if there is none.
+
+        :raises NotLeader: if this host cannot tell.
+        """
+
+
+class OperatorPages:
+    """Adds the operators' pages to an admin address.
+
+    A host that does not lead answers 421 and names the leader; without a known
+    leader it answers 503.
+
+    :param control: the control program.
+
+    Usage::
+
+        OperatorPages(control).add_to(admin_pages)
+    """
+
+    def __init__(self, control: ControlShell):
+        self._control = control
+
+    def add_to(self, pages: AdminPages) -> None:
+        """Add all pages."""
+        pages.add("GET", "/status", _at_leader(self._show_status))
+        pages.add("GET", "/config", _at_leader(self._show_config))
+        pages.add("POST", "/config", _at_leader(self._propose))
+        pages.add("GET", "/config/history", _at_leader(self._show_history))
+        pages.add("GET", "/requests/{}", _at_leader(self._show_claim))
+
+    async def _show_status(self, request: AdminRequest) -> AdminAnswer:
+        return json_answer(status_of(await self._control.read()))
+
+    async def _show_config(self, request: AdminRequest) -> AdminAnswer:
+        version = request.number("version", CURRENT)
+        if version is None:
+            return problem_answer(HTTPStatus.BAD_REQUEST, "version must be a number")
+        view = await self._control.read()
+        records = [view.current, *view.history]
+        record = next((r for r in records if version in (CURRENT, r.version)), None)
+        if record is None or not record.is_content_kept:
+            detail = f"version {version} is not kept"
+            return problem_answer(HTTPStatus.NOT_FOUND, detail)
+        return json_answer(
+            ConfigAnswer(
+                version=record.version,
+                change_id=record.change_id,
+                author=record.author,
+                content=record.content,
+            )
+        )
+
+    async def _show_history(self, request: AdminRequest) -> AdminAnswer:
+        view = await self._control.read()
+        versions = [
+            ConfigVersion(
+                version=record.version,
+                change_id=record.change_id,
+                author=record.author,
+                time_ms=record.time_ms,
+            )
+            for record in view.history
+        ]
+        return json_answer(HistoryAnswer(versions=tuple(versions)))
+
+    async def _show_claim(self, request: AdminRequest) -> AdminAnswer:
+        key = request.argument
+        return json_answer(claim_of(key, await self._control.claim(key)))
+
+    async def _propose(self, request: AdminRequest) -> AdminAnswer:
+        try:
+            change = ChangeRequest.model_validate_json(request.http.body)
+        except ValidationError as error:
+            return _invalid_body(error)
+        try:
+            parse_rules(change.content)
+        except SettingsInvalid as error:
+            write("config_invalid", author=change.author, change_id=change.change_id)
+            return _invalid_content(error)
+        result = await self._control.propose(ConfigProposal(**change.model_dump()))
+        write(
+            "operator_changed_config",
+            author=change.author,
+            change_id=change.change_id,
+            status=result.status.value,
+            version=result.version,
+        )
+        answer = ChangeAnswer(
+            change_id=result.change_id,
+            status=result.status,
+            version=result.version,
+            author=result.author,
+            detail=result.detail,
+        )
+        return json_answer(answer, STATUS_CODES[result.status])
+
+
+def status_of(view: ControlView) -> StatusAnswer:
+    """Return what ``/status`` shows of a view."""
+    hosts = [
+        HostStatus(
+            name=host.host,
+            role=host.role,
+            data_centre=host.data_centre,
+            is_alive=host.is_alive,
+            is_leaving=host.is_leaving,
+            config_version=host.config_version,
+            silent_ms=host.silent_ms,
+        )
+        for host in view.hosts
+    ]
+    replicas = [(replica, True) for replica in view.voters]
+    replicas.extend([(replica, False) for replica in view.learners])
+    return StatusAnswer(
+        leader=view.leader,
+        term=view.term,
+        commit_index=view.commit_index,
+        config_version=view.current.version,
+        config_author=view.current.author,
+        hosts=tuple(hosts),
+        replicas=tuple(
+            [
+                ReplicaStatus(
+                    host=replica.host,
+                    incarnation=replica.incarnation,
+                    is_voter=is_voter,
+                )
+                for replica, is_voter in replicas
+            ]
+        ),
+        claims=view.claims,
+        open_claims=view.open_claims,
+    )
+
+
+def claim_of(key: str, record: ClaimRecord | None) -> ClaimAnswer:
+    """Return what ``/requests/KEY`` shows of a claim."""
+    if record is None:
+        return ClaimAnswer(key=key, state="unknown")
+    claim = record.claim
+    state = "resumed" if claim.is_resume_only else "held"
+    answer = ClaimAnswer(
+        key=key,
+        state=state,
+        request_id=record.request_id,
+        holder_host=claim.holder_host,
+        epoch=claim.epoch,
+        upstream=claim.upstream,
+        is_idempotent=claim.is_idempotent,
+    )
+    outcome = record.outcome
+    if outcome is None:
+        return answer
+    return answer.model_copy(
+        update={
+            "state": "ended",
+            "verdict": outcome.verdict.value,
+            "reason": outcome.reason.value,
+            "status_code": outcome.status_code,
+        }
+    )
+
+
+def _at_leader(page):
+    async def answer(request: AdminRequest) -> AdminAnswer:
+        try:
+            return await page(request)
+        except NotLeader as error:
+            write("operator_read_failed", leader=error.leader)
+            return _not_leader(error.leader)
+
+    return answer
+
+
+def _not_leader(leader: str) -> AdminAnswer:
+    if leader:
+        detail = f"ask the leader, {leader}"
+        return problem_answer(HTTPStatus.MISDIRECTED_REQUEST, detail, leader=leader)
+    retry_after = Header("retry-after", str(RETRY_AFTER_S))
+    return problem_answer(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "no leader with a quorum is known here",
+        headers=(retry_after,),
+    )
+
+
+def _invalid_body(error: ValidationError) -> AdminAnswer:
+    faults = [
+        FaultBody(
+            section="",
+            key=".".join([str(part) for part in detail["loc"]]),
+            value="",
+            reason=detail["msg"],
+        )
+        for detail in error.errors(include_input=False, include_url=False)
+    ]
+    return problem_answer(
+        HTTPStatus.BAD_REQUEST, "the body is no change", faults=tuple(faults)
+    )
+
+
+def _invalid_content(error: SettingsInvalid) -> AdminAnswer:
+    faults = [
+        FaultBody(
+            section=fault.section,
+            key=fault.key,
+            value=fault.value,
+            reason=fault.reason,
+        )
+        for fault in error.faults
+    ]
+    return problem_answer(
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        "the configuration has faults",
+        faults=tuple(faults),
+    )
