--- a/src/peridotfront/standin_settings.py
+++ b/src/peridotfront/standin_settings.py
@@ -1,6 +1,6 @@
 """Settings of the stand-in program, read from an INI file."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Literal
 
@@ -60,8 +60,8 @@
     """All settings of the stand-in program."""
 
     standin: StandinSection
-    engine: EngineSection = EngineSection()
-    service: ServiceSection = ServiceSection()
+    engine: EngineSection = field(default_factory=EngineSection)
+    service: ServiceSection = field(default_factory=ServiceSection)
 
 
 def load_standin(text: str, source: str = "settings") -> StandinSettings:
