--- a/src/peridotfront/standin_settings.py
+++ b/src/peridotfront/standin_settings.py
@@ -1,19 +1,18 @@
 """Settings of the stand-in program, read from an INI file."""
 
-import configparser
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field
 
 from .exceptions import SettingsInvalid
+from .ini import Fault, Ini, Section
 
+STANDIN_SECTIONS = {"standin", "engine", "service"}
 
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
 
-
-class StandinSection(_Section):
+class StandinSection(Section):
     """What every stand-in needs.
 
     :param listen: IP number and port; port 0 lets the kernel choose.
@@ -27,7 +26,7 @@
     leave_ms: int = Field(default=1000, ge=0, le=600_000)
 
 
-class EngineSection(_Section):
+class EngineSection(Section):
     """What a stand-in engine can do.
 
     :param models: names, separated by commas; empty serves any model.
@@ -47,7 +46,7 @@
     honours_fencing: bool = True
 
 
-class ServiceSection(_Section):
+class ServiceSection(Section):
     """What a stand-in service does.
 
     :param call_ms: how long one call takes.
@@ -56,12 +55,30 @@
     call_ms: int = Field(default=20, ge=0, le=600_000)
 
 
-class StandinSettings(_Section):
+@dataclass(frozen=True, slots=True)
+class StandinSettings:
     """All settings of the stand-in program."""
 
     standin: StandinSection
-    engine: EngineSection = EngineSection()
-    service: ServiceSection = ServiceSection()
+    engine: EngineSection = field(default_factory=EngineSection)
+    service: ServiceSection = field(default_factory=ServiceSection)
+
+
+def load_standin(text: str, source: str = "settings") -> StandinSettings:
+    """Read the settings of a stand-in.
+
+    :raises SettingsInvalid: with every fault.
+    """
+    ini = Ini.parse(text, source)
+    faults = list(ini.unknown_sections(STANDIN_SECTIONS))
+    settings = StandinSettings(
+        standin=ini.read(StandinSection, "standin", faults),
+        engine=ini.read(EngineSection, "engine", faults),
+        service=ini.read(ServiceSection, "service", faults),
+    )
+    if faults:
+        raise SettingsInvalid(source, tuple(faults))
+    return settings
 
 
 def load_settings(path: str) -> StandinSettings:
@@ -72,20 +89,9 @@
     :rtype: StandinSettings
     :raises SettingsInvalid: with every fault at once.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        raise SettingsInvalid([f"{path}: {error}"]) from error
-    content = {name: dict(parser[name]) for name in parser.sections()}
     try:
-        return StandinSettings.model_validate(content)
-    except ValidationError as error:
-        raise SettingsInvalid([_describe(fault) for fault in error.errors()]) from error
-
-
-def _describe(fault) -> str:
-    section, *keys = (str(part) for part in fault["loc"])
-    key = ".".join(keys) or "-"
-    value = fault["input"] if isinstance(fault["input"], str) else "-"
-    return f"section {section}, key {key}, value {value}: {fault['msg']}"
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = Fault("", "", "", str(error))
+        raise SettingsInvalid(path, (fault,)) from error
+    return load_standin(text, path)
