Add the programs of entry and control hosts

Cause: the roles need processes round them. Change: the entry program feeds HTTP requests and frames to its role and carries out dispatches, resumes and replays; the control program runs all events of one loop turn and syncs the disk once for them before it sends.

--- a/src/peridotfront/answers.py
+++ b/src/peridotfront/answers.py
@@ -148,6 +148,9 @@
     def add(self, answer: Answer) -> None:
         """Keep an answer that is under way."""
         self._by_request[answer.request_id] = answer
+
+    def hold(self, answer: Answer) -> None:
+        """Let an answer be found by its key, as this host runs its request."""
         if answer.key:
             self._by_key[answer.key] = answer
 
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -154,7 +154,10 @@
 
     async def _resume_at(self, call: Call, offset_bytes: int) -> UpstreamAnswer:
         answer = await self._client.resume(
-            call.upstream.address, call.engine_id, offset_bytes, timeouts=ENGINE_TIMEOUTS
+            call.upstream.address,
+            call.engine_id,
+            offset_bytes,
+            timeouts=ENGINE_TIMEOUTS,
         )
         if answer.status_code != HTTPStatus.OK:
             answer.cancel()
--- /dev/null
+++ b/src/peridotfront/control.py
@@ -0,0 +1,153 @@
+"""The program of a control host: one replica of the control group."""
+
+import asyncio
+import random
+import time
+
+import fire
+
+from . import logs, wire
+from .admin import AdminPages
+from .callers import HttpServer
+from .control_server import ControlServer
+from .core.control_types import ControlTiming
+from .core.controller import Controller
+from .core.messages import ControlSnapshot
+from .core.raft import Raft
+from .core.raft_types import RaftTiming
+from .credentials import peer_credentials
+from .exceptions import FolderInUse, StorageDamaged, StorageFailed
+from .metrics import Metrics
+from .operators import OperatorPages
+from .runtime import StopSignal, Ticker, now_ms, run
+from .settings import ControlSettings, load_control, load_file, split_address
+from .storage import Storage
+from .transport import Transport
+
+EXIT_STORAGE = 3
+
+
+class ControlProgram:
+    """Joins the parts of a control host.
+
+    :param settings: checked settings.
+    :param storage: the opened data folder.
+    """
+
+    def __init__(self, settings: ControlSettings, storage: Storage):
+        self.settings = settings
+        self.storage = storage
+        host = settings.host
+        metrics = Metrics(host.name, host.data_centre)
+        self.transport = Transport(
+            host.name,
+            storage.incarnation,
+            settings.peers,
+            self._on_frame,
+            peer_credentials(settings.tls),
+        )
+        controller = _controller(settings, storage)
+        self.server = ControlServer(controller, storage, self.transport.send, metrics)
+        pages = AdminPages(
+            host.admin_token,
+            lambda: controller.dump(now_ms()),
+            metrics,
+            lambda: bool(controller.leader),
+        )
+        OperatorPages(self.server).add_to(pages)
+        self.admin = HttpServer(pages.handle)
+        self.ticker = Ticker(self.server.tick)
+
+    async def run(self) -> int:
+        """Serve until a signal comes or the storage fails."""
+        logs.write("process_started", role="control")
+        stop = StopSignal(lambda: logs.write("drain_signal_repeated"))
+        stop.install()
+        host = self.settings.host
+        try:
+            await self.transport.start(host.listen_address)
+            await self.admin.start(*split_address(host.admin_address))
+        except (OSError, RuntimeError) as error:
+            logs.write("port_unavailable", detail=str(error))
+            return 1
+        self.ticker.start()
+        logs.write("process_ready", port=self.admin.port)
+        exit_code = await self._wait(stop)
+        self.ticker.stop()
+        await self.admin.close()
+        await self.transport.stop()
+        self.storage.close()
+        logs.write("process_stopped")
+        return exit_code
+
+    async def _wait(self, stop: StopSignal) -> int:
+        stopped = asyncio.ensure_future(stop.wait())
+        waiting = (stopped, self.server.failed)
+        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if not self.server.failed.done():
+            return 0
+        logs.write("storage_failed", detail=repr(self.server.failed.exception()))
+        return EXIT_STORAGE
+
+    def _on_frame(self, frame) -> None:
+        self.server.on_frame(frame)
+
+
+def _controller(settings: ControlSettings, storage: Storage) -> Controller:
+    timing = settings.timing
+    host = settings.host.name
+    replicas = [peer.name for peer in settings.peers if peer.role == "control"]
+    configured = tuple(sorted({host, *replicas}))
+    raft = Raft(
+        host,
+        storage.incarnation,
+        configured,
+        storage.state,
+        RaftTiming(
+            election_timeout_ms=timing.election_timeout_ms,
+            heartbeat_ms=timing.heartbeat_ms,
+        ),
+        random.random,
+    )
+    return Controller(
+        host,
+        raft,
+        settings.host.data_centre,
+        tuple([peer.name for peer in settings.peers]),
+        wire.encode,
+        lambda data: wire.decode(ControlSnapshot, data),
+        ControlTiming(
+            heartbeat_ms=timing.heartbeat_ms, host_timeout_ms=timing.host_timeout_ms
+        ),
+        wall_offset_ms=time.time_ns() // 1_000_000 - now_ms(),
+    )
+
+
+async def _main(settings: ControlSettings, storage: Storage) -> int:
+    return await ControlProgram(settings, storage).run()
+
+
+def start(settings: str) -> None:
+    """Run a control host.
+
+    :param settings: path of its settings file.
+    """
+    loaded = load_file(load_control, settings)
+    logs.configure(loaded.log, loaded.host.name)
+    try:
+        storage = Storage.open(loaded.storage.data_folder)
+    except (FolderInUse, StorageDamaged, StorageFailed, OSError) as error:
+        logs.write("storage_damaged", detail=str(error))
+        raise SystemExit(EXIT_STORAGE) from error
+    logs.write("storage_opened", incarnation=storage.incarnation)
+    raise SystemExit(run(_main(loaded, storage)))
+
+
+def main() -> None:
+    """Run the command line of ``peridotfront-control``."""
+    fire.Fire(start)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -551,9 +551,7 @@
         held = HeldSlot(want, flow.upstream, flow.produced_tokens)
         yield Send(flow.scheduler, held)
 
-    def _release(
-        self, flow: Flow, event: DispatchEnded, now_ms: int
-    ) -> Iterator[Any]:
+    def _release(self, flow: Flow, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
         if not flow.cell:
             return
         release = Release(
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -20,8 +20,8 @@
 from .dispatcher import (
     Arrived,
     CallerGone,
-    Dispatcher,
     DispatchEnded,
+    Dispatcher,
     FollowEnded,
     Progress,
 )
--- /dev/null
+++ b/src/peridotfront/entry.py
@@ -0,0 +1,166 @@
+"""The program of an entry host: takes callers' requests and places them."""
+
+import asyncio
+
+import fire
+
+from . import logs
+from .admin import AdminPages
+from .callers import HttpLimits, HttpServer
+from .core.claimant import Claimant, ClaimantTiming
+from .core.entry_role import ConfirmLeaving, EntryRole
+from .core.fleet import Fleet
+from .core.follower import ConfigFollower, FollowerTiming
+from .core.membership import Membership
+from .credentials import caller_context, peer_credentials
+from .entry_server import EntryServer
+from .intake import Intake
+from .metrics import Metrics
+from .runtime import StopSignal, Ticker, new_incarnation, run
+from .serving import Serving
+from .settings import EntrySettings, load_entry, load_file, split_address
+from .transport import Transport
+from .upstreams import EngineClient
+
+DRAIN_POLL_MS = 20
+MAX_DRAIN_MS = 600_000
+HEADERS_LIMIT_MS = 30_000
+
+
+class EntryProgram:
+    """Joins the parts of an entry host.
+
+    :param settings: checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings):
+        self.settings = settings
+        host = settings.host
+        incarnation = new_incarnation()
+        self.metrics = Metrics(host.name, host.data_centre)
+        self.client = EngineClient()
+        intake = Intake(Fleet(), settings.callers.request_deadline_ms)
+        self.transport = Transport(
+            host.name,
+            incarnation,
+            settings.peers,
+            self._on_frame,
+            peer_credentials(settings.tls),
+        )
+        self.role = _role(settings, incarnation)
+        self.server = EntryServer(
+            self.role, intake, self.client, self.transport.send, self.metrics
+        )
+        self.serving = Serving(
+            intake,
+            self.server,
+            self.server.feed,
+            self.metrics,
+            lambda: len(self.role.membership.entry_hosts()),
+        )
+        self.callers = HttpServer(
+            self.serving.handle, _limits(settings), caller_context(settings.tls)
+        )
+        pages = AdminPages(
+            host.admin_token, self.role.dump, self.metrics, self.is_ready
+        )
+        self.admin = HttpServer(pages.handle)
+        self.ticker = Ticker(self.server.tick)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send new callers here."""
+        return self.role.fleet.version > 0 and not self.role.membership.is_leaving
+
+    async def run(self) -> int:
+        """Serve until a signal comes, then let every request finish."""
+        logs.write("process_started", role="entry")
+        stop = StopSignal(lambda: logs.write("drain_signal_repeated"))
+        stop.install()
+        settings = self.settings
+        try:
+            await self.transport.start(settings.host.listen_address)
+            await self.admin.start(*split_address(settings.host.admin_address))
+            await self.callers.start(*split_address(settings.callers.listen_address))
+        except (OSError, RuntimeError) as error:
+            logs.write("port_unavailable", detail=str(error))
+            return 1
+        self.ticker.start()
+        logs.write("process_ready", port=self.callers.port)
+        await stop.wait()
+        await self._drain()
+        logs.write("process_stopped")
+        return 0
+
+    async def _drain(self) -> None:
+        logs.write("drain_started", in_progress=self.serving.in_progress)
+        self.server.feed(ConfirmLeaving())
+        await asyncio.sleep(self.settings.callers.drain_grace_ms / 1000)
+        await self.callers.drain(MAX_DRAIN_MS)
+        self.callers.close_listener()
+        while self.role.dispatcher.flows:
+            await asyncio.sleep(DRAIN_POLL_MS / 1000)
+        self.ticker.stop()
+        await self.callers.close()
+        await self.admin.close()
+        await self.server.stop()
+        await self.client.close()
+        await self.transport.stop()
+
+    def _on_frame(self, frame) -> None:
+        self.server.on_frame(frame)
+
+
+def _role(settings: EntrySettings, incarnation: int) -> EntryRole:
+    timing = settings.timing
+    names = [peer.name for peer in settings.peers if peer.name != settings.host.name]
+    membership = Membership(
+        settings.host.name,
+        settings.host.data_centre,
+        tuple(names),
+        timing.heartbeat_ms,
+        timing.host_timeout_ms,
+    )
+    follower = ConfigFollower(FollowerTiming(host_timeout_ms=timing.host_timeout_ms))
+    claimant = Claimant(
+        settings.host.name,
+        incarnation,
+        ClaimantTiming(
+            host_timeout_ms=timing.host_timeout_ms,
+            claim_timeout_ms=timing.claim_timeout_ms,
+        ),
+    )
+    return EntryRole(membership, follower, claimant, incarnation)
+
+
+def _limits(settings: EntrySettings) -> HttpLimits:
+    callers = settings.callers
+    return HttpLimits(
+        header_bytes=callers.max_header_bytes,
+        body_bytes=callers.max_body_bytes,
+        connections=callers.max_connections,
+        idle_ms=callers.idle_timeout_ms,
+        request_ms=callers.request_timeout_ms,
+    )
+
+
+async def _main(settings: EntrySettings) -> int:
+    return await EntryProgram(settings).run()
+
+
+def start(settings: str) -> None:
+    """Run an entry host.
+
+    :param settings: path of its settings file.
+    """
+    loaded = load_file(load_entry, settings)
+    logs.configure(loaded.log, loaded.host.name)
+    raise SystemExit(run(_main(loaded)))
+
+
+def main() -> None:
+    """Run the command line of ``peridotfront-entry``."""
+    fire.Fire(start)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -1,6 +1,7 @@
 """Exceptions of peridotfront; all share the root :class:`PeridotfrontError`."""
 
 from .core.verdicts import Reason, Refusal, Verdict
+
 """All exceptions of peridotfront, under one root."""
 
 
@@ -100,9 +101,9 @@
     :param leader: the leader's host name; empty if none is known.
     """
 
-    def __init__(self, faults: list[str]):
-        super().__init__("\n".join(faults))
-        self.faults = faults
+    def __init__(self, leader: str = ""):
+        super().__init__(f"the leader is {leader or 'not known'}")
+        self.leader = leader
 
 
 class AnswerLost(PeridotfrontError):
@@ -120,11 +121,6 @@
         super().__init__(refusal.detail or refusal.reason.value)
         self.status_code = status_code
         self.refusal = refusal
-"""All exceptions of peridotfront; every one derives from PeridotfrontError."""
-
-
-class PeridotfrontError(Exception):
-    """The root of all errors that peridotfront raises."""
 
 
 class StorageFailed(PeridotfrontError):
@@ -152,9 +148,6 @@
 
 class LogDiverged(PeridotfrontError):
     """A leader contradicts an entry that is committed here."""
-    def __init__(self, leader: str = ""):
-        super().__init__(f"the leader is {leader or 'not known'}")
-        self.leader = leader
 
 
 class EditFailed(PeridotfrontError):
