Add the control role that answers from the replicated state

Cause: claims, proposals and reads need one place that proposes and answers. Run: a trial in virtual time elects, changes, claims, replays and compares replicas.

--- /dev/null
+++ b/features/support/control_group.py
@@ -0,0 +1,404 @@
+"""Control and entry hosts in virtual time, with an oracle of what must hold."""
+
+import random
+from collections import Counter
+
+from peridotfront import wire
+from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.claimant import (
+    Claimant,
+    ClaimDecided,
+    ClaimUnknown,
+    OutcomeSettled,
+    ReportOutcome,
+    WantClaim,
+)
+from peridotfront.core.control_types import (
+    ControlTiming,
+    OperatorClaim,
+    OperatorClaimView,
+    OperatorPropose,
+    OperatorRead,
+    OperatorResult,
+    OperatorUnavailable,
+    OperatorView,
+)
+from peridotfront.core.controller import Controller
+from peridotfront.core.follower import ConfigFollower, ConfigInForce
+from peridotfront.core.messages import (
+    ChangeStatus,
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    ConfigProposal,
+    ControlSnapshot,
+    Heartbeat,
+    Outcome,
+)
+from peridotfront.core.raft import Persist, Raft, RaftTiming
+from peridotfront.core.verdicts import Reason, Verdict
+
+from .raft_group import Disk
+
+TICK_MS = 10
+HEARTBEAT_MS = 150
+RUN_MS = 60
+CONTROLS = ("c1", "c2", "c3")
+ENTRIES = ("e1", "e2", "e3")
+TIMING = ControlTiming(snapshot_entries=20)
+DONE = Outcome(Verdict.COMPLETED, Reason.NONE, 200, (), b"done", True)
+NOT_RUN = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
+
+
+def decode(data):
+    return wire.decode(ControlSnapshot, data)
+
+
+class ControlHost:
+    """A control host's process with its disk."""
+
+    def __init__(self, group, name):
+        self.group = group
+        self.name = name
+        self.disk = Disk(group.new_incarnation())
+        self.start()
+
+    def start(self):
+        raft = Raft(
+            self.name,
+            self.disk.incarnation,
+            CONTROLS,
+            self.disk.load(),
+            RaftTiming(),
+            self.group.random.random,
+        )
+        peers = CONTROLS + ENTRIES
+        self.incarnation = self.group.new_incarnation()
+        self.role = Controller(
+            self.name, raft, "dc", peers, wire.encode, decode, TIMING
+        )
+        self.raft = raft
+
+    def lose_disk(self):
+        self.disk = Disk(self.group.new_incarnation())
+
+    def handle(self, event, now_ms):
+        actions = list(self.role.handle(event, now_ms))
+        for action in actions:
+            if isinstance(action, Persist):
+                self.disk.run(action)
+        yield from actions
+
+
+class EntryHost:
+    """An entry host's process: claims, runs for a while, reports."""
+
+    def __init__(self, group, name):
+        self.group = group
+        self.name = name
+        self.start()
+
+    def start(self):
+        self.incarnation = self.group.new_incarnation()
+        self.claimant = Claimant(self.name, self.incarnation)
+        self.follower = ConfigFollower()
+        self.sequence = 0
+        self.beat_due_ms = 0
+        self.running = {}
+        self.ended = {}
+        self.decided = {}
+        self.unknown = set()
+
+    def handle(self, event, now_ms):
+        yield from self.claimant.handle(event, now_ms)
+        yield from self.follower.handle(event, now_ms)
+        if isinstance(event, Tick):
+            yield from self._tick(now_ms)
+
+    def _tick(self, now_ms):
+        if now_ms >= self.beat_due_ms:
+            self.beat_due_ms = now_ms + HEARTBEAT_MS
+            self.sequence += 1
+            version = self.follower.version
+            beat = Heartbeat("dc", "entry", self.sequence, version, False)
+            yield from [Send(p, beat) for p in CONTROLS + ENTRIES if p != self.name]
+        for claim in [c for c, due_ms in self.running.items() if now_ms >= due_ms]:
+            del self.running[claim]
+            event = ReportOutcome(claim.key, claim.epoch, DONE)
+            yield from self.claimant.handle(event, now_ms)
+
+    def act(self, action, now_ms):
+        if isinstance(action, ClaimDecided):
+            self.decided[action.request_id] = action.reply
+            if action.reply.status is ClaimStatus.GRANTED:
+                self._granted(action.reply.claim, now_ms)
+        elif isinstance(action, ClaimUnknown):
+            self.unknown.add(action.request_id)
+        elif isinstance(action, ConfigInForce):
+            self.group.oracle.in_force(self, action.version, action.content)
+        elif isinstance(action, OutcomeSettled) and not action.is_superseded:
+            self.group.oracle.durable(action.key, action.epoch)
+
+    def _granted(self, claim, now_ms):
+        if self.claimant.may_dispatch(claim.key, claim.epoch, now_ms):
+            self.group.oracle.runs[claim.key] += 1
+            self.running[claim] = now_ms + RUN_MS
+            return
+        outcome = Outcome(Verdict.MAY_HAVE_RUN, Reason.HOLDER_LOST)
+        if not claim.is_resume_only:
+            outcome = NOT_RUN
+        event = ReportOutcome(claim.key, claim.epoch, outcome)
+        self.group.handle(self.name, event)
+
+
+class Oracle:
+    """Records what was promised, in dicts and counters, and checks it."""
+
+    def __init__(self):
+        self.runs = Counter()
+        self.grants = {}
+        self.outcomes = set()
+        self.versions = {}
+        self.content = {}
+        self.results = {}
+
+    def granted(self, reply):
+        claim = reply.claim
+        holder = (claim.holder_host, claim.holder_incarnation, reply.request_id)
+        known = self.grants.setdefault((claim.key, claim.epoch), holder)
+        assert known == holder, f"{claim.key}: two holders in epoch {claim.epoch}"
+
+    def durable(self, key, epoch):
+        self.outcomes.add((key, epoch))
+
+    def in_force(self, entry, version, content):
+        last = self.versions.get(entry.name, 0)
+        assert version >= last, f"{entry.name}: version {version} after {last}"
+        self.versions[entry.name] = version
+        known = self.content.setdefault(version, content)
+        assert known == content, f"two contents for version {version}"
+
+    def result(self, result):
+        if result.status is ChangeStatus.UNAVAILABLE:
+            return
+        known = self.results.setdefault(result.change_id, result)
+        assert known == result, f"two outcomes of change {result.change_id}"
+
+    def check_runs(self):
+        twice = {k: n for k, n in self.runs.items() if n > 1}
+        assert not twice, f"ran more than once: {twice}"
+
+
+class ControlGroup:
+    """Drives all hosts on one virtual clock over a network that fails.
+
+    :param seed: of all randomness.
+    """
+
+    def __init__(self, seed=0):
+        self.random = random.Random(seed)
+        self.now_ms = 0
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.delay_ms = (1, 5)
+        self.cuts = set()
+        self.in_flight = []
+        self.sequence = 0
+        self.oracle = Oracle()
+        self.answers = {}
+        self.sent = Counter()
+        self.down = set()
+        self.frozen = {}
+        self.hosts = {name: ControlHost(self, name) for name in CONTROLS}
+        self.hosts |= {name: EntryHost(self, name) for name in ENTRIES}
+
+    def new_incarnation(self):
+        return self.random.getrandbits(62) or 1
+
+    # Faults
+
+    def kill(self, name):
+        self.down.add(name)
+        self.frozen.pop(name, None)
+
+    def restart(self, name):
+        self.down.discard(name)
+        self.hosts[name].start()
+
+    def freeze(self, name):
+        self.frozen[name] = []
+
+    def thaw(self, name):
+        for event in self.frozen.pop(name):
+            self.handle(name, event)
+
+    def isolate(self, name):
+        for other in self.hosts:
+            self.cuts |= {(name, other), (other, name)}
+
+    def mute(self, name):
+        self.cuts |= {(name, other) for other in self.hosts}
+
+    def heal(self):
+        self.cuts = set()
+        for name in list(self.frozen):
+            self.thaw(name)
+        for name in list(self.down):
+            self.restart(name)
+
+    # Time and messages
+
+    def handle(self, name, event):
+        if name in self.down:
+            return
+        if name in self.frozen:
+            self.frozen[name].append(event)
+            return
+        host = self.hosts[name]
+        for action in list(host.handle(event, self.now_ms)):
+            self.run(host, action)
+
+    def run(self, host, action):
+        if isinstance(action, Send):
+            self.send(host, action)
+        elif isinstance(host, EntryHost):
+            host.act(action, self.now_ms)
+        elif isinstance(action, OperatorResult):
+            self.oracle.result(action.result)
+            self.answers[action.ticket] = action
+        elif isinstance(action, (OperatorView, OperatorClaimView, OperatorUnavailable)):
+            self.answers[action.ticket] = action
+
+    def send(self, host, action):
+        message = action.message
+        self.sent[type(message).__name__] += 1
+        is_grant = isinstance(message, ClaimReply)
+        if is_grant and message.status is ClaimStatus.GRANTED:
+            self.oracle.granted(message)
+        copies = 2 if self.random.random() < self.doubling else 1
+        if self.random.random() < self.loss:
+            copies = 0
+        for _ in range(copies):
+            due_ms = self.now_ms + self.random.randint(*self.delay_ms)
+            self.sequence += 1
+            event = Received(host.name, host.incarnation, message)
+            self.in_flight.append((due_ms, self.sequence, action.to_host, event))
+
+    def step(self):
+        self.now_ms += TICK_MS
+        due = sorted(m for m in self.in_flight if m[0] <= self.now_ms)
+        self.in_flight = [m for m in self.in_flight if m[0] > self.now_ms]
+        for _, _, to_host, event in due:
+            if (event.sender, to_host) not in self.cuts:
+                self.handle(to_host, event)
+        for name in [n for n in self.hosts if n not in self.frozen]:
+            self.handle(name, Tick())
+
+    def run_for(self, duration_ms):
+        for _ in range(duration_ms // TICK_MS):
+            self.step()
+
+    def run_until(self, condition, limit_ms=30_000, what="the condition"):
+        end_ms = self.now_ms + limit_ms
+        while not condition():
+            assert self.now_ms < end_ms, f"{what} was never met"
+            self.step()
+
+    # What operators and callers do
+
+    def leader(self):
+        """Return the working leader's name, or None."""
+        up = [n for n in CONTROLS if n not in self.down and n not in self.frozen]
+        leading = [self.hosts[n] for n in up if self.hosts[n].raft.is_leader]
+        best = max(leading, key=lambda host: host.raft.term, default=None)
+        return best.name if best else None
+
+    def await_leader(self):
+        self.run_until(lambda: self.leader() is not None, what="a leader")
+        return self.leader()
+
+    def ask(self, name, make_event):
+        """Give one control host an operator's event; return the ticket."""
+        self.sequence += 1
+        ticket = self.sequence
+        self.handle(name, make_event(ticket))
+        return ticket
+
+    def ask_until(self, make_event, is_answer, limit_ms=30_000):
+        """Ask whoever leads, again and again, until there is an answer."""
+        end_ms = self.now_ms + limit_ms
+        while self.now_ms < end_ms:
+            ticket = self.ask(self.await_leader(), make_event)
+            self.run_for(300)
+            answer = self.answers.get(ticket)
+            if answer is not None and is_answer(answer):
+                return answer
+        raise AssertionError("no answer to an operator")
+
+    def change(self, proposal):
+        """Propose as an operator who repeats until there is an outcome."""
+        return self.ask_until(
+            lambda ticket: OperatorPropose(ticket, proposal),
+            lambda a: a.result.status is not ChangeStatus.UNAVAILABLE,
+        ).result
+
+    def view(self):
+        return self.ask_until(OperatorRead, lambda a: isinstance(a, OperatorView)).view
+
+    def lookup(self, key):
+        return self.ask_until(
+            lambda ticket: OperatorClaim(ticket, key),
+            lambda a: isinstance(a, OperatorClaimView),
+        ).record
+
+    def want(self, name, key, request_id, epoch=1):
+        """Let an entry host ask for a claim."""
+        host = self.hosts[name]
+        claim = Claim(key, 1, epoch, name, host.incarnation, "service", False)
+        self.handle(name, WantClaim(ClaimRequest(request_id, claim)))
+
+    def settle(self, name, key, limit_ms=30_000):
+        """Let a caller repeat a key at a host until it has an end."""
+        end_ms = self.now_ms + limit_ms
+        epoch = 1
+        while self.now_ms < end_ms:
+            self.sequence += 1
+            request_id = f"settle-{self.sequence}"
+            self.want(name, key, request_id, epoch)
+            self.run_for(500)
+            reply = self.hosts[name].decided.get(request_id)
+            epoch = 1
+            if reply is None:
+                continue
+            if reply.status is ClaimStatus.ENDED:
+                if reply.outcome.verdict is not Verdict.NOT_RUN:
+                    return reply.outcome
+            elif reply.status is ClaimStatus.HELD:
+                epoch = reply.claim.epoch + 1
+        raise AssertionError(f"{key} never came to an end")
+
+    def proposal(self, change_id, base_version):
+        return ConfigProposal(change_id, base_version, "ann", f"content {change_id}")
+
+    def all_in_force(self, version):
+        return all(self.hosts[n].follower.version == version for n in ENTRIES)
+
+    def check(self):
+        """Check, with all healed, that the replicas and hosts agree."""
+        self.run_until(self._agree, what="agreement of the replicas")
+        self.oracle.check_runs()
+        states = [self.hosts[n].role.state.snapshot() for n in CONTROLS]
+        assert states[0] == states[1] == states[2], "replicas differ"
+        version = states[0].configuration.history[-1:]
+        if version:
+            newest = version[0].version
+            self.run_until(lambda: self.all_in_force(newest), what="all in force")
+        for key, epoch in self.oracle.outcomes:
+            record = self.lookup(key)
+            is_kept = record.claim.epoch > epoch or record.outcome is not None
+            assert is_kept, f"the outcome of {key} in epoch {epoch} is lost"
+
+    def _agree(self):
+        rafts = [self.hosts[n].raft for n in CONTROLS]
+        return self.leader() and len({r.last_applied for r in rafts}) == 1
--- /dev/null
+++ b/src/peridotfront/core/controller.py
@@ -0,0 +1,573 @@
+"""The control role: one replica of the group with the state that it answers from.
+
+Only the leader answers for the group. Any other replica, and a leader that lost
+its quorum, answers ``UNAVAILABLE`` at once; it forwards nothing, since the leader
+that it knows may be as cut off as itself. Hosts find the leader by the heartbeats
+of all replicas, of which the one with the highest term is right.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+from typing import Any
+
+from .actions import Log, Received, Send, Tick
+from .claim_batcher import ClaimBatcher
+from .claims import ClaimsResult
+from .control_state import ControlState, Decode, Encode
+from .control_types import (
+    ClaimLimits,
+    ControllerDump,
+    ControlTiming,
+    ControlView,
+    HostView,
+    OperatorClaim,
+    OperatorClaimView,
+    OperatorPropose,
+    OperatorRead,
+    OperatorResult,
+    OperatorUnavailable,
+    OperatorView,
+)
+from .host_table import HostState, HostTable
+from .messages import (
+    ChangeStatus,
+    ClaimBatch,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    ConfigChange,
+    ConfigProposal,
+    ConfigQuery,
+    ConfigResult,
+    Heartbeat,
+    LogEntry,
+    OutcomeReport,
+    Replica,
+    StrikeBatch,
+    StrikeReport,
+    StrikeUpdate,
+)
+from .messages.raft import RAFT_MESSAGES
+from .raft_types import (
+    Committed,
+    ProposalDropped,
+    Propose,
+    Read,
+    ReadFailed,
+    ReadReady,
+    Restore,
+    RoleChanged,
+)
+
+CONTROL_ROLE = "control"
+CLAIM_ENTRY_BYTES = 200
+ENTRY_BYTES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingRead:
+    """Is a read that waits for the read index; ``key`` is set for a claim."""
+
+    ticket: int
+    key: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingProposal:
+    """Is a proposal whose sender waits; a ticket for operators, else a host."""
+
+    change_id: str
+    ticket: int | None
+    host: str
+    deadline_ms: int
+
+
+class Controller:
+    """Answers claims, outcomes, proposals and reads from the replicated state.
+
+    :param host: the own host name.
+    :param raft: the replica; the controller alone drives it.
+    :param data_centre: the own one, for heartbeats.
+    :param peers: all other hosts, of both roles.
+    :param encode: turns a snapshot into bytes.
+    :param decode: turns such bytes into a snapshot.
+    :param timing: times and sizes.
+    :param wall_offset_ms: wall clock minus the clock of ``now_ms``; it only
+        stamps configurations for display.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        raft: Any,
+        data_centre: str,
+        peers: tuple[str, ...],
+        encode: Encode,
+        decode: Decode,
+        timing: ControlTiming | None = None,
+        wall_offset_ms: int = 0,
+    ):
+        self._host = host
+        self._raft = raft
+        self._data_centre = data_centre
+        self._peers = tuple([p for p in peers if p != host])
+        self._encode = encode
+        self._decode = decode
+        self._timing = timing or ControlTiming()
+        self._wall_offset_ms = wall_offset_ms
+        self._state = ControlState()
+        self._hosts = HostTable(self._timing.host_timeout_ms)
+        self._batcher = ClaimBatcher(self._timing)
+        self._limits = ClaimLimits()
+        self._is_leader = False
+        self._led_since_ms = 0
+        self._claims_clock_base_ms = 0
+        self._sequence = 0
+        self._heartbeat_sent_ms: int | None = None
+        self._reads: dict[int, _WaitingRead] = {}
+        self._next_read = 1
+        self._proposals: list[_WaitingProposal] = []
+        self._entries_since_snapshot = 0
+        self._bytes_since_snapshot = 0
+
+    @property
+    def state(self) -> ControlState:
+        """Return the replicated state as applied here, possibly an old one."""
+        return self._state
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        """Handle one event.
+
+        :param event: a tick, a received message or an operator's operation.
+        :param now_ms: monotonic clock of this host.
+        :return: actions, to be carried out in order.
+        """
+        yield from self._handle(event, now_ms)
+        yield from self._propose_batches(now_ms)
+        yield from self._compact()
+
+    def snapshot(self) -> bytes:
+        """Return the whole replicated state as bytes."""
+        return self._encode(self._state.snapshot())
+
+    def view(self, now_ms: int) -> ControlView:
+        """Return the state as applied here, possibly an old one."""
+        state = self._state
+        version = state.configuration.version
+        hosts = [self._host_view(h, now_ms) for h in self._hosts.all()]
+        return ControlView(
+            host=self._host,
+            current=state.configuration.current,
+            history=state.configuration.history,
+            hosts=tuple(hosts),
+            laggards=self._hosts.laggards(version),
+            is_leader=self._raft.is_leader,
+            leader=self._raft.leader or "",
+            term=self._raft.term,
+            commit_index=self._raft.commit_index,
+            last_applied=self._raft.last_applied,
+            voters=tuple(self._raft.voters),
+            learners=tuple(self._raft.learners),
+            claims=len(state.claims),
+            open_claims=state.claims.open_count,
+            claims_size_bytes=state.claims.size_bytes,
+            struck_requests=len(state.strikes),
+        )
+
+    def dump(self, now_ms: int) -> ControllerDump:
+        """Return all that this replica knows, for operators."""
+        return ControllerDump(
+            view=self.view(now_ms),
+            queued=self._batcher.queued,
+            batches_in_flight=self._batcher.in_flight,
+            waiting_operators=len(self._reads) + len(self._proposals),
+            entries_since_snapshot=self._entries_since_snapshot,
+            bytes_since_snapshot=self._bytes_since_snapshot,
+        )
+
+    # Events
+
+    @singledispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        yield from self._drive(event, now_ms)
+
+    @_handle.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        yield from self._drive(event, now_ms)
+        yield from self._send_heartbeats(now_ms)
+        yield from self._time_out_proposals(now_ms)
+
+    @_handle.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._receive(event.message, event, now_ms)
+
+    @_handle.register
+    def _(self, event: ClaimLimits, now_ms: int) -> Iterator[Any]:
+        self._limits = event
+        yield from ()
+
+    @_handle.register
+    def _(self, event: OperatorRead, now_ms: int) -> Iterator[Any]:
+        yield from self._read(_WaitingRead(event.ticket), now_ms)
+
+    @_handle.register
+    def _(self, event: OperatorClaim, now_ms: int) -> Iterator[Any]:
+        yield from self._read(_WaitingRead(event.ticket, event.key), now_ms)
+
+    @_handle.register
+    def _(self, event: OperatorPropose, now_ms: int) -> Iterator[Any]:
+        yield from self._propose_config(event.proposal, event.ticket, "", now_ms)
+
+    # Messages
+
+    @singledispatchmethod
+    def _receive(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
+        if isinstance(message, RAFT_MESSAGES):
+            yield from self._drive(event, now_ms)
+
+    @_receive.register
+    def _(self, message: Heartbeat, event: Received, now_ms: int) -> Iterator[Any]:
+        host = self._hosts.record(event.sender, event.incarnation, message, now_ms)
+        if self._is_leader and message.role != CONTROL_ROLE:
+            yield from self._send_update(host, now_ms)
+
+    @_receive.register
+    def _(self, message: ConfigQuery, event: Received, now_ms: int) -> Iterator[Any]:
+        if self._state.configuration.version > message.version:
+            yield Send(event.sender, self._state.configuration.update())
+
+    @_receive.register
+    def _(self, message: ClaimRequest, event: Received, now_ms: int) -> Iterator[Any]:
+        if not _is_holder(message, event):
+            yield Log("claim_of_other_holder", (("sender", event.sender),))
+            return
+        if not (self._is_leader and self._batcher.add_claim(message, now_ms)):
+            yield _unavailable(message)
+
+    @_receive.register
+    def _(self, message: OutcomeReport, event: Received, now_ms: int) -> Iterator[Any]:
+        if self._is_leader:
+            report = replace(
+                message,
+                holder_host=event.sender,
+                holder_incarnation=event.incarnation,
+            )
+            self._batcher.add_outcome(report, now_ms)
+        yield from ()
+
+    @_receive.register
+    def _(self, message: StrikeReport, event: Received, now_ms: int) -> Iterator[Any]:
+        if self._is_leader:
+            self._batcher.add_strikes(message, now_ms)
+        yield from ()
+
+    @_receive.register
+    def _(self, message: ConfigProposal, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._propose_config(message, None, event.sender, now_ms)
+
+    # Raft
+
+    def _drive(self, event: Any, now_ms: int) -> Iterator[Any]:
+        for action in self._raft.handle(event, now_ms):
+            yield from self._absorb(action, now_ms)
+
+    @singledispatchmethod
+    def _absorb(self, action: Any, now_ms: int) -> Iterator[Any]:
+        yield action
+
+    @_absorb.register
+    def _(self, action: Committed, now_ms: int) -> Iterator[Any]:
+        yield from self._apply(action.entry, now_ms)
+
+    @_absorb.register
+    def _(self, action: Restore, now_ms: int) -> Iterator[Any]:
+        self._state.restore(self._decode(action.data))
+        self._entries_since_snapshot = 0
+        self._bytes_since_snapshot = 0
+        yield Log("snapshot_restored", (("last_index", action.last_index),))
+
+    @_absorb.register
+    def _(self, action: ReadReady, now_ms: int) -> Iterator[Any]:
+        waiting = self._reads.pop(action.ticket, None)
+        if waiting is None:
+            return
+        if waiting.key is None:
+            yield OperatorView(waiting.ticket, self.view(now_ms))
+            return
+        record = self._state.claims.lookup(waiting.key)
+        yield OperatorClaimView(waiting.ticket, record)
+
+    @_absorb.register
+    def _(self, action: ReadFailed, now_ms: int) -> Iterator[Any]:
+        waiting = self._reads.pop(action.ticket, None)
+        if waiting is not None:
+            yield OperatorUnavailable(waiting.ticket, self._leader_hint())
+
+    @_absorb.register
+    def _(self, action: ProposalDropped, now_ms: int) -> Iterator[Any]:
+        if isinstance(action.command, ConfigChange):
+            yield from self._give_up(action.command.proposal.change_id)
+        elif isinstance(action.command, ClaimBatch):
+            self._batcher.committed(action.command)
+            for request in action.command.claims:
+                yield _unavailable(request)
+
+    @_absorb.register
+    def _(self, action: RoleChanged, now_ms: int) -> Iterator[Any]:
+        yield action
+        is_leader = self._raft.is_leader
+        if is_leader and not self._is_leader:
+            self._led_since_ms = now_ms
+            self._claims_clock_base_ms = self._state.claims.time_ms
+        if self._is_leader and not is_leader:
+            yield from self._step_down()
+        self._is_leader = is_leader
+
+    def _step_down(self) -> Iterator[Any]:
+        for request in self._batcher.abandon():
+            yield _unavailable(request)
+        yield from self._give_up(None)
+        for waiting in self._reads.values():
+            yield OperatorUnavailable(waiting.ticket, self._leader_hint())
+        self._reads.clear()
+
+    # Applying
+
+    def _apply(self, entry: LogEntry, now_ms: int) -> Iterator[Any]:
+        result = self._state.apply(entry.command)
+        self._entries_since_snapshot += 1
+        self._bytes_since_snapshot += _size_of(entry.command)
+        yield from self._answer(entry.command, result, now_ms)
+
+    @singledispatchmethod
+    def _answer(self, command: Any, result: Any, now_ms: int) -> Iterator[Any]:
+        yield from ()
+
+    @_answer.register
+    def _(self, command: ClaimBatch, result: Any, now_ms: int) -> Iterator[Any]:
+        self._batcher.committed(command)
+        if self._is_leader:
+            yield from self._answer_batch(command, result)
+
+    @_answer.register
+    def _(self, command: ConfigChange, result: Any, now_ms: int) -> Iterator[Any]:
+        yield from self._answer_proposal(result)
+        if result.status is ChangeStatus.ACCEPTED:
+            fields = (("version", result.version), ("author", result.author))
+            yield Log("configuration_applied", fields)
+        if self._is_leader:
+            for host in self._hosts.live_entry_hosts(now_ms):
+                yield from self._send_update(host, now_ms)
+
+    @_answer.register
+    def _(self, command: StrikeBatch, result: Any, now_ms: int) -> Iterator[Any]:
+        if self._is_leader:
+            for host in self._hosts.live_entry_hosts(now_ms):
+                yield from self._send_strikes(host, result)
+
+    def _answer_batch(self, batch: ClaimBatch, result: ClaimsResult) -> Iterator[Any]:
+        for report, ack in zip(batch.outcomes, result.acks, strict=True):
+            yield Send(report.holder_host, ack)
+        for request, reply in zip(batch.claims, result.replies, strict=True):
+            yield Send(request.claim.holder_host, reply)
+
+    def _answer_proposal(self, result: ConfigResult) -> Iterator[Any]:
+        for waiting in self._take_proposals(result.change_id):
+            if waiting.ticket is None:
+                yield Send(waiting.host, result)
+            else:
+                yield OperatorResult(waiting.ticket, result)
+
+    def _send_strikes(
+        self, host: HostState, updates: tuple[StrikeUpdate, ...]
+    ) -> Iterator[Any]:
+        for update in updates:
+            yield Send(host.host, update)
+
+    # Configuration
+
+    def _propose_config(
+        self, proposal: ConfigProposal, ticket: int | None, host: str, now_ms: int
+    ) -> Iterator[Any]:
+        deadline_ms = now_ms + self._timing.operator_timeout_ms
+        waiting = _WaitingProposal(proposal.change_id, ticket, host, deadline_ms)
+        if not self._is_leader:
+            yield self._refusal(waiting)
+            return
+        self._proposals.append(waiting)
+        change = ConfigChange(now_ms + self._wall_offset_ms, proposal)
+        yield from self._drive(Propose(change), now_ms)
+
+    def _take_proposals(self, change_id: str | None) -> list[_WaitingProposal]:
+        taken = [p for p in self._proposals if change_id in (None, p.change_id)]
+        self._proposals = [p for p in self._proposals if p not in taken]
+        return taken
+
+    def _give_up(self, change_id: str | None) -> Iterator[Any]:
+        for waiting in self._take_proposals(change_id):
+            yield self._refusal(waiting)
+
+    def _time_out_proposals(self, now_ms: int) -> Iterator[Any]:
+        late = [p for p in self._proposals if p.deadline_ms <= now_ms]
+        self._proposals = [p for p in self._proposals if p.deadline_ms > now_ms]
+        for waiting in late:
+            yield self._refusal(waiting)
+
+    def _refusal(self, waiting: _WaitingProposal) -> Any:
+        current = self._state.configuration.current
+        result = ConfigResult(
+            change_id=waiting.change_id,
+            status=ChangeStatus.UNAVAILABLE,
+            version=current.version,
+            author=current.author,
+            detail="no answer of a leader with a quorum; repeat with the same id",
+        )
+        if waiting.ticket is None:
+            return Send(waiting.host, result)
+        return OperatorResult(waiting.ticket, result, self._leader_hint())
+
+    def _send_update(self, host: HostState, now_ms: int) -> Iterator[Any]:
+        """Send the whole configuration to a host that has an older one.
+
+        A message with only the difference would spare most of the bytes.
+        """
+        version = self._state.configuration.version
+        if host.heartbeat.config_version >= version:
+            return
+        is_new = host.update_version < version
+        wait_ms = (
+            self._timing.update_interval_ms if is_new else self._timing.update_retry_ms
+        )
+        if now_ms - host.update_sent_ms < wait_ms:
+            return
+        host.update_sent_ms = now_ms
+        host.update_version = version
+        yield Send(host.host, self._state.configuration.update())
+
+    # Claims
+
+    def _propose_batches(self, now_ms: int) -> Iterator[Any]:
+        if not self._is_leader:
+            return
+        while self._batcher.is_due(now_ms):
+            parts = self._batcher.take()
+            batch = ClaimBatch(
+                time_ms=self._claims_time_ms(now_ms),
+                claims=parts.claims,
+                outcomes=parts.outcomes,
+                dead_holders=self._dead_holders(parts.claims, now_ms),
+                retention_ms=self._limits.retention_ms,
+                idempotent_retention_ms=self._limits.idempotent_retention_ms,
+                max_bytes=self._limits.max_bytes,
+            )
+            self._batcher.proposed(batch)
+            yield from self._drive(Propose(batch), now_ms)
+        strikes = self._batcher.take_strikes()
+        if strikes:
+            batch = StrikeBatch(self._claims_time_ms(now_ms), strikes)
+            yield from self._drive(Propose(batch), now_ms)
+
+    def _claims_time_ms(self, now_ms: int) -> int:
+        """Return the time on the clock of the claims.
+
+        It goes on from where the last leader's batches left it, at the pace of the
+        own monotonic clock; the wall clock has no part in it.
+        """
+        return self._claims_clock_base_ms + now_ms - self._led_since_ms
+
+    def _dead_holders(
+        self, claims: tuple[ClaimRequest, ...], now_ms: int
+    ) -> tuple[Replica, ...]:
+        dead: dict[Replica, None] = {}
+        for request in claims:
+            record = self._state.claims.lookup(request.claim.key)
+            if request.claim.epoch == 1 or record is None:
+                continue
+            claim = record.claim
+            holder = Replica(claim.holder_host, claim.holder_incarnation)
+            silent_ms = self._hosts.silent_ms(holder, self._led_since_ms, now_ms)
+            if silent_ms >= self._timing.take_over_silence_ms:
+                dead[holder] = None
+        return tuple(dead)
+
+    # Heartbeats, reads and snapshots
+
+    def _send_heartbeats(self, now_ms: int) -> Iterator[Any]:
+        last_ms = self._heartbeat_sent_ms
+        if last_ms is not None and now_ms - last_ms < self._timing.heartbeat_ms:
+            return
+        self._heartbeat_sent_ms = now_ms
+        self._sequence += 1
+        heartbeat = Heartbeat(
+            data_centre=self._data_centre,
+            role=CONTROL_ROLE,
+            sequence=self._sequence,
+            config_version=self._state.configuration.version,
+            is_leaving=False,
+            leader=self._leader_hint(),
+            term=self._raft.term,
+        )
+        for peer in self._peers:
+            yield Send(peer, heartbeat)
+
+    def _read(self, waiting: _WaitingRead, now_ms: int) -> Iterator[Any]:
+        if not self._is_leader:
+            yield OperatorUnavailable(waiting.ticket, self._leader_hint())
+            return
+        number = self._next_read
+        self._next_read += 1
+        self._reads[number] = waiting
+        yield from self._drive(Read(number), now_ms)
+
+    def _leader_hint(self) -> str:
+        return self._raft.leader or ""
+
+    def _host_view(self, state: HostState, now_ms: int) -> HostView:
+        heartbeat = state.heartbeat
+        return HostView(
+            host=state.host,
+            incarnation=state.incarnation,
+            role=heartbeat.role,
+            data_centre=heartbeat.data_centre,
+            config_version=heartbeat.config_version,
+            silent_ms=now_ms - state.last_heard_ms,
+            is_alive=self._hosts.is_alive(state, now_ms),
+            is_leaving=heartbeat.is_leaving,
+        )
+
+    def _compact(self) -> Iterator[Any]:
+        is_due = (
+            self._entries_since_snapshot >= self._timing.snapshot_entries
+            or self._bytes_since_snapshot >= self._timing.snapshot_bytes
+        )
+        if not is_due:
+            return
+        self._entries_since_snapshot = 0
+        self._bytes_since_snapshot = 0
+        yield from self._raft.compact(self._raft.last_applied, self.snapshot())
+
+
+def _is_holder(request: ClaimRequest, event: Received) -> bool:
+    claim = request.claim
+    return (
+        claim.holder_host == event.sender
+        and claim.holder_incarnation == event.incarnation
+    )
+
+
+def _unavailable(request: ClaimRequest) -> Send:
+    claim = request.claim
+    reply = ClaimReply(request.request_id, claim.key, ClaimStatus.UNAVAILABLE)
+    return Send(claim.holder_host, reply)
+
+
+def _size_of(command: Any) -> int:
+    """Return the estimated size of a command in bytes."""
+    if isinstance(command, ConfigChange):
+        return ENTRY_BYTES + len(command.proposal.content)
+    if isinstance(command, ClaimBatch):
+        parts = len(command.claims) + len(command.outcomes)
+        bodies = sum([len(o.outcome.body) for o in command.outcomes])
+        return ENTRY_BYTES + CLAIM_ENTRY_BYTES * parts + bodies
+    return ENTRY_BYTES
--- a/src/peridotfront/core/follower.py
+++ b/src/peridotfront/core/follower.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from .actions import Received, Send, Tick
+from .actions import Log, Received, Send, Tick
 from .messages import ConfigQuery, ConfigUpdate, Heartbeat
 
 CONTROL_ROLE = "control"
@@ -27,11 +27,15 @@
     :param query_interval_ms: between two queries; also how long a newer version
         may be known before it is asked for, since the leader sends it unasked.
     :param reply_interval_ms: between two configurations sent to one peer.
+    :param blank_wait_ms: how long a blank follower listens at least.
+    :param blank_limit_ms: how long it looks for the newest version at most.
     """
 
     host_timeout_ms: int = 1500
     query_interval_ms: int = 300
     reply_interval_ms: int = 200
+    blank_wait_ms: int = 500
+    blank_limit_ms: int = 3000
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +66,12 @@
 
     It starts blank, with version 0, and asks whoever names a newer version in a
     heartbeat. Cut off, it goes on with what it has; see :meth:`is_cut_off`.
+
+    So that a restart is no step back, a blank follower first listens, and then
+    takes no version older than the newest that a live host names. Only if nobody
+    has brought that one within ``blank_limit_ms`` it takes the newest it got, and
+    says so with the log event ``configuration_may_be_old``. A host that restarts
+    while all hosts in its reach have an older version than it had cannot know of it.
     """
 
     def __init__(self, timing: FollowerTiming | None = None):
@@ -71,6 +81,8 @@
         self._sent_ms: dict[str, int] = {}
         self._asked: dict[str, int] = {}
         self._query_due_ms: int | None = None
+        self._started_ms: int | None = None
+        self._candidate = self._current
 
     @property
     def version(self) -> int:
@@ -98,21 +110,28 @@
             control_silent_ms=self._control_silent_ms(now_ms),
         )
 
-    @singledispatchmethod
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Handle one event; those that are not for a follower are ignored.
 
         :param now_ms: monotonic clock of this host.
-        :return: actions: ``Send`` and ``ConfigInForce``.
+        :return: actions: ``Send``, ``ConfigInForce`` and ``Log``.
         """
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        yield from self._handle(event, now_ms)
+
+    @singledispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         yield from ()
 
-    @handle.register
+    @_handle.register
     def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        if not self.version and self._candidate.version:
+            yield from self._leave_blank(now_ms)
         if self._query_due_ms is not None and now_ms >= self._query_due_ms:
             yield from self._query(now_ms)
 
-    @handle.register
+    @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
         yield from self._receive(event.message, event.sender, now_ms)
 
@@ -128,16 +147,17 @@
         if is_behind and self._query_due_ms is None:
             wait_ms = self._timing.query_interval_ms if self.version else 0
             self._query_due_ms = now_ms + wait_ms
-            yield from self.handle(Tick(), now_ms)
+            yield from self._handle(Tick(), now_ms)
 
     @_receive.register
     def _(self, message: ConfigUpdate, sender: str, now_ms: int) -> Iterator[Any]:
-        if message.version <= self.version:
+        if message.version <= max(self.version, self._candidate.version):
             return
-        self._current = message
-        self._asked.clear()
-        self._query_due_ms = None
-        yield ConfigInForce(message.version, message.content)
+        self._candidate = message
+        if self.version:
+            yield from self._put_in_force()
+        else:
+            yield from self._leave_blank(now_ms)
 
     @_receive.register
     def _(self, message: ConfigQuery, sender: str, now_ms: int) -> Iterator[Any]:
@@ -149,6 +169,28 @@
         self._sent_ms[sender] = now_ms
         yield Send(sender, self._current)
 
+    def _leave_blank(self, now_ms: int) -> Iterator[Any]:
+        waited_ms = now_ms - self._started_ms
+        if waited_ms < self._timing.blank_wait_ms:
+            return
+        newest = max([s.version for s in self._fresh(now_ms).values()], default=0)
+        if self._candidate.version < newest:
+            if waited_ms < self._timing.blank_limit_ms:
+                return
+            fields = (("version", self._candidate.version), ("newest", newest))
+            yield Log("configuration_may_be_old", fields)
+        yield from self._put_in_force()
+
+    def _put_in_force(self) -> Iterator[Any]:
+        self._current = self._candidate
+        self._asked.clear()
+        self._query_due_ms = None
+        yield ConfigInForce(self._current.version, self._current.content)
+
+    def _fresh(self, now_ms: int) -> dict[str, _Source]:
+        oldest_ms = now_ms - self._timing.host_timeout_ms
+        return {h: s for h, s in self._sources.items() if s.heard_ms > oldest_ms}
+
     def _query(self, now_ms: int) -> Iterator[Any]:
         self._query_due_ms = None
         source = self._next_source(now_ms)
@@ -156,15 +198,16 @@
             return
         self._asked[source] = now_ms
         self._query_due_ms = now_ms + self._timing.query_interval_ms
-        yield Send(source, ConfigQuery(self.version))
+        known = max(self.version, self._candidate.version)
+        yield Send(source, ConfigQuery(known))
 
     def _next_source(self, now_ms: int) -> str | None:
         """Return the source asked longest ago; of these the newest, peers first."""
-        oldest_ms = now_ms - self._timing.host_timeout_ms
+        known = max(self.version, self._candidate.version)
         newer = [
             (self._asked.get(host, -1), -source.version, source.is_control, host)
-            for host, source in self._sources.items()
-            if source.version > self.version and source.heard_ms > oldest_ms
+            for host, source in self._fresh(now_ms).items()
+            if source.version > known
         ]
         return min(newer)[-1] if newer else None
 
