Serve requests end to end with separate processes, proved by a feature

Cause: the first run of the whole path found three faults. A log event that the catalogue did not list stopped the control process; the metric of the leadership asked the controller for a property it lacks; a cancelled gRPC handler printed a traceback at each stop. And three feature files had a sentence of the same words, of which behave ran whichever it had loaded first.

Ruled out: the transport (a trial of two processes' links brought frames in both directions, also when the peer came 3 s later); the bootstrap (its queries arrived).

Change: the catalogue lists all events; a fault in the control loop stops the process with a line that tells a storage failure from a fault in the program; behave refuses a sentence that two steps would take.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -86,9 +86,9 @@
     Given no claims
     When host "e1" claims "pay" for request "r1"
     And host "e1" reports completed with body "paid" for epoch 1 of "pay"
-    And 86399999 ms pass
+    And 86399999 ms pass for the claims
     And host "e2" claims "pay" for request "r2"
-    And 2 ms pass
+    And 2 ms pass for the claims
     And host "e3" claims "pay" for request "r3"
     Then "r2" is ended as completed with body "paid"
     And "r3" is granted with epoch 1 to dispatch
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,10 +1,15 @@
-"""Behave hooks: known failures and the shared settings of hypothesis."""
+"""Behave hooks: known failures, fixtures and the settings of hypothesis."""
 
+import sys
+import tempfile
 from pathlib import Path
 
+from behave import fixture, use_fixture
 from hypothesis import HealthCheck, settings
 
-KNOWN_RED_FILE = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+FEATURES = Path(__file__).resolve().parent
+KNOWN_RED_FILE = FEATURES.parent / "KNOWN-RED.txt"
+sys.path.insert(0, str(FEATURES))
 settings.register_profile(
     "ci",
     derandomize=True,
@@ -23,10 +28,50 @@
     return {line[5:].strip() for line in lines if line.startswith("test:")}
 
 
+@fixture
+def small_deployment(context):
+    """Run three control hosts, two entry hosts, two engines and a service."""
+    from support.deployment import Deployment
+
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(folder, control_hosts=3, entry_hosts=2)
+        deployment.add_engine(
+            "engine-1", "dc1", prefill_tokens_per_s=20000, decode_tokens_per_s=400
+        )
+        deployment.add_engine(
+            "engine-2", "dc2", prefill_tokens_per_s=8000, decode_tokens_per_s=200
+        )
+        deployment.add_service("payout-1", "dc1", "payout")
+        with deployment:
+            context.deployment = deployment
+            yield deployment
+
+
+FIXTURES = {"fixture.small_deployment": small_deployment}
+
+
+def check_sentences(feature, steps_of_kind):
+    """Refuse a sentence that two step functions would take."""
+    for scenario in feature.walk_scenarios():
+        for step in scenario.all_steps:
+            candidates = steps_of_kind[step.step_type] + steps_of_kind["step"]
+            matches = [one for one in candidates if one.match(step.name)]
+            assert len(matches) < 2, f"{step.name}: {[m.location for m in matches]}"
+
+
 def before_all(context):
     context.known_red = known_red_names()
 
 
+def before_feature(context, feature):
+    check_sentences(feature, context._runner.step_registry.steps)
+
+
+def before_tag(context, tag):
+    if tag in FIXTURES:
+        use_fixture(FIXTURES[tag], context)
+
+
 def before_scenario(context, scenario):
     if scenario.name in context.known_red:
         print(f"KNOWN RED: {scenario.filename}: {scenario.name}")
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -30,7 +30,7 @@
   Scenario: An upstream that died is probed before it is trusted
     When the upstream of a running request dies
     Then it gets no new grants
-    When 1100 ms pass
+    When 1100 ms pass in the cell
     Then it gets 1 request as a probe
 
   Scenario: A request at its second strike is refused
--- a/features/raft.feature
+++ b/features/raft.feature
@@ -131,7 +131,7 @@
   Scenario: A host whose disk is lost twice during its repair is repaired
     Given a control group of 3 hosts with 30 completed writes
     When a follower loses its disk and starts
-    And 400 ms pass
+    And 400 ms pass in the group
     And the same follower loses its disk and starts
     Then every host catches up as a voter
 
--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -12,7 +12,7 @@
     Given a scheduler that has not settled
     When host "a" wants "r1" at tier 1
     Then "r1" has no answer
-    When 300 ms pass
+    When 300 ms pass in the cell
     Then "r1" is granted
 
   Scenario: A repeated want gets the same grant again
@@ -36,7 +36,7 @@
 
   Scenario: A slot whose holder is silent lapses
     When host "a" wants "r1" at tier 1
-    And 3200 ms pass
+    And 3200 ms pass in the cell
     Then 0 slots are in use
 
   Scenario: A held slot renews its lease
@@ -56,7 +56,7 @@
     And host "b" is lost
     And host "h" is lost
     Then 4 slots are in use
-    When 3200 ms pass
+    When 3200 ms pass in the cell
     Then 0 slots are in use
     And "r1" has no answer
 
@@ -71,7 +71,7 @@
   Scenario: A lower running request is cut only for an urgent higher one
     Given all slots are held at tier 3
     When 3 wants of tier 1 arrive
-    And 200 ms pass
+    And 200 ms pass in the cell
     Then no request is preempted
     And 4 slots are in use
     When the holders keep their slots for 1200 ms
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -85,7 +85,7 @@
     apply(context, outcomes=(report_of(host, key, epoch, verdict, body),))
 
 
-@when("{time_ms:d} ms pass")
+@when("{time_ms:d} ms pass for the claims")
 def pass_time(context, time_ms):
     context.time_ms += time_ms
 
--- a/features/steps/raft_steps.py
+++ b/features/steps/raft_steps.py
@@ -70,7 +70,7 @@
     context.group.run_for(count * 1000)
 
 
-@when("{count:d} ms pass")
+@when("{count:d} ms pass in the group")
 def milliseconds_pass(context, count):
     context.group.run_for(count)
 
--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -59,7 +59,7 @@
         context.cell.release(f"held{index}")
 
 
-@when("{duration:d} ms pass")
+@when("{duration:d} ms pass in the cell")
 def pass_time(context, duration):
     context.cell.pass_time(duration)
 
--- /dev/null
+++ b/features/steps/whole_path_steps.py
@@ -0,0 +1,147 @@
+"""Steps that send callers' requests to a deployment of real processes."""
+
+import json
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+from support.deployment import wait_until
+
+from peridotfront.standin import expected_text
+
+PROMPT = "Describe a gold ring of nine carat, hallmarked in Chester, {}"
+
+
+def completion_text(reply):
+    return reply.json()["choices"][0]["text"]
+
+
+def stream_text(body):
+    events = [e for e in body.decode().split("\n\n") if e.startswith("data: {")]
+    contents = [json.loads(event[6:]) for event in events]
+    return "".join(one["choices"][0]["text"] for one in contents)
+
+
+def transfer(context, entry, key, amount=5, **headers):
+    body = {"seller": "A. Davies", "amount_pence": amount}
+    if key:
+        headers["idempotency_key"] = key
+    return context.deployment.request(
+        entry, "/services/payout/transfers", body, **headers
+    )
+
+
+def dispatches(deployment, key):
+    lines = [
+        line
+        for name in deployment.upstreams
+        for line in deployment.runs(name)
+        if line["event"] in ("dispatch", "run")
+    ]
+    return [line for line in lines if line["key"].endswith(f"/{key}")]
+
+
+@when("a caller asks {entry} for a completion of {tokens:d} tokens")
+def ask(context, entry, tokens):
+    context.prompt = PROMPT.format(tokens)
+    context.tokens = tokens
+    context.reply = context.deployment.complete(entry, context.prompt, tokens)
+
+
+@when("a caller asks {entry} for a streamed completion of {tokens:d} tokens")
+def ask_stream(context, entry, tokens):
+    context.prompt = PROMPT.format("streamed")
+    context.tokens = tokens
+    body = {"model": "m1", "prompt": context.prompt, "max_tokens": tokens}
+    body["stream"] = True
+    context.reply = context.deployment.request(entry, "/v1/completions", body)
+
+
+@when("a caller asks {entry} for a completion with key {key}")
+@when("the same caller asks {entry} for the same with key {key}")
+def ask_with_key(context, entry, key):
+    replies = getattr(context, "replies", [])
+    reply = context.deployment.complete(
+        entry, PROMPT.format(key), 20, idempotency_key=key
+    )
+    context.replies = [*replies, reply]
+
+
+@when("a caller sends the transfer {key} to entry-1 and entry-2 at the same time")
+def send_transfers(context, key):
+    with ThreadPoolExecutor(2) as pool:
+        jobs = [pool.submit(transfer, context, f"entry-{n}", key) for n in (1, 2)]
+        context.replies = [job.result() for job in jobs]
+
+
+@when("the same caller sends the transfer {key} to {entry} again")
+def send_again(context, key, entry):
+    context.replies.append(transfer(context, entry, key))
+
+
+@when("a caller sends another transfer with key {key} to {entry}")
+def send_other(context, key, entry):
+    context.reply = transfer(context, entry, key, amount=6)
+
+
+@when("a caller sends a transfer without a key to {entry}")
+def send_without_key(context, entry):
+    context.reply = transfer(context, entry, "")
+
+
+@when("an operator adds the client account {name}")
+def add_account(context, name):
+    context.deployment.accounts[name] = 2
+    reply = context.deployment.apply(context.deployment.rules())
+    assert reply.status == 200, reply.body
+    context.accepted_s = time.monotonic()
+
+
+@then("{name} is served by every entry host within {bound_ms:d} ms")
+def served_everywhere(context, name, bound_ms):
+    for host in context.deployment.hosts("entry"):
+
+        def is_served(entry=host.name):
+            reply = context.deployment.complete(entry, "x", 1, account=name)
+            return reply.status == 200
+
+        wait_until(is_served, what=f"{name} at {host.name}")
+    elapsed_ms = (time.monotonic() - context.accepted_s) * 1000
+    assert elapsed_ms <= bound_ms, elapsed_ms
+
+
+@then("the answer is the whole text of that completion")
+def whole_text(context):
+    assert context.reply.status == 200, context.reply
+    expected = expected_text(context.prompt, context.tokens)
+    assert completion_text(context.reply) == expected
+
+
+@then("the stream holds the whole text and its end")
+def whole_stream(context):
+    expected = expected_text(context.prompt, context.tokens)
+    assert stream_text(context.reply.body) == expected
+    assert context.reply.body.endswith(b"data: [DONE]\n\n")
+
+
+@then("both answers are the same bytes")
+@then("every answer to {key} is the same")
+def same_answers(context, key=""):
+    assert {reply.status for reply in context.replies} == {200}, context.replies
+    assert len({reply.body for reply in context.replies}) == 1, context.replies
+
+
+@then("the engines have seen key {key} in {count:d} dispatch")
+def dispatched(context, key, count):
+    assert len(dispatches(context.deployment, key)) == count
+
+
+@then("the service has run {key} once")
+def ran_once(context, key):
+    assert len(dispatches(context.deployment, key)) == 1
+
+
+@then("the last answer has status {status:d} and verdict {verdict}")
+def refused(context, status, verdict):
+    assert context.reply.status == status, context.reply
+    assert context.reply.json()["verdict"] == verdict
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -25,6 +25,7 @@
 from .transport import Transport
 
 EXIT_STORAGE = 3
+EXIT_INTERNAL_ERROR = 70
 
 
 class ControlProgram:
@@ -52,7 +53,7 @@
             host.admin_token,
             lambda: controller.dump(now_ms()),
             metrics,
-            lambda: bool(controller.leader),
+            lambda: bool(self.server.leader),
         )
         OperatorPages(self.server).add_to(pages)
         self.admin = HttpServer(pages.handle)
@@ -87,8 +88,11 @@
         stopped.cancel()
         if not self.server.failed.done():
             return 0
-        logs.write("storage_failed", detail=repr(self.server.failed.exception()))
-        return EXIT_STORAGE
+        error = self.server.failed.exception()
+        is_storage = isinstance(error, StorageFailed)
+        event = "storage_failed" if is_storage else "internal_error"
+        logs.write(event, detail=repr(error))
+        return EXIT_STORAGE if is_storage else EXIT_INTERNAL_ERROR
 
     def _on_frame(self, frame) -> None:
         self.server.on_frame(frame)
--- a/src/peridotfront/control_server.py
+++ b/src/peridotfront/control_server.py
@@ -26,7 +26,7 @@
     ConfigResult,
     Frame,
 )
-from .core.raft_types import Persist, RoleChanged
+from .core.raft_types import Persist, Role, RoleChanged
 from .exceptions import NotLeader
 from .metrics import Metrics
 from .runtime import now_ms
@@ -54,6 +54,7 @@
         metrics: Metrics,
     ):
         self.controller = controller
+        self.leader = ""
         self._storage = storage
         self._send = send
         self._metrics = metrics
@@ -143,7 +144,8 @@
 
     @_run.register
     def _(self, action: RoleChanged) -> None:
-        self._metrics.set_is_leader(self.controller.is_leader)
+        self.leader = action.leader
+        self._metrics.set_is_leader(action.role is Role.LEADER)
         logs.write(
             "leader_changed", role=action.role, term=action.term, leader=action.leader
         )
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -173,6 +173,20 @@
         "a connection without a valid certificate was refused",
         "Check the certificate files of the host named, and whether it belongs here.",
     ),
+    LogEvent(
+        220,
+        "peer_unknown",
+        Level.WARNING,
+        "a message is due to a host that the settings do not name",
+        "Check the peer sections of the settings of this host.",
+    ),
+    LogEvent(
+        221,
+        "message_unexpected",
+        Level.WARNING,
+        "a message came that this host has no use for",
+        "Check the releases of the hosts.",
+    ),
 )
 
 CONTROL_EVENTS = (
@@ -285,6 +299,41 @@
         "a snapshot of the leader was taken over",
         "The host was far behind or blank. Nothing to do.",
     ),
+    LogEvent(
+        330,
+        "raft_bootstrapped",
+        Level.INFO,
+        "the control group has been founded",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        331,
+        "raft_join_refused",
+        Level.WARNING,
+        "a replica asked to join that the settings do not name",
+        "Check the settings of the host named.",
+    ),
+    LogEvent(
+        332,
+        "raft_members_changed",
+        Level.INFO,
+        "voters or learners of the control group have changed",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        333,
+        "snapshot_restored",
+        Level.INFO,
+        "the state was restored from a snapshot",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        334,
+        "claim_of_other_holder",
+        Level.WARNING,
+        "a host asked for a claim in the name of another",
+        "Check the host named; its settings may be a copy of another's.",
+    ),
 )
 
 CONFIGURATION_EVENTS = (
@@ -338,6 +387,20 @@
         "The host runs an older release than the configuration needs; it goes on"
         " with its last one. Upgrade it.",
     ),
+    LogEvent(
+        430,
+        "configuration_applied",
+        Level.INFO,
+        "a configuration was accepted by the control group",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        431,
+        "configuration_may_be_old",
+        Level.WARNING,
+        "no control host was heard; the configuration may be old",
+        "This host is cut off from the control group. Look at the network.",
+    ),
 )
 
 REQUEST_EVENTS = (
@@ -418,6 +481,27 @@
         "a request that took upstreams down was refused for good",
         "Tell the client account; the fingerprint is in the line.",
     ),
+    LogEvent(
+        530,
+        "request_joined",
+        Level.INFO,
+        "a request waits for the answer of another with its key",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        531,
+        "outcome_recorded",
+        Level.DEBUG,
+        "the outcome of a request is durable",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        532,
+        "request_ended",
+        Level.INFO,
+        "a request has got its last word",
+        "Nothing to do.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -130,8 +130,9 @@
 
     async def Exchange(self, request_iterator, context):  # noqa: N802
         """Read the frames of one peer until its stream ends."""
-        async for proto in request_iterator:
-            self._on_frame(wire.from_proto(Frame, proto))
+        with contextlib.suppress(asyncio.CancelledError):
+            async for proto in request_iterator:
+                self._on_frame(wire.from_proto(Frame, proto))
         return peridotfront_pb2.Received()
 
 
