--- /dev/null
+++ b/features/controller.feature
@@ -0,0 +1,81 @@
+Feature: The control role
+  The leader answers for the group; everyone else says who leads, or nothing.
+
+  Scenario: Every replica but the leader refuses an operator and names the leader
+    Given a control group with a configuration
+    When an operator asks every control host for the state
+    Then the leader shows version 1 with its author, hosts and members
+    And the others name the leader
+
+  Scenario: A leader without a quorum steps down and answers unavailable at once
+    Given a control group with a configuration
+    When the leader is isolated
+    And an operator asks the old leader while it is cut off
+    Then the operator is told that it is unavailable within 700 ms
+    And from then on the old leader answers a claim as unavailable in the same turn
+
+  Scenario: Without a quorum a claim is given up at once and nothing is dispatched
+    Given a control group with a configuration
+    When two control hosts are killed for 3000 ms
+    And "e1" wants the claim "late"
+    Then "e1" gives the claim up in the same turn
+    And nothing ran
+
+  Scenario: A grant that comes after the claim was given up frees the key
+    Given a control group with a configuration
+    When "e1" wants the claim "slow" and the answer is lost for 2500 ms
+    And a caller claims "slow" at "e2"
+    Then "slow" ran once, at "e2"
+
+  Scenario: A host that gave up and is cut off still frees the key afterwards
+    Given a control group with a configuration
+    When "e1" wants the claim "slow" and the answer is lost for 2500 ms
+    Then the claim of "slow" ends as not_run on record
+
+  Scenario: Claims that arrive together share log entries
+    Given a control group with a configuration
+    When "e1" wants 256 claims in one turn
+    Then all 256 are granted with at most 4 log entries
+
+  Scenario: A host that restarts after 500 changes comes to the present state
+    Given a control group with a configuration
+    When 500 changes are made while "c3" is down
+    And "c3" starts again and "e2" restarts blank
+    Then all replicas and hosts have version 501
+    And the log of every replica holds at most 300 entries
+
+  Scenario: Hosts that have not confirmed a version are named
+    Given a control group with a configuration
+    When "e3" is cut off and a change is made
+    Then the view names "e3" alone as not confirmed
+    When all faults are healed
+    Then the view names nobody as not confirmed
+
+  Scenario: A burst of changes is sent to a host at a bounded rate
+    Given a control group with a configuration
+    When 50 changes are made within 500 ms
+    Then each entry host was sent at most 6 configurations
+    And all replicas and hosts have version 51
+
+  Scenario: A blank host without control gets the configuration from its peers
+    Given a control group with a configuration
+    When all control hosts are killed
+    And "e2" restarts blank
+    Then "e2" has version 1 in force within 2000 ms
+    And "e2" says that it is cut off
+
+  Scenario: A blank host does not take an older version while a newer one is near
+    Given a control group with a configuration
+    When "e3" is cut off and a change is made
+    And "e2" restarts blank and hears "e3" first, then "e1"
+    Then the first version in force at "e2" is 2
+
+  Scenario: A thawed holder finds its lease over before it dispatches
+    Given a claimant with a granted claim
+    When 3000 ms pass on its clock before the dispatch
+    Then it may not dispatch
+
+  Scenario: Only the holder itself asks for its claim
+    Given a control group with a configuration
+    When "e2" sends a claim that names "e1" as holder
+    Then no claim is on record for it
--- /dev/null
+++ b/features/steps/controller_steps.py
@@ -0,0 +1,321 @@
+"""Steps on the control role and the parts that entry hosts run."""
+
+from behave import given, then, when
+from support.control_group import CONTROLS, ENTRIES
+
+from peridotfront.core.actions import Received, Send
+from peridotfront.core.claimant import (
+    Claimant,
+    ClaimDecided,
+    ClaimUnknown,
+    WantClaim,
+)
+from peridotfront.core.control_types import (
+    OperatorPropose,
+    OperatorRead,
+    OperatorUnavailable,
+)
+from peridotfront.core.messages import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    ConfigUpdate,
+    Heartbeat,
+)
+from peridotfront.core.verdicts import Verdict
+
+
+def request(key, host, incarnation, request_id="r"):
+    return ClaimRequest(request_id, Claim(key, 1, 1, host, incarnation, "up", False))
+
+
+@when("an operator asks every control host for the state")
+def ask_all(context):
+    group = context.group
+    context.tickets = {name: group.ask(name, OperatorRead) for name in CONTROLS}
+    group.run_for(300)
+
+
+@then("the leader shows version {version:d} with its author, hosts and members")
+def leader_shows(context, version):
+    view = context.group.answers[context.tickets[context.leader]].view
+    assert (view.current.version, view.current.author) == (version, "ann"), view
+    assert {h.host for h in view.hosts} | {view.host} == set(CONTROLS + ENTRIES)
+    assert {v.host for v in view.voters} == set(CONTROLS)
+    confirmed = {h.config_version for h in view.hosts if h.role == "entry"}
+    assert confirmed == {version}, view.hosts
+
+
+@then("the others name the leader")
+def others_name(context):
+    for name, ticket in context.tickets.items():
+        if name != context.leader:
+            expected = OperatorUnavailable(ticket, context.leader)
+            assert context.group.answers[ticket] == expected
+
+
+@when("an operator asks the old leader while it is cut off")
+def ask_old(context):
+    group = context.group
+    context.asked_ms = group.now_ms
+    context.ticket = group.ask(context.leader, OperatorRead)
+    proposal = group.proposal("cut", 1)
+    context.change_ticket = group.ask(
+        context.leader, lambda t: OperatorPropose(t, proposal)
+    )
+
+
+@then("the operator is told that it is unavailable within {limit_ms:d} ms")
+def told(context, limit_ms):
+    group = context.group
+    tickets = {context.ticket, context.change_ticket}
+    group.run_until(lambda: tickets <= group.answers.keys(), limit_ms)
+    assert isinstance(group.answers[context.ticket], OperatorUnavailable)
+    assert group.answers[context.change_ticket].result.status == "unavailable"
+
+
+@then("from then on the old leader answers a claim as unavailable in the same turn")
+def claim_unavailable(context):
+    group = context.group
+    entry = group.hosts["e1"]
+    event = Received("e1", entry.incarnation, request("k", "e1", entry.incarnation))
+    actions = group.hosts[context.leader].handle(event, group.now_ms)
+    replies = [a.message for a in actions if isinstance(a, Send)]
+    assert [r.status for r in replies] == [ClaimStatus.UNAVAILABLE], replies
+
+
+@when("two control hosts are killed for {time_ms:d} ms")
+def kill_two(context, time_ms):
+    for name in CONTROLS[:2]:
+        context.group.kill(name)
+    context.group.run_for(time_ms)
+
+
+@when('"{name}" wants the claim "{key}"')
+def want(context, name, key):
+    context.group.want(name, key, "wanted")
+
+
+@then('"{name}" gives the claim up in the same turn')
+def given_up(context, name):
+    assert context.group.hosts[name].unknown == {"wanted"}
+
+
+@then("nothing ran")
+def nothing_ran(context):
+    assert not context.group.oracle.runs
+
+
+@when('"{name}" wants the claim "{key}" and the answer is lost for {time_ms:d} ms')
+def lost_answer(context, name, key, time_ms):
+    group = context.group
+    group.cuts |= {(control, name) for control in CONTROLS}
+    group.want(name, key, "wanted")
+    group.run_for(time_ms)
+    assert group.hosts[name].unknown == {"wanted"}
+    group.cuts = set()
+
+
+@when('a caller claims "{key}" at "{name}"')
+def settle(context, key, name):
+    context.end = context.group.settle(name, key)
+
+
+@then('"{key}" ran once, at "{name}"')
+def ran_once_at(context, key, name):
+    assert context.group.oracle.runs[key] == 1
+    record = context.group.lookup(key)
+    assert record.claim.holder_host == name, record
+    assert record.outcome.verdict is Verdict.COMPLETED, record
+
+
+@then('the claim of "{key}" ends as {verdict} on record')
+def ends_as(context, key, verdict):
+    group = context.group
+    group.run_for(3000)
+    assert group.lookup(key).outcome.verdict is Verdict(verdict)
+    assert not group.oracle.runs
+
+
+@when('"{name}" wants {count:d} claims in one turn')
+def want_many(context, name, count):
+    group = context.group
+    context.before = group.view().commit_index
+    for number in range(count):
+        group.want(name, f"key-{number}", f"many-{number}")
+    group.run_for(50)
+    context.after = group.view().commit_index
+    context.granted = len(group.hosts[name].decided)
+
+
+@then("all {count:d} are granted with at most {entries:d} log entries")
+def few_entries(context, count, entries):
+    assert context.granted == count, context.granted
+    assert context.after - context.before <= entries, context.after - context.before
+
+
+def make_changes(context, count, spacing_ms):
+    group = context.group
+    for _ in range(count):
+        base = group.hosts[context.leader].role.state.configuration.version
+        proposal = group.proposal(f"change-{base}", base)
+        group.ask(context.leader, lambda t, p=proposal: OperatorPropose(t, p))
+        group.run_until(
+            lambda b=base: (
+                group.hosts[context.leader].role.state.configuration.version > b
+            )
+        )
+        group.run_for(spacing_ms)
+
+
+@when('{count:d} changes are made while "{name}" is down')
+def changes_while_down(context, count, name):
+    context.group.kill(name)
+    make_changes(context, count, 0)
+
+
+@when('"{first}" starts again and "{second}" restarts blank')
+def restart_two(context, first, second):
+    context.group.kill(second)
+    context.group.restart(first)
+    context.group.restart(second)
+
+
+@then("all replicas and hosts have version {version:d}")
+def all_have(context, version):
+    group = context.group
+    group.check()
+    for name in CONTROLS:
+        assert group.hosts[name].role.state.configuration.version == version
+    assert group.all_in_force(version)
+
+
+@then("the log of every replica holds at most {count:d} entries")
+def log_bounded(context, count):
+    for name in CONTROLS:
+        entries = context.group.hosts[name].disk.entries
+        assert len(entries) <= count, (name, len(entries))
+
+
+@when('"{name}" is cut off and a change is made')
+def change_without(context, name):
+    group = context.group
+    group.isolate(name)
+    assert group.change(group.proposal("change", 1)).version == 2
+    group.run_for(500)
+
+
+@then('the view names "{name}" alone as not confirmed')
+def named(context, name):
+    assert context.group.view().laggards == (name,)
+
+
+@then("the view names nobody as not confirmed")
+def nobody(context):
+    assert context.group.view().laggards == ()
+
+
+@when("{count:d} changes are made within {time_ms:d} ms")
+def burst(context, count, time_ms):
+    group = context.group
+    context.sent_before = group.sent["ConfigUpdate"]
+    start_ms = group.now_ms
+    leader = context.leader
+    for number in range(count):
+        proposal = group.proposal(f"burst-{number}", 1 + number)
+        group.ask(leader, lambda t, p=proposal: OperatorPropose(t, p))
+        if number % 2:
+            group.step()
+    assert group.now_ms - start_ms <= time_ms
+    group.run_for(1000)
+
+
+@then("each entry host was sent at most {count:d} configurations")
+def few_updates(context, count):
+    sent = context.group.sent["ConfigUpdate"] - context.sent_before
+    assert 0 < sent <= count * len(ENTRIES), sent
+
+
+@when("all control hosts are killed")
+def kill_all(context):
+    for name in CONTROLS:
+        context.group.kill(name)
+
+
+@when('"{name}" restarts blank')
+def restart_blank(context, name):
+    context.group.kill(name)
+    context.group.restart(name)
+
+
+@then('"{name}" has version {version:d} in force within {limit_ms:d} ms')
+def has_version(context, name, version, limit_ms):
+    follower = context.group.hosts[name].follower
+    context.group.run_until(lambda: follower.version == version, limit_ms)
+
+
+@then('"{name}" says that it is cut off')
+def says_cut_off(context, name):
+    group = context.group
+    assert group.hosts[name].follower.is_cut_off(group.now_ms)
+
+
+@when('"{name}" restarts blank and hears "{first}" first, then "{second}"')
+def hears_in_order(context, name, first, second):
+    group = context.group
+    for control in CONTROLS:
+        group.kill(control)
+    group.kill(name)
+    group.oracle.versions.pop(name)
+    group.restart(name)
+    group.cuts = {(second, name)}
+    old = ConfigUpdate(1, "first", "ann", "content first")
+    group.send(group.hosts[first], Send(name, old))
+    group.run_for(300)
+    group.cuts = set()
+
+
+@then('the first version in force at "{name}" is {version:d}')
+def first_version(context, name, version):
+    group = context.group
+    follower = group.hosts[name].follower
+    group.run_until(lambda: follower.version > 0)
+    assert follower.version == version, follower.version
+
+
+@given("a claimant with a granted claim")
+def granted_claimant(context):
+    context.claimant = claimant = Claimant("e1", 1)
+    beat = Heartbeat("dc", "control", 1, 0, False, "c1", 1)
+    list(claimant.handle(Received("c1", 1, beat), 0))
+    asked = request("k", "e1", 1)
+    list(claimant.handle(WantClaim(asked), 0))
+    reply = ClaimReply("r", "k", ClaimStatus.GRANTED, asked.claim)
+    actions = list(claimant.handle(Received("c1", 1, reply), 5))
+    assert [type(a) for a in actions] == [ClaimDecided], actions
+    assert claimant.may_dispatch("k", 1, 2999)
+    assert ClaimUnknown not in map(type, actions)
+
+
+@when("{time_ms:d} ms pass on its clock before the dispatch")
+def clock_passes(context, time_ms):
+    context.now_ms = time_ms
+
+
+@then("it may not dispatch")
+def may_not(context):
+    assert not context.claimant.may_dispatch("k", 1, context.now_ms)
+
+
+@when('"{name}" sends a claim that names "{holder}" as holder')
+def foreign_claim(context, name, holder):
+    group = context.group
+    foreign = request("foreign", holder, group.hosts[holder].incarnation)
+    group.send(group.hosts[name], Send(context.leader, foreign))
+    group.run_for(500)
+
+
+@then("no claim is on record for it")
+def no_record(context):
+    assert context.group.lookup("foreign") is None
--- a/features/support/control_group.py
+++ b/features/support/control_group.py
@@ -106,7 +106,6 @@
         self.sequence = 0
         self.beat_due_ms = 0
         self.running = {}
-        self.ended = {}
         self.decided = {}
         self.unknown = set()
 
@@ -121,7 +120,8 @@
             self.beat_due_ms = now_ms + HEARTBEAT_MS
             self.sequence += 1
             version = self.follower.version
-            beat = Heartbeat("dc", "entry", self.sequence, version, False)
+            leader = self.claimant.leader(now_ms)
+            beat = Heartbeat("dc", "entry", self.sequence, version, False, leader)
             yield from [Send(p, beat) for p in CONTROLS + ENTRIES if p != self.name]
         for claim in [c for c, due_ms in self.running.items() if now_ms >= due_ms]:
             del self.running[claim]
@@ -132,6 +132,7 @@
         if isinstance(action, ClaimDecided):
             self.decided[action.request_id] = action.reply
             if action.reply.status is ClaimStatus.GRANTED:
+                assert action.request_id not in self.unknown, "granted after refusal"
                 self._granted(action.reply.claim, now_ms)
         elif isinstance(action, ClaimUnknown):
             self.unknown.add(action.request_id)
@@ -210,6 +211,7 @@
         self.sent = Counter()
         self.down = set()
         self.frozen = {}
+        self.clock_rates = {}
         self.hosts = {name: ControlHost(self, name) for name in CONTROLS}
         self.hosts |= {name: EntryHost(self, name) for name in ENTRIES}
 
@@ -240,6 +242,9 @@
     def mute(self, name):
         self.cuts |= {(name, other) for other in self.hosts}
 
+    def deafen(self, name):
+        self.cuts |= {(other, name) for other in self.hosts}
+
     def heal(self):
         self.cuts = set()
         for name in list(self.frozen):
@@ -249,6 +254,9 @@
 
     # Time and messages
 
+    def clock(self, name):
+        return int(self.now_ms * self.clock_rates.get(name, 1.0))
+
     def handle(self, name, event):
         if name in self.down:
             return
@@ -256,14 +264,14 @@
             self.frozen[name].append(event)
             return
         host = self.hosts[name]
-        for action in list(host.handle(event, self.now_ms)):
+        for action in list(host.handle(event, self.clock(name))):
             self.run(host, action)
 
     def run(self, host, action):
         if isinstance(action, Send):
             self.send(host, action)
         elif isinstance(host, EntryHost):
-            host.act(action, self.now_ms)
+            host.act(action, self.clock(host.name))
         elif isinstance(action, OperatorResult):
             self.oracle.result(action.result)
             self.answers[action.ticket] = action
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -117,7 +117,7 @@
         self._timing = timing or ControlTiming()
         self._wall_offset_ms = wall_offset_ms
         self._state = ControlState()
-        self._hosts = HostTable(self._timing.host_timeout_ms)
+        self._hosts = HostTable(host, self._timing.host_timeout_ms)
         self._batcher = ClaimBatcher(self._timing)
         self._limits = ClaimLimits()
         self._is_leader = False
--- a/src/peridotfront/core/host_table.py
+++ b/src/peridotfront/core/host_table.py
@@ -14,6 +14,8 @@
     """Is what is known of one host.
 
     :param first_heard_ms: of this incarnation.
+    :param heard_back_ms: of its last heartbeat that names this host as leader, so
+        that messages pass both ways; of the first heartbeat until then.
     :param update_sent_ms: when a configuration was last sent to it.
     :param update_version: the version that was sent then.
     """
@@ -23,6 +25,7 @@
     heartbeat: Heartbeat
     first_heard_ms: int
     last_heard_ms: int
+    heard_back_ms: int
     update_sent_ms: int = NEVER_MS
     update_version: int = 0
 
@@ -30,10 +33,12 @@
 class HostTable:
     """Judges hosts by the silence since their last heartbeat.
 
+    :param host: the own host name.
     :param host_timeout_ms: silence after which a host no longer counts as alive.
     """
 
-    def __init__(self, host_timeout_ms: int):
+    def __init__(self, host: str, host_timeout_ms: int):
+        self._host = host
         self._host_timeout_ms = host_timeout_ms
         self._hosts: dict[str, HostState] = {}
 
@@ -43,10 +48,12 @@
         """Record a heartbeat and return what is known of its sender."""
         state = self._hosts.get(host)
         if state is None or state.incarnation != incarnation:
-            state = HostState(host, incarnation, heartbeat, now_ms, now_ms)
+            state = HostState(host, incarnation, heartbeat, now_ms, now_ms, now_ms)
             self._hosts[host] = state
             return state
         state.last_heard_ms = now_ms
+        if heartbeat.leader == self._host:
+            state.heard_back_ms = now_ms
         if heartbeat.sequence >= state.heartbeat.sequence:
             state.heartbeat = heartbeat
         return state
@@ -70,7 +77,10 @@
                 yield state
 
     def silent_ms(self, holder: Replica, since_ms: int, now_ms: int) -> int:
-        """Return how long a holder has certainly been silent.
+        """Return how long a holder has certainly been out of reach.
+
+        A holder that is heard but does not hear this leader is out of reach too:
+        it can neither learn of its grant nor end its claim.
 
         :param holder: host and incarnation of a claim's holder.
         :param since_ms: when the listening began.
@@ -79,7 +89,7 @@
         if state is None:
             return now_ms - since_ms
         if state.incarnation == holder.incarnation:
-            return now_ms - max(since_ms, state.last_heard_ms)
+            return now_ms - max(since_ms, state.heard_back_ms)
         return now_ms - max(since_ms, state.first_heard_ms)
 
     def laggards(self, version: int) -> tuple[str, ...]:
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -171,7 +171,8 @@
     """Shows peers that a host lives and what it runs with.
 
     :param config_version: the configuration version that is in force there.
-    :param leader: the control leader that the sender knows; empty if none.
+    :param leader: the control leader that the sender knows; empty if none. That
+        leader takes it as a sign that its own heartbeats arrive.
     :param term: the term of that leader; 0 if the sender is no replica.
     """
 
