Fuzz the replicated log against an oracle

The fake group checks, in every scenario, that a term has one leader with a quorum of durable votes of named incarnations, that (index, term) names one entry, and that reads hold every write completed before them.

--- a/features/support/raft_group.py
+++ b/features/support/raft_group.py
@@ -1,13 +1,14 @@
 """A group of Raft replicas in virtual time, with a network and disks that fail."""
 
 import random
-from collections import Counter
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
 from peridotfront.core.actions import Log, Received, Send, Tick
 from peridotfront.core.messages import (
     HardState,
     MembershipChange,
+    Replica,
     Snapshot,
     StrikeBatch,
 )
@@ -31,6 +32,7 @@
 )
 
 TICK_MS = 10
+KEPT_MESSAGES = 2000
 TIMING = RaftTiming(max_entries_per_append=8, max_chunk_bytes=16)
 
 
@@ -67,6 +69,7 @@
         self.name = name
         self.disk = disk
         self.clock_rate = clock_rate
+        self.clock_ms = 0.0
         self.raft = None
         self.is_frozen = False
         self.writes_left = None
@@ -98,8 +101,10 @@
         self.dropped = []
         self.reads = {}
         self.read_results = {}
-        self.delivered = []
-        self.sent = []
+        self.delivered = deque(maxlen=KEPT_MESSAGES)
+        self.sent = deque(maxlen=KEPT_MESSAGES)
+        self.votes = defaultdict(set)
+        self.written = {}
         self.ticket = 0
         self.sequence = 0
         self.hosts = {name: Host(name, self.blank_disk()) for name in self.names}
@@ -164,13 +169,13 @@
         if host.is_frozen:
             host.inbox.append(event)
             return
-        self.run(host, list(host.raft.handle(event, self.now_ms * host.clock_rate)))
+        self.run(host, list(host.raft.handle(event, host.clock_ms)))
 
     def run(self, host, actions):
         """Write and sync, then do all else; a loss of power leaves a part."""
         writes = [a for a in actions if isinstance(a, Persist)]
         for write in writes:
-            host.disk.run(write)
+            self.write_one(host, write)
             if host.writes_left is not None:
                 host.writes_left -= 1
                 if host.writes_left == 0:
@@ -180,6 +185,25 @@
         for action in actions:
             self.run_one(host, action)
 
+    def write_one(self, host, write):
+        host.disk.run(write)
+        identity = Replica(host.name, host.disk.incarnation)
+        if isinstance(write, SaveHardState) and write.hard.voted_for is not None:
+            self.votes[write.hard.term, write.hard.voted_for].add(identity)
+        if isinstance(write, AppendEntries):
+            for entry in write.entries:
+                known = self.written.setdefault((entry.index, entry.term), entry)
+                assert known == entry, f"two entries {entry.index} of one term"
+
+    def check_election(self, host, term):
+        """Check that a new leader is the only one and had a quorum of votes."""
+        identity = Replica(host.name, host.disk.incarnation)
+        known = self.leaders.setdefault(term, identity)
+        assert known == identity, f"two leaders in term {term}"
+        votes = self.votes[term, identity].intersection(host.raft.voters)
+        needed = len(host.raft.voters) // 2 + 1
+        assert len(votes) >= needed, f"{len(votes)} votes in term {term}"
+
     def run_one(self, host, action):
         if isinstance(action, Send):
             self.send(host, action)
@@ -189,9 +213,7 @@
             host.applied = decode_state(action.data)
             host.applied_index = action.last_index
         elif isinstance(action, RoleChanged) and action.role == "leader":
-            identity = (host.name, host.disk.incarnation)
-            known = self.leaders.setdefault(action.term, identity)
-            assert known == identity, f"two leaders in term {action.term}"
+            self.check_election(host, action.term)
         elif isinstance(action, ReadReady):
             self.finish_read(host, action.ticket)
         elif isinstance(action, ReadFailed):
@@ -230,6 +252,8 @@
     def step(self):
         """Go on by one tick: deliver what is due, then tick every host."""
         self.now_ms += TICK_MS
+        for host in self.hosts.values():
+            host.clock_ms += TICK_MS * host.clock_rate
         due = sorted([m for m in self.in_flight if m[0] <= self.now_ms])
         self.in_flight = [m for m in self.in_flight if m[0] > self.now_ms]
         for _, _, to_host, event in due:
@@ -301,6 +325,36 @@
         commands = [self.log[index].command for index in sorted(self.log)]
         return [c for c in commands if isinstance(c, MembershipChange)]
 
+    def may_lose_disk(self, name):
+        """Tell whether every membership that may be in force bears the loss."""
+        committed = max((i for i, e in self.log.items() if is_membership(e)), default=0)
+        memberships = [self.log[committed].command] if committed else []
+        for host in self.hosts.values():
+            later = [e for e in host.disk.entries if e.index > committed]
+            memberships += [e.command for e in later if is_membership(e)]
+        return all(self.bears_loss(m.voters, name) for m in memberships)
+
+    def bears_loss(self, voters, name):
+        intact = [v for v in voters if self.is_intact(v) and v.host != name]
+        return len(intact) >= len(voters) // 2 + 1
+
+    def is_intact(self, replica):
+        return self.hosts[replica.host].disk.incarnation == replica.incarnation
+
+    def recover(self):
+        """End all faults and start every host."""
+        self.heal()
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.delay_ms = (1, 5)
+        for name in self.names:
+            host = self.hosts[name]
+            host.writes_left = None
+            if host.is_frozen:
+                self.thaw(name)
+            if host.raft is None:
+                self.start(name)
+
     def settled(self):
         """Tell whether all hosts are voters and hold the same log."""
         rafts = [host.raft for host in self.hosts.values()]
@@ -315,6 +369,10 @@
         return members == {tuple(sorted(wanted))} and len(same) == 1
 
 
+def is_membership(entry):
+    return isinstance(entry.command, MembershipChange)
+
+
 def encode_state(values):
     return ",".join(map(str, values)).encode()
 
