--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,187 @@
+"""Runs the benchmark: ``python -m benchmarks.policy --mode quick``.
+
+Prints tables and writes JSON; the figures are means over the seeds, with the
+least and the greatest of them where a spread is given.
+"""
+
+import json
+import sys
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+
+from .cell_driver import Variant
+from .results import TIERS, RunFigures, mean_of
+from .scenarios import (
+    FULL_MS,
+    LOADS,
+    QUICK_MS,
+    TOP_TIER_LOAD,
+    Scenario,
+    baseline_drivers,
+    our_driver,
+    run,
+)
+from .simulation import Driver
+
+MAX_MS = 10**9
+ABLATIONS = (
+    Variant("no late binding", (("engine_queue_ms", MAX_MS),), slots_factor=100.0),
+    Variant("no head room", (("headroom_ms", MAX_MS),)),
+    Variant("no cache model", has_prefixes=False),
+    Variant("no learned rates", (("learns_rates", False),)),
+    Variant("no tiers", has_tiers=False),
+    Variant("no preemption", (("preempts", False),)),
+)
+FAULTS = (
+    Scenario("burst", load=1.0, fault="burst"),
+    Scenario("straggler", load=0.8, fault="straggler"),
+    Scenario("death", load=0.8, fault="death"),
+    Scenario("poison", load=0.8, fault="poison"),
+    Scenario("leaving", load=0.8, fault="leaving"),
+    Scenario("handover", load=1.0, fault="handover"),
+    Scenario("cut", load=1.0, fault="cut", cells=2),
+    Scenario("two cells", load=1.0, cells=2),
+    Scenario("strain", load=3.0, fault="straggler and death", top_load=TOP_TIER_LOAD),
+    Scenario("calm", load=0.8, top_load=TOP_TIER_LOAD),
+    Scenario("returns", load=1.2, return_share=1.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Is the outcome of one policy in one scenario, over all seeds."""
+
+    scenario: str
+    workload: str
+    load: float
+    policy: str
+    runs: tuple[RunFigures, ...]
+
+    def mean(self, value: Callable[[RunFigures], float]) -> float:
+        """Return the mean of a figure over the seeds."""
+        return mean_of(map(value, self.runs))
+
+    def spread(self, value: Callable[[RunFigures], float]) -> str:
+        """Return mean, least and greatest of a figure."""
+        values = [value(run) for run in self.runs]
+        return f"{mean_of(values):.3f} [{min(values):.3f}..{max(values):.3f}]"
+
+    @property
+    def goodput_tokens_per_s(self) -> float:
+        """Return the tokens of good answers in a second."""
+        return self.mean(lambda run: run.goodput_tokens / run.span_s)
+
+    @property
+    def goodput_per_s(self) -> float:
+        """Return the good answers in a second."""
+        return self.mean(lambda run: run.goodput / run.span_s)
+
+    def as_dict(self) -> dict:
+        """Return everything for JSON."""
+        return {
+            "scenario": self.scenario,
+            "workload": self.workload,
+            "load": self.load,
+            "policy": self.policy,
+            "runs": [run.as_dict() for run in self.runs],
+        }
+
+
+def measure(
+    scenario: Scenario,
+    make_driver: Callable[[], Driver],
+    seeds: Iterable[int],
+    span_ms: float,
+) -> Row:
+    """Run a scenario under a policy with each seed."""
+    name = make_driver().name
+    runs = tuple(run(scenario, make_driver(), seed, span_ms) for seed in seeds)
+    return Row(scenario.name, scenario.workload, scenario.load, name, runs)
+
+
+def driver_makers(scenario: Scenario, variants: Iterable[Variant]) -> Iterator:
+    """Yield a maker for our policy, each variant of it and each baseline."""
+    yield lambda: our_driver(cells=scenario.cells)
+    for variant in variants:
+        yield lambda variant=variant: our_driver(variant, scenario.cells)
+
+
+def baseline_makers() -> Iterator[Callable[[], Driver]]:
+    """Yield a maker for each baseline."""
+    for index in range(len(baseline_drivers())):
+        yield lambda index=index: baseline_drivers()[index]
+
+
+def rows(mode: str, workload: str, seeds: tuple[int, ...]) -> Iterator[Row]:
+    """Yield the rows of a mode: loads first, then ablations, then faults."""
+    span_ms = FULL_MS if mode == "full" else QUICK_MS
+    for load in LOADS if mode == "full" else (1.0, 2.0):
+        scenario = Scenario("load", workload, load)
+        for make in (*driver_makers(scenario, ()), *baseline_makers()):
+            yield measure(scenario, make, seeds, span_ms)
+    for load in (1.0, 2.0) if mode == "full" else ():
+        scenario = Scenario("ablation", workload, load)
+        for make in driver_makers(scenario, ABLATIONS):
+            yield measure(scenario, make, seeds, span_ms)
+    if workload != "gold":
+        return
+    for scenario in FAULTS:
+        makers = [*driver_makers(scenario, ())]
+        if mode == "full" and scenario.cells == 1:
+            makers.extend(baseline_makers())
+        for make in makers:
+            yield measure(scenario, make, seeds, span_ms)
+
+
+def header() -> str:
+    """Return the heading of the table."""
+    tiers = "".join(
+        f"  t{tier} good/offered          p95 ms  refused" for tier in TIERS
+    )
+    return (
+        f"{'scenario':10}{'load':>5} {'policy':17}{'tok/s':>7}{'req/s':>7}{tiers}"
+        "  wasted prefill        hit/oracle  inv  dup false"
+    )
+
+
+def line(row: Row) -> str:
+    """Return one row of the table."""
+    cells = [f"{row.scenario:10}{row.load:5.1f} {row.policy:17}"]
+    cells.append(f"{row.goodput_tokens_per_s:7.0f}{row.goodput_per_s:7.1f}")
+    for tier in TIERS:
+        share = row.spread(lambda run, tier=tier: run.tiers[tier].share)
+        p95 = row.mean(lambda run, tier=tier: run.tiers[tier].first_token_p95_ms)
+        refused = row.mean(lambda run, tier=tier: run.tiers[tier].refused)
+        cells.append(f"  {share:21} {p95:6.0f} {refused:8.0f}")
+    cells.append(f"  {row.spread(lambda run: run.wasted_share)}")
+    cells.append(f"  {row.mean(lambda run: run.hit_share):9.3f}")
+    for name in ("inversions", "double_dispatches", "false_not_run"):
+        cells.append(f"{sum(getattr(run, name) for run in row.runs):5d}")
+    return "".join(cells)
+
+
+def main(
+    mode: str = "quick", workload: str = "gold", seeds: int = 3, out: str = ""
+) -> None:
+    """Run the benchmark.
+
+    :param mode: ``quick`` (seconds) or ``full`` (minutes).
+    :param workload: ``gold`` or ``school``.
+    :param seeds: how many runs each figure is the mean of.
+    :param out: file for the JSON; none without.
+    """
+    print(header())
+    done = []
+    for row in rows(mode, workload, tuple(range(1, seeds + 1))):
+        print(line(row))
+        sys.stdout.flush()
+        done.append(row.as_dict())
+    if out:
+        Path(out).write_text(json.dumps(done, indent=1))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,140 @@
+"""Runs of the benchmark: loads, bursts and faults."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from .baselines import BASELINES
+from .cell_driver import CellDriver, Variant
+from .engine import FLEET, Engine
+from .requests import Job
+from .results import RunFigures, figures_of
+from .simulation import Driver, Simulation
+from .workloads import WORKLOADS, JobSource
+
+WARM_UP_MS = 8000
+FULL_MS = 40_000
+QUICK_MS = 16_000
+LOADS = (0.5, 0.8, 1.0, 1.5, 2.0, 3.0)
+TOP_TIER_LOAD = 0.55
+
+LoadAt = Callable[[int, float], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describes a run.
+
+    :param load: offered work over capacity.
+    :param fault: name of the fault that is brought about.
+    :param top_load: offered work of the highest tier over capacity, if it does
+        not follow the load.
+    """
+
+    name: str
+    workload: str = "gold"
+    load: float = 1.0
+    fault: str = ""
+    top_load: float | None = None
+    return_share: float = 0.0
+    cells: int = 1
+
+
+def load_function(scenario: Scenario) -> LoadAt:
+    """Return the load of a tier over time."""
+    kinds = WORKLOADS[scenario.workload].kinds
+    top = kinds[0]
+    rest_share = sum(kind.share for kind in kinds[1:])
+
+    def load_at(tier: int, now_ms: float) -> float:
+        load = scenario.load
+        if scenario.fault == "burst":
+            load *= 3.0 if int(now_ms / 2000) % 5 == 0 else 0.5
+        if scenario.top_load is None:
+            return load
+        if tier == top.tier:
+            return scenario.top_load / top.share
+        return max(0.0, load - scenario.top_load) / rest_share
+
+    return load_at
+
+
+def schedule_fault(scenario: Scenario, simulation: Simulation, span_ms: float) -> None:
+    """Bring the scenario's fault about."""
+    engines = list(simulation.engines.values())
+    start_ms = WARM_UP_MS + (span_ms - WARM_UP_MS) * 0.2
+    driver = simulation.driver
+
+    def slow_down():
+        engines[1].slowdown = 4.0
+
+    def kill():
+        simulation.kill(engines[2].name, 10_000)
+
+    def hand_over():
+        if isinstance(driver, CellDriver):
+            driver.hand_over()
+
+    def cut():
+        if isinstance(driver, CellDriver):
+            driver.is_cut = True
+
+    actions = {
+        "straggler": (slow_down,),
+        "death": (kill,),
+        "straggler and death": (slow_down, kill),
+        "leaving": (lambda: simulation.leave(engines[0].name),),
+        "handover": (hand_over,),
+        "cut": (cut,),
+    }
+    for action in actions.get(scenario.fault, ()):
+        simulation.at(start_ms, action)
+
+
+def with_poison(jobs: list[Job], span_ms: float) -> list[Job]:
+    """Add a poison request that its caller sends again and again."""
+    times = range(WARM_UP_MS, int(span_ms), 700)
+    poison = [
+        replace(
+            jobs[0],
+            request_id=f"poison{index}",
+            arrival_ms=float(time_ms),
+            tier=2,
+            fingerprint=-1,
+            is_poison=True,
+        )
+        for index, time_ms in enumerate(times)
+    ]
+    return sorted([*jobs, *poison], key=lambda job: job.arrival_ms)
+
+
+def run(scenario: Scenario, driver: Driver, seed: int, span_ms: float) -> RunFigures:
+    """Run one scenario under one policy."""
+    return simulate(scenario, driver, seed, span_ms)[0]
+
+
+def simulate(
+    scenario: Scenario, driver: Driver, seed: int, span_ms: float
+) -> tuple[RunFigures, Simulation]:
+    """Run one scenario and return its figures and the simulation."""
+    source = JobSource(WORKLOADS[scenario.workload], seed)
+    jobs = source.jobs(load_function(scenario), span_ms)
+    if scenario.fault == "poison":
+        jobs = with_poison(jobs, span_ms)
+    engines = [Engine(f"e{index}", kind) for index, kind in enumerate(FLEET)]
+    simulation = Simulation(
+        jobs, engines, driver, seed=seed, return_share=scenario.return_share
+    )
+    schedule_fault(scenario, simulation, span_ms)
+    simulation.run()
+    return figures_of(simulation, WARM_UP_MS), simulation
+
+
+def baseline_drivers() -> list[Driver]:
+    """Return a fresh driver of each baseline."""
+    return [kind() for kind in BASELINES]
+
+
+def our_driver(variant: Variant | None = None, cells: int = 1) -> CellDriver:
+    """Return a fresh driver of our policy."""
+    variant = variant or Variant()
+    return CellDriver(replace(variant, cells=cells))
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -102,6 +102,7 @@
     :param overfill_ratio: how far an urgent request may exceed the learned slots.
     :param urgent_ms: a want with less patience left is urgent.
     :param preempts: whether running requests may be cut for urgent higher ones.
+    :param learns_rates: whether rates and slots follow what an engine does.
     :param affinity_ms: how long a want may wait for the upstream that holds its
         prefix.
     """
@@ -124,6 +125,7 @@
     urgent_ms: int = 500
     preempts: bool = True
     affinity_ms: int = 0
+    learns_rates: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -578,6 +578,7 @@
             prefill_tokens_per_s=spec.prefill_tokens_per_s,
             gap_ms=1000.0 / spec.decode_tokens_per_s,
             target_gap_ms=policy.token_gap_ms,
+            learns=policy.learns_rates,
         )
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
