Learn slots from the share of slow tokens that holders count

Cause: the mean time between tokens hides the slowest 5 in 100. Change: HeldSlot and Release carry slow_tokens (-1: not measured); slots shrink above 2 in 100 and grow below 0.5 in 100 when all were in use.

--- a/benchmarks/cell_driver.py
+++ b/benchmarks/cell_driver.py
@@ -287,7 +287,8 @@
         engine = self.simulation.engines[job.engine]
         running = engine.decoding.get(job.request_id)
         produced = engine.produced(running) if running else 0
-        held = HeldSlot(self._want_message(job, cell), job.engine, produced)
+        slow = engine.slow_gaps(running) if running else 0
+        held = HeldSlot(self._want_message(job, cell), job.engine, produced, slow)
         self._to_cell(cell, job.host, held)
 
     def _release(self, job: Job, cause: ReleaseCause, engine: str = "") -> None:
@@ -305,5 +306,6 @@
             produced_tokens=job.output_tokens if job.outcome == "whole" else 0,
             first_token_ms=first_ms,
             duration_ms=int(self.simulation.now_ms - job.dispatched_ms),
+            slow_tokens=job.slow_gaps,
         )
         self._to_cell(self._at_cell[job.request_id], job.host, release)
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -7,10 +7,11 @@
 MIN_RATE_SAMPLE_TOKENS = 300
 RATE_GAIN = 0.15
 GAP_GAIN = 0.1
-GAP_WINDOW_MS = 500
-GAP_HIGH = 0.97
-GAP_LOW = 0.9
-LIMIT_DECREASE = 0.93
+WINDOW_MS = 1000
+MIN_WINDOW_TOKENS = 50
+HIGH_SLOW_SHARE = 0.02
+LOW_SLOW_SHARE = 0.005
+LIMIT_DECREASE = 0.9
 MIN_LIMIT_SLOTS = 2.0
 KV_SHARE = 0.95
 MIN_PREFILL_TOKENS_PER_S = 50.0
@@ -36,6 +37,7 @@
     prefill_tokens: int = 0
     first_due_ms: int = 0
     produced_tokens: int = 0
+    slow_tokens: int = 0
     progress_ms: int = 0
     is_preempted: bool = False
 
@@ -76,7 +78,8 @@
         self.kv_tokens = 0
         self._clear_ms = 0.0
         self._window_start_ms = 0
-        self._window: list[float] = []
+        self._window_tokens = 0
+        self._window_slow = 0
         self._window_peak = 0
 
     def backlog_ms(self, now_ms: int) -> float:
@@ -132,35 +135,51 @@
             rate = self.prefill_tokens_per_s * OVERDUE_RATE_DECREASE
             self.prefill_tokens_per_s = max(MIN_PREFILL_TOKENS_PER_S, rate)
 
-    def progress(self, slot: Slot, produced_tokens: int, now_ms: int) -> None:
-        """Learn the time between tokens from a running request."""
+    def progress(
+        self, slot: Slot, produced_tokens: int, slow_tokens: int, now_ms: int
+    ) -> None:
+        """Learn from the tokens of a running request.
+
+        :param produced_tokens: since its start.
+        :param slow_tokens: of these, the late ones; -1 if not measured.
+        """
         tokens = produced_tokens - slot.produced_tokens
-        if slot.produced_tokens > 0 and tokens > 0:
-            self.observe_gap((now_ms - slot.progress_ms) / tokens, now_ms)
-        if tokens > 0:
-            slot.produced_tokens = produced_tokens
-            slot.progress_ms = now_ms
-
-    def observe_gap(self, gap_ms: float, now_ms: int) -> None:
-        """Learn the time between tokens, and from it the number of slots."""
+        if tokens <= 0:
+            return
+        if slot.produced_tokens > 0:
+            self._observe_gap((now_ms - slot.progress_ms) / tokens)
+        if slow_tokens >= 0:
+            self._window_slow += max(0, slow_tokens - slot.slow_tokens)
+            slot.slow_tokens = slow_tokens
+        elif self.gap_ms > self.target_gap_ms:
+            self._window_slow += tokens
+        self._window_tokens += tokens
+        slot.produced_tokens = produced_tokens
+        slot.progress_ms = now_ms
+        self._adjust_limit(now_ms)
+
+    def _observe_gap(self, gap_ms: float) -> None:
         self.gap_ms += (gap_ms - self.gap_ms) * GAP_GAIN
-        self._window.append(gap_ms)
-        if now_ms - self._window_start_ms < GAP_WINDOW_MS:
+
+    def _adjust_limit(self, now_ms: int) -> None:
+        if now_ms - self._window_start_ms < WINDOW_MS:
             return
-        if self.learns:
-            self._adjust_limit(sum(self._window) / len(self._window))
-        self._window.clear()
+        share = self._window_slow / self._window_tokens
+        if self.learns and self._window_tokens >= MIN_WINDOW_TOKENS:
+            self._follow(share)
+        self._window_tokens = 0
+        self._window_slow = 0
         self._window_start_ms = now_ms
         self._window_peak = len(self.slots)
 
-    def _adjust_limit(self, mean_gap_ms: float) -> None:
-        if mean_gap_ms > self.target_gap_ms * GAP_HIGH:
+    def _follow(self, slow_share: float) -> None:
+        if slow_share > HIGH_SLOW_SHARE:
             limit = min(self.limit_slots, self._window_peak) * LIMIT_DECREASE
             floor = max(MIN_LIMIT_SLOTS, self.max_slots / 4)
             self.limit_slots = max(floor, limit)
             return
         is_full = self._window_peak >= int(self.limit_slots)
-        if is_full and mean_gap_ms < self.target_gap_ms * GAP_LOW:
+        if is_full and slow_share < LOW_SLOW_SHARE:
             self.limit_slots = min(float(self.max_slots), self.limit_slots + 1)
 
     def _blend_rate(self, rate: float) -> None:
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -83,11 +83,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldSlot:
-    """Tells a (new) scheduler of a slot that is in use; renews its lease."""
+    """Tells a (new) scheduler of a slot that is in use; renews its lease.
+
+    :param slow_tokens: tokens so far that came later after the one before than the
+        policy's ``token_gap_ms``; -1 if that was not measured.
+    """
 
     want: Want
     upstream: str
     produced_tokens: int
+    slow_tokens: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +102,7 @@
     :param first_token_ms: from dispatch to first token; -1 if there was none.
     :param duration_ms: from dispatch to the end.
     :param cached_tokens: prompt tokens that the upstream had in its cache.
+    :param slow_tokens: as in ``HeldSlot``.
     """
 
     request_id: str
@@ -108,6 +114,7 @@
     produced_tokens: int
     first_token_ms: int
     duration_ms: int
+    slow_tokens: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -193,7 +193,7 @@
             slot = self._adopt(held, sender, now_ms)
         if slot is not None:
             slot.host = sender
-            self._renew(slot, held.produced_tokens, now_ms)
+            self._renew(slot, held, now_ms)
         yield from ()
 
     @_receive.register
@@ -330,13 +330,13 @@
 
     # Slots
 
-    def _renew(self, slot: Slot, produced_tokens: int, now_ms: int) -> None:
+    def _renew(self, slot: Slot, held: HeldSlot, now_ms: int) -> None:
         slot.lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
         upstream = self._upstreams[slot.upstream]
-        if produced_tokens > slot.produced_tokens:
+        if held.produced_tokens > slot.produced_tokens:
             limit = int(upstream.budget.limit_slots)
             upstream.health.progressed(slot.granted_ms, limit, now_ms)
-        upstream.budget.progress(slot, produced_tokens, now_ms)
+        upstream.budget.progress(slot, held.produced_tokens, held.slow_tokens, now_ms)
 
     def _learn(self, slot: Slot, release: Release, now_ms: int) -> None:
         upstream = self._upstreams[slot.upstream]
@@ -354,16 +354,16 @@
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
             self._drain.observe(release.duration_ms)
-            self._learn_gap(upstream, release, now_ms)
+            self._learn_gap(upstream, slot, release, now_ms)
 
-    def _learn_gap(self, upstream: Upstream, release: Release, now_ms: int) -> None:
-        decode_ms = release.duration_ms - release.first_token_ms
+    def _learn_gap(
+        self, upstream: Upstream, slot: Slot, release: Release, now_ms: int
+    ) -> None:
+        budget = upstream.budget
         if self._is_service:
-            gap_ms = upstream.budget.gap_ms
-            upstream.budget.gap_ms += (release.duration_ms - gap_ms) / 10
-        elif release.produced_tokens > 1 and release.first_token_ms >= 0:
-            gap_ms = decode_ms / (release.produced_tokens - 1)
-            upstream.budget.observe_gap(gap_ms, now_ms)
+            budget.gap_ms += (release.duration_ms - budget.gap_ms) / 10
+            return
+        budget.progress(slot, release.produced_tokens, release.slow_tokens, now_ms)
 
     def _after_release(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> None:
         upstream = self._upstreams.get(slot.upstream)
