Keep learned slots below the last number that was too many

Cause: growing by one slot a second overfills each engine again and again, and a short answer with one slow token is lost. Change: remember the number that was slow for 20 s and stay one below.

--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -8,10 +8,13 @@
 RATE_GAIN = 0.15
 GAP_GAIN = 0.1
 WINDOW_MS = 1000
+FIRST_LIMIT_SHARE = 0.67
 MIN_WINDOW_TOKENS = 50
-HIGH_SLOW_SHARE = 0.02
+HIGH_SLOW_SHARE = 0.01
 LOW_SLOW_SHARE = 0.005
-LIMIT_DECREASE = 0.9
+LARGE_SLOW_SHARE = 0.1
+LARGE_STEP = 0.1
+CEILING_MS = 20_000
 MIN_LIMIT_SLOTS = 2.0
 KV_SHARE = 0.95
 MIN_PREFILL_TOKENS_PER_S = 50.0
@@ -73,7 +76,7 @@
         self.gap_ms = gap_ms
         self.target_gap_ms = target_gap_ms
         self.learns = learns
-        self.limit_slots = float(max_slots)
+        self.limit_slots = max(1.0, max_slots * FIRST_LIMIT_SHARE)
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
         self._clear_ms = 0.0
@@ -81,6 +84,8 @@
         self._window_tokens = 0
         self._window_slow = 0
         self._window_peak = 0
+        self._ceiling_slots = float(max_slots)
+        self._ceiling_until_ms = 0
 
     def backlog_ms(self, now_ms: int) -> float:
         """Return how long the upstream's prefill queue is expected to take."""
@@ -166,21 +171,29 @@
             return
         share = self._window_slow / self._window_tokens
         if self.learns and self._window_tokens >= MIN_WINDOW_TOKENS:
-            self._follow(share)
+            self._follow(share, now_ms)
         self._window_tokens = 0
         self._window_slow = 0
         self._window_start_ms = now_ms
         self._window_peak = len(self.slots)
 
-    def _follow(self, slow_share: float) -> None:
+    def _follow(self, slow_share: float, now_ms: int) -> None:
         if slow_share > HIGH_SLOW_SHARE:
-            limit = min(self.limit_slots, self._window_peak) * LIMIT_DECREASE
-            floor = max(MIN_LIMIT_SLOTS, self.max_slots / 4)
-            self.limit_slots = max(floor, limit)
+            self._shrink(slow_share, now_ms)
             return
+        if now_ms >= self._ceiling_until_ms:
+            self._ceiling_slots = float(self.max_slots)
         is_full = self._window_peak >= int(self.limit_slots)
         if is_full and slow_share < LOW_SLOW_SHARE:
-            self.limit_slots = min(float(self.max_slots), self.limit_slots + 1)
+            self.limit_slots = min(self._ceiling_slots, self.limit_slots + 1)
+
+    def _shrink(self, slow_share: float, now_ms: int) -> None:
+        used = min(int(self.limit_slots), self._window_peak)
+        step = used * LARGE_STEP if slow_share > LARGE_SLOW_SHARE else 1
+        floor = max(MIN_LIMIT_SLOTS, self.max_slots / 4)
+        self.limit_slots = max(floor, used - step)
+        self._ceiling_slots = max(floor, used - 1.0)
+        self._ceiling_until_ms = now_ms + CEILING_MS
 
     def _blend_rate(self, rate: float) -> None:
         blended = self.prefill_tokens_per_s + RATE_GAIN * (
