Estimate waits from the demand ahead and the higher tiers' arrivals

Change: wait = slot time asked for ahead over the slots that higher arrivals leave; the same for prefill. Urgent wants no longer exceed the learned slots by default (overfill_ratio 1.0, still a knob): it made every token on that engine late. New accounts start with a turn in hand.

--- a/benchmarks/cell_driver.py
+++ b/benchmarks/cell_driver.py
@@ -65,7 +65,7 @@
         return replace(Policy(prefix_block_tokens=BLOCK_TOKENS), **dict(self.knobs))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Cell:
     """Is one scheduler and the data centre it serves."""
 
--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -69,7 +69,8 @@
     And there was no inversion
 
   Scenario: A lower running request is cut only for an urgent higher one
-    Given all slots are held at tier 3
+    Given urgent wants may use 1.5 times the slots
+    And all slots are held at tier 3
     When 3 wants of tier 1 arrive
     And 200 ms pass
     Then no request is preempted
--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -1,5 +1,7 @@
 """Steps on the queues, answers and leases of a cell's scheduler."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from cell_fixtures import Cell, make_fleet
 
@@ -17,6 +19,13 @@
     context.cell = Cell(context.cell.fleet, settled=False)
 
 
+@given("urgent wants may use {ratio:g} times the slots")
+def set_overfill(context, ratio):
+    fleet = context.cell.fleet
+    policy = replace(fleet.policy, overfill_ratio=ratio)
+    context.cell = Cell(replace(fleet, policy=policy))
+
+
 @given("all slots are held at tier {tier:d}")
 def fill_cell(context, tier):
     specs = context.cell.fleet.upstreams
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -1,6 +1,7 @@
 """Slots in use at one upstream, and the budget learned from what it does."""
 
 from dataclasses import dataclass
+from math import ceil
 
 from .messages import Want
 
@@ -76,7 +77,9 @@
         self.gap_ms = gap_ms
         self.target_gap_ms = target_gap_ms
         self.learns = learns
-        self.limit_slots = max(1.0, max_slots * FIRST_LIMIT_SHARE)
+        self.limit_slots = float(ceil(max_slots * FIRST_LIMIT_SHARE))
+        if not learns:
+            self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
         self._clear_ms = 0.0
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -121,7 +121,7 @@
     prefix_block_tokens: int = 64
     engine_queue_ms: int = 200
     headroom_ms: int = 400
-    overfill_ratio: float = 1.25
+    overfill_ratio: float = 1.0
     urgent_ms: int = 500
     preempts: bool = True
     affinity_ms: int = 0
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -49,7 +49,6 @@
         limit = int(self.budget.limit_slots)
         if is_urgent:
             limit = int(self.budget.limit_slots * policy.overfill_ratio)
-            limit = max(limit, int(self.budget.limit_slots) + 1)
         return self.health.slots(limit, now_ms)
 
     def can_hold(self, want: Want) -> bool:
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -7,7 +7,17 @@
 
 from .messages import Want
 
-MIN_QUANTUM_TOKENS = 1024
+FIRST_QUANTUM_TOKENS = 64.0
+QUANTUM_GAIN = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Is what a number of wants ask for."""
+
+    wants: float
+    prompt_tokens: float
+    output_tokens: float
 
 
 @dataclass(slots=True)
@@ -81,9 +91,10 @@
         self._accounts: OrderedDict[str, AccountQueue] = OrderedDict()
         self._account_of: dict[str, str] = {}
         self._heaviest: list[tuple[float, str]] = []
-        self._quantum_tokens = MIN_QUANTUM_TOKENS
+        self._quantum_tokens = FIRST_QUANTUM_TOKENS
         self._sequence = 0
         self.prefill_tokens = 0
+        self.output_tokens = 0
 
     def __len__(self) -> int:
         return len(self._account_of)
@@ -103,19 +114,24 @@
         account = self._accounts.get(want.client_account)
         if account is None:
             weight = max(1, self._weight_of(want.client_account))
-            account = self._accounts[want.client_account] = AccountQueue(weight)
+            account = AccountQueue(weight, float(queued.cost_tokens))
+            self._accounts[want.client_account] = account
         self._sequence += 1
         account.add(queued, self._sequence)
         self._account_of[want.request_id] = want.client_account
-        self._quantum_tokens = max(self._quantum_tokens, queued.cost_tokens)
+        excess_tokens = queued.cost_tokens - self._quantum_tokens
+        self._quantum_tokens += excess_tokens * QUANTUM_GAIN
         self.prefill_tokens += want.prompt_tokens
+        self.output_tokens += want.output_tokens
         heappush(self._heaviest, (-account.load, want.client_account))
 
     def discard(self, request_id: str) -> None:
         """Remove a want without charge to its account."""
         name = self._account_of.pop(request_id)
         account = self._accounts[name]
-        self.prefill_tokens -= account.members[request_id].want.prompt_tokens
+        want = account.members[request_id].want
+        self.prefill_tokens -= want.prompt_tokens
+        self.output_tokens -= want.output_tokens
         account.discard(request_id)
         if not account.members:
             del self._accounts[name]
@@ -206,14 +222,16 @@
         """Return the queue of a tier and model if one was ever used."""
         return self._queues.get(tier, {}).get(model)
 
-    def ahead(self, tier: int, model: str) -> tuple[int, int]:
-        """Return count and prompt tokens of the wants down to that tier."""
-        queues = [
-            models[model]
-            for other, models in self._queues.items()
-            if other <= tier and model in models
-        ]
-        return sum(map(len, queues)), sum(queue.prefill_tokens for queue in queues)
+    def ahead(self, tier: int, model: str) -> Demand:
+        """Return what the wants down to that tier ask for."""
+        wants = prompt_tokens = output_tokens = 0
+        for other, models in self._queues.items():
+            if other <= tier and model in models:
+                queue = models[model]
+                wants += len(queue)
+                prompt_tokens += queue.prefill_tokens
+                output_tokens += queue.output_tokens
+        return Demand(wants, prompt_tokens, output_tokens)
 
     def has_lower(self, tier: int, model: str) -> bool:
         """Return whether a want of a lower tier waits for that model."""
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -169,6 +169,7 @@
             yield self._refusal(queued, reason, 0)
             return
         self._queues.add(queued)
+        self._drain.arrived(want, now_ms)
         if self._is_settled(now_ms):
             yield from self._place(now_ms)
             yield from self._shed(want.model, now_ms)
@@ -292,6 +293,7 @@
         lease_ms = self._fleet.policy.slot_lease_ms
         slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
         self._occupy(slot, now_ms)
+        self._drain.granted(want.prompt_tokens, choice.predicted_prefix_tokens)
         self.stats.granted[want.tier] += 1
         return Send(queued.host, self._grant_message(slot))
 
@@ -353,7 +355,8 @@
         if release.cause in WASTING_CAUSES:
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
-            self._drain.observe(release.duration_ms)
+            reach = self._reach.get(slot.want.model, [])
+            self._drain.observe(slot.want, release.duration_ms, reach, now_ms)
             self._learn_gap(upstream, slot, release, now_ms)
 
     def _learn_gap(
@@ -578,7 +581,7 @@
             prefill_tokens_per_s=spec.prefill_tokens_per_s,
             gap_ms=1000.0 / spec.decode_tokens_per_s,
             target_gap_ms=policy.token_gap_ms,
-            learns=policy.learns_rates,
+            learns=policy.learns_rates and spec.kind is UpstreamKind.ENGINE,
         )
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
--- a/src/peridotfront/core/shedding.py
+++ b/src/peridotfront/core/shedding.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from math import exp
 
 from .budgets import Slot
 from .fleet import UpstreamKind
+from .messages import Want
 from .placement import Upstream
-from .queues import QueuedWant, TierQueues
+from .queues import Demand, QueuedWant, TierQueues
 
-HOLD_GAIN = 0.05
-FIRST_HOLD_MS = 2000.0
+HOLD_GAIN = 0.02
+HIT_GAIN = 0.02
+ARRIVAL_MEMORY_MS = 3000.0
+MIN_SPARE_SHARE = 0.05
 CAPACITY_TTL_MS = 50
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
@@ -19,28 +23,86 @@
 class Capacity:
     """Is what the upstreams of a model can take on.
 
-    :param slots_per_ms: slots that come free when all are in use.
+    :param slots: that may be in use at once.
     :param prefill_tokens_per_ms: prompt tokens that they process together.
+    :param prompt_token_ms: how long one of them takes for a prompt token.
+    :param output_token_ms: how long one of them takes for an output token.
     """
 
-    slots_per_ms: float
+    slots: int
     prefill_tokens_per_ms: float
+    prompt_token_ms: float
+    output_token_ms: float
     measured_ms: int
 
+    def hold_ms(self, demand: Demand) -> float:
+        """Return how long one slot would be held for it all."""
+        prompt_ms = demand.prompt_tokens * self.prompt_token_ms
+        return prompt_ms + demand.output_tokens * self.output_token_ms
+
+
+@dataclass(slots=True)
+class Arrivals:
+    """Averages the demand of a tier that arrives, for each millisecond."""
+
+    wants: float = 0.0
+    prompt_tokens: float = 0.0
+    output_tokens: float = 0.0
+    updated_ms: int = 0
+
+    def add(self, want: Want, now_ms: int) -> None:
+        """Count a want."""
+        self._decay(now_ms)
+        self.wants += 1 / ARRIVAL_MEMORY_MS
+        self.prompt_tokens += want.prompt_tokens / ARRIVAL_MEMORY_MS
+        self.output_tokens += want.output_tokens / ARRIVAL_MEMORY_MS
+
+    def rate(self, now_ms: int) -> Demand:
+        """Return the demand for each millisecond."""
+        self._decay(now_ms)
+        return Demand(self.wants, self.prompt_tokens, self.output_tokens)
+
+    def _decay(self, now_ms: int) -> None:
+        kept = exp((self.updated_ms - now_ms) / ARRIVAL_MEMORY_MS)
+        self.wants *= kept
+        self.prompt_tokens *= kept
+        self.output_tokens *= kept
+        self.updated_ms = now_ms
+
 
 class DrainRate:
-    """Estimates how fast a queue drains, from how long slots were held."""
+    """Estimates how long a queue takes to drain.
+
+    Higher tiers that are still to come go first, so their rate of arrival is
+    taken off the capacity.
+    """
 
     def __init__(self, queues: TierQueues):
         self._queues = queues
-        self._hold_ms = 0.0
+        self._hold_ratio = 1.0
+        self._miss_share = 1.0
         self._capacities: dict[str, Capacity] = {}
-
-    def observe(self, hold_ms: int) -> None:
+        self._arrivals: dict[tuple[int, str], Arrivals] = {}
+
+    def arrived(self, want: Want, now_ms: int) -> None:
+        """Count a want towards the arrivals of its tier."""
+        arrivals = self._arrivals.setdefault((want.tier, want.model), Arrivals())
+        arrivals.add(want, now_ms)
+
+    def granted(self, prompt_tokens: int, predicted_prefix_tokens: int) -> None:
+        """Learn what part of the prompts the caches hold."""
+        if prompt_tokens > 0:
+            miss_share = 1 - predicted_prefix_tokens / prompt_tokens
+            self._miss_share += (miss_share - self._miss_share) * HIT_GAIN
+
+    def observe(
+        self, want: Want, hold_ms: int, upstreams: Iterable[Upstream], now_ms: int
+    ) -> None:
         """Learn from a slot that was given back."""
-        if self._hold_ms == 0:
-            self._hold_ms = float(hold_ms)
-        self._hold_ms += (hold_ms - self._hold_ms) * HOLD_GAIN
+        capacity = self.capacity(want.model, upstreams, now_ms)
+        demand = Demand(1, want.prompt_tokens, want.output_tokens)
+        ratio = hold_ms / max(1.0, capacity.hold_ms(demand))
+        self._hold_ratio += (ratio - self._hold_ratio) * HOLD_GAIN
 
     def capacity(
         self, model: str, upstreams: Iterable[Upstream], now_ms: int
@@ -50,16 +112,25 @@
         if known is not None and now_ms - known.measured_ms < CAPACITY_TTL_MS:
             return known
         slots = 0
-        prefill_tokens_per_s = 0.0
+        prefill_tokens_per_ms = 0.0
+        prompt_token_ms = output_token_ms = 0.0
         for upstream in upstreams:
             budget = upstream.budget
             usable = upstream.health.slots(int(budget.limit_slots), now_ms)
             if upstream.is_leaving or usable == 0:
                 continue
             slots += usable
-            prefill_tokens_per_s += budget.prefill_tokens_per_s
-        hold_ms = max(1.0, self._hold_ms or FIRST_HOLD_MS)
-        known = Capacity(slots / hold_ms, prefill_tokens_per_s / 1000.0, now_ms)
+            rate = budget.prefill_tokens_per_s / 1000.0
+            prefill_tokens_per_ms += rate
+            prompt_token_ms += usable / rate
+            output_token_ms += usable * budget.gap_ms
+        known = Capacity(
+            slots=slots,
+            prefill_tokens_per_ms=prefill_tokens_per_ms,
+            prompt_token_ms=prompt_token_ms / max(1, slots),
+            output_token_ms=output_token_ms / max(1, slots),
+            measured_ms=now_ms,
+        )
         self._capacities[model] = known
         return known
 
@@ -67,21 +138,38 @@
         self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
         """Return how long the last want of a tier is expected to wait."""
-        capacity = self.capacity(model, upstreams, now_ms)
-        wants, prompt_tokens = self._queues.ahead(tier, model)
-        if wants == 0:
+        ahead = self._queues.ahead(tier, model)
+        if ahead.wants == 0:
             return 0.0
-        if capacity.slots_per_ms == 0:
+        capacity = self.capacity(model, upstreams, now_ms)
+        if capacity.slots == 0:
             return float(MAX_RETRY_AFTER_MS)
-        slots_ms = wants / capacity.slots_per_ms
-        if prompt_tokens == 0:
-            return slots_ms
-        return max(slots_ms, prompt_tokens / capacity.prefill_tokens_per_ms)
+        higher = self._higher_rate(tier, model, now_ms)
+        spare_slots = capacity.slots - capacity.hold_ms(higher) * self._hold_ratio
+        spare_slots = max(spare_slots, capacity.slots * MIN_SPARE_SHARE)
+        slots_ms = capacity.hold_ms(ahead) * self._hold_ratio / spare_slots
+        prefill_rate = capacity.prefill_tokens_per_ms
+        spare_rate = prefill_rate - higher.prompt_tokens * self._miss_share
+        spare_rate = max(spare_rate, prefill_rate * MIN_SPARE_SHARE)
+        prefill_ms = ahead.prompt_tokens * self._miss_share / spare_rate
+        return max(slots_ms, prefill_ms)
 
     def forget_capacity(self) -> None:
         """Drop what was worked out, since an upstream came or went."""
         self._capacities.clear()
 
+    def _higher_rate(self, tier: int, model: str, now_ms: int) -> Demand:
+        rates = [
+            arrivals.rate(now_ms)
+            for (other, other_model), arrivals in self._arrivals.items()
+            if other < tier and other_model == model
+        ]
+        return Demand(
+            sum(rate.wants for rate in rates),
+            sum(rate.prompt_tokens for rate in rates),
+            sum(rate.output_tokens for rate in rates),
+        )
+
 
 def lower_slots(
     tier: int, upstreams: Iterable[Upstream], *, with_preempted: bool
