Follow each engine's prefill queue by its first tokens

Change: holders send HeldSlot with the first token, which settles what is still in prefill and gives a rate free of queueing; the known ceiling is raised only once a minute, by 1, 2, 4... slots.

--- a/benchmarks/cell_driver.py
+++ b/benchmarks/cell_driver.py
@@ -126,6 +126,10 @@
         self._tried[job.request_id] = set()
         self._want(job, self._home(job))
 
+    def first_token(self, job: Job) -> None:
+        """Tell the scheduler that the prefill is done."""
+        self._hold(job)
+
     def ended(self, job: Job, cause: str) -> None:
         """Give the slot back."""
         self._release(job, CAUSES[cause])
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -15,19 +15,18 @@
 LOW_SLOW_SHARE = 0.005
 LARGE_SLOW_SHARE = 0.1
 LARGE_STEP = 0.1
-CEILING_MS = 20_000
+CEILING_MS = 60_000
+OVERDUE_SHARE = 0.2
 MIN_LIMIT_SLOTS = 2.0
 KV_SHARE = 0.95
 MIN_PREFILL_TOKENS_PER_S = 50.0
-OVERDUE_RATE_DECREASE = 0.9
 
 
 @dataclass(slots=True)
 class Slot:
     """Is one request that runs, or may run, at an upstream.
 
-    :param busy_tokens: prompt tokens to process there until its first token.
-    :param prefill_tokens: of these, the ones of its own.
+    :param prefill_tokens: prompt tokens not expected in the cache.
     :param first_due_ms: when its first token is expected.
     """
 
@@ -37,7 +36,6 @@
     granted_ms: int
     lease_until_ms: int
     predicted_prefix_tokens: int = 0
-    busy_tokens: float = 0.0
     prefill_tokens: int = 0
     first_due_ms: int = 0
     produced_tokens: int = 0
@@ -82,17 +80,24 @@
             self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
-        self._clear_ms = 0.0
+        self._pending: dict[str, float] = {}
+        self._pending_ms = 0.0
+        self._pending_start_ms = 0
         self._window_start_ms = 0
         self._window_tokens = 0
         self._window_slow = 0
         self._window_peak = 0
         self._ceiling_slots = float(max_slots)
         self._ceiling_until_ms = 0
+        self._ceiling_step = 1
 
     def backlog_ms(self, now_ms: int) -> float:
         """Return how long the upstream's prefill queue is expected to take."""
-        return max(0.0, self._clear_ms - now_ms)
+        if not self._pending:
+            return 0.0
+        left_ms = self._pending_ms - (now_ms - self._pending_start_ms)
+        first_ms = next(iter(self._pending.values()))
+        return max(left_ms, first_ms * OVERDUE_SHARE)
 
     def prefill_ms(self, tokens: float) -> float:
         """Return how long the upstream takes to process so many prompt tokens."""
@@ -107,41 +112,46 @@
         """Take a slot and queue its prefill."""
         self.slots[slot.want.request_id] = slot
         self.kv_tokens += slot.kv_tokens
-        backlog_ms = self.backlog_ms(now_ms)
-        own_ms = self.prefill_ms(slot.prefill_tokens)
-        self._clear_ms = now_ms + backlog_ms + own_ms
-        slot.busy_tokens = (
-            backlog_ms * self.prefill_tokens_per_s / 1000.0 + slot.prefill_tokens
-        )
-        slot.first_due_ms = int(self._clear_ms)
+        if slot.prefill_tokens > 0:
+            self._queue_prefill(slot, now_ms)
         slot.progress_ms = now_ms
         self._window_peak = max(self._window_peak, len(self.slots))
 
+    def _queue_prefill(self, slot: Slot, now_ms: int) -> None:
+        backlog_ms = self.backlog_ms(now_ms)
+        own_ms = self.prefill_ms(slot.prefill_tokens) + self.gap_ms
+        if not self._pending:
+            self._pending_start_ms = now_ms
+        self._pending[slot.want.request_id] = own_ms
+        self._pending_ms += own_ms
+        slot.first_due_ms = int(now_ms + backlog_ms + own_ms)
+
     def vacate(self, request_id: str) -> Slot:
         """Give a slot back."""
         slot = self.slots.pop(request_id)
         self.kv_tokens -= slot.kv_tokens
-        if not self.slots:
-            self._clear_ms = 0.0
+        self._pending_ms -= self._pending.pop(request_id, 0.0)
         return slot
 
-    def first_token(self, slot: Slot, first_token_ms: int, cached_tokens: int) -> None:
-        """Learn the prefill rate from a measured time to the first token."""
-        busy_tokens = slot.busy_tokens + slot.predicted_prefix_tokens - cached_tokens
-        if not self.learns or first_token_ms <= 0:
-            return
-        if busy_tokens < MIN_RATE_SAMPLE_TOKENS:
-            return
-        rate = busy_tokens * 1000.0 / first_token_ms
-        self._blend_rate(rate)
+    def first_token(self, slot: Slot, now_ms: int) -> None:
+        """Note that a request has its first token, and learn the prefill rate.
 
-    def overdue(self, slot: Slot, now_ms: int) -> None:
-        """Note that a first token is late: the backlog is longer than thought."""
-        own_ms = self.prefill_ms(slot.prefill_tokens)
-        self._clear_ms = max(self._clear_ms, now_ms + own_ms / 2)
-        if self.learns:
-            rate = self.prefill_tokens_per_s * OVERDUE_RATE_DECREASE
-            self.prefill_tokens_per_s = max(MIN_PREFILL_TOKENS_PER_S, rate)
+        The upstream works through prompts in order, so those before it are done.
+        """
+        request_id = slot.want.request_id
+        if request_id not in self._pending:
+            return
+        tokens = 0
+        for other in tuple(self._pending):
+            self._pending_ms -= self._pending.pop(other)
+            if other in self.slots:
+                tokens += self.slots[other].prefill_tokens
+            if other == request_id:
+                break
+        duration_ms = now_ms - self._pending_start_ms - self.gap_ms
+        self._pending_start_ms = now_ms
+        if self.learns and tokens >= MIN_RATE_SAMPLE_TOKENS and duration_ms > 0:
+            self._blend_rate(tokens * 1000.0 / duration_ms)
 
     def progress(
         self, slot: Slot, produced_tokens: int, slow_tokens: int, now_ms: int
@@ -154,6 +164,7 @@
         tokens = produced_tokens - slot.produced_tokens
         if tokens <= 0:
             return
+        self.first_token(slot, now_ms)
         if slot.produced_tokens > 0:
             self._observe_gap((now_ms - slot.progress_ms) / tokens)
         if slow_tokens >= 0:
@@ -185,10 +196,13 @@
             self._shrink(slow_share, now_ms)
             return
         if now_ms >= self._ceiling_until_ms:
-            self._ceiling_slots = float(self.max_slots)
+            self._ceiling_slots += self._ceiling_step
+            self._ceiling_step *= 2
+            self._ceiling_until_ms = now_ms + CEILING_MS
         is_full = self._window_peak >= int(self.limit_slots)
         if is_full and slow_share < LOW_SLOW_SHARE:
-            self.limit_slots = min(self._ceiling_slots, self.limit_slots + 1)
+            limit = min(self._ceiling_slots, self.limit_slots + 1)
+            self.limit_slots = min(float(self.max_slots), limit)
 
     def _shrink(self, slow_share: float, now_ms: int) -> None:
         used = min(int(self.limit_slots), self._window_peak)
@@ -197,6 +211,7 @@
         self.limit_slots = max(floor, used - step)
         self._ceiling_slots = max(floor, used - 1.0)
         self._ceiling_until_ms = now_ms + CEILING_MS
+        self._ceiling_step = 1
 
     def _blend_rate(self, rate: float) -> None:
         blended = self.prefill_tokens_per_s + RATE_GAIN * (
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -85,6 +85,8 @@
 class HeldSlot:
     """Tells a (new) scheduler of a slot that is in use; renews its lease.
 
+    Sent with the first token, and again within each third of the lease.
+
     :param slow_tokens: tokens so far that came later after the one before than the
         policy's ``token_gap_ms``; -1 if that was not measured.
     """
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -346,9 +346,6 @@
         if release.first_token_ms >= 0:
             predicted = slot.predicted_prefix_tokens
             upstream.prefixes.correct(predicted, release.cached_tokens)
-            upstream.budget.first_token(
-                slot, release.first_token_ms, release.cached_tokens
-            )
             self.stats.predicted_cached_tokens += predicted
             self.stats.actual_cached_tokens += release.cached_tokens
             wasted["cache_missed"] += max(0, predicted - release.cached_tokens)
