Refuse what can no longer begin in time, by the mean engine

Change: patience by the mean time for a prompt token and the share of prompts not cached; the earliest deadline of a tier is looked at, not only its newest want; a rate sample counts at most twice the known rate.

--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -7,6 +7,7 @@
 
 MIN_RATE_SAMPLE_TOKENS = 300
 RATE_GAIN = 0.15
+MAX_RATE_STEP = 2.0
 GAP_GAIN = 0.1
 WINDOW_MS = 1000
 FIRST_LIMIT_SHARE = 0.67
@@ -148,7 +149,7 @@
                 tokens += self.slots[other].prefill_tokens
             if other == request_id:
                 break
-        duration_ms = now_ms - self._pending_start_ms - self.gap_ms
+        duration_ms = now_ms - self._pending_start_ms - self.gap_ms / 2
         self._pending_start_ms = now_ms
         if self.learns and tokens >= MIN_RATE_SAMPLE_TOKENS and duration_ms > 0:
             self._blend_rate(tokens * 1000.0 / duration_ms)
@@ -214,7 +215,6 @@
         self._ceiling_step = 1
 
     def _blend_rate(self, rate: float) -> None:
-        blended = self.prefill_tokens_per_s + RATE_GAIN * (
-            rate - self.prefill_tokens_per_s
-        )
+        known = self.prefill_tokens_per_s
+        blended = known + RATE_GAIN * (min(rate, known * MAX_RATE_STEP) - known)
         self.prefill_tokens_per_s = max(MIN_PREFILL_TOKENS_PER_S, blended)
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -91,6 +91,7 @@
         self._accounts: OrderedDict[str, AccountQueue] = OrderedDict()
         self._account_of: dict[str, str] = {}
         self._heaviest: list[tuple[float, str]] = []
+        self._by_deadline: list[tuple[int, int, str]] = []
         self._quantum_tokens = FIRST_QUANTUM_TOKENS
         self._sequence = 0
         self.prefill_tokens = 0
@@ -124,6 +125,8 @@
         self.prefill_tokens += want.prompt_tokens
         self.output_tokens += want.output_tokens
         heappush(self._heaviest, (-account.load, want.client_account))
+        entry = (queued.deadline_at_ms, self._sequence, want.request_id)
+        heappush(self._by_deadline, entry)
 
     def discard(self, request_id: str) -> None:
         """Remove a want without charge to its account."""
@@ -153,6 +156,16 @@
         account.deficit_tokens -= queued.cost_tokens
         self.discard(queued.want.request_id)
 
+    def most_urgent(self) -> QueuedWant | None:
+        """Return the want with the earliest deadline of all accounts."""
+        while self._by_deadline:
+            request_id = self._by_deadline[0][2]
+            name = self._account_of.get(request_id)
+            if name is not None:
+                return self._accounts[name].members[request_id]
+            heappop(self._by_deadline)
+        return None
+
     def victim(self) -> QueuedWant | None:
         """Return the newest want of the account that queues most for its weight."""
         while self._heaviest:
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -30,7 +30,6 @@
     MIN_RETRY_AFTER_MS,
     DrainRate,
     lower_slots,
-    patience_ms,
     preempt_order,
 )
 from .verdicts import Reason
@@ -461,18 +460,30 @@
                 yield from self._shed_tier(tier, model, now_ms)
 
     def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        queue = self._queues.queue(tier, model)
         reach = self._reach.get(model, [])
-        while (victim := queue.victim()) is not None:
-            wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
-            left_ms = patience_ms(victim, reach, now_ms)
-            if wait_ms <= left_ms:
-                break
+        while (excess := self._excess(tier, model, now_ms)) is not None:
             if not self._may_refuse(tier, model, with_preempted=True):
                 yield from self._make_room(tier, model, now_ms)
                 return
             yield from self._evict_lower(tier, model, now_ms)
-            yield self._shed_one(victim, wait_ms - left_ms, now_ms)
+            wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
+            left_ms = self._drain.patience_ms(excess, reach, now_ms)
+            yield self._shed_one(excess, wait_ms - left_ms, now_ms)
+
+    def _excess(self, tier: int, model: str, now_ms: int) -> QueuedWant | None:
+        """Return a want of the tier that cannot begin in time."""
+        queue = self._queues.queue(tier, model)
+        reach = self._reach.get(model, [])
+        urgent = queue.most_urgent()
+        if urgent is None:
+            return None
+        if self._drain.patience_ms(urgent, reach, now_ms) < 0:
+            return urgent
+        victim = queue.victim()
+        wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
+        if wait_ms > self._drain.patience_ms(victim, reach, now_ms):
+            return victim
+        return None
 
     def _may_refuse(self, tier: int, model: str, *, with_preempted: bool) -> bool:
         reach = self._reach.get(model, [])
--- a/src/peridotfront/core/shedding.py
+++ b/src/peridotfront/core/shedding.py
@@ -5,7 +5,6 @@
 from math import exp
 
 from .budgets import Slot
-from .fleet import UpstreamKind
 from .messages import Want
 from .placement import Upstream
 from .queues import Demand, QueuedWant, TierQueues
@@ -134,6 +133,15 @@
         self._capacities[model] = known
         return known
 
+    def patience_ms(
+        self, queued: QueuedWant, upstreams: Iterable[Upstream], now_ms: int
+    ) -> float:
+        """Return how long a want can still wait and begin its answer in time."""
+        capacity = self.capacity(queued.want.model, upstreams, now_ms)
+        prompt_tokens = queued.want.prompt_tokens * self._miss_share
+        own_ms = prompt_tokens * capacity.prompt_token_ms + capacity.output_token_ms
+        return queued.deadline_at_ms - own_ms - now_ms
+
     def wait_ms(
         self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
@@ -189,14 +197,3 @@
 def preempt_order(slot: Slot) -> tuple[int, int]:
     """Sort slots to cut: lowest tier first, then least prefill sunk."""
     return -slot.want.tier, slot.prefill_tokens + slot.produced_tokens
-
-
-def patience_ms(queued: QueuedWant, upstreams: Iterable[Upstream], now_ms: int) -> int:
-    """Return how long a want can still wait and begin its answer in time."""
-    rates = [
-        upstream.budget.prefill_tokens_per_s
-        for upstream in upstreams
-        if upstream.spec.kind is UpstreamKind.ENGINE and not upstream.is_leaving
-    ]
-    own_ms = queued.want.prompt_tokens * 1000.0 / max(rates) if rates else 0.0
-    return int(queued.deadline_at_ms - own_ms - now_ms)
