--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -30,7 +30,6 @@
     MIN_RETRY_AFTER_MS,
     DrainRate,
     lower_slots,
-    patience_ms,
     preempt_order,
 )
 from .verdicts import Reason
@@ -169,6 +168,7 @@
             yield self._refusal(queued, reason, 0)
             return
         self._queues.add(queued)
+        self._drain.arrived(want, now_ms)
         if self._is_settled(now_ms):
             yield from self._place(now_ms)
             yield from self._shed(want.model, now_ms)
@@ -193,7 +193,7 @@
             slot = self._adopt(held, sender, now_ms)
         if slot is not None:
             slot.host = sender
-            self._renew(slot, held.produced_tokens, now_ms)
+            self._renew(slot, held, now_ms)
         yield from ()
 
     @_receive.register
@@ -292,6 +292,7 @@
         lease_ms = self._fleet.policy.slot_lease_ms
         slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
         self._occupy(slot, now_ms)
+        self._drain.granted(want.prompt_tokens, choice.predicted_prefix_tokens)
         self.stats.granted[want.tier] += 1
         return Send(queued.host, self._grant_message(slot))
 
@@ -330,13 +331,13 @@
 
     # Slots
 
-    def _renew(self, slot: Slot, produced_tokens: int, now_ms: int) -> None:
+    def _renew(self, slot: Slot, held: HeldSlot, now_ms: int) -> None:
         slot.lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
         upstream = self._upstreams[slot.upstream]
-        if produced_tokens > slot.produced_tokens:
+        if held.produced_tokens > slot.produced_tokens:
             limit = int(upstream.budget.limit_slots)
             upstream.health.progressed(slot.granted_ms, limit, now_ms)
-        upstream.budget.progress(slot, produced_tokens, now_ms)
+        upstream.budget.progress(slot, held.produced_tokens, held.slow_tokens, now_ms)
 
     def _learn(self, slot: Slot, release: Release, now_ms: int) -> None:
         upstream = self._upstreams[slot.upstream]
@@ -344,26 +345,24 @@
         if release.first_token_ms >= 0:
             predicted = slot.predicted_prefix_tokens
             upstream.prefixes.correct(predicted, release.cached_tokens)
-            upstream.budget.first_token(
-                slot, release.first_token_ms, release.cached_tokens
-            )
             self.stats.predicted_cached_tokens += predicted
             self.stats.actual_cached_tokens += release.cached_tokens
             wasted["cache_missed"] += max(0, predicted - release.cached_tokens)
         if release.cause in WASTING_CAUSES:
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
-            self._drain.observe(release.duration_ms)
-            self._learn_gap(upstream, release, now_ms)
+            reach = self._reach.get(slot.want.model, [])
+            self._drain.observe(slot.want, release.duration_ms, reach, now_ms)
+            self._learn_gap(upstream, slot, release, now_ms)
 
-    def _learn_gap(self, upstream: Upstream, release: Release, now_ms: int) -> None:
-        decode_ms = release.duration_ms - release.first_token_ms
+    def _learn_gap(
+        self, upstream: Upstream, slot: Slot, release: Release, now_ms: int
+    ) -> None:
+        budget = upstream.budget
         if self._is_service:
-            gap_ms = upstream.budget.gap_ms
-            upstream.budget.gap_ms += (release.duration_ms - gap_ms) / 10
-        elif release.produced_tokens > 1 and release.first_token_ms >= 0:
-            gap_ms = decode_ms / (release.produced_tokens - 1)
-            upstream.budget.observe_gap(gap_ms, now_ms)
+            budget.gap_ms += (release.duration_ms - budget.gap_ms) / 10
+            return
+        budget.progress(slot, release.produced_tokens, release.slow_tokens, now_ms)
 
     def _after_release(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> None:
         upstream = self._upstreams.get(slot.upstream)
@@ -461,18 +460,30 @@
                 yield from self._shed_tier(tier, model, now_ms)
 
     def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        queue = self._queues.queue(tier, model)
         reach = self._reach.get(model, [])
-        while (victim := queue.victim()) is not None:
-            wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
-            left_ms = patience_ms(victim, reach, now_ms)
-            if wait_ms <= left_ms:
-                break
+        while (excess := self._excess(tier, model, now_ms)) is not None:
             if not self._may_refuse(tier, model, with_preempted=True):
                 yield from self._make_room(tier, model, now_ms)
                 return
             yield from self._evict_lower(tier, model, now_ms)
-            yield self._shed_one(victim, wait_ms - left_ms, now_ms)
+            wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
+            left_ms = self._drain.patience_ms(excess, reach, now_ms)
+            yield self._shed_one(excess, wait_ms - left_ms, now_ms)
+
+    def _excess(self, tier: int, model: str, now_ms: int) -> QueuedWant | None:
+        """Return a want of the tier that cannot begin in time."""
+        queue = self._queues.queue(tier, model)
+        reach = self._reach.get(model, [])
+        urgent = queue.most_urgent()
+        if urgent is None:
+            return None
+        if self._drain.patience_ms(urgent, reach, now_ms) < 0:
+            return urgent
+        victim = queue.victim()
+        wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
+        if wait_ms > self._drain.patience_ms(victim, reach, now_ms):
+            return victim
+        return None
 
     def _may_refuse(self, tier: int, model: str, *, with_preempted: bool) -> bool:
         reach = self._reach.get(model, [])
@@ -578,6 +589,7 @@
             prefill_tokens_per_s=spec.prefill_tokens_per_s,
             gap_ms=1000.0 / spec.decode_tokens_per_s,
             target_gap_ms=policy.token_gap_ms,
+            learns=policy.learns_rates and spec.kind is UpstreamKind.ENGINE,
         )
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
