Test the client for upstreams against scripted upstreams

Change: 29 scenarios on failures before, within and after an answer, kept connections, back-pressure and cancellation.

--- a/features/http_fixtures.py
+++ b/features/http_fixtures.py
@@ -12,11 +12,16 @@
 POLL_S = 0.002
 
 
-def run(context, coroutine):
-    """Run a coroutine on the one loop of the scenario."""
+def open_runner(context):
+    """Open the one loop of the scenario, to be closed after all else."""
     if not hasattr(context, "runner"):
         context.runner = asyncio.Runner()
         context.add_cleanup(context.runner.close)
+
+
+def run(context, coroutine):
+    """Run a coroutine on the one loop of the scenario."""
+    open_runner(context)
     return context.runner.run(asyncio.wait_for(coroutine, 4 * PATIENCE_S))
 
 
@@ -37,6 +42,7 @@
 
 def client(context, limits=None, ssl_context=None):
     """Open a client for the rest of the scenario."""
+    open_runner(context)
     opened = EngineClient(limits, ssl_context)
     context.add_cleanup(lambda: run(context, opened.close()))
     return opened
--- /dev/null
+++ b/features/steps/upstreams_steps.py
@@ -0,0 +1,357 @@
+"""Steps on the HTTP client, against upstreams that play a script."""
+
+import asyncio
+import os
+import re
+import socket
+import struct
+
+import parse
+from behave import given, register_type, then, when
+from http_fixtures import HOST_IP, PATIENCE_S, client, play, run, until
+
+from peridotfront import exceptions
+from peridotfront.core.verdicts import Verdict
+from peridotfront.upstreams import ClientLimits, UpstreamTimeouts
+
+TIMEOUTS = UpstreamTimeouts(connect_ms=300, first_byte_ms=150, between_bytes_ms=150)
+READ_LIMIT_BYTES = 10_000
+PIECE = bytes(range(256)) * 1024
+PIECES = 80
+RESET = struct.pack("ii", 1, 0)
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+RAW_ANSWERS = {
+    "a close before the answer": b"",
+    "a close within the header": OK,
+    "a cut of a chunked body": CHUNKED + b"4\r\ndata\r\n",
+    "a cut of a body with length": OK + b"Content-Length: 9\r\n\r\ndata",
+    "a body over the limit": OK + b"Content-Length: 20000\r\n\r\n" + b"x" * 20_000,
+    "no HTTP": b"nonsense\r\n\r\n",
+    "a bad chunk": CHUNKED + b"zz\r\n",
+    "a header over the limit": OK + b"A: " + b"x" * 200_000,
+}
+
+
+@parse.with_pattern("long before|right before")
+def parse_moment(text):
+    return text
+
+
+register_type(Moment=parse_moment)
+
+
+async def read_request(context, reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head.lower())
+    body = await reader.readexactly(int(length[1])) if length else b""
+    context.requests_read += 1
+    return body
+
+
+def repeat(body):
+    return OK + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
+async def drip(writer, data):
+    while True:
+        writer.write(data)
+        await asyncio.sleep(0.02)
+
+
+async def misbehave(fault, reader, writer):
+    if fault == "a reset before the answer":
+        reset(writer)
+    elif fault == "a reset of a body to the end":
+        writer.write(OK + b"\r\ndata")
+        await asyncio.sleep(0.02)
+        reset(writer)
+    elif fault == "a header that drips":
+        writer.write(OK)
+        await drip(writer, b"A: b\r\n")
+    elif fault == "endless interim answers":
+        await drip(writer, b"HTTP/1.1 102 Processing\r\n\r\n")
+    elif fault in ("no answer", "a pause within the body"):
+        writer.write(b"" if fault == "no answer" else CHUNKED + b"4\r\ndata\r\n")
+        await reader.read()
+    else:
+        writer.write(RAW_ANSWERS[fault])
+        await writer.drain()
+
+
+@when("a request is sent to {cause}")
+def send_nowhere(context, cause):
+    with socket.socket() as listener:
+        listener.bind((HOST_IP, 0))
+        port = listener.getsockname()[1]
+        waiting = []
+        if cause == "a full accept queue":
+            listener.listen(0)
+            waiting = [fill_queue(listener) for _ in range(4)]
+        address = {
+            "a host name": f"localhost:{port}",
+            "a port over 65535": f"{HOST_IP}:{port + 65536}",
+        }.get(cause, f"{HOST_IP}:{port}")
+        attempt(context, client(context), address)
+        for sock in waiting:
+            sock.close()
+
+
+def fill_queue(listener):
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.connect_ex(listener.getsockname())
+    return sock
+
+
+def attempt(context, opened, address, headers=()):
+    context.client = opened
+    context.error = None
+
+    async def call():
+        answer = await opened.send(
+            address, "POST", "/", headers, b"body", timeouts=TIMEOUTS
+        )
+        return await answer.read(READ_LIMIT_BYTES)
+
+    try:
+        run(context, call())
+    except exceptions.PeridotfrontError as error:
+        context.error = error
+
+
+@then("it ends with {name} and verdict {verdict}")
+def ends_with(context, name, verdict):
+    assert type(context.error) is getattr(exceptions, name), repr(context.error)
+    assert context.error.verdict is Verdict(verdict)
+
+
+@given("an upstream that shows {fault}")
+def faulty_upstream(context, fault):
+    context.requests_read = 0
+
+    async def script(reader, writer, number):
+        await read_request(context, reader)
+        await misbehave(fault, reader, writer)
+
+    context.address = play(context, script)
+
+
+@when("a request is sent and its answer read")
+def send_and_read(context):
+    attempt(context, client(context), context.address)
+
+
+@then("the upstream read exactly {count:d} request")
+@then("the upstream read exactly {count:d} requests")
+def read_exactly(context, count):
+    assert context.requests_read == count, context.requests_read
+
+
+@then("no connection of the client is left")
+def no_connection(context):
+    run(context, until(lambda: context.client.connections == 0))
+
+
+@given("an upstream that repeats the body")
+def repeating_upstream(context):
+    context.requests_read = 0
+
+    async def script(reader, writer, number):
+        while True:
+            body = await read_request(context, reader)
+            await asyncio.sleep(0)
+            writer.write(repeat(body))
+
+    context.address = play(context, script)
+
+
+@when("a request with a line break in a header is sent")
+def bad_header(context):
+    headers = [("a", "b\r\nc: d")]
+    attempt(context, client(context), context.address, headers)
+
+
+async def call(context, body):
+    answer = await context.client.send(
+        context.address, "POST", "/", body=body, timeouts=TIMEOUTS
+    )
+    return await answer.read() == body
+
+
+@when("{count:d} calls are made one after the other")
+def calls_in_turn(context, count):
+    context.client = client(context)
+    context.results = []
+    context.error = None
+
+    async def make():
+        for number in range(count):
+            context.results.append(await call(context, b"%d" % number))
+            for _ in range(20):
+                await asyncio.sleep(0)
+
+    try:
+        run(context, make())
+    except exceptions.PeridotfrontError as error:
+        context.error = error
+
+
+@when("{count:d} calls are made at once by a client that keeps {kept:d}")
+def calls_at_once(context, count, kept):
+    limits = ClientLimits(kept_connections=kept, kept_idle_ms=60)
+    context.client = client(context, limits)
+    context.error = None
+
+    async def make():
+        return await asyncio.gather(*(call(context, b"%d" % n) for n in range(count)))
+
+    context.results = run(context, make())
+
+
+@then("every answer is right and {count:d} connection was accepted")
+@then("every answer is right and {count:d} connections were accepted")
+def all_right(context, count):
+    assert context.error is None, repr(context.error)
+    assert all(context.results)
+    assert len(context.accepted) == count, len(context.accepted)
+
+
+@then("{count:d} connections are kept, and none after the idle time")
+def kept(context, count):
+    async def check():
+        await until(lambda: context.client.connections <= count)
+        assert context.client.connections == count
+        await until(lambda: context.client.connections == 0)
+
+    run(context, check())
+
+
+@when("2 calls are made with {event} {moment:Moment} the second")
+def calls_with_event(context, event, moment):
+    context.client = client(context)
+    context.error = None
+
+    async def make():
+        first = await call(context, b"one")
+        sock = context.accepted[0].get_extra_info("socket")
+        if event == "stray bytes":
+            os.write(sock.fileno(), repeat(b"stray"))
+        else:
+            sock.shutdown(socket.SHUT_RDWR)
+        if moment == "long before":
+            await until(lambda: context.client.connections == 0)
+        return [first, await call(context, b"two")]
+
+    context.results = run(context, make())
+
+
+@given("an upstream that closes each connection on its second request")
+def dies_on_second(context):
+    context.requests_read = 0
+
+    async def script(reader, writer, number):
+        writer.write(repeat(await read_request(context, reader)))
+        await read_request(context, reader)
+
+    context.address = play(context, script)
+
+
+@then("the second call died on a kept connection and may have run")
+def second_died(context):
+    assert context.results == [True]
+    assert isinstance(context.error, exceptions.UpstreamDied), repr(context.error)
+    assert context.error.on_kept_connection
+    assert context.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+@given("an upstream that sends 20 megabytes")
+def large_upstream(context):
+    context.requests_read = 0
+    context.sent_bytes = 0
+
+    async def script(reader, writer, number):
+        await read_request(context, reader)
+        writer.write(OK + b"Content-Length: %d\r\n\r\n" % (PIECES * len(PIECE)))
+        for _ in range(PIECES):
+            writer.write(PIECE)
+            await writer.drain()
+            context.sent_bytes += len(PIECE)
+
+    context.address = play(context, script)
+
+
+@when("nobody reads the answer until the upstream waits")
+def nobody_reads(context):
+    context.client = client(context)
+
+    async def stall():
+        context.answer = await context.client.send(context.address, "GET", "/")
+        seen_bytes = -1
+        while seen_bytes != context.sent_bytes:
+            seen_bytes = context.sent_bytes
+            for _ in range(50):
+                await asyncio.sleep(0)
+
+    run(context, stall())
+
+
+@then("the client holds no more than its buffer and one read")
+def holds_little(context):
+    assert context.sent_bytes < PIECES * len(PIECE)
+    connection = context.answer._connection
+    limit_bytes = context.client.limits.read_buffer_bytes
+    assert 0 < connection._buffered_bytes <= limit_bytes + len(PIECE)
+
+
+@then("all 20 megabytes can then be read")
+def read_rest(context):
+    body = run(context, context.answer.read(PIECES * len(PIECE)))
+    assert body == PIECE * PIECES
+
+
+@when("an answer is cancelled after the next call began on its connection")
+def cancel_late(context):
+    context.client = client(context)
+
+    async def make():
+        answer = await context.client.send(context.address, "POST", "/", body=b"one")
+        await answer.read()
+        following = asyncio.create_task(call(context, b"two"))
+        await asyncio.sleep(0)
+        answer.cancel()
+        return await following
+
+    context.results = [run(context, make())]
+
+
+@then("the next call still brings its whole answer")
+def next_is_whole(context):
+    assert context.results == [True]
+    assert len(context.accepted) == 1
+
+
+@given("an upstream that pauses for ever within the body")
+def pausing_upstream(context):
+    faulty_upstream(context, "a pause within the body")
+
+
+@when("the task that reads the answer is cancelled")
+def cancel_reader(context):
+    context.client = client(context)
+
+    async def make():
+        answer = await context.client.send(context.address, "POST", "/", body=b"x")
+        reading = asyncio.create_task(answer.read())
+        await until(lambda: answer._connection._waiter is not None)
+        reading.cancel()
+        await asyncio.wait([reading], timeout=PATIENCE_S)
+        assert reading.cancelled()
+
+    run(context, make())
--- /dev/null
+++ b/features/upstreams.feature
@@ -0,0 +1,90 @@
+Feature: Calls to upstreams end with a true verdict
+  A call that brought no whole answer says whether the request may have run, and
+  the client never sends a request twice.
+
+  Scenario Outline: A call that cannot reach its upstream did not run: <cause>
+    When a request is sent to <cause>
+    Then it ends with ConnectFailed and verdict not_run
+
+    Examples:
+      | cause              |
+      | a closed port      |
+      | a host name        |
+      | a port over 65535  |
+      | a full accept queue |
+
+  Scenario Outline: A call that fails after it was sent may have run: <fault>
+    Given an upstream that shows <fault>
+    When a request is sent and its answer read
+    Then it ends with <error> and verdict may_have_run
+    And the upstream read exactly 1 request
+    And no connection of the client is left
+
+    Examples:
+      | fault                        | error            |
+      | a close before the answer    | UpstreamDied     |
+      | a reset before the answer    | UpstreamDied     |
+      | a close within the header    | UpstreamDied     |
+      | no answer                    | UpstreamTimedOut |
+      | a header that drips          | UpstreamTimedOut |
+      | endless interim answers      | UpstreamTimedOut |
+      | a pause within the body      | UpstreamTimedOut |
+      | a cut of a chunked body      | AnswerTruncated  |
+      | a cut of a body with length  | AnswerTruncated  |
+      | a reset of a body to the end | AnswerTruncated  |
+      | a body over the limit        | AnswerTooLarge   |
+      | no HTTP                      | AnswerMalformed  |
+      | a bad chunk                  | AnswerMalformed  |
+      | a header over the limit      | AnswerMalformed  |
+
+  Scenario: A request that cannot be written as HTTP is not sent
+    Given an upstream that repeats the body
+    When a request with a line break in a header is sent
+    Then it ends with InvalidRequest and verdict not_run
+    And the upstream read exactly 0 requests
+
+  Scenario: Calls one after the other share a connection
+    Given an upstream that repeats the body
+    When 5 calls are made one after the other
+    Then every answer is right and 1 connection was accepted
+
+  Scenario: Calls at once keep no more connections than allowed
+    Given an upstream that repeats the body
+    When 6 calls are made at once by a client that keeps 2
+    Then every answer is right and 6 connections were accepted
+    And 2 connections are kept, and none after the idle time
+
+  Scenario Outline: A kept connection is not used again after <event> <moment>
+    Given an upstream that repeats the body
+    When 2 calls are made with <event> <moment> the second
+    Then every answer is right and 2 connections were accepted
+    And the upstream read exactly 2 requests
+
+    Examples:
+      | event         | moment       |
+      | a quiet close | long before  |
+      | a quiet close | right before |
+      | stray bytes   | long before  |
+      | stray bytes   | right before |
+
+  Scenario: A kept connection that dies on its next request is not tried again
+    Given an upstream that closes each connection on its second request
+    When 2 calls are made one after the other
+    Then the second call died on a kept connection and may have run
+    And the upstream read exactly 2 requests
+
+  Scenario: A slow reader of an answer holds a bounded buffer
+    Given an upstream that sends 20 megabytes
+    When nobody reads the answer until the upstream waits
+    Then the client holds no more than its buffer and one read
+    And all 20 megabytes can then be read
+
+  Scenario: A cancelled answer closes its own connection only
+    Given an upstream that repeats the body
+    When an answer is cancelled after the next call began on its connection
+    Then the next call still brings its whole answer
+
+  Scenario: A reader that is cancelled gives its connection back
+    Given an upstream that pauses for ever within the body
+    When the task that reads the answer is cancelled
+    Then no connection of the client is left
