--- a/src/peridotfront/standin.py
+++ b/src/peridotfront/standin.py
@@ -58,6 +58,10 @@
         self._server.close_listener()
         await self._server.drain(DRAIN_MS)
         await self._backend.drained()
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop at once."""
         await self._server.close()
 
     async def _handle(self, exchange: Exchange) -> None:
--- a/src/peridotfront/standin_api.py
+++ b/src/peridotfront/standin_api.py
@@ -202,7 +202,11 @@
     def apply_faults(self, faults: Faults) -> None:
         """Switch faults on and off."""
         self.faults = faults
-        self._engine.spec = self._spec()
+        self._engine.change(self._spec(), self._now_ms())
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._schedule()
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
--- a/src/peridotfront/standin_engine.py
+++ b/src/peridotfront/standin_engine.py
@@ -174,9 +174,17 @@
         """Tell whether there is nothing to run."""
         return not self._waiting and not self._running
 
+    def change(self, spec: EngineSpec, now_ms: float) -> None:
+        """Take other rates and faults; they hold from the present step on."""
+        self.spec = spec
+        if self.next_step_ms is not None:
+            self.next_step_ms = now_ms + self._step_ms()
+
     def fits(self, job: Job) -> bool:
         """Tell whether a job could ever be admitted."""
-        return job.prompt_tokens + job.max_tokens <= self.spec.kv_capacity_tokens
+        # One token more, since the last token of a cached prompt is computed again.
+        needed_tokens = job.prompt_tokens + job.max_tokens + 1
+        return needed_tokens <= self.spec.kv_capacity_tokens
 
     def submit(self, job: Job, now_ms: float) -> None:
         """Queue a job; it is admitted in order of arrival as memory allows."""
@@ -185,6 +193,12 @@
             self.next_step_ms = now_ms + self._step_ms()
         self._record_load(now_ms)
 
+    @property
+    def used_kv_tokens(self) -> int:
+        """Return the memory in use by running jobs and the cache."""
+        private_tokens = sum(job.private_tokens for job in self._running.values())
+        return self.cache.size_tokens + private_tokens
+
     def cancel(self, run_id: int, now_ms: float) -> Job | None:
         """Remove a job; return it if it was there."""
         job = self._running.pop(run_id, None)
@@ -199,14 +213,12 @@
 
     def adopt(self, job: Job, now_ms: float) -> bool:
         """Go on with a job whose KV was imported; false if memory is short."""
-        self._store(job.hashes, now_ms)
-        job.cached_tokens = 0
-        job.prefilled_tokens = 0
         self._waiting.appendleft(job)
         if not self._admit_first(now_ms):
             self._waiting.popleft()
             return False
         job.prefilled_tokens = job.prompt_tokens - job.cached_tokens
+        self._finish_prefill(job, now_ms)
         if self.next_step_ms is None:
             self.next_step_ms = now_ms + self._step_ms()
         return True
@@ -297,7 +309,7 @@
         return True
 
     def _make_room(self, needed_tokens: int, now_ms: float) -> bool:
-        free_tokens = self.spec.kv_capacity_tokens - self._used_tokens()
+        free_tokens = self.spec.kv_capacity_tokens - self.used_kv_tokens
         missing_tokens = needed_tokens - free_tokens
         if missing_tokens <= 0:
             return True
@@ -324,10 +336,6 @@
         job.pinned = ()
         job.private_tokens = 0
 
-    def _used_tokens(self) -> int:
-        private_tokens = sum(job.private_tokens for job in self._running.values())
-        return self.cache.size_tokens + private_tokens
-
     def _publish(self, now_ms: float, stored=(), evicted=()) -> None:
         self.last_sequence += 1
         self._events.append(CacheEvent(self.last_sequence, now_ms, stored, evicted))
@@ -340,6 +348,6 @@
             running=len(self._running),
             waiting=len(self._waiting),
             queued_prefill_tokens=queued_tokens + left_tokens,
-            used_kv_tokens=self._used_tokens(),
+            used_kv_tokens=self.used_kv_tokens,
         )
         self._loads.append(load)
