--- a/src/peridotfront/exchanges.py
+++ b/src/peridotfront/exchanges.py
@@ -1,6 +1,7 @@
 """Connections of callers, and the exchanges that they carry one by one."""
 
 import asyncio
+import contextlib
 import math
 import socket
 import struct
@@ -191,6 +192,7 @@
         self._body = bytearray()
         self._chunk_count = 0
         self._wire_bytes = 0
+        self._is_at_end = False
         self._pending: list[bytes] = []
 
     @property
@@ -231,6 +233,7 @@
         """Take the end of what the caller sends."""
         if self._phase is not _Phase.READING:
             return False
+        self._is_at_end = True
         self._http.receive_data(b"")
         self._read_events()
         return self._transport.get_extra_info("sslcontext") is None
@@ -489,15 +492,23 @@
             self._close()
             return
         self._phase = _Phase.CLOSING
-        self._transport.write_eof()
+        self._write_eof()
         self._linger()
 
     def _close_after_linger(self) -> None:
+        if self._is_at_end:
+            self._close()
+            return
         if self._transport.can_write_eof():
-            self._transport.write_eof()
+            self._write_eof()
         self._phase = _Phase.CLOSING
         self._linger()
 
+    def _write_eof(self) -> None:
+        # The caller may have reset the connection since it was last heard.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
     def _linger(self) -> None:
         self._transport.resume_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
