--- a/src/peridotfront/ctl_settings.py
+++ b/src/peridotfront/ctl_settings.py
@@ -29,6 +29,8 @@
 class AdminHostSection(Section):
     """Names a host of the deployment.
 
+    :param role: the program that runs there.
+    :param data_centre: its data centre.
     :param admin_address: where it listens for operators.
     :param token: if it differs from that of ``[operator]``.
     """
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -173,30 +173,29 @@
         "a connection without a valid certificate was refused",
         "Check the certificate files of the host named, and whether it belongs here.",
     ),
-)
-
-CONTROL_EVENTS = (
     LogEvent(
-        300,
-        "leader_elected",
-        Level.INFO,
-        "this host leads the control group",
-        "Nothing to do.",
+        208,
+        "peer_unknown",
+        Level.ERROR,
+        "a message for a host that the settings do not name was dropped",
+        "Add a [peer ...] section for the host that the line names, and restart.",
     ),
     LogEvent(
-        301,
-        "leader_stepped_down",
+        209,
+        "message_unexpected",
         Level.WARNING,
-        "this host no longer leads the control group",
-        "It lost its quorum or saw a later term. If no other host reports 300,"
-        " check the hosts and the network of the control group.",
+        "a message that this program does not take was dropped",
+        "Check that the [peer ...] sections give each host its right role.",
     ),
+)
+
+CONTROL_EVENTS = (
     LogEvent(
         302,
         "leader_changed",
         Level.INFO,
-        "the leader of the control group is another host",
-        "Nothing to do.",
+        "the leader of the control group, or this host's part in it, has changed",
+        "Nothing to do if 'leader' is named soon after; else see event 303.",
     ),
     LogEvent(
         303,
@@ -215,7 +214,7 @@
     ),
     LogEvent(
         310,
-        "bootstrapped",
+        "raft_bootstrapped",
         Level.INFO,
         "a new control group was formed",
         "All configured hosts were blank. On a running deployment this must never"
@@ -223,25 +222,18 @@
     ),
     LogEvent(
         311,
-        "replica_joined",
+        "raft_members_changed",
         Level.INFO,
-        "a blank replica joined as a learner",
-        "It catches up and becomes a voter by itself. Replace no second host before"
-        " event 312.",
+        "the voters and learners of the control group change",
+        "A blank host joins as a learner, and becomes a voter once it has caught up."
+        " Replace no second host before it is named among the voters.",
     ),
     LogEvent(
         312,
-        "replica_promoted",
-        Level.INFO,
-        "a replica that has caught up became a voter",
-        "The repair is finished. Nothing to do.",
-    ),
-    LogEvent(
-        313,
-        "replica_removed",
-        Level.INFO,
-        "a replica was removed from the control group",
-        "Its place is taken by another. Nothing to do.",
+        "raft_join_refused",
+        Level.WARNING,
+        "a host that is not of the control group asked to join",
+        "Check the settings of the host that the line names.",
     ),
     LogEvent(
         320,
@@ -280,19 +272,19 @@
     ),
     LogEvent(
         325,
-        "snapshot_installed",
+        "snapshot_restored",
         Level.INFO,
-        "a snapshot of the leader was taken over",
-        "The host was far behind or blank. Nothing to do.",
+        "the state was restored from a snapshot",
+        "The host was far behind, blank, or has just started. Nothing to do.",
     ),
 )
 
 CONFIGURATION_EVENTS = (
     LogEvent(
         400,
-        "config_accepted",
+        "configuration_applied",
         Level.INFO,
-        "a configuration was accepted",
+        "a configuration was accepted and is applied by this control host",
         "Nothing to do.",
     ),
     LogEvent(
@@ -318,10 +310,11 @@
     ),
     LogEvent(
         404,
-        "config_stale",
+        "configuration_may_be_old",
         Level.WARNING,
-        "this host goes on with its last configuration",
-        "It is cut off from the control group; changes reach it later.",
+        "this host took a configuration that may not be the newest",
+        "It started blank and reached no host that has the newest version; it takes"
+        " that as soon as it gets it. Check the hosts that are silent.",
     ),
     LogEvent(
         405,
@@ -350,10 +343,11 @@
     ),
     LogEvent(
         501,
-        "request_completed",
+        "request_ended",
         Level.INFO,
-        "a request was answered in full",
-        "Nothing to do.",
+        "a request has ended",
+        "Verdict and reason are in the line. A verdict of may_have_run names an"
+        " upstream or host that failed: look for it around the same time.",
     ),
     LogEvent(
         502,
@@ -362,13 +356,6 @@
         "a request was refused and did not run",
         "The reason is in the line. Many of 'overloaded' mean too little capacity.",
     ),
-    LogEvent(
-        503,
-        "request_failed",
-        Level.WARNING,
-        "a request that may have run ended without a whole answer",
-        "The reason is in the line. Check the upstream that it names.",
-    ),
     LogEvent(
         504,
         "caller_gone",
@@ -418,6 +405,27 @@
         "a request that took upstreams down was refused for good",
         "Tell the client account; the fingerprint is in the line.",
     ),
+    LogEvent(
+        511,
+        "claim_of_other_holder",
+        Level.WARNING,
+        "a claim was dropped since it names a holder other than its sender",
+        "A fault in the program of the sender. Report it with the line.",
+    ),
+    LogEvent(
+        512,
+        "request_joined",
+        Level.INFO,
+        "a request with the key of one in progress waits for the same answer",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        513,
+        "outcome_recorded",
+        Level.DEBUG,
+        "the control group has recorded how a request ended",
+        "Nothing to do.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
@@ -559,6 +567,7 @@
     + OPERATOR_EVENTS
 )
 EVENTS_BY_NAME = {event.name: event for event in EVENTS}
+RESERVED_FIELDS = frozenset({"event", "host", "name", "number", "timestamp"})
 
 _request_id: ContextVar[str] = ContextVar("request_id", default="")
 
@@ -608,11 +617,12 @@
         _request_id.reset(reset)
 
 
-def write(event_name: str, **fields: Any) -> None:
+def write(event_name: str, /, **fields: Any) -> None:
     """Write one line.
 
     :param event_name: the name of an event of the catalogue.
-    :param fields: values that go with it; those with a secret name are masked.
+    :param fields: values that go with it; those with a secret name are masked. A
+        field such as ``host``, which every line has, is written as ``field_host``.
     :raises LogEventUnknown: if the catalogue has no such event.
 
     Usage::
@@ -627,11 +637,15 @@
     if _output.logger is None:
         configure(LogSection(), host="")
     fields.setdefault("request_id", _request_id.get())
-    values = {name: _loggable(name, value) for name, value in fields.items()}
+    values = {_free(name): _loggable(name, value) for name, value in fields.items()}
     method = getattr(_output.logger, event.level)
     method(event.text, number=event.number, name=event.name, **values)
 
 
+def _free(name: str) -> str:
+    return f"field_{name}" if name in RESERVED_FIELDS else name
+
+
 def _loggable(name: str, value: Any) -> Any:
     if is_secret(name):
         return MASK
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -27,7 +27,11 @@
 
 
 class UpstreamSection(Section):
-    """Describes one upstream; see :class:`peridotfront.core.fleet.UpstreamSpec`."""
+    """Describes one upstream; see :class:`peridotfront.core.fleet.UpstreamSpec`.
+
+    :param kind: a model engine or one host of a plain service.
+    :param data_centre: where it runs.
+    """
 
     name: Name
     kind: Literal["engine", "service"]
@@ -44,7 +48,12 @@
 
 
 class AccountSection(Section):
-    """Describes a client account; see :class:`peridotfront.core.fleet.AccountSpec`."""
+    """Describes a client account; see :class:`peridotfront.core.fleet.AccountSpec`.
+
+    :param requests_per_s: bound on its requests at one entry host.
+    :param burst_requests: how many may arrive at once there above that rate.
+    :param max_concurrent: bound on its requests in progress at one entry host.
+    """
 
     name: Name
     key_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
@@ -56,7 +65,10 @@
 
 
 class ServiceSection(Section):
-    """Describes a plain service; see :class:`peridotfront.core.fleet.ServiceSpec`."""
+    """Describes a plain service; see :class:`peridotfront.core.fleet.ServiceSpec`.
+
+    :param tier: of all its calls.
+    """
 
     name: Name
     non_idempotent_methods: Words = ("POST",)
@@ -65,7 +77,15 @@
 
 
 class PolicySection(Section):
-    """Holds the knobs of the policy; see :class:`peridotfront.core.fleet.Policy`."""
+    """Holds the knobs of the policy; see :class:`peridotfront.core.fleet.Policy`.
+
+    :param first_token_ms: the latest first token that counts as in time.
+    :param poison_strikes: upstreams that may die on a request before it is refused
+        for good.
+    :param answer_buffer_bytes: of one answer that its caller has not read yet.
+    :param replay_body_bytes: answers up to this size are recorded for repeats.
+    :param claim_retention_ms: how long a key is remembered after its request ended.
+    """
 
     prefill_weight: float = Field(default=1.0, ge=0)
     max_queue_ms: int = Field(default=30_000, ge=1)
@@ -76,6 +96,15 @@
     answer_buffer_bytes: int = Field(default=1_048_576, ge=1024)
     replay_body_bytes: int = Field(default=16_384, ge=0)
     claim_retention_ms: int = Field(default=86_400_000, ge=1000)
+    token_gap_ms: float = Field(default=27.0, gt=0)
+    settle_ms: int = Field(default=300, ge=0)
+    prefix_block_tokens: int = Field(default=64, ge=1)
+    engine_queue_ms: int = Field(default=200, ge=0)
+    headroom_ms: int = Field(default=400, ge=0)
+    overfill_ratio: float = Field(default=1.25, ge=1)
+    urgent_ms: int = Field(default=500, ge=0)
+    preempts: bool = True
+    affinity_ms: int = Field(default=0, ge=0)
 
 
 def parse_rules(text: str, version: int = 0, source: str = "configuration") -> Fleet:
--- a/src/peridotfront/settings.py
+++ b/src/peridotfront/settings.py
@@ -43,6 +43,8 @@
 class HostSection(Section):
     """Names the process and says where it listens.
 
+    :param name: of the host, unique in the deployment.
+    :param data_centre: the host's data centre.
     :param listen_address: for peers.
     :param admin_address: for operators.
     :param admin_token: what operators show; at least 8 characters.
@@ -58,6 +60,8 @@
 class PeerSection(Section):
     """Names another process of the deployment.
 
+    :param role: the program that runs there.
+    :param data_centre: its data centre.
     :param address: where it listens for peers.
     """
 
@@ -70,6 +74,12 @@
     """Names the PEM files for TLS; empty paths together with ``is_off``.
 
     :param is_off: must be set plainly to run without TLS.
+    :param ca_file: the authority that signed the certificates of all hosts.
+    :param certificate_file: this host's certificate, shown to peers.
+    :param key_file: its private key.
+    :param caller_certificate_file: the certificate shown to callers; empty serves
+        them without TLS.
+    :param caller_key_file: its private key.
     """
 
     is_off: bool = False
@@ -81,14 +91,29 @@
 
 
 class LogSection(Section):
-    """Chooses how logs are written."""
+    """Chooses how logs are written.
+
+    :param format: JSON for programs, console for people.
+    :param level: the lowest level that is written.
+    """
 
     format: Literal["json", "console"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 class CallersSection(Section):
-    """Holds the limits towards callers."""
+    """Holds the limits towards callers.
+
+    :param listen_address: for callers.
+    :param max_connections: open at once; more are refused.
+    :param max_header_bytes: of one request.
+    :param max_body_bytes: of one request.
+    :param idle_timeout_ms: how long a connection may wait for its next request.
+    :param request_timeout_ms: from the first byte of a request to its last.
+    :param request_deadline_ms: until an answer must have begun.
+    :param drain_grace_ms: how long new requests are still served after SIGTERM,
+        while the balancer learns of it.
+    """
 
     listen_address: Address
     max_connections: int = Field(default=1000, ge=1)
@@ -101,13 +126,23 @@
 
 
 class StorageSection(Section):
-    """Names the folder for all durable state."""
+    """Names the folder for all durable state.
+
+    :param data_folder: on a local disk, of this process alone.
+    """
 
     data_folder: Path
 
 
 class TimingSection(Section):
-    """Holds the times of heartbeats and elections."""
+    """Holds the times of heartbeats and elections.
+
+    :param heartbeat_ms: between two heartbeats to each peer.
+    :param host_timeout_ms: silence after which a host no longer counts as alive.
+    :param election_timeout_ms: silence of the leader after which another is
+        elected.
+    :param claim_timeout_ms: until a claim that was not answered is given up.
+    """
 
     heartbeat_ms: int = Field(default=150, ge=10)
     host_timeout_ms: int = Field(default=1500, ge=50)
--- a/src/peridotfront/standin_settings.py
+++ b/src/peridotfront/standin_settings.py
@@ -15,6 +15,7 @@
 class StandinSection(Section):
     """What every stand-in needs.
 
+    :param kind: what it stands in for.
     :param listen: IP number and port; port 0 lets the kernel choose.
     :param run_file: file that gets a line for each run; empty writes none.
     :param leave_ms: how long it reports that it is leaving before it exits.
@@ -30,6 +31,15 @@
     """What a stand-in engine can do.
 
     :param models: names, separated by commas; empty serves any model.
+    :param prefill_tokens_per_s: of prompts that are not in its cache.
+    :param decode_tokens_per_s: of one stream.
+    :param kv_capacity_tokens: for running requests and cached prefixes.
+    :param batch_slowdown: by how much each further stream slows a step.
+    :param load_lag_ms: age of the load that a report shows.
+    :param event_lag_ms: age at which a cache event is published.
+    :param event_gap_every: each n-th cache event is lost; 0 loses none.
+    :param order_ms: how long an order takes.
+    :param honours_fencing: whether it refuses orders with an old fencing token.
     :param retention_ms: how long a finished answer can still be resumed.
     """
 
