Test logs, settings and the configuration's check

Found by the new features: a dump showed the value of an authorization header kept as a named tuple (now masked); settings with a section named by blanks crashed the check (now a fault).

--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,63 @@
+Feature: Settings are checked before anything starts
+  Every fault is named with section, key, value and reason, all at once.
+
+  Scenario Outline: Good settings of each program are read
+    Given good settings of <role>
+    When the settings are checked as <role>
+    Then no fault of settings is reported
+
+    Examples:
+      | role    |
+      | entry   |
+      | control |
+      | ctl     |
+      | standin |
+
+  Scenario: Every fault is named at once
+    Given good settings of entry
+    And the settings line "max_connections = many" under "[callers]"
+    And the settings line "colour = blue" under "[log]"
+    And the settings line "[shop]" at the end
+    When the settings are checked as entry
+    Then the fault "[callers] max_connections = 'many'" is reported
+    And the fault "[log] colour = 'blue'" is reported
+    And the fault "[shop]" is reported
+    And 3 faults are reported
+
+  Scenario Outline: A bad value is refused
+    Given good settings of entry
+    And the settings line "<line>" under "<section>"
+    When the settings are checked as entry
+    Then the fault "<fault>" is reported
+
+    Examples:
+      | section   | line                        | fault                                     |
+      | [host]    | admin_address = localhost:1 | [host] admin_address = 'localhost:1'      |
+      | [host]    | admin_address = 127.0.0.1   | [host] admin_address = '127.0.0.1'        |
+      | [host]    | listen_address = 1.2.3.4:99999 | [host] listen_address = '1.2.3.4:99999' |
+      | [host]    | name = a b                  | [host] name = 'a b'                       |
+      | [callers] | max_body_bytes = 1e400      | [callers] max_body_bytes = '1e400'        |
+      | [log]     | level = loud                | [log] level = 'loud'                      |
+      | [timing]  | heartbeat_ms = -1           | [timing] heartbeat_ms = '-1'              |
+      | [tls]     | is_off = false              | [tls] ca_file = ''                        |
+
+  Scenario: A secret with a fault is not shown
+    Given good settings of entry
+    And the settings line "admin_token = hush" under "[host]"
+    When the settings are checked as entry
+    Then the fault "[host] admin_token = '***'" is reported
+    And no fault shows "hush"
+
+  Scenario: Text that is not INI is a fault, not a crash
+    When any text is checked as settings of each program
+    Then each text gave settings or a list of faults
+
+  Scenario: A program with bad settings exits before it opens a port
+    Given good settings of entry
+    And the settings line "max_connections = many" under "[callers]"
+    When the program of entry is started with them
+    Then it exits with code 2 and names "[callers] max_connections = 'many'"
+
+  Scenario: The page on settings is complete and current
+    When the generated pages are checked
+    Then no fault is found in it
--- /dev/null
+++ b/features/steps/logs_steps.py
@@ -0,0 +1,263 @@
+"""Steps on log events, dumps and metrics."""
+
+import asyncio
+import io
+import json
+from dataclasses import dataclass
+
+from behave import given, then, when
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+from support.generator import load_generator
+
+from peridotfront import logs
+from peridotfront.core.verdicts import Reason, Verdict
+from peridotfront.dump import CUT, dump
+from peridotfront.exceptions import LogEventUnknown
+from peridotfront.http_messages import Header
+from peridotfront.metrics import Metrics
+from peridotfront.settings import LogSection
+
+SECRET = "s3cr3t-value"
+EVENT_GROUPS = (
+    logs.PROCESS_EVENTS,
+    logs.PEER_EVENTS,
+    logs.CONTROL_EVENTS,
+    logs.CONFIGURATION_EVENTS,
+    logs.REQUEST_EVENTS,
+    logs.UPSTREAM_EVENTS,
+    logs.SCHEDULING_EVENTS,
+    logs.OPERATOR_EVENTS,
+)
+
+
+def lines_of(context):
+    return context.log.getvalue().splitlines()
+
+
+def last_line(context):
+    return json.loads(lines_of(context)[-1])
+
+
+def configure(context, host, **section):
+    context.log = io.StringIO()
+    logs.configure(LogSection(**section), host, context.log)
+    context.add_cleanup(logs.configure, LogSection(level="error"), "")
+
+
+@when("the catalogue of log events is checked")
+def check_catalogue(context):
+    context.faults = list(load_generator().catalogue_faults())
+
+
+@then("no fault is found in it")
+def no_faults(context):
+    assert context.faults == [], context.faults
+
+
+@then("every event number lies in the range of its group")
+def numbers_in_range(context):
+    for digit, events in enumerate(EVENT_GROUPS, start=1):
+        assert {event.number // 100 for event in events} == {digit}, digit
+
+
+@given('log lines of host "{host}" as {form}')
+def lines_as(context, host, form):
+    configure(context, host, format=form.lower(), level="debug")
+
+
+@given('log lines of host "{host}" from level "{level}"')
+def lines_from(context, host, level):
+    configure(context, host, level=level)
+
+
+@when('event "{name}" is written for request "{request_id}" with peer "{peer}"')
+def write_for_request(context, name, request_id, peer):
+    with logs.request_context(request_id):
+        logs.write(name, peer=peer)
+
+
+@when('event "{name}" is written with host "{host}"')
+def write_with_host(context, name, host):
+    logs.write(name, host=host)
+
+
+@when('event "{name}" is written with every kind of secret')
+def write_secrets(context, name):
+    logs.write(
+        name,
+        admin_token=SECRET,
+        authorization=f"Bearer {SECRET}",
+        headers={"Authorization": SECRET, "nested": {"password": SECRET}},
+        body=SECRET.encode(),
+    )
+
+
+@when('event "{name}" is written')
+def write_plain(context, name):
+    context.error = None
+    try:
+        logs.write(name)
+    except LogEventUnknown as error:
+        context.error = error
+
+
+@when('two tasks write lines for requests "{first}" and "{second}" in turn')
+def write_in_tasks(context, first, second):
+    async def work(request_id):
+        with logs.request_context(request_id):
+            for _ in range(3):
+                logs.write("process_started", task=request_id)
+                await asyncio.sleep(0)
+
+    async def work_both():
+        await asyncio.gather(work(first), work(second))
+        logs.write("process_started", task="")
+
+    asyncio.run(work_both())
+
+
+@then("each log line has the request id of its task")
+def ids_fit(context):
+    lines = [json.loads(line) for line in lines_of(context)]
+    assert len(lines) == 7, lines
+    assert all(line["request_id"] == line["task"] for line in lines), lines
+
+
+@then('the log line has number {number:d}, host "{host}" and request id "{request_id}"')
+def line_is(context, number, host, request_id):
+    line = last_line(context)
+    found = (line["number"], line["host"], line["request_id"])
+    assert found == (number, host, request_id), line
+
+
+@then('the log line has peer "{peer}"')
+def line_has_peer(context, peer):
+    assert last_line(context)["peer"] == peer
+
+
+@then('the log line has host "{host}" and field_host "{other}"')
+def line_keeps_host(context, host, other):
+    line = last_line(context)
+    assert (line["host"], line["field_host"]) == (host, other), line
+
+
+@then("no log line contains a secret")
+def no_secret(context):
+    assert lines_of(context)
+    assert SECRET not in context.log.getvalue()
+
+
+@then("it is refused as unknown")
+def refused(context):
+    assert isinstance(context.error, LogEventUnknown)
+    assert lines_of(context) == []
+
+
+@then("there is {count:d} log line")
+def count_lines(context, count):
+    assert len(lines_of(context)) == count, lines_of(context)
+
+
+def any_state():
+    leaves = st.none() | st.integers() | st.floats() | st.text() | st.binary()
+    return st.recursive(
+        leaves,
+        lambda inner: (
+            st.lists(inner)
+            | st.tuples(inner, inner)
+            | st.dictionaries(st.text() | st.integers(), inner)
+        ),
+        max_leaves=80,
+    )
+
+
+@when("any state is dumped with any bound")
+def dump_any(context):
+    context.failures = []
+
+    @settings(max_examples=100)
+    @for_any(any_state(), st.integers(2048, 8192), st.integers(1, 30))
+    def check(state, max_size_bytes, max_items):
+        state = [state, ["long" * 200] * 20, state]
+        body = dump(state, max_items, max_size_bytes)
+        json.loads(body, parse_constant=context.failures.append)
+        if len(body) > max_size_bytes:
+            context.failures.append((len(body), max_size_bytes))
+
+    check()
+
+
+@then("each dump is JSON and within its bound")
+def dumps_fit(context):
+    assert context.failures == [], context.failures[:3]
+
+
+@dataclass(frozen=True, slots=True)
+class SomeState:
+    admin_token: str
+    headers: tuple
+    body: bytes
+    items: tuple
+    first_token_ms: int = 7
+
+
+@when(
+    "a state with {count:d} items, secrets and a caller's body is dumped"
+    " with {max_items:d} items"
+)
+def dump_state(context, count, max_items):
+    header = Header("authorization", SECRET)
+    state = SomeState(SECRET, (header,), SECRET.encode(), tuple(range(count)))
+    context.body = dump({"role": state}, max_items).decode()
+
+
+@then("the dump shows {shown:d} items and says that {rest:d} are left out")
+def dump_says(context, shown, rest):
+    items = json.loads(context.body)["role"]["items"]
+    assert items == [*range(shown), f"{CUT}: {rest} more"], items
+
+
+@then("the dump contains no secret and no part of the body")
+def dump_masks(context):
+    assert SECRET not in context.body, context.body
+    assert json.loads(context.body)["role"]["first_token_ms"] == 7
+
+
+@given('the metrics of host "{host}"')
+def some_metrics(context, host):
+    context.metrics = Metrics(host, "cardiff")
+
+
+@when(
+    "a request of tier 1 is answered in time, one of tier 3 refused and"
+    " {tokens:d} tokens wasted"
+)
+def count_some(context, tokens):
+    context.metrics.count_answer(1, Verdict.COMPLETED, Reason.NONE, is_good=True)
+    context.metrics.count_answer(3, Verdict.NOT_RUN, Reason.OVERLOADED)
+    context.metrics.count_wasted_prefill("preempted", tokens)
+    context.metrics.observe_first_token(1, 40)
+
+
+def samples(context):
+    text = context.metrics.render().decode()
+    lines = [line.rsplit(" ", 1) for line in text.splitlines() if line[:1] != "#"]
+    return {name: float(value) for name, value in lines if name}
+
+
+@then("the metrics show 1 good answer of tier 1 and none of tier 3")
+def good_answers(context):
+    found = {k: v for k, v in samples(context).items() if "goodput_total" in k}
+    labels = 'data_centre="cardiff",host="entry-1",tier="1"'
+    assert found == {f"peridotfront_goodput_total{{{labels}}}": 1}, found
+
+
+@then("the metrics show the refusal of tier 3 and the {tokens:d} tokens by cause")
+def other_counts(context, tokens):
+    found = samples(context)
+    refusal = 'reason="overloaded",tier="3",verdict="not_run"'
+    assert any(refusal in k and v == 1 for k, v in found.items()), found
+    wasted = [v for k, v in found.items() if 'cause="preempted"' in k]
+    assert wasted == [tokens], found
--- /dev/null
+++ b/features/steps/rules_steps.py
@@ -0,0 +1,114 @@
+"""Steps on the check of the replicated configuration."""
+
+import dataclasses
+
+from behave import then, when
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from peridotfront.core.fleet import Policy
+from peridotfront.exceptions import SettingsInvalid
+from peridotfront.rules import PolicySection, parse_rules
+
+VERSION = 7
+KEY_DIGEST = "0" * 64
+GOOD = f"""[upstream engine-1]
+kind = engine
+data_centre = cardiff
+address = 127.0.0.1:9001
+models = small, large
+
+[upstream payout-1]
+kind = service
+data_centre = cardiff
+address = [::1]:9002
+service = payout
+
+[service payout]
+
+[client_account counter]
+key_sha256 = {KEY_DIGEST}
+highest_tier = 1
+"""
+BAD = (
+    GOOD.replace("127.0.0.1:9001", "engine-1:80\ncolour = blue")
+    .replace("service = payout", "service = payouts")
+    .replace("[service payout]", "[service transfer]")
+)
+RULES_TEXT = st.lists(
+    st.sampled_from(
+        ["[policy]", "[upstream a]", "[service s]", "kind = engine", "tier = 9", "["]
+    )
+    | st.text(max_size=30),
+    max_size=12,
+).map("\n".join)
+
+
+@when("a configuration with an engine, a service and an account is checked")
+def check_good(context):
+    context.fleet = parse_rules(GOOD, VERSION)
+
+
+@then(
+    "the fleet has {upstreams:d} upstreams, {accounts:d} account and"
+    " {services:d} service at version {version:d}"
+)
+def fleet_has(context, upstreams, accounts, services, version):
+    fleet = context.fleet
+    counts = (len(fleet.upstreams), len(fleet.accounts), len(fleet.services))
+    assert counts == (upstreams, accounts, services), fleet
+    assert fleet.version == version
+    assert fleet.upstreams[0].models == ("small", "large")
+
+
+@when(
+    "a configuration with a bad address, an unknown key and an unknown service"
+    " is checked"
+)
+def check_bad(context):
+    try:
+        parse_rules(BAD)
+    except SettingsInvalid as error:
+        context.rule_faults = [str(fault) for fault in error.faults]
+
+
+@then('the configuration fault "{start}" is named')
+def fault_named(context, start):
+    found = [f for f in context.rule_faults if f.startswith(start)]
+    assert len(found) == 1, context.rule_faults
+
+
+@when("the knobs of the policy are compared with the core's")
+def compare_knobs(context):
+    context.core_policy = dataclasses.asdict(Policy())
+    context.policy = PolicySection().model_dump()
+
+
+@then("they have the same names and defaults")
+def same_knobs(context):
+    assert context.policy == context.core_policy
+
+
+@when("any text is checked as a configuration")
+def check_any_rules(context):
+    context.odd = []
+
+    @settings(max_examples=200)
+    @for_any(RULES_TEXT)
+    def check(text):
+        try:
+            fleet = parse_rules(text)
+        except SettingsInvalid as error:
+            if not error.faults:
+                context.odd.append(text)
+        else:
+            if fleet.version != 0:
+                context.odd.append(text)
+
+    check()
+
+
+@then("each text gave a fleet or a list of faults")
+def nothing_odd(context):
+    assert context.odd == [], context.odd
--- a/src/peridotfront/dump.py
+++ b/src/peridotfront/dump.py
@@ -74,6 +74,8 @@
         return _mapping(value.items(), limits, depth)
     if is_dataclass(value) and not isinstance(value, type):
         return _mapping(_dataclass_items(value), limits, depth)
+    if isinstance(value, tuple) and hasattr(value, "_fields"):
+        return _mapping(_mask_header(value._asdict()), limits, depth)
     if isinstance(value, Iterable) and hasattr(value, "__len__"):
         return _sequence(value, limits, depth)
     if callable(value) or not hasattr(value, "__dict__"):
@@ -96,10 +98,13 @@
 
 def _dataclass_items(value: Any) -> Iterable[tuple[str, Any]]:
     names = [field.name for field in fields(value)]
-    items = [(name, getattr(value, name, None)) for name in names]
-    if set(names) == {"name", "value"} and is_secret(str(value.name)):
-        return [("name", value.name), ("value", MASK)]
-    return items
+    return _mask_header({name: getattr(value, name, None) for name in names})
+
+
+def _mask_header(values: dict[str, Any]) -> Iterable[tuple[str, Any]]:
+    if values.keys() == {"name", "value"} and is_secret(str(values["name"])):
+        return {**values, "value": MASK}.items()
+    return values.items()
 
 
 def _mapping(items: Iterable[tuple[Any, Any]], limits: Limits, depth: int) -> dict:
--- a/src/peridotfront/ini.py
+++ b/src/peridotfront/ini.py
@@ -80,7 +80,7 @@
     def unknown_sections(self, known: set[str]) -> Iterator[Fault]:
         """Yield a fault for each section whose first word is not known."""
         for section in self.parser.sections():
-            if section.split(None, 1)[0] not in known:
+            if not known.intersection(section.split(None, 1)[:1]):
                 yield Fault(section, "", "", "unknown section")
 
     def read(
