--- a/features/controller.feature
+++ b/features/controller.feature
@@ -60,7 +60,7 @@
   Scenario: A blank host without control gets the configuration from its peers
     Given a control group with a configuration
     When all control hosts are killed
-    And "e2" restarts blank
+    And host "e2" restarts blank
     Then "e2" has version 1 in force within 2000 ms
     And "e2" says that it is cut off
 
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -243,7 +243,7 @@
         context.group.kill(name)
 
 
-@when('"{name}" restarts blank')
+@when('host "{name}" restarts blank')
 def restart_blank(context, name):
     context.group.kill(name)
     context.group.restart(name)
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -21,7 +21,11 @@
 from peridotfront.standin import Standin
 from peridotfront.standin_engine import Engine, EngineSpec, Job, Produced
 from peridotfront.standin_service import CRASH_EXIT_CODE
-from peridotfront.standin_settings import StandinSettings
+from peridotfront.standin_settings import (
+    EngineSection,
+    StandinSection,
+    StandinSettings,
+)
 from peridotfront.standin_text import (
     BLOCK_TOKENS,
     block_hashes,
@@ -167,7 +171,11 @@
     }
 
     async def start():
-        standin = Standin(StandinSettings.model_validate(content))
+        settings = StandinSettings(
+            standin=StandinSection(**content["standin"]),
+            engine=EngineSection(**content["engine"]),
+        )
+        standin = Standin(settings)
         await standin.start()
         return standin
 
@@ -538,5 +546,6 @@
         ("engine", "decode_tokens_per_s", "fast"),
         ("engine", "colour", "red"),
     ):
-        start = f"section {section}, key {key}, value {value}: "
-        assert any(t.startswith(start) and len(t) > len(start) for t in told), told
+        start = f"[{section}] {key} = {value!r}: "
+        reasons = [told_one.partition(start)[2] for told_one in told]
+        assert any(reasons), told
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -22,6 +22,7 @@
 from .settings import Address, Name
 
 LOWEST_TIER = 5
+DEFAULTS = Policy()
 KNOWN_SECTIONS = {"upstream", "client_account", "service", "policy"}
 TierNumber = Annotated[int, Field(ge=1, le=LOWEST_TIER)]
 
@@ -87,24 +88,25 @@
     :param claim_retention_ms: how long a key is remembered after its request ended.
     """
 
-    prefill_weight: float = Field(default=1.0, ge=0)
-    max_queue_ms: int = Field(default=30_000, ge=1)
-    first_token_ms: int = Field(default=1500, ge=1)
-    slot_lease_ms: int = Field(default=3000, ge=100)
-    suspect_after_ms: int = Field(default=2000, ge=50)
-    poison_strikes: int = Field(default=2, ge=1)
-    answer_buffer_bytes: int = Field(default=1_048_576, ge=1024)
-    replay_body_bytes: int = Field(default=16_384, ge=0)
-    claim_retention_ms: int = Field(default=86_400_000, ge=1000)
-    token_gap_ms: float = Field(default=27.0, gt=0)
-    settle_ms: int = Field(default=300, ge=0)
-    prefix_block_tokens: int = Field(default=64, ge=1)
-    engine_queue_ms: int = Field(default=200, ge=0)
-    headroom_ms: int = Field(default=400, ge=0)
-    overfill_ratio: float = Field(default=1.25, ge=1)
-    urgent_ms: int = Field(default=500, ge=0)
-    preempts: bool = True
-    affinity_ms: int = Field(default=0, ge=0)
+    prefill_weight: float = Field(default=DEFAULTS.prefill_weight, ge=0)
+    max_queue_ms: int = Field(default=DEFAULTS.max_queue_ms, ge=1)
+    first_token_ms: int = Field(default=DEFAULTS.first_token_ms, ge=1)
+    slot_lease_ms: int = Field(default=DEFAULTS.slot_lease_ms, ge=100)
+    suspect_after_ms: int = Field(default=DEFAULTS.suspect_after_ms, ge=50)
+    poison_strikes: int = Field(default=DEFAULTS.poison_strikes, ge=1)
+    answer_buffer_bytes: int = Field(default=DEFAULTS.answer_buffer_bytes, ge=1024)
+    replay_body_bytes: int = Field(default=DEFAULTS.replay_body_bytes, ge=0)
+    claim_retention_ms: int = Field(default=DEFAULTS.claim_retention_ms, ge=1000)
+    token_gap_ms: float = Field(default=DEFAULTS.token_gap_ms, gt=0)
+    settle_ms: int = Field(default=DEFAULTS.settle_ms, ge=0)
+    prefix_block_tokens: int = Field(default=DEFAULTS.prefix_block_tokens, ge=1)
+    engine_queue_ms: int = Field(default=DEFAULTS.engine_queue_ms, ge=0)
+    headroom_ms: int = Field(default=DEFAULTS.headroom_ms, ge=0)
+    overfill_ratio: float = Field(default=DEFAULTS.overfill_ratio, ge=1)
+    urgent_ms: int = Field(default=DEFAULTS.urgent_ms, ge=0)
+    preempts: bool = DEFAULTS.preempts
+    affinity_ms: int = Field(default=DEFAULTS.affinity_ms, ge=0)
+    learns_rates: bool = DEFAULTS.learns_rates
 
 
 def parse_rules(text: str, version: int = 0, source: str = "configuration") -> Fleet:
