Ask whether a key is in use before a request is refused as not run

Cause: read against the promise "a refusal that says not run is true", a repeat of a key was refused as not run by an overloaded or rate-limited host although an earlier attempt had run elsewhere.

Ruled out: MAY_HAVE_RUN for every refusal of a request with a key (a first attempt would learn nothing); a claim at arrival (claims of refused requests would fill the log); a look-up before the want (one round trip more for each request).

Change: the look-up travels beside the want, answered by the leader after its read index; a refusal waits for it. Without a quorum a first attempt is told not run and a later one (Peridotfront-Attempt above 1) may have run. A repeat whose key is held or ended now gets the standing answer without a slot. Further: each placement claims under its own id, since the second one got the outcome of the first; a request that waits for a live holder asks again every 500 ms rather than at once; a caller that leaves no longer takes a queued request from others that joined it.

--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from .answers import Answer
-from .core.dispatcher import DispatchEnded, Progress
 from .core.fleet import Policy, UpstreamKind, UpstreamSpec
+from .core.flows import DispatchEnded, Progress
 from .core.messages import Header, Outcome, ReleaseCause
 from .core.verdicts import Reason, Verdict
 from .exceptions import (
--- a/src/peridotfront/core/claimant.py
+++ b/src/peridotfront/core/claimant.py
@@ -31,6 +31,8 @@
     ClaimRequest,
     ClaimStatus,
     Heartbeat,
+    KeyQuery,
+    KeyReply,
     Outcome,
     OutcomeAck,
     OutcomeReport,
@@ -76,6 +78,30 @@
     timeout_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class QueryKey:
+    """Event: a request arrived whose key may already be in use."""
+
+    request_id: str
+    key: str
+    fingerprint: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFound:
+    """Action: the control group knows the key, or says that it is free."""
+
+    request_id: str
+    reply: ClaimReply
+
+
+@dataclass(frozen=True, slots=True)
+class KeyUnknown:
+    """Action: no answer in time; whether the key is in use is not known."""
+
+    request_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReportOutcome:
     """Event: a request whose claim is held here has ended."""
@@ -130,7 +156,7 @@
 class _Pending:
     """Is a message that is sent again until it is answered."""
 
-    message: ClaimRequest | OutcomeReport
+    message: ClaimRequest | KeyQuery | OutcomeReport
     deadline_ms: int
     due_ms: int
     first_sent_ms: int | None = None
@@ -159,6 +185,7 @@
         self._hints = LeaderHints(self._timing.host_timeout_ms)
         self._waiting: dict[str, _Pending] = {}
         self._given_up: dict[str, _Pending] = {}
+        self._queries: dict[str, _Pending] = {}
         self._held: dict[_ClaimId, _Held] = {}
         self._outcomes: dict[_ClaimId, _Pending] = {}
 
@@ -223,6 +250,17 @@
         self._waiting[request.request_id] = pending
         yield from self._send(pending, now_ms)
 
+    @handle.register
+    def _(self, event: QueryKey, now_ms: int) -> Iterator[Any]:
+        if not self.has_quorum(now_ms):
+            yield KeyUnknown(event.request_id)
+            return
+        query = KeyQuery(event.request_id, event.key, event.fingerprint)
+        deadline_ms = now_ms + self._timing.claim_timeout_ms
+        pending = _Pending(query, deadline_ms, now_ms)
+        self._queries[event.request_id] = pending
+        yield from self._send(pending, now_ms)
+
     @handle.register
     def _(self, event: ReportOutcome, now_ms: int) -> Iterator[Any]:
         yield from self._report(event.key, event.epoch, event.outcome, now_ms)
@@ -256,6 +294,19 @@
         if self._waiting.pop(message.request_id, None):
             yield ClaimDecided(message.request_id, message)
 
+    @_receive.register
+    def _(self, message: KeyReply, sender: str, now_ms: int) -> Iterator[Any]:
+        reply = message.reply
+        pending = self._queries.get(reply.request_id)
+        if pending is None:
+            return
+        if reply.status is ClaimStatus.UNAVAILABLE:
+            if self.leader(now_ms) not in ("", sender):
+                yield from self._send(pending, now_ms)
+            return
+        del self._queries[reply.request_id]
+        yield KeyFound(reply.request_id, reply)
+
     @_receive.register
     def _(self, message: OutcomeAck, sender: str, now_ms: int) -> Iterator[Any]:
         claim_id = _ClaimId(message.key, message.epoch)
@@ -326,7 +377,7 @@
         yield Send(leader, pending.message)
 
     def _all_pending(self) -> list[_Pending]:
-        groups = (self._waiting, self._given_up, self._outcomes)
+        groups = (self._waiting, self._given_up, self._queries, self._outcomes)
         return [pending for group in groups for pending in group.values()]
 
     def _is_full(self) -> bool:
--- a/src/peridotfront/core/claims.py
+++ b/src/peridotfront/core/claims.py
@@ -33,6 +33,7 @@
     ClaimRequest,
     ClaimsSnapshot,
     ClaimStatus,
+    KeyQuery,
     Outcome,
     OutcomeAck,
     OutcomeReport,
@@ -110,6 +111,20 @@
         """Return the record of a key, or None."""
         return self._records.get(key)
 
+    def find(self, query: KeyQuery) -> ClaimReply:
+        """Return what stands for a key, without claiming it."""
+        record = self._records.get(query.key)
+        status = ClaimStatus.HELD
+        if record is None:
+            return ClaimReply(query.request_id, query.key, ClaimStatus.FREE)
+        if record.claim.fingerprint != query.fingerprint:
+            status = ClaimStatus.KEY_REUSED
+        elif record.outcome is not None:
+            status = ClaimStatus.ENDED
+        return ClaimReply(
+            query.request_id, query.key, status, record.claim, record.outcome
+        )
+
     def apply(self, batch: ClaimBatch) -> ClaimsResult:
         """Apply one committed batch, outcomes before claims.
 
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -41,6 +41,8 @@
     ConfigQuery,
     ConfigResult,
     Heartbeat,
+    KeyQuery,
+    KeyReply,
     LogEntry,
     OutcomeReport,
     Replica,
@@ -67,10 +69,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _WaitingRead:
-    """Is a read that waits for the read index; ``key`` is set for a claim."""
+    """Is a read that waits for the read index; ``key`` is set for a claim.
+
+    :param query: set for the query of an entry host.
+    :param host: the entry host that asked.
+    """
 
     ticket: int
     key: str | None = None
+    query: KeyQuery | None = None
+    host: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,6 +234,11 @@
         if isinstance(message, RAFT_MESSAGES):
             yield from self._drive(event, now_ms)
 
+    @_receive.register
+    def _(self, message: KeyQuery, event: Received, now_ms: int) -> Iterator[Any]:
+        waiting = _WaitingRead(ticket=0, query=message, host=event.sender)
+        yield from self._read(waiting, now_ms)
+
     @_receive.register
     def _(self, message: Heartbeat, event: Received, now_ms: int) -> Iterator[Any]:
         host = self._hosts.record(event.sender, event.incarnation, message, now_ms)
@@ -292,6 +305,10 @@
         waiting = self._reads.pop(action.ticket, None)
         if waiting is None:
             return
+        if waiting.query is not None:
+            reply = self._state.claims.find(waiting.query)
+            yield Send(waiting.host, KeyReply(reply))
+            return
         if waiting.key is None:
             yield OperatorView(waiting.ticket, self.view(now_ms))
             return
@@ -302,7 +319,7 @@
     def _(self, action: ReadFailed, now_ms: int) -> Iterator[Any]:
         waiting = self._reads.pop(action.ticket, None)
         if waiting is not None:
-            yield OperatorUnavailable(waiting.ticket, self._leader_hint())
+            yield self._cannot_read(waiting)
 
     @_absorb.register
     def _(self, action: ProposalDropped, now_ms: int) -> Iterator[Any]:
@@ -329,7 +346,7 @@
             yield _unavailable(request)
         yield from self._give_up(None)
         for waiting in self._reads.values():
-            yield OperatorUnavailable(waiting.ticket, self._leader_hint())
+            yield self._cannot_read(waiting)
         self._reads.clear()
 
     # Applying
@@ -513,13 +530,20 @@
 
     def _read(self, waiting: _WaitingRead, now_ms: int) -> Iterator[Any]:
         if not self._is_leader:
-            yield OperatorUnavailable(waiting.ticket, self._leader_hint())
+            yield self._cannot_read(waiting)
             return
         number = self._next_read
         self._next_read += 1
         self._reads[number] = waiting
         yield from self._drive(Read(number), now_ms)
 
+    def _cannot_read(self, waiting: _WaitingRead) -> Any:
+        if waiting.query is None:
+            return OperatorUnavailable(waiting.ticket, self._leader_hint())
+        query = waiting.query
+        reply = ClaimReply(query.request_id, query.key, ClaimStatus.UNAVAILABLE)
+        return Send(waiting.host, KeyReply(reply))
+
     def _leader_hint(self) -> str:
         return self._raft.leader or ""
 
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -3,17 +3,46 @@
 A request asks a cell for a slot, claims its idempotency key once the slot is in
 hand, and is dispatched to its upstream at most once. A request whose key is held
 elsewhere follows the holder's answer instead.
+
+With its first want a request with a key also asks whether the key is in use. A
+refusal waits for that answer: a request whose key has run is not refused as not
+run, it gets the answer that the key has got.
 """
 
 import heapq
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
-from enum import StrEnum
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
-from .claimant import ClaimDecided, ClaimUnknown, ReportOutcome, WantClaim
+from .claimant import (
+    ClaimDecided,
+    ClaimUnknown,
+    KeyFound,
+    KeyUnknown,
+    QueryKey,
+    ReportOutcome,
+    WantClaim,
+)
+from .flows import (
+    Arrived,
+    CallerGone,
+    CancelDispatch,
+    Dispatch,
+    DispatchEnded,
+    Flow,
+    FlowState,
+    Follow,
+    FollowEnded,
+    Forgotten,
+    Join,
+    KeyState,
+    Progress,
+    Refused,
+    Replay,
+    Resume,
+)
 from .messages import (
     CancelWant,
     Claim,
@@ -32,153 +61,12 @@
 from .verdicts import Reason, Refusal, Verdict
 
 WANT_RETRY_MS = 250
+FOLLOW_RETRY_MS = 500
 QUORUM_RETRY_MS = 1000
 UNREACHABLE_RETRY_MS = 500
+FULL_RETRY_MS = 5000
 MAX_PLACEMENTS = 3
-
-
-class FlowState(StrEnum):
-    """Names the steps in the life of a request."""
-
-    QUEUED = "queued"
-    CLAIMING = "claiming"
-    RUNNING = "running"
-    FOLLOWING = "following"
-    TAKING_OVER = "taking_over"
-
-
-@dataclass(frozen=True, slots=True)
-class Arrived:
-    """Reports a new request that was admitted."""
-
-    request: Request
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGone:
-    """Reports that nobody waits for a request's answer any more."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Progress:
-    """Reports tokens that an upstream has produced for a request."""
-
-    request_id: str
-    produced_tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class DispatchEnded:
-    """Reports how a dispatch ended.
-
-    :param first_token_ms: from dispatch to first token; -1 if there was none.
-    """
-
-    request_id: str
-    cause: ReleaseCause
-    outcome: Outcome
-    cached_tokens: int = 0
-    produced_tokens: int = 0
-    first_token_ms: int = -1
-
-
-@dataclass(frozen=True, slots=True)
-class FollowEnded:
-    """Reports that the answer of another host has ended, or is not to be had.
-
-    :param outcome: None if the holder does not know the answer.
-    """
-
-    request_id: str
-    outcome: Outcome | None
-
-
-@dataclass(frozen=True, slots=True)
-class Dispatch:
-    """Asks the program to send a request to its upstream, now."""
-
-    request_id: str
-    upstream: str
-    cell: str
-    epoch: int
-
-
-@dataclass(frozen=True, slots=True)
-class Resume:
-    """Asks the program to resume a stream that another host dispatched."""
-
-    request_id: str
-    upstream: str
-
-
-@dataclass(frozen=True, slots=True)
-class CancelDispatch:
-    """Asks the program to cut a dispatch; :class:`DispatchEnded` follows."""
-
-    request_id: str
-    cause: ReleaseCause
-
-
-@dataclass(frozen=True, slots=True)
-class Join:
-    """Asks the program to serve a request from another one of this host."""
-
-    request_id: str
-    holder_request_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Follow:
-    """Asks the program to fetch the answer from the host that holds it."""
-
-    request_id: str
-    key: str
-    holder_host: str
-
-
-@dataclass(frozen=True, slots=True)
-class Replay:
-    """Asks the program to answer a request with a recorded outcome."""
-
-    request_id: str
-    outcome: Outcome
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Asks the program to give a request its final answer, at once."""
-
-    request_id: str
-    refusal: Refusal
-
-
-@dataclass(slots=True)
-class Flow:
-    """Holds what the dispatcher knows of one request.
-
-    :param epoch: of the claim under which the request runs; 0 without a claim.
-    :param lease_until_ms: until when the granted slot may be used.
-    :param refusals: the answers of cells that could not take the request.
-    """
-
-    request: Request
-    state: FlowState
-    arrived_ms: int
-    cell: str = ""
-    scheduler: str = ""
-    asked_ms: int = 0
-    upstream: str = ""
-    lease_until_ms: int = 0
-    epoch: int = 0
-    sent_ms: int = 0
-    produced_tokens: int = 0
-    renewed_ms: int = 0
-    placements: int = 0
-    holder: Claim | None = None
-    refusals: dict[str, Refuse] = field(default_factory=dict)
-
+CLAIM_ID_SEPARATOR = "."
 
 Placement = Callable[[Request, frozenset[str]], str]
 SchedulerOf = Callable[[str], str]
@@ -216,6 +104,23 @@
         """Take an event and yield the actions that follow from it."""
         yield from self._handle(event, now_ms)
 
+    def host_lost(self, host: str, now_ms: int) -> Iterator[Any]:
+        """Take over the answers that a lost host held."""
+        for flow in list(self.flows.values()):
+            is_follower = flow.state is FlowState.FOLLOWING
+            if is_follower and flow.holder and flow.holder.holder_host == host:
+                yield from self._take_over(flow)
+
+    def schedulers_changed(self, now_ms: int) -> Iterator[Any]:
+        """Tell new schedulers of cells the wants and slots of this host."""
+        for flow in list(self.flows.values()):
+            if not flow.cell or self._scheduler_of(flow.cell) == flow.scheduler:
+                continue
+            if flow.state is FlowState.QUEUED:
+                yield from self._ask(flow, now_ms)
+            elif flow.upstream:
+                yield from self._renew(flow, now_ms)
+
     @singledispatchmethod
     def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         raise TypeError(f"unexpected event {event!r}")
@@ -224,14 +129,19 @@
     def _(self, event: Arrived, now_ms: int) -> Iterator[Any]:
         request = event.request
         standing = self.flows.get(self._by_key.get(request.key, ""))
-        if request.key and standing is not None:
+        if standing is not None:
             yield from self._join(request, standing)
             return
         flow = Flow(request, FlowState.QUEUED, arrived_ms=now_ms)
         self.flows[request.request_id] = flow
+        heapq.heappush(self._due, (now_ms + WANT_RETRY_MS, request.request_id))
         if request.key:
             self._by_key[request.key] = request.request_id
-        heapq.heappush(self._due, (now_ms + WANT_RETRY_MS, request.request_id))
+            flow.key_state = KeyState.ASKED
+            yield QueryKey(request.request_id, request.key, request.fingerprint)
+        if event.refusal is not None:
+            yield from self._refuse(flow, event.refusal)
+            return
         yield from self._ask_next_cell(flow, now_ms)
 
     @_handle.register
@@ -255,12 +165,14 @@
         if flow is None:
             return
         if flow.state is FlowState.QUEUED:
-            yield Send(flow.scheduler, CancelWant(event.request_id, flow.cell))
-            self._forget(flow)
-        elif flow.state is FlowState.FOLLOWING:
+            yield from self._withdraw(flow)
             self._forget(flow)
+            yield Forgotten(event.request_id)
         elif flow.state is FlowState.RUNNING and not flow.request.key:
             yield CancelDispatch(event.request_id, ReleaseCause.CALLER_GONE)
+        elif flow.state not in (FlowState.RUNNING, FlowState.CLAIMING):
+            self._forget(flow)
+            yield Forgotten(event.request_id)
 
     @_handle.register
     def _(self, event: Progress, now_ms: int) -> Iterator[Any]:
@@ -275,31 +187,51 @@
         if flow is None:
             return
         yield from self._release(flow, event, now_ms)
-        if self._may_place_again(flow, event.outcome):
-            yield from self._place_again(flow, now_ms)
-            return
         if flow.epoch:
             yield ReportOutcome(flow.request.key, flow.epoch, event.outcome)
-        if event.outcome.verdict is not Verdict.COMPLETED:
-            retry_ms = _retry_after_ms(event.outcome)
-            yield self._refuse(flow, event.outcome, retry_ms)
-        self._forget(flow)
+        if self._may_place_again(flow, event.outcome):
+            flow.state = FlowState.QUEUED
+            flow.upstream = ""
+            flow.epoch = 0
+            yield from self._ask_next_cell(flow, now_ms)
+            return
+        yield from self._end(flow, event.outcome)
 
     @_handle.register
     def _(self, event: FollowEnded, now_ms: int) -> Iterator[Any]:
         flow = self.flows.get(event.request_id)
         if flow is None:
             return
-        if event.outcome is None and flow.holder is not None:
+        if event.outcome is None:
             yield from self._take_over(flow)
             return
-        if event.outcome and event.outcome.verdict is not Verdict.COMPLETED:
-            yield self._refuse(flow, event.outcome, _retry_after_ms(event.outcome))
-        self._forget(flow)
+        yield from self._end(flow, event.outcome)
 
     @_handle.register
-    def _(self, event: ClaimDecided, now_ms: int) -> Iterator[Any]:
+    def _(self, event: KeyFound, now_ms: int) -> Iterator[Any]:
         flow = self.flows.get(event.request_id)
+        if flow is None:
+            return
+        flow.key_state = KeyState.FREE
+        if flow.state not in (FlowState.QUEUED, FlowState.REFUSING):
+            return
+        if _is_free(event.reply):
+            yield from self._refuse_now(flow)
+            return
+        if flow.state is FlowState.QUEUED:
+            yield from self._withdraw(flow)
+        yield from self._follow_claim(flow, event.reply, now_ms)
+
+    @_handle.register
+    def _(self, event: KeyUnknown, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is not None:
+            flow.key_state = KeyState.UNKNOWN
+            yield from self._refuse_now(flow)
+
+    @_handle.register
+    def _(self, event: ClaimDecided, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(_request_id_of(event.request_id))
         if flow is None:
             return
         if flow.state is FlowState.TAKING_OVER:
@@ -309,7 +241,7 @@
 
     @_handle.register
     def _(self, event: ClaimUnknown, now_ms: int) -> Iterator[Any]:
-        flow = self.flows.get(event.request_id)
+        flow = self.flows.get(_request_id_of(event.request_id))
         if flow is None:
             return
         verdict = Verdict.NOT_RUN
@@ -317,26 +249,9 @@
             verdict = Verdict.MAY_HAVE_RUN
         if flow.cell:
             yield self._not_sent(flow)
-        outcome = Outcome(verdict, Reason.NO_QUORUM)
-        yield self._refuse(flow, outcome, QUORUM_RETRY_MS)
-        self._forget(flow)
-
-    def host_lost(self, host: str, now_ms: int) -> Iterator[Any]:
-        """Take over what a lost host held, and ask its cells' new schedulers."""
-        for flow in list(self.flows.values()):
-            is_follower = flow.state is FlowState.FOLLOWING
-            if is_follower and flow.holder and flow.holder.holder_host == host:
-                yield from self._take_over(flow)
-
-    def schedulers_changed(self, now_ms: int) -> Iterator[Any]:
-        """Tell the schedulers of all cells, as known now, wants and held slots."""
-        for flow in list(self.flows.values()):
-            if not flow.cell or self._scheduler_of(flow.cell) == flow.scheduler:
-                continue
-            if flow.state is FlowState.QUEUED:
-                yield from self._ask(flow, now_ms)
-            elif flow.upstream:
-                yield from self._renew(flow, now_ms)
+        flow.key_state = KeyState.UNKNOWN
+        refusal = Refusal(verdict, Reason.NO_QUORUM, QUORUM_RETRY_MS)
+        yield from self._refuse(flow, refusal)
 
     # -- placement ---------------------------------------------------------
 
@@ -355,30 +270,44 @@
             yield Send(flow.scheduler, flow.request.want(flow.cell, waited_ms))
 
     def _tick_flow(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        is_late = now_ms - flow.arrived_ms > flow.request.deadline_ms
         if flow.state is FlowState.QUEUED:
-            yield from self._tick_queued(flow, now_ms)
+            yield from self._tick_queued(flow, is_late, now_ms)
+        elif flow.state is FlowState.WAITING:
+            yield from self._tick_waiting(flow, is_late, now_ms)
         elif flow.cell and now_ms - flow.renewed_ms >= self.renew_ms:
             yield from self._renew(flow, now_ms)
 
-    def _tick_queued(self, flow: Flow, now_ms: int) -> Iterator[Any]:
-        if now_ms - flow.arrived_ms > flow.request.deadline_ms:
-            cancel = CancelWant(flow.request.request_id, flow.cell)
-            yield Send(flow.scheduler, cancel)
-            yield self._refuse(flow, Outcome(Verdict.NOT_RUN, Reason.DEADLINE), 0)
-            self._forget(flow)
+    def _tick_queued(self, flow: Flow, is_late: bool, now_ms: int) -> Iterator[Any]:
+        if is_late:
+            yield from self._withdraw(flow)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, UNREACHABLE_RETRY_MS)
+            yield from self._refuse(flow, refusal)
         elif now_ms - flow.asked_ms >= WANT_RETRY_MS:
             yield from self._ask(flow, now_ms)
 
+    def _tick_waiting(self, flow: Flow, is_late: bool, now_ms: int) -> Iterator[Any]:
+        if is_late:
+            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.IN_PROGRESS, FOLLOW_RETRY_MS)
+            yield from self._refuse(flow, refusal)
+        elif now_ms >= flow.retry_at_ms:
+            yield from self._follow(flow)
+
+    def _withdraw(self, flow: Flow) -> Iterator[Any]:
+        if flow.scheduler:
+            cancel = CancelWant(flow.request.request_id, flow.cell)
+            yield Send(flow.scheduler, cancel)
+        flow.cell = ""
+
     def _refuse_everywhere(self, flow: Flow) -> Iterator[Any]:
         refusals = list(flow.refusals.values())
         if not refusals:
-            outcome = Outcome(Verdict.NOT_RUN, Reason.NO_UPSTREAM)
-            yield self._refuse(flow, outcome, UNREACHABLE_RETRY_MS)
-        else:
-            soonest = min(refusals, key=lambda refuse: refuse.retry_after_ms)
-            outcome = Outcome(Verdict.NOT_RUN, soonest.reason)
-            yield self._refuse(flow, outcome, soonest.retry_after_ms)
-        self._forget(flow)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.NO_UPSTREAM, UNREACHABLE_RETRY_MS)
+            yield from self._refuse(flow, refusal)
+            return
+        soonest = min(refusals, key=lambda refuse: refuse.retry_after_ms)
+        refusal = Refusal(Verdict.NOT_RUN, soonest.reason, soonest.retry_after_ms)
+        yield from self._refuse(flow, refusal)
 
     @singledispatchmethod
     def _receive(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
@@ -410,7 +339,8 @@
             return
         flow.refusals[message.cell] = message
         if message.reason is Reason.POISON:
-            yield from self._refuse_everywhere(flow)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.POISON)
+            yield from self._refuse(flow, refusal)
             return
         yield from self._ask_next_cell(flow, now_ms)
 
@@ -441,7 +371,9 @@
 
     @staticmethod
     def _want_claim(flow: Flow, claim: Claim) -> WantClaim:
-        return WantClaim(ClaimRequest(flow.request.request_id, claim))
+        # Each placement asks anew, or it would get the outcome of the one before.
+        parts = (flow.request.request_id, str(flow.placements), str(claim.epoch))
+        return WantClaim(ClaimRequest(CLAIM_ID_SEPARATOR.join(parts), claim))
 
     def _claim_decided(
         self, flow: Flow, reply: ClaimReply, now_ms: int
@@ -453,40 +385,50 @@
         yield self._not_sent(flow)
         flow.upstream = ""
         flow.cell = ""
-        yield from self._follow_claim(flow, reply)
+        yield from self._follow_claim(flow, reply, now_ms)
 
-    def _follow_claim(self, flow: Flow, reply: ClaimReply) -> Iterator[Any]:
-        request_id = flow.request.request_id
+    def _follow_claim(
+        self, flow: Flow, reply: ClaimReply, now_ms: int
+    ) -> Iterator[Any]:
         if reply.status is ClaimStatus.KEY_REUSED:
-            outcome = Outcome(Verdict.NOT_RUN, Reason.KEY_REUSED)
-            yield self._refuse(flow, outcome, 0)
-            self._forget(flow)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.KEY_REUSED)
+            flow.key_state = KeyState.FREE
+            yield from self._refuse(flow, refusal)
+        elif reply.status is ClaimStatus.FULL:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.OVERLOADED, FULL_RETRY_MS)
+            yield from self._refuse(flow, refusal)
         elif reply.status is ClaimStatus.ENDED:
             yield from self._replay(flow, reply)
         elif self._is_earlier_self(reply.claim):
             flow.holder = reply.claim
             yield from self._take_over(flow)
+        elif flow.state is FlowState.TAKING_OVER:
+            flow.holder = reply.claim
+            flow.state = FlowState.WAITING
+            flow.retry_at_ms = now_ms + FOLLOW_RETRY_MS
         else:
-            flow.state = FlowState.FOLLOWING
             flow.holder = reply.claim
-            yield Follow(request_id, flow.request.key, reply.claim.holder_host)
+            yield from self._follow(flow)
 
-    def _replay(self, flow: Flow, reply: ClaimReply) -> Iterator[Any]:
-        outcome = reply.outcome
-        if outcome.verdict is Verdict.COMPLETED and not outcome.is_replayable:
-            flow.state = FlowState.FOLLOWING
-            flow.holder = None
-            yield Follow(
-                flow.request.request_id, flow.request.key, reply.claim.holder_host
-            )
-            return
-        yield Replay(flow.request.request_id, outcome)
-        self._forget(flow)
+    def _follow(self, flow: Flow) -> Iterator[Any]:
+        flow.state = FlowState.FOLLOWING
+        request = flow.request
+        yield Follow(request.request_id, request.key, flow.holder.holder_host)
 
     def _is_earlier_self(self, claim: Claim) -> bool:
         is_own = claim.holder_host == self.host
         return is_own and claim.holder_incarnation != self.incarnation
 
+    def _replay(self, flow: Flow, reply: ClaimReply) -> Iterator[Any]:
+        outcome = reply.outcome
+        is_whole = outcome.is_replayable or outcome.verdict is not Verdict.COMPLETED
+        if is_whole or reply.claim is None or flow.state is FlowState.WAITING:
+            yield Replay(flow.request.request_id, outcome)
+            self._forget(flow)
+            return
+        flow.holder = reply.claim
+        yield from self._follow(flow)
+
     def _take_over(self, flow: Flow) -> Iterator[Any]:
         flow.state = FlowState.TAKING_OVER
         claim = self._claim(flow, flow.holder.epoch + 1)
@@ -496,8 +438,12 @@
     def _take_over_decided(
         self, flow: Flow, reply: ClaimReply, now_ms: int
     ) -> Iterator[Any]:
+        if reply.status is ClaimStatus.ENDED:
+            yield Replay(flow.request.request_id, reply.outcome)
+            self._forget(flow)
+            return
         if reply.status is not ClaimStatus.GRANTED:
-            yield from self._follow_claim(flow, reply)
+            yield from self._follow_claim(flow, reply, now_ms)
             return
         flow.epoch = reply.claim.epoch
         flow.state = FlowState.RUNNING
@@ -518,29 +464,21 @@
 
     def _give_up_slot(self, flow: Flow) -> Iterator[Any]:
         # The process was frozen past its lease; the slot may be someone else's.
-        outcome = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
         yield self._not_sent(flow)
+        outcome = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
         if flow.epoch:
             yield ReportOutcome(flow.request.key, flow.epoch, outcome)
-        yield self._refuse(flow, outcome, UNREACHABLE_RETRY_MS)
-        self._forget(flow)
+        refusal = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, UNREACHABLE_RETRY_MS)
+        yield from self._refuse(flow, refusal)
 
     def _may_place_again(self, flow: Flow, outcome: Outcome) -> bool:
-        if flow.placements >= MAX_PLACEMENTS or flow.state is not FlowState.RUNNING:
+        if not 0 < flow.placements < MAX_PLACEMENTS:
+            return False
+        if outcome.reason is not Reason.UPSTREAM_DIED:
             return False
         if outcome.verdict is Verdict.NOT_RUN:
-            return outcome.reason is Reason.UPSTREAM_DIED
-        is_repeatable = flow.request.is_repeatable and not flow.epoch
-        return is_repeatable and outcome.reason is Reason.UPSTREAM_DIED
-
-    def _place_again(self, flow: Flow, now_ms: int) -> Iterator[Any]:
-        if flow.epoch:
-            outcome = Outcome(Verdict.NOT_RUN, Reason.UPSTREAM_DIED)
-            yield ReportOutcome(flow.request.key, flow.epoch, outcome)
-        flow.state = FlowState.QUEUED
-        flow.upstream = ""
-        flow.epoch = 0
-        yield from self._ask_next_cell(flow, now_ms)
+            return True
+        return flow.request.is_repeatable and not flow.epoch
 
     def _renew(self, flow: Flow, now_ms: int) -> Iterator[Any]:
         flow.scheduler = self._scheduler_of(flow.cell)
@@ -581,9 +519,34 @@
         yield Log("request_joined", (("request_id", request.request_id),))
         yield Join(request.request_id, standing.request.request_id)
 
-    def _refuse(self, flow: Flow, outcome: Outcome, retry_after_ms: int) -> Refused:
+    def _end(self, flow: Flow, outcome: Outcome) -> Iterator[Any]:
+        request_id = flow.request.request_id
+        self._forget(flow)
+        if outcome.verdict is Verdict.COMPLETED:
+            yield Forgotten(request_id)
+            return
+        retry_after_ms = 0
+        if outcome.verdict is Verdict.NOT_RUN:
+            retry_after_ms = UNREACHABLE_RETRY_MS
         refusal = Refusal(outcome.verdict, outcome.reason, retry_after_ms)
-        return Refused(flow.request.request_id, refusal)
+        yield Refused(request_id, refusal)
+
+    def _refuse(self, flow: Flow, refusal: Refusal) -> Iterator[Any]:
+        flow.state = FlowState.REFUSING
+        flow.refusal = refusal
+        if flow.key_state is not KeyState.ASKED:
+            yield from self._refuse_now(flow)
+
+    def _refuse_now(self, flow: Flow) -> Iterator[Any]:
+        if flow.state is not FlowState.REFUSING:
+            return
+        refusal = flow.refusal
+        is_repeat = flow.request.key and flow.request.attempt > 1
+        if is_repeat and flow.key_state is KeyState.UNKNOWN:
+            # An earlier attempt may have run out of this host's sight.
+            refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+        yield Refused(flow.request.request_id, refusal)
+        self._forget(flow)
 
     def _forget(self, flow: Flow) -> None:
         self.flows.pop(flow.request.request_id, None)
@@ -591,6 +554,17 @@
             del self._by_key[flow.request.key]
 
 
+def _request_id_of(claim_request_id: str) -> str:
+    return claim_request_id.partition(CLAIM_ID_SEPARATOR)[0]
+
+
+def _is_free(reply: ClaimReply) -> bool:
+    if reply.status is ClaimStatus.FREE:
+        return True
+    is_ended = reply.status is ClaimStatus.ENDED
+    return is_ended and reply.outcome.verdict is Verdict.NOT_RUN
+
+
 def _unused(grant: Grant) -> Release:
     return Release(
         request_id=grant.request_id,
@@ -603,7 +577,3 @@
         first_token_ms=-1,
         duration_ms=0,
     )
-
-
-def _retry_after_ms(outcome: Outcome) -> int:
-    return UNREACHABLE_RETRY_MS if outcome.verdict is Verdict.NOT_RUN else 0
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -13,19 +13,16 @@
     Claimant,
     ClaimDecided,
     ClaimUnknown,
+    KeyFound,
+    KeyUnknown,
     OutcomeSettled,
+    QueryKey,
     ReportOutcome,
     WantClaim,
 )
-from .dispatcher import (
-    Arrived,
-    CallerGone,
-    DispatchEnded,
-    Dispatcher,
-    FollowEnded,
-    Progress,
-)
+from .dispatcher import Dispatcher
 from .fleet import Fleet, UpstreamSpec
+from .flows import Arrived, CallerGone, DispatchEnded, FollowEnded, Progress
 from .follower import ConfigFollower
 from .membership import HostsChanged, Membership
 from .messages import (
@@ -38,6 +35,7 @@
     Grant,
     Heartbeat,
     HeldSlot,
+    KeyReply,
     OutcomeAck,
     Preempt,
     Refuse,
@@ -53,7 +51,7 @@
 
 SCHEDULER_MESSAGES = (Want, CancelWant, HeldSlot, Release, UpstreamReport)
 DISPATCHER_MESSAGES = (Grant, Refuse, Preempt)
-CLAIM_MESSAGES = (ClaimReply, OutcomeAck)
+CLAIM_MESSAGES = (ClaimReply, KeyReply, OutcomeAck)
 CONFIG_MESSAGES = (ConfigUpdate, ConfigQuery)
 ANSWER_MESSAGES = (AttachRequest, AnswerChunk)
 
@@ -223,6 +221,8 @@
     @_handle.register(FollowEnded)
     @_handle.register(ClaimDecided)
     @_handle.register(ClaimUnknown)
+    @_handle.register(KeyFound)
+    @_handle.register(KeyUnknown)
     def _(self, event: Any, now_ms: int) -> Iterator[Any]:
         yield from self.dispatcher.handle(event, now_ms)
 
@@ -236,6 +236,7 @@
                 yield Send(leader, report)
         yield from self.dispatcher.handle(event, now_ms)
 
+    @_handle.register(QueryKey)
     @_handle.register(WantClaim)
     @_handle.register(ReportOutcome)
     def _(self, event: Any, now_ms: int) -> Iterator[Any]:
@@ -302,7 +303,10 @@
     HostsChanged,
     ClaimDecided,
     ClaimUnknown,
+    KeyFound,
+    KeyUnknown,
     OutcomeSettled,
+    QueryKey,
     ReportOutcome,
     WantClaim,
 )
--- /dev/null
+++ b/src/peridotfront/core/flows.py
@@ -0,0 +1,180 @@
+"""Requests on their way: states, and the events and actions of the dispatcher."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .messages import Claim, Outcome, Refuse, ReleaseCause
+from .requests import Request
+from .verdicts import Refusal
+
+
+class FlowState(StrEnum):
+    """Names the steps in the life of a request."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    FOLLOWING = "following"
+    WAITING = "waiting"
+    TAKING_OVER = "taking_over"
+    REFUSING = "refusing"
+
+
+class KeyState(StrEnum):
+    """Names what is known of a request's idempotency key."""
+
+    UNUSED = "unused"
+    ASKED = "asked"
+    FREE = "free"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """Reports a new request that was admitted.
+
+    :param refusal: set if the request is to be refused, unless its key is already
+        in use; then it gets what the key has got.
+    """
+
+    request: Request
+    refusal: Refusal | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Reports that nobody waits for a request's answer any more."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Reports tokens that an upstream has produced for a request."""
+
+    request_id: str
+    produced_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchEnded:
+    """Reports how a dispatch ended.
+
+    :param first_token_ms: from dispatch to first token; -1 if there was none.
+    """
+
+    request_id: str
+    cause: ReleaseCause
+    outcome: Outcome
+    cached_tokens: int = 0
+    produced_tokens: int = 0
+    first_token_ms: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class FollowEnded:
+    """Reports that the answer of another host has ended, or is not to be had.
+
+    :param outcome: None if the holder does not know the answer.
+    """
+
+    request_id: str
+    outcome: Outcome | None
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Asks the program to send a request to its upstream, now."""
+
+    request_id: str
+    upstream: str
+    cell: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Asks the program to resume a stream that another host dispatched."""
+
+    request_id: str
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelDispatch:
+    """Asks the program to cut a dispatch; :class:`DispatchEnded` follows."""
+
+    request_id: str
+    cause: ReleaseCause
+
+
+@dataclass(frozen=True, slots=True)
+class Join:
+    """Asks the program to serve a request from another one of this host."""
+
+    request_id: str
+    holder_request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Asks the program to fetch the answer from the host that holds it."""
+
+    request_id: str
+    key: str
+    holder_host: str
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """Asks the program to answer a request with a recorded outcome."""
+
+    request_id: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Asks the program to give a request its final answer, at once."""
+
+    request_id: str
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """Tells the program that a request needs nothing more."""
+
+    request_id: str
+
+
+@dataclass(slots=True)
+class Flow:
+    """Holds what the dispatcher knows of one request.
+
+    :param epoch: of the claim under which the request runs; 0 without a claim.
+    :param lease_until_ms: until when the granted slot may be used.
+    :param refusals: the answers of cells that could not take the request.
+    :param key_state: what the control group said of the key.
+    :param refusal: what the caller is told once the state of the key is known.
+    :param retry_at_ms: when a waiting request asks the holder again.
+    """
+
+    request: Request
+    state: FlowState
+    arrived_ms: int
+    cell: str = ""
+    scheduler: str = ""
+    asked_ms: int = 0
+    upstream: str = ""
+    lease_until_ms: int = 0
+    epoch: int = 0
+    sent_ms: int = 0
+    produced_tokens: int = 0
+    renewed_ms: int = 0
+    placements: int = 0
+    holder: Claim | None = None
+    refusals: dict[str, Refuse] = field(default_factory=dict)
+    key_state: KeyState = KeyState.UNUSED
+    refusal: Refusal | None = None
+    retry_at_ms: int = 0
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -10,6 +10,7 @@
 class ClaimStatus(StrEnum):
     """Names the outcome of asking for a claim."""
 
+    FREE = "free"
     GRANTED = "granted"
     HELD = "held"
     ENDED = "ended"
@@ -98,6 +99,22 @@
     outcome: Outcome | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class KeyQuery:
+    """Asks whether an idempotency key is in use, without claiming it."""
+
+    request_id: str
+    key: str
+    fingerprint: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyReply:
+    """Answers a :class:`KeyQuery` with the claim that stands, if there is one."""
+
+    reply: ClaimReply
+
+
 @dataclass(frozen=True, slots=True)
 class OutcomeReport:
     """Reports how a claimed request ended; repeated until acknowledged.
@@ -376,4 +393,6 @@
     StrikeUpdate,
     ConfigQuery,
     ControlSnapshot,
+    KeyQuery,
+    KeyReply,
 )
--- a/src/peridotfront/entry_server.py
+++ b/src/peridotfront/entry_server.py
@@ -11,20 +11,21 @@
 from .calls import Call, Caller, Measures, ended_early
 from .core.actions import Log, Received, Send, Tick
 from .core.cell_events import FleetChanged
-from .core.dispatcher import (
+from .core.entry_role import Attach, EntryRole
+from .core.fleet import UpstreamKind, UpstreamSpec
+from .core.flows import (
     Arrived,
     CancelDispatch,
     Dispatch,
     DispatchEnded,
     Follow,
     FollowEnded,
+    Forgotten,
     Join,
     Refused,
     Replay,
     Resume,
 )
-from .core.entry_role import Attach, EntryRole
-from .core.fleet import UpstreamKind, UpstreamSpec
 from .core.follower import ConfigInForce
 from .core.messages import Frame, Outcome, ReleaseCause
 from .core.verdicts import Reason, Refusal, Verdict
@@ -87,8 +88,12 @@
         for action in self.role.handle(event, now_ms()):
             self._run(action)
 
-    def open(self, admission: Admission) -> Answer:
-        """Start the work on a request and return its answer, still empty."""
+    def open(self, admission: Admission, refusal: Refusal | None = None) -> Answer:
+        """Start the work on a request and return its answer, still empty.
+
+        :param refusal: set if the request is to be refused unless its key is
+            already in use.
+        """
         request = admission.request
         standing = self.answers.find(request.key) if request.key else None
         if standing is not None and standing.outcome is not None:
@@ -102,7 +107,7 @@
         self.answers.add(answer)
         self._admissions[request.request_id] = admission
         logs.write("request_received", tier=request.tier, model=request.model)
-        self.feed(Arrived(request))
+        self.feed(Arrived(request, refusal))
         return answer
 
     async def stop(self) -> None:
@@ -213,6 +218,13 @@
             answer.refuse(action.refusal)
             self._close(answer)
 
+    @_run.register
+    def _(self, action: Forgotten) -> None:
+        answer = self.answers.get(action.request_id)
+        if answer is not None:
+            answer.end(Outcome(Verdict.NOT_RUN, Reason.CALLER_GONE))
+            self._close(answer)
+
     @_run.register
     def _(self, action: Attach) -> None:
         self._attachments.received(action.sender, action.message)
@@ -260,10 +272,10 @@
         if holder is None or holder is answer:
             self.feed(FollowEnded(request_id, None))
             return
+        holder.readers += 1
         self._tasks.start(self._copy(holder, answer))
 
     async def _copy(self, holder: Answer, answer: Answer) -> None:
-        holder.readers += 1
         try:
             await holder.started()
             if holder.is_started:
--- a/src/peridotfront/serving.py
+++ b/src/peridotfront/serving.py
@@ -9,8 +9,7 @@
 from . import logs
 from .answers import Answer
 from .callers import Exchange, problem
-from .core.dispatcher import CallerGone as CallerLeft
-from .core.fleet import AccountSpec
+from .core.flows import CallerGone as CallerLeft
 from .core.limits import AccountLimits
 from .core.messages import Outcome
 from .core.verdicts import Reason, Refusal, Verdict
@@ -37,7 +36,7 @@
 class Opener(Protocol):
     """Starts the work on an admitted request."""
 
-    def open(self, admission: Admission) -> Answer:
+    def open(self, admission: Admission, refusal: Refusal | None = None) -> Answer:
         """Return the answer, which fills as the work goes on."""
 
 
@@ -71,7 +70,6 @@
         with logs.request_context(request_id):
             try:
                 admission = self._intake.admit(exchange.request, request_id)
-                self._admit_account(admission.account)
             except RequestRefused as error:
                 self._count_refusal(error.refusal)
                 await _refuse(exchange, error.status_code, error.refusal, request_id)
@@ -79,18 +77,16 @@
             await self._serve(exchange, admission)
 
     async def _serve(self, exchange: Exchange, admission: Admission) -> None:
+        account = admission.account
+        refusal = self._limits.admit(account, self._live_hosts(), now_ms())
         self.in_progress += 1
         try:
-            answer = self._opener.open(admission)
+            answer = self._opener.open(admission, refusal)
             await self._deliver_or_leave(exchange, admission, answer)
         finally:
             self.in_progress -= 1
-            self._limits.leave(admission.account.name)
-
-    def _admit_account(self, account: AccountSpec) -> None:
-        refusal = self._limits.admit(account, self._live_hosts(), now_ms())
-        if refusal is not None:
-            raise RequestRefused(HTTPStatus.TOO_MANY_REQUESTS, refusal)
+            if refusal is None:
+                self._limits.leave(account.name)
 
     async def _deliver_or_leave(
         self, exchange: Exchange, admission: Admission, answer: Answer
@@ -106,7 +102,8 @@
             delivery.result()
         except CallerGone:
             logs.write("caller_gone")
-            self._feed(CallerLeft(request_id))
+            if answer.readers <= 1:
+                self._feed(CallerLeft(request_id))
         finally:
             answer.readers -= 1
             delivery.cancel()
