--- a/features/raft.feature
+++ b/features/raft.feature
@@ -17,16 +17,16 @@
 
   Scenario: The group is not founded before every configured host answers
     Given a control group of 3 hosts of which "c" is down
-    When 10 s pass
+    When 10 s pass in the group
     Then no host leads
-    When host "c" starts
+    When control host "c" starts
     Then a leader is elected
 
   Scenario Outline: A founder that dies at any write leaves one group
     Given a control group of 3 hosts
     And the founder's power fails after write <write>, and its disk is <disk>
-    When 5 s pass
-    And host "a" starts
+    When 5 s pass in the group
+    And control host "a" starts
     Then the writes 1 to 10 are completed
     And every host catches up as a voter
 
@@ -93,6 +93,11 @@
       | 700       |
       | 5000      |
 
+  Scenario: A leader that was frozen does not count the answers that waited
+    Given a control group of 3 hosts with 5 completed writes
+    When the leader is frozen for 5000 ms with answers waiting
+    Then the read failed
+
   Scenario: A repeated heartbeat answer does not confirm a later read
     Given a control group of 3 hosts with 5 completed writes
     When the leader is cut off
@@ -109,7 +114,7 @@
     Given a control group of 3 hosts with 10 completed writes
     When the leader crashes
     And a follower loses its disk and starts
-    And 20 s pass
+    And 20 s pass in the group
     Then no host leads
     When the crashed host starts
     Then every host catches up as a voter
@@ -117,7 +122,7 @@
   Scenario Outline: The second host lost right after the repair loses nothing
     Given a control group of 3 hosts with 30 completed writes
     When a follower loses its disk, starts and is a voter again
-    And the <second> loses its disk at once
+    And then the <second> loses its disk
     Then the writes 31 to 33 are completed
     And all 33 writes are in the log
     When the crashed host starts
@@ -131,7 +136,7 @@
   Scenario: A host whose disk is lost twice during its repair is repaired
     Given a control group of 3 hosts with 30 completed writes
     When a follower loses its disk and starts
-    And 400 ms pass
+    And 400 ms pass in the group
     And the same follower loses its disk and starts
     Then every host catches up as a voter
 
@@ -166,7 +171,7 @@
   Scenario: A stranger is not admitted
     Given a control group of 3 hosts with 5 completed writes
     When the leader gets a request to join from "z"
-    And 3 s pass
+    And 3 s pass in the group
     Then the leader has no learners
 
   Scenario: An operator's dump names the role, the members and the peers
--- /dev/null
+++ b/features/raft_rules.feature
@@ -0,0 +1,139 @@
+Feature: One replica keeps each rule of the protocol
+  A replica is driven by hand, event by event.
+
+  Scenario: A count of copies commits no entry of an earlier term
+    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    When "b" confirms the entries up to 2
+    Then the commit index is 0
+    When "b" confirms the entries up to 3
+    Then the commit index is 3
+
+  Scenario: A new leader answers no read before an entry of its own is committed
+    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    When a read is asked
+    And "b" confirms the entries up to 2
+    And "b" confirms the entries up to 2
+    Then the read has no answer yet
+    When "b" confirms the entries up to 3
+    Then the read is answered
+
+  Scenario: A leader changes members one step at a time, after an entry of its own
+    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    When "c" asks to join with a new disk
+    Then 0 member changes were proposed
+    When "b" confirms the entries up to 3
+    And "c" asks to join with a new disk
+    And "b" asks to join with a new disk
+    Then 1 member change was proposed
+
+  Scenario: A learner that is behind is not promoted
+    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    And "b" confirms the entries up to 3
+    And "c" asks to join with a new disk
+    And "b" confirms the entries up to 4
+    When the new disk of "c" confirms the entries up to 2
+    And the heartbeat is due
+    Then 1 member change was proposed
+    When the new disk of "c" confirms the entries up to 4
+    And the heartbeat is due
+    Then 2 member changes were proposed
+
+  Scenario Outline: A vote is given only to a candidate that may lead
+    Given replica "a" with a log of the terms 1, 2
+    And it heard a leader <heard_ms> ms ago
+    When "b" asks for a <kind> in term <term> with last entry <index> of term <of>
+    Then the answer to the <kind> is <answer>
+
+    Examples:
+      | kind     | heard_ms | term | index | of | answer      |
+      | vote     | 700      | 4    | 2     | 2  | granted     |
+      | pre-vote | 700      | 4    | 2     | 2  | granted     |
+      | vote     | 100      | 4    | 2     | 2  | not granted |
+      | pre-vote | 100      | 4    | 2     | 2  | not granted |
+      | vote     | 700      | 4    | 1     | 2  | not granted |
+      | pre-vote | 700      | 4    | 1     | 2  | not granted |
+      | vote     | 700      | 4    | 9     | 1  | not granted |
+      | pre-vote | 700      | 4    | 9     | 1  | not granted |
+      | vote     | 700      | 2    | 2     | 2  | not granted |
+      | pre-vote | 700      | 3    | 2     | 2  | not granted |
+
+  Scenario: A vote is given once in a term, also after a restart
+    Given replica "a" with a log of the terms 1, 2
+    And it heard a leader 700 ms ago
+    When "b" asks for a vote in term 4 with last entry 2 of term 2
+    Then the answer to the vote is granted
+    When it restarts with what was written
+    And "c" asks for a vote in term 4 with last entry 2 of term 2
+    Then the answer to the vote is not granted
+
+  Scenario Outline: A follower claims and commits only what the request showed
+    Given replica "a" with a log of the terms 1, 2, 2, 2
+    When a leader of term 3 shows entry <previous> of term <of> with commit index 4
+    Then the leader is answered <answer> with index <match>
+    And the commit index is <commit>
+
+    Examples:
+      | previous | of | answer  | match | commit |
+      | 2        | 2  | success | 2     | 2      |
+      | 3        | 1  | refusal | 1     | 0      |
+      | 7        | 2  | refusal | 4     | 0      |
+
+  Scenario: A late request takes back no entry that a later one brought
+    Given replica "a" with a log of the terms 1, 2, 2, 2
+    When the leader's request with entry 2 alone arrives again
+    Then the log still ends at 4
+
+  Scenario Outline: Only the lowest-named host founds, with a vote of every host
+    Given the blank replica "<host>"
+    When "<answering>" answer that they are blank
+    And they vote for its <incarnation> disk
+    Then the replica <result>
+
+    Examples:
+      | host | answering | incarnation | result        |
+      | a    | b c       | own         | leads         |
+      | a    | b         | own         | does not lead |
+      | a    | b c       | former      | does not lead |
+      | b    | a c       | own         | does not lead |
+
+  Scenario: A founder leads only once the last vote has come
+    Given the blank replica "a"
+    When "b c" answer that they are blank
+    And only "b" votes for it
+    Then the replica does not lead
+
+  Scenario Outline: Pieces of a snapshot are put together in order
+    Given replica "a" with a log of the terms 1, 2
+    When pieces <pieces> of a snapshot arrive
+    Then the snapshot of the pieces is <result>
+
+    Examples:
+      | pieces                       | result  |
+      | 0 1 2                        | whole   |
+      | 0 0 1 1 2                    | whole   |
+      | 0 2 1                        | missing |
+      | 0 1 from another leader, 0 1 | missing |
+
+  Scenario Outline: A snapshot drops a log that contradicts it
+    Given replica "a" with a log of the terms 1, 2, 2, 2
+    When a whole snapshot of entry 3 of term <term> arrives
+    Then <kept> entries stay after it
+
+    Examples:
+      | term | kept |
+      | 2    | 1    |
+      | 3    | 0    |
+
+  Scenario: A snapshot that is older than what is committed changes nothing
+    Given replica "a" with a log of the terms 1, 2, 2, 2
+    And a leader of term 3 shows entry 4 of term 2 with commit index 4
+    When a whole snapshot of entry 3 of term 2 arrives
+    Then no snapshot was installed
+
+  Scenario: A snapshot holds the members as of its entry
+    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    And "b" confirms the entries up to 3
+    And "c" asks to join with a new disk
+    And "b" confirms the entries up to 4
+    When a snapshot of entry 3 is made
+    Then it names no learners
--- a/features/steps/raft_steps.py
+++ b/features/steps/raft_steps.py
@@ -65,17 +65,17 @@
     context.group.await_leader()
 
 
-@when("{count:d} s pass")
+@when("{count:d} s pass in the group")
 def seconds_pass(context, count):
     context.group.run_for(count * 1000)
 
 
-@when("{count:d} ms pass")
+@when("{count:d} ms pass in the group")
 def milliseconds_pass(context, count):
     context.group.run_for(count)
 
 
-@when('host "{name}" starts')
+@when('control host "{name}" starts')
 def host_starts(context, name):
     context.group.start(name)
 
@@ -128,14 +128,17 @@
     group.run_for(3000)
 
 
-@when("the leader is frozen for {frozen_ms:d} ms with a read and a write waiting")
-def leader_frozen(context, frozen_ms):
+@when("the leader is frozen for {frozen_ms:d} ms with {events} waiting")
+def leader_frozen(context, frozen_ms, events):
     group = context.group
     leader = group.await_leader()
     group.run_for(1000)
+    if events == "answers":
+        context.ticket = group.read(leader.name)
     group.freeze(leader.name)
-    context.ticket = group.read(leader.name)
-    group.propose(leader.name, 99)
+    if events == "a read and a write":
+        context.ticket = group.read(leader.name)
+        group.propose(leader.name, 99)
     group.run_for(frozen_ms)
     group.thaw(leader.name)
 
@@ -191,7 +194,7 @@
     )
 
 
-@when("the {second} loses its disk at once")
+@when("then the {second} loses its disk")
 def second_host_lost(context, second):
     group = context.group
     leader = group.leader().name
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -263,7 +263,7 @@
     return segments(context)[1]
 
 
-@when("the {file} is damaged")
+@when('the file "{file}" is damaged')
 def file_damaged(context, file):
     path = path_of(context, file)
     data = bytearray(path.read_bytes())
@@ -271,7 +271,7 @@
     path.write_bytes(data)
 
 
-@when("the {file} is removed")
+@when('the file "{file}" is removed')
 def file_removed(context, file):
     path_of(context, file).unlink()
 
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -48,7 +48,7 @@
 
   Scenario Outline: A missing or damaged file refuses the start
     Given a data folder with several segments and a snapshot
-    When the <file> is <fault>
+    When the file "<file>" is <fault>
     And the storage is opened again
     Then it raises StorageDamaged that names the <file>
 
@@ -61,7 +61,7 @@
 
   Scenario Outline: A removed file refuses the start
     Given a data folder with several segments and a snapshot
-    When the <file> is removed
+    When the file "<file>" is removed
     And the storage is opened again
     Then it raises StorageDamaged
 
