Test live holders, clocks far ahead and late configurations

Cause: on a scratch copy three breaks went unseen (holders judged dead at once, configurations taken in any order, claims stamped by the host's own clock). Change: one scenario for each.

--- a/features/controller.feature
+++ b/features/controller.feature
@@ -79,3 +79,24 @@
     Given a control group with a configuration
     When "e2" sends a claim that names "e1" as holder
     Then no claim is on record for it
+
+  Scenario: A holder that lives is not taken over, however long it runs
+    Given a control group with a configuration
+    When requests run for 20000 ms
+    And "e1" wants the claim "long" and is granted it
+    And a caller claims "long" at "e2"
+    Then "long" ran once, at "e1"
+
+  Scenario: A new leader whose clock is days ahead expires no claim
+    Given a control group with a configuration
+    When the clocks of all other control hosts are 10 days ahead
+    And a caller claims "paid" at "e1"
+    And the leader is killed
+    And a caller claims "paid" at "e2"
+    Then "paid" ran once, at "e1"
+
+  Scenario: Late and out-of-order configurations move no host back
+    Given a control group with a configuration
+    When 5 changes are made within 500 ms
+    And all versions reach "e1" again, the oldest last
+    Then all replicas and hosts have version 6
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -97,6 +97,13 @@
     context.group.want(name, key, "wanted")
 
 
+@when('"{name}" wants the claim "{key}" and is granted it')
+def want_granted(context, name, key):
+    want(context, name, key)
+    decided = context.group.hosts[name].decided
+    context.group.run_until(lambda: "wanted" in decided)
+
+
 @then('"{name}" gives the claim up in the same turn')
 def given_up(context, name):
     assert context.group.hosts[name].unknown == {"wanted"}
@@ -284,6 +291,35 @@
     assert follower.version == version, follower.version
 
 
+@when("requests run for {time_ms:d} ms")
+def run_long(context, time_ms):
+    context.group.run_ms = time_ms
+
+
+@when("the clocks of all other control hosts are {days:d} days ahead")
+def clocks_ahead(context, days):
+    group = context.group
+    for name in CONTROLS:
+        if name != context.leader:
+            group.kill(name)
+            group.clock_offsets_ms[name] = days * 86_400_000
+            group.restart(name)
+    group.run_for(1000)
+    context.leader = group.await_leader()
+    assert context.leader not in group.clock_offsets_ms
+
+
+@when('all versions reach "{name}" again, the oldest last')
+def reach_again(context, name):
+    group = context.group
+    group.run_until(lambda: group.all_in_force(6))
+    for record in reversed(group.view().history):
+        update = ConfigUpdate(
+            record.version, record.change_id, record.author, record.content
+        )
+        group.handle(name, Received("e2", 1, update))
+
+
 @given("a claimant with a granted claim")
 def granted_claimant(context):
     context.claimant = claimant = Claimant("e1", 1)
--- a/features/support/control_group.py
+++ b/features/support/control_group.py
@@ -144,7 +144,7 @@
     def _granted(self, claim, now_ms):
         if self.claimant.may_dispatch(claim.key, claim.epoch, now_ms):
             self.group.oracle.runs[claim.key] += 1
-            self.running[claim] = now_ms + RUN_MS
+            self.running[claim] = now_ms + self.group.run_ms
             return
         outcome = Outcome(Verdict.MAY_HAVE_RUN, Reason.HOLDER_LOST)
         if not claim.is_resume_only:
@@ -212,6 +212,8 @@
         self.down = set()
         self.frozen = {}
         self.clock_rates = {}
+        self.clock_offsets_ms = {}
+        self.run_ms = RUN_MS
         self.hosts = {name: ControlHost(self, name) for name in CONTROLS}
         self.hosts |= {name: EntryHost(self, name) for name in ENTRIES}
 
@@ -255,7 +257,8 @@
     # Time and messages
 
     def clock(self, name):
-        return int(self.now_ms * self.clock_rates.get(name, 1.0))
+        rate = self.clock_rates.get(name, 1.0)
+        return int(self.now_ms * rate) + self.clock_offsets_ms.get(name, 0)
 
     def handle(self, name, event):
         if name in self.down:
