--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,284 @@
+"""Costs of the control group's state: claims, snapshots, heartbeats, changes.
+
+Usage::
+
+    python benchmarks/control.py [--json_file=control.json]
+
+Times are processor time of one process, the best of several rounds; sizes are
+those of the wire format. Compare figures of one run only.
+"""
+
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import fire
+
+from peridotfront import wire
+from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.claims import Claims
+from peridotfront.core.control_state import ControlState
+from peridotfront.core.control_types import OperatorPropose
+from peridotfront.core.controller import Controller
+from peridotfront.core.messages import (
+    Claim,
+    ClaimBatch,
+    ClaimRequest,
+    ConfigChange,
+    ConfigProposal,
+    ControlSnapshot,
+    Frame,
+    Heartbeat,
+    Outcome,
+    OutcomeReport,
+)
+from peridotfront.core.raft import Persist, Raft, RaftState, RaftTiming
+from peridotfront.core.verdicts import Reason, Verdict
+
+ROUNDS = 3
+CLAIMS = 20_000
+BATCH_SIZES = (1, 16, 256)
+CLAIM_COUNTS = (1000, 10_000, 100_000)
+UPSTREAM_COUNTS = (10, 1000, 4100)
+HOST_COUNTS = (6, 100, 390)
+HEARTBEAT_ROUNDS = 20
+CHANGE_ROUNDS = 10
+TICK_MS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """Is one measured value."""
+
+    name: str
+    size: int
+    value: float
+    unit: str
+
+
+def best_us(work: Callable[[], None], count: int, rounds: int = ROUNDS) -> float:
+    """Return the least processor time of the rounds, in microseconds per item."""
+    times = []
+    for _ in range(rounds):
+        gc.collect()
+        started = time.process_time()
+        work()
+        times.append(time.process_time() - started)
+    return min(times) * 1e6 / count
+
+
+def claim_request(number: int) -> ClaimRequest:
+    """Return the claim of a request as an entry host sends it."""
+    key = f"client-account-{number % 3100}/payouts/{number:032x}"
+    host = f"entry-{number % 390}"
+    claim = Claim(key, number, 1, host, number % 390, "payout-server-1", False)
+    return ClaimRequest(f"{host}-{number}", claim)
+
+
+def outcome_report(number: int) -> OutcomeReport:
+    """Return the outcome of a request, with a short recorded answer."""
+    claim = claim_request(number).claim
+    outcome = Outcome(Verdict.COMPLETED, Reason.NONE, 200, (), b"x" * 100, True)
+    return OutcomeReport(
+        claim.key, 1, outcome, claim.holder_host, claim.holder_incarnation
+    )
+
+
+def batches(count: int, size: int) -> list[ClaimBatch]:
+    """Return batches that claim and end each key."""
+    made = []
+    for start in range(0, count, size):
+        numbers = range(start, start + size)
+        claims = tuple([claim_request(n) for n in numbers])
+        made.append(ClaimBatch(start, claims=claims))
+        outcomes = tuple([outcome_report(n) for n in numbers])
+        made.append(ClaimBatch(start, outcomes=outcomes))
+    return made
+
+
+def configuration(upstreams: int) -> str:
+    """Return a configuration with so many model engines."""
+    sections = []
+    for number in range(upstreams):
+        sections.append(
+            f"[upstream engine-{number}]\nkind = engine\n"
+            f"data_centre = dc-{number % 12}\n"
+            f"address = 10.{number // 250}.{number % 250}.1:8000\n"
+            "models = llama-70b\nprefill_tokens_per_s = 4000\n"
+        )
+    return "\n".join(sections)
+
+
+def measure_claims():
+    """Yield the costs of claims, one claim with its outcome as the item."""
+    for size in BATCH_SIZES:
+        made = batches(CLAIMS, size)
+
+        def apply_all(made=made):
+            claims = Claims()
+            for batch in made:
+                claims.apply(batch)
+
+        def through_wire(made=made):
+            for batch in made[: 2 * len(made) // 10]:
+                wire.decode_command(wire.encode_command(batch))
+
+        yield Figure("claim, state machine", size, best_us(apply_all, CLAIMS), "us")
+        wire_us = best_us(through_wire, CLAIMS // 10)
+        yield Figure("claim, encode and decode", size, wire_us, "us")
+        encoded = sum([len(wire.encode_command(b)) for b in made[:100]])
+        parts = sum([len(b.claims) for b in made[:100]])
+        yield Figure("claim, log bytes", size, encoded / parts, "bytes")
+
+
+def filled_state(claims: int, upstreams: int) -> ControlState:
+    """Return a state that holds so many ended claims and upstreams."""
+    state = ControlState()
+    for batch in batches(claims, 100):
+        state.apply(wire.decode_command(wire.encode_command(batch)))
+    proposal = ConfigProposal("first", 0, "ann", configuration(upstreams))
+    state.apply(ConfigChange(0, proposal))
+    return state
+
+
+def measure_snapshots():
+    """Yield size and time of snapshots, and the memory of claims."""
+    for count in CLAIM_COUNTS:
+        gc.collect()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        state = filled_state(count, 0)
+        gc.collect()
+        used = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        yield Figure("claims, memory per 1000", count, used * 1000 / count, "bytes")
+        yield from _snapshot_figures("snapshot of claims", count, state)
+    for count in UPSTREAM_COUNTS:
+        state = filled_state(0, count)
+        yield from _snapshot_figures("snapshot of upstreams", count, state)
+
+
+def _snapshot_figures(name: str, count: int, state: ControlState):
+    data = wire.encode(state.snapshot())
+    yield Figure(name, count, len(data), "bytes")
+    encode_us = best_us(lambda: wire.encode(state.snapshot()), 1000)
+    yield Figure(f"{name}, encode", count, encode_us, "ms")
+
+    def restore():
+        ControlState().restore(wire.decode(ControlSnapshot, data))
+
+    yield Figure(f"{name}, restore", count, best_us(restore, 1000), "ms")
+
+
+class Lone:
+    """A control group of one replica, driven on a virtual clock."""
+
+    def __init__(self, entry_hosts: int):
+        self.hosts = tuple([f"entry-{n}" for n in range(entry_hosts)])
+        raft = Raft("c1", 1, ("c1",), RaftState(), RaftTiming(), lambda: 0.5)
+        decode = ControlSnapshot
+        peers = ("c1", *self.hosts)
+        self.role = Controller(
+            "c1", raft, "dc", peers, wire.encode, lambda d: wire.decode(decode, d)
+        )
+        self.raft = raft
+        self.now_ms = 0
+        self.sequence = 0
+        while not raft.is_leader:
+            self.tick()
+
+    def handle(self, event) -> list:
+        """Return the messages that an event leads to."""
+        actions = list(self.role.handle(event, self.now_ms))
+        return [a for a in actions if not isinstance(a, Persist)]
+
+    def tick(self) -> list:
+        """Go on by one tick."""
+        self.now_ms += TICK_MS
+        return self.handle(Tick())
+
+    def beat(self, version: int) -> list:
+        """Let every entry host send a heartbeat, as decoded from its frame."""
+        self.sequence += 1
+        actions = []
+        for host in self.hosts:
+            beat = Heartbeat("dc", "entry", self.sequence, version, False, "c1")
+            data = wire.encode(Frame(host, 1, (beat,)))
+            frame = wire.decode(Frame, data)
+            actions += self.handle(Received(host, 1, frame.messages[0]))
+        return actions
+
+
+def encoded_bytes(actions: list) -> int:
+    """Return the bytes of the frames that actions send, encoding each."""
+    sends = [a for a in actions if isinstance(a, Send)]
+    return sum([len(wire.encode(Frame("c1", 1, (s.message,)))) for s in sends])
+
+
+def measure_heartbeats():
+    """Yield the leader's cost of the heartbeats from and to each host."""
+    for count in HOST_COUNTS:
+        group = Lone(count)
+
+        def beat(group=group):
+            for _ in range(HEARTBEAT_ROUNDS):
+                group.beat(0)
+                group.now_ms += 150
+                encoded_bytes(group.tick())
+
+        per_host_us = best_us(beat, count * HEARTBEAT_ROUNDS)
+        yield Figure("heartbeat in and out, per host", count, per_host_us, "us")
+        group.now_ms += 150
+        per_host = encoded_bytes(group.tick()) / count
+        yield Figure("heartbeat out, per host", count, per_host, "bytes")
+
+
+def measure_changes():
+    """Yield the leader's cost of one change, sent whole to every host."""
+    for upstreams in UPSTREAM_COUNTS:
+        content = configuration(upstreams)
+        for count in HOST_COUNTS:
+            group = Lone(count)
+            group.beat(0)
+            sent = []
+
+            def change(group=group, sent=sent, content=content):
+                for _ in range(CHANGE_ROUNDS):
+                    base = group.role.state.configuration.version
+                    proposal = ConfigProposal(f"c{base}", base, "ann", content)
+                    group.beat(base)
+                    group.now_ms += 300
+                    actions = group.handle(OperatorPropose(base, proposal))
+                    sent.append(encoded_bytes(actions))
+
+            ms = best_us(change, CHANGE_ROUNDS, rounds=1) / 1000
+            name = f"change of {upstreams} upstreams, by hosts"
+            yield Figure(name, count, ms, "ms")
+            yield Figure(name, count, max(sent), "bytes")
+
+
+def main(json_file: str = ""):
+    """Measure, print a table and write the figures as JSON if a file is named."""
+    figures = []
+    for measure in (
+        measure_claims,
+        measure_snapshots,
+        measure_heartbeats,
+        measure_changes,
+    ):
+        for figure in measure():
+            print(
+                f"{figure.name:45} {figure.size:8} {figure.value:14.2f} {figure.unit}"
+            )
+            figures.append(figure)
+    if json_file:
+        text = json.dumps([asdict(f) for f in figures], indent=1)
+        Path(json_file).write_text(text + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
