--- a/features/controller.feature
+++ b/features/controller.feature
@@ -75,6 +75,11 @@
     When 3000 ms pass on its clock before the dispatch
     Then it may not dispatch
 
+  Scenario: A grant that arrives at the deadline is not acted on
+    Given a claimant that waits for a claim
+    When the grant arrives after 2000 ms
+    Then the claim is unknown and reported as not run
+
   Scenario: Only the holder itself asks for its claim
     Given a control group with a configuration
     When "e2" sends a claim that names "e1" as holder
@@ -100,3 +105,10 @@
     When 5 changes are made within 500 ms
     And all versions reach "e1" again, the oldest last
     Then all replicas and hosts have version 6
+
+  Scenario: A snapshot made in slices while changes go on is that of its index
+    Given a control group with a configuration
+    When 40 changes are made while "c3" is down
+    And "e1" wants 256 claims in one turn
+    And a snapshot of the leader is built in slices of 7 while 40 changes are made
+    Then it restores to the state at its index
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from support.control_group import CONTROLS, ENTRIES
 
+from peridotfront import wire
 from peridotfront.core.actions import Received, Send
 from peridotfront.core.claimant import (
     Claimant,
@@ -10,6 +11,7 @@
     ClaimUnknown,
     WantClaim,
 )
+from peridotfront.core.control_state import ControlState
 from peridotfront.core.control_types import (
     OperatorPropose,
     OperatorRead,
@@ -21,8 +23,10 @@
     ClaimRequest,
     ClaimStatus,
     ConfigUpdate,
+    ControlSnapshot,
     Heartbeat,
 )
+from peridotfront.core.snapshot_builder import SnapshotBuilder
 from peridotfront.core.verdicts import Verdict
 
 
@@ -205,6 +209,32 @@
         assert len(entries) <= count, (name, len(entries))
 
 
+@when(
+    "a snapshot of the leader is built in slices of {size:d} "
+    "while {count:d} changes are made"
+)
+def build_in_slices(context, size, count):
+    state = context.group.hosts[context.leader].role.state
+    context.whole = state.snapshot()
+    builder = SnapshotBuilder(1, context.whole, wire.encode, size)
+    first = builder.step()
+    make_changes(context, count, 0)
+    assert first is None
+    assert state.snapshot() != context.whole
+    context.steps = 1
+    while (data := builder.step()) is None:
+        context.steps += 1
+    context.data = data
+
+
+@then("it restores to the state at its index")
+def restores(context):
+    assert context.steps > 30, context.steps
+    state = ControlState()
+    state.restore(wire.decode(ControlSnapshot, context.data))
+    assert state.snapshot() == context.whole
+
+
 @when('"{name}" is cut off and a change is made')
 def change_without(context, name):
     group = context.group
@@ -320,18 +350,36 @@
         group.handle(name, Received("e2", 1, update))
 
 
-@given("a claimant with a granted claim")
-def granted_claimant(context):
+@given("a claimant that waits for a claim")
+def waiting_claimant(context):
     context.claimant = claimant = Claimant("e1", 1)
     beat = Heartbeat("dc", "control", 1, 0, False, "c1", 1)
     list(claimant.handle(Received("c1", 1, beat), 0))
-    asked = request("k", "e1", 1)
-    list(claimant.handle(WantClaim(asked), 0))
-    reply = ClaimReply("r", "k", ClaimStatus.GRANTED, asked.claim)
-    actions = list(claimant.handle(Received("c1", 1, reply), 5))
-    assert [type(a) for a in actions] == [ClaimDecided], actions
-    assert claimant.may_dispatch("k", 1, 2999)
-    assert ClaimUnknown not in map(type, actions)
+    context.asked = request("k", "e1", 1)
+    list(claimant.handle(WantClaim(context.asked), 0))
+
+
+@when("the grant arrives after {time_ms:d} ms")
+def grant_arrives(context, time_ms):
+    reply = ClaimReply("r", "k", ClaimStatus.GRANTED, context.asked.claim)
+    event = Received("c1", 1, reply)
+    context.actions = list(context.claimant.handle(event, time_ms))
+
+
+@given("a claimant with a granted claim")
+def granted_claimant(context):
+    waiting_claimant(context)
+    grant_arrives(context, 5)
+    assert [type(a) for a in context.actions] == [ClaimDecided], context.actions
+    assert context.claimant.may_dispatch("k", 1, 2999)
+
+
+@then("the claim is unknown and reported as not run")
+def unknown_and_reported(context):
+    unknown, send = context.actions
+    assert unknown == ClaimUnknown("r")
+    assert send.message.outcome.verdict is Verdict.NOT_RUN
+    assert not context.claimant.may_dispatch("k", 1, 2000)
 
 
 @when("{time_ms:d} ms pass on its clock before the dispatch")
--- a/features/support/control_group.py
+++ b/features/support/control_group.py
@@ -46,7 +46,7 @@
 RUN_MS = 60
 CONTROLS = ("c1", "c2", "c3")
 ENTRIES = ("e1", "e2", "e3")
-TIMING = ControlTiming(snapshot_entries=20)
+TIMING = ControlTiming(snapshot_entries=20, snapshot_slice_records=7)
 DONE = Outcome(Verdict.COMPLETED, Reason.NONE, 200, (), b"done", True)
 NOT_RUN = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
 
--- a/src/peridotfront/core/control_types.py
+++ b/src/peridotfront/core/control_types.py
@@ -26,7 +26,9 @@
         exceed the holder's lease by more than clocks can drift apart in it.
     :param operator_timeout_ms: until an operator's proposal is given up.
     :param snapshot_entries: entries applied until the next snapshot.
-    :param snapshot_bytes: estimated bytes applied until the next snapshot.
+    :param snapshot_bytes: estimated bytes applied until the next snapshot; a
+        snapshot that is larger is made as rarely as its own size demands.
+    :param snapshot_slice_records: records of a snapshot encoded in one turn.
     """
 
     heartbeat_ms: int = 150
@@ -41,6 +43,7 @@
     operator_timeout_ms: int = 3000
     snapshot_entries: int = 5000
     snapshot_bytes: int = 8_388_608
+    snapshot_slice_records: int = 200
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -59,6 +59,7 @@
     Restore,
     RoleChanged,
 )
+from .snapshot_builder import SnapshotBuilder
 
 CONTROL_ROLE = "control"
 CLAIM_ENTRY_BYTES = 200
@@ -90,7 +91,8 @@
     :param raft: the replica; the controller alone drives it.
     :param data_centre: the own one, for heartbeats.
     :param peers: all other hosts, of both roles.
-    :param encode: turns a snapshot into bytes.
+    :param encode: turns a snapshot, or a slice of one, into bytes; see
+        :class:`~peridotfront.core.snapshot_builder.SnapshotBuilder`.
     :param decode: turns such bytes into a snapshot.
     :param timing: times and sizes.
     :param wall_offset_ms: wall clock minus the clock of ``now_ms``; it only
@@ -130,6 +132,8 @@
         self._proposals: list[_WaitingProposal] = []
         self._entries_since_snapshot = 0
         self._bytes_since_snapshot = 0
+        self._snapshot_due_bytes = self._timing.snapshot_bytes
+        self._builder: SnapshotBuilder | None = None
 
     @property
     def state(self) -> ControlState:
@@ -145,7 +149,7 @@
         """
         yield from self._handle(event, now_ms)
         yield from self._propose_batches(now_ms)
-        yield from self._compact()
+        self._start_snapshot()
 
     def snapshot(self) -> bytes:
         """Return the whole replicated state as bytes."""
@@ -197,6 +201,7 @@
         yield from self._drive(event, now_ms)
         yield from self._send_heartbeats(now_ms)
         yield from self._time_out_proposals(now_ms)
+        yield from self._continue_snapshot()
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -283,6 +288,7 @@
     @_absorb.register
     def _(self, action: Restore, now_ms: int) -> Iterator[Any]:
         self._state.restore(self._decode(action.data))
+        self._builder = None
         self._entries_since_snapshot = 0
         self._bytes_since_snapshot = 0
         yield Log("snapshot_restored", (("last_index", action.last_index),))
@@ -536,16 +542,32 @@
             is_leaving=heartbeat.is_leaving,
         )
 
-    def _compact(self) -> Iterator[Any]:
+    def _start_snapshot(self) -> None:
         is_due = (
             self._entries_since_snapshot >= self._timing.snapshot_entries
-            or self._bytes_since_snapshot >= self._timing.snapshot_bytes
+            or self._bytes_since_snapshot >= self._snapshot_due_bytes
         )
-        if not is_due:
+        if not is_due or self._builder is not None:
             return
         self._entries_since_snapshot = 0
         self._bytes_since_snapshot = 0
-        yield from self._raft.compact(self._raft.last_applied, self.snapshot())
+        self._builder = SnapshotBuilder(
+            self._raft.last_applied,
+            self._state.snapshot(),
+            self._encode,
+            self._timing.snapshot_slice_records,
+        )
+
+    def _continue_snapshot(self) -> Iterator[Any]:
+        if self._builder is None:
+            return
+        data = self._builder.step()
+        if data is None:
+            return
+        index = self._builder.index
+        self._builder = None
+        self._snapshot_due_bytes = max(self._timing.snapshot_bytes, len(data))
+        yield from self._raft.compact(index, data)
 
 
 def _is_holder(request: ClaimRequest, event: Received) -> bool:
--- /dev/null
+++ b/src/peridotfront/core/snapshot_builder.py
@@ -0,0 +1,82 @@
+"""Encoding of a large snapshot in slices, so that no turn takes long."""
+
+from collections.abc import Iterator
+
+from .control_state import Encode
+from .messages import (
+    ClaimsSnapshot,
+    ConfigurationSnapshot,
+    ControlSnapshot,
+    StrikesSnapshot,
+)
+
+NO_CONFIGURATION = ConfigurationSnapshot(history=(), changes=())
+NO_CLAIMS = ClaimsSnapshot(
+    time_ms=0, retention_ms=0, idempotent_retention_ms=0, max_bytes=0, records=()
+)
+NO_STRIKES = StrikesSnapshot(time_ms=0, records=())
+
+
+class SnapshotBuilder:
+    """Encodes one snapshot, slice by slice.
+
+    The records of a snapshot never change, so that the state may go on to be
+    applied meanwhile. The slices follow one another in the result; the codec must
+    read that as one record whose lists are joined, as protobuf does.
+
+    :param index: of the last entry that the snapshot holds.
+    :param snapshot: the whole state after that entry.
+    :param encode: encodes one slice.
+    :param slice_records: records in one slice at most.
+    """
+
+    def __init__(
+        self, index: int, snapshot: ControlSnapshot, encode: Encode, slice_records: int
+    ):
+        self.index = index
+        self._encode = encode
+        self._slices = slices(snapshot, slice_records)
+        self._parts: list[bytes] = []
+
+    def step(self) -> bytes | None:
+        """Encode one slice; return the whole encoding after the last one."""
+        part = next(self._slices, None)
+        if part is None:
+            return b"".join(self._parts)
+        self._parts.append(self._encode(part))
+        return None
+
+
+def slices(snapshot: ControlSnapshot, size: int) -> Iterator[ControlSnapshot]:
+    """Yield parts of a snapshot that hold ``size`` records or fewer of one kind."""
+    configuration = snapshot.configuration
+    claims = snapshot.claims
+    strikes = snapshot.strikes
+    yield ControlSnapshot(
+        configuration=NO_CONFIGURATION,
+        claims=ClaimsSnapshot(
+            time_ms=claims.time_ms,
+            retention_ms=claims.retention_ms,
+            idempotent_retention_ms=claims.idempotent_retention_ms,
+            max_bytes=claims.max_bytes,
+            records=(),
+        ),
+        strikes=StrikesSnapshot(strikes.time_ms, ()),
+    )
+    for records in _chunks(configuration.history, size):
+        part = ConfigurationSnapshot(records, ())
+        yield ControlSnapshot(part, NO_CLAIMS, NO_STRIKES)
+    for records in _chunks(configuration.changes, size):
+        part = ConfigurationSnapshot((), records)
+        yield ControlSnapshot(part, NO_CLAIMS, NO_STRIKES)
+    for records in _chunks(claims.records, size):
+        part = ClaimsSnapshot(0, 0, 0, 0, records)
+        yield ControlSnapshot(NO_CONFIGURATION, part, NO_STRIKES)
+    for records in _chunks(strikes.records, size):
+        part = StrikesSnapshot(0, records)
+        yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, part)
+
+
+def _chunks(records: tuple, size: int) -> Iterator[tuple]:
+    for start in range(0, len(records), size):
+        yield records[start : start + size]
