--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -352,15 +352,20 @@
 
 @given("a claimant that waits for a claim")
 def waiting_claimant(context):
-    context.claimant = claimant = Claimant("e1", 1)
-    beat = Heartbeat("dc", "control", 1, 0, False, "c1", 1)
-    list(claimant.handle(Received("c1", 1, beat), 0))
+    context.claimant = Claimant("e1", 1)
     context.asked = request("k", "e1", 1)
-    list(claimant.handle(WantClaim(context.asked), 0))
+    hear_leader(context, 0)
+    list(context.claimant.handle(WantClaim(context.asked), 0))
+
+
+def hear_leader(context, now_ms):
+    beat = Heartbeat("dc", "control", 1, 0, False, "c1", 1)
+    list(context.claimant.handle(Received("c1", 1, beat), now_ms))
 
 
 @when("the grant arrives after {time_ms:d} ms")
 def grant_arrives(context, time_ms):
+    hear_leader(context, time_ms)
     reply = ClaimReply("r", "k", ClaimStatus.GRANTED, context.asked.claim)
     event = Received("c1", 1, reply)
     context.actions = list(context.claimant.handle(event, time_ms))
