--- a/features/controller.feature
+++ b/features/controller.feature
@@ -75,7 +75,40 @@
     When 3000 ms pass on its clock before the dispatch
     Then it may not dispatch
 
+  Scenario: A grant that arrives at the deadline is not acted on
+    Given a claimant that waits for a claim
+    When the grant arrives after 2000 ms
+    Then the claim is unknown and reported as not run
+
   Scenario: Only the holder itself asks for its claim
     Given a control group with a configuration
     When "e2" sends a claim that names "e1" as holder
     Then no claim is on record for it
+
+  Scenario: A holder that lives is not taken over, however long it runs
+    Given a control group with a configuration
+    When requests run for 20000 ms
+    And "e1" wants the claim "long" and is granted it
+    And a caller claims "long" at "e2"
+    Then "long" ran once, at "e1"
+
+  Scenario: A new leader whose clock is days ahead expires no claim
+    Given a control group with a configuration
+    When the clocks of all other control hosts are 10 days ahead
+    And a caller claims "paid" at "e1"
+    And the leader is killed
+    And a caller claims "paid" at "e2"
+    Then "paid" ran once, at "e1"
+
+  Scenario: Late and out-of-order configurations move no host back
+    Given a control group with a configuration
+    When 5 changes are made within 500 ms
+    And all versions reach "e1" again, the oldest last
+    Then all replicas and hosts have version 6
+
+  Scenario: A snapshot made in slices while changes go on is that of its index
+    Given a control group with a configuration
+    When 40 changes are made while "c3" is down
+    And "e1" wants 256 claims in one turn
+    And a snapshot of the leader is built in slices of 7 while 40 changes are made
+    Then it restores to the state at its index
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from support.control_group import CONTROLS, ENTRIES
 
+from peridotfront import wire
 from peridotfront.core.actions import Received, Send
 from peridotfront.core.claimant import (
     Claimant,
@@ -10,6 +11,7 @@
     ClaimUnknown,
     WantClaim,
 )
+from peridotfront.core.control_state import ControlState
 from peridotfront.core.control_types import (
     OperatorPropose,
     OperatorRead,
@@ -21,8 +23,10 @@
     ClaimRequest,
     ClaimStatus,
     ConfigUpdate,
+    ControlSnapshot,
     Heartbeat,
 )
+from peridotfront.core.snapshot_builder import SnapshotBuilder
 from peridotfront.core.verdicts import Verdict
 
 
@@ -97,6 +101,13 @@
     context.group.want(name, key, "wanted")
 
 
+@when('"{name}" wants the claim "{key}" and is granted it')
+def want_granted(context, name, key):
+    want(context, name, key)
+    decided = context.group.hosts[name].decided
+    context.group.run_until(lambda: "wanted" in decided)
+
+
 @then('"{name}" gives the claim up in the same turn')
 def given_up(context, name):
     assert context.group.hosts[name].unknown == {"wanted"}
@@ -198,6 +209,32 @@
         assert len(entries) <= count, (name, len(entries))
 
 
+@when(
+    "a snapshot of the leader is built in slices of {size:d} "
+    "while {count:d} changes are made"
+)
+def build_in_slices(context, size, count):
+    state = context.group.hosts[context.leader].role.state
+    context.whole = state.snapshot()
+    builder = SnapshotBuilder(1, context.whole, wire.encode, size)
+    first = builder.step()
+    make_changes(context, count, 0)
+    assert first is None
+    assert state.snapshot() != context.whole
+    context.steps = 1
+    while (data := builder.step()) is None:
+        context.steps += 1
+    context.data = data
+
+
+@then("it restores to the state at its index")
+def restores(context):
+    assert context.steps > 30, context.steps
+    state = ControlState()
+    state.restore(wire.decode(ControlSnapshot, context.data))
+    assert state.snapshot() == context.whole
+
+
 @when('"{name}" is cut off and a change is made')
 def change_without(context, name):
     group = context.group
@@ -284,18 +321,70 @@
     assert follower.version == version, follower.version
 
 
+@when("requests run for {time_ms:d} ms")
+def run_long(context, time_ms):
+    context.group.run_ms = time_ms
+
+
+@when("the clocks of all other control hosts are {days:d} days ahead")
+def clocks_ahead(context, days):
+    group = context.group
+    for name in CONTROLS:
+        if name != context.leader:
+            group.kill(name)
+            group.clock_offsets_ms[name] = days * 86_400_000
+            group.restart(name)
+    group.run_for(1000)
+    context.leader = group.await_leader()
+    assert context.leader not in group.clock_offsets_ms
+
+
+@when('all versions reach "{name}" again, the oldest last')
+def reach_again(context, name):
+    group = context.group
+    group.run_until(lambda: group.all_in_force(6))
+    for record in reversed(group.view().history):
+        update = ConfigUpdate(
+            record.version, record.change_id, record.author, record.content
+        )
+        group.handle(name, Received("e2", 1, update))
+
+
+@given("a claimant that waits for a claim")
+def waiting_claimant(context):
+    context.claimant = Claimant("e1", 1)
+    context.asked = request("k", "e1", 1)
+    hear_leader(context, 0)
+    list(context.claimant.handle(WantClaim(context.asked), 0))
+
+
+def hear_leader(context, now_ms):
+    beat = Heartbeat("dc", "control", 1, 0, False, "c1", 1)
+    list(context.claimant.handle(Received("c1", 1, beat), now_ms))
+
+
+@when("the grant arrives after {time_ms:d} ms")
+def grant_arrives(context, time_ms):
+    hear_leader(context, time_ms)
+    reply = ClaimReply("r", "k", ClaimStatus.GRANTED, context.asked.claim)
+    event = Received("c1", 1, reply)
+    context.actions = list(context.claimant.handle(event, time_ms))
+
+
 @given("a claimant with a granted claim")
 def granted_claimant(context):
-    context.claimant = claimant = Claimant("e1", 1)
-    beat = Heartbeat("dc", "control", 1, 0, False, "c1", 1)
-    list(claimant.handle(Received("c1", 1, beat), 0))
-    asked = request("k", "e1", 1)
-    list(claimant.handle(WantClaim(asked), 0))
-    reply = ClaimReply("r", "k", ClaimStatus.GRANTED, asked.claim)
-    actions = list(claimant.handle(Received("c1", 1, reply), 5))
-    assert [type(a) for a in actions] == [ClaimDecided], actions
-    assert claimant.may_dispatch("k", 1, 2999)
-    assert ClaimUnknown not in map(type, actions)
+    waiting_claimant(context)
+    grant_arrives(context, 5)
+    assert [type(a) for a in context.actions] == [ClaimDecided], context.actions
+    assert context.claimant.may_dispatch("k", 1, 2999)
+
+
+@then("the claim is unknown and reported as not run")
+def unknown_and_reported(context):
+    unknown, send = context.actions
+    assert unknown == ClaimUnknown("r")
+    assert send.message.outcome.verdict is Verdict.NOT_RUN
+    assert not context.claimant.may_dispatch("k", 1, 2000)
 
 
 @when("{time_ms:d} ms pass on its clock before the dispatch")
