Count tokens as slow a little before callers do

Cause: slots were found to be too many only when answers were already late; one probe lost up to 30 answers at an engine, most of them short ones of tier 1. Change: holders count tokens above slow_token_ms = 26 ms while the promise is 27 ms.

--- a/benchmarks/cell_driver.py
+++ b/benchmarks/cell_driver.py
@@ -291,7 +291,7 @@
         engine = self.simulation.engines[job.engine]
         running = engine.decoding.get(job.request_id)
         produced = engine.produced(running) if running else 0
-        slow = engine.slow_gaps(running) if running else 0
+        slow = engine.counted_gaps(running) if running else 0
         held = HeldSlot(self._want_message(job, cell), job.engine, produced, slow)
         self._to_cell(cell, job.host, held)
 
@@ -310,6 +310,6 @@
             produced_tokens=job.output_tokens if job.outcome == "whole" else 0,
             first_token_ms=first_ms,
             duration_ms=int(self.simulation.now_ms - job.dispatched_ms),
-            slow_tokens=job.slow_gaps,
+            slow_tokens=job.counted_gaps,
         )
         self._to_cell(self._at_cell[job.request_id], job.host, release)
--- a/benchmarks/engine.py
+++ b/benchmarks/engine.py
@@ -2,12 +2,13 @@
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 
 from .requests import Job
 
 BLOCK_TOKENS = 64
 TOKEN_GAP_MS = 27.0
+COUNTED_GAP_MS = 26.0
 DROPPED_EVENT_SHARE = 0.05
 
 
@@ -67,6 +68,7 @@
     cached_tokens: int
     started_step: int = -1
     started_slow: int = 0
+    started_counted: int = 0
     finish_step: int = -1
 
 
@@ -98,6 +100,7 @@
         self.events: list[CacheEvent] = []
         self.steps = 0
         self.slow_steps = 0
+        self.counted_steps = 0
         self.kv_tokens = 0
         self._finishes: list[tuple[int, str]] = []
         self._chunk: list[Running] = []
@@ -198,6 +201,7 @@
         result = StepResult()
         self.steps += 1
         self.slow_steps += duration_ms > TOKEN_GAP_MS
+        self.counted_steps += duration_ms > COUNTED_GAP_MS
         while self._finishes and self._finishes[0][0] <= self.steps:
             _, request_id = heappop(self._finishes)
             one = self.decoding.get(request_id)
@@ -214,6 +218,7 @@
         job = one.job
         one.started_step = self.steps
         one.started_slow = self.slow_steps
+        one.started_counted = self.counted_steps
         one.finish_step = self.steps + job.output_tokens - 1
         self.decoding[job.request_id] = one
         heappush(self._finishes, (one.finish_step, job.request_id))
@@ -246,9 +251,6 @@
         """Return how many of a request's tokens came too late."""
         return self.slow_steps - one.started_slow
 
-    def forget(self) -> None:
-        """Rebuild the order of finishes without the cancelled ones."""
-        self._finishes = [
-            (one.finish_step, request_id) for request_id, one in self.decoding.items()
-        ]
-        heapify(self._finishes)
+    def counted_gaps(self, one: Running) -> int:
+        """Return how many of a request's tokens a holder counts as slow."""
+        return self.counted_steps - one.started_counted
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -31,6 +31,7 @@
     first_token_ms: float = -1.0
     ended_ms: float = -1.0
     slow_gaps: int = 0
+    counted_gaps: int = 0
     prefilled_tokens: int = 0
     cached_tokens: int = 0
     oracle_tokens: int = 0
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -268,6 +268,7 @@
                 return
         for one in result.finished:
             one.job.slow_gaps = engine.slow_gaps(one)
+            one.job.counted_gaps = engine.counted_gaps(one)
             self._finish(one.job, "whole")
             self.driver.ended(one.job, "whole")
         self._kick(engine)
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -11,9 +11,8 @@
 GAP_GAIN = 0.1
 WINDOW_MS = 1000
 FIRST_LIMIT_SHARE = 0.67
-MIN_WINDOW_TOKENS = 50
-HIGH_SLOW_SHARE = 0.01
-LOW_SLOW_SHARE = 0.005
+SLOW_REPORTS = 3
+QUIET_MS = 1200
 LARGE_SLOW_SHARE = 0.1
 LARGE_STEP = 0.1
 CEILING_MS = 60_000
@@ -88,6 +87,8 @@
         self._window_tokens = 0
         self._window_slow = 0
         self._window_peak = 0
+        self._slow_reports = 0
+        self._quiet_until_ms = 0
         self._ceiling_slots = float(max_slots)
         self._ceiling_until_ms = 0
         self._ceiling_step = 1
@@ -168,40 +169,52 @@
         self.first_token(slot, now_ms)
         if slot.produced_tokens > 0:
             self._observe_gap((now_ms - slot.progress_ms) / tokens)
-        if slow_tokens >= 0:
-            self._window_slow += max(0, slow_tokens - slot.slow_tokens)
-            slot.slow_tokens = slow_tokens
-        elif self.gap_ms > self.target_gap_ms:
-            self._window_slow += tokens
-        self._window_tokens += tokens
+        late_tokens = self._late_tokens(slot, tokens, slow_tokens)
+        if now_ms >= self._quiet_until_ms:
+            self._window_slow += late_tokens
+            self._window_tokens += tokens
         slot.produced_tokens = produced_tokens
         slot.progress_ms = now_ms
-        self._adjust_limit(now_ms)
+        if self.learns:
+            self._adjust_limit(late_tokens > 0, now_ms)
+
+    def _late_tokens(self, slot: Slot, tokens: int, slow_tokens: int) -> int:
+        if slow_tokens < 0:
+            return tokens if self.gap_ms > self.target_gap_ms else 0
+        late_tokens = max(0, slow_tokens - slot.slow_tokens)
+        slot.slow_tokens = slow_tokens
+        return late_tokens
 
     def _observe_gap(self, gap_ms: float) -> None:
         self.gap_ms += (gap_ms - self.gap_ms) * GAP_GAIN
 
-    def _adjust_limit(self, now_ms: int) -> None:
-        if now_ms - self._window_start_ms < WINDOW_MS:
+    def _adjust_limit(self, is_slow: bool, now_ms: int) -> None:
+        if now_ms < self._quiet_until_ms:
             return
-        share = self._window_slow / self._window_tokens
-        if self.learns and self._window_tokens >= MIN_WINDOW_TOKENS:
-            self._follow(share, now_ms)
+        self._slow_reports += is_slow
+        if self._slow_reports >= SLOW_REPORTS:
+            share = self._window_slow / max(1, self._window_tokens)
+            self._shrink(share, now_ms)
+            self._open_window(now_ms + QUIET_MS)
+        elif now_ms - self._window_start_ms >= WINDOW_MS:
+            if not self._slow_reports:
+                self._grow(now_ms)
+            self._open_window(now_ms)
+
+    def _open_window(self, start_ms: int) -> None:
         self._window_tokens = 0
         self._window_slow = 0
-        self._window_start_ms = now_ms
+        self._slow_reports = 0
+        self._quiet_until_ms = start_ms
+        self._window_start_ms = start_ms
         self._window_peak = len(self.slots)
 
-    def _follow(self, slow_share: float, now_ms: int) -> None:
-        if slow_share > HIGH_SLOW_SHARE:
-            self._shrink(slow_share, now_ms)
-            return
+    def _grow(self, now_ms: int) -> None:
         if now_ms >= self._ceiling_until_ms:
             self._ceiling_slots += self._ceiling_step
             self._ceiling_step *= 2
             self._ceiling_until_ms = now_ms + CEILING_MS
-        is_full = self._window_peak >= int(self.limit_slots)
-        if is_full and slow_share < LOW_SLOW_SHARE:
+        if self._window_peak >= int(self.limit_slots):
             limit = min(self._ceiling_slots, self.limit_slots + 1)
             self.limit_slots = min(float(self.max_slots), limit)
 
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -103,6 +103,8 @@
     :param urgent_ms: a want with less patience left is urgent.
     :param preempts: whether running requests may be cut for urgent higher ones.
     :param learns_rates: whether rates and slots follow what an engine does.
+    :param slow_token_ms: holders count tokens that come later as slow; less than
+        ``token_gap_ms``, so that slots shrink before callers notice.
     :param affinity_ms: how long a want may wait for the upstream that holds its
         prefix.
     """
@@ -126,6 +128,7 @@
     preempts: bool = True
     affinity_ms: int = 0
     learns_rates: bool = True
+    slow_token_ms: float = 26.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -88,7 +88,7 @@
     Sent with the first token, and again within each third of the lease.
 
     :param slow_tokens: tokens so far that came later after the one before than the
-        policy's ``token_gap_ms``; -1 if that was not measured.
+        policy's ``slow_token_ms``; -1 if that was not measured.
     """
 
     want: Want
