Let wants wait for the upstream that holds their prefix

Change: a want may hold for up to affinity_ms while a few others go first, if the engine that it waits for has 256 tokens more of it and is cheaper with the wait; its upstream is kept from lower tiers. Engines that would begin too late cost more. The engine model counts shared prefixes in memory once, as paged memory does; the scheduler's own count follows.

--- a/benchmarks/engine.py
+++ b/benchmarks/engine.py
@@ -1,12 +1,11 @@
 """A model engine with continuous batching, chunked prefill and a prefix cache."""
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
-from .requests import Job
+from .requests import BLOCK_TOKENS, Job
 
-BLOCK_TOKENS = 64
 TOKEN_GAP_MS = 27.0
 COUNTED_GAP_MS = 26.0
 DROPPED_EVENT_SHARE = 0.05
@@ -101,7 +100,8 @@
         self.steps = 0
         self.slow_steps = 0
         self.counted_steps = 0
-        self.kv_tokens = 0
+        self.private_tokens = 0
+        self.pinned: Counter[int] = Counter()
         self._finishes: list[tuple[int, str]] = []
         self._chunk: list[Running] = []
         self._sequence = 0
@@ -116,6 +116,26 @@
         """Return whether it has nothing to do."""
         return not (self.waiting or self.prefilling or self.decoding)
 
+    @property
+    def kv_tokens(self) -> int:
+        """Return the memory that running requests use; shared blocks count once."""
+        return self.private_tokens + len(self.pinned) * BLOCK_TOKENS
+
+    def _pin(self, job: Job) -> None:
+        self.private_tokens += job.private_tokens
+        self.pinned.update(job.prefix_hashes)
+
+    def _unpin(self, job: Job) -> None:
+        self.private_tokens -= job.private_tokens
+        for block in job.prefix_hashes:
+            self.pinned[block] -= 1
+            if self.pinned[block] == 0:
+                del self.pinned[block]
+
+    def _needed_tokens(self, job: Job) -> int:
+        fresh = sum(block not in self.pinned for block in job.prefix_hashes)
+        return job.private_tokens + fresh * BLOCK_TOKENS
+
     def submit(self, job: Job) -> None:
         """Take a request in."""
         self.waiting.append(Running(job, 0, 0))
@@ -137,10 +157,10 @@
                 if one.job is job:
                     queue.remove(one)
                     if queue is self.prefilling:
-                        self.kv_tokens -= job.kv_tokens
+                        self._unpin(job)
                     return one
         if running is not None:
-            self.kv_tokens -= job.kv_tokens
+            self._unpin(job)
         return running
 
     def die(self) -> list[Running]:
@@ -150,7 +170,8 @@
         self.prefilling.clear()
         self.decoding.clear()
         self.cache.clear()
-        self.kv_tokens = 0
+        self.private_tokens = 0
+        self.pinned.clear()
         self.is_alive = False
         self._finishes.clear()
         self._sequence = 0
@@ -162,14 +183,13 @@
         admitted = []
         while self.waiting and self.running < self.kind.max_batch:
             one = self.waiting[0]
-            if self.running and (
-                self.kv_tokens + one.job.kv_tokens > self.kind.kv_tokens
-            ):
+            needed_tokens = self.kv_tokens + self._needed_tokens(one.job)
+            if self.running and needed_tokens > self.kind.kv_tokens:
                 break
             self.waiting.popleft()
             one.cached_tokens = self.hit_tokens(one.job)
             one.prefill_left = one.job.prompt_tokens - one.cached_tokens
-            self.kv_tokens += one.job.kv_tokens
+            self._pin(one.job)
             for block in one.job.prefix_hashes:
                 if block in self.cache:
                     self.cache.move_to_end(block)
@@ -227,22 +247,27 @@
 
     def _leave(self, one: Running) -> None:
         del self.decoding[one.job.request_id]
-        self.kv_tokens -= one.job.kv_tokens
+        self._unpin(one.job)
 
     def _remember(self, job: Job, now_ms: float) -> None:
         fresh = [block for block in job.prefix_hashes if block not in self.cache]
         for block in reversed(job.prefix_hashes):
             self.cache[block] = None
             self.cache.move_to_end(block)
-        spare = max(0, self.kind.kv_tokens - self.kv_tokens) // BLOCK_TOKENS
-        evicted = []
-        while len(self.cache) > max(spare, len(job.prefix_hashes)):
-            evicted.append(self.cache.popitem(last=False)[0])
+        spare = max(0, self.kind.kv_tokens - self.private_tokens) // BLOCK_TOKENS
+        evicted = self._evict(len(self.cache) - spare)
         if fresh or evicted:
             self._sequence += 1
             event = CacheEvent(self._sequence, now_ms, tuple(fresh), tuple(evicted))
             self.events.append(event)
 
+    def _evict(self, count: int) -> list[int]:
+        victims = [block for block in self.cache if block not in self.pinned]
+        victims = victims[: max(0, count)]
+        for block in victims:
+            del self.cache[block]
+        return victims
+
     def produced(self, one: Running) -> int:
         """Return the tokens that a request has produced."""
         return 0 if one.started_step < 0 else self.steps - one.started_step + 1
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+BLOCK_TOKENS = 64
+
 
 @dataclass(slots=True)
 class Job:
@@ -40,6 +42,12 @@
     returns: int = 0
     was_admitted_on_return: bool = False
 
+    @property
+    def private_tokens(self) -> int:
+        """Return the tokens that it shares with no other request."""
+        blocks_tokens = len(self.prefix_hashes) * BLOCK_TOKENS
+        return self.prompt_tokens - blocks_tokens + self.output_tokens
+
     @property
     def kv_tokens(self) -> int:
         """Return the memory that the request comes to use."""
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -9,6 +9,8 @@
 RATE_GAIN = 0.15
 MAX_RATE_STEP = 2.0
 GAP_GAIN = 0.1
+HOLD_GAIN = 0.1
+FIRST_HOLD_MS = 2000.0
 WINDOW_MS = 1000
 FIRST_LIMIT_SHARE = 0.67
 SLOW_REPORTS = 3
@@ -18,7 +20,7 @@
 CEILING_MS = 60_000
 OVERDUE_SHARE = 0.2
 MIN_LIMIT_SLOTS = 2.0
-KV_SHARE = 0.95
+KV_SHARE = 0.9
 MIN_PREFILL_TOKENS_PER_S = 50.0
 
 
@@ -45,8 +47,9 @@
 
     @property
     def kv_tokens(self) -> int:
-        """Return the memory that the request may come to use."""
-        return self.want.prompt_tokens + self.want.output_tokens
+        """Return the memory that the request may come to use by itself."""
+        own_tokens = self.want.prompt_tokens - self.predicted_prefix_tokens
+        return own_tokens + self.want.output_tokens
 
 
 class Budget:
@@ -80,6 +83,7 @@
             self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
+        self.hold_ms = FIRST_HOLD_MS
         self._pending: dict[str, float] = {}
         self._pending_ms = 0.0
         self._pending_start_ms = 0
@@ -101,13 +105,25 @@
         first_ms = next(iter(self._pending.values()))
         return max(left_ms, first_ms * OVERDUE_SHARE)
 
+    @property
+    def slot_wait_ms(self) -> float:
+        """Return how long a slot takes to come free when all are in use."""
+        return self.hold_ms / max(1.0, self.limit_slots)
+
+    def held(self, duration_ms: int) -> None:
+        """Learn from a request that ran to its end."""
+        self.hold_ms += (duration_ms - self.hold_ms) * HOLD_GAIN
+
     def prefill_ms(self, tokens: float) -> float:
         """Return how long the upstream takes to process so many prompt tokens."""
         return tokens * 1000.0 / self.prefill_tokens_per_s
 
-    def fits_memory(self, want: Want) -> bool:
-        """Return whether the want's tokens fit beside those of the others."""
-        need = want.prompt_tokens + want.output_tokens
+    def fits_memory(self, want: Want, shared_tokens: int) -> bool:
+        """Return whether the want's tokens fit beside those of the others.
+
+        :param shared_tokens: of the prompt, those that the cache holds.
+        """
+        need = want.prompt_tokens - shared_tokens + want.output_tokens
         return self.kv_tokens + need <= self.kv_capacity_tokens * KV_SHARE
 
     def occupy(self, slot: Slot, now_ms: int) -> None:
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -126,7 +126,7 @@
     overfill_ratio: float = 1.0
     urgent_ms: int = 500
     preempts: bool = True
-    affinity_ms: int = 0
+    affinity_ms: int = 1000
     learns_rates: bool = True
     slow_token_ms: float = 26.0
 
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -1,7 +1,7 @@
 """Choice of the upstream for a want."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import Enum, auto
 
 from .budgets import Budget, Slot
 from .fleet import Policy, UpstreamKind, UpstreamSpec
@@ -12,6 +12,9 @@
 from .queues import QueuedWant
 
 FILL_MS = 20.0
+LATE_WEIGHT = 5.0
+HOLD_COST_SHARE = 0.9
+MIN_HOLD_TOKENS = 256
 DECODE_SHARE = 0.02
 SLOW_GAP_RATIO = 1.15
 SLOW_PATIENCE_SHARE = 0.5
@@ -68,6 +71,25 @@
     cost_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Lets a want wait while others go first.
+
+    :param upstream: the one that it waits for; None if any would do.
+    """
+
+    upstream: Upstream | None = None
+
+
+class Room(Enum):
+    """Names why an upstream does or does not take a want."""
+
+    FREE = auto()
+    FULL = auto()
+    NOT_THIS_WANT = auto()
+    CLOSED = auto()
+
+
 class Placement:
     """Finds the upstream with the least expected time to the first token.
 
@@ -82,58 +104,78 @@
     def choose(
         self,
         queued: QueuedWant,
-        upstreams: Iterable[Upstream],
+        upstreams: list[Upstream],
         *,
         is_highest: bool,
         now_ms: int,
-    ) -> Choice | None:
-        """Return the best upstream that takes the want now.
+    ) -> Choice | Hold | None:
+        """Return the best upstream for a want, a hold, or None if all are full.
 
         :param upstreams: those that serve the want's model, less those for which
             a higher tier waits.
         :param is_highest: whether the want may use the head room.
         """
         urgent = queued.deadline_at_ms - now_ms < self._policy.urgent_ms
-        upstreams = tuple(upstreams)
-        best = None
-        for upstream in upstreams:
-            if not self._admits(upstream, queued, urgent, now_ms):
-                continue
-            choice = self._score(upstream, queued.want, now_ms)
-            if not is_highest and not self._leaves_room(
-                upstream, choice, upstreams, queued.want, now_ms
-            ):
+        rooms = [self._room(one, queued, urgent, now_ms) for one in upstreams]
+        if Room.FREE not in rooms:
+            return Hold() if Room.NOT_THIS_WANT in rooms else None
+        best = better = None
+        for upstream, room in zip(upstreams, rooms, strict=True):
+            if room is Room.CLOSED or room is Room.NOT_THIS_WANT:
                 continue
-            if best is None or choice.cost_ms < best.cost_ms:
-                best = choice
+            choice = self._score(upstream, queued, now_ms)
+            has_room = room is Room.FREE and (
+                is_highest or self._leaves_room(choice, upstreams, queued.want, now_ms)
+            )
+            if has_room:
+                best = _cheaper(best, choice)
+            elif self._may_hold(queued, urgent, now_ms):
+                better = _cheaper(better, self._with_wait(choice, now_ms))
+        if best is None:
+            return Hold()
+        if better is not None and _is_worth_waiting(better, best):
+            return Hold(better.upstream)
         return best
 
-    def _admits(
+    def _may_hold(self, queued: QueuedWant, urgent: bool, now_ms: int) -> bool:
+        waited_ms = now_ms - queued.since_ms
+        return not urgent and waited_ms < self._policy.affinity_ms
+
+    def _with_wait(self, choice: Choice, now_ms: int) -> Choice:
+        budget = choice.upstream.budget
+        wait_ms = budget.slot_wait_ms
+        backlog_ms = budget.backlog_ms(now_ms) - self._policy.engine_queue_ms
+        wait_ms = max(wait_ms, backlog_ms, 0.0)
+        return replace(choice, cost_ms=choice.cost_ms + wait_ms)
+
+    def _room(
         self, upstream: Upstream, queued: QueuedWant, urgent: bool, now_ms: int
-    ) -> bool:
+    ) -> Room:
         budget = upstream.budget
         want = queued.want
-        if upstream.is_leaving:
-            return False
-        if len(budget.slots) >= upstream.limit(self._policy, urgent, now_ms):
-            return False
+        limit = upstream.limit(self._policy, urgent, now_ms)
+        if upstream.is_leaving or limit == 0 or not upstream.can_hold(want):
+            return Room.CLOSED
+        if len(budget.slots) >= limit:
+            return Room.FULL
         if upstream.suspects and self._strikes.is_suspect(want.fingerprint):
-            return False
+            return Room.NOT_THIS_WANT
         if upstream.spec.kind is UpstreamKind.SERVICE:
-            return True
-        if budget.slots and not budget.fits_memory(want):
-            return False
-        if not upstream.can_hold(want):
-            return False
+            return Room.FREE
+        hit = upstream.prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
+        if budget.slots and not budget.fits_memory(want, hit):
+            return Room.FULL
         if upstream.is_slow and not self._accepts_slow(queued, now_ms):
-            return False
-        return budget.backlog_ms(now_ms) <= self._policy.engine_queue_ms
+            return Room.NOT_THIS_WANT
+        is_idle = budget.backlog_ms(now_ms) <= self._policy.engine_queue_ms
+        return Room.FREE if is_idle else Room.FULL
 
     def _accepts_slow(self, queued: QueuedWant, now_ms: int) -> bool:
         patience_ms = queued.deadline_at_ms - queued.since_ms
         return now_ms - queued.since_ms >= patience_ms * SLOW_PATIENCE_SHARE
 
-    def _score(self, upstream: Upstream, want: Want, now_ms: int) -> Choice:
+    def _score(self, upstream: Upstream, queued: QueuedWant, now_ms: int) -> Choice:
+        want = queued.want
         budget = upstream.budget
         fill_ms = FILL_MS * len(budget.slots) / max(1.0, budget.limit_slots)
         if upstream.spec.kind is UpstreamKind.SERVICE:
@@ -141,19 +183,21 @@
         prefixes = upstream.prefixes
         hit = prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
         prefill_ms = budget.prefill_ms(want.prompt_tokens - hit * prefixes.trust)
-        decode_ms = want.output_tokens * budget.gap_ms * DECODE_SHARE
-        waste_ms = prefill_ms * self._policy.prefill_weight
-        cost_ms = budget.backlog_ms(now_ms) + waste_ms + decode_ms + fill_ms
+        backlog_ms = budget.backlog_ms(now_ms)
+        late_ms = now_ms + backlog_ms + prefill_ms - queued.deadline_at_ms
+        cost_ms = (
+            backlog_ms
+            + prefill_ms * self._policy.prefill_weight
+            + want.output_tokens * budget.gap_ms * DECODE_SHARE
+            + fill_ms
+            + max(0.0, late_ms) * LATE_WEIGHT
+        )
         return Choice(upstream, hit, cost_ms)
 
     def _leaves_room(
-        self,
-        upstream: Upstream,
-        choice: Choice,
-        upstreams: tuple[Upstream, ...],
-        want: Want,
-        now_ms: int,
+        self, choice: Choice, upstreams: list[Upstream], want: Want, now_ms: int
     ) -> bool:
+        upstream = choice.upstream
         if upstream.spec.kind is UpstreamKind.SERVICE:
             return True
         budget = upstream.budget
@@ -167,11 +211,23 @@
         open_ms = headroom_ms * OPEN_BACKLOG_SHARE
         others = [other for other in upstreams if other is not upstream]
         return not others or any(
-            other.takes_work and other.budget.backlog_ms(now_ms) <= open_ms
+            not other.is_leaving and other.budget.backlog_ms(now_ms) <= open_ms
             for other in others
         )
 
 
+def _is_worth_waiting(later: Choice, now: Choice) -> bool:
+    hit_more = later.predicted_prefix_tokens - now.predicted_prefix_tokens
+    is_cheaper = later.cost_ms < now.cost_ms * HOLD_COST_SHARE
+    return is_cheaper and hit_more >= MIN_HOLD_TOKENS
+
+
+def _cheaper(known: Choice | None, choice: Choice) -> Choice:
+    if known is None or choice.cost_ms < known.cost_ms:
+        return choice
+    return known
+
+
 def new_slot(
     queued: QueuedWant, choice: Choice, lease_ms: int, host: str, now_ms: int
 ) -> Slot:
--- a/src/peridotfront/core/prefixes.py
+++ b/src/peridotfront/core/prefixes.py
@@ -1,5 +1,6 @@
 """Model of the prefixes that an engine holds in its cache."""
 
+from bisect import bisect_left
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -27,12 +28,11 @@
         return len(self._blocks)
 
     def hit_tokens(self, hashes: tuple[int, ...], prompt_tokens: int) -> int:
-        """Return the prompt tokens that are expected in the cache."""
-        blocks = 0
-        for block in hashes:
-            if block not in self._blocks:
-                break
-            blocks += 1
+        """Return the prompt tokens that are expected in the cache.
+
+        A block is of use only with all before it, and is evicted before them.
+        """
+        blocks = bisect_left(hashes, True, key=lambda block: block not in self._blocks)
         return min(blocks * self.block_tokens, max(0, prompt_tokens - 1))
 
     def record(self, hashes: tuple[int, ...], spare_blocks: int) -> None:
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from itertools import islice
 
 from .messages import Want
 
@@ -150,6 +151,20 @@
             self._accounts.move_to_end(name)
         return None
 
+    def candidates(self, limit: int) -> Iterator[QueuedWant]:
+        """Yield the want whose turn it is, then others that may go instead.
+
+        :param limit: how many of each account.
+        """
+        head = self.head()
+        if head is None:
+            return
+        yield head
+        for account in tuple(self._accounts.values()):
+            for queued in tuple(islice(account.members.values(), limit)):
+                if queued is not head:
+                    yield queued
+
     def take(self, queued: QueuedWant) -> None:
         """Remove a want that was granted and charge its account."""
         account = self._accounts[queued.want.client_account]
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -21,10 +21,10 @@
     UpstreamReport,
     Want,
 )
-from .placement import Placement, Upstream, new_slot
+from .placement import Choice, Placement, Upstream, new_slot
 from .poison import StrikeBook
 from .prefixes import PrefixModel
-from .queues import QueuedWant, TierQueues
+from .queues import FairQueue, QueuedWant, TierQueues
 from .shedding import (
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
@@ -39,6 +39,7 @@
 __all__ = ["CellScheduler", "FleetChanged", "HostLost", "StrikesChanged"]
 
 HIGHEST_TIER = 1
+MAX_SKIPS = 4
 CHECK_SLOTS_EVERY_MS = 100
 LEAVING_HOLD_MS = 10_000
 OVERDUE_FACTOR = 2
@@ -270,24 +271,38 @@
             for model, queue in self._queues.models(tier):
                 reach = self._reach.get(model, [])
                 free = [one for one in reach if one.name not in blocked]
-                while free and (queued := queue.head()) is not None:
-                    granted = self._grant(queued, free, now_ms)
+                while free and len(queue):
+                    granted = self._grant_next(queue, free, blocked, now_ms)
                     if granted is None:
                         break
                     yield granted
-                if len(queue):
-                    blocked.update(one.name for one in reach if not one.is_slow)
 
-    def _grant(
-        self, queued: QueuedWant, upstreams: list[Upstream], now_ms: int
+    def _grant_next(
+        self,
+        queue: FairQueue,
+        upstreams: list[Upstream],
+        blocked: set[str],
+        now_ms: int,
     ) -> Action | None:
+        """Grant one want of a queue; else block what lower tiers must leave it."""
+        kept: set[str] = set()
+        for queued in queue.candidates(MAX_SKIPS):
+            is_highest = queued.want.tier == HIGHEST_TIER
+            choice = self._placement.choose(
+                queued, upstreams, is_highest=is_highest, now_ms=now_ms
+            )
+            if isinstance(choice, Choice):
+                return self._grant(queued, choice, now_ms)
+            if choice is None:
+                kept.update(one.name for one in upstreams if not one.is_slow)
+                break
+            if choice.upstream is not None:
+                kept.add(choice.upstream.name)
+        blocked.update(kept)
+        return None
+
+    def _grant(self, queued: QueuedWant, choice: Choice, now_ms: int) -> Action:
         want = queued.want
-        is_highest = want.tier == HIGHEST_TIER
-        choice = self._placement.choose(
-            queued, upstreams, is_highest=is_highest, now_ms=now_ms
-        )
-        if choice is None:
-            return None
         self._queues.take(queued)
         lease_ms = self._fleet.policy.slot_lease_ms
         slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
@@ -300,7 +315,10 @@
         upstream = self._upstreams[slot.upstream]
         self._slots[slot.want.request_id] = slot
         upstream.budget.occupy(slot, now_ms)
-        spare_tokens = upstream.budget.kv_capacity_tokens - upstream.budget.kv_tokens
+        output_tokens = sum(
+            one.want.output_tokens for one in upstream.budget.slots.values()
+        )
+        spare_tokens = upstream.budget.kv_capacity_tokens - output_tokens
         block_tokens = upstream.prefixes.block_tokens
         upstream.prefixes.record(
             slot.want.prefix_hashes, max(0, spare_tokens) // block_tokens
@@ -351,6 +369,7 @@
         if release.cause in WASTING_CAUSES:
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
+            upstream.budget.held(release.duration_ms)
             reach = self._reach.get(slot.want.model, [])
             self._drain.observe(slot.want, release.duration_ms, reach, now_ms)
             self._learn_gap(upstream, slot, release, now_ms)
