--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+BLOCK_TOKENS = 64
+
 
 @dataclass(slots=True)
 class Job:
@@ -31,6 +33,7 @@
     first_token_ms: float = -1.0
     ended_ms: float = -1.0
     slow_gaps: int = 0
+    counted_gaps: int = 0
     prefilled_tokens: int = 0
     cached_tokens: int = 0
     oracle_tokens: int = 0
@@ -39,6 +42,12 @@
     returns: int = 0
     was_admitted_on_return: bool = False
 
+    @property
+    def private_tokens(self) -> int:
+        """Return the tokens that it shares with no other request."""
+        blocks_tokens = len(self.prefix_hashes) * BLOCK_TOKENS
+        return self.prompt_tokens - blocks_tokens + self.output_tokens
+
     @property
     def kv_tokens(self) -> int:
         """Return the memory that the request comes to use."""
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -9,17 +9,18 @@
 RATE_GAIN = 0.15
 MAX_RATE_STEP = 2.0
 GAP_GAIN = 0.1
+HOLD_GAIN = 0.1
+FIRST_HOLD_MS = 2000.0
 WINDOW_MS = 1000
 FIRST_LIMIT_SHARE = 0.67
-MIN_WINDOW_TOKENS = 50
-HIGH_SLOW_SHARE = 0.01
-LOW_SLOW_SHARE = 0.005
+SLOW_REPORTS = 3
+QUIET_MS = 1200
 LARGE_SLOW_SHARE = 0.1
 LARGE_STEP = 0.1
 CEILING_MS = 60_000
 OVERDUE_SHARE = 0.2
 MIN_LIMIT_SLOTS = 2.0
-KV_SHARE = 0.95
+KV_SHARE = 0.9
 MIN_PREFILL_TOKENS_PER_S = 50.0
 
 
@@ -46,8 +47,9 @@
 
     @property
     def kv_tokens(self) -> int:
-        """Return the memory that the request may come to use."""
-        return self.want.prompt_tokens + self.want.output_tokens
+        """Return the memory that the request may come to use by itself."""
+        own_tokens = self.want.prompt_tokens - self.predicted_prefix_tokens
+        return own_tokens + self.want.output_tokens
 
 
 class Budget:
@@ -81,6 +83,7 @@
             self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
+        self.hold_ms = FIRST_HOLD_MS
         self._pending: dict[str, float] = {}
         self._pending_ms = 0.0
         self._pending_start_ms = 0
@@ -88,6 +91,8 @@
         self._window_tokens = 0
         self._window_slow = 0
         self._window_peak = 0
+        self._slow_reports = 0
+        self._quiet_until_ms = 0
         self._ceiling_slots = float(max_slots)
         self._ceiling_until_ms = 0
         self._ceiling_step = 1
@@ -100,13 +105,25 @@
         first_ms = next(iter(self._pending.values()))
         return max(left_ms, first_ms * OVERDUE_SHARE)
 
+    @property
+    def slot_wait_ms(self) -> float:
+        """Return how long a slot takes to come free when all are in use."""
+        return self.hold_ms / max(1.0, self.limit_slots)
+
+    def held(self, duration_ms: int) -> None:
+        """Learn from a request that ran to its end."""
+        self.hold_ms += (duration_ms - self.hold_ms) * HOLD_GAIN
+
     def prefill_ms(self, tokens: float) -> float:
         """Return how long the upstream takes to process so many prompt tokens."""
         return tokens * 1000.0 / self.prefill_tokens_per_s
 
-    def fits_memory(self, want: Want) -> bool:
-        """Return whether the want's tokens fit beside those of the others."""
-        need = want.prompt_tokens + want.output_tokens
+    def fits_memory(self, want: Want, shared_tokens: int) -> bool:
+        """Return whether the want's tokens fit beside those of the others.
+
+        :param shared_tokens: of the prompt, those that the cache holds.
+        """
+        need = want.prompt_tokens - shared_tokens + want.output_tokens
         return self.kv_tokens + need <= self.kv_capacity_tokens * KV_SHARE
 
     def occupy(self, slot: Slot, now_ms: int) -> None:
@@ -168,40 +185,52 @@
         self.first_token(slot, now_ms)
         if slot.produced_tokens > 0:
             self._observe_gap((now_ms - slot.progress_ms) / tokens)
-        if slow_tokens >= 0:
-            self._window_slow += max(0, slow_tokens - slot.slow_tokens)
-            slot.slow_tokens = slow_tokens
-        elif self.gap_ms > self.target_gap_ms:
-            self._window_slow += tokens
-        self._window_tokens += tokens
+        late_tokens = self._late_tokens(slot, tokens, slow_tokens)
+        if now_ms >= self._quiet_until_ms:
+            self._window_slow += late_tokens
+            self._window_tokens += tokens
         slot.produced_tokens = produced_tokens
         slot.progress_ms = now_ms
-        self._adjust_limit(now_ms)
+        if self.learns:
+            self._adjust_limit(late_tokens > 0, now_ms)
+
+    def _late_tokens(self, slot: Slot, tokens: int, slow_tokens: int) -> int:
+        if slow_tokens < 0:
+            return tokens if self.gap_ms > self.target_gap_ms else 0
+        late_tokens = max(0, slow_tokens - slot.slow_tokens)
+        slot.slow_tokens = slow_tokens
+        return late_tokens
 
     def _observe_gap(self, gap_ms: float) -> None:
         self.gap_ms += (gap_ms - self.gap_ms) * GAP_GAIN
 
-    def _adjust_limit(self, now_ms: int) -> None:
-        if now_ms - self._window_start_ms < WINDOW_MS:
+    def _adjust_limit(self, is_slow: bool, now_ms: int) -> None:
+        if now_ms < self._quiet_until_ms:
             return
-        share = self._window_slow / self._window_tokens
-        if self.learns and self._window_tokens >= MIN_WINDOW_TOKENS:
-            self._follow(share, now_ms)
+        self._slow_reports += is_slow
+        if self._slow_reports >= SLOW_REPORTS:
+            share = self._window_slow / max(1, self._window_tokens)
+            self._shrink(share, now_ms)
+            self._open_window(now_ms + QUIET_MS)
+        elif now_ms - self._window_start_ms >= WINDOW_MS:
+            if not self._slow_reports:
+                self._grow(now_ms)
+            self._open_window(now_ms)
+
+    def _open_window(self, start_ms: int) -> None:
         self._window_tokens = 0
         self._window_slow = 0
-        self._window_start_ms = now_ms
+        self._slow_reports = 0
+        self._quiet_until_ms = start_ms
+        self._window_start_ms = start_ms
         self._window_peak = len(self.slots)
 
-    def _follow(self, slow_share: float, now_ms: int) -> None:
-        if slow_share > HIGH_SLOW_SHARE:
-            self._shrink(slow_share, now_ms)
-            return
+    def _grow(self, now_ms: int) -> None:
         if now_ms >= self._ceiling_until_ms:
             self._ceiling_slots += self._ceiling_step
             self._ceiling_step *= 2
             self._ceiling_until_ms = now_ms + CEILING_MS
-        is_full = self._window_peak >= int(self.limit_slots)
-        if is_full and slow_share < LOW_SLOW_SHARE:
+        if self._window_peak >= int(self.limit_slots):
             limit = min(self._ceiling_slots, self.limit_slots + 1)
             self.limit_slots = min(float(self.max_slots), limit)
 
