Measure the HTTP path; pass on the headers of a caller

Cause: the first run of the benchmark showed that headers of a caller, passed on to HttpClient.send, gave two Host fields and so a refusal of every request (its figures for plain requests were those of the refusal and are void). Change: host, length and Expect are always the client's own; a scenario for it; benchmarks/http_costs.py with a relay between callers and an upstream, each a process, that counts the relay's processor time only and checks each status.

--- /dev/null
+++ b/benchmarks/http_costs.py
@@ -0,0 +1,282 @@
+"""Processor time and added latency of the HTTP path through one entry process.
+
+Run ``python benchmarks/http_costs.py``. Three processes: callers, a relay made
+of ``HttpServer`` and ``HttpClient``, and an upstream that answers at once or
+streams at a steady pace. Only the relay's processor time is counted. Figures of
+different runs are not comparable; compare lines of one run.
+"""
+
+import asyncio
+import cProfile
+import json
+import pstats
+import statistics
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+
+import fire
+
+from peridotfront.callers import HttpServer
+from peridotfront.upstreams import HttpClient
+
+HOST_IP = "127.0.0.1"
+EVENT = b"data: " + json.dumps({"choices": [{"delta": {"content": "abcd"}}]}).encode()
+CHUNK_BODY = EVENT.ljust(150) + b"\n\n"
+CHUNK = b"%x\r\n%b\r\n" % (len(CHUNK_BODY), CHUNK_BODY)
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+SMALL_BYTES = 500
+LARGE_BYTES = 100 * SMALL_BYTES
+CALLERS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Describes what callers do.
+
+    :param body_bytes: of request and answer, unless the answer is a stream.
+    :param chunks: of each streamed answer; 0 asks for a plain answer.
+    :param pace_ms: between the chunks of one stream.
+    """
+
+    callers: int = CALLERS
+    requests_per_caller: int = 1
+    body_bytes: int = SMALL_BYTES
+    chunks: int = 0
+    pace_ms: int = 0
+
+
+class Upstream(asyncio.Protocol):
+    """Answers each request with its own body, or a paced stream."""
+
+    def connection_made(self, transport):
+        """Begin with an empty buffer."""
+        self.transport = transport
+        self.data = bytearray()
+
+    def data_received(self, data):
+        """Answer as soon as the request is whole."""
+        self.data += data
+        head, found, body = bytes(self.data).partition(b"\r\n\r\n")
+        if not found or len(body) < length_of(head):
+            return
+        self.data.clear()
+        _, _, options = head.split(b" ", 2)[1].partition(b"?")
+        if options:
+            chunks, pace_ms = map(int, options.split(b"-"))
+            self.transport.write(STREAM_HEAD)
+            asyncio.get_running_loop().call_later(
+                pace_ms / 1000, self.send_chunk, chunks, pace_ms
+            )
+            return
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.transport.write(answer + body)
+
+    def send_chunk(self, left, pace_ms):
+        """Send one chunk and plan the next."""
+        if not left:
+            self.transport.write(b"0\r\n\r\n")
+            return
+        self.transport.write(CHUNK)
+        asyncio.get_running_loop().call_later(
+            pace_ms / 1000, self.send_chunk, left - 1, pace_ms
+        )
+
+
+def length_of(head):
+    """Return the content length that a head tells."""
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line[15:])
+    return 0
+
+
+async def call_once(reader, writer, load):
+    """Make one request; return its latency."""
+    options = f"?{load.chunks}-{load.pace_ms}" if load.chunks else ""
+    body = b"x" * load.body_bytes
+    head = (
+        f"POST /v1/completions{options} HTTP/1.1\r\nHost: a\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    begin_s = time.perf_counter()
+    writer.write(head.encode() + body)
+    answer = await reader.readuntil(b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 200"), answer
+    if load.chunks:
+        while size_bytes := int(await reader.readline(), 16):
+            await reader.readexactly(size_bytes + 2)
+        await reader.readline()
+    else:
+        await reader.readexactly(length_of(answer))
+    return time.perf_counter() - begin_s
+
+
+async def call(port, load):
+    """Act as all callers; return the latency of each request in ms."""
+
+    async def act():
+        reader, writer = await asyncio.open_connection(HOST_IP, port, limit=2**20)
+        latencies = [
+            await call_once(reader, writer, load)
+            for _ in range(load.requests_per_caller)
+        ]
+        writer.close()
+        return latencies
+
+    results = await asyncio.gather(*(act() for _ in range(load.callers)))
+    return sorted(1000 * latency for one in results for latency in one)
+
+
+async def serve_upstream():
+    """Act as the upstream until the standard input ends."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(Upstream, HOST_IP, 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    await reader.read()
+
+
+class Relay:
+    """Passes requests on to one upstream."""
+
+    def __init__(self, address):
+        self.client = HttpClient()
+        self.server = HttpServer(self.handle)
+        self.address = address
+
+    async def handle(self, exchange):
+        """Pass one request on, and its answer back."""
+        request = exchange.request
+        answer = await self.client.send(
+            self.address, request.method, request.target, request.headers, request.body
+        )
+        if answer.header("content-length"):
+            body = await answer.read()
+            await exchange.respond(answer.status_code, answer.headers, body)
+            return
+        await exchange.start(answer.status_code, answer.headers)
+        async for data in answer.chunks():
+            await exchange.write(data)
+        await exchange.finish()
+
+
+async def start_role(*arguments):
+    """Start this file as another process."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        __file__,
+        *map(str, arguments),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+
+
+async def run_callers(port, load):
+    """Let another process call; return its latencies in ms."""
+    options = [f"--{name}={getattr(load, name)}" for name in Load.__slots__]
+    process = await start_role("callers", port, *options)
+    output, _ = await process.communicate()
+    return json.loads(output)
+
+
+def middle_and_tail(latencies):
+    """Return p50 and p99."""
+    return statistics.median(latencies), latencies[int(len(latencies) * 0.99) - 1]
+
+
+async def measure_plain(relay, upstream_port, name, load):
+    """Print the cost of plain requests, through the relay and without it."""
+    direct = middle_and_tail(await run_callers(upstream_port, load))
+    begin_s = time.process_time()
+    latencies = await run_callers(relay.server.port, load)
+    used_s = time.process_time() - begin_s
+    relayed = middle_and_tail(latencies)
+    one = await run_callers(relay.server.port, Load(1, 200, load.body_bytes))
+    one_direct = await run_callers(upstream_port, Load(1, 200, load.body_bytes))
+    added_ms = statistics.median(one) - statistics.median(one_direct)
+    print(
+        f"{name}: {1e6 * used_s / len(latencies):.0f} us of processor a request; "
+        f"{load.callers} callers p50 {relayed[0]:.2f} ms ({relayed[0] / direct[0]:.1f}"
+        f" x direct), p99 {relayed[1]:.2f} ms ({relayed[1] / direct[1]:.1f} x direct);"
+        f" one caller adds {added_ms:.2f} ms"
+    )
+
+
+async def measure_streams(relay, name, load):
+    """Print the cost of streamed answers."""
+    begin_s, begin_wall_s = time.process_time(), time.perf_counter()
+    latencies = await run_callers(relay.server.port, load)
+    used_s = time.process_time() - begin_s
+    wall_s = time.perf_counter() - begin_wall_s
+    chunks = load.chunks * len(latencies)
+    ideal_ms = load.chunks * load.pace_ms
+    print(
+        f"{name}: {1e6 * used_s / chunks:.1f} us of processor a chunk at "
+        f"{chunks / wall_s:.0f} chunks/s ({100 * used_s / wall_s:.0f}% of a core);"
+        f" p99 duration {middle_and_tail(latencies)[1] / ideal_ms:.2f} x the pace"
+    )
+
+
+async def measure(profile):
+    """Run every measurement."""
+    upstream = await start_role("upstream")
+    upstream_port = int(await upstream.stdout.readline())
+    relay = Relay(f"{HOST_IP}:{upstream_port}")
+    await relay.server.start(HOST_IP)
+    profiler = cProfile.Profile(time.process_time)
+    if profile:
+        profiler.enable()
+    for name, load in PLAIN.items():
+        if profile in ("", "plain"):
+            await measure_plain(relay, upstream_port, name, load)
+    for name, load in STREAMS.items():
+        if profile in ("", "streams"):
+            await measure_streams(relay, name, load)
+    if profile:
+        profiler.disable()
+        pstats.Stats(profiler).sort_stats("tottime").print_stats(28)
+    await relay.client.close()
+    await relay.server.close()
+    upstream.stdin.close()
+    await upstream.wait()
+
+
+PLAIN = {
+    "small bodies (500 B)": Load(requests_per_caller=200, body_bytes=SMALL_BYTES),
+    "large bodies (50 kB)": Load(requests_per_caller=60, body_bytes=LARGE_BYTES),
+}
+STREAMS = {
+    "20 streams of 200 chunks, 27 ms apart": Load(20, 1, 500, 200, 27),
+    "200 streams of 200 chunks, 27 ms apart": Load(200, 1, 500, 200, 27),
+    "400 streams of 200 chunks, 27 ms apart": Load(400, 1, 500, 200, 27),
+}
+
+
+class Commands:
+    """Roles of this file."""
+
+    def upstream(self):
+        """Act as the upstream."""
+        asyncio.run(serve_upstream())
+
+    def callers(self, port, **options):
+        """Act as the callers."""
+        print(json.dumps(asyncio.run(call(port, Load(**options)))))
+
+    def measure(self, profile=""):
+        """Measure; ``--profile=plain`` or ``--profile=streams`` shows where."""
+        asyncio.run(measure(profile))
+
+
+if __name__ == "__main__":
+    if len(sys.argv) == 1:
+        sys.argv.append("measure")
+    fire.Fire(Commands)
--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -45,6 +45,7 @@
     head = await reader.readuntil(b"\r\n\r\n")
     length = re.search(rb"content-length: (\d+)", head.lower())
     body = await reader.readexactly(int(length[1])) if length else b""
+    context.head = head
     context.requests_read += 1
     return body
 
@@ -178,6 +179,21 @@
     attempt(context, client(context), context.address, headers)
 
 
+@when("a request with the headers of a caller is sent")
+def caller_headers(context):
+    names = "Host", "Content-Length", "Transfer-Encoding", "Connection", "Expect"
+    headers = [(name, "7") for name in names] + [("X-Other", "kept")]
+    attempt(context, client(context), context.address, headers)
+
+
+@then("the upstream sees one Host, one length, no Expect and the other headers")
+def sees_headers(context):
+    assert context.error is None, repr(context.error)
+    fields = sorted(context.head.lower().split(b"\r\n")[1:-2])
+    host = b"host: " + context.address.encode()
+    assert fields == [b"content-length: 4", host, b"x-other: kept"], fields
+
+
 async def call(context, body):
     answer = await context.client.send(
         context.address, "POST", "/", body=body, timeouts=TIMEOUTS
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -43,6 +43,11 @@
     Then it ends with InvalidRequest and verdict not_run
     And the upstream read exactly 0 requests
 
+  Scenario: The headers of a caller can be passed on
+    Given an upstream that repeats the body
+    When a request with the headers of a caller is sent
+    Then the upstream sees one Host, one length, no Expect and the other headers
+
   Scenario: Calls one after the other share a connection
     Given an upstream that repeats the body
     When 5 calls are made one after the other
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -35,6 +35,7 @@
     "UpstreamTimeouts",
 ]
 
+OWN_HEADERS = ("host", "content-length", "expect")
 DEFAULT_READ_BYTES = 16 * 1024 * 1024
 
 
@@ -382,6 +383,8 @@
 
         :param address: IP number and port.
         :param target: path and query.
+        :param headers: may be those of a caller's request; what belongs to its
+            connection, its host and its length are replaced.
         :return: the answer; read it to its end or cancel it.
         :raises ConnectFailed: not one byte was handed to a socket (not run).
         :raises UpstreamDied: the connection closed before the answer.
@@ -437,8 +440,9 @@
 
     @staticmethod
     def _request(address, method, target, headers, body) -> h11.Request:
-        fields = [("host", address), *without_hop_headers(headers)]
-        fields = [(k, v) for k, v in fields if k.lower() != "content-length"]
+        passed = without_hop_headers(headers)
+        fields = [(k, v) for k, v in passed if k.lower() not in OWN_HEADERS]
+        fields.append(("host", address))
         if body or method not in ("GET", "HEAD", "DELETE"):
             fields.append(("content-length", str(len(body))))
         try:
