Write a chunk to a caller in one step

Cause: each piece of a stream went through three coroutines and a copy. Change: one plain call hands it over; only a full buffer is waited for.

--- a/src/peridotfront/exchanges.py
+++ b/src/peridotfront/exchanges.py
@@ -109,7 +109,16 @@
         :raises CallerGone: if the caller's connection is closed.
         """
         self._check_open()
-        await self._connection.send_data(data)
+        connection = self._connection
+        if len(data) <= connection.slice_bytes:
+            connection.send_data(data)
+            if not connection.is_writable:
+                await connection.wait_writable()
+            return
+        view = memoryview(data)
+        for offset in range(0, len(data), connection.slice_bytes):
+            connection.send_data(view[offset : offset + connection.slice_bytes])
+            await connection.wait_writable()
 
     async def finish(self) -> None:
         """End the answer; the connection may then serve the next request.
@@ -195,6 +204,16 @@
         self._is_at_end = False
         self._pending: list[bytes] = []
 
+    @property
+    def slice_bytes(self) -> int:
+        """Return how much of a body may be handed over at once."""
+        return self._limits.write_buffer_bytes
+
+    @property
+    def is_writable(self) -> bool:
+        """Tell whether the write buffer has room."""
+        return self._writable.is_set()
+
     @property
     def is_idle(self) -> bool:
         """Tell whether the connection waits for a request."""
@@ -391,24 +410,20 @@
         response = h11.Response(status_code=status_code, headers=fields)
         self._pending.append(self._http.send(response))
 
-    async def send_data(self, data: bytes) -> None:
-        """Send a piece of the body, in slices of the write buffer."""
-        slice_bytes = self._limits.write_buffer_bytes
-        if len(data) <= slice_bytes:
-            await self._send_slice(data)
-            return
-        view = memoryview(data)
-        for offset in range(0, len(data), slice_bytes):
-            await self._send_slice(bytes(view[offset : offset + slice_bytes]))
-
-    async def _send_slice(self, data: bytes) -> None:
+    def send_data(self, data: bytes) -> None:
+        """Hand a piece of the body to the transport."""
         self._check_caller()
         if self._head.method != b"HEAD":
-            self._pending.append(self._http.send(h11.Data(data=data)) or b"")
+            self._pending += self._http.send_with_data_passthrough(h11.Data(data=data))
         self.flush()
-        if not self._writable.is_set():
-            await self._writable.wait()
-            self._check_caller()
+
+    async def wait_writable(self) -> None:
+        """Wait while the caller reads slowly.
+
+        :raises CallerGone: if the caller's connection is closed.
+        """
+        await self._writable.wait()
+        self._check_caller()
 
     def end_answer(self) -> None:
         """End the answer and go on with the next request, or close."""
