Test the admin address, the command line and the import

The command line runs as a process against control hosts whose decisions are made by the real configuration class; answers are lost by cutting the connection after the change was applied. Found: a dump went through the event loop and the sockets (about a megabyte from a handful of connections); it now follows data and the package's own objects, each once on a path. A metric named first_token was masked.

--- /dev/null
+++ b/features/inventory.feature
@@ -0,0 +1,44 @@
+Feature: Upstreams come from the asset register
+  An import shows what it adds, changes and removes, and touches nothing else.
+
+  Background:
+    Given a configuration tuned by hand with upstreams engine-1 and engine-2
+
+  Scenario Outline: A register adds, changes and removes upstreams
+    When the register in <form> moves engine-1, drops engine-2 and adds engine-3
+    Then the import adds engine-3, moves engine-1 to swansea and removes engine-2
+    And the limits and comments of engine-1 are as before
+    And the column "rack" is ignored
+    And the new configuration is read without a fault
+
+    Examples:
+      | form       |
+      | csv        |
+      | semicolons |
+      | json       |
+      | renamed    |
+
+  Scenario: A register that agrees changes nothing
+    When the register says what the configuration says
+    Then the import is empty and the text is the same
+
+  Scenario Outline: A register that can't be trusted is refused as a whole
+    When a register has <fault>
+    Then the register is refused and "<place>" is named
+
+    Examples:
+      | fault               | place    |
+      | a row without name  | row 2    |
+      | the same name twice | engine-1 |
+      | too many cells      | row 1    |
+      | no rows             | register |
+      | a nested value      | row 1    |
+      | broken json         |          |
+
+  Scenario: A value that would add a section is refused
+    When a register has a value with a line break and a section
+    Then the import is refused
+
+  Scenario: Any edit changes its own value and nothing else
+    When any values are set, added and removed in any configuration
+    Then each edit changed what it should and every comment is kept
--- a/features/logs.feature
+++ b/features/logs.feature
@@ -53,6 +53,10 @@
     Then the dump shows 10 items and says that 290 are left out
     And the dump contains no secret and no part of the body
 
+  Scenario: A dump follows our own objects, once, and names foreign ones
+    When metrics, a socket and a list that holds itself are dumped
+    Then the dump shows the metrics' labels, the socket's type and the repeat
+
   Scenario: Metrics are counted by tier, verdict, reason and cause
     Given the metrics of host "entry-1"
     When a request of tier 1 is answered in time, one of tier 3 refused and 500 tokens wasted
--- /dev/null
+++ b/features/steps/inventory_steps.py
@@ -0,0 +1,243 @@
+"""Steps on the import of upstreams from an asset register."""
+
+import configparser
+import json
+
+from behave import given, then, when
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from peridotfront.exceptions import EditFailed, SettingsInvalid
+from peridotfront.ini_text import add_section, remove_section, set_value
+from peridotfront.inventory import (
+    DEFAULT_COLUMNS,
+    Column,
+    plan_import,
+    read_register,
+)
+from peridotfront.rules import parse_rules
+
+CONTENT = """# tuned by hand
+[policy]
+max_queue_ms = 20000
+
+# the old one
+[upstream engine-1]
+kind = engine
+data_centre = cardiff
+address = 127.0.0.1:9001
+models = small,
+  large
+# agreed with the vendor
+max_slots = 4
+
+# on loan
+[upstream  engine-2]
+kind = engine
+data_centre = cardiff
+address = 127.0.0.1:9002
+"""
+ENGINE_1 = {
+    "name": "engine-1",
+    "kind": "engine",
+    "data_centre": "swansea",
+    "address": "127.0.0.1:9001",
+    "models": "small, large",
+    "rack": "7",
+}
+ENGINE_3 = {
+    "name": "engine-3",
+    "kind": "engine",
+    "data_centre": "cardiff",
+    "address": "127.0.0.1:9003",
+    "models": "small",
+    "rack": "9",
+}
+RENAMED = {"name": "hostname", "data_centre": "site"}
+
+
+def csv_text(rows, delimiter=","):
+    lines = [delimiter.join(rows[0])]
+    lines += [delimiter.join([f'"{v}"' for v in row.values()]) for row in rows]
+    return "\n".join(lines) + "\n"
+
+
+def rename(row):
+    return {RENAMED.get(key, key): value for key, value in row.items()}
+
+
+def register_of(form, rows):
+    if form == "json":
+        return read_register(json.dumps({"upstreams": rows}), "assets.json")
+    if form == "renamed":
+        columns = [Column(RENAMED.get(c.key, c.key), c.key) for c in DEFAULT_COLUMNS]
+        text = csv_text([rename(row) for row in rows])
+        return read_register(text, "assets.csv", tuple(columns))
+    delimiter = ";" if form == "semicolons" else ","
+    return read_register(csv_text(rows, delimiter), "assets.csv")
+
+
+@given("a configuration tuned by hand with upstreams engine-1 and engine-2")
+def hand_tuned(context):
+    context.content = CONTENT
+    parse_rules(CONTENT)
+
+
+@when("the register in {form} moves engine-1, drops engine-2 and adds engine-3")
+def import_register(context, form):
+    context.register = register_of(form, [ENGINE_1, ENGINE_3])
+    context.plan = plan_import(context.content, context.register)
+
+
+@then("the import adds engine-3, moves engine-1 to swansea and removes engine-2")
+def plan_is(context):
+    plan = context.plan
+    assert [entry.name for entry in plan.additions] == ["engine-3"], plan
+    changes = [(c.upstream, c.key, c.old, c.new) for c in plan.changes]
+    assert changes == [("engine-1", "data_centre", "cardiff", "swansea")], changes
+    assert plan.removals == ("engine-2",), plan
+
+
+@then("the limits and comments of engine-1 are as before")
+def rest_kept(context):
+    before = CONTENT.partition("# on loan")[0]
+    expected = before.replace("data_centre = cardiff", "data_centre = swansea")
+    assert context.plan.content.startswith(expected), context.plan.content
+
+
+@then('the column "{column}" is ignored')
+def column_ignored(context, column):
+    assert context.register.ignored_columns == (column,), context.register
+
+
+@then("the new configuration is read without a fault")
+def content_read(context):
+    fleet = parse_rules(context.plan.content)
+    assert [one.name for one in fleet.upstreams] == ["engine-1", "engine-3"]
+    assert fleet.upstreams[0].max_slots == 4
+
+
+@when("the register says what the configuration says")
+def import_same(context):
+    engine_1 = ENGINE_1 | {"data_centre": "cardiff", "models": "small,large"}
+    engine_2 = ENGINE_3 | {"name": "engine-2", "address": "127.0.0.1:9002"}
+    engine_2["models"] = ""
+    context.plan = plan_import(CONTENT, register_of("csv", [engine_1, engine_2]))
+
+
+@then("the import is empty and the text is the same")
+def plan_empty(context):
+    assert context.plan.is_empty, context.plan
+    assert context.plan.content == CONTENT
+
+
+def bad_register(fault):
+    if fault == "a nested value":
+        return json.dumps([ENGINE_1 | {"models": {"small": 1}}]), "a.json"
+    if fault == "broken json":
+        return "[{", "a.json"
+    rows = {
+        "a row without name": [ENGINE_1, ENGINE_3 | {"name": ""}],
+        "the same name twice": [ENGINE_1, ENGINE_1],
+        "too many cells": [ENGINE_1, ENGINE_3],
+        "no rows": [ENGINE_1],
+    }[fault]
+    text = csv_text(rows)
+    if fault == "too many cells":
+        text = text.replace('"7"', '"7","8"')
+    if fault == "no rows":
+        text = text.partition("\n")[0] + "\n"
+    return text, "a.csv"
+
+
+@when("a register has {fault}")
+def read_bad(context, fault):
+    context.refusal = None
+    try:
+        if fault == "a value with a line break and a section":
+            row = ENGINE_1 | {"address": "127.0.0.1:1\n[policy]\nmax_queue_ms = 1"}
+            plan_import(CONTENT, read_register(json.dumps([row]), "a.json"))
+        else:
+            read_register(*bad_register(fault))
+    except (SettingsInvalid, EditFailed) as error:
+        context.refusal = error
+
+
+@then('the register is refused and "{place}" is named')
+def refused_naming(context, place):
+    assert isinstance(context.refusal, SettingsInvalid), context.refusal
+    assert place in str(context.refusal), context.refusal
+
+
+@then('the register is refused and "" is named')
+def refused_plain(context):
+    assert isinstance(context.refusal, SettingsInvalid), context.refusal
+
+
+@then("the import is refused")
+def import_refused(context):
+    assert isinstance(context.refusal, EditFailed), context.refusal
+
+
+def as_dict(text):
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    return {name: dict(parser.items(name)) for name in parser.sections()}
+
+
+def comments_of(text):
+    return [line for line in text.splitlines() if line.startswith("#")]
+
+
+WORD = st.sampled_from(["a", "b", "c", "key", "other"])
+VALUE = st.text(st.characters(codec="utf-8"), max_size=20)
+BLOCK = st.tuples(
+    WORD, st.dictionaries(WORD, st.from_regex("[a-z0-9 ,=]{0,9}", fullmatch=True))
+)
+
+
+def make_content(blocks):
+    lines = []
+    for name, values in dict(blocks).items():
+        lines += [f"# about {name}", f"[{name}]"]
+        for key, value in values.items():
+            lines += [f"# on {key}", f"{key} = {value.strip()}", ""]
+    return "\n".join(lines) + "\n"
+
+
+def edits(text, section, key, value):
+    yield lambda: set_value(text, section, key, value)
+    yield lambda: add_section(text, section, {key: value})
+    yield lambda: remove_section(text, section)
+
+
+@when("any values are set, added and removed in any configuration")
+def edit_any(context):
+    context.odd_edits = []
+
+    @settings(max_examples=150)
+    @for_any(st.lists(BLOCK, max_size=4), WORD, WORD, VALUE, st.integers(0, 2))
+    def check(blocks, section, key, value, kind):
+        text = make_content(blocks)
+        before = as_dict(text)
+        try:
+            after = list(edits(text, section, key, value))[kind]()
+        except EditFailed:
+            return
+        expected = {name: dict(values) for name, values in before.items()}
+        if kind == 2:
+            del expected[section]
+        else:
+            expected.setdefault(section, {})[key] = value
+        lost = set(comments_of(text)) - set(comments_of(after))
+        inside = {f"# on {name}" for name in before.get(section, {})}
+        if as_dict(after) != expected or (lost - inside if kind == 2 else lost):
+            context.odd_edits.append((text, after))
+
+    check()
+
+
+@then("each edit changed what it should and every comment is kept")
+def edits_fine(context):
+    assert context.odd_edits == [], context.odd_edits[:2]
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import socket
 from dataclasses import dataclass
 
 from behave import given, then, when
@@ -13,7 +14,7 @@
 
 from peridotfront import logs
 from peridotfront.core.verdicts import Reason, Verdict
-from peridotfront.dump import CUT, dump
+from peridotfront.dump import CUT, REPEATED, dump
 from peridotfront.exceptions import LogEventUnknown
 from peridotfront.http_messages import Header
 from peridotfront.metrics import Metrics
@@ -225,6 +226,22 @@
     assert json.loads(context.body)["role"]["first_token_ms"] == 7
 
 
+@when("metrics, a socket and a list that holds itself are dumped")
+def dump_objects(context):
+    endless = []
+    endless.append(endless)
+    with socket.socket() as foreign:
+        state = [Metrics("entry-1", "cardiff"), foreign, endless]
+        context.body = dump(state).decode()
+
+
+@then("the dump shows the metrics' labels, the socket's type and the repeat")
+def dump_shows_objects(context):
+    metrics, foreign, endless = json.loads(context.body)
+    assert metrics["_labels"]["host"] == "entry-1", metrics
+    assert (foreign, endless) == ("socket", [REPEATED])
+
+
 @given('the metrics of host "{host}"')
 def some_metrics(context, host):
     context.metrics = Metrics(host, "cardiff")
--- a/features/support/control_fake.py
+++ b/features/support/control_fake.py
@@ -38,12 +38,12 @@
 
     configuration: Configuration = field(default_factory=Configuration)
     leader: str = "control-1"
+    admin_token: str = TOKEN
     confirmed: dict = field(default_factory=dict)
     dead: set = field(default_factory=set)
     claims: dict = field(default_factory=dict)
     answers_to_lose: int = 0
     proposals: list = field(default_factory=list)
-    raced_by: str = ""
 
     def view(self, host):
         version = self.configuration.version
@@ -89,8 +89,9 @@
     def __init__(self, name, group):
         self.name = name
         self.group = group
+        self.is_ready = True
         metrics = Metrics(name, "cardiff")
-        pages = AdminPages(TOKEN, lambda: group, metrics, lambda: True)
+        pages = AdminPages(TOKEN, lambda: group, metrics, lambda: self.is_ready)
         OperatorPages(self).add_to(pages)
         self.pages = pages
         self.server = HttpServer(self.handle)
--- a/src/peridotfront/dump.py
+++ b/src/peridotfront/dump.py
@@ -1,12 +1,13 @@
 """Turns the state of a process into bounded JSON for operators.
 
 Whatever is left out is marked; values under a secret name are masked, and of
-bytes only the size is shown, since they may be a caller's data.
+bytes only the size is shown, since they may be a caller's data. Of objects that
+are neither data nor of this package only the type's name is shown.
 """
 
 import json
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, fields, is_dataclass
+from dataclasses import dataclass, field, fields, is_dataclass
 from enum import Enum
 from itertools import islice
 from math import isfinite
@@ -19,6 +20,8 @@
 MAX_TEXT_CHARACTERS = 512
 MAX_DEPTH = 16
 CUT = "(left out)"
+REPEATED = "(shown above)"
+PACKAGE = __name__.partition(".")[0]
 SEPARATORS_BYTES = 4
 MARKERS_BYTES = 64 * MAX_DEPTH
 
@@ -29,10 +32,12 @@
 
     :param max_items: of each list or mapping.
     :param size_bytes: that are left for the rest of the dump.
+    :param parents: identities of the objects that the dump is inside of.
     """
 
     max_items: int = MAX_ITEMS
     size_bytes: int = MAX_SIZE_BYTES
+    parents: list[int] = field(default_factory=list)
 
     def spend(self, text: str) -> bool:
         """Take the size of a text off what is left; tell whether it fitted.
@@ -62,25 +67,40 @@
         body = dump(controller, max_items=50)
     """
     limits = Limits(max_items, max(0, max_size_bytes - MARKERS_BYTES))
-    return json.dumps(_simple(state, limits, 0), separators=(",", ":")).encode()
+    return json.dumps(_simple(state, limits), separators=(",", ":")).encode()
 
 
-def _simple(value: Any, limits: Limits, depth: int) -> Any:
+def _simple(value: Any, limits: Limits) -> Any:
     if value is None or isinstance(value, bool | int | float | str | bytes | Enum):
         return _scalar(value, limits)
-    if depth >= MAX_DEPTH:
+    if id(value) in limits.parents:
+        return _scalar(REPEATED, limits)
+    if len(limits.parents) >= MAX_DEPTH:
         return _scalar(CUT, limits)
+    limits.parents.append(id(value))
+    try:
+        return _compound(value, limits)
+    finally:
+        limits.parents.pop()
+
+
+def _compound(value: Any, limits: Limits) -> Any:
     if isinstance(value, Mapping):
-        return _mapping(value.items(), limits, depth)
+        return _mapping(value.items(), limits)
     if is_dataclass(value) and not isinstance(value, type):
-        return _mapping(_dataclass_items(value), limits, depth)
+        return _mapping(_dataclass_items(value), limits)
     if isinstance(value, tuple) and hasattr(value, "_fields"):
-        return _mapping(_mask_header(value._asdict()), limits, depth)
+        return _mapping(_mask_header(value._asdict()), limits)
     if isinstance(value, Iterable) and hasattr(value, "__len__"):
-        return _sequence(value, limits, depth)
-    if callable(value) or not hasattr(value, "__dict__"):
-        return _scalar(type(value).__name__, limits)
-    return _mapping(vars(value).items(), limits, depth)
+        return _sequence(value, limits)
+    if _is_own(value):
+        return _mapping(vars(value).items(), limits)
+    return _scalar(type(value).__name__, limits)
+
+
+def _is_own(value: Any) -> bool:
+    is_plain = hasattr(value, "__dict__") and not callable(value)
+    return is_plain and type(value).__module__.partition(".")[0] == PACKAGE
 
 
 def _scalar(value: Any, limits: Limits) -> Any:
@@ -107,7 +127,7 @@
     return values.items()
 
 
-def _mapping(items: Iterable[tuple[Any, Any]], limits: Limits, depth: int) -> dict:
+def _mapping(items: Iterable[tuple[Any, Any]], limits: Limits) -> dict:
     items = list(items)
     shown: dict[str, Any] = {}
     for key, value in items[: limits.max_items]:
@@ -116,7 +136,7 @@
             break
         if isinstance(key, str) and is_secret(key):
             value = MASK
-        shown[name] = _simple(value, limits, depth + 1)
+        shown[name] = _simple(value, limits)
     if len(shown) < len(items):
         shown[CUT] = len(items) - len(shown)
     return shown
@@ -127,12 +147,12 @@
     return text[:MAX_TEXT_CHARACTERS]
 
 
-def _sequence(value: Iterable, limits: Limits, depth: int) -> list:
+def _sequence(value: Iterable, limits: Limits) -> list:
     shown = []
     for item in islice(value, limits.max_items):
         if limits.size_bytes <= 0:
             break
-        shown.append(_simple(item, limits, depth + 1))
+        shown.append(_simple(item, limits))
     rest = len(value) - len(shown)
     if rest:
         shown.append(f"{CUT}: {rest} more")
--- a/src/peridotfront/masking.py
+++ b/src/peridotfront/masking.py
@@ -5,7 +5,7 @@
     {"authorization", "password", "secret", "sha256", "token", "cookie"}
 )
 SECRET_NAMES = frozenset({"api_key", "bearer_key"})
-PUBLIC_NAMES = frozenset({"fencing_token"})
+PUBLIC_NAMES = frozenset({"fencing_token", "first_token"})
 
 
 def is_secret(name: str) -> bool:
