Serve operators by TLS and show upstreams of cells

Cause: the admin addresses were plain TCP even with TLS on, so that the token went over the network readable. Change: control and entry hosts serve the admin address with their own certificate unless [tls] is_off = true; the tool checks it against ca_file. Entry hosts answer /upstreams from their schedulers, 'upstreams' joins it with the configuration.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -116,6 +116,20 @@
     Then the command exits with 2
     And its errors have "does not accept the token"
 
+  Scenario Outline: The token travels by TLS to hosts that the operator trusts only
+    Given 1 fake control host that serves TLS
+    And the operator's settings on TLS are "<tls>"
+    When the operator runs "status"
+    Then the command exits with <code>
+
+    Examples:
+      | tls                              | code |
+      | ca_file = {folder}/certificate.pem | 0  |
+      | ca_file = {folder}/other.pem     | 3    |
+      | is_off = true                    | 3    |
+      | ca_file = {folder}/missing.pem   | 2    |
+      | is_off = false                   | 2    |
+
   Scenario: An import shows its changes and proposes only on request
     Given an asset register that moves engine-1 and adds engine-2
     When the operator runs "inventory import {folder}/assets.csv"
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -5,10 +5,11 @@
 from pathlib import Path
 
 from behave import given, then, when
+from certificates import write_certificate
 from hypothesis import given as for_any
 from hypothesis import settings
 from hypothesis import strategies as st
-from support.control_fake import RULES, TOKEN, closing_bench
+from support.control_fake import HOST_IP, RULES, TOKEN, closing_bench
 
 from peridotfront import logs
 from peridotfront.core.messages import (
@@ -20,6 +21,7 @@
 from peridotfront.core.verdicts import Reason, Verdict
 from peridotfront.http_client import HttpClient
 from peridotfront.settings import LogSection
+from peridotfront.tls import server_context
 
 STRANGE_KEY = "counter/payout/a b%2F?"
 TOKENS = {
@@ -82,6 +84,24 @@
     context.bench.write_settings(token="not-the-token")
 
 
+@given("1 fake control host that serves TLS")
+def start_tls(context):
+    bench = context.bench
+    other = bench.folder / "other"
+    other.mkdir()
+    other_file, _ = write_certificate(other, HOST_IP)
+    bench.write("other.pem", Path(other_file).read_text())
+    files = write_certificate(bench.folder, HOST_IP)
+    bench.stop_controls()
+    bench.start(1, server_context(*files))
+
+
+@given('the operator\'s settings on TLS are "{tls}"')
+def settings_on_tls(context, tls):
+    line = tls.format(folder=context.bench.folder)
+    context.bench.write_settings(tls=line, leader_timeout_ms=500)
+
+
 @given('the leader is "{name}"')
 def leader_is(context, name):
     context.bench.group.leader = name
--- a/features/support/control_fake.py
+++ b/features/support/control_fake.py
@@ -86,7 +86,7 @@
 class FakeControl:
     """One control host; only the leader answers."""
 
-    def __init__(self, name, group):
+    def __init__(self, name, group, ssl_context=None):
         self.name = name
         self.group = group
         self.is_ready = True
@@ -94,7 +94,7 @@
         pages = AdminPages(TOKEN, lambda: group, metrics, lambda: self.is_ready)
         OperatorPages(self).add_to(pages)
         self.pages = pages
-        self.server = HttpServer(self.handle)
+        self.server = HttpServer(self.handle, ssl_context=ssl_context)
 
     async def handle(self, exchange):
         is_change = exchange.request.method == "POST"
@@ -139,23 +139,29 @@
         return self.runner.run(asyncio.wait_for(coroutine, TIMEOUT_S))
 
     def close(self):
+        self.stop_controls()
+        self.runner.close()
+
+    def stop_controls(self):
         for control in self.controls:
             self.run(control.server.close())
-        self.runner.close()
+        self.controls = []
 
-    def start(self, count, leader_timeout_ms=3000):
+    def start(self, count, ssl_context=None):
         for number in range(1, count + 1):
-            control = FakeControl(f"control-{number}", self.group)
+            control = FakeControl(f"control-{number}", self.group, ssl_context)
             self.run(control.server.start(HOST_IP))
             self.controls.append(control)
-        self.write_settings(leader_timeout_ms=leader_timeout_ms)
+        self.write_settings()
 
     def address(self, number=1):
         return f"{HOST_IP}:{self.controls[number - 1].server.port}"
 
-    def write_settings(self, token=TOKEN, leader_timeout_ms=3000, extra=""):
+    def write_settings(
+        self, token=TOKEN, leader_timeout_ms=3000, tls="is_off = true", extra=""
+    ):
         lines = ["[operator]", "author = ann", f"token = {token}"]
-        lines += ["[tls]", "is_off = true"]
+        lines += ["[tls]", tls]
         lines += ["[timing]", f"leader_timeout_ms = {leader_timeout_ms}"]
         for number, control in enumerate(self.controls, start=1):
             lines += [f"[host {control.name}]", "role = control"]
--- a/src/peridotfront/admin_messages.py
+++ b/src/peridotfront/admin_messages.py
@@ -159,18 +159,21 @@
 
 
 class UpstreamStatus(Body):
-    """Describes one upstream as one entry host sees it.
+    """Describes one upstream as the scheduler of its cell sees it.
 
-    :param cell: the cell whose scheduler places requests there.
-    :param running: requests in progress that the scheduler knows of.
+    :param health: ``healthy``, ``suspect``, ``down``, ``probing`` or ``ramping``.
+    :param running: requests that hold a slot there.
+    :param limit_slots: how many may hold one, as learned.
+    :param backlog_ms: prefill that stands before a new request.
     """
 
     name: str
     cell: str
-    is_alive: bool
+    health: str
     is_leaving: bool
     running: int = 0
-    queued: int = 0
+    limit_slots: int = 0
+    backlog_ms: int = 0
     used_kv_tokens: int = 0
 
 
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -15,7 +15,7 @@
 from .core.messages import ControlSnapshot
 from .core.raft import Raft
 from .core.raft_types import RaftTiming
-from .credentials import peer_credentials
+from .credentials import admin_context, peer_credentials
 from .exceptions import FolderInUse, StorageDamaged, StorageFailed
 from .metrics import Metrics
 from .operators import OperatorPages
@@ -56,7 +56,7 @@
             lambda: bool(self.server.leader),
         )
         OperatorPages(self.server).add_to(pages)
-        self.admin = HttpServer(pages.handle)
+        self.admin = HttpServer(pages.handle, ssl_context=admin_context(settings.tls))
         self.ticker = Ticker(self.server.tick)
 
     async def run(self) -> int:
--- a/src/peridotfront/credentials.py
+++ b/src/peridotfront/credentials.py
@@ -29,3 +29,13 @@
     if section.is_off or not section.caller_certificate_file:
         return None
     return server_context(section.caller_certificate_file, section.caller_key_file)
+
+
+def admin_context(section: TlsSection) -> ssl.SSLContext | None:
+    """Return the TLS context towards operators; None serves plain TCP.
+
+    :raises OSError: if a PEM file can't be read.
+    """
+    if section.is_off:
+        return None
+    return server_context(section.certificate_file, section.key_file)
--- a/src/peridotfront/ctl_output.py
+++ b/src/peridotfront/ctl_output.py
@@ -82,7 +82,7 @@
 class UpstreamLine(Body):
     """Describes an upstream of the configuration and its state.
 
-    :param state: ``alive``, ``silent`` or ``unknown``.
+    :param health: as its scheduler sees it; ``unknown`` if none answers.
     :param scheduler: the entry host that says so.
     """
 
@@ -91,9 +91,10 @@
     data_centre: str
     address: str
     is_leaving: bool
-    state: str = UNKNOWN
+    health: str = UNKNOWN
     running: int = 0
-    queued: int = 0
+    limit_slots: int = 0
+    backlog_ms: int = 0
     scheduler: str = ""
 
 
@@ -284,10 +285,11 @@
             host, state = states[spec.name]
             line = line.model_copy(
                 update={
-                    "state": "alive" if state.is_alive else "silent",
+                    "health": state.health,
                     "is_leaving": spec.is_leaving or state.is_leaving,
                     "running": state.running,
-                    "queued": state.queued,
+                    "limit_slots": state.limit_slots,
+                    "backlog_ms": state.backlog_ms,
                     "scheduler": host,
                 }
             )
@@ -302,10 +304,11 @@
         "KIND",
         "DATA CENTRE",
         "ADDRESS",
-        "STATE",
+        "HEALTH",
         "LEAVING",
         "RUNNING",
-        "QUEUED",
+        "SLOTS",
+        "BACKLOG MS",
         "SCHEDULER",
     )
     rows = [
@@ -314,10 +317,11 @@
             line.kind,
             line.data_centre,
             line.address,
-            line.state,
+            line.health,
             line.is_leaving,
             line.running,
-            line.queued,
+            line.limit_slots,
+            line.backlog_ms,
             line.scheduler,
         )
         for line in report.upstreams
--- a/src/peridotfront/entry.py
+++ b/src/peridotfront/entry.py
@@ -7,12 +7,13 @@
 from . import logs
 from .admin import AdminPages
 from .callers import HttpLimits, HttpServer
+from .cell_pages import CellPages
 from .core.claimant import Claimant, ClaimantTiming
 from .core.entry_role import ConfirmLeaving, EntryRole
 from .core.fleet import Fleet
 from .core.follower import ConfigFollower, FollowerTiming
 from .core.membership import Membership
-from .credentials import caller_context, peer_credentials
+from .credentials import admin_context, caller_context, peer_credentials
 from .entry_server import EntryServer
 from .intake import Intake
 from .metrics import Metrics
@@ -64,7 +65,8 @@
         pages = AdminPages(
             host.admin_token, self.role.dump, self.metrics, self.is_ready
         )
-        self.admin = HttpServer(pages.handle)
+        CellPages(host.name, lambda: self.role.dump().cells).add_to(pages)
+        self.admin = HttpServer(pages.handle, ssl_context=admin_context(settings.tls))
         self.ticker = Ticker(self.server.tick)
 
     def is_ready(self) -> bool:
