--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -64,6 +64,8 @@
     When the operator runs "status"
     Then the command exits with 0
     And its output has "leader control-3, term 3, configuration 1 by setup"
+    And its output has "control-3  control  cardiff"
+    And its output has "entry-1    entry    cardiff"
 
   Scenario: Without a leader the outcome is said to be unknown
     Given the next 99 answers to a change are lost
--- a/features/support/control_fake.py
+++ b/features/support/control_fake.py
@@ -92,7 +92,7 @@
         self.is_ready = True
         metrics = Metrics(name, "cardiff")
         pages = AdminPages(TOKEN, lambda: group, metrics, lambda: self.is_ready)
-        OperatorPages(self).add_to(pages)
+        OperatorPages(self, "cardiff").add_to(pages)
         self.pages = pages
         self.server = HttpServer(self.handle, ssl_context=ssl_context)
 
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -55,7 +55,7 @@
             metrics,
             lambda: bool(self.server.leader),
         )
-        OperatorPages(self.server).add_to(pages)
+        OperatorPages(self.server, host.data_centre).add_to(pages)
         self.admin = HttpServer(pages.handle, ssl_context=admin_context(settings.tls))
         self.ticker = Ticker(self.server.tick)
 
--- a/src/peridotfront/operators.py
+++ b/src/peridotfront/operators.py
@@ -65,14 +65,16 @@
     leader it answers 503.
 
     :param control: the control program.
+    :param data_centre: of its host.
 
     Usage::
 
-        OperatorPages(control).add_to(admin_pages)
+        OperatorPages(control, "cardiff").add_to(admin_pages)
     """
 
-    def __init__(self, control: ControlShell):
+    def __init__(self, control: ControlShell, data_centre: str):
         self._control = control
+        self._data_centre = data_centre
 
     def add_to(self, pages: AdminPages) -> None:
         """Add all pages."""
@@ -83,7 +85,8 @@
         pages.add("GET", "/requests/{}", _at_leader(self._show_claim))
 
     async def _show_status(self, request: AdminRequest) -> AdminAnswer:
-        return json_answer(status_of(await self._control.read()))
+        view = await self._control.read()
+        return json_answer(status_of(view, self._data_centre))
 
     async def _show_config(self, request: AdminRequest) -> AdminAnswer:
         version = request.number("version", CURRENT)
@@ -149,8 +152,19 @@
         return json_answer(answer, STATUS_CODES[result.status])
 
 
-def status_of(view: ControlView) -> StatusAnswer:
-    """Return what ``/status`` shows of a view."""
+def status_of(view: ControlView, data_centre: str) -> StatusAnswer:
+    """Return what ``/status`` shows of a view.
+
+    :param data_centre: of the host that answers; it sends itself no heartbeats.
+    """
+    own_host = HostStatus(
+        name=view.host,
+        role="control",
+        data_centre=data_centre,
+        is_alive=True,
+        config_version=view.current.version,
+        silent_ms=0,
+    )
     hosts = [
         HostStatus(
             name=host.host,
@@ -162,7 +176,9 @@
             silent_ms=host.silent_ms,
         )
         for host in view.hosts
+        if host.host != view.host
     ]
+    hosts = sorted([own_host, *hosts], key=lambda host: (host.role, host.name))
     replicas = [(replica, True) for replica in view.voters]
     replicas.extend([(replica, False) for replica in view.learners])
     return StatusAnswer(
