--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -216,7 +216,8 @@
         if flow.state not in (FlowState.QUEUED, FlowState.REFUSING):
             return
         if _is_free(event.reply):
-            yield from self._refuse_now(flow)
+            if flow.state is FlowState.REFUSING:
+                yield from self._refuse_now(flow, flow.refusal)
             return
         if flow.state is FlowState.QUEUED:
             yield from self._withdraw(flow)
@@ -225,9 +226,11 @@
     @_handle.register
     def _(self, event: KeyUnknown, now_ms: int) -> Iterator[Any]:
         flow = self.flows.get(event.request_id)
-        if flow is not None:
-            flow.key_state = KeyState.UNKNOWN
-            yield from self._refuse_now(flow)
+        if flow is None:
+            return
+        flow.key_state = KeyState.UNKNOWN
+        if flow.state is FlowState.REFUSING:
+            yield from self._refuse_now(flow, flow.refusal)
 
     @_handle.register
     def _(self, event: ClaimDecided, now_ms: int) -> Iterator[Any]:
@@ -392,11 +395,10 @@
     ) -> Iterator[Any]:
         if reply.status is ClaimStatus.KEY_REUSED:
             refusal = Refusal(Verdict.NOT_RUN, Reason.KEY_REUSED)
-            flow.key_state = KeyState.FREE
-            yield from self._refuse(flow, refusal)
+            yield from self._refuse_now(flow, refusal)
         elif reply.status is ClaimStatus.FULL:
             refusal = Refusal(Verdict.NOT_RUN, Reason.OVERLOADED, FULL_RETRY_MS)
-            yield from self._refuse(flow, refusal)
+            yield from self._refuse_now(flow, refusal)
         elif reply.status is ClaimStatus.ENDED:
             yield from self._replay(flow, reply)
         elif self._is_earlier_self(reply.claim):
@@ -534,19 +536,21 @@
     def _refuse(self, flow: Flow, refusal: Refusal) -> Iterator[Any]:
         flow.state = FlowState.REFUSING
         flow.refusal = refusal
-        if flow.key_state is not KeyState.ASKED:
-            yield from self._refuse_now(flow)
+        request = flow.request
+        if flow.key_state is KeyState.FREE and refusal.verdict is Verdict.NOT_RUN:
+            # Another attempt may have run since the key was found to be free.
+            flow.key_state = KeyState.ASKED
+            yield QueryKey(request.request_id, request.key, request.fingerprint)
+        elif flow.key_state is not KeyState.ASKED:
+            yield from self._refuse_now(flow, refusal)
 
-    def _refuse_now(self, flow: Flow) -> Iterator[Any]:
-        if flow.state is not FlowState.REFUSING:
-            return
-        refusal = flow.refusal
+    def _refuse_now(self, flow: Flow, refusal: Refusal) -> Iterator[Any]:
         is_repeat = flow.request.key and flow.request.attempt > 1
         if is_repeat and flow.key_state is KeyState.UNKNOWN:
             # An earlier attempt may have run out of this host's sight.
             refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
-        yield Refused(flow.request.request_id, refusal)
         self._forget(flow)
+        yield Refused(flow.request.request_id, refusal)
 
     def _forget(self, flow: Flow) -> None:
         self.flows.pop(flow.request.request_id, None)
