--- a/features/raft_rules.feature
+++ b/features/raft_rules.feature
@@ -2,14 +2,14 @@
   A replica is driven by hand, event by event.
 
   Scenario: A count of copies commits no entry of an earlier term
-    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     When "b" confirms the entries up to 2
     Then the commit index is 0
     When "b" confirms the entries up to 3
     Then the commit index is 3
 
   Scenario: A new leader answers no read before an entry of its own is committed
-    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     When a read is asked
     And "b" confirms the entries up to 2
     And "b" confirms the entries up to 2
@@ -18,7 +18,7 @@
     Then the read is answered
 
   Scenario: A leader changes members one step at a time, after an entry of its own
-    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     When "c" asks to join with a new disk
     Then 0 member changes were proposed
     When "b" confirms the entries up to 3
@@ -27,7 +27,7 @@
     Then 1 member change was proposed
 
   Scenario: A learner that is behind is not promoted
-    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     And "b" confirms the entries up to 3
     And "c" asks to join with a new disk
     And "b" confirms the entries up to 4
@@ -131,7 +131,7 @@
     Then no snapshot was installed
 
   Scenario: A snapshot holds the members as of its entry
-    Given replica "a" with a log of the terms 1, 2 that leads in term 3
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     And "b" confirms the entries up to 3
     And "c" asks to join with a new disk
     And "b" confirms the entries up to 4
--- a/features/steps/raft_rules_steps.py
+++ b/features/steps/raft_rules_steps.py
@@ -76,7 +76,7 @@
     return (first, *rest)
 
 
-@given('replica "a" with a log of the terms {terms} that leads in term 3')
+@given('a leader "a" of term 3 with a log of the terms {terms}')
 def leading_replica(context, terms):
     replica_with_log(context, terms)
     driver = context.driver
