--- /dev/null
+++ b/src/peridotfront/core/dispatcher.py
@@ -0,0 +1,579 @@
+"""The life of each request on its entry host, from arrival to its last word.
+
+A request asks a cell for a slot, claims its idempotency key once the slot is in
+hand, and is dispatched to its upstream at most once. A request whose key is held
+elsewhere follows the holder's answer instead.
+
+With its first want a request with a key also asks whether the key is in use. A
+refusal waits for that answer: a request whose key has run is not refused as not
+run, it gets the answer that the key has got.
+"""
+
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import Any
+
+from .actions import Log, Received, Send, Tick
+from .claimant import (
+    ClaimDecided,
+    ClaimUnknown,
+    KeyFound,
+    KeyUnknown,
+    QueryKey,
+    ReportOutcome,
+    WantClaim,
+)
+from .flows import (
+    Arrived,
+    CallerGone,
+    CancelDispatch,
+    Dispatch,
+    DispatchEnded,
+    Flow,
+    FlowState,
+    Follow,
+    FollowEnded,
+    Forgotten,
+    Join,
+    KeyState,
+    Progress,
+    Refused,
+    Replay,
+    Resume,
+)
+from .messages import (
+    CancelWant,
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    Grant,
+    HeldSlot,
+    Outcome,
+    Preempt,
+    Refuse,
+    Release,
+    ReleaseCause,
+)
+from .requests import Request
+from .verdicts import Reason, Refusal, Verdict
+
+WANT_RETRY_MS = 250
+FOLLOW_RETRY_MS = 500
+QUORUM_RETRY_MS = 1000
+UNREACHABLE_RETRY_MS = 500
+FULL_RETRY_MS = 5000
+MAX_PLACEMENTS = 3
+CLAIM_ID_SEPARATOR = "."
+
+Placement = Callable[[Request, frozenset[str]], str]
+SchedulerOf = Callable[[str], str]
+
+
+class Dispatcher:
+    """Carries requests through their steps.
+
+    :param host: the own host name.
+    :param incarnation: the own incarnation.
+    :param choose_cell: returns the cell to ask next, given the request and the
+        cells that refused it; empty when there is none left.
+    :param scheduler_of: returns the host that schedules a cell; empty if none.
+    :param renew_ms: how often held slots are confirmed.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        choose_cell: Placement,
+        scheduler_of: SchedulerOf,
+        renew_ms: int = 1000,
+    ):
+        self.host = host
+        self.incarnation = incarnation
+        self.renew_ms = renew_ms
+        self.flows: dict[str, Flow] = {}
+        self._choose_cell = choose_cell
+        self._scheduler_of = scheduler_of
+        self._by_key: dict[str, str] = {}
+        self._due: list[tuple[int, str]] = []
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        """Take an event and yield the actions that follow from it."""
+        yield from self._handle(event, now_ms)
+
+    def host_lost(self, host: str, now_ms: int) -> Iterator[Any]:
+        """Take over the answers that a lost host held."""
+        for flow in list(self.flows.values()):
+            is_follower = flow.state is FlowState.FOLLOWING
+            if is_follower and flow.holder and flow.holder.holder_host == host:
+                yield from self._take_over(flow)
+
+    def schedulers_changed(self, now_ms: int) -> Iterator[Any]:
+        """Tell new schedulers of cells the wants and slots of this host."""
+        for flow in list(self.flows.values()):
+            if not flow.cell or self._scheduler_of(flow.cell) == flow.scheduler:
+                continue
+            if flow.state is FlowState.QUEUED:
+                yield from self._ask(flow, now_ms)
+            elif flow.upstream:
+                yield from self._renew(flow, now_ms)
+
+    @singledispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        raise TypeError(f"unexpected event {event!r}")
+
+    @_handle.register
+    def _(self, event: Arrived, now_ms: int) -> Iterator[Any]:
+        request = event.request
+        standing = self.flows.get(self._by_key.get(request.key, ""))
+        if standing is not None:
+            yield from self._join(request, standing)
+            return
+        flow = Flow(request, FlowState.QUEUED, arrived_ms=now_ms)
+        self.flows[request.request_id] = flow
+        heapq.heappush(self._due, (now_ms + WANT_RETRY_MS, request.request_id))
+        if request.key:
+            self._by_key[request.key] = request.request_id
+            flow.key_state = KeyState.ASKED
+            yield QueryKey(request.request_id, request.key, request.fingerprint)
+        if event.refusal is not None:
+            yield from self._refuse(flow, event.refusal)
+            return
+        yield from self._ask_next_cell(flow, now_ms)
+
+    @_handle.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._receive(event.message, event, now_ms)
+
+    @_handle.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        while self._due and self._due[0][0] <= now_ms:
+            _, request_id = heapq.heappop(self._due)
+            flow = self.flows.get(request_id)
+            if flow is None:
+                continue
+            yield from self._tick_flow(flow, now_ms)
+            if request_id in self.flows:
+                heapq.heappush(self._due, (now_ms + WANT_RETRY_MS, request_id))
+
+    @_handle.register
+    def _(self, event: CallerGone, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is None:
+            return
+        if flow.state is FlowState.QUEUED:
+            yield from self._withdraw(flow)
+            self._forget(flow)
+            yield Forgotten(event.request_id)
+        elif flow.state is FlowState.RUNNING and not flow.request.key:
+            yield CancelDispatch(event.request_id, ReleaseCause.CALLER_GONE)
+        elif flow.state not in (FlowState.RUNNING, FlowState.CLAIMING):
+            self._forget(flow)
+            yield Forgotten(event.request_id)
+
+    @_handle.register
+    def _(self, event: Progress, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is not None:
+            flow.produced_tokens = event.produced_tokens
+        yield from ()
+
+    @_handle.register
+    def _(self, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is None:
+            return
+        yield from self._release(flow, event, now_ms)
+        if flow.epoch:
+            yield ReportOutcome(flow.request.key, flow.epoch, event.outcome)
+        if self._may_place_again(flow, event.outcome):
+            flow.state = FlowState.QUEUED
+            flow.upstream = ""
+            flow.epoch = 0
+            yield from self._ask_next_cell(flow, now_ms)
+            return
+        yield from self._end(flow, event.outcome)
+
+    @_handle.register
+    def _(self, event: FollowEnded, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is None:
+            return
+        if event.outcome is None:
+            yield from self._take_over(flow)
+            return
+        yield from self._end(flow, event.outcome)
+
+    @_handle.register
+    def _(self, event: KeyFound, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is None:
+            return
+        flow.key_state = KeyState.FREE
+        if flow.state not in (FlowState.QUEUED, FlowState.REFUSING):
+            return
+        if _is_free(event.reply):
+            yield from self._refuse_now(flow)
+            return
+        if flow.state is FlowState.QUEUED:
+            yield from self._withdraw(flow)
+        yield from self._follow_claim(flow, event.reply, now_ms)
+
+    @_handle.register
+    def _(self, event: KeyUnknown, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(event.request_id)
+        if flow is not None:
+            flow.key_state = KeyState.UNKNOWN
+            yield from self._refuse_now(flow)
+
+    @_handle.register
+    def _(self, event: ClaimDecided, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(_request_id_of(event.request_id))
+        if flow is None:
+            return
+        if flow.state is FlowState.TAKING_OVER:
+            yield from self._take_over_decided(flow, event.reply, now_ms)
+        elif flow.state is FlowState.CLAIMING:
+            yield from self._claim_decided(flow, event.reply, now_ms)
+
+    @_handle.register
+    def _(self, event: ClaimUnknown, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(_request_id_of(event.request_id))
+        if flow is None:
+            return
+        verdict = Verdict.NOT_RUN
+        if flow.state is FlowState.TAKING_OVER:
+            verdict = Verdict.MAY_HAVE_RUN
+        if flow.cell:
+            yield self._not_sent(flow)
+        flow.key_state = KeyState.UNKNOWN
+        refusal = Refusal(verdict, Reason.NO_QUORUM, QUORUM_RETRY_MS)
+        yield from self._refuse(flow, refusal)
+
+    # -- placement ---------------------------------------------------------
+
+    def _ask_next_cell(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        flow.cell = self._choose_cell(flow.request, frozenset(flow.refusals))
+        if not flow.cell:
+            yield from self._refuse_everywhere(flow)
+            return
+        yield from self._ask(flow, now_ms)
+
+    def _ask(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        flow.scheduler = self._scheduler_of(flow.cell)
+        flow.asked_ms = now_ms
+        if flow.scheduler:
+            waited_ms = now_ms - flow.arrived_ms
+            yield Send(flow.scheduler, flow.request.want(flow.cell, waited_ms))
+
+    def _tick_flow(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        is_late = now_ms - flow.arrived_ms > flow.request.deadline_ms
+        if flow.state is FlowState.QUEUED:
+            yield from self._tick_queued(flow, is_late, now_ms)
+        elif flow.state is FlowState.WAITING:
+            yield from self._tick_waiting(flow, is_late, now_ms)
+        elif flow.cell and now_ms - flow.renewed_ms >= self.renew_ms:
+            yield from self._renew(flow, now_ms)
+
+    def _tick_queued(self, flow: Flow, is_late: bool, now_ms: int) -> Iterator[Any]:
+        if is_late:
+            yield from self._withdraw(flow)
+            refusal = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, UNREACHABLE_RETRY_MS)
+            yield from self._refuse(flow, refusal)
+        elif now_ms - flow.asked_ms >= WANT_RETRY_MS:
+            yield from self._ask(flow, now_ms)
+
+    def _tick_waiting(self, flow: Flow, is_late: bool, now_ms: int) -> Iterator[Any]:
+        if is_late:
+            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.IN_PROGRESS, FOLLOW_RETRY_MS)
+            yield from self._refuse(flow, refusal)
+        elif now_ms >= flow.retry_at_ms:
+            yield from self._follow(flow)
+
+    def _withdraw(self, flow: Flow) -> Iterator[Any]:
+        if flow.scheduler:
+            cancel = CancelWant(flow.request.request_id, flow.cell)
+            yield Send(flow.scheduler, cancel)
+        flow.cell = ""
+
+    def _refuse_everywhere(self, flow: Flow) -> Iterator[Any]:
+        refusals = list(flow.refusals.values())
+        if not refusals:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.NO_UPSTREAM, UNREACHABLE_RETRY_MS)
+            yield from self._refuse(flow, refusal)
+            return
+        soonest = min(refusals, key=lambda refuse: refuse.retry_after_ms)
+        refusal = Refusal(Verdict.NOT_RUN, soonest.reason, soonest.retry_after_ms)
+        yield from self._refuse(flow, refusal)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
+        raise TypeError(f"unexpected message {message!r}")
+
+    @_receive.register
+    def _(self, message: Grant, event: Received, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(message.request_id)
+        is_wanted = flow is not None and flow.state is FlowState.QUEUED
+        if not is_wanted or flow.cell != message.cell:
+            if not self._holds(message):
+                yield Send(event.sender, _unused(message))
+            return
+        flow.upstream = message.upstream
+        flow.renewed_ms = now_ms
+        flow.lease_until_ms = now_ms + message.lease_ms
+        if not flow.request.key:
+            yield from self._dispatch(flow, now_ms)
+            return
+        flow.state = FlowState.CLAIMING
+        yield self._want_claim(flow, self._claim(flow, epoch=1))
+
+    @_receive.register
+    def _(self, message: Refuse, event: Received, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(message.request_id)
+        if flow is None or flow.state is not FlowState.QUEUED:
+            return
+        if flow.cell != message.cell:
+            return
+        flow.refusals[message.cell] = message
+        if message.reason is Reason.POISON:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.POISON)
+            yield from self._refuse(flow, refusal)
+            return
+        yield from self._ask_next_cell(flow, now_ms)
+
+    @_receive.register
+    def _(self, message: Preempt, event: Received, now_ms: int) -> Iterator[Any]:
+        flow = self.flows.get(message.request_id)
+        if flow is not None and flow.state is FlowState.RUNNING:
+            yield CancelDispatch(message.request_id, ReleaseCause.PREEMPTED)
+
+    def _holds(self, grant: Grant) -> bool:
+        flow = self.flows.get(grant.request_id)
+        if flow is None:
+            return False
+        return (flow.cell, flow.upstream) == (grant.cell, grant.upstream)
+
+    # -- claims ------------------------------------------------------------
+
+    def _claim(self, flow: Flow, epoch: int) -> Claim:
+        return Claim(
+            key=flow.request.key,
+            fingerprint=flow.request.fingerprint,
+            epoch=epoch,
+            holder_host=self.host,
+            holder_incarnation=self.incarnation,
+            upstream=flow.upstream,
+            is_idempotent=flow.request.is_idempotent,
+        )
+
+    @staticmethod
+    def _want_claim(flow: Flow, claim: Claim) -> WantClaim:
+        # Each placement asks anew, or it would get the outcome of the one before.
+        parts = (flow.request.request_id, str(flow.placements), str(claim.epoch))
+        return WantClaim(ClaimRequest(CLAIM_ID_SEPARATOR.join(parts), claim))
+
+    def _claim_decided(
+        self, flow: Flow, reply: ClaimReply, now_ms: int
+    ) -> Iterator[Any]:
+        if reply.status is ClaimStatus.GRANTED:
+            flow.epoch = reply.claim.epoch
+            yield from self._dispatch(flow, now_ms)
+            return
+        yield self._not_sent(flow)
+        flow.upstream = ""
+        flow.cell = ""
+        yield from self._follow_claim(flow, reply, now_ms)
+
+    def _follow_claim(
+        self, flow: Flow, reply: ClaimReply, now_ms: int
+    ) -> Iterator[Any]:
+        if reply.status is ClaimStatus.KEY_REUSED:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.KEY_REUSED)
+            flow.key_state = KeyState.FREE
+            yield from self._refuse(flow, refusal)
+        elif reply.status is ClaimStatus.FULL:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.OVERLOADED, FULL_RETRY_MS)
+            yield from self._refuse(flow, refusal)
+        elif reply.status is ClaimStatus.ENDED:
+            yield from self._replay(flow, reply)
+        elif self._is_earlier_self(reply.claim):
+            flow.holder = reply.claim
+            yield from self._take_over(flow)
+        elif flow.state is FlowState.TAKING_OVER:
+            flow.holder = reply.claim
+            flow.state = FlowState.WAITING
+            flow.retry_at_ms = now_ms + FOLLOW_RETRY_MS
+        else:
+            flow.holder = reply.claim
+            yield from self._follow(flow)
+
+    def _follow(self, flow: Flow) -> Iterator[Any]:
+        flow.state = FlowState.FOLLOWING
+        request = flow.request
+        yield Follow(request.request_id, request.key, flow.holder.holder_host)
+
+    def _is_earlier_self(self, claim: Claim) -> bool:
+        is_own = claim.holder_host == self.host
+        return is_own and claim.holder_incarnation != self.incarnation
+
+    def _replay(self, flow: Flow, reply: ClaimReply) -> Iterator[Any]:
+        outcome = reply.outcome
+        is_whole = outcome.is_replayable or outcome.verdict is not Verdict.COMPLETED
+        if is_whole or reply.claim is None or flow.state is FlowState.WAITING:
+            yield Replay(flow.request.request_id, outcome)
+            self._forget(flow)
+            return
+        flow.holder = reply.claim
+        yield from self._follow(flow)
+
+    def _take_over(self, flow: Flow) -> Iterator[Any]:
+        flow.state = FlowState.TAKING_OVER
+        claim = self._claim(flow, flow.holder.epoch + 1)
+        claim = replace(claim, upstream=flow.holder.upstream)
+        yield self._want_claim(flow, claim)
+
+    def _take_over_decided(
+        self, flow: Flow, reply: ClaimReply, now_ms: int
+    ) -> Iterator[Any]:
+        if reply.status is ClaimStatus.ENDED:
+            yield Replay(flow.request.request_id, reply.outcome)
+            self._forget(flow)
+            return
+        if reply.status is not ClaimStatus.GRANTED:
+            yield from self._follow_claim(flow, reply, now_ms)
+            return
+        flow.epoch = reply.claim.epoch
+        flow.state = FlowState.RUNNING
+        flow.sent_ms = now_ms
+        yield Resume(flow.request.request_id, reply.claim.upstream)
+
+    # -- dispatch ----------------------------------------------------------
+
+    def _dispatch(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        if now_ms >= flow.lease_until_ms:
+            yield from self._give_up_slot(flow)
+            return
+        flow.state = FlowState.RUNNING
+        flow.sent_ms = now_ms
+        flow.placements += 1
+        request_id = flow.request.request_id
+        yield Dispatch(request_id, flow.upstream, flow.cell, flow.epoch)
+
+    def _give_up_slot(self, flow: Flow) -> Iterator[Any]:
+        # The process was frozen past its lease; the slot may be someone else's.
+        yield self._not_sent(flow)
+        outcome = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
+        if flow.epoch:
+            yield ReportOutcome(flow.request.key, flow.epoch, outcome)
+        refusal = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, UNREACHABLE_RETRY_MS)
+        yield from self._refuse(flow, refusal)
+
+    def _may_place_again(self, flow: Flow, outcome: Outcome) -> bool:
+        if not 0 < flow.placements < MAX_PLACEMENTS:
+            return False
+        if outcome.reason is not Reason.UPSTREAM_DIED:
+            return False
+        if outcome.verdict is Verdict.NOT_RUN:
+            return True
+        return flow.request.is_repeatable and not flow.epoch
+
+    def _renew(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        flow.scheduler = self._scheduler_of(flow.cell)
+        flow.renewed_ms = now_ms
+        if not flow.scheduler:
+            return
+        want = flow.request.want(flow.cell, now_ms - flow.arrived_ms)
+        held = HeldSlot(want, flow.upstream, flow.produced_tokens)
+        yield Send(flow.scheduler, held)
+
+    def _release(self, flow: Flow, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
+        if not flow.cell:
+            return
+        release = Release(
+            request_id=flow.request.request_id,
+            cell=flow.cell,
+            upstream=flow.upstream,
+            cause=event.cause,
+            prompt_tokens=flow.request.prompt_tokens,
+            cached_tokens=event.cached_tokens,
+            produced_tokens=event.produced_tokens,
+            first_token_ms=event.first_token_ms,
+            duration_ms=now_ms - flow.sent_ms,
+        )
+        yield Send(flow.scheduler, release)
+
+    def _not_sent(self, flow: Flow) -> Send:
+        grant = Grant(flow.request.request_id, flow.cell, flow.upstream, 0, 0)
+        return Send(flow.scheduler, _unused(grant))
+
+    # -- ends --------------------------------------------------------------
+
+    def _join(self, request: Request, standing: Flow) -> Iterator[Any]:
+        if standing.request.fingerprint != request.fingerprint:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.KEY_REUSED)
+            yield Refused(request.request_id, refusal)
+            return
+        yield Log("request_joined", (("request_id", request.request_id),))
+        yield Join(request.request_id, standing.request.request_id)
+
+    def _end(self, flow: Flow, outcome: Outcome) -> Iterator[Any]:
+        request_id = flow.request.request_id
+        self._forget(flow)
+        if outcome.verdict is Verdict.COMPLETED:
+            yield Forgotten(request_id)
+            return
+        retry_after_ms = 0
+        if outcome.verdict is Verdict.NOT_RUN:
+            retry_after_ms = UNREACHABLE_RETRY_MS
+        refusal = Refusal(outcome.verdict, outcome.reason, retry_after_ms)
+        yield Refused(request_id, refusal)
+
+    def _refuse(self, flow: Flow, refusal: Refusal) -> Iterator[Any]:
+        flow.state = FlowState.REFUSING
+        flow.refusal = refusal
+        if flow.key_state is not KeyState.ASKED:
+            yield from self._refuse_now(flow)
+
+    def _refuse_now(self, flow: Flow) -> Iterator[Any]:
+        if flow.state is not FlowState.REFUSING:
+            return
+        refusal = flow.refusal
+        is_repeat = flow.request.key and flow.request.attempt > 1
+        if is_repeat and flow.key_state is KeyState.UNKNOWN:
+            # An earlier attempt may have run out of this host's sight.
+            refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+        yield Refused(flow.request.request_id, refusal)
+        self._forget(flow)
+
+    def _forget(self, flow: Flow) -> None:
+        self.flows.pop(flow.request.request_id, None)
+        if self._by_key.get(flow.request.key) == flow.request.request_id:
+            del self._by_key[flow.request.key]
+
+
+def _request_id_of(claim_request_id: str) -> str:
+    return claim_request_id.partition(CLAIM_ID_SEPARATOR)[0]
+
+
+def _is_free(reply: ClaimReply) -> bool:
+    if reply.status is ClaimStatus.FREE:
+        return True
+    is_ended = reply.status is ClaimStatus.ENDED
+    return is_ended and reply.outcome.verdict is Verdict.NOT_RUN
+
+
+def _unused(grant: Grant) -> Release:
+    return Release(
+        request_id=grant.request_id,
+        cell=grant.cell,
+        upstream=grant.upstream,
+        cause=ReleaseCause.NOT_SENT,
+        prompt_tokens=0,
+        cached_tokens=0,
+        produced_tokens=0,
+        first_token_ms=-1,
+        duration_ms=0,
+    )
