Add local claims for a data centre that is cut off

Cause: without a quorum, requests that may be repeated must go on where they are. Change: each key is registered in memory on the two live entry hosts of the data centre that rendezvous hashing ranks first; the second has its copy before the claim is granted. A repeat of an unknown key ends as may_have_run. Claims and outcomes are uploaded once a leader is known; a key claimed on both sides is counted. Ruled out: an upload with the usual time-out (a claim that is given up is reported as not run, which would be false here).

--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -55,6 +55,14 @@
     StrikesSnapshot,
     StrikeUpdate,
 )
+from .local import (
+    LOCAL_MESSAGES,
+    LocalClaimCopied,
+    LocalClaimCopy,
+    LocalClaimReply,
+    LocalClaimRequest,
+    LocalOutcome,
+)
 from .raft import (
     RAFT_MESSAGES,
     AppendReply,
@@ -70,7 +78,9 @@
 )
 from .records import HardState, LogStart, Snapshot, StorageRecord, Truncation
 
-MESSAGE_TYPES = RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES
+MESSAGE_TYPES = (
+    RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES + LOCAL_MESSAGES
+)
 Message = Union[MESSAGE_TYPES]  # noqa: UP007
 
 
@@ -121,6 +131,11 @@
     "Heartbeat",
     "HeldSlot",
     "JoinRequest",
+    "LocalClaimCopied",
+    "LocalClaimCopy",
+    "LocalClaimReply",
+    "LocalClaimRequest",
+    "LocalOutcome",
     "LogEntry",
     "LogStart",
     "MembershipChange",
