--- /dev/null
+++ b/src/peridotfront/callers.py
@@ -0,0 +1,202 @@
+"""HTTP/1.1 server for callers."""
+
+import asyncio
+import contextlib
+import logging
+import ssl
+import time
+from collections.abc import Awaitable, Callable
+from email.utils import formatdate
+from http import HTTPStatus
+
+from .core.verdicts import Reason, Refusal, Verdict
+from .exceptions import CallerGone, InvalidRequest
+from .exchanges import CallerConnection, Exchange, HttpLimits
+from .http_messages import Header, HttpRequest
+from .problems import Problem, problem
+
+__all__ = [
+    "Exchange",
+    "Header",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpServer",
+    "Problem",
+    "problem",
+]
+
+LISTEN_BACKLOG = 512
+SWEEP_INTERVAL_MS = 250
+SWEEPS_PER_LIMIT = 4
+DRAIN_POLL_MS = 20
+DRAIN_QUIET_MS = 1000
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class HttpServer:
+    """Serves callers over HTTP/1.1.
+
+    :param handler: async function called once for each whole request.
+    :param limits: bounds on sizes, times and connections.
+    :param ssl_context: for TLS; None serves plain TCP.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ):
+        self.limits = limits or HttpLimits()
+        self.is_draining = False
+        self._handler = handler
+        self._ssl_context = ssl_context
+        self._listener: asyncio.Server | None = None
+        self._open: set[CallerConnection] = set()
+        self._refused: set[CallerConnection] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._date = (0, b"")
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._listener.sockets[0].getsockname()[1]
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open)
+
+    @property
+    def requests_in_progress(self) -> int:
+        """Return the number of requests whose handler has not returned."""
+        return len(self._tasks)
+
+    async def start(self, host_ip: str, port: int = 0) -> None:
+        """Listen on an address; port 0 lets the kernel choose.
+
+        :raises OSError: if the address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        handshake_s = self.limits.request_ms / 1000 if self._ssl_context else None
+        self._listener = await loop.create_server(
+            lambda: CallerConnection(self),
+            host_ip,
+            port,
+            ssl=self._ssl_context,
+            ssl_handshake_timeout=handshake_s,
+            backlog=LISTEN_BACKLOG,
+        )
+        self._sweep()
+
+    def close_listener(self) -> None:
+        """Accept no more connections."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def drain(self, timeout_ms: int) -> bool:
+        """Close each connection after its next answer; wait until all is quiet.
+
+        Returns early once no request is in progress and no kept connection was
+        used within the last second, since its caller may be about to send.
+
+        :param timeout_ms: how long to wait at most.
+        :return: whether no request is in progress.
+        :rtype: bool
+        """
+        self.is_draining = True
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_ms / 1000
+        while loop.time() < deadline_s and not self._is_quiet(loop.time()):
+            await asyncio.sleep(DRAIN_POLL_MS / 1000)
+        return not self._tasks
+
+    async def close(self) -> None:
+        """Stop at once: cancel what is in progress and close every connection."""
+        self.close_listener()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        tasks = set(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for connection in list(self._open):
+            connection.abort()
+        while self._open:
+            await asyncio.sleep(0)
+
+    def admit(self, connection: CallerConnection) -> bool:
+        """Count a connection; false if there are too many."""
+        self._open.add(connection)
+        if len(self._open) - len(self._refused) <= self.limits.connections:
+            return True
+        self._refused.add(connection)
+        return False
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Drop a closed connection."""
+        self._open.discard(connection)
+        self._refused.discard(connection)
+
+    def run(self, exchange: Exchange) -> None:
+        """Start the handler on a request."""
+        task = asyncio.get_running_loop().create_task(self._handle(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def date(self) -> bytes:
+        """Return the value of the Date header."""
+        now_s = int(time.time())
+        if self._date[0] != now_s:
+            self._date = (now_s, formatdate(now_s, usegmt=True).encode())
+        return self._date[1]
+
+    async def _handle(self, exchange: Exchange) -> None:
+        try:
+            await self._handler(exchange)
+        except CallerGone:
+            pass
+        except InvalidRequest as error:
+            refusal = Refusal(error.verdict, error.reason, detail=str(error))
+            await self._refuse(exchange, HTTPStatus.BAD_REQUEST, refusal)
+        except asyncio.CancelledError:
+            exchange.abort()
+            raise
+        except Exception:
+            logger.exception("the handler of a request failed")
+        finally:
+            await self._complete(exchange)
+
+    async def _complete(self, exchange: Exchange) -> None:
+        if exchange.is_started:
+            exchange.abort()
+        refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.NONE, detail="internal error")
+        await self._refuse(exchange, HTTPStatus.INTERNAL_SERVER_ERROR, refusal)
+
+    @staticmethod
+    async def _refuse(exchange: Exchange, status_code: int, refusal: Refusal) -> None:
+        if exchange.is_started or exchange.is_finished:
+            return
+        with contextlib.suppress(CallerGone):
+            await exchange.refuse(status_code, refusal)
+
+    def _is_quiet(self, now_s: float) -> bool:
+        used_after_s = now_s - DRAIN_QUIET_MS / 1000
+        return not self._tasks and all(
+            connection.is_idle and connection.idle_since_s <= used_after_s
+            for connection in self._open - self._refused
+        )
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        for connection in list(self._open):
+            connection.check_deadlines(now_s)
+        limits = self.limits
+        shortest_ms = min(limits.idle_ms, limits.request_ms, limits.write_ms)
+        interval_ms = min(SWEEP_INTERVAL_MS, shortest_ms / SWEEPS_PER_LIMIT)
+        self._sweeper = loop.call_later(interval_ms / 1000, self._sweep)
--- a/src/peridotfront/ini.py
+++ b/src/peridotfront/ini.py
@@ -8,8 +8,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, ValidationError
 
 from .exceptions import SettingsInvalid
-
-MASKED_WORDS = ("token", "secret", "password")
+from .masking import MASK, is_secret
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +80,7 @@
     def unknown_sections(self, known: set[str]) -> Iterator[Fault]:
         """Yield a fault for each section whose first word is not known."""
         for section in self.parser.sections():
-            if section.split(None, 1)[0] not in known:
+            if not known.intersection(section.split(None, 1)[:1]):
                 yield Fault(section, "", "", "unknown section")
 
     def read(
@@ -109,6 +108,6 @@
     for detail in error.errors():
         key = str(detail["loc"][0]) if detail["loc"] else ""
         value = str(values.get(key, ""))
-        if any(word in key for word in MASKED_WORDS):
-            value = "***"
+        if is_secret(key):
+            value = MASK
         yield Fault(section, key, value, detail["msg"])
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -22,12 +22,17 @@
 from .settings import Address, Name
 
 LOWEST_TIER = 5
+DEFAULTS = Policy()
 KNOWN_SECTIONS = {"upstream", "client_account", "service", "policy"}
 TierNumber = Annotated[int, Field(ge=1, le=LOWEST_TIER)]
 
 
 class UpstreamSection(Section):
-    """Describes one upstream; see :class:`peridotfront.core.fleet.UpstreamSpec`."""
+    """Describes one upstream; see :class:`peridotfront.core.fleet.UpstreamSpec`.
+
+    :param kind: a model engine or one host of a plain service.
+    :param data_centre: where it runs.
+    """
 
     name: Name
     kind: Literal["engine", "service"]
@@ -44,7 +49,12 @@
 
 
 class AccountSection(Section):
-    """Describes a client account; see :class:`peridotfront.core.fleet.AccountSpec`."""
+    """Describes a client account; see :class:`peridotfront.core.fleet.AccountSpec`.
+
+    :param requests_per_s: bound on its requests at one entry host.
+    :param burst_requests: how many may arrive at once there above that rate.
+    :param max_concurrent: bound on its requests in progress at one entry host.
+    """
 
     name: Name
     key_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
@@ -56,7 +66,10 @@
 
 
 class ServiceSection(Section):
-    """Describes a plain service; see :class:`peridotfront.core.fleet.ServiceSpec`."""
+    """Describes a plain service; see :class:`peridotfront.core.fleet.ServiceSpec`.
+
+    :param tier: of all its calls.
+    """
 
     name: Name
     non_idempotent_methods: Words = ("POST",)
@@ -65,17 +78,35 @@
 
 
 class PolicySection(Section):
-    """Holds the knobs of the policy; see :class:`peridotfront.core.fleet.Policy`."""
-
-    prefill_weight: float = Field(default=1.0, ge=0)
-    max_queue_ms: int = Field(default=30_000, ge=1)
-    first_token_ms: int = Field(default=1500, ge=1)
-    slot_lease_ms: int = Field(default=3000, ge=100)
-    suspect_after_ms: int = Field(default=2000, ge=50)
-    poison_strikes: int = Field(default=2, ge=1)
-    answer_buffer_bytes: int = Field(default=1_048_576, ge=1024)
-    replay_body_bytes: int = Field(default=16_384, ge=0)
-    claim_retention_ms: int = Field(default=86_400_000, ge=1000)
+    """Holds the knobs of the policy; see :class:`peridotfront.core.fleet.Policy`.
+
+    :param first_token_ms: the latest first token that counts as in time.
+    :param poison_strikes: upstreams that may die on a request before it is refused
+        for good.
+    :param answer_buffer_bytes: of one answer that its caller has not read yet.
+    :param replay_body_bytes: answers up to this size are recorded for repeats.
+    :param claim_retention_ms: how long a key is remembered after its request ended.
+    """
+
+    prefill_weight: float = Field(default=DEFAULTS.prefill_weight, ge=0)
+    max_queue_ms: int = Field(default=DEFAULTS.max_queue_ms, ge=1)
+    first_token_ms: int = Field(default=DEFAULTS.first_token_ms, ge=1)
+    slot_lease_ms: int = Field(default=DEFAULTS.slot_lease_ms, ge=100)
+    suspect_after_ms: int = Field(default=DEFAULTS.suspect_after_ms, ge=50)
+    poison_strikes: int = Field(default=DEFAULTS.poison_strikes, ge=1)
+    answer_buffer_bytes: int = Field(default=DEFAULTS.answer_buffer_bytes, ge=1024)
+    replay_body_bytes: int = Field(default=DEFAULTS.replay_body_bytes, ge=0)
+    claim_retention_ms: int = Field(default=DEFAULTS.claim_retention_ms, ge=1000)
+    token_gap_ms: float = Field(default=DEFAULTS.token_gap_ms, gt=0)
+    settle_ms: int = Field(default=DEFAULTS.settle_ms, ge=0)
+    prefix_block_tokens: int = Field(default=DEFAULTS.prefix_block_tokens, ge=1)
+    engine_queue_ms: int = Field(default=DEFAULTS.engine_queue_ms, ge=0)
+    headroom_ms: int = Field(default=DEFAULTS.headroom_ms, ge=0)
+    overfill_ratio: float = Field(default=DEFAULTS.overfill_ratio, ge=1)
+    urgent_ms: int = Field(default=DEFAULTS.urgent_ms, ge=0)
+    preempts: bool = DEFAULTS.preempts
+    affinity_ms: int = Field(default=DEFAULTS.affinity_ms, ge=0)
+    learns_rates: bool = DEFAULTS.learns_rates
 
 
 def parse_rules(text: str, version: int = 0, source: str = "configuration") -> Fleet:
--- /dev/null
+++ b/src/peridotfront/upstreams.py
@@ -0,0 +1,147 @@
+"""Clients of the upstreams: plain services and the API of model engines."""
+
+from http import HTTPStatus
+from urllib.parse import quote
+
+from pydantic import ValidationError
+
+from .engine_messages import EngineOrder, EngineReport, OrderResult
+from .exceptions import AnswerMalformed
+from .http_client import ClientLimits, HttpClient, UpstreamAnswer, UpstreamTimeouts
+from .http_messages import Header
+
+__all__ = [
+    "ClientLimits",
+    "EngineClient",
+    "HttpClient",
+    "UpstreamAnswer",
+    "UpstreamTimeouts",
+]
+
+
+class EngineClient(HttpClient):
+    """Speaks the API of a model engine."""
+
+    async def complete(
+        self,
+        address: str,
+        target: str,
+        body: bytes,
+        request_id: str,
+        *,
+        key: str = "",
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> UpstreamAnswer:
+        """Start a completion that can be resumed under its request id.
+
+        :param target: path of the completion.
+        :param key: idempotency key; empty if there is none.
+        :raises UpstreamError: as :meth:`HttpClient.send` does.
+        """
+        headers = [
+            Header("content-type", "application/json"),
+            Header("x-request-id", request_id),
+            Header("x-resumable", "1"),
+        ]
+        if key:
+            headers.append(Header("idempotency-key", key))
+        return await self.send(
+            address, "POST", target, headers, body, timeouts=timeouts
+        )
+
+    async def resume(
+        self,
+        address: str,
+        request_id: str,
+        offset_bytes: int,
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> UpstreamAnswer:
+        """Go on with the body of an answer from an offset; 404 if unknown."""
+        target = f"/resume/{quote(request_id, safe='')}?offset={offset_bytes}"
+        return await self.send(address, "GET", target, timeouts=timeouts)
+
+    async def cancel(
+        self,
+        address: str,
+        request_id: str,
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> bool:
+        """Stop a request; false if the engine does not run it."""
+        target = f"/cancel/{quote(request_id, safe='')}"
+        answer = await self.send(address, "POST", target, timeouts=timeouts)
+        await answer.read()
+        return answer.status_code == HTTPStatus.OK
+
+    async def report(
+        self,
+        address: str,
+        since: int = 0,
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> EngineReport:
+        """Return load, leaving state and the cache events after a sequence number.
+
+        :raises AnswerMalformed: if the report is not as promised.
+        """
+        target = f"/report?since={since}"
+        answer = await self.send(address, "GET", target, timeouts=timeouts)
+        return _checked(EngineReport, address, answer, await answer.read())
+
+    async def export_kv(
+        self,
+        address: str,
+        request_id: str,
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> bytes | None:
+        """Take a request out of an engine with its KV; None if it is not there."""
+        target = f"/kv/export/{quote(request_id, safe='')}"
+        answer = await self.send(address, "POST", target, timeouts=timeouts)
+        body = await answer.read()
+        return body if answer.status_code == HTTPStatus.OK else None
+
+    async def import_kv(
+        self,
+        address: str,
+        exported: bytes,
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> bool:
+        """Go on with an exported request; false if the engine has no room.
+
+        The answer is then read by :meth:`resume`.
+        """
+        answer = await self.send(
+            address, "POST", "/kv/import", body=exported, timeouts=timeouts
+        )
+        await answer.read()
+        return answer.status_code == HTTPStatus.OK
+
+    async def order(
+        self,
+        address: str,
+        order: EngineOrder,
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+    ) -> OrderResult:
+        """Give an order with its fencing token.
+
+        :raises AnswerMalformed: if the result is not as promised.
+        """
+        body = order.model_dump_json().encode()
+        answer = await self.send(
+            address, "POST", "/orders", body=body, timeouts=timeouts
+        )
+        expected = (HTTPStatus.OK, HTTPStatus.CONFLICT)
+        return _checked(OrderResult, address, answer, await answer.read(), expected)
+
+
+def _checked(model, address, answer, body, expected=(HTTPStatus.OK,)):
+    if answer.status_code not in expected:
+        raise AnswerMalformed(f"status {answer.status_code}", address)
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        raise AnswerMalformed(f"{error.error_count()} faults", address) from error
