Mend five gaps between the control role and the processes

A query for a key was never given up, so that a refusal that waits for it would wait for ever once the leader is silent. Heartbeats of entry hosts did not name the leader that they hear, so that after 4 s each holder counted as out of reach, and a long answer could be taken over (nothing would run twice, but its outcome would be lost). The retention of the policy never reached the claims. A restarted host was not told of the strikes that stand, and a strike report had no id. ClaimUnknown says whether the claim was sent, as local claims need to know.

--- a/features/controller.feature
+++ b/features/controller.feature
@@ -112,3 +112,28 @@
     And "e1" wants 256 claims in one turn
     And a snapshot of the leader is built in slices of 7 while 40 changes are made
     Then it restores to the state at its index
+
+  Scenario: A query for a key that nobody answers ends as unknown
+    Given a claimant that hears the leader
+    When it asks whether a key is in use and 2000 ms pass
+    Then the key is unknown and no longer asked for
+
+  Scenario: The heartbeat of an entry host names the leader that it hears
+    Given the role of an entry host
+    When it hears that "c2" leads in term 3
+    Then its next heartbeat names "c2"
+
+  Scenario: The limits of claims follow the configuration and outlive the leader
+    Given a control group with a configuration
+    When the program of the leader sets a retention of 5000 ms
+    And a caller claims "paid" at "e1"
+    And the leader is killed
+    And a caller claims "other" at "e1"
+    Then the new leader asked its program for the limits
+    And every replica that runs keeps claims for 5000 ms
+
+  Scenario: A host that restarts is told of the strikes that stand
+    Given a control group with a configuration
+    When "e1" reports a strike against request 7
+    And host "e2" restarts blank
+    Then "e2" is told that request 7 has 1 strike, once
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -4,19 +4,25 @@
 from support.control_group import CONTROLS, ENTRIES
 
 from peridotfront import wire
-from peridotfront.core.actions import Received, Send
+from peridotfront.core.actions import Received, Send, Tick
 from peridotfront.core.claimant import (
     Claimant,
     ClaimDecided,
     ClaimUnknown,
+    KeyUnknown,
+    QueryKey,
     WantClaim,
 )
 from peridotfront.core.control_state import ControlState
 from peridotfront.core.control_types import (
+    ClaimLimits,
     OperatorPropose,
     OperatorRead,
     OperatorUnavailable,
 )
+from peridotfront.core.entry_role import EntryRole
+from peridotfront.core.follower import ConfigFollower
+from peridotfront.core.membership import Membership
 from peridotfront.core.messages import (
     Claim,
     ClaimReply,
@@ -25,6 +31,8 @@
     ConfigUpdate,
     ControlSnapshot,
     Heartbeat,
+    StrikeReport,
+    StrikeUpdate,
 )
 from peridotfront.core.snapshot_builder import SnapshotBuilder
 from peridotfront.core.verdicts import Verdict
@@ -382,7 +390,7 @@
 @then("the claim is unknown and reported as not run")
 def unknown_and_reported(context):
     unknown, send = context.actions
-    assert unknown == ClaimUnknown("r")
+    assert unknown == ClaimUnknown("r", was_sent=True)
     assert send.message.outcome.verdict is Verdict.NOT_RUN
     assert not context.claimant.may_dispatch("k", 1, 2000)
 
@@ -408,3 +416,83 @@
 @then("no claim is on record for it")
 def no_record(context):
     assert context.group.lookup("foreign") is None
+
+
+@given("a claimant that hears the leader")
+def hearing_claimant(context):
+    context.claimant = Claimant("e1", 1)
+    hear_leader(context, 0)
+
+
+@when("it asks whether a key is in use and {time_ms:d} ms pass")
+def query(context, time_ms):
+    (sent,) = context.claimant.handle(QueryKey("q", "k", 1), 0)
+    assert sent.to_host == "c1", sent
+    hear_leader(context, time_ms)
+    context.actions = list(context.claimant.handle(Tick(), time_ms))
+
+
+@then("the key is unknown and no longer asked for")
+def key_unknown(context):
+    assert context.actions == [KeyUnknown("q")], context.actions
+    assert list(context.claimant.handle(Tick(), 2500)) == []
+
+
+@given("the role of an entry host")
+def entry_role(context):
+    membership = Membership("e1", "dc", ("c1", "c2", "e2"), 150, 1500)
+    context.role = EntryRole(membership, ConfigFollower(), Claimant("e1", 1), 1)
+
+
+@when('it hears that "{leader}" leads in term {term:d}')
+def hears(context, leader, term):
+    beat = Heartbeat("dc", "control", 1, 0, False, leader, term)
+    list(context.role.handle(Received("c1", 1, beat), 10))
+
+
+@then('its next heartbeat names "{leader}"')
+def names_leader(context, leader):
+    actions = list(context.role.handle(Tick(), 200))
+    messages = [a.message for a in actions if isinstance(a, Send)]
+    leaders = {m.leader for m in messages if isinstance(m, Heartbeat)}
+    assert leaders == {leader}, messages
+
+
+@when("the program of the leader sets a retention of {time_ms:d} ms")
+def set_limits(context, time_ms):
+    group = context.group
+    group.applied.clear()
+    group.handle(context.leader, ClaimLimits(retention_ms=time_ms))
+
+
+@then("the new leader asked its program for the limits")
+def asked_limits(context):
+    group = context.group
+    assert group.applied == [(group.leader(), 1)], group.applied
+
+
+@then("every replica that runs keeps claims for {time_ms:d} ms")
+def keeps(context, time_ms):
+    group = context.group
+    group.run_for(1000)
+    for name in CONTROLS:
+        if name not in group.down:
+            claims = group.hosts[name].role.state.claims.snapshot()
+            assert claims.retention_ms == time_ms, (name, claims.retention_ms)
+
+
+@when('"{name}" reports a strike against request {fingerprint:d}')
+def report_strike(context, name, fingerprint):
+    group = context.group
+    report = StrikeReport("engine", (fingerprint,), "report-1")
+    for _ in range(2):
+        group.send(group.hosts[name], Send(context.leader, report))
+        group.run_for(500)
+
+
+@then('"{name}" is told that request {fingerprint:d} has {count:d} strike, once')
+def told_strike(context, name, fingerprint, count):
+    group = context.group
+    group.run_for(1000)
+    told = [StrikeUpdate(fingerprint, count)]
+    assert group.hosts[name].strikes == told, group.hosts[name].strikes
--- a/features/support/control_group.py
+++ b/features/support/control_group.py
@@ -15,6 +15,7 @@
     WantClaim,
 )
 from peridotfront.core.control_types import (
+    ConfigApplied,
     ControlTiming,
     OperatorClaim,
     OperatorClaimView,
@@ -44,6 +45,7 @@
     ControlSnapshot,
     Heartbeat,
     Outcome,
+    StrikeUpdate,
 )
 from peridotfront.core.raft import Persist, Raft, RaftTiming
 from peridotfront.core.verdicts import Reason, Verdict
@@ -119,8 +121,12 @@
         self.running_local = {}
         self.decided = {}
         self.unknown = set()
+        self.strikes = []
 
     def handle(self, event, now_ms):
+        message = getattr(event, "message", None)
+        if isinstance(message, StrikeUpdate):
+            self.strikes.append(message)
         yield from self.claimant.handle(event, now_ms)
         yield from self.follower.handle(event, now_ms)
         yield from self.local.handle(event, now_ms)
@@ -258,6 +264,7 @@
         self.sequence = 0
         self.oracle = Oracle()
         self.answers = {}
+        self.applied = []
         self.sent = Counter()
         self.down = set()
         self.frozen = {}
@@ -330,6 +337,8 @@
             self.answers[action.ticket] = action
         elif isinstance(action, (OperatorView, OperatorClaimView, OperatorUnavailable)):
             self.answers[action.ticket] = action
+        elif isinstance(action, ConfigApplied):
+            self.applied.append((host.name, action.version))
 
     def send(self, host, action):
         message = action.message
--- a/src/peridotfront/control_server.py
+++ b/src/peridotfront/control_server.py
@@ -9,6 +9,8 @@
 from . import logs
 from .core.actions import Log, Received, Send, Tick
 from .core.control_types import (
+    ClaimLimits,
+    ConfigApplied,
     ControlView,
     OperatorClaim,
     OperatorClaimView,
@@ -27,8 +29,9 @@
     Frame,
 )
 from .core.raft_types import Persist, Role, RoleChanged
-from .exceptions import NotLeader
+from .exceptions import NotLeader, SettingsInvalid
 from .metrics import Metrics
+from .rules import parse_rules
 from .runtime import now_ms
 from .storage import Storage
 
@@ -150,6 +153,15 @@
             "leader_changed", role=action.role, term=action.term, leader=action.leader
         )
 
+    @_run.register
+    def _(self, action: ConfigApplied) -> None:
+        try:
+            policy = parse_rules(action.content, action.version).policy
+        except SettingsInvalid as error:
+            logs.write("config_unreadable", version=action.version, error=str(error))
+            return
+        self.feed(ClaimLimits(retention_ms=policy.claim_retention_ms))
+
     @_run.register
     def _(self, action: OperatorView) -> None:
         self._resolve(action.ticket, action.view)
--- a/src/peridotfront/core/claimant.py
+++ b/src/peridotfront/core/claimant.py
@@ -121,9 +121,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimUnknown:
-    """Action: no answer in time; the request must not be dispatched any more."""
+    """Action: no answer in time; the request must not be dispatched any more.
+
+    :param was_sent: whether the claim may still be recorded; if so it is reported
+        as not run, and the request must not go on under a local claim either.
+    """
 
     request_id: str
+    was_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,7 +257,7 @@
 
     @handle.register
     def _(self, event: QueryKey, now_ms: int) -> Iterator[Any]:
-        if not self.has_quorum(now_ms):
+        if not self.has_quorum(now_ms) or self._is_full():
             yield KeyUnknown(event.request_id)
             return
         query = KeyQuery(event.request_id, event.key, event.fingerprint)
@@ -358,12 +363,17 @@
         late = [r for r, p in self._waiting.items() if now_ms >= p.deadline_ms]
         for request_id in late:
             yield from self._give_up(request_id)
+        late = [r for r, p in self._queries.items() if now_ms >= p.deadline_ms]
+        for request_id in late:
+            del self._queries[request_id]
+            yield KeyUnknown(request_id)
 
     def _give_up(self, request_id: str) -> Iterator[Any]:
         pending = self._waiting.pop(request_id)
-        if pending.first_sent_ms is not None:
+        was_sent = pending.first_sent_ms is not None
+        if was_sent:
             self._given_up[request_id] = pending
-        yield ClaimUnknown(request_id)
+        yield ClaimUnknown(request_id, was_sent)
 
     def _send(self, pending: _Pending, now_ms: int) -> Iterator[Any]:
         doubled_ms = max(2 * pending.resend_ms, self._timing.resend_ms)
@@ -384,6 +394,7 @@
         open_count = (
             len(self._waiting)
             + len(self._given_up)
+            + len(self._queries)
             + len(self._held)
             + len(self._outcomes)
         )
--- a/src/peridotfront/core/control_types.py
+++ b/src/peridotfront/core/control_types.py
@@ -127,6 +127,17 @@
     struck_requests: int
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigApplied:
+    """Action: tells the leader's program which configuration is in force.
+
+    The program answers by the :class:`ClaimLimits` that it sets.
+    """
+
+    version: int
+    content: str
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorView:
     """Action: answers an :class:`OperatorRead` with the state that stands."""
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -17,6 +17,7 @@
 from .control_state import ControlState, Decode, Encode
 from .control_types import (
     ClaimLimits,
+    ConfigApplied,
     ControllerDump,
     ControlTiming,
     ControlView,
@@ -65,6 +66,7 @@
 
 CONTROL_ROLE = "control"
 CLAIM_ENTRY_BYTES = 200
+KEEP_LIMITS = ClaimLimits(retention_ms=0, idempotent_retention_ms=0, max_bytes=0)
 ENTRY_BYTES = 64
 
 
@@ -129,7 +131,7 @@
         self._state = ControlState()
         self._hosts = HostTable(host, self._timing.host_timeout_ms)
         self._batcher = ClaimBatcher(self._timing)
-        self._limits = ClaimLimits()
+        self._limits = KEEP_LIMITS
         self._is_leader = False
         self._led_since_ms = 0
         self._claims_clock_base_ms = 0
@@ -249,6 +251,7 @@
         host = self._hosts.record(event.sender, event.incarnation, message, now_ms)
         if self._is_leader and message.role != CONTROL_ROLE:
             yield from self._send_update(host, now_ms)
+            yield from self._send_standing_strikes(host)
 
     @_receive.register
     def _(self, message: ConfigQuery, event: Received, now_ms: int) -> Iterator[Any]:
@@ -343,10 +346,18 @@
         if is_leader and not self._is_leader:
             self._led_since_ms = now_ms
             self._claims_clock_base_ms = self._state.claims.time_ms
+            for host in self._hosts.all():
+                host.has_strikes = False
+            if self._state.configuration.version:
+                yield self._config_applied()
         if self._is_leader and not is_leader:
             yield from self._step_down()
         self._is_leader = is_leader
 
+    def _config_applied(self) -> ConfigApplied:
+        current = self._state.configuration.current
+        return ConfigApplied(current.version, current.content)
+
     def _step_down(self) -> Iterator[Any]:
         for request in self._batcher.abandon():
             yield _unavailable(request)
@@ -379,7 +390,8 @@
         if result.status is ChangeStatus.ACCEPTED:
             fields = (("version", result.version), ("author", result.author))
             yield Log("configuration_applied", fields)
-        if self._is_leader:
+        if self._is_leader and result.status is ChangeStatus.ACCEPTED:
+            yield self._config_applied()
             for host in self._hosts.live_entry_hosts(now_ms):
                 yield from self._send_update(host, now_ms)
 
@@ -408,6 +420,11 @@
         for update in updates:
             yield Send(host.host, update)
 
+    def _send_standing_strikes(self, host: HostState) -> Iterator[Any]:
+        if not host.has_strikes:
+            host.has_strikes = True
+            yield from self._send_strikes(host, self._state.strikes.standing())
+
     # Configuration
 
     def _propose_config(
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -180,6 +180,7 @@
 
     @_handle.register
     def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        self.membership.leader = self.claimant.leader(now_ms)
         yield from self.membership.handle(event, now_ms)
         yield from self.follower.handle(event, now_ms)
         yield from self.claimant.handle(event, now_ms)
@@ -230,7 +231,11 @@
     def _(self, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
         flow = self.dispatcher.flows.get(event.request_id)
         if flow is not None and event.cause is ReleaseCause.UPSTREAM_DIED:
-            report = StrikeReport(flow.upstream, (flow.request.fingerprint,))
+            report = StrikeReport(
+                upstream=flow.upstream,
+                fingerprints=(flow.request.fingerprint,),
+                report_id=f"{self.host}/{event.request_id}",
+            )
             leader = self.claimant.leader(now_ms)
             if leader:
                 yield Send(leader, report)
--- a/src/peridotfront/core/host_table.py
+++ b/src/peridotfront/core/host_table.py
@@ -18,6 +18,7 @@
         that messages pass both ways; of the first heartbeat until then.
     :param update_sent_ms: when a configuration was last sent to it.
     :param update_version: the version that was sent then.
+    :param has_strikes: whether the standing strikes were sent to it.
     """
 
     host: str
@@ -28,6 +29,7 @@
     heard_back_ms: int
     update_sent_ms: int = NEVER_MS
     update_version: int = 0
+    has_strikes: bool = False
 
 
 class HostTable:
--- a/src/peridotfront/core/membership.py
+++ b/src/peridotfront/core/membership.py
@@ -57,6 +57,7 @@
         self.host_timeout_ms = host_timeout_ms
         self.is_leaving = False
         self.config_version = 0
+        self.leader = ""
         self.hosts: dict[str, HostView] = {}
         self._sequence = 0
         self._next_beat_ms = 0
@@ -115,6 +116,7 @@
             sequence=self._sequence,
             config_version=self.config_version,
             is_leaving=self.is_leaving,
+            leader=self.leader,
         )
         for peer in self.peers:
             yield Send(peer, beat)
