Check the scheduler against an oracle in random histories

Cause: the first run of the fuzz found an inversion: a tier-1 want that could not begin in time evicted queued tier-2 work while tier 3 was running. Change: queued work is evicted lowest tier first and only while nothing below it runs; a want that not even the fastest idle upstream could begin in time is refused on arrival and sheds nobody; hopeless is judged by the fastest engine, not the mean one. The machine checks: no slot leaks, no second grant of one id elsewhere, grants within the slots, no grant at a leaving upstream, one final answer for each want, no refusal of a tier before lower work, releases by the holder only.

--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -94,3 +94,7 @@
     And 1 want of account "small" arrives
     And 2 slots are released
     Then account "small" was granted 1 want
+
+  Scenario: Random histories never break a promise of the scheduler
+    When the scheduler runs through random histories
+    Then the oracle agrees with every answer
--- a/features/steps/cell_fixtures.py
+++ b/features/steps/cell_fixtures.py
@@ -73,7 +73,7 @@
         self.wants[request_id] = want
         return self.receive(host, want)
 
-    def release(self, request_id, cause=ReleaseCause.COMPLETED, **fields):
+    def release(self, request_id, cause=ReleaseCause.COMPLETED, host=None, **fields):
         send = self.answers(request_id, Grant)[-1]
         want = self.wants[request_id]
         values = {
@@ -91,7 +91,7 @@
             prompt_tokens=want.prompt_tokens,
             **values,
         )
-        return self.receive(send.to_host, release)
+        return self.receive(host or send.to_host, release)
 
     def hold(self, request_id, host, upstream, produced_tokens=0):
         want = self.wants[request_id]
--- /dev/null
+++ b/features/steps/fuzz_steps.py
@@ -0,0 +1,242 @@
+"""Steps that run the scheduler through random histories beside an oracle."""
+
+from behave import then, when
+from cell_fixtures import MODEL, Cell, make_fleet
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from peridotfront.core.actions import Tick
+from peridotfront.core.cell_events import HostLost
+from peridotfront.core.messages import (
+    CancelWant,
+    Grant,
+    HeldSlot,
+    Preempt,
+    Refuse,
+    ReleaseCause,
+    UpstreamReport,
+)
+
+ENGINES = 3
+SLOTS = 4
+HOSTS = ("a", "b", "c")
+CAUSES = tuple(ReleaseCause)
+MACHINES = 60
+STEPS = 60
+SHED_REASONS = ("overloaded", "evicted")
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """Keeps, as oracle, who waits and who holds a slot where."""
+
+    def __init__(self):
+        super().__init__()
+        self.cell = Cell(make_fleet(ENGINES, SLOTS))
+        self.waiting = {}
+        self.held = {}
+        self.leaving = set()
+        self.count = 0
+        self.seen = len(self.cell.sent)
+
+    def follow(self):
+        """Check each new answer against the oracle, in order."""
+        for send in self.cell.sent[self.seen :]:
+            message = send.message
+            if isinstance(message, Grant):
+                self.granted(send.to_host, message)
+            elif isinstance(message, Refuse):
+                self.refused(message)
+            elif isinstance(message, Preempt):
+                self.preempted(message)
+        self.seen = len(self.cell.sent)
+        self.check_slots()
+
+    def granted(self, host, grant):
+        if grant.request_id in self.held:
+            assert self.held[grant.request_id] == (host, grant.upstream)
+            return
+        assert self.waiting.pop(grant.request_id) == host, "granted to another host"
+        assert grant.upstream not in self.leaving, "grant at a leaving upstream"
+        self.held[grant.request_id] = (host, grant.upstream)
+        at_upstream = [one for _, one in self.held.values() if one == grant.upstream]
+        assert len(at_upstream) <= SLOTS, "more grants than slots"
+
+    def refused(self, refuse):
+        tier = self.cell.wants[refuse.request_id].tier
+        assert refuse.request_id in self.waiting, "refused without a want"
+        del self.waiting[refuse.request_id]
+        if refuse.reason.value in SHED_REASONS:
+            lower = [
+                name
+                for name in (*self.waiting, *self.held)
+                if self.cell.wants[name].tier > tier and not self.is_leaving(name)
+            ]
+            assert not lower, f"tier {tier} refused before {lower}"
+            assert refuse.retry_after_ms > 0
+
+    def is_leaving(self, name):
+        return name in self.held and self.held[name][1] in self.leaving
+
+    def preempted(self, preempt):
+        tier = self.cell.wants[preempt.request_id].tier
+        assert preempt.request_id in self.held
+        assert any(self.cell.wants[name].tier < tier for name in self.waiting)
+
+    def check_slots(self):
+        dump = self.cell.scheduler.dump()
+        for upstream in dump.upstreams:
+            expected = sum(one == upstream.name for _, one in self.held.values())
+            assert upstream.slots == expected, (upstream, self.held)
+        assert sum(queue.wants for queue in dump.queues) == len(self.waiting)
+
+    @rule(
+        tier=st.integers(1, 3),
+        host=st.sampled_from(HOSTS),
+        account=st.sampled_from(("large", "small")),
+        prompt=st.sampled_from((10, 100, 2000, 6000)),
+        fingerprint=st.integers(0, 5),
+        deadline=st.sampled_from((500, 1500, 10_000)),
+    )
+    def want(self, tier, host, account, prompt, fingerprint, deadline):
+        self.count += 1
+        name = f"r{self.count}"
+        self.waiting[name] = host
+        self.cell.want(
+            name,
+            tier,
+            host,
+            model=MODEL,
+            client_account=account,
+            prompt_tokens=prompt,
+            fingerprint=100 * self.count + fingerprint,
+            deadline_ms=deadline,
+        )
+        self.follow()
+
+    @rule(data=st.data())
+    def repeat_want(self, data):
+        names = sorted((*self.waiting, *self.held))
+        if not names:
+            return
+        name = data.draw(st.sampled_from(names))
+        host = self.waiting.get(name) or self.held[name][0]
+        self.cell.receive(host, self.cell.wants[name])
+        self.follow()
+
+    @rule(data=st.data(), cause=st.sampled_from(CAUSES))
+    def release(self, data, cause):
+        if not self.held:
+            return
+        name = data.draw(st.sampled_from(sorted(self.held)))
+        del self.held[name]
+        first_ms = 50 if cause is ReleaseCause.COMPLETED else -1
+        self.cell.release(name, cause, first_token_ms=first_ms)
+        self.follow()
+
+    @rule(data=st.data())
+    def foreign_release(self, data):
+        if not self.held:
+            return
+        name = data.draw(st.sampled_from(sorted(self.held)))
+        other = next(one for one in HOSTS if one != self.held[name][0])
+        self.cell.release(name, host=other)
+        self.follow()
+
+    @rule(data=st.data())
+    def cancel(self, data):
+        names = sorted(self.waiting)
+        if not names:
+            return
+        name = data.draw(st.sampled_from(names))
+        host = self.waiting.pop(name)
+        self.cell.receive(host, CancelWant(name, self.cell.scheduler.cell))
+        self.follow()
+
+    @rule(data=st.data())
+    def late_message(self, data):
+        """A doubled release of a host that no longer holds anything."""
+        ended = sorted(set(self.cell.wants) - set(self.held) - set(self.waiting))
+        granted = [name for name in ended if self.cell.answers(name, Grant)]
+        if granted:
+            self.cell.release(data.draw(st.sampled_from(granted)))
+            self.follow()
+
+    @rule(ticks=st.integers(1, 60))
+    def pass_time(self, ticks):
+        for _ in range(ticks):
+            self.cell.now_ms += 10
+            if self.cell.now_ms % 500 == 0:
+                self.renew()
+            self.cell.step(Tick())
+            self.follow()
+
+    def renew(self):
+        self.report_leaving()
+        for name, (host, upstream) in self.held.items():
+            held = HeldSlot(self.cell.wants[name], upstream, self.cell.now_ms // 20)
+            self.cell.receive(host, held)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def lose_host(self, host):
+        self.waiting = {name: one for name, one in self.waiting.items() if one != host}
+        self.cell.step(HostLost(host))
+        self.follow()
+
+    @rule(upstream=st.integers(0, ENGINES - 1))
+    def leave(self, upstream):
+        self.leaving.add(f"e{upstream}")
+        self.report_leaving()
+        self.follow()
+
+    def report_leaving(self):
+        for name in sorted(self.leaving):
+            report = UpstreamReport(
+                upstream=name,
+                cell=self.cell.scheduler.cell,
+                is_alive=True,
+                is_leaving=True,
+                running=0,
+                queued_prefill_tokens=0,
+                used_kv_tokens=0,
+                capacity_kv_tokens=0,
+                cache_sequence=-1,
+            )
+            self.cell.receive("a", report)
+
+    def teardown(self):
+        """Release all; every want must have its answer and no slot be left."""
+        for name in list(self.held):
+            del self.held[name]
+            self.cell.release(name)
+            self.follow()
+        for _ in range(5000):
+            if not self.waiting:
+                break
+            self.cell.now_ms += 10
+            self.cell.step(Tick())
+            self.follow()
+            for name in list(self.held):
+                del self.held[name]
+                self.cell.release(name)
+                self.follow()
+        assert not self.waiting, f"no answer: {self.waiting}"
+
+
+@when("the scheduler runs through random histories")
+def fuzz(context):
+    context.failure = None
+    config = settings(
+        max_examples=MACHINES,
+        stateful_step_count=STEPS,
+        phases=(Phase.explicit, Phase.generate),
+    )
+    try:
+        run_state_machine_as_test(SchedulerMachine, settings=config)
+    except AssertionError as failure:
+        context.failure = failure
+
+
+@then("the oracle agrees with every answer")
+def agrees(context):
+    assert context.failure is None, context.failure
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -44,7 +44,7 @@
 LEAVING_HOLD_MS = 10_000
 OVERDUE_FACTOR = 2
 RESEND_AFTER_ELSEWHERE_MS = 500
-SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED, Reason.DEADLINE)
+SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 WASTING_CAUSES = (
     ReleaseCause.CALLER_GONE,
     ReleaseCause.UPSTREAM_DIED,
@@ -168,6 +168,9 @@
         if reason is not Reason.NONE:
             yield self._refusal(queued, reason, 0)
             return
+        if self._drain.is_hopeless(queued, self._reach[want.model], now_ms):
+            yield self._refusal(queued, Reason.DEADLINE, 0)
+            return
         self._queues.add(queued)
         self._drain.arrived(want, now_ms)
         if self._is_settled(now_ms):
@@ -481,10 +484,10 @@
     def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
         reach = self._reach.get(model, [])
         while (excess := self._excess(tier, model, now_ms)) is not None:
-            if not self._may_refuse(tier, model, with_preempted=True):
-                yield from self._make_room(tier, model, now_ms)
-                return
             yield from self._evict_lower(tier, model, now_ms)
+            if not self._may_refuse(tier, model):
+                yield from self._preempt_lower(tier, model, now_ms)
+                return
             wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
             left_ms = self._drain.patience_ms(excess, reach, now_ms)
             yield self._shed_one(excess, wait_ms - left_ms, now_ms)
@@ -496,7 +499,7 @@
         urgent = queue.most_urgent()
         if urgent is None:
             return None
-        if self._drain.patience_ms(urgent, reach, now_ms) < 0:
+        if self._drain.is_hopeless(urgent, reach, now_ms):
             return urgent
         victim = queue.victim()
         wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
@@ -504,20 +507,23 @@
             return victim
         return None
 
-    def _may_refuse(self, tier: int, model: str, *, with_preempted: bool) -> bool:
-        reach = self._reach.get(model, [])
-        return not any(lower_slots(tier, reach, with_preempted=with_preempted))
+    def _may_refuse(self, tier: int, model: str) -> bool:
+        if self._queues.has_lower(tier, model):
+            return False
+        return not any(lower_slots(tier, self._reach.get(model, [])))
 
     def _evict_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
+        """Evict queued lower work, lowest first, while none runs below it."""
         for lower in reversed(self._queues.tiers()):
             queue = self._queues.queue(lower, model)
             if lower <= tier or queue is None:
                 continue
+            if not self._may_refuse(lower, model):
+                return
             for queued in tuple(queue):
                 yield self._shed_one(queued, 0, now_ms)
 
-    def _make_room(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        yield from self._evict_lower(tier, model, now_ms)
+    def _preempt_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
         policy = self._fleet.policy
         if not policy.preempts:
             return
@@ -526,7 +532,7 @@
             for queued in self._queues.queue(tier, model)
         )
         reach = self._reach.get(model, [])
-        running = list(lower_slots(tier, reach, with_preempted=True))
+        running = list(lower_slots(tier, reach))
         urgent -= sum(slot.is_preempted for slot in running)
         candidates = [slot for slot in running if not slot.is_preempted]
         for slot in sorted(candidates, key=preempt_order)[: max(0, urgent)]:
@@ -549,15 +555,10 @@
     def _refusal(self, queued: QueuedWant, reason: Reason, retry_ms: int) -> Action:
         want = queued.want
         self.stats.refused[want.tier, reason.value] += 1
-        if reason in SHED_REASONS and self._has_lower(want):
+        if reason in SHED_REASONS and not self._may_refuse(want.tier, want.model):
             self.stats.inversions += 1
         return Send(queued.host, Refuse(want.request_id, self.cell, reason, retry_ms))
 
-    def _has_lower(self, want: Want) -> bool:
-        if self._queues.has_lower(want.tier, want.model):
-            return True
-        return not self._may_refuse(want.tier, want.model, with_preempted=True)
-
     # Configuration
 
     @property
--- a/src/peridotfront/core/shedding.py
+++ b/src/peridotfront/core/shedding.py
@@ -26,12 +26,14 @@
     :param prefill_tokens_per_ms: prompt tokens that they process together.
     :param prompt_token_ms: how long one of them takes for a prompt token.
     :param output_token_ms: how long one of them takes for an output token.
+    :param least_prompt_token_ms: how long the fastest takes for a prompt token.
     """
 
     slots: int
     prefill_tokens_per_ms: float
     prompt_token_ms: float
     output_token_ms: float
+    least_prompt_token_ms: float
     measured_ms: int
 
     def hold_ms(self, demand: Demand) -> float:
@@ -112,7 +114,7 @@
             return known
         slots = 0
         prefill_tokens_per_ms = 0.0
-        prompt_token_ms = output_token_ms = 0.0
+        prompt_token_ms = output_token_ms = best_rate = 0.0
         for upstream in upstreams:
             budget = upstream.budget
             usable = upstream.health.slots(int(budget.limit_slots), now_ms)
@@ -121,6 +123,7 @@
             slots += usable
             rate = budget.prefill_tokens_per_s / 1000.0
             prefill_tokens_per_ms += rate
+            best_rate = max(best_rate, rate)
             prompt_token_ms += usable / rate
             output_token_ms += usable * budget.gap_ms
         known = Capacity(
@@ -128,6 +131,7 @@
             prefill_tokens_per_ms=prefill_tokens_per_ms,
             prompt_token_ms=prompt_token_ms / max(1, slots),
             output_token_ms=output_token_ms / max(1, slots),
+            least_prompt_token_ms=1 / best_rate if best_rate else 0.0,
             measured_ms=now_ms,
         )
         self._capacities[model] = known
@@ -136,12 +140,21 @@
     def patience_ms(
         self, queued: QueuedWant, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
-        """Return how long a want can still wait and begin its answer in time."""
+        """Return how long a want can wait and begin in time at most upstreams."""
         capacity = self.capacity(queued.want.model, upstreams, now_ms)
         prompt_tokens = queued.want.prompt_tokens * self._miss_share
         own_ms = prompt_tokens * capacity.prompt_token_ms + capacity.output_token_ms
         return queued.deadline_at_ms - own_ms - now_ms
 
+    def is_hopeless(
+        self, queued: QueuedWant, upstreams: Iterable[Upstream], now_ms: int
+    ) -> bool:
+        """Return whether a want cannot begin in time even at the fastest."""
+        capacity = self.capacity(queued.want.model, upstreams, now_ms)
+        prompt_tokens = queued.want.prompt_tokens * self._miss_share
+        own_ms = prompt_tokens * capacity.least_prompt_token_ms
+        return now_ms + own_ms > queued.deadline_at_ms
+
     def wait_ms(
         self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
@@ -179,18 +192,13 @@
         )
 
 
-def lower_slots(
-    tier: int, upstreams: Iterable[Upstream], *, with_preempted: bool
-) -> Iterator[Slot]:
-    """Yield the slots of lower tiers in reach of a want.
-
-    :param with_preempted: whether to count those that were asked to end.
-    """
+def lower_slots(tier: int, upstreams: Iterable[Upstream]) -> Iterator[Slot]:
+    """Yield the slots of lower tiers in reach of a want."""
     for upstream in upstreams:
         if upstream.is_leaving:
             continue
         for slot in upstream.budget.slots.values():
-            if slot.want.tier > tier and (with_preempted or not slot.is_preempted):
+            if slot.want.tier > tier:
                 yield slot
 
 
