Let those who came back as told go first, and drop stale deadlines

Change: booked wants go first within their account and are refused only when they can no longer begin in time; stale entries are told by their deadline. The default of slow_token_ms is 26.5 now. Shown: the new scenario fails with the check taken out on a scratch copy.

--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -6,7 +6,7 @@
 from cell_fixtures import Cell, make_fleet
 
 from peridotfront.core.cell_events import HostLost
-from peridotfront.core.messages import Grant, Refuse
+from peridotfront.core.messages import CancelWant, Grant, Refuse
 
 
 @given("a cell with {engines:d} engines of {slots:d} slots")
@@ -91,6 +91,24 @@
     context.cell.hold(request_id, host, upstream, 5)
 
 
+@when("a want is withdrawn and comes back with a later deadline")
+def come_back(context):
+    cell = context.cell
+    cell.want("back", deadline_ms=400)
+    cell.receive("h", CancelWant("back", cell.scheduler.cell))
+    cell.want("back", deadline_ms=20_000)
+
+
+@when("another want arrives with an earlier deadline")
+def arrive_other(context):
+    context.cell.want("other", deadline_ms=800)
+
+
+@then("the other want is refused before its deadline")
+def refused_in_time(context):
+    assert context.cell.answers("other", Refuse)
+
+
 @when('host "{host}" is lost')
 def lose_host(context, host):
     context.cell.step(HostLost(host))
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -128,7 +128,7 @@
     preempts: bool = True
     affinity_ms: int = 1000
     learns_rates: bool = True
-    slow_token_ms: float = 26.0
+    slow_token_ms: float = 26.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -37,6 +37,11 @@
     deadline_at_ms: int
     is_booked: bool = False
 
+    @property
+    def turn_ms(self) -> int:
+        """Return the key that orders the wants of an account."""
+        return self.since_ms if self.is_booked else self.deadline_at_ms
+
     @property
     def cost_tokens(self) -> int:
         """Return the tokens that count against the account's share."""
@@ -51,7 +56,7 @@
     deficit_tokens: float = 0.0
     queued_tokens: int = 0
     members: dict[str, QueuedWant] = field(default_factory=dict)
-    by_deadline: list[tuple[int, int, str]] = field(default_factory=list)
+    by_turn: list[tuple[int, int, str]] = field(default_factory=list)
 
     @property
     def load(self) -> float:
@@ -63,7 +68,7 @@
         request_id = queued.want.request_id
         self.members[request_id] = queued
         self.queued_tokens += queued.cost_tokens
-        heappush(self.by_deadline, (queued.deadline_at_ms, sequence, request_id))
+        heappush(self.by_turn, (queued.turn_ms, sequence, request_id))
 
     def discard(self, request_id: str) -> None:
         """Remove a want."""
@@ -71,10 +76,13 @@
         self.queued_tokens -= queued.cost_tokens
 
     def head(self) -> QueuedWant:
-        """Return the want with the earliest deadline."""
-        while self.by_deadline[0][2] not in self.members:
-            heappop(self.by_deadline)
-        return self.members[self.by_deadline[0][2]]
+        """Return the want that came back as told, or has the earliest deadline."""
+        while True:
+            turn_ms, _, request_id = self.by_turn[0]
+            queued = self.members.get(request_id)
+            if queued is not None and queued.turn_ms == turn_ms:
+                return queued
+            heappop(self.by_turn)
 
     def newest(self) -> QueuedWant:
         """Return the want that came in last, if one can be of the unannounced."""
@@ -175,10 +183,12 @@
     def most_urgent(self) -> QueuedWant | None:
         """Return the want with the earliest deadline of all accounts."""
         while self._by_deadline:
-            request_id = self._by_deadline[0][2]
+            deadline_ms, _, request_id = self._by_deadline[0]
             name = self._account_of.get(request_id)
             if name is not None:
-                return self._accounts[name].members[request_id]
+                queued = self._accounts[name].members[request_id]
+                if queued.deadline_at_ms == deadline_ms:
+                    return queued
             heappop(self._by_deadline)
         return None
 
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -507,7 +507,9 @@
         victim = queue.victim()
         wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
         patience_ms = self._drain.patience_ms(victim, reach, now_ms)
-        if not victim.is_booked and self._bookings.is_open((tier, model), now_ms):
+        if victim.is_booked:
+            return None
+        if self._bookings.is_open((tier, model), now_ms):
             patience_ms *= FRESH_PATIENCE_SHARE
         return victim if wait_ms > patience_ms else None
 
