--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .bookings import Bookings
 from .budgets import Budget, Slot
 from .cell_dump import CellDump, CellStats, QueueDump, UpstreamDump
 from .cell_events import FleetChanged, HostLost, StrikesChanged
@@ -21,11 +22,12 @@
     UpstreamReport,
     Want,
 )
-from .placement import Choice, Placement, Upstream, new_slot
+from .placement import HIGHEST_TIER, Choice, Placement, Upstream, new_slot
 from .poison import StrikeBook
 from .prefixes import PrefixModel
 from .queues import FairQueue, QueuedWant, TierQueues
 from .shedding import (
+    FRESH_PATIENCE_SHARE,
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
     DrainRate,
@@ -38,13 +40,12 @@
 
 __all__ = ["CellScheduler", "FleetChanged", "HostLost", "StrikesChanged"]
 
-HIGHEST_TIER = 1
 MAX_SKIPS = 4
 CHECK_SLOTS_EVERY_MS = 100
 LEAVING_HOLD_MS = 10_000
 OVERDUE_FACTOR = 2
 RESEND_AFTER_ELSEWHERE_MS = 500
-SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED, Reason.DEADLINE)
+SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 WASTING_CAUSES = (
     ReleaseCause.CALLER_GONE,
     ReleaseCause.UPSTREAM_DIED,
@@ -76,6 +77,7 @@
         self._queues = TierQueues(lambda account: self._weights.get(account, 1))
         self._strikes = StrikeBook(fleet.policy.poison_strikes)
         self._drain = DrainRate(self._queues)
+        self._bookings = Bookings()
         self._settled_ms: int | None = None
         self._now_ms = 0
         self._checked_ms = 0
@@ -168,6 +170,9 @@
         if reason is not Reason.NONE:
             yield self._refusal(queued, reason, 0)
             return
+        if self._drain.is_hopeless(queued, self._reach[want.model], now_ms):
+            yield self._refusal(queued, Reason.DEADLINE, 0)
+            return
         self._queues.add(queued)
         self._drain.arrived(want, now_ms)
         if self._is_settled(now_ms):
@@ -231,7 +236,8 @@
 
     def _queued(self, want: Want, sender: str, now_ms: int) -> QueuedWant:
         patience = min(want.deadline_ms, self._fleet.policy.max_queue_ms)
-        return QueuedWant(want, sender, now_ms, now_ms + patience)
+        is_booked = self._bookings.redeem(want.request_id, now_ms)
+        return QueuedWant(want, sender, now_ms, now_ms + patience, is_booked)
 
     def _final_reason(self, want: Want) -> Reason:
         if self._strikes.is_poison(want.fingerprint):
@@ -294,7 +300,7 @@
             if isinstance(choice, Choice):
                 return self._grant(queued, choice, now_ms)
             if choice is None:
-                kept.update(one.name for one in upstreams if not one.is_slow)
+                kept.update(one.name for one in upstreams if not one.is_slow(now_ms))
                 break
             if choice.upstream is not None:
                 kept.add(choice.upstream.name)
@@ -481,10 +487,10 @@
     def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
         reach = self._reach.get(model, [])
         while (excess := self._excess(tier, model, now_ms)) is not None:
-            if not self._may_refuse(tier, model, with_preempted=True):
-                yield from self._make_room(tier, model, now_ms)
-                return
             yield from self._evict_lower(tier, model, now_ms)
+            if not self._may_refuse(tier, model):
+                yield from self._preempt_lower(tier, model, now_ms)
+                return
             wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
             left_ms = self._drain.patience_ms(excess, reach, now_ms)
             yield self._shed_one(excess, wait_ms - left_ms, now_ms)
@@ -496,28 +502,34 @@
         urgent = queue.most_urgent()
         if urgent is None:
             return None
-        if self._drain.patience_ms(urgent, reach, now_ms) < 0:
+        if self._drain.is_hopeless(urgent, reach, now_ms):
             return urgent
         victim = queue.victim()
         wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
-        if wait_ms > self._drain.patience_ms(victim, reach, now_ms):
-            return victim
-        return None
+        patience_ms = self._drain.patience_ms(victim, reach, now_ms)
+        if victim.is_booked:
+            return None
+        if self._bookings.is_open((tier, model), now_ms):
+            patience_ms *= FRESH_PATIENCE_SHARE
+        return victim if wait_ms > patience_ms else None
 
-    def _may_refuse(self, tier: int, model: str, *, with_preempted: bool) -> bool:
-        reach = self._reach.get(model, [])
-        return not any(lower_slots(tier, reach, with_preempted=with_preempted))
+    def _may_refuse(self, tier: int, model: str) -> bool:
+        if self._queues.has_lower(tier, model):
+            return False
+        return not any(lower_slots(tier, self._reach.get(model, [])))
 
     def _evict_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
+        """Evict queued lower work, lowest first, while none runs below it."""
         for lower in reversed(self._queues.tiers()):
             queue = self._queues.queue(lower, model)
             if lower <= tier or queue is None:
                 continue
+            if not self._may_refuse(lower, model):
+                return
             for queued in tuple(queue):
                 yield self._shed_one(queued, 0, now_ms)
 
-    def _make_room(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        yield from self._evict_lower(tier, model, now_ms)
+    def _preempt_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
         policy = self._fleet.policy
         if not policy.preempts:
             return
@@ -526,7 +538,7 @@
             for queued in self._queues.queue(tier, model)
         )
         reach = self._reach.get(model, [])
-        running = list(lower_slots(tier, reach, with_preempted=True))
+        running = list(lower_slots(tier, reach))
         urgent -= sum(slot.is_preempted for slot in running)
         candidates = [slot for slot in running if not slot.is_preempted]
         for slot in sorted(candidates, key=preempt_order)[: max(0, urgent)]:
@@ -539,8 +551,18 @@
         reason = Reason.OVERLOADED if is_new else Reason.EVICTED
         if not is_new:
             self.stats.evicted[queued.want.tier] += 1
-        retry_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(excess_ms)))
-        return self._refuse(queued, reason, retry_ms)
+        return self._refuse(queued, reason, self._book(queued.want, excess_ms, now_ms))
+
+    def _book(self, want: Want, excess_ms: float, now_ms: int) -> int:
+        reach = self._reach.get(want.model, [])
+        due_ms = self._bookings.book(
+            want.request_id,
+            (want.tier, want.model),
+            earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
+            interval_ms=self._drain.interval_ms(want, reach, now_ms),
+            latest_ms=now_ms + MAX_RETRY_AFTER_MS,
+        )
+        return due_ms - now_ms
 
     def _refuse(self, queued: QueuedWant, reason: Reason, retry_ms: int) -> Action:
         self._queues.discard(queued)
@@ -549,15 +571,10 @@
     def _refusal(self, queued: QueuedWant, reason: Reason, retry_ms: int) -> Action:
         want = queued.want
         self.stats.refused[want.tier, reason.value] += 1
-        if reason in SHED_REASONS and self._has_lower(want):
+        if reason in SHED_REASONS and not self._may_refuse(want.tier, want.model):
             self.stats.inversions += 1
         return Send(queued.host, Refuse(want.request_id, self.cell, reason, retry_ms))
 
-    def _has_lower(self, want: Want) -> bool:
-        if self._queues.has_lower(want.tier, want.model):
-            return True
-        return not self._may_refuse(want.tier, want.model, with_preempted=True)
-
     # Configuration
 
     @property
--- a/src/peridotfront/core/shedding.py
+++ b/src/peridotfront/core/shedding.py
@@ -9,6 +9,7 @@
 from .placement import Upstream
 from .queues import Demand, QueuedWant, TierQueues
 
+FRESH_PATIENCE_SHARE = 0.6
 HOLD_GAIN = 0.02
 HIT_GAIN = 0.02
 ARRIVAL_MEMORY_MS = 3000.0
@@ -26,12 +27,14 @@
     :param prefill_tokens_per_ms: prompt tokens that they process together.
     :param prompt_token_ms: how long one of them takes for a prompt token.
     :param output_token_ms: how long one of them takes for an output token.
+    :param least_prompt_token_ms: how long the fastest takes for a prompt token.
     """
 
     slots: int
     prefill_tokens_per_ms: float
     prompt_token_ms: float
     output_token_ms: float
+    least_prompt_token_ms: float
     measured_ms: int
 
     def hold_ms(self, demand: Demand) -> float:
@@ -112,7 +115,7 @@
             return known
         slots = 0
         prefill_tokens_per_ms = 0.0
-        prompt_token_ms = output_token_ms = 0.0
+        prompt_token_ms = output_token_ms = best_rate = 0.0
         for upstream in upstreams:
             budget = upstream.budget
             usable = upstream.health.slots(int(budget.limit_slots), now_ms)
@@ -121,6 +124,7 @@
             slots += usable
             rate = budget.prefill_tokens_per_s / 1000.0
             prefill_tokens_per_ms += rate
+            best_rate = max(best_rate, rate)
             prompt_token_ms += usable / rate
             output_token_ms += usable * budget.gap_ms
         known = Capacity(
@@ -128,6 +132,7 @@
             prefill_tokens_per_ms=prefill_tokens_per_ms,
             prompt_token_ms=prompt_token_ms / max(1, slots),
             output_token_ms=output_token_ms / max(1, slots),
+            least_prompt_token_ms=1 / best_rate if best_rate else 0.0,
             measured_ms=now_ms,
         )
         self._capacities[model] = known
@@ -136,12 +141,21 @@
     def patience_ms(
         self, queued: QueuedWant, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
-        """Return how long a want can still wait and begin its answer in time."""
+        """Return how long a want can wait and begin in time at most upstreams."""
         capacity = self.capacity(queued.want.model, upstreams, now_ms)
         prompt_tokens = queued.want.prompt_tokens * self._miss_share
         own_ms = prompt_tokens * capacity.prompt_token_ms + capacity.output_token_ms
         return queued.deadline_at_ms - own_ms - now_ms
 
+    def is_hopeless(
+        self, queued: QueuedWant, upstreams: Iterable[Upstream], now_ms: int
+    ) -> bool:
+        """Return whether a want cannot begin in time even at the fastest."""
+        capacity = self.capacity(queued.want.model, upstreams, now_ms)
+        prompt_tokens = queued.want.prompt_tokens * self._miss_share
+        own_ms = prompt_tokens * capacity.least_prompt_token_ms
+        return now_ms + own_ms > queued.deadline_at_ms
+
     def wait_ms(
         self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
@@ -153,8 +167,7 @@
         if capacity.slots == 0:
             return float(MAX_RETRY_AFTER_MS)
         higher = self._higher_rate(tier, model, now_ms)
-        spare_slots = capacity.slots - capacity.hold_ms(higher) * self._hold_ratio
-        spare_slots = max(spare_slots, capacity.slots * MIN_SPARE_SHARE)
+        spare_slots = self._spare_slots(capacity, higher)
         slots_ms = capacity.hold_ms(ahead) * self._hold_ratio / spare_slots
         prefill_rate = capacity.prefill_tokens_per_ms
         spare_rate = prefill_rate - higher.prompt_tokens * self._miss_share
@@ -162,6 +175,22 @@
         prefill_ms = ahead.prompt_tokens * self._miss_share / spare_rate
         return max(slots_ms, prefill_ms)
 
+    def interval_ms(
+        self, want: Want, upstreams: Iterable[Upstream], now_ms: int
+    ) -> float:
+        """Return the time between two wants like this one, when all slots are used."""
+        capacity = self.capacity(want.model, upstreams, now_ms)
+        if capacity.slots == 0:
+            return 0.0
+        higher = self._higher_rate(want.tier, want.model, now_ms)
+        demand = Demand(1, want.prompt_tokens * self._miss_share, want.output_tokens)
+        hold_ms = capacity.hold_ms(demand) * self._hold_ratio
+        return hold_ms / self._spare_slots(capacity, higher)
+
+    def _spare_slots(self, capacity: Capacity, higher: Demand) -> float:
+        spare_slots = capacity.slots - capacity.hold_ms(higher) * self._hold_ratio
+        return max(spare_slots, capacity.slots * MIN_SPARE_SHARE)
+
     def forget_capacity(self) -> None:
         """Drop what was worked out, since an upstream came or went."""
         self._capacities.clear()
@@ -179,18 +208,13 @@
         )
 
 
-def lower_slots(
-    tier: int, upstreams: Iterable[Upstream], *, with_preempted: bool
-) -> Iterator[Slot]:
-    """Yield the slots of lower tiers in reach of a want.
-
-    :param with_preempted: whether to count those that were asked to end.
-    """
+def lower_slots(tier: int, upstreams: Iterable[Upstream]) -> Iterator[Slot]:
+    """Yield the slots of lower tiers in reach of a want."""
     for upstream in upstreams:
         if upstream.is_leaving:
             continue
         for slot in upstream.budget.slots.values():
-            if slot.want.tier > tier and (with_preempted or not slot.is_preempted):
+            if slot.want.tier > tier:
                 yield slot
 
 
