--- a/features/callers.feature
+++ b/features/callers.feature
@@ -89,6 +89,12 @@
       | streams   |
       | is read   |
 
+  Scenario: A caller that closes just before its answer is no failure
+    Given a server whose caller closes just before its answer
+    When the handler answers
+    Then the handler sees no error but CallerGone
+    And no task and no connection is left
+
   Scenario Outline: A stream that is cut never looks whole to <version>
     Given a server whose handler cuts its stream
     When a caller reads the stream by <version>
--- a/features/standin.feature
+++ b/features/standin.feature
@@ -79,6 +79,7 @@
     And its fault <fault> is <value>
     When a plain completion of 30 tokens is asked for and time passes
     Then no answer came and it may have run
+    And its report comes unless <fault> is is_hung
     And after the fault is off a completion is answered
 
     Examples:
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import socket
 import tempfile
 from pathlib import Path
 
@@ -68,7 +69,7 @@
 }
 JSON_FAULTS = {
     "bad UTF-8": b'"\xff\xfe"',
-    "a huge integer": b'{"max_tokens": 1' + b"0" * 5000 + b"}",
+    "a huge integer": b'{"max_tokens": 1' + b"0" * 40 + b"}",
     "a number that is no number": b"[NaN]",
     "deep nesting": b"[" * 60_000,
 }
@@ -169,7 +170,8 @@
     async def crowd():
         context.held = await connect(context.address)
         await until(lambda: context.server.connections == 1)
-        return [await talk(context.address, b"") for _ in range(3)]
+        context.others = [await connect(context.address) for _ in range(3)]
+        return [await reader.read() for reader, _ in context.others]
 
     context.answers = [parse_problem(answer) for answer in run(context, crowd())]
 
@@ -188,8 +190,12 @@
         writer.write(GOOD)
         first = await reader.read()
         writer.close()
-        await until(lambda: context.server.connections == 0)
-        return first, await talk(context.address, GOOD)
+        # The three have not closed their side yet.
+        await until(lambda: context.server.connections == 3)
+        second = await talk(context.address, GOOD)
+        for _, writer in context.others:
+            writer.close()
+        return first, second
 
     assert all(answer.endswith(b"ok") for answer in run(context, use()))
 
@@ -451,6 +457,33 @@
     assert second.endswith(b"\r\n\r\nok")
 
 
+@given("a server whose caller closes just before its answer")
+def closing_caller(context):
+    context.error = None
+
+    async def handler(exchange):
+        context.raw.close()
+        try:
+            await exchange.respond(200, [], b"late")
+        except Exception as error:
+            context.error = error
+
+    serve(context, handler)
+
+
+@when("the handler answers")
+def answer_late(context):
+    host_ip, _, port = context.address.rpartition(":")
+    context.raw = socket.create_connection((host_ip, int(port)))
+    context.raw.sendall(GOOD)
+    run(context, until(lambda: context.raw.fileno() == -1))
+
+
+@then("the handler sees no error but CallerGone")
+def no_error(context):
+    assert context.error is None or isinstance(context.error, CallerGone), context.error
+
+
 @given("a server whose handler waits for a word")
 def word_server(context):
     context.word = asyncio.Event()
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -268,6 +268,7 @@
     async def read():
         answer = await ask(context, "streamed", max_tokens)
         body = b""
+        was_cut = False
         try:
             async for data in answer.chunks():
                 body += data
@@ -275,7 +276,8 @@
                     answer.cancel()
                     break
         except exceptions.AnswerTruncated:
-            assert how == "cut off"
+            was_cut = True
+        assert was_cut == (how == "cut off")
         rest = await context.client.resume(context.address, "id-1", len(body))
         return body + await rest.read()
 
@@ -389,10 +391,24 @@
 
 @then("no answer came and it may have run")
 def no_answer(context):
-    assert context.error is not None
+    silent = (exceptions.UpstreamDied, exceptions.UpstreamTimedOut)
+    assert isinstance(context.error, silent), repr(context.error)
     assert context.error.verdict is Verdict.MAY_HAVE_RUN
 
 
+@then("its report comes unless {fault} is is_hung")
+def report_comes(context, fault):
+    async def ask_report():
+        await context.client.report(context.address, timeouts=FAST)
+
+    try:
+        run(context, ask_report())
+        came = True
+    except exceptions.UpstreamTimedOut:
+        came = False
+    assert came == (fault != "is_hung")
+
+
 @then("after the fault is off a completion is answered")
 def fault_off(context):
     set_faults(context, {})
--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -92,8 +92,9 @@
         listener.bind((HOST_IP, 0))
         port = listener.getsockname()[1]
         waiting = []
-        if cause == "a full accept queue":
+        if cause != "a closed port":
             listener.listen(0)
+        if cause == "a full accept queue":
             waiting = [fill_queue(listener) for _ in range(4)]
         address = {
             "a host name": f"localhost:{port}",
--- a/src/peridotfront/callers.py
+++ b/src/peridotfront/callers.py
@@ -9,9 +9,10 @@
 from email.utils import formatdate
 from http import HTTPStatus
 
+from .caller_connections import CallerConnection
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import CallerGone, InvalidRequest
-from .exchanges import CallerConnection, Exchange, HttpLimits
+from .exchanges import Exchange, HttpLimits
 from .http_messages import Header, HttpRequest
 from .problems import Problem, problem
 
--- a/src/peridotfront/exchanges.py
+++ b/src/peridotfront/exchanges.py
@@ -1,36 +1,15 @@
-"""Connections of callers, and the exchanges that they carry one by one."""
+"""Exchanges: one request of a caller each, and the answer to it."""
 
 import asyncio
-import contextlib
-import math
-import socket
-import struct
 from collections.abc import Iterable
 from dataclasses import dataclass
-from enum import Enum, auto
-from http import HTTPStatus
 from typing import Protocol
 
-import h11
-
-from .core.verdicts import Reason, Refusal, Verdict
+from .core.verdicts import Refusal
 from .exceptions import CallerGone
-from .http_messages import (
-    HttpRequest,
-    decode_headers,
-    encode_headers,
-    origin_target,
-    without_hop_headers,
-)
+from .http_messages import HttpRequest
 from .problems import problem
 
-LINGER_MS = 500
-MIN_BYTES_PER_CHUNK = 32
-FREE_CHUNKS = 1024
-MAX_WIRE_BYTES_PER_BODY_BYTE = 2
-OVERLOAD_RETRY_MS = 1000
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
@@ -50,6 +29,36 @@
     write_buffer_bytes: int = 64 * 1024
 
 
+class AnswerChannel(Protocol):
+    """What an exchange needs of its connection."""
+
+    @property
+    def slice_bytes(self) -> int:
+        """Return how much of a body may be handed over at once."""
+
+    @property
+    def is_writable(self) -> bool:
+        """Tell whether the write buffer has room."""
+
+    def begin_answer(self, status_code: int, headers) -> None:
+        """Queue status and headers; they leave with the data that follows."""
+
+    def flush_soon(self) -> None:
+        """Send queued headers in the next turn, unless data takes them along."""
+
+    def send_data(self, data: bytes) -> None:
+        """Hand a piece of the body to the transport."""
+
+    async def wait_writable(self) -> None:
+        """Wait while the caller reads slowly."""
+
+    def end_answer(self) -> None:
+        """End the answer and go on with the next request, or close."""
+
+    def cut(self) -> None:
+        """Close after what was written, without the end of the answer."""
+
+
 class Exchange:
     """Is one request of a caller and the answer to it.
 
@@ -60,7 +69,7 @@
     :param request: the whole request.
     """
 
-    def __init__(self, request: HttpRequest, connection: "CallerConnection"):
+    def __init__(self, request: HttpRequest, connection: AnswerChannel):
         self.request = request
         self.gone = asyncio.Event()
         self.is_started = False
@@ -146,391 +155,3 @@
             raise CallerGone("the caller closed its connection")
         if self.is_finished or not self.is_started:
             raise RuntimeError("the answer has not begun or is finished")
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs of its server."""
-
-    limits: HttpLimits
-    is_draining: bool
-
-    def admit(self, connection: "CallerConnection") -> bool:
-        """Count a connection; false if there are too many."""
-
-    def forget(self, connection: "CallerConnection") -> None:
-        """Drop a closed connection."""
-
-    def run(self, exchange: Exchange) -> None:
-        """Start the handler on a request."""
-
-    def date(self) -> bytes:
-        """Return the value of the Date header."""
-
-
-class _Phase(Enum):
-    IDLE = auto()
-    READING = auto()
-    RUNNING = auto()
-    CLOSING = auto()
-
-
-class CallerConnection(asyncio.Protocol):
-    """Serves the requests of one connection, one after the other.
-
-    A caller that closes its sending side counts as gone.
-    """
-
-    def __init__(self, server: ConnectionOwner):
-        self.idle_since_s = math.inf
-        self._phase = _Phase.IDLE
-        self._server = server
-        self._limits = server.limits
-        self._loop = asyncio.get_running_loop()
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
-        )
-        self._transport: asyncio.Transport | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._phase_deadline_s = math.inf
-        self._write_deadline_s = math.inf
-        self._unsent_bytes = 0
-        self._exchange: Exchange | None = None
-        self._head: h11.Request | None = None
-        self._target = ""
-        self._body = bytearray()
-        self._chunk_count = 0
-        self._wire_bytes = 0
-        self._is_at_end = False
-        self._pending: list[bytes] = []
-
-    @property
-    def slice_bytes(self) -> int:
-        """Return how much of a body may be handed over at once."""
-        return self._limits.write_buffer_bytes
-
-    @property
-    def is_writable(self) -> bool:
-        """Tell whether the write buffer has room."""
-        return self._writable.is_set()
-
-    @property
-    def is_idle(self) -> bool:
-        """Tell whether the connection waits for a request."""
-        return self._phase is _Phase.IDLE
-
-    # Events of the transport.
-
-    def connection_made(self, transport) -> None:
-        """Start to wait for a request."""
-        self._transport = transport
-        transport.set_write_buffer_limits(high=self._limits.write_buffer_bytes)
-        self._be_idle()
-        if not self._server.admit(self):
-            self._refuse(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                Reason.OVERLOADED,
-                "too many connections",
-                OVERLOAD_RETRY_MS,
-            )
-
-    def data_received(self, data: bytes) -> None:
-        """Take bytes of the caller."""
-        if self._phase is _Phase.CLOSING:
-            return
-        self._http.receive_data(data)
-        self._wire_bytes += len(data)
-        if self._phase is _Phase.RUNNING:
-            if self._wire_bytes > self._limits.header_bytes:
-                self._transport.pause_reading()
-            return
-        if self._phase is _Phase.IDLE:
-            self._begin_reading()
-        self._read_events()
-
-    def eof_received(self) -> bool:
-        """Take the end of what the caller sends."""
-        if self._phase is not _Phase.READING:
-            return False
-        self._is_at_end = True
-        self._http.receive_data(b"")
-        self._read_events()
-        return self._transport.get_extra_info("sslcontext") is None
-
-    def connection_lost(self, exc) -> None:
-        """Tell the handler that the caller is gone."""
-        self._phase = _Phase.CLOSING
-        self._writable.set()
-        self._server.forget(self)
-        if self._exchange is not None:
-            self._exchange.gone.set()
-
-    def pause_writing(self) -> None:
-        """Hold writers back: the write buffer is full."""
-        self._writable.clear()
-        self._watch_writes()
-
-    def resume_writing(self) -> None:
-        """Let writers go on: the write buffer has room."""
-        self._writable.set()
-        self._write_deadline_s = math.inf
-
-    # Reading requests.
-
-    def _be_idle(self) -> None:
-        self._phase = _Phase.IDLE
-        self.idle_since_s = self._loop.time()
-        self._phase_deadline_s = self.idle_since_s + self._limits.idle_ms / 1000
-
-    def _begin_reading(self) -> None:
-        self._phase = _Phase.READING
-        self._phase_deadline_s = self._loop.time() + self._limits.request_ms / 1000
-
-    def _read_events(self) -> None:
-        while self._phase is _Phase.READING:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                self._refuse_malformed(error)
-                return
-            if event is h11.NEED_DATA:
-                self._wait_for_data()
-                return
-            self._take(event)
-
-    def _take(self, event) -> None:
-        if isinstance(event, h11.Data):
-            self._take_data(event.data)
-        elif isinstance(event, h11.Request):
-            self._take_head(event)
-        elif isinstance(event, h11.EndOfMessage):
-            self._dispatch()
-        else:
-            self._close()
-
-    def _take_head(self, head: h11.Request) -> None:
-        self._head = head
-        size_bytes = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
-        if size_bytes > self._limits.header_bytes:
-            self._refuse_long_header()
-            return
-        fields = dict(head.headers)
-        if b"transfer-encoding" in fields and b"content-length" in fields:
-            self._refuse_invalid("both Content-Length and Transfer-Encoding")
-            return
-        self._target = origin_target(head.target.decode("ascii"))
-        if not self._target:
-            self._refuse_invalid("the target is not a path")
-            return
-        if int(fields.get(b"content-length", 0)) > self._limits.body_bytes:
-            self._refuse_long_body()
-
-    def _take_data(self, data: bytes) -> None:
-        self._body += data
-        self._chunk_count += 1
-        if len(self._body) > self._limits.body_bytes:
-            self._refuse_long_body()
-        elif self._chunk_count > FREE_CHUNKS + len(self._body) / MIN_BYTES_PER_CHUNK:
-            self._refuse_invalid("the chunks of the body are too small")
-
-    def _wait_for_data(self) -> None:
-        most_bytes = MAX_WIRE_BYTES_PER_BODY_BYTE * self._limits.body_bytes
-        if self._wire_bytes > self._limits.header_bytes + most_bytes:
-            self._refuse_long_body()
-        elif self._http.they_are_waiting_for_100_continue:
-            answer = h11.InformationalResponse(status_code=100, headers=[])
-            self._transport.write(self._http.send(answer))
-
-    def _dispatch(self) -> None:
-        path, _, query = self._target.partition("?")
-        request = HttpRequest(
-            method=self._head.method.decode("ascii"),
-            target=self._target,
-            path=path,
-            query=query,
-            headers=decode_headers(self._head.headers),
-            body=bytes(self._body),
-        )
-        self._body = bytearray()
-        self._chunk_count = 0
-        self._wire_bytes = len(self._http.trailing_data[0])
-        self._phase = _Phase.RUNNING
-        self._phase_deadline_s = math.inf
-        self._exchange = Exchange(request, self)
-        self._server.run(self._exchange)
-
-    # Refusing requests that never reach the handler.
-
-    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
-        if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-            self._refuse_long_header()
-            return
-        self._refuse_invalid("malformed HTTP")
-
-    def _refuse_invalid(self, detail: str) -> None:
-        self._refuse(HTTPStatus.BAD_REQUEST, Reason.INVALID_REQUEST, detail)
-
-    def _refuse_long_header(self) -> None:
-        status_code = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        self._refuse(status_code, Reason.TOO_LARGE, "the header is too long")
-
-    def _refuse_long_body(self) -> None:
-        status_code = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        self._refuse(status_code, Reason.TOO_LARGE, "the body is too long")
-
-    def _refuse(
-        self, status_code: int, reason: Reason, detail: str, retry_after_ms: int = 0
-    ) -> None:
-        refusal = Refusal(Verdict.NOT_RUN, reason, retry_after_ms, detail)
-        headers, body = problem(status_code, refusal)
-        length = ("content-length", str(len(body)))
-        fields = encode_headers([*headers, length, ("connection", "close")])
-        fields.append((b"date", self._server.date()))
-        response = h11.Response(status_code=status_code, headers=fields)
-        try:
-            parts = [self._http.send(response)]
-            if self._head is None or self._head.method != b"HEAD":
-                parts.append(self._http.send(h11.Data(data=body)))
-            parts.append(self._http.send(h11.EndOfMessage()))
-        except h11.LocalProtocolError:
-            self._close()
-            return
-        self._transport.write(b"".join(parts))
-        self._close_after_linger()
-
-    # Sending answers.
-
-    def begin_answer(self, status_code: int, headers) -> None:
-        """Queue status and headers; they leave with the data that follows."""
-        self._check_caller()
-        fields = encode_headers(without_hop_headers(headers))
-        fields.append((b"date", self._server.date()))
-        if self._server.is_draining:
-            fields.append((b"connection", b"close"))
-        response = h11.Response(status_code=status_code, headers=fields)
-        self._pending.append(self._http.send(response))
-
-    def send_data(self, data: bytes) -> None:
-        """Hand a piece of the body to the transport."""
-        self._check_caller()
-        if self._head.method != b"HEAD":
-            self._pending += self._http.send_with_data_passthrough(h11.Data(data=data))
-        self.flush()
-
-    async def wait_writable(self) -> None:
-        """Wait while the caller reads slowly.
-
-        :raises CallerGone: if the caller's connection is closed.
-        """
-        await self._writable.wait()
-        self._check_caller()
-
-    def end_answer(self) -> None:
-        """End the answer and go on with the next request, or close."""
-        self._check_caller()
-        self._pending.append(self._http.send(h11.EndOfMessage()) or b"")
-        self.flush()
-        self._exchange = None
-        if self._server.is_draining or self._http.our_state is not h11.DONE:
-            self._half_close()
-            return
-        self._http.start_next_cycle()
-        self._head = None
-        self._next_request()
-
-    def cut(self) -> None:
-        """Close after what was written, without the end of the answer."""
-        if self._phase is _Phase.CLOSING:
-            return
-        self.flush()
-        if self._http.their_http_version != b"1.1":
-            # Only a reset tells an HTTP/1.0 caller that the answer is not whole.
-            sock = self._transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self._close()
-
-    def flush_soon(self) -> None:
-        """Send queued headers in the next turn, unless data takes them along."""
-        self._loop.call_soon(self.flush)
-
-    def flush(self) -> None:
-        """Hand everything queued to the transport."""
-        if self._pending:
-            self._transport.write(b"".join(self._pending))
-            self._pending.clear()
-
-    def _next_request(self) -> None:
-        self._transport.resume_reading()
-        if self._wire_bytes:
-            self._begin_reading()
-            self._read_events()
-            return
-        self._be_idle()
-
-    def _check_caller(self) -> None:
-        if self._phase is not _Phase.RUNNING or self._transport.is_closing():
-            raise CallerGone("the caller closed its connection")
-
-    # Deadlines and closing.
-
-    def check_deadlines(self, now_s: float) -> None:
-        """End what took too long."""
-        if now_s >= self._write_deadline_s:
-            self._check_writes()
-        elif now_s >= self._phase_deadline_s:
-            self._expire()
-
-    def abort(self) -> None:
-        """Close at once."""
-        self._transport.abort()
-
-    def _expire(self) -> None:
-        if self._phase is _Phase.READING:
-            status_code = HTTPStatus.REQUEST_TIMEOUT
-            self._refuse(status_code, Reason.DEADLINE, "the request came too slowly")
-        else:
-            self._close()
-
-    def _watch_writes(self) -> None:
-        self._unsent_bytes = self._transport.get_write_buffer_size()
-        self._write_deadline_s = self._loop.time() + self._limits.write_ms / 1000
-
-    def _check_writes(self) -> None:
-        if self._transport.get_write_buffer_size() < self._unsent_bytes:
-            self._watch_writes()
-            return
-        self._transport.abort()
-
-    def _half_close(self) -> None:
-        # Closing with unread bytes would reset the connection and lose the answer.
-        if not self._transport.can_write_eof():
-            self._close()
-            return
-        self._phase = _Phase.CLOSING
-        self._write_eof()
-        self._linger()
-
-    def _close_after_linger(self) -> None:
-        if self._is_at_end:
-            self._close()
-            return
-        if self._transport.can_write_eof():
-            self._write_eof()
-        self._phase = _Phase.CLOSING
-        self._linger()
-
-    def _write_eof(self) -> None:
-        # The caller may have reset the connection since it was last heard.
-        with contextlib.suppress(OSError):
-            self._transport.write_eof()
-
-    def _linger(self) -> None:
-        self._transport.resume_reading()
-        self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
-
-    def _close(self) -> None:
-        self._phase = _Phase.CLOSING
-        self._phase_deadline_s = math.inf
-        if self._transport.get_write_buffer_size():
-            self._watch_writes()
-        self._transport.close()
--- a/src/peridotfront/standin_api.py
+++ b/src/peridotfront/standin_api.py
@@ -3,11 +3,9 @@
 import asyncio
 import hashlib
 import json
-from collections.abc import Iterator
-from dataclasses import dataclass, field
 from itertools import count
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ValidationError
 
 from .callers import Exchange, HttpRequest
 from .core.verdicts import Reason, Refusal, Verdict
@@ -16,166 +14,19 @@
     EngineOrder,
     EngineReport,
     ExportedKv,
-    OrderResult,
 )
 from .exceptions import CallerGone, InvalidRequest
 from .http_messages import parse_json
 from .standin_engine import Engine, EngineSpec, Job, Prefilled, Produced
+from .standin_orders import Orders
+from .standin_runs import CHAT_PATH, COMPLETION_PATH, CompletionBody, Run
 from .standin_service import Faults, RunFile
 from .standin_settings import EngineSection
-from .standin_text import block_hashes, chat_prompt, count_tokens, token_texts
+from .standin_text import block_hashes, count_tokens, token_texts
 
 JSON_TYPE = ("content-type", "application/json")
 SSE_TYPE = ("content-type", "text/event-stream")
-CHAT_PATH = "/v1/chat/completions"
-COMPLETION_PATH = "/v1/completions"
 CHECK_INTERVAL_MS = 10
-DONE_EVENT = b"data: [DONE]\n\n"
-
-
-class ChatMessage(BaseModel):
-    """Is one message of a chat."""
-
-    role: str
-    content: str
-
-
-class CompletionBody(BaseModel):
-    """Is the body of a completion request, of either kind."""
-
-    model_config = ConfigDict(extra="ignore")
-
-    model: str
-    prompt: str = ""
-    messages: tuple[ChatMessage, ...] = ()
-    max_tokens: int = Field(default=16, ge=1, le=1_000_000)
-    stream: bool = False
-
-    @property
-    def full_prompt(self) -> str:
-        """Return the prompt that the model sees."""
-        if not self.messages:
-            return self.prompt
-        return chat_prompt([(m.role, m.content) for m in self.messages])
-
-
-@dataclass(slots=True)
-class Run:
-    """Is one run of a request and the answer as far as it is produced."""
-
-    run_id: int
-    request_id: str
-    target: str
-    raw_body: bytes
-    body: CompletionBody
-    texts: Iterator[str]
-    prompt_tokens: int
-    cached_tokens: int = 0
-    produced_tokens: int = 0
-    text_parts: list[str] = field(default_factory=list)
-    answer: bytearray = field(default_factory=bytearray)
-    is_done: bool = False
-    is_gone: bool = False
-    is_resumable: bool = False
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    @property
-    def is_chat(self) -> bool:
-        """Tell which of the two kinds of completion was asked for."""
-        return self.target == CHAT_PATH
-
-    def wake(self) -> None:
-        """Wake whoever waits for more of the answer."""
-        changed = self.changed
-        self.changed = asyncio.Event()
-        changed.set()
-
-    def add_token(self, is_last: bool) -> None:
-        """Append the next token to the answer."""
-        text = next(self.texts)
-        self.produced_tokens += 1
-        if self.body.stream:
-            self.answer += self._event(text, None)
-        else:
-            self.text_parts.append(text)
-        if is_last:
-            self._finish()
-        self.wake()
-
-    def skip_tokens(self, skipped: int) -> None:
-        """Rebuild the part of the answer that another engine produced."""
-        for _ in range(skipped):
-            self.add_token(False)
-
-    def _finish(self) -> None:
-        self.is_done = True
-        if self.body.stream:
-            self.answer += self._event("", "length") + DONE_EVENT
-            return
-        content = self._head() | {"choices": [self._choice()], "usage": self._usage()}
-        self.answer += json.dumps(content).encode()
-
-    def _head(self) -> dict:
-        name = "chat.completion" if self.is_chat else "text_completion"
-        if self.body.stream and self.is_chat:
-            name = "chat.completion.chunk"
-        return {"id": self.request_id, "object": name, "model": self.body.model}
-
-    def _choice(self) -> dict:
-        text = "".join(self.text_parts)
-        if self.is_chat:
-            part = {"message": {"role": "assistant", "content": text}}
-        else:
-            part = {"text": text}
-        return {"index": 0, **part, "finish_reason": "length"}
-
-    def _event(self, text: str, finish_reason: str | None) -> bytes:
-        part = {"delta": {"content": text}} if self.is_chat else {"text": text}
-        choice = {"index": 0, **part, "finish_reason": finish_reason}
-        content = self._head() | {"choices": [choice]}
-        if finish_reason:
-            content["usage"] = self._usage()
-        return b"data: " + json.dumps(content).encode() + b"\n\n"
-
-    def _usage(self) -> dict:
-        return {
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": self.produced_tokens,
-            "total_tokens": self.prompt_tokens + self.produced_tokens,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
-        }
-
-
-class _Orders:
-    """Holds what the engine has loaded and the last fencing token."""
-
-    def __init__(self, models: tuple[str, ...], honours_fencing: bool):
-        self.loaded = {"model": list(models), "adapter": [], "version": []}
-        self.role = ""
-        self._honours_fencing = honours_fencing
-        self._token = (0, 0)
-        self._done: set[str] = set()
-
-    def check(self, order: EngineOrder) -> OrderResult:
-        """Tell whether an order is accepted, and take its fencing token."""
-        token = (order.term, order.sequence)
-        if self._honours_fencing and token < self._token:
-            return OrderResult(is_accepted=False, detail="old fencing token")
-        self._token = max(self._token, token)
-        if order.order_id in self._done:
-            return OrderResult(is_accepted=True, detail="already done")
-        return OrderResult(is_accepted=True)
-
-    def carry_out(self, order: EngineOrder) -> None:
-        """Change what is loaded."""
-        self._done.add(order.order_id)
-        verb, _, noun = order.kind.partition("_")
-        if verb == "set":
-            self.role = order.name
-        elif verb == "unload" and order.name in self.loaded[noun]:
-            self.loaded[noun].remove(order.name)
-        elif verb == "load" and order.name not in self.loaded[noun]:
-            self.loaded[noun].append(order.name)
 
 
 class StandinEngine:
@@ -193,7 +44,7 @@
         self._loop = asyncio.get_running_loop()
         self._engine = Engine(self._spec())
         models = tuple(m.strip() for m in section.models.split(",") if m.strip())
-        self._orders = _Orders(models, section.honours_fencing)
+        self._orders = Orders(models, section.honours_fencing)
         self._runs: dict[int, Run] = {}
         self._latest: dict[str, Run] = {}
         self._run_ids = count(1)
