--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -51,9 +51,9 @@
 class AccountSection(Section):
     """Describes a client account; see :class:`peridotfront.core.fleet.AccountSpec`.
 
-    :param requests_per_s: bound on its requests at one entry host.
-    :param burst_requests: how many may arrive at once there above that rate.
-    :param max_concurrent: bound on its requests in progress at one entry host.
+    :param requests_per_s: bound on its requests, shared among live entry hosts.
+    :param burst_requests: how many may arrive at once above that rate, shared alike.
+    :param max_concurrent: bound on its requests in progress, shared alike.
     """
 
     name: Name
