Mend TLS between hosts and prove the operators' guide

Ruled out: the certificates; the same files serve callers. Change: the order is mended. PEM files are checked before a port is opened and a fault names section, key and reason. fire no longer takes a settings path for a Python literal, which put a SyntaxWarning before the first log line. Also shown with real processes: a lost disk, a rolling restart of the control group with a change after each, drain.

--- /dev/null
+++ b/features/operations.feature
@@ -0,0 +1,25 @@
+Feature: What the operators' guide says is so
+  Real processes, the real command line, the steps of the guide.
+
+  Scenario: Hosts, operators and callers speak TLS throughout
+    Given a deployment with TLS and one engine, put into force by the command line
+    When a caller asks for a completion over TLS
+    Then the caller's answer is whole
+    And no admin or callers' address answers without TLS
+    And a peer without a certificate is not heard
+
+  Scenario: A control host that lost its disk becomes a voter again by itself
+    Given a deployment without TLS, put into force by the command line
+    When a control host that follows loses its data folder and is started again
+    Then it becomes a voter with a new incarnation
+    And an operator's change is accepted and in force everywhere
+
+  Scenario: A rolling restart of the control group holds every accepted change
+    Given a deployment without TLS, put into force by the command line
+    When the control hosts are restarted one by one, with a change after each
+    Then every change is in force everywhere and in the history in order
+
+  Scenario: An upstream that is drained is shown as leaving
+    Given a deployment without TLS, put into force by the command line
+    When the operator drains engine-1 of the deployment
+    Then the upstreams of the deployment show engine-1 as leaving
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -58,6 +58,21 @@
     When the program of entry is started with them
     Then it exits with code 2 and names "[callers] max_connections = 'many'"
 
+  Scenario Outline: A program whose TLS files are unusable says which
+    Given good settings of <role>
+    And the settings line "is_off = false" under "[tls]"
+    And the settings line "ca_file = /dev/null" under "[tls]"
+    And the settings line "certificate_file = /no/such.pem" under "[tls]"
+    And the settings line "key_file = /no/such.key" under "[tls]"
+    When the program of <role> is started with them
+    Then it exits with code 2 and names "[tls] certificate_file = '/no/such.pem'"
+    And it names "[tls] ca_file = '/dev/null'" as well
+
+    Examples:
+      | role    |
+      | entry   |
+      | control |
+
   Scenario: The page on settings is complete and current
     When the generated pages are checked
     Then no fault is found in it
--- /dev/null
+++ b/features/steps/operations_steps.py
@@ -0,0 +1,166 @@
+"""Steps on the procedures of the operators' guide."""
+
+import contextlib
+import http.client
+import json
+import shutil
+import socket
+import ssl
+import tempfile
+
+from behave import given, then, when
+from support.deployment import call, wait_until
+from support.operated import OperatedDeployment
+
+TIMEOUT_S = 30
+HELLO = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes(9)
+
+
+def start(context, uses_tls, entry_hosts):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.operated = OperatedDeployment(
+        folder.name, uses_tls=uses_tls, entry_hosts=entry_hosts
+    )
+    context.operated.add_engine("engine-1", "dc1")
+    context.add_cleanup(context.operated.stop)
+    context.operated.start()
+
+
+@given("a deployment with TLS and one engine, put into force by the command line")
+def start_tls(context):
+    start(context, uses_tls=True, entry_hosts=1)
+
+
+@given("a deployment without TLS, put into force by the command line")
+def start_plain(context):
+    start(context, uses_tls=False, entry_hosts=1)
+
+
+def status(context):
+    run = context.operated.ctl("status", "--json")
+    assert run.code == 0, run
+    return json.loads(run.out)
+
+
+def set_queue_ms(context, value):
+    return context.operated.ctl(
+        "config", "set", "policy", "max_queue_ms", str(value), "--json"
+    )
+
+
+@when("a caller asks for a completion over TLS")
+def ask_tls(context):
+    operated = context.operated
+    address = operated.processes["entry-1"].addresses["callers"]
+    host, _, port = address.rpartition(":")
+    trust = ssl.create_default_context(cafile=operated.authority.file)
+    connection = http.client.HTTPSConnection(
+        host, int(port), timeout=TIMEOUT_S, context=trust
+    )
+    body = json.dumps({"model": "m1", "prompt": "hallmark 375", "max_tokens": 5})
+    headers = {"authorization": "Bearer key-counter"}
+    connection.request("POST", "/v1/completions", body, headers)
+    context.reply = connection.getresponse()
+    context.reply_body = context.reply.read()
+    connection.close()
+
+
+@then("the caller's answer is whole")
+def answer_whole(context):
+    assert context.reply.status == 200, context.reply_body
+    assert json.loads(context.reply_body)["choices"][0]["text"]
+
+
+@then("no admin or callers' address answers without TLS")
+def nothing_plain(context):
+    for host in context.operated.hosts():
+        kinds = ["admin", "callers"] if host.program == "entry" else ["admin"]
+        for kind in kinds:
+            code = None
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                code = call(host.addresses[kind], "GET", "/healthz").status
+            assert code is None, (host.name, kind, code)
+
+
+@then("a peer without a certificate is not heard")
+def peer_refused(context):
+    address = context.operated.processes["control-1"].addresses["listen"]
+    host, _, port = address.rpartition(":")
+    trust = ssl.create_default_context(cafile=context.operated.authority.file)
+    trust.set_alpn_protocols(["h2"])
+    heard = b""
+    with contextlib.suppress(OSError):
+        plain = socket.create_connection((host, int(port)), timeout=TIMEOUT_S)
+        with trust.wrap_socket(plain, server_hostname=host) as stream:
+            stream.sendall(HELLO)
+            heard = stream.recv(100)
+    assert heard == b"", heard
+
+
+@when("a control host that follows loses its data folder and is started again")
+def lose_disk(context):
+    operated = context.operated
+    before = status(context)
+    names = [host.name for host in operated.hosts("control")]
+    context.victim = next(name for name in names if name != before["leader"])
+    context.old_replicas = before["replicas"]
+    operated.processes[context.victim].kill()
+    shutil.rmtree(operated.folder / context.victim)
+    operated.start_one(context.victim)
+
+
+@then("it becomes a voter with a new incarnation")
+def is_voter(context):
+    old = {(r["host"], r["incarnation"]) for r in context.old_replicas}
+
+    def find():
+        found = [r for r in status(context)["replicas"] if r["host"] == context.victim]
+        is_new = (
+            len(found) == 1 and (context.victim, found[0]["incarnation"]) not in old
+        )
+        return is_new and found[0]["is_voter"]
+
+    wait_until(find, what="the new replica is the only one of its host and votes")
+
+
+@then("an operator's change is accepted and in force everywhere")
+def change_accepted(context):
+    run = set_queue_ms(context, 9000)
+    assert run.code == 0, run
+    assert json.loads(run.out)["is_confirmed"], run
+
+
+@when("the control hosts are restarted one by one, with a change after each")
+def rolling_restart(context):
+    operated = context.operated
+    context.runs = []
+    for number, host in enumerate(operated.hosts("control")):
+        host.stop()
+        operated.start_one(host.name)
+        context.runs.append(set_queue_ms(context, 9000 + number))
+
+
+@then("every change is in force everywhere and in the history in order")
+def all_changes(context):
+    reports = [json.loads(run.out) for run in context.runs if run.code == 0]
+    assert len(reports) == len(context.runs), context.runs
+    assert all(report["is_confirmed"] for report in reports), reports
+    run = context.operated.ctl("config", "history", "--json")
+    kept = [v["change_id"] for v in json.loads(run.out)["versions"]]
+    assert kept[1:] == [report["change_id"] for report in reports], kept
+
+
+@when("the operator drains engine-1 of the deployment")
+def drain_engine(context):
+    run = context.operated.ctl("drain", "engine-1")
+    assert run.code == 0, run
+
+
+@then("the upstreams of the deployment show engine-1 as leaving")
+def shown_leaving(context):
+    run = context.operated.ctl("upstreams", "--json")
+    assert run.code == 0, run
+    (upstream,) = json.loads(run.out)["upstreams"]
+    assert upstream["name"] == "engine-1" and upstream["is_leaving"], upstream
+    assert upstream["scheduler"] == "entry-1", upstream
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -155,6 +155,11 @@
     assert "Traceback" not in context.process.stderr
 
 
+@then('it names "{fault}" as well')
+def names_too(context, fault):
+    assert fault in context.process.stderr, context.process.stderr
+
+
 @when("the generated pages are checked")
 def check_pages(context):
     tool = load_generator()
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -5,6 +5,7 @@
 import time
 
 import fire
+from fire.decorators import SetParseFn
 
 from . import logs, wire
 from .admin import AdminPages
@@ -15,7 +16,7 @@
 from .core.messages import ControlSnapshot
 from .core.raft import Raft
 from .core.raft_types import RaftTiming
-from .credentials import admin_context, peer_credentials
+from .credentials import admin_context, check_files, peer_credentials
 from .exceptions import FolderInUse, StorageDamaged, StorageFailed
 from .metrics import Metrics
 from .operators import OperatorPages
@@ -132,12 +133,13 @@
     return await ControlProgram(settings, storage).run()
 
 
+@SetParseFn(str)
 def start(settings: str) -> None:
     """Run a control host.
 
     :param settings: path of its settings file.
     """
-    loaded = load_file(load_control, settings)
+    loaded = load_file(load_control, settings, check_files)
     logs.configure(loaded.log, loaded.host.name)
     try:
         storage = Storage.open(loaded.storage.data_folder)
--- a/src/peridotfront/credentials.py
+++ b/src/peridotfront/credentials.py
@@ -2,10 +2,49 @@
 
 import ssl
 
+from .exceptions import SettingsInvalid
+from .ini import Fault
 from .settings import TlsSection
-from .tls import peer_channel_credentials, peer_server_credentials, server_context
+from .tls import (
+    client_context,
+    peer_channel_credentials,
+    peer_server_credentials,
+    server_context,
+)
 from .transport import Credentials
 
+OWN_FILES = ("certificate_file", "key_file")
+CALLER_FILES = ("caller_certificate_file", "caller_key_file")
+
+
+def check_files(section: TlsSection, source: str) -> None:
+    """Check that the PEM files can be read and fit each other.
+
+    :param source: where the settings come from, for messages.
+    :raises SettingsInvalid: with every fault.
+    """
+    if section.is_off:
+        return
+    pairs = [OWN_FILES]
+    if section.caller_certificate_file:
+        pairs.append(CALLER_FILES)
+    faults = []
+    for keys in pairs:
+        try:
+            server_context(*[getattr(section, key) for key in keys])
+        except OSError as error:
+            faults.append(_fault(section, keys[0], error))
+    try:
+        client_context(section.ca_file)
+    except OSError as error:
+        faults.append(_fault(section, "ca_file", error))
+    if faults:
+        raise SettingsInvalid(source, tuple(faults))
+
+
+def _fault(section: TlsSection, key: str, error: OSError) -> Fault:
+    return Fault("tls", key, getattr(section, key), f"can't be used: {error}")
+
 
 def peer_credentials(section: TlsSection) -> Credentials:
     """Return the credentials for streams between hosts; empty if TLS is off.
@@ -14,7 +53,7 @@
     """
     if section.is_off:
         return Credentials()
-    files = (section.ca_file, section.certificate_file, section.key_file)
+    files = (section.certificate_file, section.key_file, section.ca_file)
     return Credentials(
         server=peer_server_credentials(*files),
         channel=peer_channel_credentials(*files),
--- a/src/peridotfront/entry.py
+++ b/src/peridotfront/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import fire
+from fire.decorators import SetParseFn
 
 from . import logs
 from .admin import AdminPages
@@ -13,7 +14,12 @@
 from .core.fleet import Fleet
 from .core.follower import ConfigFollower, FollowerTiming
 from .core.membership import Membership
-from .credentials import admin_context, caller_context, peer_credentials
+from .credentials import (
+    admin_context,
+    caller_context,
+    check_files,
+    peer_credentials,
+)
 from .entry_server import EntryServer
 from .intake import Intake
 from .metrics import Metrics
@@ -149,12 +155,13 @@
     return await EntryProgram(settings).run()
 
 
+@SetParseFn(str)
 def start(settings: str) -> None:
     """Run an entry host.
 
     :param settings: path of its settings file.
     """
-    loaded = load_file(load_entry, settings)
+    loaded = load_file(load_entry, settings, check_files)
     logs.configure(loaded.log, loaded.host.name)
     raise SystemExit(run(_main(loaded)))
 
--- a/src/peridotfront/settings.py
+++ b/src/peridotfront/settings.py
@@ -224,13 +224,16 @@
     return settings
 
 
-def load_file(load, path: str):
+def load_file(load, path: str, check_files):
     """Load a settings file, or print its faults and exit.
 
     :param load: :func:`load_entry` or :func:`load_control`.
+    :param check_files: checks the files that ``[tls]`` names.
     """
     try:
-        return load(Path(path).read_text(encoding="utf-8"), path)
+        settings = load(Path(path).read_text(encoding="utf-8"), path)
+        check_files(settings.tls, path)
+        return settings
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
     except (OSError, UnicodeDecodeError) as error:
--- a/src/peridotfront/standin.py
+++ b/src/peridotfront/standin.py
@@ -5,6 +5,7 @@
 import sys
 
 import fire
+from fire.decorators import SetParseFn
 
 from .callers import Exchange, HttpServer
 from .exceptions import SettingsInvalid
@@ -84,6 +85,7 @@
     await standin.serve()
 
 
+@SetParseFn(str)
 def serve(settings: str) -> None:
     """Run a stand-in upstream.
 
