Turn reports of libraries into numbered log lines

Change: records of the standard library's logging become event 108, with the traceback as a field; cancelled work is left out. Left: lines that grpc's C core and its Cython part print by themselves at a stop ('Got goaway', a bare traceback of _schedule_rpc_coro) still come as plain text.

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -37,6 +37,15 @@
     When event "no_such_event" is written
     Then it is refused as unknown
 
+  Scenario: What a library reports becomes a numbered line
+    Given log lines of host "entry-1" as JSON
+    When a library reports an error with a traceback
+    Then there is 1 log line
+    And the log line has number 108, host "entry-1" and request id ""
+    And the log line holds the traceback
+    When a library reports cancelled work
+    Then there is 1 log line
+
   Scenario: Lines below the level are left out
     Given log lines of host "entry-1" from level "warning"
     When event "process_started" is written
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import logging
 import socket
 from dataclasses import dataclass
 
@@ -104,6 +105,35 @@
         context.error = error
 
 
+def report(error):
+    try:
+        raise error
+    except BaseException:
+        logging.getLogger("some.library").exception("it went wrong")
+
+
+@when("a library reports an error with a traceback")
+def library_reports(context):
+    report(ValueError("bad frame"))
+
+
+@when("a library reports cancelled work")
+def library_cancels(context):
+    report(asyncio.CancelledError())
+
+
+@then("the log line holds the traceback")
+def holds_traceback(context):
+    line = last_line(context)
+    assert "ValueError: bad frame" in line["traceback"], line
+    assert line["source"] == "some.library", line
+
+
+@then('the log line has number {number:d}, host "{host}" and request id ""')
+def line_without_request(context, number, host):
+    line_is(context, number, host, "")
+
+
 @when('two tasks write lines for requests "{first}" and "{second}" in turn')
 def write_in_tasks(context, first, second):
     async def work(request_id):
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -4,7 +4,10 @@
 that it is about (empty if it is about none).
 """
 
+import asyncio
+import logging
 import sys
+import traceback
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -113,6 +116,13 @@
         "Another process holds the address, or it is not of this host. Mend the"
         " address in the settings or end the other process.",
     ),
+    LogEvent(
+        108,
+        "library_message",
+        Level.WARNING,
+        "a library reported something",
+        "The message and its source are in the line. Report it if it comes often.",
+    ),
 )
 
 PEER_EVENTS = (
@@ -605,6 +615,28 @@
         host=host,
     )
     _output.lowest_level = LEVEL_NUMBERS[Level(section.level)]
+    logging.basicConfig(level=logging.WARNING, handlers=[LibraryHandler()], force=True)
+
+
+class LibraryHandler(logging.Handler):
+    """Turns records of the standard library's logging into numbered events.
+
+    Reports of cancelled work are left out: each stop cancels what waits.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record as a line."""
+        trace = ""
+        if record.exc_info:
+            if isinstance(record.exc_info[1], asyncio.CancelledError):
+                return
+            trace = "".join(traceback.format_exception(*record.exc_info))
+        write(
+            "library_message",
+            source=record.name,
+            message=record.getMessage(),
+            traceback=trace,
+        )
 
 
 @contextmanager
