Prove the promises between real processes, behind relays that fall silent

Cause: virtual time leaves out sockets, disks, signals and the event loop.

Change: a deployment of three control hosts, four entry hosts in four data centres, three engines and two payout services; every link between hosts passes through a relay that can go silent without a reset. Callers send transfers and completions all the time and repeat them as they may; what the upstreams recorded is the oracle.

--- a/features/environment.py
+++ b/features/environment.py
@@ -47,7 +47,35 @@
             yield deployment
 
 
-FIXTURES = {"fixture.small_deployment": small_deployment}
+@fixture
+def large_deployment(context):
+    """Run hosts in four data centres behind relays, three engines, two services."""
+    from support.deployment import Deployment
+
+    places = ("dc1", "dc2", "dc3", "dc4")
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(folder, 3, 4, data_centres=places)
+        for number, (place, prefill, decode) in enumerate(
+            (("dc1", 20000, 400), ("dc2", 8000, 200), ("dc4", 4000, 200)), start=1
+        ):
+            deployment.add_engine(
+                f"engine-{number}",
+                place,
+                prefill_tokens_per_s=prefill,
+                decode_tokens_per_s=decode,
+            )
+        deployment.add_service("payout-1", "dc1", "payout")
+        deployment.add_service("payout-2", "dc3", "payout")
+        deployment.add_relays()
+        with deployment:
+            context.deployment = deployment
+            yield deployment
+
+
+FIXTURES = {
+    "fixture.large_deployment": large_deployment,
+    "fixture.small_deployment": small_deployment,
+}
 
 
 def check_sentences(feature, steps_of_kind):
--- /dev/null
+++ b/features/steps/process_faults_steps.py
@@ -0,0 +1,308 @@
+"""Steps that bring faults about between real processes."""
+
+import json
+import signal
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from support.deployment import wait_until
+from support.load import Load, check_ends
+
+from peridotfront.standin import expected_text
+
+FREEZE_S = 3.0
+STREAM_PROMPT = "Write a first letter to a class in Patras"
+
+
+def transfer(context, entry, key, **headers):
+    body = {"seller": "B. Evans", "amount_pence": 7}
+    return context.deployment.request(
+        entry, "/services/payout/transfers", body, idempotency_key=key, **headers
+    )
+
+
+def ready_entries(context):
+    def find():
+        return [
+            host.name
+            for host in context.deployment.hosts("entry")
+            if host.is_running and host.name not in context.avoided
+        ]
+
+    return find
+
+
+def follower(deployment):
+    leader = deployment.leader()
+    return next(h.name for h in deployment.hosts("control") if h.name != leader)
+
+
+def restart_after(context, name):
+    context.repairs.append(lambda: context.deployment.start_one(name))
+
+
+def kill(context, name):
+    context.deployment.processes[name].kill()
+    restart_after(context, name)
+
+
+def freeze(context, name):
+    process = context.deployment.processes[name]
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(FREEZE_S)
+    process.send_signal(signal.SIGCONT)
+
+
+def stop_gracefully(context, name):
+    context.avoided.add(name)
+    process = context.deployment.processes[name]
+    process.send_signal(signal.SIGTERM)
+    assert process.popen.wait(30) == 0
+    restart_after(context, name)
+    context.repairs.append(lambda: context.avoided.discard(name))
+
+
+@given("callers send transfers and completions")
+def start_load(context):
+    context.avoided = set()
+    context.repairs = []
+    context.load = Load(context.deployment, ready_entries(context))
+    context.add_cleanup(context.load.finish)
+    wait_until(lambda: context.load.count() > 20, what="load under way")
+
+
+FAULTS = {
+    "an entry host is killed": lambda c: kill(c, "entry-2"),
+    "the control leader is killed": lambda c: kill(c, c.deployment.leader()),
+    "a control follower is killed": lambda c: kill(c, follower(c.deployment)),
+    "the control leader is silently isolated": lambda c: c.deployment.isolate(
+        c.deployment.leader()
+    ),
+    "the control leader is frozen": lambda c: freeze(c, c.deployment.leader()),
+    "an entry host is frozen": lambda c: freeze(c, "entry-2"),
+    "a payout service is killed": lambda c: kill(c, "payout-1"),
+    "an engine is killed": lambda c: kill(c, "engine-1"),
+    "an entry host is stopped gracefully": lambda c: stop_gracefully(c, "entry-2"),
+}
+
+
+@when("among the processes {fault}")
+def strike(context, fault):
+    FAULTS[fault](context)
+
+
+@when("the callers have ended {count:d} more requests")
+def more_requests(context, count):
+    target = context.load.count() + count
+    wait_until(lambda: context.load.count() >= target, 60, f"{count} more requests")
+
+
+@when("all is healed and the callers come to an end")
+def heal(context):
+    context.deployment.heal()
+    for repair in context.repairs:
+        repair()
+    for host in context.deployment.hosts("entry"):
+        wait_until(lambda one=host: context.deployment.is_ready(one), what=host.name)
+    context.deployment.leader()
+    context.ended = context.load.finish()
+
+
+@when("every entry host and every control host is restarted in turn")
+def restart_all(context):
+    deployment = context.deployment
+    for host in deployment.hosts():
+        stop_gracefully(context, host.name)
+        for repair in context.repairs:
+            repair()
+        context.repairs.clear()
+        ready = wait_until if host.program == "entry" else None
+        if ready:
+            wait_until(lambda one=host: deployment.is_ready(one), what=host.name)
+        deployment.leader()
+
+
+@then("no request ran twice and every answer is whole and true")
+def promises(context):
+    check_ends(context.deployment, context.ended)
+
+
+@then("at least {share:d} in 100 requests completed")
+def share_completed(context, share):
+    completed = sum(one.is_completed for one in context.ended)
+    others = [(one.verdict, one.said) for one in context.ended if not one.is_completed]
+    text = f"{completed} of {len(context.ended)}: {others[:5]}"
+    assert completed * 100 >= share * len(context.ended), text
+
+
+@when("data centre {name} is silently cut off")
+def cut_data_centre(context, name):
+    deployment = context.deployment
+    inside = [h.name for h in deployment.hosts() if h.addresses["data_centre"] == name]
+    deployment.isolate(*inside)
+    context.add_cleanup(deployment.heal)
+    context.cut_s = time.monotonic()
+
+
+@then("completions without a key go on at {entry}")
+def go_on(context, entry):
+    for number in range(5):
+        wait_until(
+            lambda n=number: (
+                context.deployment.complete(entry, f"x{n}", 4).status == 200
+            ),
+            what=f"completion at {entry}",
+        )
+
+
+@then("a transfer at {entry} is refused as not run within {bound_ms:d} ms")
+def refused(context, entry, bound_ms):
+    wait_until(lambda: time.monotonic() - context.cut_s > 2, what="the cut is noticed")
+    started_s = time.monotonic()
+    reply = transfer(context, entry, f"cut-{started_s}")
+    elapsed_ms = (time.monotonic() - started_s) * 1000
+    assert reply.status == 503 and reply.json()["verdict"] == "not_run", reply
+    assert int(reply.headers["retry-after"]) > 0
+    assert elapsed_ms <= bound_ms, elapsed_ms
+
+
+@then("the other hosts complete transfers")
+def others_complete(context):
+    for number in (1, 2, 3):
+        key = f"others-{number}"
+        wait_until(
+            lambda n=number, k=key: transfer(context, f"entry-{n}", k).status == 200,
+            what=f"transfer at entry-{number}",
+        )
+
+
+@when("all links pass again")
+def pass_again(context):
+    context.deployment.heal()
+
+
+@then("a transfer at {entry} completes within {bound_ms:d} ms")
+def completes(context, entry, bound_ms):
+    wait_until(
+        lambda: transfer(context, entry, "healed").status == 200,
+        bound_ms / 1000,
+        "a transfer after the cut",
+    )
+
+
+@given("a stream of {tokens:d} tokens is in progress at {entry}")
+def stream(context, tokens, entry):
+    context.tokens = tokens
+    address = context.deployment.processes[entry].addresses["callers"]
+    host, _, port = address.rpartition(":")
+    body = {"model": "m1", "prompt": STREAM_PROMPT, "max_tokens": tokens}
+    data = json.dumps(body | {"stream": True}).encode()
+    peer = socket.create_connection((host, int(port)), 10)
+    peer.sendall(
+        b"POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+        b"authorization: Bearer key-counter\r\ncontent-length: "
+        + str(len(data)).encode()
+        + b"\r\n\r\n"
+        + data
+    )
+    context.received = peer.recv(200)
+    context.peer = peer
+
+
+@when("{entry} is told to stop")
+def tell_to_stop(context, entry):
+    context.stopped = context.deployment.processes[entry]
+    context.stopped.send_signal(signal.SIGTERM)
+
+
+@then("the stream ends whole and {entry} exits with 0")
+def ends_whole(context, entry):
+    while data := context.peer.recv(65536):
+        context.received += data
+    assert context.received.endswith(b"0\r\n\r\n"), context.received[-200:]
+    last = expected_text(STREAM_PROMPT, context.tokens).split()[-1]
+    assert f'"text": " {last}"'.encode() in context.received
+    assert b"data: [DONE]" in context.received
+    assert context.stopped.popen.wait(20) == 0
+    context.deployment.start_one(entry)
+    wait_until(lambda: context.deployment.is_ready(context.stopped), what=entry)
+
+
+@when("an operator sends a change twice with one change id")
+def change_twice(context):
+    rules = context.deployment.rules()
+    version = current_version(context)
+    context.replies = [
+        context.deployment.apply(rules, "lost-answer", version) for _ in range(2)
+    ]
+
+
+def current_version(context):
+    leader = context.deployment.leader()
+    return context.deployment.admin(leader, "GET", "/config").json()["version"]
+
+
+@then("both answers name the same version")
+def same_version(context):
+    assert [reply.status for reply in context.replies] == [200, 200], context.replies
+    versions = {reply.json()["version"] for reply in context.replies}
+    assert len(versions) == 1
+
+
+@when("two operators propose on the same version at the same time")
+def race(context):
+    rules = context.deployment.rules()
+    version = current_version(context)
+    barrier = threading.Barrier(2)
+
+    def propose(change_id):
+        barrier.wait()
+        return context.deployment.apply(rules, change_id, version)
+
+    with ThreadPoolExecutor(2) as pool:
+        context.replies = list(pool.map(propose, ["race-a", "race-b"]))
+
+
+@then("one is accepted and the other is told who won")
+def one_wins(context):
+    statuses = sorted(reply.status for reply in context.replies)
+    assert statuses == [200, 409], context.replies
+    loser = next(reply for reply in context.replies if reply.status == 409)
+    assert b"test" in loser.body, loser.body
+
+
+@when("an operator takes {engine} out")
+def take_out(context, engine):
+    deployment = context.deployment
+    data_centre, rule = deployment.upstreams[engine]
+    deployment.upstreams[engine] = (data_centre, rule + "is_leaving = true\n")
+    assert deployment.apply(deployment.rules()).status == 200
+    context.taken_out_ms = time.time() * 1000
+
+    def put_back():
+        deployment.upstreams[engine] = (data_centre, rule)
+        deployment.apply(deployment.rules())
+
+    context.add_cleanup(put_back)
+
+
+@then("{engine} gets no request later than {bound_ms:d} ms after it")
+def no_new_work(context, engine, bound_ms):
+    target = context.load.count() + 60
+    wait_until(lambda: context.load.count() >= target, 60, "more requests")
+    wait_until(
+        lambda: time.time() * 1000 > context.taken_out_ms + 2 * bound_ms,
+        what="twice the bound",
+    )
+    ended = context.load.finish()
+    late_ms = context.taken_out_ms + bound_ms
+    late = [
+        line
+        for line in context.deployment.runs(engine)
+        if line["event"] == "dispatch" and line["at_ms"] > late_ms
+    ]
+    assert not late, late[:3]
+    check_ends(context.deployment, ended)
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -123,6 +123,8 @@
         self.policy = ""
         self.timing = ""
         self.routes = {}
+        self.relay = None
+        self.relay_port = 0
         for number in range(control_hosts):
             self._add_host("control", number)
         for number in range(entry_hosts):
@@ -189,6 +191,53 @@
     def _services(self):
         return [one for one in self.upstreams.values() if "kind = service" in one[1]]
 
+    def add_relays(self):
+        """Put a relay on each link between two hosts, so that it can be cut."""
+        links = []
+        for source in self.hosts():
+            for target in self.hosts():
+                if source is target:
+                    continue
+                listen = f"127.0.0.1:{free_port()}"
+                self.routes[source.name, target.name] = listen
+                address = target.addresses["listen"]
+                links.append(
+                    {
+                        "source": source.name,
+                        "target": target.name,
+                        "listen": listen,
+                        "address": address,
+                    }
+                )
+        self.relay_port = free_port()
+        file = self.folder / "relay.json"
+        file.write_text(json.dumps({"links": links, "port": self.relay_port}))
+        script = Path(__file__).with_name("relay.py")
+        self.relay = subprocess.Popen([sys.executable, str(script), str(file)])
+        wait_until(lambda: self.command("heal"), what="relays ready")
+
+    def command(self, line):
+        """Give the relay a command and wait until it is done."""
+        with socket.create_connection(("127.0.0.1", self.relay_port), 5) as peer:
+            peer.sendall(f"{line}\n".encode())
+            return peer.recv(16)
+
+    def cut(self, inside, outside):
+        """Cut all links between two groups of hosts, both ways."""
+        for one in inside:
+            for other in outside:
+                self.command(f"cut {one} {other}")
+                self.command(f"cut {other} {one}")
+
+    def isolate(self, *names):
+        """Cut some hosts off from all others."""
+        others = [one.name for one in self.hosts() if one.name not in names]
+        self.cut(names, others)
+
+    def heal(self):
+        """Let all links pass again."""
+        self.command("heal")
+
     def peer_address(self, source, target):
         """Return where a host reaches another one; a relay if there is one."""
         default = self.processes[target].addresses["listen"]
@@ -248,6 +297,9 @@
                 process.popen.send_signal(signal.SIGTERM)
         for process in self.processes.values():
             process.stop()
+        if self.relay is not None:
+            self.relay.kill()
+            self.relay.wait()
 
     def __enter__(self):
         try:
