Check that only a host without a log says that it is blank

Cause: a scratch copy in which every host answered 'blank' passed all scenarios, as the founder's need for every vote alone prevented a second founding.

--- a/features/raft_rules.feature
+++ b/features/raft_rules.feature
@@ -116,6 +116,16 @@
       | a    | b c       | former      | does not lead |
       | b    | a c       | own         | does not lead |
 
+  Scenario: A host with a log says that it is not blank
+    Given replica "a" with a log of the terms 1, 2
+    When "b" asks whether it is blank
+    Then it says that it is not blank
+
+  Scenario: A host without a log says that it is blank
+    Given the blank replica "a"
+    When "b" asks whether it is blank
+    Then it says that it is blank
+
   Scenario: A founder leads only once the last vote has come
     Given the blank replica "a"
     When "b c" answer that they are blank
--- a/features/steps/raft_rules_steps.py
+++ b/features/steps/raft_rules_steps.py
@@ -8,6 +8,7 @@
 from peridotfront.core.messages import (
     AppendReply,
     AppendRequest,
+    BootstrapQuery,
     BootstrapReply,
     ConfigChange,
     ConfigProposal,
@@ -211,6 +212,21 @@
     context.driver.wait(TIMING.election_timeout_ms)
 
 
+@when('"{host}" asks whether it is blank')
+def asks_blank(context, host):
+    context.driver.receive(host, BootstrapQuery(INCARNATIONS[host]))
+
+
+@then("it says that it is blank")
+def says_blank(context):
+    assert context.driver.sent(BootstrapReply)[-1].is_blank
+
+
+@then("it says that it is not blank")
+def says_not_blank(context):
+    assert not context.driver.sent(BootstrapReply)[-1].is_blank
+
+
 @when("they vote for its {incarnation} disk")
 def they_vote(context, incarnation):
     for host in context.answering:
