--- a/features/steps/raft_rules_steps.py
+++ b/features/steps/raft_rules_steps.py
@@ -8,6 +8,7 @@
 from peridotfront.core.messages import (
     AppendReply,
     AppendRequest,
+    BootstrapQuery,
     BootstrapReply,
     ConfigChange,
     ConfigProposal,
@@ -109,11 +110,6 @@
     confirm(context, host, INCARNATIONS[host], index)
 
 
-@when('the new disk of "{host}" confirms the entries up to {index:d}')
-def new_disk_confirms(context, host, index):
-    confirm(context, host, NEW_DISK, index)
-
-
 def confirm(context, host, incarnation, index):
     driver = context.driver
     number = max(m.round_number for m in driver.sent(AppendRequest))
@@ -145,11 +141,27 @@
     assert counts == [int(number) for number in numbers.split(", ")], counts
 
 
-@when("the heartbeat is due")
-def heartbeat_due(context):
+@when(
+    '{count:d} heartbeats are answered by "b",'
+    ' and by the new disk of "c" with entry {index:d}'
+)
+def heartbeats_answered(context, count, index):
+    for _ in range(count):
+        context.driver.wait(TIMING.heartbeat_ms)
+        confirm(context, "b", INCARNATIONS["b"], 4)
+        confirm(context, "c", NEW_DISK, index)
     context.driver.wait(TIMING.heartbeat_ms)
 
 
+@when('{count:d} heartbeats are answered by "b", "c", and by the new disk of "c"')
+def heartbeats_answered_by_both(context, count):
+    for _ in range(count):
+        context.driver.wait(TIMING.heartbeat_ms)
+        confirm(context, "b", INCARNATIONS["b"], 4)
+        confirm(context, "c", INCARNATIONS["c"], 4)
+        confirm(context, "c", NEW_DISK, 4)
+
+
 @when(
     '"{host}" asks for a {kind} in term {term:d} with last entry {index:d}'
     " of term {last_term:d}"
@@ -200,6 +212,21 @@
     context.driver.wait(TIMING.election_timeout_ms)
 
 
+@when('"{host}" asks whether it is blank')
+def asks_blank(context, host):
+    context.driver.receive(host, BootstrapQuery(INCARNATIONS[host]))
+
+
+@then("it says that it is blank")
+def says_blank(context):
+    assert context.driver.sent(BootstrapReply)[-1].is_blank
+
+
+@then("it says that it is not blank")
+def says_not_blank(context):
+    assert not context.driver.sent(BootstrapReply)[-1].is_blank
+
+
 @when("they vote for its {incarnation} disk")
 def they_vote(context, incarnation):
     for host in context.answering:
