Bound batches of outcomes by their bytes

Cause: 256 outcomes with long recorded answers would make one log entry that no message can carry; replication would stop for good. Change: a batch holds at most max_batch_bytes of answers; a longer single answer is not recorded, only how its request ended.

--- a/features/controller.feature
+++ b/features/controller.feature
@@ -112,6 +112,11 @@
     And all versions reach "e1" again, the oldest last
     Then all replicas and hosts have version 6
 
+  Scenario: Long answers do not make long log entries
+    Given a batcher for answers of at most 1000000 bytes in a batch
+    When 40 outcomes with 100000 bytes and 1 with 2000000 bytes arrive
+    Then they leave in batches of at most 1000000 bytes and the longest has no body
+
   Scenario: A snapshot made in slices while changes go on is that of its index
     Given a control group with a configuration
     When 40 changes are made while "c3" is down
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -5,6 +5,7 @@
 
 from peridotfront import wire
 from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.claim_batcher import ClaimBatcher
 from peridotfront.core.claimant import (
     Claimant,
     ClaimDecided,
@@ -16,6 +17,7 @@
 from peridotfront.core.control_state import ControlState
 from peridotfront.core.control_types import (
     ClaimLimits,
+    ControlTiming,
     OperatorPropose,
     OperatorRead,
     OperatorUnavailable,
@@ -31,11 +33,13 @@
     ConfigUpdate,
     ControlSnapshot,
     Heartbeat,
+    Outcome,
+    OutcomeReport,
     StrikeReport,
     StrikeUpdate,
 )
 from peridotfront.core.snapshot_builder import SnapshotBuilder
-from peridotfront.core.verdicts import Verdict
+from peridotfront.core.verdicts import Reason, Verdict
 
 
 def request(key, host, incarnation, request_id="r"):
@@ -496,3 +500,28 @@
     group.run_for(1000)
     told = [StrikeUpdate(fingerprint, count)]
     assert group.hosts[name].strikes == told, group.hosts[name].strikes
+
+
+@given("a batcher for answers of at most {size:d} bytes in a batch")
+def batcher(context, size):
+    context.batcher = ClaimBatcher(ControlTiming(max_batch_bytes=size))
+
+
+@when("{count:d} outcomes with {size:d} bytes and 1 with {long:d} bytes arrive")
+def outcomes_arrive(context, count, size, long):
+    for number, length in enumerate([*[size] * count, long]):
+        outcome = Outcome(Verdict.COMPLETED, Reason.NONE, 200, (), b"x" * length, True)
+        report = OutcomeReport(f"k{number}", 1, outcome, "e1", 1)
+        assert context.batcher.add_outcome(report, 0)
+
+
+@then("they leave in batches of at most {size:d} bytes and the longest has no body")
+def batches_bounded(context, size):
+    taken = []
+    while context.batcher.is_due(100):
+        outcomes = context.batcher.take().outcomes
+        assert sum(len(r.outcome.body) for r in outcomes) <= size
+        taken.extend(outcomes)
+    assert len(taken) == 41, len(taken)
+    empty = [r.key for r in taken if not r.outcome.is_replayable]
+    assert empty == ["k40"], empty
--- a/src/peridotfront/core/claim_batcher.py
+++ b/src/peridotfront/core/claim_batcher.py
@@ -1,6 +1,6 @@
 """Group commit: gathers claims, outcomes and strikes into few log entries."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .control_types import ControlTiming
 from .messages import ClaimBatch, ClaimRequest, OutcomeReport, StrikeReport
@@ -47,6 +47,7 @@
         self._strikes: list[StrikeReport] = []
         self._in_flight: list[ClaimBatch] = []
         self._first_queued_ms = 0
+        self._body_bytes = 0
 
     @property
     def queued(self) -> int:
@@ -74,7 +75,9 @@
         if not self._has_room(now_ms):
             return False
         key = ReportKey(report.key, report.epoch, report.holder_host)
-        self._outcomes.setdefault(key, report)
+        if key not in self._outcomes:
+            self._outcomes[key] = self._recordable(report)
+            self._body_bytes += len(self._outcomes[key].outcome.body)
         return True
 
     def add_strikes(self, report: StrikeReport, now_ms: int) -> bool:
@@ -90,6 +93,8 @@
             return False
         if len(self._claims) + len(self._outcomes) >= self._timing.max_batch:
             return True
+        if self._body_bytes >= self._timing.max_batch_bytes:
+            return True
         waited_ms = now_ms - self._first_queued_ms
         if self._in_flight:
             return waited_ms >= self._timing.batch_limit_ms
@@ -97,12 +102,29 @@
 
     def take(self) -> QueuedParts:
         """Remove and return the parts of the next batch, oldest first."""
-        size = self._timing.max_batch
-        outcomes = [self._outcomes.pop(k) for k in list(self._outcomes)[:size]]
-        room = size - len(outcomes)
+        outcomes = self._take_outcomes()
+        room = self._timing.max_batch - len(outcomes)
         claims = [self._claims.pop(k) for k in list(self._claims)[:room]]
         return QueuedParts(tuple(claims), tuple(outcomes))
 
+    def _take_outcomes(self) -> list[OutcomeReport]:
+        taken: list[OutcomeReport] = []
+        taken_bytes = 0
+        for key, report in list(self._outcomes.items()):
+            taken_bytes += len(report.outcome.body)
+            is_full = len(taken) >= self._timing.max_batch
+            if is_full or (taken and taken_bytes > self._timing.max_batch_bytes):
+                break
+            taken.append(self._outcomes.pop(key))
+            self._body_bytes -= len(report.outcome.body)
+        return taken
+
+    def _recordable(self, report: OutcomeReport) -> OutcomeReport:
+        if len(report.outcome.body) <= self._timing.max_batch_bytes:
+            return report
+        outcome = replace(report.outcome, body=b"", is_replayable=False)
+        return replace(report, outcome=outcome)
+
     def take_strikes(self) -> tuple[StrikeReport, ...]:
         """Remove and return the reports of strikes that wait."""
         strikes = tuple(self._strikes)
--- a/src/peridotfront/core/control_types.py
+++ b/src/peridotfront/core/control_types.py
@@ -19,6 +19,8 @@
     :param batch_delay_ms: how long a claim waits for others to join its batch.
     :param batch_limit_ms: how long it waits at most while a batch is on its way.
     :param max_batch: parts of one batch at most.
+    :param max_batch_bytes: of recorded answers in one batch at most; an answer that
+        is longer by itself is not recorded, only how its request ended.
     :param max_queued: claims and outcomes waiting for a batch at most.
     :param update_interval_ms: between two configurations sent to one host.
     :param update_retry_ms: until a version that was not confirmed is sent again.
@@ -36,6 +38,7 @@
     batch_delay_ms: int = 1
     batch_limit_ms: int = 20
     max_batch: int = 256
+    max_batch_bytes: int = 1_048_576
     max_queued: int = 10_000
     update_interval_ms: int = 200
     update_retry_ms: int = 500
