--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -13,7 +13,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
 import fire
@@ -36,10 +36,11 @@
     Outcome,
     OutcomeReport,
 )
-from peridotfront.core.raft import Persist, Raft, RaftState, RaftTiming
+from peridotfront.core.raft import AppendEntries, Persist, Raft, RaftState, RaftTiming
 from peridotfront.core.verdicts import Reason, Verdict
 
 ROUNDS = 3
+LEADER_CLAIMS = 2048
 CLAIMS = 20_000
 BATCH_SIZES = (1, 16, 256)
 CLAIM_COUNTS = (1000, 10_000, 100_000)
@@ -237,6 +238,109 @@
         yield Figure("heartbeat out, per host", count, per_host, "bytes")
 
 
+class Trio:
+    """Three control hosts that pass frames in memory, with the leader's costs."""
+
+    def __init__(self):
+        names = ("c1", "c2", "c3")
+        self.now_ms = 0
+        self.cpu_s = 0.0
+        self.sent_bytes = 0
+        self.roles = {}
+        for number, name in enumerate(names):
+            jitter = number / 10
+            raft = Raft(
+                name, number + 1, names, RaftState(), RaftTiming(), lambda j=jitter: j
+            )
+            self.roles[name] = Controller(
+                name,
+                raft,
+                "dc",
+                names,
+                wire.encode,
+                lambda data: wire.decode(ControlSnapshot, data),
+            )
+        self.leader = ""
+        while not self.leader:
+            self.turn({})
+            views = {n: r.view(self.now_ms) for n, r in self.roles.items()}
+            self.leader = next((n for n, v in views.items() if v.is_leader), "")
+
+    def turn(self, frames: dict[str, bytes]) -> list:
+        """Go on by one tick with the frames for the leader; return its replies."""
+        self.now_ms += TICK_MS
+        arrived = [(self.leader, data) for data in frames.values()]
+        arrived += [(name, None) for name in self.roles]
+        replies = []
+        while arrived:
+            name, data = arrived.pop(0)
+            started = time.process_time()
+            sent = self._handle(name, data)
+            if name == self.leader:
+                self.cpu_s += time.process_time() - started
+                self.sent_bytes += sum([len(encoded) for _, encoded in sent])
+            replies += [encoded for host, encoded in sent if host not in self.roles]
+            arrived += [one for one in sent if one[0] in self.roles]
+        return replies
+
+    def _handle(self, name: str, data: bytes | None) -> list:
+        role = self.roles[name]
+        events = [Tick()]
+        if data is not None:
+            frame = wire.decode(Frame, data)
+            events = [
+                Received(frame.sender, frame.incarnation, m) for m in frame.messages
+            ]
+        by_host: dict[str, list] = {}
+        for event in events:
+            for action in role.handle(event, self.now_ms):
+                if isinstance(action, AppendEntries):
+                    self._store(action)
+                elif isinstance(action, Send):
+                    by_host.setdefault(action.to_host, []).append(action.message)
+        return [
+            (host, wire.encode(Frame(name, 1, tuple(messages))))
+            for host, messages in by_host.items()
+        ]
+
+    def _store(self, action: AppendEntries) -> None:
+        for entry in action.entries:
+            wire.encode(entry)
+
+
+def measure_leader():
+    """Yield the leader's whole cost of a claim and its outcome."""
+    for in_flight in BATCH_SIZES:
+        trio = Trio()
+        rounds = max(LEADER_CLAIMS // in_flight, 1)
+        before = trio.roles[trio.leader].view(0).commit_index
+        trio.cpu_s = 0.0
+        trio.sent_bytes = 0
+        for number in range(rounds):
+            numbers = range(number * in_flight, (number + 1) * in_flight)
+            for make in (_claim_of_one_host, outcome_report):
+                messages = tuple([make(n) for n in numbers])
+                frame = wire.encode(Frame("entry-0", 0, messages))
+                trio.turn({"entry-0": frame})
+                trio.turn({})
+        count = rounds * in_flight
+        claims = trio.roles[trio.leader].state.claims
+        if (len(claims), claims.open_count) != (count, 0):
+            raise RuntimeError("some claims were not recorded or not ended")
+        entries = trio.roles[trio.leader].view(0).commit_index - before
+        yield Figure("claim, leader in all", in_flight, trio.cpu_s * 1e6 / count, "us")
+        yield Figure(
+            "claim, leader's bytes out", in_flight, trio.sent_bytes / count, "bytes"
+        )
+        yield Figure("claim, log entries", in_flight, entries / count, "entries")
+
+
+def _claim_of_one_host(number: int) -> ClaimRequest:
+    request = claim_request(number)
+    claim = replace(request.claim, holder_host="entry-0", holder_incarnation=0)
+    return replace(request, claim=claim)
+
+
 def measure_changes():
     """Yield the leader's cost of one change, sent whole to every host."""
     for upstreams in UPSTREAM_COUNTS:
@@ -266,6 +370,7 @@
     figures = []
     for measure in (
         measure_claims,
+        measure_leader,
         measure_snapshots,
         measure_heartbeats,
         measure_changes,
