Cut running work only at the last moment; mend a scenario that could not fail

Cause: at load 2.0 short gaps let tier 3 in, and tier 2 then cut it 500 ms before its own deadline although slots come free every few ms. Change: preempt_lead_ms (100): a request is cut only for a want with less patience left than that.

--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -99,9 +99,7 @@
     When the scheduler runs through random histories
     Then the oracle agrees with every answer
 
-  Scenario: A want that comes back is refused before its deadline like any other
-    Given all slots are held at tier 1
-    When a want is withdrawn and comes back with a later deadline
-    And another want arrives with an earlier deadline
-    And the holders keep their slots for 1000 ms
-    Then the other want is refused before its deadline
+  Scenario: A want that comes back does not hide an earlier deadline
+    When two wants are queued
+    And the first is withdrawn and comes back with a later deadline
+    Then the other want is the most urgent and goes first
--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -6,7 +6,8 @@
 from cell_fixtures import Cell, make_fleet
 
 from peridotfront.core.cell_events import HostLost
-from peridotfront.core.messages import CancelWant, Grant, Refuse
+from peridotfront.core.messages import Grant, Refuse
+from peridotfront.core.queues import FairQueue, QueuedWant
 
 
 @given("a cell with {engines:d} engines of {slots:d} slots")
@@ -91,22 +92,29 @@
     context.cell.hold(request_id, host, upstream, 5)
 
 
-@when("a want is withdrawn and comes back with a later deadline")
+@when("two wants are queued")
+def queue_two(context):
+    context.cell.want("back")
+    context.cell.want("other")
+    context.queue = FairQueue(lambda account: 1)
+    context.queue.add(queued(context.cell.wants["back"], 400))
+    context.queue.add(queued(context.cell.wants["other"], 800))
+
+
+@when("the first is withdrawn and comes back with a later deadline")
 def come_back(context):
-    cell = context.cell
-    cell.want("back", deadline_ms=400)
-    cell.receive("h", CancelWant("back", cell.scheduler.cell))
-    cell.want("back", deadline_ms=20_000)
+    context.queue.discard("back")
+    context.queue.add(queued(context.cell.wants["back"], 20_000))
 
 
-@when("another want arrives with an earlier deadline")
-def arrive_other(context):
-    context.cell.want("other", deadline_ms=800)
+@then("the other want is the most urgent and goes first")
+def other_is_urgent(context):
+    assert context.queue.most_urgent().want.request_id == "other"
+    assert context.queue.head().want.request_id == "other"
 
 
-@then("the other want is refused before its deadline")
-def refused_in_time(context):
-    assert context.cell.answers("other", Refuse)
+def queued(want, deadline_at_ms):
+    return QueuedWant(want, "h", 0, deadline_at_ms)
 
 
 @when('host "{host}" is lost')
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -105,6 +105,8 @@
     :param learns_rates: whether rates and slots follow what an engine does.
     :param slow_token_ms: holders count tokens that come later as slow; less than
         ``token_gap_ms``, so that slots shrink before callers notice.
+    :param preempt_lead_ms: a lower request is cut for a want only when the want has
+        less patience left than this beside its own prefill.
     :param affinity_ms: how long a want may wait for the upstream that holds its
         prefix.
     """
@@ -126,6 +128,7 @@
     overfill_ratio: float = 1.0
     urgent_ms: int = 500
     preempts: bool = True
+    preempt_lead_ms: int = 100
     affinity_ms: int = 1000
     learns_rates: bool = True
     slow_token_ms: float = 26.5
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -533,11 +533,11 @@
         policy = self._fleet.policy
         if not policy.preempts:
             return
+        reach = self._reach.get(model, [])
         urgent = sum(
-            queued.deadline_at_ms - now_ms < policy.urgent_ms
+            self._drain.patience_ms(queued, reach, now_ms) < policy.preempt_lead_ms
             for queued in self._queues.queue(tier, model)
         )
-        reach = self._reach.get(model, [])
         running = list(lower_slots(tier, reach))
         urgent -= sum(slot.is_preempted for slot in running)
         candidates = [slot for slot in running if not slot.is_preempted]
