--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -1,11 +1,11 @@
 """Choice of the upstream for a want."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from .budgets import Budget, Slot
 from .fleet import Policy, UpstreamKind, UpstreamSpec
-from .health import Health
+from .health import Health, HealthState
 from .messages import Want
 from .poison import StrikeBook
 from .prefixes import PrefixModel
@@ -49,10 +49,12 @@
 
     def limit(self, policy: Policy, is_urgent: bool, now_ms: int) -> int:
         """Return how many slots may be in use after a grant."""
-        limit = int(self.budget.limit_slots)
+        limit = self.budget.limit_slots
         if is_urgent:
-            limit = int(self.budget.limit_slots * policy.overfill_ratio)
-        return self.health.slots(limit, now_ms)
+            limit *= policy.overfill_ratio
+        if self.health.state is HealthState.HEALTHY:
+            return int(limit)
+        return self.health.slots(int(limit), now_ms)
 
     def can_hold(self, want: Want) -> bool:
         """Return whether the want fits into the upstream when it is empty."""
@@ -119,17 +121,21 @@
         rooms = [self._room(one, queued, urgent, now_ms) for one in upstreams]
         if Room.FREE not in rooms:
             return Hold() if Room.NOT_THIS_WANT in rooms else None
+        may_hold = bool(queued.want.prefix_hashes) and self._may_hold(
+            queued, urgent, now_ms
+        )
         best = better = None
         for upstream, room in zip(upstreams, rooms, strict=True):
-            if room is Room.CLOSED or room is Room.NOT_THIS_WANT:
-                continue
-            choice = self._score(upstream, queued, now_ms)
-            has_room = room is Room.FREE and (
-                is_highest or self._leaves_room(choice, upstreams, queued.want, now_ms)
-            )
-            if has_room:
-                best = _cheaper(best, choice)
-            elif self._may_hold(queued, urgent, now_ms):
+            if room is Room.FREE:
+                choice = self._score(upstream, queued, now_ms)
+                if is_highest or self._leaves_room(
+                    choice, upstreams, queued.want, now_ms
+                ):
+                    best = _cheaper(best, choice)
+                elif may_hold:
+                    better = _cheaper(better, self._with_wait(choice, now_ms))
+            elif may_hold and room is Room.FULL and _hits(upstream, queued.want):
+                choice = self._score(upstream, queued, now_ms)
                 better = _cheaper(better, self._with_wait(choice, now_ms))
         if best is None:
             return Hold()
@@ -146,15 +152,18 @@
         wait_ms = budget.slot_wait_ms
         backlog_ms = budget.backlog_ms(now_ms) - self._policy.engine_queue_ms
         wait_ms = max(wait_ms, backlog_ms, 0.0)
-        return replace(choice, cost_ms=choice.cost_ms + wait_ms)
+        cost_ms = choice.cost_ms + wait_ms
+        return Choice(choice.upstream, choice.predicted_prefix_tokens, cost_ms)
 
     def _room(
         self, upstream: Upstream, queued: QueuedWant, urgent: bool, now_ms: int
     ) -> Room:
         budget = upstream.budget
         want = queued.want
+        if upstream.is_leaving:
+            return Room.CLOSED
         limit = upstream.limit(self._policy, urgent, now_ms)
-        if upstream.is_leaving or limit == 0 or not upstream.can_hold(want):
+        if limit == 0 or not upstream.can_hold(want):
             return Room.CLOSED
         if len(budget.slots) >= limit:
             return Room.FULL
@@ -162,14 +171,19 @@
             return Room.NOT_THIS_WANT
         if upstream.spec.kind is UpstreamKind.SERVICE:
             return Room.FREE
-        hit = upstream.prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
-        if budget.slots and not budget.fits_memory(want, hit):
+        if budget.slots and not self._fits_memory(upstream, want):
             return Room.FULL
         if upstream.is_slow(now_ms) and not self._accepts_slow(queued, now_ms):
             return Room.NOT_THIS_WANT
         is_idle = budget.backlog_ms(now_ms) <= self._policy.engine_queue_ms
         return Room.FREE if is_idle else Room.FULL
 
+    def _fits_memory(self, upstream: Upstream, want: Want) -> bool:
+        if upstream.budget.fits_memory(want, 0):
+            return True
+        hit = upstream.prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
+        return upstream.budget.fits_memory(want, hit)
+
     def _accepts_slow(self, queued: QueuedWant, now_ms: int) -> bool:
         if queued.want.tier == HIGHEST_TIER:
             return queued.deadline_at_ms - now_ms < self._policy.urgent_ms
@@ -218,6 +232,12 @@
         )
 
 
+def _hits(upstream: Upstream, want: Want) -> bool:
+    prefixes = upstream.prefixes
+    hit = prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
+    return hit >= MIN_HOLD_TOKENS
+
+
 def _is_worth_waiting(later: Choice, now: Choice) -> bool:
     hit_more = later.predicted_prefix_tokens - now.predicted_prefix_tokens
     is_cheaper = later.cost_ms < now.cost_ms * HOLD_COST_SHARE
--- a/src/peridotfront/core/prefixes.py
+++ b/src/peridotfront/core/prefixes.py
@@ -32,6 +32,8 @@
 
         A block is of use only with all before it, and is evicted before them.
         """
+        if not hashes or hashes[0] not in self._blocks:
+            return 0
         blocks = bisect_left(hashes, True, key=lambda block: block not in self._blocks)
         return min(blocks * self.block_tokens, max(0, prompt_tokens - 1))
 
