Close gaps that broken mechanisms showed in the tests

Change: the dump's examples hold NaN and infinity, a foreign object with attributes is dumped, and an import replaces a value that spans lines.

--- a/features/inventory.feature
+++ b/features/inventory.feature
@@ -18,6 +18,10 @@
       | json       |
       | renamed    |
 
+  Scenario: A value that spans lines is replaced as a whole
+    When the register gives engine-1 the one model "tiny"
+    Then engine-1 has the one model "tiny" and its limits and comments
+
   Scenario: A register that agrees changes nothing
     When the register says what the configuration says
     Then the import is empty and the text is the same
--- a/features/logs.feature
+++ b/features/logs.feature
@@ -63,8 +63,8 @@
     And the dump contains no secret and no part of the body
 
   Scenario: A dump follows our own objects, once, and names foreign ones
-    When metrics, a socket and a list that holds itself are dumped
-    Then the dump shows the metrics' labels, the socket's type and the repeat
+    When metrics, an object of a library and a list that holds itself are dumped
+    Then the dump shows the metrics' labels, the library's type and the repeat
 
   Scenario: Metrics are counted by tier, verdict, reason and cause
     Given the metrics of host "entry-1"
--- a/features/steps/inventory_steps.py
+++ b/features/steps/inventory_steps.py
@@ -118,6 +118,19 @@
     assert fleet.upstreams[0].max_slots == 4
 
 
+@when('the register gives engine-1 the one model "{model}"')
+def import_models(context, model):
+    row = ENGINE_1 | {"data_centre": "cardiff", "models": model}
+    context.plan = plan_import(CONTENT, register_of("csv", [row]))
+
+
+@then('engine-1 has the one model "{model}" and its limits and comments')
+def one_model(context, model):
+    before = CONTENT.partition("# on loan")[0]
+    expected = before.replace("models = small,\n  large\n", f"models = {model}\n")
+    assert context.plan.content.startswith(expected), context.plan.content
+
+
 @when("the register says what the configuration says")
 def import_same(context):
     engine_1 = ENGINE_1 | {"data_centre": "cardiff", "models": "small,large"}
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -1,10 +1,11 @@
 """Steps on log events, dumps and metrics."""
 
+import argparse
 import asyncio
 import io
 import json
 import logging
-import socket
+import math
 from dataclasses import dataclass
 
 from behave import given, then, when
@@ -211,7 +212,7 @@
     @settings(max_examples=100)
     @for_any(any_state(), st.integers(2048, 8192), st.integers(1, 30))
     def check(state, max_size_bytes, max_items):
-        state = [state, ["long" * 200] * 20, state]
+        state = [state, math.nan, -math.inf, ["long" * 200] * 20, state]
         body = dump(state, max_items, max_size_bytes)
         json.loads(body, parse_constant=context.failures.append)
         if len(body) > max_size_bytes:
@@ -256,20 +257,20 @@
     assert json.loads(context.body)["role"]["first_token_ms"] == 7
 
 
-@when("metrics, a socket and a list that holds itself are dumped")
+@when("metrics, an object of a library and a list that holds itself are dumped")
 def dump_objects(context):
     endless = []
     endless.append(endless)
-    with socket.socket() as foreign:
-        state = [Metrics("entry-1", "cardiff"), foreign, endless]
-        context.body = dump(state).decode()
+    foreign = argparse.Namespace(session="abc")
+    state = [Metrics("entry-1", "cardiff"), foreign, endless]
+    context.body = dump(state).decode()
 
 
-@then("the dump shows the metrics' labels, the socket's type and the repeat")
+@then("the dump shows the metrics' labels, the library's type and the repeat")
 def dump_shows_objects(context):
     metrics, foreign, endless = json.loads(context.body)
     assert metrics["_labels"]["host"] == "entry-1", metrics
-    assert (foreign, endless) == ("socket", [REPEATED])
+    assert (foreign, endless) == ("Namespace", [REPEATED])
 
 
 @given('the metrics of host "{host}"')
