--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -57,6 +57,14 @@
     StrikesSnapshot,
     StrikeUpdate,
 )
+from .local import (
+    LOCAL_MESSAGES,
+    LocalClaimCopied,
+    LocalClaimCopy,
+    LocalClaimReply,
+    LocalClaimRequest,
+    LocalOutcome,
+)
 from .raft import (
     RAFT_MESSAGES,
     AppendReply,
@@ -72,7 +80,9 @@
 )
 from .records import HardState, LogStart, Snapshot, StorageRecord, Truncation
 
-MESSAGE_TYPES = RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES
+MESSAGE_TYPES = (
+    RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES + LOCAL_MESSAGES
+)
 Message = Union[MESSAGE_TYPES]  # noqa: UP007
 
 
@@ -125,6 +135,11 @@
     "JoinRequest",
     "KeyQuery",
     "KeyReply",
+    "LocalClaimCopied",
+    "LocalClaimCopy",
+    "LocalClaimReply",
+    "LocalClaimRequest",
+    "LocalOutcome",
     "LogEntry",
     "LogStart",
     "MembershipChange",
