Feed the metrics of entry hosts

Cause: queue and first-token latency, wasted prefill, claims, peers and requests in progress were defined but nothing counted them. Change: measuring.py looks at the events and the state of the entry role; gauges are brought up to date when they are read. Ruled out: counting wasted prefill at the caller's side; the scheduler of the cell has the causes. Left: goodput counts every whole answer, in time or not; the metric says so.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -23,3 +23,11 @@
     Given a deployment without TLS, put into force by the command line
     When the operator drains engine-1 of the deployment
     Then the upstreams of the deployment show engine-1 as leaving
+
+  Scenario: What requests did is seen in the metrics and the logs of the hosts
+    Given a deployment without TLS, put into force by the command line
+    When 3 completions are answered, one under a key and one streamed, and one is refused
+    Then the metrics of entry-1 show 3 good answers, 3 dispatches and 1 refusal
+    And they show 1 granted claim, 3 waits for a slot and 1 for a first token
+    And they show 3 live control hosts and the configuration version in force
+    And each request id of an answer is found in the log of entry-1
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -285,7 +285,7 @@
 def count_some(context, tokens):
     context.metrics.count_answer(1, Verdict.COMPLETED, Reason.NONE, is_good=True)
     context.metrics.count_answer(3, Verdict.NOT_RUN, Reason.OVERLOADED)
-    context.metrics.count_wasted_prefill("preempted", tokens)
+    context.metrics.set_wasted_prefill("preempted", tokens)
     context.metrics.observe_first_token(1, 40)
 
 
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -13,6 +13,7 @@
 from support.operated import OperatedDeployment
 
 TIMEOUT_S = 30
+STREAMED = {"model": "m1", "prompt": "hallmark 750", "max_tokens": 4, "stream": True}
 HELLO = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes(9)
 
 
@@ -164,3 +165,78 @@
     (upstream,) = json.loads(run.out)["upstreams"]
     assert upstream["name"] == "engine-1" and upstream["is_leaving"], upstream
     assert upstream["scheduler"] == "entry-1", upstream
+
+
+@when(
+    "3 completions are answered, one under a key and one streamed, and one is refused"
+)
+def some_requests(context):
+    operated = context.operated
+    wait_until(
+        lambda: operated.complete("entry-1", "warm up", 1).status == 200,
+        what="the engine takes work",
+    )
+    context.before = samples(operated)
+    replies = [
+        operated.complete("entry-1", "hallmark 375", 4),
+        operated.request("entry-1", "/v1/completions", STREAMED, account="bulk"),
+        operated.complete("entry-1", "hallmark 916", 4, idempotency_key="metrics-1"),
+    ]
+    assert [reply.status for reply in replies] == [200, 200, 200], replies
+    replies.append(operated.complete("entry-1", "hallmark", 4, model="nothing"))
+    assert replies[-1].status == 404, replies[-1]
+    context.request_ids = [reply.headers["x-request-id"] for reply in replies]
+    context.after = samples(operated)
+
+
+def samples(operated):
+    text = operated.admin("entry-1", "GET", "/metrics").body.decode()
+    lines = [line.rsplit(" ", 1) for line in text.splitlines() if line[:1] != "#"]
+    return {name: float(value) for name, value in lines if name}
+
+
+def total(found, name, *labels):
+    return sum(
+        value
+        for key, value in found.items()
+        if key.startswith(f"peridotfront_{name}{{") and all(x in key for x in labels)
+    )
+
+
+def growth(context, name, *labels):
+    return total(context.after, name, *labels) - total(context.before, name, *labels)
+
+
+@then("the metrics of entry-1 show 3 good answers, 3 dispatches and 1 refusal")
+def metrics_count(context):
+    counts = (
+        growth(context, "goodput_total"),
+        growth(context, "dispatches_total"),
+        growth(context, "answers_total", 'verdict="not_run"', 'reason="not_found"'),
+    )
+    assert counts == (3, 3, 1), counts
+
+
+@then("they show 1 granted claim, 3 waits for a slot and 1 for a first token")
+def metrics_waits(context):
+    counts = (
+        growth(context, "claims_total", 'status="granted"'),
+        growth(context, "queue_ms_count"),
+        growth(context, "first_token_ms_count"),
+    )
+    assert counts == (1, 3, 1), counts
+
+
+@then("they show 3 live control hosts and the configuration version in force")
+def metrics_gauges(context):
+    alive = total(context.after, "alive_peers", 'role="control"')
+    version = total(context.after, "config_version")
+    assert (alive, version) == (3, 1), context.after
+
+
+@then("each request id of an answer is found in the log of entry-1")
+def ids_logged(context):
+    lines = (context.operated.folder / "entry-1.log").read_text().splitlines()
+    events = [json.loads(line) for line in lines if line.startswith("{")]
+    logged = {event["request_id"] for event in events}
+    assert set(context.request_ids) <= logged, (context.request_ids, logged)
--- a/src/peridotfront/entry_server.py
+++ b/src/peridotfront/entry_server.py
@@ -31,6 +31,7 @@
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import SettingsInvalid
 from .intake import Admission, Intake
+from .measuring import EntryMeter
 from .metrics import Metrics
 from .polling import Poller
 from .rules import parse_rules
@@ -62,6 +63,7 @@
         self._intake = intake
         self._send = send
         self._metrics = metrics
+        self._meter = EntryMeter(role, metrics)
         self._tasks = Tasks()
         self._caller = Caller(client, self.feed)
         self._attachments = Attachments(self.answers, self._send_any, self.feed)
@@ -85,6 +87,7 @@
 
     def feed(self, event: Any) -> None:
         """Feed one event to the role and carry out what it decides."""
+        self._meter.observe(event)
         for action in self.role.handle(event, now_ms()):
             self._run(action)
 
@@ -165,6 +168,7 @@
             return
         call = self._new_call(admission, upstream)
         self._metrics.count_dispatch(upstream.kind)
+        self._meter.dispatched(action.request_id)
         self._start_call(call, self._caller.dispatch)
 
     @_run.register
--- a/src/peridotfront/metrics.py
+++ b/src/peridotfront/metrics.py
@@ -1,5 +1,7 @@
 """The metrics of one process, in the text format of Prometheus."""
 
+from collections.abc import Callable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
@@ -41,11 +43,12 @@
 
     def __init__(self, host: str, data_centre: str):
         self._labels = {"host": host, "data_centre": data_centre}
+        self._collectors: list[Callable[[], None]] = []
         self._registry = Registry()
         self._goodput = self._make(
             Counter,
             "goodput_total",
-            "Requests answered in full and within the times of their tier.",
+            "Requests answered in full; times are not judged yet.",
         )
         self._answers = self._make(
             Counter, "answers_total", "Requests ended, by tier, verdict and reason."
@@ -80,6 +83,10 @@
             Gauge, "requests_in_progress", "Requests that have not ended yet."
         )
 
+    def add_collector(self, collect: Callable[[], None]) -> None:
+        """Add a function that brings metrics up to date before they are shown."""
+        self._collectors.append(collect)
+
     def _make(self, kind: type, name: str, doc: str):
         return kind(
             PREFIX + name, doc, const_labels=self._labels, registry=self._registry
@@ -100,7 +107,7 @@
         """Count a request that ended.
 
         :param tier: 1 is the highest.
-        :param is_good: whether the answer was whole and in time.
+        :param is_good: whether it counts as goodput.
         """
         labels = {
             "tier": str(tier),
@@ -118,9 +125,9 @@
         """
         self._dispatches.inc({"kind": str(kind)})
 
-    def count_wasted_prefill(self, cause: str, tokens: int) -> None:
-        """Count prompt tokens that were processed in vain or again."""
-        self._wasted.add({"cause": str(cause)}, tokens)
+    def set_wasted_prefill(self, cause: str, tokens: int) -> None:
+        """Record the prompt tokens processed in vain or again since the start."""
+        self._wasted.set({"cause": str(cause)}, tokens)
 
     def count_claim(self, status: str) -> None:
         """Count the reply to a claim by its status."""
@@ -155,5 +162,7 @@
 
         :rtype: bytes
         """
+        for collect in self._collectors:
+            collect()
         body, _ = render(self._registry, ["text/plain"])
         return body
