Answer no refusal that denies what a peer has acknowledged

Cause: on a scratch copy where a lost disk kept its incarnation, the feature ran until it was cut off at 70 s: each heartbeat opened a further exchange of refusals and repeats, so messages grew without bound. A folder that was set back to a copy would do the same to a real group.

Change: a refusal whose hint lies below the match index is taken as late. New scenarios: names of new files synced in order, a missing segment without entries.

--- a/features/raft_rules.feature
+++ b/features/raft_rules.feature
@@ -40,6 +40,13 @@
     And "b" confirms the entries up to 6
     Then the requests carry 1, 2, 2 entries
 
+  Scenario: A peer that denies what it acknowledged gets no stream of requests
+    Given a leader "a" of term 3 with a log of the terms 1, 2
+    And "b" confirms the entries up to 3
+    When 1 commands of 10 bytes are proposed at once
+    And "b" refuses with the hint 1
+    Then nothing is sent
+
   Scenario: A learner that is behind is not promoted
     Given a leader "a" of term 3 with a log of the terms 1, 2
     And "b" confirms the entries up to 3
--- a/features/steps/raft_rules_steps.py
+++ b/features/steps/raft_rules_steps.py
@@ -116,6 +116,17 @@
     driver.receive(host, AppendReply(3, incarnation, True, index, number))
 
 
+@when('"{host}" refuses with the hint {index:d}')
+def refuses(context, host, index):
+    refusal = AppendReply(3, INCARNATIONS[host], False, index, 1)
+    context.new_actions = context.driver.receive(host, refusal)
+
+
+@then("nothing is sent")
+def nothing_sent(context):
+    assert context.new_actions == []
+
+
 @when("a read is asked")
 def read_asked(context):
     context.driver.handle(Read(7))
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import stat
 import tempfile
 from pathlib import Path
 
@@ -33,6 +34,7 @@
         self.syncs = 0
         self.calls = 0
         self.written_bytes = 0
+        self.synced_names = []
         self.is_full = False
         self.sync_fails = False
         self.fail_at_call = 0
@@ -52,6 +54,8 @@
             raise OSError(errno.EIO, "input/output error")
         self.syncs += 1
         os.fsync(fd)
+        if stat.S_ISDIR(os.fstat(fd).st_mode):
+            self.synced_names.append(set(os.listdir(fd)))
 
     def _count(self):
         self.calls += 1
@@ -151,6 +155,16 @@
     return Snapshot(index, term, (Replica("a", 5),), (), b"state")
 
 
+@given("a data folder in which one segment holds nothing but votes")
+def segment_of_votes(context):
+    small_segments(context)
+    context.storage.run([AppendEntries(entries(1, 5))])
+    for term in range(1, 200):
+        hard = HardState(term, Replica("a", 5), True)
+        context.storage.run([SaveHardState(hard)])
+    assert len(segments(context)) > 3
+
+
 @when("the storage is opened and closed and opened")
 def opened_twice(context):
     context.first = open_storage(context).incarnation
@@ -451,6 +465,15 @@
     assert context.storage.state.entries == entries(first, 5)
 
 
+@then("the name of the snapshot was synced before that of the segment after it")
+def names_synced_in_order(context):
+    snapshot = path_of(context, "snapshot").name
+    segment = segments(context)[-1].name
+    listings = context.disk.synced_names
+    assert any(snapshot in names and segment not in names for names in listings)
+    assert {snapshot, segment, "incarnation"} <= listings[-1]
+
+
 @then("one segment and one snapshot file are left")
 def few_files(context):
     assert len(segments(context)) == 1
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -75,6 +75,12 @@
       | old segment   |
       | every segment |
 
+  Scenario: A missing segment is noticed even if no entry is missing
+    Given a data folder in which one segment holds nothing but votes
+    When the file "old segment" is removed
+    And the storage is opened again
+    Then it raises StorageDamaged
+
   Scenario Outline: After a failed write nothing more is accepted
     Given a data folder with 5 entries
     When the disk <fault>
@@ -106,6 +112,11 @@
     Then the snapshot is that of entry 3, followed by entries 4 to 5
     And one segment and one snapshot file are left
 
+  Scenario: The names of new files are synced in order
+    Given a data folder with 5 entries
+    When a snapshot of entry 3 is installed
+    Then the name of the snapshot was synced before that of the segment after it
+
   Scenario Outline: A snapshot that is cut short at any step is whole or absent
     Given a data folder with 5 entries
     When the disk fails at step <step> of installing a snapshot of entry 3
--- a/src/peridotfront/core/raft_progress.py
+++ b/src/peridotfront/core/raft_progress.py
@@ -43,9 +43,12 @@
             self.transfer = None
 
     def step_back(self, hint: int) -> None:
-        """Take in that the peer's log differs, and may match up to the hint."""
-        if hint + 1 < self.next_index:
-            self.next_index = max(self.match_index, hint) + 1
+        """Take in that the peer's log differs, and may match up to the hint.
+
+        A hint below what the peer has acknowledged is an answer that came late.
+        """
+        if self.match_index <= hint < self.next_index - 1:
+            self.next_index = hint + 1
             self.sent_index = 0
 
     def send_again(self) -> None:
