--- a/benchmarks/raft.py
+++ b/benchmarks/raft.py
@@ -47,19 +47,26 @@
 RESTART_ENTRIES = (500, 5_000, 50_000)
 REPEATS = 3
 SECONDS_PER_RUN = 1.0
+RAW_SYNCS = 200
+RAW_SYNC_BYTES = 200
 TICK_MS = 10
 NS_PER_US = 1000
 
 
 @dataclass(frozen=True)
 class Throughput:
-    """Proposals that were committed with sync on every replica."""
+    """Proposals that were committed with sync on every replica.
+
+    :param per_raw_sync: proposals a second over bare appends with sync a second,
+        measured in the same run.
+    """
 
     replicas: int
     batch: int
     proposals_per_s: float
     lowest_per_s: float
     highest_per_s: float
+    per_raw_sync: float
     syncs_per_proposal: float
     processor_us_per_proposal: float
 
@@ -230,12 +237,25 @@
     return ClaimBatch(1, (ClaimRequest(f"{number:032x}", claim),))
 
 
+def raw_syncs_per_s(folder: Path) -> float:
+    """Return how often a second a small append to a file can be synced."""
+    fd = os.open(folder / "raw", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    start = time.perf_counter()
+    for _ in range(RAW_SYNCS):
+        os.write(fd, bytes(RAW_SYNC_BYTES))
+        os.fsync(fd)
+    os.close(fd)
+    return RAW_SYNCS / (time.perf_counter() - start)
+
+
 def measure_throughput(replicas: int, batch: int) -> Throughput:
     """Commit batches for a while, several times over."""
     rates = []
+    raw_rates = []
     syncs = proposals = processor_ns = 0
     for _ in range(REPEATS):
         with tempfile.TemporaryDirectory() as folder:
+            raw_rates.append(raw_syncs_per_s(Path(folder)))
             group = Group(replicas, Path(folder))
             leader = group.elect()
             syncs -= sum(m.syncs for m in group.members.values())
@@ -256,6 +276,7 @@
         proposals_per_s=round(statistics.median(rates), 1),
         lowest_per_s=round(min(rates), 1),
         highest_per_s=round(max(rates), 1),
+        per_raw_sync=round(statistics.median(rates) / statistics.median(raw_rates), 3),
         syncs_per_proposal=round(syncs / proposals, 3),
         processor_us_per_proposal=round(processor_ns / proposals / NS_PER_US, 1),
     )
