--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -4,9 +4,9 @@
 hand, and is dispatched to its upstream at most once. A request whose key is held
 elsewhere follows the holder's answer instead.
 
-With its first want a request with a key also asks whether the key is in use. A
-refusal waits for that answer: a request whose key has run is not refused as not
-run, it gets the answer that the key has got.
+Before a request with a key is refused as not run, or if it waits for long, it asks
+whether the key is in use. If the key has run, the request gets the answer that the
+key has got instead.
 """
 
 import heapq
@@ -137,8 +137,7 @@
         heapq.heappush(self._due, (now_ms + WANT_RETRY_MS, request.request_id))
         if request.key:
             self._by_key[request.key] = request.request_id
-            flow.key_state = KeyState.ASKED
-            yield QueryKey(request.request_id, request.key, request.fingerprint)
+            flow.key_state = KeyState.UNASKED
         if event.refusal is not None:
             yield from self._refuse(flow, event.refusal)
             return
@@ -287,6 +286,8 @@
             refusal = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, UNREACHABLE_RETRY_MS)
             yield from self._refuse(flow, refusal)
         elif now_ms - flow.asked_ms >= WANT_RETRY_MS:
+            if flow.key_state is KeyState.UNASKED:
+                yield self._query_key(flow)
             yield from self._ask(flow, now_ms)
 
     def _tick_waiting(self, flow: Flow, is_late: bool, now_ms: int) -> Iterator[Any]:
@@ -536,14 +537,18 @@
     def _refuse(self, flow: Flow, refusal: Refusal) -> Iterator[Any]:
         flow.state = FlowState.REFUSING
         flow.refusal = refusal
-        request = flow.request
-        if flow.key_state is KeyState.FREE and refusal.verdict is Verdict.NOT_RUN:
-            # Another attempt may have run since the key was found to be free.
-            flow.key_state = KeyState.ASKED
-            yield QueryKey(request.request_id, request.key, request.fingerprint)
+        is_open = flow.key_state in (KeyState.UNASKED, KeyState.FREE)
+        if is_open and refusal.verdict is Verdict.NOT_RUN:
+            # Another attempt may have run, also since the key was found to be free.
+            yield self._query_key(flow)
         elif flow.key_state is not KeyState.ASKED:
             yield from self._refuse_now(flow, refusal)
 
+    def _query_key(self, flow: Flow) -> QueryKey:
+        flow.key_state = KeyState.ASKED
+        request = flow.request
+        return QueryKey(request.request_id, request.key, request.fingerprint)
+
     def _refuse_now(self, flow: Flow, refusal: Refusal) -> Iterator[Any]:
         is_repeat = flow.request.key and flow.request.attempt > 1
         if is_repeat and flow.key_state is KeyState.UNKNOWN:
--- a/src/peridotfront/core/flows.py
+++ b/src/peridotfront/core/flows.py
@@ -24,6 +24,7 @@
     """Names what is known of a request's idempotency key."""
 
     UNUSED = "unused"
+    UNASKED = "unasked"
     ASKED = "asked"
     FREE = "free"
     UNKNOWN = "unknown"
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -108,6 +108,7 @@
     affinity_ms: int = Field(default=DEFAULTS.affinity_ms, ge=0)
     learns_rates: bool = DEFAULTS.learns_rates
     slow_token_ms: float = Field(default=DEFAULTS.slow_token_ms, gt=0)
+    preempt_lead_ms: int = Field(default=DEFAULTS.preempt_lead_ms, ge=0)
 
 
 def parse_rules(text: str, version: int = 0, source: str = "configuration") -> Fleet:
