--- a/features/support/control_group.py
+++ b/features/support/control_group.py
@@ -482,7 +482,7 @@
         if version:
             newest = version[0].version
             self.run_until(lambda: self.all_in_force(newest), what="all in force")
-        for key, epoch in self.oracle.outcomes:
+        for key, epoch in sorted(self.oracle.outcomes):
             record = self.lookup(key)
             is_kept = record.claim.epoch > epoch or record.outcome is not None
             assert is_kept, f"the outcome of {key} in epoch {epoch} is lost"
