--- a/benchmarks/cell_driver.py
+++ b/benchmarks/cell_driver.py
@@ -252,6 +252,7 @@
 
     def _refused(self, job: Job, message: Refuse) -> None:
         self.simulation.queued.pop(job.request_id, None)
+        job.reason = message.reason.value
         late_ms = self.simulation.now_ms - job.arrival_ms - job.deadline_ms
         if not job.returns:
             self.late_answers_ms.append(late_ms)
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -38,6 +38,7 @@
     cached_tokens: int = 0
     oracle_tokens: int = 0
     refused_ms: float = -1.0
+    reason: str = ""
     retry_after_ms: int = 0
     returns: int = 0
     was_admitted_on_return: bool = False
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -40,7 +40,7 @@
 
 __all__ = ["CellScheduler", "FleetChanged", "HostLost", "StrikesChanged"]
 
-MAX_SKIPS = 4
+MAX_SKIPS = 8
 CHECK_SLOTS_EVERY_MS = 100
 LEAVING_HOLD_MS = 10_000
 OVERDUE_FACTOR = 2
