Tell when all upstreams are down, and split the dump off

Change: the time to come back is then the next probe's; while all are leaving it is 1 s. Dumps are built in cell_dump. Scenarios for new configurations and strikes of the control group.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -48,3 +48,8 @@
     Given a cell of a plain service with 2 upstreams of 1 slot
     When 3 wants of tier 1 arrive
     Then 2 slots are in use
+
+  Scenario: While all upstreams are down the time to come back is the next probe's
+    When the upstreams of all running requests die
+    And a short want of tier 1 arrives
+    Then it is refused until the next probe
--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -103,3 +103,18 @@
     When two wants are queued
     And the first is withdrawn and comes back with a later deadline
     Then the other want is the most urgent and goes first
+
+  Scenario: A new configuration adds and removes upstreams
+    Given all slots are held at tier 1
+    When a configuration with 3 engines without "e0" comes into force
+    And 4 wants of tier 2 arrive
+    Then upstream "e2" has 2 slots in use
+    And upstream "e0" has 2 slots in use
+    When 4 slots are released
+    Then upstream "e0" is gone
+
+  Scenario: Strikes of the control group refuse a queued request
+    Given all slots are held at tier 1
+    When host "a" wants "r1" at tier 1
+    And the control group counts 2 strikes against "r1"
+    Then "r1" is refused to host "a" as "poison"
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -191,3 +191,19 @@
         if granted_at(context.cell, name)
     ]
     assert len(granted) == 1
+
+
+@when("the upstreams of all running requests die")
+def all_die(context):
+    names = [f"run{index}" for index in range(4)]
+    for name in names:
+        context.cell.want(name)
+    context.cell.pass_time(10)
+    for name in names:
+        context.cell.release(name, ReleaseCause.UPSTREAM_DIED, first_token_ms=-1)
+
+
+@then("it is refused until the next probe")
+def refused_until_probe(context):
+    refusal = context.cell.answers("short", Refuse)[0].message
+    assert 100 <= refusal.retry_after_ms <= 1000, refusal
--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from cell_fixtures import Cell, make_fleet
 
-from peridotfront.core.cell_events import HostLost
+from peridotfront.core.cell_events import FleetChanged, HostLost, StrikesChanged
 from peridotfront.core.messages import Grant, Refuse
 from peridotfront.core.queues import FairQueue, QueuedWant
 
@@ -200,3 +200,22 @@
         if context.cell.wants[send.message.request_id].client_account == account
     ]
     assert len(granted) == count
+
+
+@when('a configuration with {engines:d} engines without "{name}" comes into force')
+def change_fleet(context, engines, name):
+    fleet = make_fleet(engines, 2)
+    kept = tuple(spec for spec in fleet.upstreams if spec.name != name)
+    context.cell.step(FleetChanged(replace(fleet, version=2, upstreams=kept)))
+
+
+@when('the control group counts {strikes:d} strikes against "{request_id}"')
+def count_strikes(context, strikes, request_id):
+    fingerprint = context.cell.wants[request_id].fingerprint
+    context.cell.step(StrikesChanged(fingerprint, strikes))
+
+
+@then('upstream "{name}" is gone')
+def upstream_gone(context, name):
+    names = [one.name for one in context.cell.scheduler.dump().upstreams]
+    assert name not in names, names
--- a/src/peridotfront/core/cell_dump.py
+++ b/src/peridotfront/core/cell_dump.py
@@ -3,6 +3,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from .placement import Upstream
+from .queues import FairQueue
+
 
 @dataclass(slots=True)
 class CellStats:
@@ -69,3 +72,35 @@
     upstreams: tuple[UpstreamDump, ...]
     struck_fingerprints: int
     stats: CellStats
+
+
+def dump_queue(tier: int, model: str, queue: FairQueue, wait_ms: float) -> QueueDump:
+    """Return what there is to show of a queue."""
+    return QueueDump(
+        tier=tier,
+        model=model,
+        wants=len(queue),
+        accounts=queue.accounts,
+        prompt_tokens=queue.prefill_tokens,
+        wait_ms=int(wait_ms),
+    )
+
+
+def dump_upstream(upstream: Upstream, now_ms: int) -> UpstreamDump:
+    """Return what there is to show of an upstream."""
+    budget = upstream.budget
+    return UpstreamDump(
+        name=upstream.name,
+        health=upstream.health.state.value,
+        is_leaving=upstream.is_leaving,
+        slots=len(budget.slots),
+        limit_slots=int(budget.limit_slots),
+        max_slots=budget.max_slots,
+        used_kv_tokens=budget.kv_tokens,
+        capacity_kv_tokens=budget.kv_capacity_tokens,
+        backlog_ms=int(budget.backlog_ms(now_ms)),
+        prefill_tokens_per_s=int(budget.prefill_tokens_per_s),
+        token_gap_ms=round(budget.gap_ms, 1),
+        cached_blocks=len(upstream.prefixes),
+        cache_trust=round(upstream.prefixes.trust, 2),
+    )
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -42,11 +42,6 @@
         """Return whether its tokens come slower than callers accept."""
         return self.budget.slow_share(now_ms) > SLOW_ENGINE_SHARE
 
-    @property
-    def takes_work(self) -> bool:
-        """Return whether it may get new work now or soon."""
-        return not self.is_leaving
-
     def limit(self, policy: Policy, is_urgent: bool, now_ms: int) -> int:
         """Return how many slots may be in use after a grant."""
         limit = self.budget.limit_slots
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -7,7 +7,7 @@
 from .actions import Log, Received, Send, Tick
 from .bookings import Bookings
 from .budgets import Budget, Slot
-from .cell_dump import CellDump, CellStats, QueueDump, UpstreamDump
+from .cell_dump import CellDump, CellStats, dump_queue, dump_upstream
 from .cell_events import FleetChanged, HostLost, StrikesChanged
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .health import Health
@@ -45,6 +45,7 @@
 LEAVING_HOLD_MS = 10_000
 OVERDUE_FACTOR = 2
 RESEND_AFTER_ELSEWHERE_MS = 500
+NO_UPSTREAM_RETRY_MS = 1000
 SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 WASTING_CAUSES = (
     ReleaseCause.CALLER_GONE,
@@ -98,12 +99,18 @@
     def dump(self) -> CellDump:
         """Return the state for operators, as of the last event."""
         now_ms = self._now_ms
+        queues = (
+            dump_queue(tier, model, queue, self._wait_ms(tier, model, now_ms))
+            for tier in self._queues.tiers()
+            for model, queue in self._queues.models(tier)
+        )
+        upstreams = (dump_upstream(one, now_ms) for one in self._all_upstreams())
         return CellDump(
             cell=self.cell,
             config_version=self._fleet.version,
             is_settling=not self._is_settled(now_ms),
-            queues=tuple(self._dump_queues(now_ms)),
-            upstreams=tuple(map(self._dump_upstream(now_ms), self._all_upstreams())),
+            queues=tuple(queues),
+            upstreams=tuple(upstreams),
             struck_fingerprints=len(self._strikes),
             stats=self.stats,
         )
@@ -168,7 +175,7 @@
         queued = self._queued(want, sender, now_ms)
         reason = self._final_reason(want)
         if reason is not Reason.NONE:
-            yield self._refusal(queued, reason, 0)
+            yield self._refusal(queued, reason, self._final_retry_ms(want, reason))
             return
         if self._drain.is_hopeless(queued, self._reach[want.model], now_ms):
             yield self._refusal(queued, Reason.DEADLINE, 0)
@@ -243,12 +250,18 @@
         if self._strikes.is_poison(want.fingerprint):
             return Reason.POISON
         reach = self._reach.get(want.model, ())
-        if not any(upstream.takes_work for upstream in reach):
+        if all(upstream.is_leaving for upstream in reach):
             return Reason.NO_UPSTREAM
         if not any(upstream.can_hold(want) for upstream in reach):
             return Reason.TOO_LARGE
         return Reason.NONE
 
+    def _final_retry_ms(self, want: Want, reason: Reason) -> int:
+        is_configured = want.model in self._reach
+        if reason is Reason.NO_UPSTREAM and is_configured:
+            return NO_UPSTREAM_RETRY_MS
+        return 0
+
     def _answer_held(self, slot: Slot, sender: str) -> Action:
         if slot.host == sender:
             return Send(sender, self._grant_message(slot))
@@ -513,6 +526,9 @@
             patience_ms *= FRESH_PATIENCE_SHARE
         return victim if wait_ms > patience_ms else None
 
+    def _wait_ms(self, tier: int, model: str, now_ms: int) -> float:
+        return self._drain.wait_ms(tier, model, self._reach.get(model, []), now_ms)
+
     def _may_refuse(self, tier: int, model: str) -> bool:
         if self._queues.has_lower(tier, model):
             return False
@@ -555,6 +571,9 @@
 
     def _book(self, want: Want, excess_ms: float, now_ms: int) -> int:
         reach = self._reach.get(want.model, [])
+        if self._drain.capacity(want.model, reach, now_ms).slots == 0:
+            probes = [one.health.next_probe_ms(now_ms) for one in reach]
+            return max(MIN_RETRY_AFTER_MS, min(probes))
         due_ms = self._bookings.book(
             want.request_id,
             (want.tier, want.model),
@@ -631,42 +650,6 @@
         prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
         return Upstream(spec, budget, prefixes, Health(), spec.is_leaving)
 
-    # Dump
-
-    def _dump_queues(self, now_ms: int) -> Iterator[QueueDump]:
-        for tier in self._queues.tiers():
-            for model, queue in self._queues.models(tier):
-                reach = self._reach.get(model, [])
-                yield QueueDump(
-                    tier=tier,
-                    model=model,
-                    wants=len(queue),
-                    accounts=queue.accounts,
-                    prompt_tokens=queue.prefill_tokens,
-                    wait_ms=int(self._drain.wait_ms(tier, model, reach, now_ms)),
-                )
-
-    def _dump_upstream(self, now_ms: int):
-        def dump(upstream: Upstream) -> UpstreamDump:
-            budget = upstream.budget
-            return UpstreamDump(
-                name=upstream.name,
-                health=upstream.health.state.value,
-                is_leaving=upstream.is_leaving,
-                slots=len(budget.slots),
-                limit_slots=int(budget.limit_slots),
-                max_slots=budget.max_slots,
-                used_kv_tokens=budget.kv_tokens,
-                capacity_kv_tokens=budget.kv_capacity_tokens,
-                backlog_ms=int(budget.backlog_ms(now_ms)),
-                prefill_tokens_per_s=int(budget.prefill_tokens_per_s),
-                token_gap_ms=round(budget.gap_ms, 1),
-                cached_blocks=len(upstream.prefixes),
-                cache_trust=round(upstream.prefixes.trust, 2),
-            )
-
-        return dump
-
 
 def _without_model(want: Want) -> Want:
     return Want(
