Stop links between hosts though a cancellation gets lost

Cause: the demonstration hung at its end: a control host did not stop after SIGTERM. A dump of its tasks showed PeerLink._run alive in _send_frames, its cancellation lost. Ruled out: the admin server and the ticker, both had ended. Change: stop() cancels until the task has ended. Deployment.stop() no longer hides processes that it had to kill, and keeps chosen ports bound until the end. The demonstration takes ports that the kernel gives to no connection.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -31,3 +31,8 @@
     And they show 1 granted claim, 3 waits for a slot and 1 for a first token
     And they show 3 live control hosts and the configuration version in force
     And each request id of an answer is found in the log of entry-1
+
+  Scenario: A link between hosts stops though a cancellation gets lost
+    Given a link to a peer whose work loses the first 3 cancellations
+    When the link is stopped
+    Then the link has stopped within 2 s
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -1,5 +1,6 @@
 """Steps on the procedures of the operators' guide."""
 
+import asyncio
 import contextlib
 import http.client
 import json
@@ -7,11 +8,15 @@
 import socket
 import ssl
 import tempfile
+import time
 
 from behave import given, then, when
 from support.deployment import call, wait_until
 from support.operated import OperatedDeployment
 
+from peridotfront.settings import Peer
+from peridotfront.transport import Credentials, PeerLink
+
 TIMEOUT_S = 30
 STREAMED = {"model": "m1", "prompt": "hallmark 750", "max_tokens": 4, "stream": True}
 HELLO = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes(9)
@@ -240,3 +245,44 @@
     events = [json.loads(line) for line in lines if line.startswith("{")]
     logged = {event["request_id"] for event in events}
     assert set(context.request_ids) <= logged, (context.request_ids, logged)
+
+
+class DeafLink(PeerLink):
+    """Loses cancellations, as a wait for a finished write may do."""
+
+    def __init__(self, losses):
+        peer = Peer("entry-2", "entry", "dc1", "127.0.0.1:1")
+        super().__init__(peer, "entry-1", 1, Credentials())
+        self.losses = losses
+
+    async def _send_frames(self, channel):
+        while self.losses:
+            try:
+                await asyncio.sleep(TIMEOUT_S)
+            except asyncio.CancelledError:
+                self.losses -= 1
+        await asyncio.sleep(TIMEOUT_S)
+
+
+@given("a link to a peer whose work loses the first {count:d} cancellations")
+def deaf_link(context, count):
+    context.losses = count
+
+
+@when("the link is stopped")
+def stop_link(context):
+    async def start_and_stop():
+        link = DeafLink(context.losses)
+        link.start()
+        await asyncio.sleep(0)
+        started_s = time.monotonic()
+        async with asyncio.timeout(TIMEOUT_S / 2):
+            await link.stop()
+        context.stop_s = time.monotonic() - started_s
+
+    asyncio.run(start_and_stop())
+
+
+@then("the link has stopped within {limit_s:d} s")
+def link_stopped(context, limit_s):
+    assert context.stop_s < limit_s, context.stop_s
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -23,11 +23,20 @@
 }
 
 
+RESERVED_PORTS = []
+
+
 def free_port() -> int:
-    """Return a port that the kernel picked."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that the kernel picked and gives to no other socket.
+
+    The socket stays bound, without listening, so that no connection gets the
+    port as its own; a server that reuses addresses can listen on it.
+    """
+    probe = socket.socket()
+    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    probe.bind(("127.0.0.1", 0))
+    RESERVED_PORTS.append(probe)
+    return probe.getsockname()[1]
 
 
 def wait_until(condition, timeout_s=READY_TIMEOUT_S, what="condition"):
@@ -90,14 +99,17 @@
         self.popen.wait()
 
     def stop(self, timeout_s=30):
+        """Stop by SIGTERM; tell whether it ended by itself."""
         if self.popen is None or self.popen.poll() is not None:
-            return
+            return True
         self.popen.send_signal(signal.SIGCONT)
         self.popen.send_signal(signal.SIGTERM)
         try:
             self.popen.wait(timeout_s)
         except subprocess.TimeoutExpired:
             self.kill()
+            return False
+        return True
 
     @property
     def is_running(self):
@@ -295,11 +307,11 @@
             if process.is_running:
                 process.popen.send_signal(signal.SIGCONT)
                 process.popen.send_signal(signal.SIGTERM)
-        for process in self.processes.values():
-            process.stop()
+        hung = [one.name for one in self.processes.values() if not one.stop()]
         if self.relay is not None:
             self.relay.kill()
             self.relay.wait()
+        assert not hung, f"did not end after SIGTERM and were killed: {hung}"
 
     def __enter__(self):
         try:
--- a/scripts/demo_files.py
+++ b/scripts/demo_files.py
@@ -1,10 +1,15 @@
 """Writes the settings of a small deployment on this machine into a folder."""
 
+import contextlib
 import hashlib
+import itertools
+import random
 import socket
 import sys
 from pathlib import Path
 
+HOST_IP = "127.0.0.1"
+PORTS = range(20_000, 32_000)
 ADMIN_TOKEN = "demo-operators-token"
 CALLER_KEYS = {"counter": "demo-counter-key", "drafting": "demo-drafting-key"}
 CONTROL_HOSTS = {"control-1": "cardiff", "control-2": "swansea", "control-3": "newport"}
@@ -16,13 +21,19 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return addresses on this machine whose ports the kernel picked."""
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
-    for probe in probes:
-        probe.close()
+    """Return free addresses on this machine.
+
+    The ports lie below those that the kernel gives to connections, so that none
+    is taken before its program listens.
+    """
+    first = random.choice(PORTS)
+    addresses = []
+    for port in itertools.chain(range(first, PORTS.stop), PORTS):
+        if len(addresses) == count:
+            break
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST_IP, port))
+            addresses.append(f"{HOST_IP}:{port}")
     return addresses
 
 
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -23,6 +23,7 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 200
 WRITE_TIMEOUT_MS = 2000
+CANCEL_INTERVAL_MS = 100
 KEEPALIVE_MS = 2000
 CHANNEL_OPTIONS = (
     ("grpc.max_send_message_length", MAX_FRAME_BYTES),
@@ -78,9 +79,10 @@
         """Close the stream."""
         if self._task is None:
             return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
+        # A cancellation that meets the end of a write or of the call gets lost.
+        while not self._task.done():
+            self._task.cancel()
+            await asyncio.wait((self._task,), timeout=CANCEL_INTERVAL_MS / 1000)
 
     async def _run(self) -> None:
         while True:
