--- a/features/controller.feature
+++ b/features/controller.feature
@@ -51,6 +51,12 @@
     When all faults are healed
     Then the view names nobody as not confirmed
 
+  Scenario: A host that control never heard counts as not confirmed
+    Given a control group with a configuration
+    When "e3" is cut off and a change is made
+    And all control hosts restart
+    Then the view names "e3" alone as not confirmed
+
   Scenario: A burst of changes is sent to a host at a bounded rate
     Given a control group with a configuration
     When 50 changes are made within 500 ms
@@ -106,6 +112,11 @@
     And all versions reach "e1" again, the oldest last
     Then all replicas and hosts have version 6
 
+  Scenario: Long answers do not make long log entries
+    Given a batcher for answers of at most 1000000 bytes in a batch
+    When 40 outcomes with 100000 bytes and 1 with 2000000 bytes arrive
+    Then they leave in batches of at most 1000000 bytes and the longest has no body
+
   Scenario: A snapshot made in slices while changes go on is that of its index
     Given a control group with a configuration
     When 40 changes are made while "c3" is down
