Find a request's cells by index, and measure what a host spends on control

Change: cells are indexed by model and service when a configuration comes into force, own data centre first; schedulers are kept until the hosts change. Requests that begin alike now meet in one cell. benchmarks.capacity measures the slopes for docs/CAPACITY.md.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,264 @@
+"""Slopes of what a host spends on control, for docs/CAPACITY.md.
+
+Usage::
+
+    PYTHONPATH=src python -m benchmarks.capacity
+"""
+
+import asyncio
+import hashlib
+import json
+import socket
+import time
+import tracemalloc
+
+from peridotfront import wire
+from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.cell_events import FleetChanged
+from peridotfront.core.claimant import Claimant
+from peridotfront.core.entry_role import EntryRole
+from peridotfront.core.fleet import UpstreamKind
+from peridotfront.core.flows import Arrived, Dispatch, DispatchEnded
+from peridotfront.core.follower import ConfigFollower
+from peridotfront.core.membership import Membership
+from peridotfront.core.messages import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    ConfigUpdate,
+    Frame,
+    Grant,
+    Heartbeat,
+    HeldSlot,
+    Outcome,
+    OutcomeAck,
+    OutcomeReport,
+    Release,
+    ReleaseCause,
+)
+from peridotfront.core.requests import Request
+from peridotfront.core.verdicts import Reason, Verdict
+from peridotfront.rules import parse_rules
+from peridotfront.settings import Peer
+from peridotfront.transport import Transport
+
+HOSTS = (6, 100, 390)
+UPSTREAMS = (6, 100, 1000, 4100)
+ACCOUNTS = (5, 500, 3100)
+ENGINES_A_CELL = 10
+ROUNDS = 2000
+FRAME_SIZES = (1, 8, 64)
+FRAMES = 400
+DONE = Outcome(Verdict.COMPLETED, Reason.NONE, 200)
+
+
+def rules(upstreams, accounts, cells=1):
+    """Return configuration text of a given size."""
+    parts = [
+        f"[upstream e{n}]\nkind = engine\ndata_centre = dc{n % cells}\n"
+        f"address = 127.0.0.1:{n + 1}\nmodels = m1, m2, m3, m4, m5, m6\n"
+        "max_slots = 64\nkv_capacity_tokens = 400000\n"
+        for n in range(upstreams)
+    ]
+    for number in range(accounts):
+        digest = hashlib.sha256(str(number).encode()).hexdigest()
+        parts.append(f"[client_account a{number}]\nkey_sha256 = {digest}\n")
+    return "\n".join(parts)
+
+
+def request(number, blocks, key=""):
+    """Return a request whose prompt has some blocks of 64 tokens."""
+    return Request(
+        request_id=f"request-{number:016d}",
+        key=key,
+        fingerprint=number,
+        client_account="a1",
+        tier=1 + number % 5,
+        kind=UpstreamKind.ENGINE,
+        service="",
+        model="m1",
+        prompt_tokens=64 * blocks,
+        output_tokens=100,
+        prefix_hashes=tuple(range(2**62, 2**62 + blocks)),
+        deadline_ms=30_000,
+        is_idempotent=True,
+    )
+
+
+def role(hosts, fleet):
+    """Return an entry role that knows so many hosts and schedules its cell."""
+    names = tuple(f"h{number}" for number in range(1, hosts))
+    membership = Membership("h0", "dc0", names, 400, 1500)
+    made = EntryRole(membership, ConfigFollower(), Claimant("h0", 1), 1)
+    list(made.handle(FleetChanged(fleet), 0))
+    for name in names:
+        list(made.handle(heard(name), 1))
+    for now_ms in range(0, 1000, 10):
+        list(made.handle(Tick(), now_ms))
+    return made
+
+
+def heard(name):
+    """Return the receipt of a heartbeat."""
+    beat = Heartbeat("dc1", "entry", 1, 1, False)
+    return Received(name, 2, beat)
+
+
+def per_call_us(action, rounds=ROUNDS):
+    """Return the processor time of one call."""
+    started_s = time.process_time()
+    for number in range(rounds):
+        action(number)
+    return (time.process_time() - started_s) / rounds * 1e6
+
+
+def size_bytes(message):
+    """Return what one message adds to a frame."""
+    empty = wire.encode(Frame("entry-100", 1 << 61, ()))
+    return len(wire.encode(Frame("entry-100", 1 << 61, (message,)))) - len(empty)
+
+
+def message_sizes():
+    """Return the size of each control message of a request."""
+    sizes = {}
+    for blocks in (1, 8, 80):
+        want = request(1, blocks).want("dc0/engines", 0)
+        sizes[f"Want, {blocks} blocks"] = size_bytes(want)
+        sizes[f"HeldSlot, {blocks} blocks"] = size_bytes(HeldSlot(want, "e1", 5))
+    sizes["Grant"] = size_bytes(Grant("request-1", "dc0/engines", "e1", 3000, 64))
+    release = Release(
+        "request-1", "dc0/engines", "e1", ReleaseCause.COMPLETED, 64, 0, 100, 50, 900
+    )
+    sizes["Release"] = size_bytes(release)
+    key = "account-1/model/0123456789abcdef"
+    claim = Claim(key, 1 << 62, 1, "entry-100", 1 << 61, "e1", True)
+    ask = ClaimRequest("request-1", claim)
+    sizes["ClaimRequest"] = size_bytes(ask)
+    sizes["ClaimReply"] = size_bytes(
+        ClaimReply("request-1", key, ClaimStatus.GRANTED, claim)
+    )
+    sizes["OutcomeReport, no body"] = size_bytes(OutcomeReport(key, 1, DONE))
+    sizes["OutcomeAck"] = size_bytes(OutcomeAck(key, 1))
+    sizes["Heartbeat"] = size_bytes(heard("h").message)
+    for upstreams in UPSTREAMS:
+        text = rules(upstreams, 3100 if upstreams > 1000 else 5)
+        update = ConfigUpdate(1, "change-1", "ann", text)
+        sizes[f"ConfigUpdate, {upstreams} upstreams"] = size_bytes(update)
+    return sizes
+
+
+def request_cost(blocks):
+    """Return the processor time of a request's control work, wire included."""
+    fleet = parse_rules(rules(ENGINES_A_CELL, 5), 1)
+    made = role(6, fleet)
+    clock = {"now_ms": 10_000}
+
+    def run(number):
+        clock["now_ms"] += 1
+        now_ms = clock["now_ms"]
+        one = request(number, blocks)
+        actions = list(made.handle(Arrived(one), now_ms))
+        assert any(isinstance(action, Dispatch) for action in actions), actions
+        ended = DispatchEnded(one.request_id, ReleaseCause.COMPLETED, DONE, 0, 100, 40)
+        list(made.handle(ended, now_ms + 1))
+
+    return per_call_us(run)
+
+
+def heartbeat_cost(hosts):
+    """Return processor time and memory for hosts that beat."""
+    fleet = parse_rules(rules(ENGINES_A_CELL, 5), 1)
+    tracemalloc.start()
+    made = role(hosts, fleet)
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+    def hear(number):
+        list(made.handle(heard(f"h{1 + number % (hosts - 1)}"), 1001))
+
+    def beat(number):
+        made.membership.beat_now()
+        sends = list(made.handle(Tick(), 1002 + number))
+        assert sum(isinstance(one, Send) for one in sends) >= hosts - 1
+
+    return {
+        "hear_us": round(per_call_us(hear), 1),
+        "beat_to_all_us": round(per_call_us(beat, 200), 1),
+        "role_memory_kb": round(memory_bytes / 1024),
+    }
+
+
+def configuration_cost(upstreams, accounts):
+    """Return time and memory to take a configuration in."""
+    text = rules(upstreams, accounts, cells=max(1, upstreams // ENGINES_A_CELL))
+    tracemalloc.start()
+    fleet = parse_rules(text, 1)
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    parse_ms = per_call_us(lambda _: parse_rules(text, 1), 3) / 1000
+    made = role(6, fleet)
+    apply_ms = per_call_us(lambda n: list(made.handle(FleetChanged(fleet), n)), 3)
+    return {
+        "text_kb": round(len(text) / 1024),
+        "parse_ms": round(parse_ms, 1),
+        "apply_ms": round(apply_ms / 1000, 2),
+        "fleet_memory_kb": round(memory_bytes / 1024),
+    }
+
+
+async def frame_cost(messages):
+    """Return the processor time of a frame, both ends in this process."""
+    received = asyncio.Event()
+    count = {"frames": 0}
+
+    def on_frame(frame):
+        count["frames"] += 1
+        received.set()
+
+    ports = [free_port(), free_port()]
+    peers = [
+        Peer(name, "entry", "dc", f"127.0.0.1:{port}")
+        for name, port in zip("ab", ports, strict=True)
+    ]
+    one = Transport("a", 1, peers, on_frame)
+    other = Transport("b", 2, peers, on_frame)
+    await one.start(peers[0].address)
+    await other.start(peers[1].address)
+    want = request(1, 8).want("dc0/engines", 0)
+    started_s = time.process_time()
+    for _ in range(FRAMES):
+        received.clear()
+        for _ in range(messages):
+            one.send("b", want)
+        await received.wait()
+    used_s = time.process_time() - started_s
+    await one.stop()
+    await other.stop()
+    return used_s / count["frames"] * 1e6
+
+
+def free_port():
+    """Return a port that the kernel picked."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def main():
+    """Run all measurements and print them as JSON."""
+    frames = {n: round(asyncio.run(frame_cost(n)), 1) for n in FRAME_SIZES}
+    results = {
+        "message_bytes": message_sizes(),
+        "request_us": {b: round(request_cost(b), 1) for b in (1, 8, 80)},
+        "frame_us, both ends": frames,
+        "hosts": {n: heartbeat_cost(n) for n in HOSTS},
+        "upstreams": {n: configuration_cost(n, 5) for n in UPSTREAMS},
+        "accounts": {n: configuration_cost(100, n) for n in ACCOUNTS},
+        "target": configuration_cost(4100, 3100),
+    }
+    print(json.dumps(results, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -21,7 +21,7 @@
 )
 from .dispatch import dispatchmethod
 from .dispatcher import Dispatcher
-from .fleet import Fleet, UpstreamSpec
+from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .flows import Arrived, CallerGone, DispatchEnded, FollowEnded, Progress
 from .follower import ConfigFollower
 from .membership import HostsChanged, Membership
@@ -82,6 +82,14 @@
     cells: tuple
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Is what a request asks for: a model, or a plain service, by name."""
+
+    kind: UpstreamKind
+    name: str
+
+
 def rendezvous(name: str, hosts: list[str]) -> str:
     """Return the host that all hosts with the same list pick for a name.
 
@@ -126,7 +134,11 @@
         self.dispatcher = Dispatcher(
             self.host, incarnation, self.choose_cell, self.scheduler_of
         )
-        self._cells: dict[str, list[UpstreamSpec]] = {}
+        self._cells: frozenset[str] = frozenset()
+        self._cells_of: dict[Target, tuple[str, ...]] = {}
+        self._local_cells_of: dict[Target, tuple[str, ...]] = {}
+        self._scheduler_of: dict[str, str] = {}
+        self._entry_hosts: dict[str, list[str]] = {}
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Take an event and yield what the program has to do.
@@ -154,19 +166,33 @@
 
     def scheduler_of(self, cell: str) -> str:
         """Return the host that schedules a cell: one of its data centre if any."""
-        data_centre = cell.partition("/")[0]
-        hosts = self.membership.entry_hosts(data_centre)
-        return rendezvous(cell, hosts or self.membership.entry_hosts())
+        scheduler = self._scheduler_of.get(cell)
+        if scheduler is None:
+            data_centre = cell.partition("/")[0]
+            hosts = self._hosts_in(data_centre) or self._hosts_in("")
+            scheduler = rendezvous(cell, hosts)
+            self._scheduler_of[cell] = scheduler
+        return scheduler
+
+    def _hosts_in(self, data_centre: str) -> list[str]:
+        hosts = self._entry_hosts.get(data_centre)
+        if hosts is None:
+            hosts = self.membership.entry_hosts(data_centre)
+            self._entry_hosts[data_centre] = hosts
+        return hosts
 
     def choose_cell(self, request: Request, refused: frozenset[str]) -> str:
         """Return the cell to ask next; empty if all that could serve refused."""
-        cells = [
-            cell
-            for cell, upstreams in self._cells.items()
-            if cell not in refused and any(_serves(u, request) for u in upstreams)
-        ]
-        local = [cell for cell in cells if cell.startswith(f"{self.data_centre}/")]
-        return rendezvous(request.request_id, local or cells)
+        target = Target(request.kind, request.service or request.model)
+        for cells in (self._local_cells_of, self._cells_of):
+            candidates = cells.get(target, ())
+            if refused:
+                candidates = [cell for cell in candidates if cell not in refused]
+            if candidates:
+                # Requests that begin alike meet in the cell that has it cached.
+                first_block = request.prefix_hashes[:1] or (request.fingerprint,)
+                return candidates[first_block[0] % len(candidates)]
+        return ""
 
     def dump(self) -> EntryDump:
         """Return the state for operators."""
@@ -278,13 +304,26 @@
         self.fleet = event.fleet
         self.membership.config_version = event.fleet.version
         self.membership.beat_now()
-        self._cells = {}
-        for upstream in event.fleet.upstreams:
-            self._cells.setdefault(upstream.cell, []).append(upstream)
+        self._cells = frozenset([one.cell for one in event.fleet.upstreams])
+        self._index_cells(event.fleet)
         yield from self._settle_cells(now_ms)
         yield from self._to_all_schedulers(event, now_ms)
 
+    def _index_cells(self, fleet: Fleet) -> None:
+        cells_of: dict[Target, dict[str, None]] = {}
+        for upstream in fleet.upstreams:
+            for target in _targets(upstream):
+                cells_of.setdefault(target, {})[upstream.cell] = None
+        prefix = f"{self.data_centre}/"
+        self._cells_of = {target: tuple(cells) for target, cells in cells_of.items()}
+        self._local_cells_of = {
+            target: tuple([cell for cell in cells if cell.startswith(prefix)])
+            for target, cells in cells_of.items()
+        }
+
     def _settle_cells(self, now_ms: int) -> Iterator[Any]:
+        self._scheduler_of.clear()
+        self._entry_hosts.clear()
         for cell in self._cells:
             is_mine = self.scheduler_of(cell) == self.host
             if is_mine and cell not in self.schedulers:
@@ -323,9 +362,10 @@
 )
 
 
-def _serves(upstream: UpstreamSpec, request: Request) -> bool:
-    if upstream.is_leaving or upstream.kind is not request.kind:
-        return False
-    if request.service:
-        return upstream.service == request.service
-    return request.model in upstream.models
+def _targets(upstream: UpstreamSpec) -> Iterator[Target]:
+    if upstream.is_leaving:
+        return
+    if upstream.kind is UpstreamKind.SERVICE:
+        yield Target(upstream.kind, upstream.service)
+    for model in upstream.models:
+        yield Target(upstream.kind, model)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -1,7 +1,6 @@
 """The scheduler of a cell: which want gets a slot, at which upstream, when."""
 
 from collections.abc import Iterable, Iterator
-from functools import singledispatchmethod
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
@@ -9,6 +8,7 @@
 from .budgets import Budget, Slot
 from .cell_dump import CellDump, CellStats, dump_queue, dump_upstream
 from .cell_events import FleetChanged, HostLost, StrikesChanged
+from .dispatch import dispatchmethod
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .health import Health
 from .messages import (
@@ -122,7 +122,7 @@
 
     # Events
 
-    @singledispatchmethod
+    @dispatchmethod
     def _on(self, event: Any, now_ms: int) -> Iterator[Action]:
         raise TypeError(f"not an event of a scheduler: {event!r}")
 
@@ -160,7 +160,7 @@
 
     # Messages
 
-    @singledispatchmethod
+    @dispatchmethod
     def _receive(self, message: Any, sender: str, now_ms: int) -> Iterator[Action]:
         raise TypeError(f"not a message to a scheduler: {message!r}")
 
