--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -42,6 +42,7 @@
 ROUNDS = 3
 LEADER_CLAIMS = 2048
 CLAIMS = 20_000
+OUTCOME_TURNS = 3
 BATCH_SIZES = (1, 16, 256)
 CLAIM_COUNTS = (1000, 10_000, 100_000)
 UPSTREAM_COUNTS = (10, 1000, 4100)
@@ -322,7 +323,8 @@
                 messages = tuple([make(n) for n in numbers])
                 frame = wire.encode(Frame("entry-0", 0, messages))
                 trio.turn({"entry-0": frame})
-                trio.turn({})
+                for _ in range(OUTCOME_TURNS):
+                    trio.turn({})
         count = rounds * in_flight
         claims = trio.roles[trio.leader].state.claims
         if (len(claims), claims.open_count) != (count, 0):
