--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -14,6 +14,7 @@
 from .core.control_types import ControlTiming
 from .core.controller import Controller
 from .core.messages import ControlSnapshot
+from .core.orders import OrderDesk
 from .core.raft import Raft
 from .core.raft_types import RaftTiming
 from .credentials import admin_context, check_files, peer_credentials
@@ -49,7 +50,13 @@
             peer_credentials(settings.tls),
         )
         controller = _controller(settings, storage)
-        self.server = ControlServer(controller, storage, self.transport.send, metrics)
+        desk = OrderDesk(
+            settings.timing.election_timeout_ms,
+            wall_offset_ms=time.time_ns() // 1_000_000 - now_ms(),
+        )
+        self.server = ControlServer(
+            controller, storage, self.transport.send, metrics, desk
+        )
         pages = AdminPages(
             host.admin_token,
             lambda: controller.dump(now_ms()),
@@ -76,6 +83,7 @@
         logs.write("process_ready", port=self.admin.port)
         exit_code = await self._wait(stop)
         self.ticker.stop()
+        await self.server.orders.stop()
         await self.admin.close()
         await self.transport.stop()
         self.storage.close()
--- a/src/peridotfront/control_server.py
+++ b/src/peridotfront/control_server.py
@@ -28,12 +28,15 @@
     ConfigResult,
     Frame,
 )
+from .core.orders import OrderCommitted, OrderDesk
 from .core.raft_types import Persist, Role, RoleChanged
 from .exceptions import NotLeader, SettingsInvalid
 from .metrics import Metrics
+from .order_sender import OrderSender
 from .rules import parse_rules
 from .runtime import now_ms
 from .storage import Storage
+from .upstreams import EngineClient
 
 SendMessage = Callable[[str, Any], None]
 
@@ -47,6 +50,7 @@
     :param controller: decides.
     :param storage: the data folder.
     :param send: sends a message to another host.
+    :param desk: decides on orders to engines.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         storage: Storage,
         send: SendMessage,
         metrics: Metrics,
+        desk: OrderDesk,
     ):
         self.controller = controller
         self.leader = ""
@@ -65,6 +70,7 @@
         self._is_scheduled = False
         self._tickets = count(1)
         self._waiting: dict[int, asyncio.Future] = {}
+        self.orders = OrderSender(desk, EngineClient(), self.feed, self._may_send_order)
         self.failed: asyncio.Future = asyncio.get_running_loop().create_future()
 
     def on_frame(self, frame: Frame) -> None:
@@ -114,6 +120,9 @@
         finally:
             del self._waiting[ticket]
 
+    def _may_send_order(self) -> bool:
+        return self.controller.may_send_order(now_ms())
+
     def _turn(self) -> None:
         self._is_scheduled = False
         if self.failed.done():
@@ -148,7 +157,9 @@
     @_run.register
     def _(self, action: RoleChanged) -> None:
         self.leader = action.leader
-        self._metrics.set_is_leader(action.role is Role.LEADER)
+        is_leader = action.role is Role.LEADER
+        self._metrics.set_is_leader(is_leader)
+        self.orders.set_leader(action.term if is_leader else None)
         logs.write(
             "leader_changed", role=action.role, term=action.term, leader=action.leader
         )
@@ -156,11 +167,16 @@
     @_run.register
     def _(self, action: ConfigApplied) -> None:
         try:
-            policy = parse_rules(action.content, action.version).policy
+            fleet = parse_rules(action.content, action.version)
         except SettingsInvalid as error:
             logs.write("config_unreadable", version=action.version, error=str(error))
             return
-        self.feed(ClaimLimits(retention_ms=policy.claim_retention_ms))
+        self.orders.set_fleet(fleet)
+        self.feed(ClaimLimits(retention_ms=fleet.policy.claim_retention_ms))
+
+    @_run.register
+    def _(self, action: OrderCommitted) -> None:
+        self.orders.feed(action)
 
     @_run.register
     def _(self, action: OperatorView) -> None:
--- a/src/peridotfront/core/control_state.py
+++ b/src/peridotfront/core/control_state.py
@@ -11,8 +11,10 @@
     Command,
     ConfigChange,
     ControlSnapshot,
+    OrderIssued,
     StrikeBatch,
 )
+from .order_table import OrderTable
 from .strikes import Strikes
 
 Encode = Callable[[ControlSnapshot], bytes]
@@ -20,12 +22,13 @@
 
 
 class ControlState:
-    """Composes configuration, claims and strikes."""
+    """Composes configuration, claims, strikes and orders."""
 
     def __init__(self):
         self.configuration = Configuration()
         self.claims = Claims()
         self.strikes = Strikes()
+        self.orders = OrderTable()
 
     @dispatchmethod
     def apply(self, command: Command) -> Any:
@@ -47,12 +50,17 @@
     def _(self, command: StrikeBatch):
         return self.strikes.apply(command)
 
+    @apply.register
+    def _(self, command: OrderIssued):
+        return self.orders.apply(command)
+
     def snapshot(self) -> ControlSnapshot:
         """Return the whole state as one record."""
         return ControlSnapshot(
             configuration=self.configuration.snapshot(),
             claims=self.claims.snapshot(),
             strikes=self.strikes.snapshot(),
+            orders=self.orders.orders,
         )
 
     def restore(self, snapshot: ControlSnapshot) -> None:
@@ -60,3 +68,4 @@
         self.configuration.restore(snapshot.configuration)
         self.claims.restore(snapshot.claims)
         self.strikes.restore(snapshot.strikes)
+        self.orders.restore(snapshot.orders)
--- a/src/peridotfront/core/control_types.py
+++ b/src/peridotfront/core/control_types.py
@@ -8,6 +8,7 @@
     ConfigProposal,
     ConfigRecord,
     ConfigResult,
+    OrderIssued,
     Replica,
 )
 
@@ -190,6 +191,7 @@
     :param queued: claims and outcomes that wait for a batch.
     :param batches_in_flight: proposed and not yet committed.
     :param waiting_operators: operations not yet answered.
+    :param orders: the last orders to engines that were logged.
     """
 
     view: ControlView
@@ -198,3 +200,4 @@
     waiting_operators: int
     entries_since_snapshot: int
     bytes_since_snapshot: int
+    orders: tuple[OrderIssued, ...] = ()
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -45,6 +45,7 @@
     KeyQuery,
     KeyReply,
     LogEntry,
+    OrderIssued,
     OutcomeReport,
     Replica,
     StrikeBatch,
@@ -52,6 +53,7 @@
     StrikeUpdate,
 )
 from .messages.raft import RAFT_MESSAGES
+from .orders import OrderCommitted, ProposeOrder
 from .raft_types import (
     Committed,
     ProposalDropped,
@@ -202,8 +204,13 @@
             waiting_operators=len(self._reads) + len(self._proposals),
             entries_since_snapshot=self._entries_since_snapshot,
             bytes_since_snapshot=self._bytes_since_snapshot,
+            orders=self._state.orders.orders,
         )
 
+    def may_send_order(self, now_ms: int) -> bool:
+        """Tell whether this host leads at this very moment, by its own clock."""
+        return self._raft.holds_quorum(now_ms)
+
     # Events
 
     @dispatchmethod
@@ -238,6 +245,10 @@
     def _(self, event: OperatorPropose, now_ms: int) -> Iterator[Any]:
         yield from self._propose_config(event.proposal, event.ticket, "", now_ms)
 
+    @_handle.register
+    def _(self, event: ProposeOrder, now_ms: int) -> Iterator[Any]:
+        yield from self._drive(Propose(event.order), now_ms)
+
     # Messages
 
     @dispatchmethod
@@ -405,6 +416,11 @@
             for host in self._hosts.live_entry_hosts(now_ms):
                 yield from self._send_strikes(host, result)
 
+    @_answer.register
+    def _(self, command: OrderIssued, result: Any, now_ms: int) -> Iterator[Any]:
+        if self._is_leader and command.term == self._raft.term:
+            yield OrderCommitted(command)
+
     def _answer_batch(self, batch: ClaimBatch, result: ClaimsResult) -> Iterator[Any]:
         for report, ack in zip(batch.outcomes, result.acks, strict=True):
             yield Send(report.holder_host, ack)
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -24,6 +24,7 @@
     :param kv_capacity_tokens: memory for running requests and cached prefixes.
     :param max_slots: how many requests may run at once.
     :param honours_fencing: whether it refuses orders with an old fencing token.
+    :param role: that a model engine is to have; empty leaves it as it is.
     """
 
     name: str
@@ -38,6 +39,7 @@
     kv_capacity_tokens: int = 60_000
     max_slots: int = 16
     honours_fencing: bool = False
+    role: str = ""
 
     @property
     def cell(self) -> str:
@@ -109,6 +111,9 @@
         less patience left than this beside its own prefill.
     :param affinity_ms: how long a want may wait for the upstream that holds its
         prefix.
+    :param weight_loads_per_min: models that engines are ordered to load from the
+        weight store, all together.
+    :param weight_load_burst: how many of these loads may come at once.
     """
 
     prefill_weight: float = 1.0
@@ -132,6 +137,8 @@
     affinity_ms: int = 1000
     learns_rates: bool = True
     slow_token_ms: float = 26.5
+    weight_loads_per_min: int = 12
+    weight_load_burst: int = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -369,6 +369,27 @@
     records: tuple[StrikeRecord, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class OrderIssued:
+    """Records an order to an engine before it is sent.
+
+    :param order_id: the same for a repeat of the same order.
+    :param kind: as the API of engines names it.
+    :param name: of the model or role.
+    :param term: of the leader; first part of the fencing token.
+    :param sequence: grows within the term; second part of the fencing token.
+    :param time_ms: wall-clock time, for display only.
+    """
+
+    order_id: str
+    upstream: str
+    kind: str
+    name: str
+    term: int
+    sequence: int
+    time_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class ControlSnapshot:
     """Holds the whole replicated state of the control group."""
@@ -376,9 +397,12 @@
     configuration: ConfigurationSnapshot
     claims: ClaimsSnapshot
     strikes: StrikesSnapshot
+    orders: tuple[OrderIssued, ...] = ()
 
 
-Command = Union[NoOp, MembershipChange, ClaimBatch, ConfigChange, StrikeBatch]  # noqa: UP007
+Command = Union[  # noqa: UP007
+    NoOp, MembershipChange, ClaimBatch, ConfigChange, StrikeBatch, OrderIssued
+]
 
 CONTROL_MESSAGES = (
     ClaimRequest,
--- /dev/null
+++ b/src/peridotfront/core/orders.py
@@ -0,0 +1,326 @@
+"""Orders of the control leader to engines: from desired and reported state.
+
+The desired state is the configuration in force. Whatever an engine reports is
+compared with it; a difference becomes one order, which is proposed to the
+replicated log and sent only after it was committed there.
+"""
+
+import hashlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from .actions import Log
+from .cell_events import FleetChanged
+from .dispatch import dispatchmethod
+from .fleet import Fleet, Policy, UpstreamSpec
+from .messages import OrderIssued
+
+ORDER_TIMEOUT_MS = 10_000
+RETRY_MS = 1000
+MAX_RETRY_MS = 60_000
+UNLOAD_DELAY_MS = 10_000
+ORDER_ID_DIGITS = 32
+MS_PER_MIN = 60_000
+
+
+class OrderKind(StrEnum):
+    """Names what an order asks of an engine."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    SET_ROLE = "set_role"
+
+
+class OrderOutcome(StrEnum):
+    """Names how an order that was sent ended.
+
+    ``REFUSED``: the engine knows a newer fencing token. ``FAILED``: there was no
+    answer, so that the order may have been carried out or not.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class LeadershipGained:
+    """Event: this host leads the control group from now on."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeadershipLost:
+    """Event: this host does not lead any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReported:
+    """Event: an engine told what it has loaded.
+
+    :param asked_ms: when it was asked, on the own clock.
+    """
+
+    upstream: str
+    models: tuple[str, ...]
+    role: str
+    asked_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderCommitted:
+    """Event: an order of this leader's term stands in the replicated log."""
+
+    order: OrderIssued
+
+
+@dataclass(frozen=True, slots=True)
+class OrderEnded:
+    """Event: an order was answered, or given up."""
+
+    order: OrderIssued
+    outcome: OrderOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeOrder:
+    """Action: asks for an order to be committed to the replicated log."""
+
+    order: OrderIssued
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Action: asks for an order to be sent, if this host still leads then."""
+
+    address: str
+    order: OrderIssued
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Is one thing in which an engine is not as desired."""
+
+    kind: OrderKind
+    name: str
+
+
+@dataclass(slots=True)
+class _Retry:
+    attempts: int = 0
+    due_ms: int = 0
+
+
+@dataclass(slots=True)
+class _Engine:
+    """Holds what is known of the orders to one engine.
+
+    :param fresh_ms: reports asked for earlier than that are out of date.
+    """
+
+    in_flight: OrderIssued | None = None
+    version: int = 0
+    fresh_ms: int = 0
+    retries: dict[str, _Retry] = field(default_factory=dict)
+
+
+class _WeightBucket:
+    """Bounds the loads from the weight store.
+
+    It starts empty with each leader, so that a change of leaders adds no loads.
+    """
+
+    def __init__(self, now_ms: int):
+        self._tokens = 0.0
+        self._filled_ms = now_ms
+
+    def take(self, policy: Policy, now_ms: int) -> bool:
+        """Take a token; false if there is none."""
+        added = (now_ms - self._filled_ms) * policy.weight_loads_per_min / MS_PER_MIN
+        self._tokens = min(policy.weight_load_burst, self._tokens + added)
+        self._filled_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class OrderDesk:
+    """Decides which orders the control leader gives to engines.
+
+    Each engine has one order in flight at most. The fencing token of an order is
+    the term and a sequence that grows with each order of the term.
+
+    :param lease_ms: how long an old leader may go on without a quorum.
+    :param order_timeout_ms: after which an order that was sent is given up.
+    :param wall_offset_ms: wall clock minus the clock of ``now_ms``; it only stamps
+        orders for display.
+    """
+
+    def __init__(
+        self,
+        lease_ms: int,
+        order_timeout_ms: int = ORDER_TIMEOUT_MS,
+        wall_offset_ms: int = 0,
+    ):
+        self._wall_offset_ms = wall_offset_ms
+        self._unfenced_wait_ms = lease_ms + order_timeout_ms
+        self._fleet = Fleet()
+        self._specs: dict[str, UpstreamSpec] = {}
+        self._fleet_since_ms = 0
+        self._term = 0
+        self._led_since_ms = 0
+        self._sequence = 0
+        self._is_refused = False
+        self._engines: dict[str, _Engine] = {}
+        self._bucket = _WeightBucket(0)
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        """Handle one event.
+
+        :param now_ms: monotonic clock of this host.
+        :return: actions, to be carried out in order.
+        """
+        yield from self._handle(event, now_ms)
+
+    @dispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        raise TypeError(f"unexpected event: {type(event).__name__}")
+
+    @_handle.register
+    def _(self, event: LeadershipGained, now_ms: int) -> Iterator[Any]:
+        self._term = event.term
+        self._led_since_ms = now_ms
+        self._sequence = 0
+        self._is_refused = False
+        self._engines = {}
+        self._bucket = _WeightBucket(now_ms)
+        yield from ()
+
+    @_handle.register
+    def _(self, event: LeadershipLost, now_ms: int) -> Iterator[Any]:
+        self._term = 0
+        self._engines = {}
+        yield from ()
+
+    @_handle.register
+    def _(self, event: FleetChanged, now_ms: int) -> Iterator[Any]:
+        self._fleet = event.fleet
+        self._specs = {one.name: one for one in event.fleet.upstreams}
+        self._fleet_since_ms = now_ms
+        for engine in self._engines.values():
+            engine.retries = {}
+        yield from ()
+
+    @_handle.register
+    def _(self, event: EngineReported, now_ms: int) -> Iterator[Any]:
+        spec = self._specs.get(event.upstream)
+        if spec is None or not self._may_order(spec, now_ms):
+            return
+        engine = self._engines.setdefault(spec.name, _Engine())
+        if engine.in_flight is not None or event.asked_ms < engine.fresh_ms:
+            return
+        for difference in differences(spec, event):
+            order_id = order_id_of(self._fleet.version, spec.name, difference)
+            if self._is_due(engine, order_id, difference, now_ms):
+                yield from self._issue(spec.name, order_id, difference, now_ms)
+                return
+
+    @_handle.register
+    def _(self, event: OrderCommitted, now_ms: int) -> Iterator[Any]:
+        order = event.order
+        engine = self._engines.get(order.upstream)
+        if engine is None or engine.in_flight != order:
+            return
+        spec = self._specs.get(order.upstream)
+        if spec is None or engine.version != self._fleet.version:
+            engine.in_flight = None
+            return
+        yield SendOrder(spec.address, order)
+
+    @_handle.register
+    def _(self, event: OrderEnded, now_ms: int) -> Iterator[Any]:
+        order = event.order
+        engine = self._engines.get(order.upstream)
+        if engine is None or engine.in_flight != order:
+            return
+        engine.in_flight = None
+        engine.fresh_ms = now_ms
+        retry = engine.retries.setdefault(order.order_id, _Retry())
+        wait_ms = min(MAX_RETRY_MS, RETRY_MS << min(retry.attempts, 16))
+        retry.attempts += 1
+        retry.due_ms = now_ms + wait_ms
+        if event.outcome is OrderOutcome.REFUSED:
+            self._is_refused = True
+            yield Log("order_refused", _fields(order))
+
+    def _may_order(self, spec: UpstreamSpec, now_ms: int) -> bool:
+        if not self._term or self._is_refused or spec.is_leaving:
+            return False
+        led_ms = now_ms - self._led_since_ms
+        return spec.honours_fencing or led_ms >= self._unfenced_wait_ms
+
+    def _is_due(
+        self, engine: _Engine, order_id: str, difference: Difference, now_ms: int
+    ) -> bool:
+        retry = engine.retries.get(order_id)
+        if retry is not None and now_ms < retry.due_ms:
+            return False
+        if difference.kind is OrderKind.UNLOAD_MODEL:
+            return now_ms - self._fleet_since_ms >= UNLOAD_DELAY_MS
+        if difference.kind is OrderKind.LOAD_MODEL:
+            return self._bucket.take(self._fleet.policy, now_ms)
+        return True
+
+    def _issue(
+        self, upstream: str, order_id: str, difference: Difference, now_ms: int
+    ) -> Iterator[Any]:
+        self._sequence += 1
+        order = OrderIssued(
+            order_id=order_id,
+            upstream=upstream,
+            kind=difference.kind.value,
+            name=difference.name,
+            term=self._term,
+            sequence=self._sequence,
+            time_ms=now_ms + self._wall_offset_ms,
+        )
+        engine = self._engines[upstream]
+        engine.in_flight = order
+        engine.version = self._fleet.version
+        yield ProposeOrder(order)
+
+
+def differences(spec: UpstreamSpec, report: EngineReported) -> Iterator[Difference]:
+    """Yield in what an engine differs from the configuration, loads first.
+
+    A configuration that names no models, or no role, leaves these as they are.
+    """
+    for name in spec.models:
+        if name not in report.models:
+            yield Difference(OrderKind.LOAD_MODEL, name)
+    if spec.role and spec.role != report.role:
+        yield Difference(OrderKind.SET_ROLE, spec.role)
+    for name in report.models:
+        if spec.models and name not in spec.models:
+            yield Difference(OrderKind.UNLOAD_MODEL, name)
+
+
+def order_id_of(version: int, upstream: str, difference: Difference) -> str:
+    """Return the id of an order, the same for the same difference."""
+    text = f"{version}\0{upstream}\0{difference.kind}\0{difference.name}"
+    digest = hashlib.sha256(text.encode("utf-8", "surrogatepass"))
+    return digest.hexdigest()[:ORDER_ID_DIGITS]
+
+
+def _fields(order: OrderIssued) -> tuple[tuple[str, Any], ...]:
+    return (
+        ("order_id", order.order_id),
+        ("upstream", order.upstream),
+        ("kind", order.kind),
+        ("term", order.term),
+        ("sequence", order.sequence),
+    )
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -119,6 +119,15 @@
         """Tell whether this replica leads."""
         return self._leadership is not None
 
+    def holds_quorum(self, now_ms: float) -> bool:
+        """Tell whether this replica leads and heard a quorum lately.
+
+        :param now_ms: the process's own monotonic clock, read just now, so that a
+            leader that was frozen finds out before it acts.
+        """
+        leading = self._leadership
+        return leading is not None and leading.has_quorum(now_ms)
+
     @property
     def leader(self) -> str:
         """Return the host name of the known leader, or an empty string."""
--- a/src/peridotfront/core/snapshot_builder.py
+++ b/src/peridotfront/core/snapshot_builder.py
@@ -75,6 +75,8 @@
     for records in _chunks(strikes.records, size):
         part = StrikesSnapshot(0, records)
         yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, part)
+    for records in _chunks(snapshot.orders, size):
+        yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, NO_STRIKES, records)
 
 
 def _chunks(records: tuple, size: int) -> Iterator[tuple]:
--- a/src/peridotfront/ctl_settings.py
+++ b/src/peridotfront/ctl_settings.py
@@ -78,6 +78,7 @@
     kv_capacity_tokens: str = "kv_capacity_tokens"
     max_slots: str = "max_slots"
     honours_fencing: str = "honours_fencing"
+    role: str = "role"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import ssl
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from ipaddress import ip_address
 
@@ -65,6 +65,7 @@
         body: bytes = b"",
         *,
         timeouts: UpstreamTimeouts | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> UpstreamAnswer:
         """Send one request and wait for the head of the answer.
 
@@ -72,6 +73,8 @@
         :param target: path and query.
         :param headers: may be those of a caller's request; what belongs to its
             connection, its host and its length are replaced.
+        :param before_send: called right before the request is handed to the
+            socket; what it raises ends the call, which is then not run.
         :return: the answer; read it to its end or cancel it.
         :raises ConnectFailed: not one byte was handed to a socket (not run).
         :raises UpstreamDied: the connection closed before the answer.
@@ -85,6 +88,8 @@
         if connection is None:
             connection = await self._connect(address, timeouts.connect_ms)
         try:
+            if before_send is not None:
+                before_send()
             connection.send(request, body, timeouts.first_byte_ms)
             head = await connection.receive_head(timeouts.between_bytes_ms)
         except BaseException:
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -573,6 +573,31 @@
     ),
 )
 
+ORDER_EVENTS = (
+    LogEvent(
+        900,
+        "order_answered",
+        Level.INFO,
+        "an engine answered an order",
+        "Nothing to do. The order and its outcome are in the line.",
+    ),
+    LogEvent(
+        901,
+        "order_failed",
+        Level.WARNING,
+        "an order to an engine was not answered",
+        "It is repeated with the same id. Check the engine named if it goes on.",
+    ),
+    LogEvent(
+        902,
+        "order_refused",
+        Level.ERROR,
+        "an engine refused an order, since it knows a newer fencing token",
+        "This leader gives no more orders in its term. Look for another leader in "
+        "event 302; restart this control host if there is none.",
+    ),
+)
+
 EVENTS = (
     PROCESS_EVENTS
     + PEER_EVENTS
@@ -582,6 +607,7 @@
     + UPSTREAM_EVENTS
     + SCHEDULING_EVENTS
     + OPERATOR_EVENTS
+    + ORDER_EVENTS
 )
 EVENTS_BY_NAME = {event.name: event for event in EVENTS}
 RESERVED_FIELDS = frozenset({"event", "host", "name", "number", "timestamp"})
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -46,6 +46,7 @@
     kv_capacity_tokens: int = Field(default=60_000, ge=1)
     max_slots: int = Field(default=16, ge=1)
     honours_fencing: bool = False
+    role: str = ""
 
 
 class AccountSection(Section):
@@ -109,6 +110,8 @@
     learns_rates: bool = DEFAULTS.learns_rates
     slow_token_ms: float = Field(default=DEFAULTS.slow_token_ms, gt=0)
     preempt_lead_ms: int = Field(default=DEFAULTS.preempt_lead_ms, ge=0)
+    weight_loads_per_min: int = Field(default=DEFAULTS.weight_loads_per_min, ge=1)
+    weight_load_burst: int = Field(default=DEFAULTS.weight_load_burst, ge=1)
 
 
 def parse_rules(text: str, version: int = 0, source: str = "configuration") -> Fleet:
--- a/src/peridotfront/upstreams.py
+++ b/src/peridotfront/upstreams.py
@@ -1,5 +1,6 @@
 """Clients of the upstreams: plain services and the API of model engines."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from urllib.parse import quote
 
@@ -125,14 +126,21 @@
         order: EngineOrder,
         *,
         timeouts: UpstreamTimeouts | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> OrderResult:
         """Give an order with its fencing token.
 
+        :param before_send: as for :meth:`HttpClient.send`.
         :raises AnswerMalformed: if the result is not as promised.
         """
         body = order.model_dump_json().encode()
         answer = await self.send(
-            address, "POST", "/orders", body=body, timeouts=timeouts
+            address,
+            "POST",
+            "/orders",
+            body=body,
+            timeouts=timeouts,
+            before_send=before_send,
         )
         expected = (HTTPStatus.OK, HTTPStatus.CONFLICT)
         return _checked(OrderResult, address, answer, await answer.read(), expected)
