--- /dev/null
+++ b/features/support/order_group.py
@@ -0,0 +1,193 @@
+"""Control hosts that give orders to fake engines, in virtual time."""
+
+from dataclasses import dataclass, field
+
+from peridotfront.core.cell_events import FleetChanged
+from peridotfront.core.control_types import ConfigApplied
+from peridotfront.core.messages import ChangeStatus, ConfigProposal, OrderIssued
+from peridotfront.core.orders import (
+    ORDER_TIMEOUT_MS,
+    EngineReported,
+    LeadershipGained,
+    LeadershipLost,
+    OrderCommitted,
+    OrderDesk,
+    OrderEnded,
+    OrderOutcome,
+    ProposeOrder,
+    SendOrder,
+)
+from peridotfront.core.raft_types import ELECTION_TIMEOUT_MS, Role, RoleChanged
+from peridotfront.rules import parse_rules
+
+from .control_group import CONTROLS, ControlGroup
+
+POLL_MS = 500
+LINK_MS = 10
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Is an order that a host handed to the network."""
+
+    at_ms: int
+    host: str
+    order: OrderIssued
+
+
+@dataclass
+class FakeEngine:
+    """Obeys orders, or refuses those with an old token.
+
+    :param load_ms: how long a load takes until the engine reports it.
+    :param lost_answers: how many answers are still to be lost.
+    """
+
+    name: str
+    honours_fencing: bool = True
+    load_ms: int = 0
+    lost_answers: int = 0
+    models: list = field(default_factory=lambda: ["m1"])
+    role: str = ""
+    token: tuple = (0, 0)
+    obeyed: list = field(default_factory=list)
+    refused: list = field(default_factory=list)
+    loading: list = field(default_factory=list)
+
+    def take(self, order, now_ms):
+        token = (order.term, order.sequence)
+        if self.honours_fencing and token < self.token:
+            self.refused.append(order)
+            return OrderOutcome.REFUSED
+        self.token = max(self.token, token)
+        self.obeyed.append(order)
+        self.loading.append((now_ms + self.load_ms, order))
+        return OrderOutcome.ACCEPTED
+
+    def advance(self, now_ms):
+        for one in [one for one in self.loading if one[0] <= now_ms]:
+            self.loading.remove(one)
+            self._change(one[1])
+
+    def _change(self, order):
+        if order.kind == "set_role":
+            self.role = order.name
+        elif order.kind == "unload_model":
+            self.models.remove(order.name)
+        elif order.name not in self.models:
+            self.models.append(order.name)
+
+
+class OrderGroup(ControlGroup):
+    """Adds the order desks, done as the program does it, and the engines."""
+
+    def __init__(self, engines, seed=0):
+        super().__init__(seed)
+        self.engines = {one.name: one for one in engines}
+        self.desks = {name: OrderDesk(ELECTION_TIMEOUT_MS) for name in CONTROLS}
+        self.outboxes = {name: [] for name in CONTROLS}
+        self.link_ms = dict.fromkeys(CONTROLS, LINK_MS)
+        self.transit = []
+        self.orders = []
+        self.logged = []
+        self.not_sent = []
+        self.unlogged = []
+        self.holds_outbox = ""
+
+    def rules(self, models, policy="weight_loads_per_min = 600"):
+        parts = [f"[policy]\n{policy}\n"]
+        for number, engine in enumerate(self.engines.values(), start=1):
+            parts.append(
+                f"[upstream {engine.name}]\nkind = engine\ndata_centre = dc\n"
+                f"address = 127.0.0.1:{number}\nmodels = {models}\n"
+                f"honours_fencing = {engine.honours_fencing}\n"
+            )
+        return "\n".join(parts)
+
+    def configure(self, change_id, content):
+        base = self.view().current.version
+        proposal = ConfigProposal(change_id, base, "ann", content)
+        result = self.change(proposal)
+        assert result.status is ChangeStatus.ACCEPTED, result
+
+    # The program
+
+    def run(self, host, action):
+        if isinstance(action, RoleChanged):
+            is_leader = action.role is Role.LEADER
+            event = LeadershipGained(action.term) if is_leader else LeadershipLost()
+            self.feed(host.name, event)
+        elif isinstance(action, ConfigApplied):
+            fleet = parse_rules(action.content, action.version)
+            self.feed(host.name, FleetChanged(fleet))
+        elif isinstance(action, OrderCommitted):
+            self.feed(host.name, action)
+        super().run(host, action)
+
+    def feed(self, name, event):
+        for action in list(self.desks[name].handle(event, self.clock(name))):
+            if isinstance(action, ProposeOrder):
+                self.handle(name, action)
+            elif isinstance(action, SendOrder):
+                self.outboxes[name].append(action)
+            else:
+                self.logged.append((name, action))
+
+    def flush(self, name):
+        host = self.hosts[name]
+        outbox, self.outboxes[name] = self.outboxes[name], []
+        for action in outbox:
+            order = action.order
+            if not host.role.may_send_order(self.clock(name)):
+                self.not_sent.append((name, order))
+                self.feed(name, OrderEnded(order, OrderOutcome.FAILED))
+                continue
+            if order not in host.role.state.orders.orders:
+                self.unlogged.append(order)
+            self.orders.append(Sent(self.now_ms, name, order))
+            due_ms = self.now_ms + self.link_ms[name]
+            self.transit.append((due_ms, name, order))
+
+    def thaw(self, name):
+        # The worst case: what was about to be sent comes first.
+        if name in CONTROLS:
+            self.flush(name)
+        super().thaw(name)
+
+    def step(self):
+        super().step()
+        for name in CONTROLS:
+            is_held = name in self.frozen or name == self.holds_outbox
+            if not is_held and name not in self.down:
+                self.flush(name)
+        for one in [one for one in self.transit if one[0] <= self.now_ms]:
+            self.transit.remove(one)
+            self._deliver(one[1], one[2])
+        for engine in self.engines.values():
+            engine.advance(self.now_ms)
+        if self.now_ms % POLL_MS == 0:
+            self._poll()
+
+    def _deliver(self, name, order):
+        if isinstance(order, OrderEnded):
+            if name not in self.frozen and name not in self.down:
+                self.feed(name, order)
+            return
+        engine = self.engines[order.upstream]
+        outcome = engine.take(order, self.now_ms)
+        delay_ms = LINK_MS
+        if engine.lost_answers:
+            engine.lost_answers -= 1
+            outcome, delay_ms = OrderOutcome.FAILED, ORDER_TIMEOUT_MS
+        event = OrderEnded(order, outcome)
+        self.transit.append((self.now_ms + delay_ms, name, event))
+
+    def _poll(self):
+        for name in CONTROLS:
+            if name in self.frozen or name in self.down:
+                continue
+            for engine in self.engines.values():
+                now_ms = self.clock(name)
+                models = tuple(engine.models)
+                report = EngineReported(engine.name, models, engine.role, now_ms)
+                self.feed(name, report)
