--- a/features/orders.feature
+++ b/features/orders.feature
@@ -6,7 +6,8 @@
     Given control hosts and an engine that <manner> fencing tokens
     And a leader whose order of m2 takes 3000 ms to reach the engine
     When that leader is cut off as soon as the order left
-    Then another leader brings the engine to have m2
+    And an operator asks the others for m3 too
+    Then another leader brings the engine to have m3
     And the terms of the orders that the engine obeyed never fall
     And every order was in the log before it was sent
 
@@ -24,7 +25,7 @@
 
   Scenario: An order whose answer was lost is repeated with the same id and a newer token
     Given control hosts and an engine that honours fencing tokens
-    And the engine takes 15000 ms to load and its first answer is lost
+    And the engine takes 13000 ms to load and its first answer is lost
     When the configuration asks for m1 and m2
     Then 2 orders with one id and growing tokens reach the engine
     And every order was in the log before it was sent
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -32,6 +32,7 @@
     (6, "Upstreams"),
     (7, "Scheduling"),
     (8, "Operators"),
+    (9, "Orders to engines"),
 )
 UNITS = (
     ("_tokens_per_s", "tokens a second"),
