--- a/features/orders.feature
+++ b/features/orders.feature
@@ -62,3 +62,23 @@
     Then the run file of engine-1 has one accepted order to load m2
     And the state page of the leader shows that order
     And entry-1 answers a completion with m2
+
+  Scenario: Logged orders survive a snapshot that is encoded in slices
+    Given a control state with 5 logged orders
+    When its snapshot is encoded in slices of 2 records and restored elsewhere
+    Then the other state has the same orders
+
+  Scenario: The table of orders is bounded and keeps the newest
+    Given a control state with 1500 logged orders
+    Then the table holds the newest 1000 orders
+
+  Scenario Outline: A leader that lost its quorum while it connected hands over no byte of an order
+    Given an engine that counts the bytes it gets
+    When an order is sent and the leader <leads> a quorum once connected
+    Then the engine got <bytes> bytes
+    And the order in flight has ended
+
+    Examples:
+      | leads | bytes |
+      | has   | some  |
+      | lost  | no    |
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,11 +1,16 @@
 """Steps for orders to engines."""
 
+import asyncio
+
 from behave import given, then, when
 from support.deployment import wait_until
 from support.order_group import FakeEngine, OrderGroup
 
+from peridotfront import wire
 from peridotfront.core.cell_events import FleetChanged
+from peridotfront.core.control_state import ControlState
 from peridotfront.core.fleet import Fleet, Policy, UpstreamKind, UpstreamSpec
+from peridotfront.core.messages import ControlSnapshot, OrderIssued
 from peridotfront.core.orders import (
     EngineReported,
     LeadershipGained,
@@ -14,7 +19,11 @@
     OrderEnded,
     OrderOutcome,
     ProposeOrder,
+    SendOrder,
 )
+from peridotfront.core.snapshot_builder import slices
+from peridotfront.order_sender import OrderSender
+from peridotfront.upstreams import EngineClient
 
 LOADS_PER_MIN = 12
 LOAD_BURST = 2
@@ -275,6 +284,96 @@
     assert context.issued == expected, context.issued
 
 
+# The replicated table
+
+
+@given("a control state with {count:d} logged orders")
+def logged_orders(context, count):
+    context.state = ControlState()
+    context.count = count
+    for number in range(count):
+        context.state.apply(an_order(number))
+
+
+def an_order(number):
+    kind, upstream = "load_model", f"engine-{number}"
+    return OrderIssued(f"id-{number}", upstream, kind, "m2", 1, number, number)
+
+
+@when("its snapshot is encoded in slices of {size:d} records and restored elsewhere")
+def restore_elsewhere(context, size):
+    parts = slices(context.state.snapshot(), size)
+    data = b"".join([wire.encode(part) for part in parts])
+    context.other = ControlState()
+    context.other.restore(wire.decode(ControlSnapshot, data))
+
+
+@then("the other state has the same orders")
+def same_orders(context):
+    expected = tuple([an_order(number) for number in range(context.count)])
+    assert context.other.orders.orders == expected, context.other.orders.orders
+
+
+@then("the table holds the newest {kept:d} orders")
+def newest_orders(context, kept):
+    first = context.count - kept
+    expected = tuple([an_order(number) for number in range(first, context.count)])
+    assert context.state.orders.orders == expected
+
+
+# The sender
+
+
+class OneOrderDesk:
+    """Sends one order when told of the leadership, and records its end."""
+
+    def __init__(self, address):
+        self.address = address
+        self.ended = []
+
+    def handle(self, event, now_ms):
+        if isinstance(event, LeadershipGained):
+            yield SendOrder(self.address, an_order(1))
+        if isinstance(event, OrderEnded):
+            self.ended.append(event)
+
+
+@given("an engine that counts the bytes it gets")
+def counting_engine(context):
+    context.received = []
+
+
+@when("an order is sent and the leader {leads} a quorum once connected")
+def send_order(context, leads):
+    async def serve(reader, writer):
+        context.received.append(await reader.read(1000))
+        writer.close()
+
+    async def send():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        context.desk = OneOrderDesk(f"{host}:{port}")
+        sender = OrderSender(context.desk, EngineClient(), None, lambda: leads == "has")
+        sender.set_leader(1)
+        async with asyncio.timeout(10):
+            while not (context.desk.ended and context.received):
+                await asyncio.sleep(0.01)
+        await sender.stop()
+        server.close()
+
+    asyncio.run(send())
+
+
+@then("the engine got {amount} bytes")
+def got_bytes(context, amount):
+    assert any(context.received) == (amount == "some"), context.received
+
+
+@then("the order in flight has ended")
+def has_ended(context):
+    assert [one.outcome for one in context.desk.ended] == [OrderOutcome.FAILED]
+
+
 # Real processes
 
 
