--- a/features/local_claims.feature
+++ b/features/local_claims.feature
@@ -10,6 +10,15 @@
     Then "e1" is granted and "e2" is told of its end
     And "look" ran 1 time and two hosts know it
 
+  Scenario: A host that holds a key grants it to no second request of its own
+    Given a control group with a configuration
+    When all control hosts are killed
+    And "e1" holds a local claim whose registrars restart
+    And "e1" wants that local claim for another request
+    And all control hosts restart
+    Then only the first request was granted it and ran
+    And "e1" has none left to upload after 3000 ms
+
   Scenario Outline: A key is still known when <dead> of its two hosts dies
     Given a control group with a configuration
     When all control hosts are killed
--- a/features/steps/local_claims_steps.py
+++ b/features/steps/local_claims_steps.py
@@ -96,10 +96,7 @@
 def deaf(context, name, time_ms):
     group = context.group
     group.run_for(300)
-    registrar = group.hosts[name].local._registrar
-    keys = [f"look-{number}" for number in range(50)]
-    others = [k for k in keys if name not in registrar.registrars(k, group.now_ms)]
-    context.key = others[0]
+    context.key = key_of_others(context, name)
     group.deafen(name)
     group.want_local(name, context.key, "late")
     group.run_for(time_ms)
@@ -183,3 +180,44 @@
 def conflicts(context, name, n):
     dump = context.group.hosts[name].local.dump()
     assert (dump.conflicts, dump.held) == (n, 0), dump
+
+
+@when('"{name}" holds a local claim whose registrars restart')
+def hold_and_restart(context, name):
+    group = context.group
+    group.run_for(300)
+    context.key = key_of_others(context, name)
+    group.want_local(name, context.key, "one")
+    assert reply_of(context, name, "one").status is ClaimStatus.GRANTED
+    for other in ENTRIES:
+        if other != name:
+            group.kill(other)
+            group.restart(other)
+    group.run_for(500)
+
+
+@when('"{name}" wants that local claim for another request')
+def want_another(context, name):
+    context.group.want_local(name, context.key, "two")
+    context.another = reply_of(context, name, "two")
+
+
+@then("only the first request was granted it and ran")
+def only_first(context):
+    assert context.another.status is ClaimStatus.ENDED, context.another
+    ran(context, context.key, 1)
+
+
+def key_of_others(context, name):
+    """Return a key that other hosts register."""
+    group = context.group
+    registrar = group.hosts[name].local._registrar
+    keys = [f"look-{number}" for number in range(50)]
+    others = [k for k in keys if name not in registrar.registrars(k, group.now_ms)]
+    return others[0]
+
+
+@then('"{name}" has none left to upload after {time_ms:d} ms')
+def none_left(context, name, time_ms):
+    context.group.run_for(time_ms)
+    assert context.group.hosts[name].local.dump().held == 0
--- a/src/peridotfront/core/local_claims.py
+++ b/src/peridotfront/core/local_claims.py
@@ -192,6 +192,11 @@
     @handle.register
     def _(self, event: WantLocalClaim, now_ms: int) -> Iterator[Any]:
         request = event.request
+        held = self._held.get(request.claim.key)
+        if held is not None:
+            reply = _standing(request.request_id, held)
+            yield LocalClaimDecided(request.request_id, reply)
+            return
         open_count = len(self._held) + len(self._waiting) + len(self._given_up)
         is_full = open_count >= self._timing.max_held
         if is_full or not request.claim.is_idempotent:
@@ -266,7 +271,10 @@
             yield self._give_up(reply.request_id, now_ms)
         elif wait is not None:
             del self._waiting[reply.request_id]
-            if reply.status is ClaimStatus.GRANTED:
+            held = self._held.get(reply.key)
+            if reply.status is ClaimStatus.GRANTED and held is not None:
+                reply = _standing(reply.request_id, held)
+            elif reply.status is ClaimStatus.GRANTED:
                 request = wait.message.request
                 self._held[reply.key] = _Held(request, reply.claim)
             yield LocalClaimDecided(reply.request_id, reply)
@@ -306,3 +314,10 @@
         key = held.request.claim.key
         del self._held[key]
         yield ReportOutcome(key, held.epoch, held.outcome)
+
+
+def _standing(request_id: str, held: _Held) -> ClaimReply:
+    """Return the reply to a request whose key this host holds already."""
+    status = ClaimStatus.HELD if held.outcome is None else ClaimStatus.ENDED
+    claim = held.local_claim
+    return ClaimReply(request_id, claim.key, status, claim, held.outcome)
