--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -107,8 +107,6 @@
         ``token_gap_ms``, so that slots shrink before callers notice.
     :param preempt_lead_ms: a lower request is cut for a want only when the want has
         less patience left than this beside its own prefill.
-    :param strain_hold_ms: after a refusal for overload, lower tiers get nothing for
-        this long.
     :param affinity_ms: how long a want may wait for the upstream that holds its
         prefix.
     """
@@ -131,7 +129,6 @@
     urgent_ms: int = 500
     preempts: bool = True
     preempt_lead_ms: int = 100
-    strain_hold_ms: int = 1000
     affinity_ms: int = 1000
     learns_rates: bool = True
     slow_token_ms: float = 26.5
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -79,7 +79,6 @@
         self._strikes = StrikeBook(fleet.policy.poison_strikes)
         self._drain = DrainRate(self._queues)
         self._bookings = Bookings()
-        self._shed_ms: dict[tuple[int, str], int] = {}
         self._settled_ms: int | None = None
         self._now_ms = 0
         self._checked_ms = 0
@@ -289,8 +288,6 @@
         blocked: set[str] = set()
         for tier in self._queues.tiers():
             for model, queue in self._queues.models(tier):
-                if self._is_strained(tier, model, now_ms):
-                    continue
                 reach = self._reach.get(model, [])
                 free = [one for one in reach if one.name not in blocked]
                 while free and len(queue):
@@ -299,15 +296,6 @@
                         break
                     yield granted
 
-    def _is_strained(self, tier: int, model: str, now_ms: int) -> bool:
-        """Return whether a higher tier was refused for overload just now."""
-        since_ms = now_ms - self._fleet.policy.strain_hold_ms
-        return any(
-            shed_ms > since_ms
-            for (other, other_model), shed_ms in self._shed_ms.items()
-            if other < tier and other_model == model
-        )
-
     def _grant_next(
         self,
         queue: FairQueue,
@@ -530,8 +518,6 @@
         if self._drain.is_hopeless(urgent, reach, now_ms):
             return urgent
         victim = queue.victim()
-        if self._is_strained(tier, model, now_ms):
-            return victim
         wait_ms = self._drain.wait_ms(tier, model, reach, now_ms)
         patience_ms = self._drain.patience_ms(victim, reach, now_ms)
         if victim.is_booked:
@@ -578,7 +564,6 @@
 
     def _shed_one(self, queued: QueuedWant, excess_ms: float, now_ms: int) -> Action:
         is_new = queued.since_ms == now_ms
-        self._shed_ms[queued.want.tier, queued.want.model] = now_ms
         reason = Reason.OVERLOADED if is_new else Reason.EVICTED
         if not is_new:
             self.stats.evicted[queued.want.tier] += 1
