Hash prompts in one place, so that cache events meet the entry hosts' model

Cause: the stand-in hashed blocks of 16 tokens and the entry hosts blocks of 64, so that no cache event of an engine ever matched a want, and the cache model only knew what the host itself had sent. Change: the stand-in uses the functions of `prompts`. Prompts in the tests of the stand-in grew four times, as its blocks did; their checks are unchanged. Failing first: the new scenario of whole_path.feature needs the hashes of a prompt's four blocks in an engine's report; with blocks of 16 tokens there were other ones.

--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -18,6 +18,12 @@
 from peridotfront import exceptions
 from peridotfront.core.verdicts import Verdict
 from peridotfront.engine_messages import EngineOrder
+from peridotfront.prompts import (
+    BLOCK_TOKENS,
+    block_hashes,
+    chat_prompt,
+    count_tokens,
+)
 from peridotfront.standin import Standin
 from peridotfront.standin_engine import Engine, EngineSpec, Job, Produced
 from peridotfront.standin_service import CRASH_EXIT_CODE
@@ -26,17 +32,11 @@
     StandinSection,
     StandinSettings,
 )
-from peridotfront.standin_text import (
-    BLOCK_TOKENS,
-    block_hashes,
-    chat_prompt,
-    count_tokens,
-    expected_text,
-)
+from peridotfront.standin_text import expected_text
 from peridotfront.upstreams import UpstreamTimeouts
 
-PROMPT = "The ring bears a hallmark of 1924. " * 8
-CAPACITY_TOKENS = 300
+PROMPT = "The ring bears a hallmark of 1924. " * 32
+CAPACITY_TOKENS = 1200
 FAST = UpstreamTimeouts(connect_ms=1000, first_byte_ms=250, between_bytes_ms=250)
 JOBS = st.lists(
     st.tuples(
@@ -147,7 +147,7 @@
 @when("three prompts have run")
 def three_prompts(context):
     for run_id in range(3):
-        context.engine.submit(job(run_id, str(run_id) * 200, 2), 0.0)
+        context.engine.submit(job(run_id, str(run_id) * 800, 2), 0.0)
     _, context.now_ms = finish(context.engine)
 
 
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -5,8 +5,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import then, when
-from support.deployment import wait_until
+from support.deployment import call, wait_until
 
+from peridotfront.prompts import BLOCK_BYTES, block_hashes
 from peridotfront.standin import expected_text
 
 PROMPT = "Describe a gold ring of nine carat, hallmarked in Chester, {}"
@@ -57,6 +58,29 @@
     context.reply = context.deployment.request(entry, "/v1/completions", body)
 
 
+@when("a caller asks {entry} for a completion with a prompt of {count:d} blocks")
+def ask_with_blocks(context, entry, count):
+    words = f"Lot 7 of {count}: "
+    context.prompt = words + "x" * (count * BLOCK_BYTES - len(words))
+    assert context.deployment.complete(entry, context.prompt, 2).status == 200
+
+
+@then("an engine reports the hashes of these blocks as cached")
+def cached(context):
+    wanted = set(block_hashes(context.prompt))
+    assert len(wanted) == 4
+
+    def is_reported():
+        stored = set()
+        for name in ("engine-1", "engine-2"):
+            address = context.deployment.processes[name].addresses["listen"]
+            events = call(address, "GET", "/report?since=0").json()["events"]
+            stored |= {one for event in events for one in event["stored"]}
+        return wanted <= stored
+
+    wait_until(is_reported, what="the blocks in an engine's report")
+
+
 @when("a caller asks {entry} for a completion with key {key}")
 @when("the same caller asks {entry} for the same with key {key}")
 def ask_with_key(context, entry, key):
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -41,3 +41,7 @@
   Scenario: A change of the configuration is in force on every host within 4 s
     When an operator adds the client account late-comer
     Then late-comer is served by every entry host within 4000 ms
+
+  Scenario: An engine's cache events name the blocks that entry hosts hash
+    When a caller asks entry-1 for a completion with a prompt of 4 blocks
+    Then an engine reports the hashes of these blocks as cached
--- a/src/peridotfront/standin_api.py
+++ b/src/peridotfront/standin_api.py
@@ -17,12 +17,13 @@
 )
 from .exceptions import CallerGone, InvalidRequest
 from .http_messages import parse_json
+from .prompts import block_hashes, count_tokens
 from .standin_engine import Engine, EngineSpec, Job, Prefilled, Produced
 from .standin_orders import Orders
 from .standin_runs import CHAT_PATH, COMPLETION_PATH, CompletionBody, Run
 from .standin_service import Faults, RunFile
 from .standin_settings import EngineSection
-from .standin_text import block_hashes, count_tokens, token_texts
+from .standin_text import token_texts
 
 JSON_TYPE = ("content-type", "application/json")
 SSE_TYPE = ("content-type", "text/event-stream")
--- a/src/peridotfront/standin_engine.py
+++ b/src/peridotfront/standin_engine.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from .standin_text import BLOCK_TOKENS
+from .prompts import BLOCK_TOKENS
 
 LOAD_HISTORY = 4096
 EVENT_HISTORY = 4096
--- a/src/peridotfront/standin_runs.py
+++ b/src/peridotfront/standin_runs.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from .standin_text import chat_prompt
+from .prompts import chat_prompt
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETION_PATH = "/v1/completions"
