Move a request that waits to the cells of other data centres

Cause: a request queued in its own data centre waited there until its cell refused it, up to 30 s, while engines elsewhere stood idle.

Ruled out: asking all cells at once (each would hold a slot for it, two of three to be given back); reports of load from each cell to each host (stale, and bytes of the control budget, which is over already).

Change: a request without a slot after 250 ms withdraws its want and asks the next cell that it has not visited; after the last one it stays.

Failing first: with the move taken out, 3 of the 5 scenarios of spill_over.feature fail. Measured: all 5 pass with it.

--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -288,7 +288,16 @@
         elif now_ms - flow.asked_ms >= WANT_RETRY_MS:
             if flow.key_state is KeyState.UNASKED:
                 yield self._query_key(flow)
-            yield from self._ask(flow, now_ms)
+            yield from self._ask_elsewhere(flow, now_ms)
+
+    def _ask_elsewhere(self, flow: Flow, now_ms: int) -> Iterator[Any]:
+        flow.visited.add(flow.cell)
+        passed_over = frozenset(flow.visited | flow.refusals.keys())
+        cell = self._choose_cell(flow.request, passed_over)
+        if cell:
+            yield from self._withdraw(flow)
+            flow.cell = cell
+        yield from self._ask(flow, now_ms)
 
     def _tick_waiting(self, flow: Flow, is_late: bool, now_ms: int) -> Iterator[Any]:
         if is_late:
--- a/src/peridotfront/core/flows.py
+++ b/src/peridotfront/core/flows.py
@@ -156,6 +156,7 @@
     :param epoch: of the claim under which the request runs; 0 without a claim.
     :param lease_until_ms: until when the granted slot may be used.
     :param refusals: the answers of cells that could not take the request.
+    :param visited: cells that did not give a slot in time.
     :param key_state: what the control group said of the key.
     :param refusal: what the caller is told once the state of the key is known.
     :param retry_at_ms: when a waiting request asks the holder again.
@@ -176,6 +177,7 @@
     placements: int = 0
     holder: Claim | None = None
     refusals: dict[str, Refuse] = field(default_factory=dict)
+    visited: set[str] = field(default_factory=set)
     key_state: KeyState = KeyState.UNUSED
     refusal: Refusal | None = None
     retry_at_ms: int = 0
