Show that the checks of placement, health and poison can fail

Cause: of twelve mechanisms taken out on a scratch copy two went unnoticed: strikes given to all beside a known suspect, and accounts that never take turns. Change: a scenario on the turns of accounts, a step on strikes; both fail now with the mechanism out. The other ten failed before: cache hits, gaps in cache events, head room, notice of a death, suspects kept apart, the probe's bound, settling, lapse of leases, preemption, refusal of poison.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -38,6 +38,7 @@
     And the poison request kills another upstream beside a stranger
     Then the poison request is refused for good
     And no stranger is refused for good
+    And strangers beside a known suspect have no strike
 
   Scenario: Two suspects never share an upstream
     When a poison request kills an upstream beside a stranger
--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -118,3 +118,7 @@
     When host "a" wants "r1" at tier 1
     And the control group counts 2 strikes against "r1"
     Then "r1" is refused to host "a" as "poison"
+
+  Scenario: A large account does not go twice before a small one goes once
+    When 10 wants of account "large" and 2 of account "small" are queued
+    Then both of account "small" are among the first 4 to go
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -177,6 +177,13 @@
         assert all(one.message.reason.value != "poison" for one in refusals)
 
 
+@then("strangers beside a known suspect have no strike")
+def no_strike(context):
+    first = [one for one in context.strangers if one < 200]
+    struck = context.cell.scheduler.dump().struck_fingerprints
+    assert struck == len(first) + 1, (struck, context.strangers)
+
+
 @when("both come back while one upstream is left")
 def suspects_return(context):
     context.cell.want("poison-again", fingerprint=POISON)
--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -219,3 +219,23 @@
 def upstream_gone(context, name):
     names = [one.name for one in context.cell.scheduler.dump().upstreams]
     assert name not in names, names
+
+
+@when('{many:d} wants of account "{large}" and {few:d} of account "{small}" are queued')
+def queue_accounts(context, many, large, few, small):
+    context.queue = FairQueue(lambda account: 1)
+    for account, count in ((large, many), (small, few)):
+        for index in range(count):
+            name = f"{account}{index}"
+            context.cell.want(name, client_account=account)
+            context.queue.add(queued(context.cell.wants[name], 10_000 + index))
+
+
+@then('both of account "{small}" are among the first {count:d} to go')
+def small_goes(context, small, count):
+    first = []
+    for _ in range(count):
+        head = context.queue.head()
+        context.queue.take(head)
+        first.append(head.want.client_account)
+    assert first.count(small) == 2, first
