--- /dev/null
+++ b/src/peridotfront/platform_hosts.py
@@ -0,0 +1,91 @@
+"""The platform's list of live and leaving hosts, which lags behind reality.
+
+The list can only take an upstream out of new work. That it calls a host live, or
+does not name it, proves nothing, since the list may be old.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+
+from . import logs
+from .core.fleet import UpstreamSpec
+from .core.messages import UpstreamReport
+from .runtime import Ticker
+
+READ_INTERVAL_MS = 500
+
+
+class PlatformHost(BaseModel):
+    """Is one host of the platform's list."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    name: str
+    state: Literal["live", "leaving"]
+
+
+HOSTS = TypeAdapter(tuple[PlatformHost, ...])
+
+
+class PlatformList:
+    """Reads the list again and again and reports the upstreams that leave.
+
+    :param path: a JSON file, a list of objects with ``name`` and ``state``; empty
+        if the platform has no list.
+    :param upstreams: returns the upstreams that this host schedules.
+    :param on_report: takes a report for each of them that the list calls leaving.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        upstreams: Callable[[], tuple[UpstreamSpec, ...]],
+        on_report: Callable[[UpstreamReport], None],
+    ):
+        self._path = path
+        self._upstreams = upstreams
+        self._on_report = on_report
+        self._is_readable = True
+        self._leaving: frozenset[str] = frozenset()
+        self._ticker = Ticker(self.read, lambda: READ_INTERVAL_MS)
+
+    def start(self) -> None:
+        """Start to read the list; does nothing without a path."""
+        if self._path:
+            self._ticker.start()
+
+    def stop(self) -> None:
+        """Stop to read the list."""
+        self._ticker.stop()
+
+    def read(self) -> None:
+        """Read the list and report; an unreadable list leaves the last one standing."""
+        try:
+            hosts = HOSTS.validate_json(Path(self._path).read_bytes())
+        except (OSError, ValidationError) as error:
+            if self._is_readable:
+                logs.write("platform_list_unreadable", detail=str(error))
+            self._is_readable = False
+        else:
+            self._is_readable = True
+            self._leaving = frozenset([h.name for h in hosts if h.state == "leaving"])
+        for spec in self._upstreams():
+            if spec.name in self._leaving:
+                self._on_report(_leaving(spec))
+
+
+def _leaving(spec: UpstreamSpec) -> UpstreamReport:
+    return UpstreamReport(
+        upstream=spec.name,
+        cell=spec.cell,
+        is_alive=True,
+        is_leaving=True,
+        running=0,
+        queued_prefill_tokens=0,
+        used_kv_tokens=0,
+        capacity_kv_tokens=0,
+        cache_sequence=0,
+    )
--- a/src/peridotfront/settings.py
+++ b/src/peridotfront/settings.py
@@ -90,6 +90,15 @@
     caller_key_file: str = ""
 
 
+class PlatformSection(Section):
+    """Says where the platform's list of live and leaving hosts lies.
+
+    :param list_file: a JSON file; empty if there is none.
+    """
+
+    list_file: str = ""
+
+
 class LogSection(Section):
     """Chooses how logs are written.
 
@@ -173,6 +182,7 @@
     log: LogSection
     timing: TimingSection
     peers: tuple[Peer, ...]
+    platform: PlatformSection
 
 
 @dataclass(frozen=True, slots=True)
