Hear only peers that the settings and their certificate name

Cause: read through the transport, any holder of a certificate of the deployment could send frames in the name of any host, and without TLS any sender at all was heard. Change: the sender of a frame must be a host of the settings; with TLS its certificate must name it.

--- /dev/null
+++ b/features/steps/transport_steps.py
@@ -0,0 +1,76 @@
+"""Steps on the streams of frames between two processes."""
+
+import asyncio
+import contextlib
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from support.authority import Authority
+from support.deployment import free_port
+
+from peridotfront.core.messages import JoinRequest
+from peridotfront.settings import Peer
+from peridotfront.tls import peer_channel_credentials, peer_server_credentials
+from peridotfront.transport import Credentials, Transport
+
+HEARD_WITHIN_S = 3.0
+DROPPED_AFTER_S = 1.0
+
+
+def credentials(context, name):
+    if context.authority is None:
+        return Credentials()
+    certificate, key = context.authority.issue(name, "127.0.0.1")
+    files = (certificate, key, context.authority.file)
+    return Credentials(
+        server=peer_server_credentials(*files),
+        channel=peer_channel_credentials(*files),
+    )
+
+
+def peer(name, port):
+    return Peer(name, "entry", "dc", f"127.0.0.1:{port}")
+
+
+@given('a host "a" that knows the peers "b" and "c", with TLS {state}')
+def receiving_host(context, state):
+    folder = Path(tempfile.mkdtemp())
+    context.authority = Authority(folder) if state == "on" else None
+    context.port = free_port()
+
+
+@when('a process with the certificate of "{owner}" sends it a frame as "{sender}"')
+def send_frame(context, owner, sender):
+    context.frames = asyncio.run(exchange(context, owner, sender))
+
+
+async def exchange(context, owner, sender):
+    frames = []
+    heard = asyncio.Event()
+
+    def on_frame(frame):
+        frames.append(frame)
+        heard.set()
+
+    peers = [peer("b", free_port()), peer("c", free_port())]
+    receiver = Transport("a", 1, peers, on_frame, credentials(context, "a"))
+    await receiver.start(f"127.0.0.1:{context.port}")
+    target = [peer("a", context.port)]
+    tls = credentials(context, owner)
+    process = Transport(sender, 2, target, lambda frame: None, tls)
+    await process.start(f"127.0.0.1:{free_port()}")
+    process.send("a", JoinRequest(7))
+    is_genuine = owner == sender and sender in ("b", "c")
+    limit_s = HEARD_WITHIN_S if is_genuine else DROPPED_AFTER_S
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(heard.wait(), limit_s)
+    await process.stop()
+    await receiver.stop()
+    return frames
+
+
+@then("the frame is {fate}")
+def check_fate(context, fate):
+    senders = [frame.sender for frame in context.frames]
+    assert bool(senders) == (fate == "heard"), senders
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -180,7 +180,7 @@
         207,
         "peer_unauthenticated",
         Level.ERROR,
-        "a connection without a valid certificate was refused",
+        "a peer that the settings or its certificate do not name was refused",
         "Check the certificate files of the host named, and whether it belongs here.",
     ),
     LogEvent(
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -125,18 +125,36 @@
 
 
 class _Servicer(peridotfront_pb2_grpc.PeerServicer):
-    """Hands on every frame that arrives."""
+    """Hands on the frames of known peers.
 
-    def __init__(self, on_frame: FrameHandler):
+    :param senders: the host names that the settings list.
+    :param is_verified: whether a sender must be named by its certificate.
+    """
+
+    def __init__(
+        self, on_frame: FrameHandler, senders: frozenset[str], is_verified: bool
+    ):
         self._on_frame = on_frame
+        self._senders = senders
+        self._is_verified = is_verified
 
     async def Exchange(self, request_iterator, context):  # noqa: N802
-        """Read the frames of one peer until its stream ends."""
+        """Read the frames of one peer until its stream ends or it is refused."""
         with contextlib.suppress(asyncio.CancelledError):
             async for proto in request_iterator:
+                if not self._is_genuine(proto.sender, context):
+                    logs.write("peer_unauthenticated", peer=proto.sender)
+                    break
                 self._on_frame(wire.from_proto(Frame, proto))
         return peridotfront_pb2.Received()
 
+    def _is_genuine(self, sender: str, context: grpc.aio.ServicerContext) -> bool:
+        if sender not in self._senders:
+            return False
+        if not self._is_verified:
+            return True
+        return sender.encode() in (context.peer_identities() or ())
+
 
 class Transport:
     """Connects a process with all its peers.
@@ -180,7 +198,8 @@
         :raises RuntimeError: if the address can't be bound.
         """
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
-        servicer = _Servicer(self._on_frame)
+        is_verified = self._tls.server is not None
+        servicer = _Servicer(self._on_frame, frozenset(self.links), is_verified)
         peridotfront_pb2_grpc.add_PeerServicer_to_server(servicer, self._server)
         if self._tls.server is None:
             port = self._server.add_insecure_port(listen_address)
