Write the log events of a lost quorum, a late loop and failed storage

Cause: the operators' guide names event 303, which nothing wrote; the events of a failed storage were chosen by a variable, which the generated page could not see.

--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -98,10 +98,11 @@
         if not self.server.failed.done():
             return 0
         error = self.server.failed.exception()
-        is_storage = isinstance(error, StorageFailed)
-        event = "storage_failed" if is_storage else "internal_error"
-        logs.write(event, detail=repr(error))
-        return EXIT_STORAGE if is_storage else EXIT_INTERNAL_ERROR
+        if isinstance(error, StorageFailed):
+            logs.write("storage_failed", detail=repr(error))
+            return EXIT_STORAGE
+        logs.write("internal_error", detail=repr(error))
+        return EXIT_INTERNAL_ERROR
 
     def _on_frame(self, frame) -> None:
         self.server.on_frame(frame)
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -139,6 +139,7 @@
         self._local_cells_of: dict[Target, tuple[str, ...]] = {}
         self._scheduler_of: dict[str, str] = {}
         self._entry_hosts: dict[str, list[str]] = {}
+        self._has_quorum = True
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Take an event and yield what the program has to do.
@@ -216,6 +217,7 @@
         yield from self.membership.handle(event, now_ms)
         yield from self.follower.handle(event, now_ms)
         yield from self.claimant.handle(event, now_ms)
+        yield from self._watch_quorum(now_ms)
         for scheduler in list(self.schedulers.values()):
             yield from scheduler.handle(event, now_ms)
         yield from self.dispatcher.handle(event, now_ms)
@@ -234,6 +236,16 @@
         else:
             yield from self._to_state(event, now_ms)
 
+    def _watch_quorum(self, now_ms: int) -> Iterator[Log]:
+        has_quorum = self.claimant.has_quorum(now_ms)
+        if has_quorum == self._has_quorum:
+            return
+        self._has_quorum = has_quorum
+        if has_quorum:
+            yield Log("quorum_found", (("leader", self.claimant.leader(now_ms)),))
+        else:
+            yield Log("quorum_lost")
+
     def _to_state(self, event: Received, now_ms: int) -> Iterator[Any]:
         message = event.message
         if isinstance(message, Heartbeat):
--- a/src/peridotfront/runtime.py
+++ b/src/peridotfront/runtime.py
@@ -8,10 +8,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from . import logs
+
 INCARNATION_BITS = 62
 TICK_MS = 20
 BUSY_TICK_MS = 10
 IDLE_TICK_MS = 50
+LATE_TICK_MS = 500
 
 
 def now_ms() -> int:
@@ -39,10 +42,12 @@
         self._on_tick = on_tick
         self._interval_ms = interval_ms
         self._handle: asyncio.TimerHandle | None = None
+        self._due_ms = 0
 
     def start(self) -> None:
         """Start to tick."""
         loop = asyncio.get_running_loop()
+        self._due_ms = now_ms() + self._interval_ms()
         self._handle = loop.call_later(self._interval_ms() / 1000, self._tick)
 
     def stop(self) -> None:
@@ -51,6 +56,9 @@
             self._handle.cancel()
 
     def _tick(self) -> None:
+        late_ms = now_ms() - self._due_ms
+        if late_ms > LATE_TICK_MS:
+            logs.write("loop_delayed", late_ms=late_ms)
         self.start()
         self._on_tick()
 
