Tell the scheduler of the first token at once, and of slow tokens

Cause: a scheduler learned of a stream's first token with the next renewal, up to 1 s later, and of slow tokens never, although its budgets learn from both. Change: the first token's report goes out at once; holders count the tokens that come later than the policy's slow_token_ms and say so with each renewal and at the release.

--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -58,6 +58,8 @@
     produced_tokens: int = 0
     cached_tokens: int = 0
     reported_ms: int = 0
+    slow_tokens: int = 0
+    last_token_ms: int = 0
     tail: bytes = b""
 
 
@@ -115,7 +117,7 @@
     async def _run(self, call: Call, policy: Policy, connect: Any) -> None:
         try:
             answer = await connect(call)
-            await self._pump(call, answer)
+            await self._pump(call, answer, policy)
             outcome = self._outcome(call, policy)
             cause = ReleaseCause.COMPLETED
             if call.answer.status_code >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -164,13 +166,13 @@
             raise UpstreamDied("the engine does not know the request")
         return answer
 
-    async def _pump(self, call: Call, answer: UpstreamAnswer) -> None:
+    async def _pump(self, call: Call, answer: UpstreamAnswer, policy: Policy) -> None:
         resumes = 0
         while True:
             if not call.answer.is_started:
                 call.answer.start(answer.status_code, _passed(answer.headers))
             try:
-                await self._copy(call, answer)
+                await self._copy(call, answer, policy)
                 return
             except AnswerTruncated:
                 resumes += 1
@@ -179,24 +181,31 @@
                     raise
                 answer = await self._resume_at(call, call.answer.size_bytes)
 
-    async def _copy(self, call: Call, answer: UpstreamAnswer) -> None:
+    async def _copy(self, call: Call, answer: UpstreamAnswer, policy: Policy) -> None:
         async for chunk in answer.chunks():
-            self._measure(call, chunk)
+            self._measure(call, chunk, policy.slow_token_ms)
             if call.answer.key:
                 call.body += chunk
             await call.answer.write(chunk)
 
-    def _measure(self, call: Call, chunk: bytes) -> None:
+    def _measure(self, call: Call, chunk: bytes, slow_token_ms: float) -> None:
         measures = call.measures
         elapsed_ms = _now_ms() - measures.started_ms
-        if measures.first_token_ms < 0 and call.admission.is_stream:
+        is_first = measures.first_token_ms < 0 and call.admission.is_stream
+        if is_first:
             measures.first_token_ms = elapsed_ms
+        elif elapsed_ms - measures.last_token_ms > slow_token_ms:
+            measures.slow_tokens += 1
+        measures.last_token_ms = elapsed_ms
         measures.produced_tokens += chunk.count(TOKEN_EVENT)
         measures.tail = (measures.tail + chunk)[-TAIL_BYTES:]
-        if elapsed_ms - measures.reported_ms >= PROGRESS_INTERVAL_MS:
+        if is_first or elapsed_ms - measures.reported_ms >= PROGRESS_INTERVAL_MS:
             measures.reported_ms = elapsed_ms
             request_id = call.admission.request.request_id
-            self._feed(Progress(request_id, measures.produced_tokens))
+            progress = Progress(
+                request_id, measures.produced_tokens, measures.slow_tokens
+            )
+            self._feed(progress)
 
     def _outcome(self, call: Call, policy: Policy) -> Outcome:
         is_replayable = len(call.body) <= policy.replay_body_bytes
@@ -235,6 +244,7 @@
             COMPLETION_TOKENS, measures.tail, measures.produced_tokens
         ),
         first_token_ms=measures.first_token_ms,
+        slow_tokens=measures.slow_tokens if call.admission.is_stream else -1,
     )
 
 
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -176,9 +176,13 @@
     @_handle.register
     def _(self, event: Progress, now_ms: int) -> Iterator[Any]:
         flow = self.flows.get(event.request_id)
-        if flow is not None:
-            flow.produced_tokens = event.produced_tokens
-        yield from ()
+        if flow is None:
+            return
+        is_first = flow.produced_tokens == 0
+        flow.produced_tokens = event.produced_tokens
+        flow.slow_tokens = event.slow_tokens
+        if is_first and flow.cell:
+            yield from self._renew(flow, now_ms)
 
     @_handle.register
     def _(self, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
@@ -498,7 +502,9 @@
         if not flow.scheduler:
             return
         want = flow.request.want(flow.cell, now_ms - flow.arrived_ms)
-        held = HeldSlot(want, flow.upstream, flow.produced_tokens)
+        held = HeldSlot(
+            want, flow.upstream, flow.produced_tokens, slow_tokens=flow.slow_tokens
+        )
         yield Send(flow.scheduler, held)
 
     def _release(self, flow: Flow, event: DispatchEnded, now_ms: int) -> Iterator[Any]:
@@ -514,6 +520,7 @@
             produced_tokens=event.produced_tokens,
             first_token_ms=event.first_token_ms,
             duration_ms=now_ms - flow.sent_ms,
+            slow_tokens=event.slow_tokens,
         )
         yield Send(flow.scheduler, release)
 
--- a/src/peridotfront/core/flows.py
+++ b/src/peridotfront/core/flows.py
@@ -51,10 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Progress:
-    """Reports tokens that an upstream has produced for a request."""
+    """Reports tokens that an upstream has produced for a request.
+
+    :param slow_tokens: of these, how many came later than the policy allows.
+    """
 
     request_id: str
     produced_tokens: int
+    slow_tokens: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,7 @@
     cached_tokens: int = 0
     produced_tokens: int = 0
     first_token_ms: int = -1
+    slow_tokens: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +178,7 @@
     epoch: int = 0
     sent_ms: int = 0
     produced_tokens: int = 0
+    slow_tokens: int = -1
     renewed_ms: int = 0
     placements: int = 0
     holder: Claim | None = None
