Never call a request not run once it was sent, even if its engine is gone

Cause: a scenario written for an untested promise (a cut stream must not look whole) failed otherwise than expected: the last event said "not run" after tokens had come. When a stream breaks off, the entry host asks the engine to resume it; if that connection is refused, the error of the resume, which says not run, became the word on the whole request. Worse, a request that did not run may be placed again, so that the engine's request could have been sent to a second engine. Which of the two happened hung on whether a kept connection to the dead engine was still open.

Ruled out: the client (its word on the resume itself is true).

Change: a resume that can't connect says that the engine died and the request may have run; a request that can't be written as HTTP, and any unforeseen error, now end the call too, where the request hung before.

--- a/features/process_faults.feature
+++ b/features/process_faults.feature
@@ -58,3 +58,14 @@
     And engine-2 has run 5 requests
     When an operator takes engine-2 out
     Then engine-2 gets no request later than 2000 ms after it
+
+  Scenario: A stream whose engine dies is cut, and says that it may have run
+    Given a stream of 2000 tokens is in progress at entry-1
+    When all engines are killed
+    Then the stream breaks off without its end and its last event says may_have_run
+
+  Scenario: A stream that breaks off is not sent to another engine
+    Given a stream of 2000 tokens is in progress at entry-1
+    When the engine that runs it dies
+    Then the stream breaks off without its end and its last event says may_have_run
+    And the engines have seen the streamed prompt in 1 dispatch
--- /dev/null
+++ b/features/steps/attachments_steps.py
@@ -0,0 +1,94 @@
+"""Steps that fetch an answer from a holder over links that fail."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from peridotfront.answers import Answer, AnswerStore
+from peridotfront.attachments import Attachments
+from peridotfront.core.messages import Header, Outcome
+from peridotfront.core.verdicts import Reason, Verdict
+
+KEY = "account/model/k1"
+OUTCOME = Outcome(Verdict.COMPLETED, Reason.NONE, 200)
+BUFFER_BYTES = 10_000_000
+LATE_S = 0.05
+PATIENCE_S = 30
+
+
+def passes_of(trouble, rng):
+    """Return the delays, in seconds, of the copies of one piece that arrive."""
+    if trouble == "doubled":
+        return [0, 0, LATE_S]
+    if trouble == "lost":
+        return [] if rng.random() < 0.3 else [0]
+    if trouble == "late":
+        return [rng.random() * LATE_S]
+    return [0]
+
+
+@given("a holder with an answer of {size:d} bytes")
+def holder_with_answer(context, size):
+    context.body = random.Random(4).randbytes(size)
+
+
+@given("a holder without the answer")
+def holder_without(context):
+    context.body = None
+
+
+@when("another host fetches it over links that let pieces be {trouble}")
+def fetch(context, trouble):
+    context.copy, context.ended = asyncio.run(
+        asyncio.wait_for(copy_of(context.body, trouble), PATIENCE_S)
+    )
+
+
+async def copy_of(body, trouble):
+    rng = random.Random(5)
+    loop = asyncio.get_running_loop()
+    held = AnswerStore()
+    if body is not None:
+        answer = Answer("r1", KEY, 1, BUFFER_BYTES)
+        held.add(answer)
+        held.hold(answer)
+        answer.start(200, (Header("content-type", "text/plain"),))
+        await answer.write(body)
+        answer.end(OUTCOME)
+    ended = asyncio.Event()
+    events = []
+
+    def on_end(event):
+        events.append(event)
+        ended.set()
+
+    def to_follower(_, message):
+        for delay_s in passes_of(trouble, rng):
+            loop.call_later(delay_s, follower.received, "holder", message)
+
+    def to_holder(_, message):
+        loop.call_soon(holder.received, "follower", message)
+
+    holder = Attachments(held, to_follower, on_end)
+    follower = Attachments(AnswerStore(), to_holder, on_end)
+    copy = Answer("r2", KEY, 1, BUFFER_BYTES)
+    follower.follow(copy, KEY, "holder")
+    await ended.wait()
+    await holder.stop()
+    await follower.stop()
+    return copy, events[0]
+
+
+@then("the copy is the same bytes and ends with the same outcome")
+def is_same(context):
+    assert context.copy.body() == context.body
+    assert context.copy.status_code == 200
+    assert context.ended.outcome.verdict is OUTCOME.verdict
+    assert context.copy.outcome is not None
+
+
+@then("the copy is given up")
+def given_up(context):
+    assert context.ended.outcome is None
+    assert context.copy.outcome is None
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -1,5 +1,6 @@
 """Steps that bring faults about between real processes."""
 
+import hashlib
 import json
 import signal
 import socket
@@ -196,6 +197,10 @@
 @given("a stream of {tokens:d} tokens is in progress at {entry}")
 def stream(context, tokens, entry):
     context.tokens = tokens
+    wait_until(
+        lambda: context.deployment.complete(entry, "ready?", 1).status == 200,
+        what="an engine that serves",
+    )
     address = context.deployment.processes[entry].addresses["callers"]
     host, _, port = address.rpartition(":")
     body = {"model": "m1", "prompt": STREAM_PROMPT, "max_tokens": tokens}
@@ -231,6 +236,49 @@
     wait_until(lambda: context.deployment.is_ready(context.stopped), what=entry)
 
 
+@when("all engines are killed")
+def kill_engines(context):
+    names = [one for one in context.deployment.upstreams if one.startswith("engine")]
+    for name in names:
+        context.deployment.processes[name].kill()
+        context.add_cleanup(context.deployment.start_one, name)
+
+
+def dispatches_of_stream(context):
+    """Return the engines that got the streamed prompt, in order of time."""
+    digest = hashlib.sha256(STREAM_PROMPT.encode()).hexdigest()
+    seen = [
+        (line["at_ms"], name)
+        for name in context.deployment.upstreams
+        for line in context.deployment.runs(name)
+        if line["event"] == "dispatch" and line["prompt_sha256"] == digest
+    ]
+    return [name for _, name in sorted(seen)]
+
+
+@when("the engine that runs it dies")
+def kill_its_engine(context):
+    seen = dispatches_of_stream(context)
+    context.seen = len(seen)
+    context.deployment.processes[seen[-1]].kill()
+    context.add_cleanup(context.deployment.start_one, seen[-1])
+
+
+@then("the engines have seen the streamed prompt in 1 dispatch")
+def one_dispatch(context):
+    assert len(dispatches_of_stream(context)) == context.seen
+
+
+@then("the stream breaks off without its end and its last event says {verdict}")
+def breaks_off(context, verdict):
+    while data := context.peer.recv(65536):
+        context.received += data
+    assert not context.received.endswith(b"0\r\n\r\n"), context.received[-200:]
+    assert b"data: [DONE]" not in context.received
+    last = context.received[context.received.rindex(b"event: error") :]
+    assert f'"verdict": "{verdict}"'.encode() in last, last
+
+
 @when("an operator sends a change twice with one change id")
 def change_twice(context):
     rules = context.deployment.rules()
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from . import logs
 from .answers import Answer
 from .core.fleet import Policy, UpstreamKind, UpstreamSpec
 from .core.flows import DispatchEnded, Progress
@@ -15,6 +16,7 @@
 from .exceptions import (
     AnswerTruncated,
     ConnectFailed,
+    InvalidRequest,
     UpstreamDied,
     UpstreamError,
     UpstreamTimedOut,
@@ -126,6 +128,14 @@
         except UpstreamError as error:
             cause = _cause(error)
             outcome = Outcome(error.verdict, _reason(error))
+        except InvalidRequest as error:
+            cause = ReleaseCause.NOT_SENT
+            outcome = Outcome(error.verdict, error.reason)
+        except Exception as error:
+            # Whatever went wrong, the request must get its last word.
+            logs.write("internal_error", detail=repr(error))
+            cause = ReleaseCause.UPSTREAM_ERROR
+            outcome = Outcome(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_ERROR)
         self._feed(_ended(call, cause, outcome))
 
     async def _send(self, call: Call) -> UpstreamAnswer:
@@ -155,12 +165,16 @@
         return await self._resume_at(call, 0)
 
     async def _resume_at(self, call: Call, offset_bytes: int) -> UpstreamAnswer:
-        answer = await self._client.resume(
-            call.upstream.address,
-            call.engine_id,
-            offset_bytes,
-            timeouts=ENGINE_TIMEOUTS,
-        )
+        try:
+            answer = await self._client.resume(
+                call.upstream.address,
+                call.engine_id,
+                offset_bytes,
+                timeouts=ENGINE_TIMEOUTS,
+            )
+        except ConnectFailed as error:
+            # The request was sent before, so that it may have run.
+            raise UpstreamDied("the engine is gone") from error
         if answer.status_code != HTTPStatus.OK:
             answer.cancel()
             raise UpstreamDied("the engine does not know the request")
