Close the gap of the tests on upstreams without progress

Cause: with the check for progress taken out every scenario passed. Failing first: without the check it fails.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -33,6 +33,10 @@
     When 1100 ms pass in the cell
     Then it gets 1 request as a probe
 
+  Scenario: An upstream that makes no progress is a suspect and gets no new work
+    When a request runs at an upstream without a token for 8000 ms
+    Then it gets no new grants
+
   Scenario: A request at its second strike is refused
     When a poison request kills an upstream beside a stranger
     And the poison request kills another upstream beside a stranger
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -115,6 +115,17 @@
     context.cell.release("victim", ReleaseCause.UPSTREAM_DIED, first_token_ms=-1)
 
 
+@when("a request runs at an upstream without a token for {duration:d} ms")
+def runs_without_progress(context, duration):
+    cell = context.cell
+    cell.want("stalled")
+    context.dead = granted_at(cell, "stalled")
+    end_ms = cell.now_ms + duration
+    while cell.now_ms < end_ms:
+        cell.pass_time(500)
+        cell.hold("stalled", "a", context.dead)
+
+
 @then("it gets no new grants")
 def no_new_grants(context):
     for index in range(4):
