Split the log catalogue from the writing of logs, and read settings in one way

Change: log_events holds the catalogue; both settings classes share what every host has and one function reads them. A constant that nothing used is gone.

--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from support.generator import load_generator
 
-from peridotfront import logs
+from peridotfront import log_events, logs
 from peridotfront.core.verdicts import Reason, Verdict
 from peridotfront.dump import CUT, REPEATED, dump
 from peridotfront.exceptions import LogEventUnknown
@@ -24,14 +24,14 @@
 
 SECRET = "s3cr3t-value"
 EVENT_GROUPS = (
-    logs.PROCESS_EVENTS,
-    logs.PEER_EVENTS,
-    logs.CONTROL_EVENTS,
-    logs.CONFIGURATION_EVENTS,
-    logs.REQUEST_EVENTS,
-    logs.UPSTREAM_EVENTS,
-    logs.SCHEDULING_EVENTS,
-    logs.OPERATOR_EVENTS,
+    log_events.PROCESS_EVENTS,
+    log_events.PEER_EVENTS,
+    log_events.CONTROL_EVENTS,
+    log_events.CONFIGURATION_EVENTS,
+    log_events.REQUEST_EVENTS,
+    log_events.UPSTREAM_EVENTS,
+    log_events.SCHEDULING_EVENTS,
+    log_events.OPERATOR_EVENTS,
 )
 
 
--- a/src/peridotfront/entry.py
+++ b/src/peridotfront/entry.py
@@ -39,7 +39,6 @@
 
 DRAIN_POLL_MS = 20
 MAX_DRAIN_MS = 600_000
-HEADERS_LIMIT_MS = 30_000
 
 
 class EntryProgram:
--- a/src/peridotfront/settings.py
+++ b/src/peridotfront/settings.py
@@ -12,8 +12,7 @@
 from .ini import Fault, Ini, Section
 
 EXIT_BAD_SETTINGS = 2
-ENTRY_SECTIONS = {"host", "callers", "tls", "log", "timing", "platform", "peer"}
-CONTROL_SECTIONS = {"host", "storage", "tls", "log", "timing", "peer"}
+SHARED_SECTIONS = {"host", "tls", "log", "timing", "peer"}
 
 
 def check_address(value: str) -> str:
@@ -173,28 +172,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EntrySettings:
-    """Holds all settings of an entry host's process."""
+class HostSettings:
+    """Holds the settings that every host's process has."""
 
     host: HostSection
-    callers: CallersSection
     tls: TlsSection
     log: LogSection
     timing: TimingSection
     peers: tuple[Peer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings(HostSettings):
+    """Holds all settings of an entry host's process."""
+
+    callers: CallersSection
     platform: PlatformSection
 
 
 @dataclass(frozen=True, slots=True)
-class ControlSettings:
+class ControlSettings(HostSettings):
     """Holds all settings of a control host's process."""
 
-    host: HostSection
     storage: StorageSection
-    tls: TlsSection
-    log: LogSection
-    timing: TimingSection
-    peers: tuple[Peer, ...]
 
 
 def load_entry(text: str, source: str = "settings") -> EntrySettings:
@@ -202,20 +202,8 @@
 
     :raises SettingsInvalid: with every fault.
     """
-    ini = Ini.parse(text, source)
-    faults = list(ini.unknown_sections(ENTRY_SECTIONS))
-    settings = EntrySettings(
-        host=ini.read(HostSection, "host", faults),
-        callers=ini.read(CallersSection, "callers", faults),
-        tls=_read_tls(ini, faults),
-        log=ini.read(LogSection, "log", faults),
-        timing=ini.read(TimingSection, "timing", faults),
-        peers=_read_peers(ini, faults),
-        platform=ini.read(PlatformSection, "platform", faults),
-    )
-    if faults:
-        raise SettingsInvalid(source, tuple(faults))
-    return settings
+    sections = {"callers": CallersSection, "platform": PlatformSection}
+    return _load(EntrySettings, text, source, sections)
 
 
 def load_control(text: str, source: str = "settings") -> ControlSettings:
@@ -223,15 +211,21 @@
 
     :raises SettingsInvalid: with every fault.
     """
+    return _load(ControlSettings, text, source, {"storage": StorageSection})
+
+
+def _load(
+    kind: type[HostSettings], text: str, source: str, own: dict[str, type[Section]]
+) -> HostSettings:
     ini = Ini.parse(text, source)
-    faults = list(ini.unknown_sections(CONTROL_SECTIONS))
-    settings = ControlSettings(
+    faults = list(ini.unknown_sections(SHARED_SECTIONS | own.keys()))
+    settings = kind(
         host=ini.read(HostSection, "host", faults),
-        storage=ini.read(StorageSection, "storage", faults),
         tls=_read_tls(ini, faults),
         log=ini.read(LogSection, "log", faults),
         timing=ini.read(TimingSection, "timing", faults),
         peers=_read_peers(ini, faults),
+        **{name: ini.read(model, name, faults) for name, model in own.items()},
     )
     if faults:
         raise SettingsInvalid(source, tuple(faults))
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -15,7 +15,7 @@
 from peridotfront import ctl_settings, rules, settings, standin_settings
 from peridotfront.core import fleet
 from peridotfront.ini import Section
-from peridotfront.logs import EVENTS, EVENTS_BY_NAME, LogEvent
+from peridotfront.log_events import EVENTS, EVENTS_BY_NAME, LogEvent
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ROOT / "src" / "peridotfront"
