Give no strike to a request whose upstream was never reached

Cause: read as a newcomer, the word for a refused connection was the same as for an upstream that died under a request. So a request that met two dead upstreams, one after the other, had two strikes and was refused for good as poison, though it had run nowhere.

Ruled out: to count only what the control group says (its reports come from the same word).

Change: a refused connection is a cause of its own. The scheduler opens the upstream's circuit and strikes nobody; a death noticed later by a request that did run there still counts.

Failing first: with the cause treated as a death the new scenario of placement.feature fails.

The class that decides on orders is now called by what it does.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -37,6 +37,11 @@
     When a request runs at an upstream without a token for 8000 ms
     Then it gets no new grants
 
+  Scenario: A request that finds its upstreams unreachable gets no strike
+    When both upstreams refuse the connection of a request in turn
+    Then it is not refused for good
+    And a want right after it is granted by neither upstream
+
   Scenario: A request at its second strike is refused
     When a poison request kills an upstream beside a stranger
     And the poison request kills another upstream beside a stranger
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -15,9 +15,9 @@
     EngineReported,
     LeadershipGained,
     OrderCommitted,
-    OrderDesk,
     OrderEnded,
     OrderOutcome,
+    OrderPlanner,
     ProposeOrder,
     SendOrder,
 )
@@ -217,7 +217,7 @@
 
 
 def start_desk(context, event):
-    context.desk = OrderDesk(lease_ms=600)
+    context.desk = OrderPlanner(lease_ms=600)
     context.now_ms = 0
     assert not ask(context, LeadershipGained(1)) + ask(context, event)
 
@@ -324,7 +324,7 @@
 # The sender
 
 
-class OneOrderDesk:
+class OneOrderPlanner:
     """Sends one order when told of the leadership, and records its end."""
 
     def __init__(self, address):
@@ -352,7 +352,7 @@
     async def send():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
-        context.desk = OneOrderDesk(f"{host}:{port}")
+        context.desk = OneOrderPlanner(f"{host}:{port}")
         sender = OrderSender(context.desk, EngineClient(), None, lambda: leads == "has")
         sender.set_leader(1)
         async with asyncio.timeout(10):
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -5,6 +5,7 @@
 
 from peridotfront.core.fleet import UpstreamKind
 from peridotfront.core.messages import Grant, Refuse, ReleaseCause, UpstreamReport
+from peridotfront.core.verdicts import Reason
 
 PREFIX = tuple(range(1000, 1030))
 POISON = 666
@@ -126,6 +127,33 @@
         cell.hold("stalled", "a", context.dead)
 
 
+@when("both upstreams refuse the connection of a request in turn")
+def connections_refused(context):
+    cell = context.cell
+    context.tried = []
+    for attempt in (1, 2):
+        name = f"innocent{attempt}"
+        cell.want(name, fingerprint=POISON)
+        context.tried.append(granted_at(cell, name))
+        cell.pass_time(10)
+        cell.release(name, ReleaseCause.UNREACHABLE, first_token_ms=-1)
+    assert len(set(context.tried)) == 2
+
+
+@then("it is not refused for good")
+def not_refused_for_good(context):
+    cell = context.cell
+    cell.want("innocent3", fingerprint=POISON)
+    reasons = [sent.message.reason for sent in cell.answers("innocent3", Refuse)]
+    assert Reason.POISON not in reasons
+
+
+@then("a want right after it is granted by neither upstream")
+def granted_by_neither(context):
+    context.cell.want("next")
+    assert not context.cell.answers("next", Grant)
+
+
 @then("it gets no new grants")
 def no_new_grants(context):
     for index in range(4):
--- a/features/support/order_group.py
+++ b/features/support/order_group.py
@@ -11,9 +11,9 @@
     LeadershipGained,
     LeadershipLost,
     OrderCommitted,
-    OrderDesk,
     OrderEnded,
     OrderOutcome,
+    OrderPlanner,
     ProposeOrder,
     SendOrder,
 )
@@ -84,7 +84,7 @@
     def __init__(self, engines, seed=0):
         super().__init__(seed)
         self.engines = {one.name: one for one in engines}
-        self.desks = {name: OrderDesk(ELECTION_TIMEOUT_MS) for name in CONTROLS}
+        self.desks = {name: OrderPlanner(ELECTION_TIMEOUT_MS) for name in CONTROLS}
         self.outboxes = {name: [] for name in CONTROLS}
         self.link_ms = dict.fromkeys(CONTROLS, LINK_MS)
         self.transit = []
--- a/features/support/request_world.py
+++ b/features/support/request_world.py
@@ -314,7 +314,7 @@
 
     def later(self, host, request_id, outcome):
         host.calls.pop(request_id, None)
-        event = DispatchEnded(request_id, ReleaseCause.UPSTREAM_DIED, outcome)
+        event = DispatchEnded(request_id, ReleaseCause.UNREACHABLE, outcome)
         due_ms = self.now_ms + NETWORK_MS
         self.sequence += 1
         self.in_flight.append((due_ms, self.sequence, host.name, _Local(event)))
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -268,7 +268,9 @@
 
 
 def _cause(error: UpstreamError) -> ReleaseCause:
-    if isinstance(error, ConnectFailed | UpstreamDied | AnswerTruncated):
+    if isinstance(error, ConnectFailed):
+        return ReleaseCause.UNREACHABLE
+    if isinstance(error, UpstreamDied | AnswerTruncated):
         return ReleaseCause.UPSTREAM_DIED
     if isinstance(error, UpstreamTimedOut):
         return ReleaseCause.UPSTREAM_TIMEOUT
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -14,7 +14,7 @@
 from .core.control_types import ControlTiming
 from .core.controller import Controller
 from .core.messages import ControlSnapshot
-from .core.orders import OrderDesk
+from .core.orders import OrderPlanner
 from .core.raft import Raft
 from .core.raft_types import RaftTiming
 from .credentials import admin_context, check_files, peer_credentials
@@ -50,12 +50,12 @@
             peer_credentials(settings.tls),
         )
         controller = _controller(settings, storage)
-        desk = OrderDesk(
+        planner = OrderPlanner(
             settings.timing.election_timeout_ms,
             wall_offset_ms=time.time_ns() // 1_000_000 - now_ms(),
         )
         self.server = ControlServer(
-            controller, storage, self.transport.send, metrics, desk
+            controller, storage, self.transport.send, metrics, planner
         )
         pages = AdminPages(
             host.admin_token,
--- a/src/peridotfront/control_server.py
+++ b/src/peridotfront/control_server.py
@@ -28,7 +28,7 @@
     ConfigResult,
     Frame,
 )
-from .core.orders import OrderCommitted, OrderDesk
+from .core.orders import OrderCommitted, OrderPlanner
 from .core.raft_types import Persist, Role, RoleChanged
 from .exceptions import NotLeader, SettingsInvalid
 from .metrics import Metrics
@@ -50,7 +50,7 @@
     :param controller: decides.
     :param storage: the data folder.
     :param send: sends a message to another host.
-    :param desk: decides on orders to engines.
+    :param planner: decides on orders to engines.
     """
 
     def __init__(
@@ -59,7 +59,7 @@
         storage: Storage,
         send: SendMessage,
         metrics: Metrics,
-        desk: OrderDesk,
+        planner: OrderPlanner,
     ):
         self.controller = controller
         self.leader = ""
@@ -70,7 +70,9 @@
         self._is_scheduled = False
         self._tickets = count(1)
         self._waiting: dict[int, asyncio.Future] = {}
-        self.orders = OrderSender(desk, EngineClient(), self.feed, self._may_send_order)
+        self.orders = OrderSender(
+            planner, EngineClient(), self.feed, self._may_send_order
+        )
         self.failed: asyncio.Future = asyncio.get_running_loop().create_future()
 
     def on_frame(self, frame: Frame) -> None:
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfirmLeaving:
+class BeginLeaving:
     """Tells the role that the own host leaves."""
 
 
@@ -306,7 +306,7 @@
         yield from self._settle_cells(now_ms)
 
     @_handle.register
-    def _(self, event: ConfirmLeaving, now_ms: int) -> Iterator[Any]:
+    def _(self, event: BeginLeaving, now_ms: int) -> Iterator[Any]:
         self.membership.is_leaving = True
         self.membership.beat_now()
         yield from self._settle_cells(now_ms)
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -57,6 +57,11 @@
         self._open(now_ms)
         return True
 
+    def unreachable(self, now_ms: int) -> None:
+        """Open the circuit, as a connection was refused."""
+        if self.state is not HealthState.DOWN:
+            self._open(now_ms)
+
     def failed(self, is_timeout: bool, now_ms: int) -> None:
         """Count an error or time-out; several in a row open the circuit."""
         if is_timeout:
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -12,6 +12,7 @@
     COMPLETED = "completed"
     NOT_SENT = "not_sent"
     CALLER_GONE = "caller_gone"
+    UNREACHABLE = "unreachable"
     UPSTREAM_DIED = "upstream_died"
     UPSTREAM_ERROR = "upstream_error"
     UPSTREAM_TIMEOUT = "upstream_timeout"
--- a/src/peridotfront/core/orders.py
+++ b/src/peridotfront/core/orders.py
@@ -148,7 +148,7 @@
         return True
 
 
-class OrderDesk:
+class OrderPlanner:
     """Decides which orders the control leader gives to engines.
 
     Each engine has one order in flight at most. The fencing token of an order is
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -418,6 +418,10 @@
             self._strikes.completed(slot.want.fingerprint)
         elif cause is ReleaseCause.UPSTREAM_DIED:
             self._upstream_died(upstream, slot, now_ms)
+        elif cause is ReleaseCause.UNREACHABLE:
+            # The request never ran there, so that it gets no strike.
+            health.unreachable(now_ms)
+            self._drain.forget_capacity()
         elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
             health.failed(True, now_ms)
         elif cause is ReleaseCause.UPSTREAM_ERROR:
--- a/src/peridotfront/entry.py
+++ b/src/peridotfront/entry.py
@@ -10,7 +10,7 @@
 from .callers import HttpLimits, HttpServer
 from .cell_pages import CellPages
 from .core.claimant import Claimant, ClaimantTiming
-from .core.entry_role import ConfirmLeaving, EntryRole
+from .core.entry_role import BeginLeaving, EntryRole
 from .core.fleet import Fleet
 from .core.follower import ConfigFollower, FollowerTiming
 from .core.membership import Membership
@@ -114,7 +114,7 @@
 
     async def _drain(self) -> None:
         logs.write("drain_started", in_progress=self.serving.in_progress)
-        self.server.feed(ConfirmLeaving())
+        self.server.feed(BeginLeaving())
         await asyncio.sleep(self.settings.callers.drain_grace_ms / 1000)
         await self.callers.drain(MAX_DRAIN_MS)
         self.callers.close_listener()
--- a/src/peridotfront/order_sender.py
+++ b/src/peridotfront/order_sender.py
@@ -17,9 +17,9 @@
     EngineReported,
     LeadershipGained,
     LeadershipLost,
-    OrderDesk,
     OrderEnded,
     OrderOutcome,
+    OrderPlanner,
     ProposeOrder,
     SendOrder,
 )
@@ -39,9 +39,9 @@
 
 
 class OrderSender:
-    """Feeds the order desk while this host leads, and carries out its actions.
+    """Feeds the order planner while this host leads, and carries out its actions.
 
-    :param desk: decides.
+    :param planner: decides.
     :param client: reaches the engines.
     :param propose: brings an order into the replicated log.
     :param may_send: tells whether this host leads at this very moment.
@@ -49,12 +49,12 @@
 
     def __init__(
         self,
-        desk: OrderDesk,
+        planner: OrderPlanner,
         client: EngineClient,
         propose: Callable[[ProposeOrder], None],
         may_send: Callable[[], bool],
     ):
-        self._desk = desk
+        self._planner = planner
         self._client = client
         self._propose = propose
         self._may_send = may_send
@@ -79,8 +79,8 @@
         self.feed(FleetChanged(fleet))
 
     def feed(self, event: Any) -> None:
-        """Let the desk handle an event, and carry out its actions."""
-        for action in self._desk.handle(event, now_ms()):
+        """Let the planner handle an event, and carry out its actions."""
+        for action in self._planner.handle(event, now_ms()):
             self._run(action)
 
     async def stop(self) -> None:
