Prove between real processes that a poison request stops after two engines

Cause: the bound of two upstreams was only proved in virtual time and inside one cell; strikes travel over the control group to the cells of other data centres. Change: a scenario with three engines in three data centres that crash on a marked body, which its caller sends five times. Failing first: with nothing counted as poison the scenario fails.

--- a/features/process_faults.feature
+++ b/features/process_faults.feature
@@ -69,3 +69,9 @@
     When the engine that runs it dies
     Then the stream breaks off without its end and its last event says may_have_run
     And the engines have seen the streamed prompt in 1 dispatch
+
+  Scenario: A request that crashes each engine takes down two of three at most
+    Given engines that crash on a marked body
+    When a caller sends the marked body 5 times to entry-1
+    Then at most 2 engines have died and the last answer is a final refusal
+    And an unmarked request is answered by the engine that is left
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -9,12 +9,14 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
-from support.deployment import wait_until
+from support.deployment import call, wait_until
 from support.load import Load, check_ends
 
 from peridotfront.standin import expected_text
 
 FREEZE_S = 3.0
+MARKER = "crash-the-engine"
+MARKED_PAUSE_S = 0.5
 STREAM_PROMPT = "Write a first letter to a class in Patras"
 
 
@@ -279,6 +281,58 @@
     assert f'"verdict": "{verdict}"'.encode() in last, last
 
 
+def engines(context):
+    processes = context.deployment.processes
+    return [processes[n] for n in context.deployment.upstreams if n.startswith("eng")]
+
+
+@given("engines that crash on a marked body")
+def crashing_engines(context):
+    faults = json.dumps({"crash_marker": MARKER}).encode()
+    for engine in engines(context):
+        wait_until(
+            lambda one=engine: (
+                call(one.addresses["listen"], "POST", "/faults", faults).status == 204
+            ),
+            what=engine.name,
+        )
+        context.add_cleanup(restart_engine, context, engine)
+
+
+def restart_engine(context, engine):
+    if not engine.is_running:
+        context.deployment.start_one(engine.name)
+    wait_until(
+        lambda: (
+            call(engine.addresses["listen"], "POST", "/faults", b"{}").status == 204
+        ),
+        what=engine.name,
+    )
+
+
+@when("a caller sends the marked body {count:d} times to {entry}")
+def send_marked(context, count, entry):
+    for _ in range(count):
+        context.reply = context.deployment.complete(entry, f"{MARKER} ring", 4)
+        time.sleep(MARKED_PAUSE_S)
+
+
+@then("at most {count:d} engines have died and the last answer is a final refusal")
+def few_died(context, count):
+    dead = [one.name for one in engines(context) if not one.is_running]
+    assert len(dead) <= count, dead
+    assert context.reply.status == 422, context.reply
+    assert context.reply.json()["reason"] == "poison", context.reply
+
+
+@then("an unmarked request is answered by the engine that is left")
+def unmarked_answered(context):
+    wait_until(
+        lambda: context.deployment.complete("entry-1", "a plain ring", 4).status == 200,
+        what="an answer of the engine that is left",
+    )
+
+
 @when("an operator sends a change twice with one change id")
 def change_twice(context):
     rules = context.deployment.rules()
