--- a/features/callers.feature
+++ b/features/callers.feature
@@ -93,6 +93,7 @@
       | runs      |
       | streams   |
       | is read   |
+      | runs before many others |
 
   Scenario: A caller that closes just before its answer is no failure
     Given a server whose handler answers when the caller has closed
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -395,6 +395,10 @@
         writer.write(request[:-1] if state == "is read" else request)
         if state != "is read":
             await until(lambda: context.handled)
+        if state == "runs before many others":
+            writer.write(post(b"x" * BODY_LIMIT_BYTES))
+            (connection,) = context.server._open
+            await until(lambda: connection._is_paused)
         writer.close()
 
     run(context, leave())
--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import select
 import socket
 import struct
 from enum import Enum, auto
@@ -87,6 +88,7 @@
         self._chunk_count = 0
         self._wire_bytes = 0
         self._is_at_end = False
+        self._is_paused = False
         self._pending: list[bytes] = []
 
     @property
@@ -123,6 +125,7 @@
         if self._phase is _Phase.RUNNING:
             if self._wire_bytes > self._limits.header_bytes:
                 self._transport.pause_reading()
+                self._is_paused = True
             return
         if self._phase is _Phase.IDLE:
             self._begin_reading()
@@ -350,13 +353,22 @@
             self._pending.clear()
 
     def _next_request(self) -> None:
-        self._transport.resume_reading()
+        self._resume_reading()
         if self._wire_bytes:
             self._begin_reading()
             self._read_events()
             return
         self._be_idle()
 
+    def _resume_reading(self) -> None:
+        self._is_paused = False
+        self._transport.resume_reading()
+
+    def _has_hung_up(self) -> bool:
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def _check_caller(self) -> None:
         if self._phase is not _Phase.RUNNING or self._transport.is_closing():
             raise CallerGone("the caller closed its connection")
@@ -369,6 +381,9 @@
             self._check_writes()
         elif now_s >= self._phase_deadline_s:
             self._expire()
+        elif self._is_paused and self._has_hung_up():
+            # The transport does not see the end while it reads nothing.
+            self._transport.abort()
 
     def abort(self) -> None:
         """Close at once."""
@@ -415,7 +430,7 @@
             self._transport.write_eof()
 
     def _linger(self) -> None:
-        self._transport.resume_reading()
+        self._resume_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
 
     def _close(self) -> None:
