Let the entry host hear of failures and early refusals

Cause: requests refused before any handler were counted nowhere, and a handler's exception could only go to the standard log. Change: HttpServer.refusals by status code; report_failure takes exceptions.

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import struct
+from collections import Counter
 from enum import Enum, auto
 from http import HTTPStatus
 from typing import Protocol
@@ -38,6 +39,7 @@
     limits: HttpLimits
     is_draining: bool
     held_body_bytes: int
+    refusals: Counter[int]
 
     def admit(self, connection: "CallerConnection") -> bool:
         """Count a connection; false if there are too many."""
@@ -277,6 +279,7 @@
     def _refuse(
         self, status_code: int, reason: Reason, detail: str, retry_after_ms: int = 0
     ) -> None:
+        self._server.refusals[int(status_code)] += 1
         refusal = Refusal(Verdict.NOT_RUN, reason, retry_after_ms, detail)
         headers, body = problem(status_code, refusal)
         length = ("content-length", str(len(body)))
--- a/src/peridotfront/callers.py
+++ b/src/peridotfront/callers.py
@@ -5,6 +5,7 @@
 import logging
 import ssl
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from email.utils import formatdate
 from http import HTTPStatus
@@ -37,12 +38,22 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+def log_failure(error: Exception) -> None:
+    """Write an exception of a handler to the log."""
+    logger.error("the handler of a request failed", exc_info=error)
+
+
 class HttpServer:
     """Serves callers over HTTP/1.1.
 
     :param handler: async function called once for each whole request.
     :param limits: bounds on sizes, times and connections.
     :param ssl_context: for TLS; None serves plain TCP.
+    :param report_failure: gets each exception that a handler lets through; the
+        default writes it to the log.
+
+    ``refusals`` counts, by status code, the requests that were refused before
+    any handler ran; these have no request id.
     """
 
     def __init__(
@@ -50,10 +61,14 @@
         handler: Handler,
         limits: HttpLimits | None = None,
         ssl_context: ssl.SSLContext | None = None,
+        *,
+        report_failure: Callable[[Exception], None] | None = None,
     ):
         self.limits = limits or HttpLimits()
         self.is_draining = False
         self.held_body_bytes = 0
+        self.refusals: Counter[int] = Counter()
+        self._report_failure = report_failure or log_failure
         self._handler = handler
         self._ssl_context = ssl_context
         self._listener: asyncio.Server | None = None
@@ -168,8 +183,8 @@
         except asyncio.CancelledError:
             exchange.abort()
             raise
-        except Exception:
-            logger.exception("the handler of a request failed")
+        except Exception as error:
+            self._report_failure(error)
         finally:
             await self._complete(exchange)
 
