--- a/features/callers.feature
+++ b/features/callers.feature
@@ -150,6 +150,11 @@
     Then the answer over TLS is the same megabyte
     And a client that does not trust it knows that nothing ran
 
+  Scenario: Our own processes prove who they are to each other
+    Given a gRPC server with mutual TLS
+    Then a peer with the certificate is answered
+    And a peer without a certificate is not answered
+
   Scenario: Coming back is told in whole seconds, rounded up
     When a refusal says to come back in 1200 ms
     Then its Retry-After is 2 and its body has every field
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -7,6 +7,7 @@
 from functools import partial
 from pathlib import Path
 
+import grpc
 from behave import given, then, when
 from certificates import write_certificate
 from http_fixtures import (
@@ -579,6 +580,53 @@
     raise AssertionError("the handshake succeeded")
 
 
+@given("a gRPC server with mutual TLS")
+def mutual_server(context):
+    certificate_file, key_file = write_certificate(Path(tempfile.mkdtemp()), HOST_IP)
+    context.files = (certificate_file, key_file, certificate_file)
+
+    async def begin():
+        async def repeat_message(message, _):
+            return message
+
+        method = grpc.unary_unary_rpc_method_handler(repeat_message)
+        handler = grpc.method_handlers_generic_handler("peer", {"repeat": method})
+        server = grpc.aio.server()
+        server.add_generic_rpc_handlers((handler,))
+        credentials = tls.peer_server_credentials(*context.files)
+        context.port = server.add_secure_port(f"{HOST_IP}:0", credentials)
+        await server.start()
+        return server
+
+    grpc_server = run(context, begin())
+    context.add_cleanup(lambda: run(context, grpc_server.stop(None)))
+
+
+async def ask_peer(context, credentials):
+    async with grpc.aio.secure_channel(
+        f"{HOST_IP}:{context.port}", credentials
+    ) as peer:
+        return await peer.unary_unary("/peer/repeat")(b"hello", timeout=PATIENCE_S)
+
+
+@then("a peer with the certificate is answered")
+def peer_answered(context):
+    credentials = tls.peer_channel_credentials(*context.files)
+    assert run(context, ask_peer(context, credentials)) == b"hello"
+
+
+@then("a peer without a certificate is not answered")
+def peer_refused(context):
+    authority = Path(context.files[2]).read_bytes()
+    credentials = grpc.ssl_channel_credentials(root_certificates=authority)
+    try:
+        run(context, ask_peer(context, credentials))
+    except grpc.aio.AioRpcError as error:
+        assert error.code() is grpc.StatusCode.UNAVAILABLE, error
+        return
+    raise AssertionError("a peer without a certificate was answered")
+
+
 @when("a refusal says to come back in {retry_after_ms:d} ms")
 def refusal(context, retry_after_ms):
     refused = Refusal(Verdict.NOT_RUN, Reason.OVERLOADED, retry_after_ms, "busy")
