--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import math
+import select
 import socket
 import struct
+from collections import Counter
 from enum import Enum, auto
 from http import HTTPStatus
 from typing import Protocol
@@ -37,6 +39,7 @@
     limits: HttpLimits
     is_draining: bool
     held_body_bytes: int
+    refusals: Counter[int]
 
     def admit(self, connection: "CallerConnection") -> bool:
         """Count a connection; false if there are too many."""
@@ -87,6 +90,7 @@
         self._chunk_count = 0
         self._wire_bytes = 0
         self._is_at_end = False
+        self._is_paused = False
         self._pending: list[bytes] = []
 
     @property
@@ -123,6 +127,7 @@
         if self._phase is _Phase.RUNNING:
             if self._wire_bytes > self._limits.header_bytes:
                 self._transport.pause_reading()
+                self._is_paused = True
             return
         if self._phase is _Phase.IDLE:
             self._begin_reading()
@@ -274,6 +279,7 @@
     def _refuse(
         self, status_code: int, reason: Reason, detail: str, retry_after_ms: int = 0
     ) -> None:
+        self._server.refusals[int(status_code)] += 1
         refusal = Refusal(Verdict.NOT_RUN, reason, retry_after_ms, detail)
         headers, body = problem(status_code, refusal)
         length = ("content-length", str(len(body)))
@@ -350,13 +356,22 @@
             self._pending.clear()
 
     def _next_request(self) -> None:
-        self._transport.resume_reading()
+        self._resume_reading()
         if self._wire_bytes:
             self._begin_reading()
             self._read_events()
             return
         self._be_idle()
 
+    def _resume_reading(self) -> None:
+        self._is_paused = False
+        self._transport.resume_reading()
+
+    def _has_hung_up(self) -> bool:
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def _check_caller(self) -> None:
         if self._phase is not _Phase.RUNNING or self._transport.is_closing():
             raise CallerGone("the caller closed its connection")
@@ -369,6 +384,9 @@
             self._check_writes()
         elif now_s >= self._phase_deadline_s:
             self._expire()
+        elif self._is_paused and self._has_hung_up():
+            # The transport does not see the end while it reads nothing.
+            self._transport.abort()
 
     def abort(self) -> None:
         """Close at once."""
@@ -415,7 +433,7 @@
             self._transport.write_eof()
 
     def _linger(self) -> None:
-        self._transport.resume_reading()
+        self._resume_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
 
     def _close(self) -> None:
