--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -24,6 +24,7 @@
     without_hop_headers,
 )
 from .problems import problem
+from .runtime import now_ms
 
 LINGER_MS = 500
 MIN_BYTES_PER_CHUNK = 32
@@ -79,6 +80,7 @@
         self._transport: asyncio.Transport | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._began_ms = 0
         self._phase_deadline_s = math.inf
         self._write_deadline_s = math.inf
         self._unsent_bytes = 0
@@ -170,6 +172,7 @@
 
     def _begin_reading(self) -> None:
         self._phase = _Phase.READING
+        self._began_ms = now_ms()
         self._phase_deadline_s = self._loop.time() + self._limits.request_ms / 1000
 
     def _read_events(self) -> None:
@@ -250,7 +253,7 @@
         self._wire_bytes = len(self._http.trailing_data[0])
         self._phase = _Phase.RUNNING
         self._phase_deadline_s = math.inf
-        self._exchange = Exchange(request, self)
+        self._exchange = Exchange(request, self, self._began_ms)
         self._server.run(self._exchange)
 
     # Refusing requests that never reach the handler.
--- /dev/null
+++ b/src/peridotfront/core/attempts.py
@@ -0,0 +1,82 @@
+"""What one request was sent to, and whether it may be sent once more."""
+
+from .messages import ReleaseCause
+from .routes import Route, RouteKind
+from .verdicts import Verdict
+
+MAX_UNREACHABLE = 3
+MAX_REJECTED = 2
+FIRST_SILENCE_SPARE_MS = 500
+MIN_SILENCE_MS = 600
+STREAM_SILENCE_MS = 1500
+STREAM_PATIENCE_MS = 2000
+GOALS_OF_PATIENCE = 4
+GAPS_OF_PATIENCE = 8
+
+
+class Attempts:
+    """Counts the upstreams that one request met.
+
+    :param route: says what may be repeated, and at how many upstreams.
+    """
+
+    def __init__(self, route: Route):
+        self._route = route
+        self._unreachable = 0
+        self._rejected = 0
+        self.ran = 0
+        self.excluded: list[str] = []
+
+    @property
+    def is_repeat(self) -> bool:
+        """Tell whether an upstream got the request before."""
+        return self.ran + self._rejected > 0
+
+    @property
+    def verdict(self) -> Verdict:
+        """Tell whether the request may have run."""
+        return Verdict.MAY_HAVE_RUN if self.ran else Verdict.NOT_RUN
+
+    @property
+    def may_repeat_after_run(self) -> bool:
+        """Tell whether the request may be sent again after the run under way."""
+        return self._route.is_repeatable and self.ran + 1 < self._route.attempts
+
+    def may_repeat(self, upstream: str, cause: ReleaseCause) -> bool:
+        """Note how a send ended, and tell whether another upstream may follow."""
+        self.excluded.append(upstream)
+        if cause is ReleaseCause.UNREACHABLE:
+            self._unreachable += 1
+            return self._unreachable <= MAX_UNREACHABLE
+        if cause is ReleaseCause.REJECTED:
+            self._rejected += 1
+            return self._rejected <= MAX_REJECTED
+        may_repeat = self.may_repeat_after_run
+        self.ran += 1
+        return may_repeat
+
+
+def silence_ms(route: Route, attempts: Attempts, left_ms: int) -> int:
+    """Return how long an upstream may be silent before another one is tried.
+
+    Without another one to try, a silent upstream is waited for to the end.
+    """
+    if not attempts.may_repeat_after_run:
+        return left_ms
+    if route.kind is RouteKind.STREAMING:
+        wanted_ms = max(STREAM_SILENCE_MS, route.goal_ms + FIRST_SILENCE_SPARE_MS)
+    else:
+        wanted_ms = max(MIN_SILENCE_MS, 2 * route.goal_ms)
+    return min(left_ms, wanted_ms)
+
+
+def patience_ms(route: Route) -> int:
+    """Return how long callers of a route wait for the first part of an answer."""
+    if route.kind is not RouteKind.STREAMING:
+        return route.timeout_ms
+    stream_ms = max(
+        STREAM_PATIENCE_MS,
+        GOALS_OF_PATIENCE * route.goal_ms,
+        GAPS_OF_PATIENCE * route.gap_goal_ms,
+    )
+    return min(route.timeout_ms, stream_ms)
--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -62,6 +62,8 @@
     :param prefill_tokens_per_s: first estimate.
     :param gap_ms: first estimate of the time between two tokens.
     :param target_gap_ms: the time between two tokens that callers accept.
+    :param learns: whether its rates follow what the upstream does.
+    :param learns_slots: whether the number of slots follows it too.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         gap_ms: float,
         target_gap_ms: float,
         learns: bool = True,
+        learns_slots: bool = True,
     ):
         self.max_slots = max_slots
         self.kv_capacity_tokens = kv_capacity_tokens
@@ -80,8 +83,9 @@
         self.gap_ms = gap_ms
         self.target_gap_ms = target_gap_ms
         self.learns = learns
+        self.learns_slots = learns and learns_slots
         self.limit_slots = float(ceil(max_slots * FIRST_LIMIT_SHARE))
-        if not learns:
+        if not self.learns_slots:
             self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
@@ -203,7 +207,7 @@
             self._window_tokens += tokens
         slot.produced_tokens = produced_tokens
         slot.progress_ms = now_ms
-        if self.learns:
+        if self.learns_slots:
             self._adjust_limit(late_tokens > 0, now_ms)
 
     def _late_tokens(self, slot: Slot, tokens: int, slow_tokens: int) -> int:
--- a/src/peridotfront/core/cell_events.py
+++ b/src/peridotfront/core/cell_events.py
@@ -22,6 +22,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HostLost:
-    """Tells that an entry host is judged dead."""
+    """Tells that an entry host is judged dead.
+
+    :param is_restarted: whether its process is known to have ended, and with it
+        all that it had sent to upstreams.
+    """
 
     host: str
+    is_restarted: bool = False
--- a/src/peridotfront/core/configuration.py
+++ b/src/peridotfront/core/configuration.py
@@ -1,7 +1,11 @@
-"""The replicated configuration: compare-and-set on a version that only grows."""
+"""The replicated configuration, whose version only grows.
+
+The group numbers the versions and accepts a change only on top of the version that
+its operator edited, or the operators number them and the highest one stands.
+"""
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 from .messages import (
     ChangeRecord,
@@ -39,7 +43,7 @@
         self._history: OrderedDict[int, ConfigRecord] = OrderedDict()
         self._changes: OrderedDict[str, ChangeRecord] = OrderedDict()
         self._content_bytes = 0
-        self._oldest_content = 1
+        self._with_content: deque[int] = deque()
 
     @property
     def current(self) -> ConfigRecord:
@@ -66,6 +70,8 @@
         :rtype: ConfigResult
         """
         proposal = change.proposal
+        if proposal.version:
+            return self._apply_numbered(change)
         digest = digest_of(proposal)
         known = self._changes.get(proposal.change_id)
         if known is not None:
@@ -100,7 +106,26 @@
         for change in snapshot.changes:
             self._changes[change.result.change_id] = change
         kept = [r.version for r in snapshot.history if r.is_content_kept]
-        self._oldest_content = min(kept, default=1)
+        self._with_content.extend(kept)
+
+    def _apply_numbered(self, change: ConfigChange) -> ConfigResult:
+        """Apply a change whose version the operator chose; the highest one stands."""
+        proposal = change.proposal
+        current = self.current
+        if proposal.version <= current.version:
+            return ConfigResult(
+                change_id=proposal.change_id,
+                status=ChangeStatus.SUPERSEDED,
+                version=current.version,
+                author=current.author,
+            )
+        self._append(change, proposal.version)
+        return ConfigResult(
+            change_id=proposal.change_id,
+            status=ChangeStatus.ACCEPTED,
+            version=proposal.version,
+            author=proposal.author,
+        )
 
     def _decide(self, change: ConfigChange) -> ConfigResult:
         proposal = change.proposal
@@ -131,18 +156,19 @@
             content=proposal.content,
         )
         self._content_bytes += len(proposal.content)
-        self._drop_old_content(version)
+        self._with_content.append(version)
+        self._drop_old_content()
         if len(self._history) > HISTORY_VERSIONS_KEPT:
-            _, dropped = self._history.popitem(last=False)
+            dropped_version, dropped = self._history.popitem(last=False)
             self._content_bytes -= len(dropped.content)
-            self._oldest_content = max(self._oldest_content, dropped.version + 1)
+            if self._with_content[0] == dropped_version:
+                self._with_content.popleft()
 
-    def _drop_old_content(self, newest: int) -> None:
+    def _drop_old_content(self) -> None:
         while (
-            self._content_bytes > HISTORY_CONTENT_BYTES
-            and self._oldest_content < newest
+            self._content_bytes > HISTORY_CONTENT_BYTES and len(self._with_content) > 1
         ):
-            old = self._history[self._oldest_content]
+            old = self._history[self._with_content.popleft()]
             self._content_bytes -= len(old.content)
             self._history[old.version] = ConfigRecord(
                 version=old.version,
@@ -152,7 +178,6 @@
                 content="",
                 is_content_kept=False,
             )
-            self._oldest_content += 1
 
 
 def digest_of(proposal: ConfigProposal) -> int:
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -561,7 +561,13 @@
         self._heartbeat_sent_ms = now_ms
         self._sequence += 1
         self._hosts.forget_silent(now_ms)
-        heartbeat = Heartbeat(
+        heartbeat = self.heartbeat()
+        for peer in self._peers:
+            yield Send(peer, heartbeat)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat that shows this replica's state."""
+        return Heartbeat(
             data_centre=self._data_centre,
             role=CONTROL_ROLE,
             sequence=self._sequence,
@@ -569,9 +575,18 @@
             is_leaving=False,
             leader=self._leader_hint(),
             term=self._raft.term,
+            control_hosts=self.control_hosts,
         )
-        for peer in self._peers:
-            yield Send(peer, heartbeat)
+
+    @property
+    def control_hosts(self) -> tuple[str, ...]:
+        """Return the hosts of all replicas that the log names."""
+        members = (*self._raft.voters, *self._raft.learners)
+        return tuple(sorted({replica.host for replica in members}))
+
+    def live_entry_hosts(self, now_ms: int) -> int:
+        """Return how many entry hosts are alive, as heard here."""
+        return sum(1 for _ in self._hosts.live_entry_hosts(now_ms))
 
     def _read(self, waiting: _WaitingRead, now_ms: int) -> Iterator[Any]:
         if not self._is_leader:
--- /dev/null
+++ b/src/peridotfront/core/coordinator.py
@@ -0,0 +1,256 @@
+"""The role of a control host before entry hosts that find it by themselves.
+
+It wraps the controller, which replicates the configuration. While its replica
+leads, it also schedules for all entry hosts and keeps the list of upstreams.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+from .actions import Log, Received, Send, Tick
+from .cell_events import HostLost
+from .controller import Controller
+from .directory import UpstreamDirectory
+from .dispatch import dispatchmethod
+from .messages import (
+    CancelWant,
+    Heartbeat,
+    HeldSlot,
+    ListedUpstream,
+    Release,
+    UpstreamsUpdate,
+    Want,
+)
+from .pools import Pools
+from .raft_types import Role, RoleChanged
+from .retry_budgets import RetryBounds
+from .routes import Routing
+
+ENTRY_ROLE = "entry"
+ENTRY_SILENCE_MS = 1500
+RESEND_LIST_MS = 300
+SHARE_LIST_MS = 2000
+EPOCH_VERSIONS = 2**24
+TERM_OPENING_SHARE = 0.5
+TERM_OPENING_MS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingChanged:
+    """Event: a configuration of routes is in force."""
+
+    routing: Routing
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsListed:
+    """Event: the platform's list was read."""
+
+    upstreams: tuple[ListedUpstream, ...]
+
+
+@dataclass(slots=True)
+class EntryHost:
+    """Is what the leader knows of an entry host."""
+
+    incarnation: int
+    heard_ms: int
+    upstreams_version: int = 0
+    list_sent_ms: int = -RESEND_LIST_MS
+
+
+class Coordinator:
+    """Answers entry hosts and operators, and schedules while it leads.
+
+    :param host: the own host name.
+    :param controller: replicates the configuration; this role alone drives it.
+    :param bounds: of the repeats that each service may get.
+    """
+
+    def __init__(self, host: str, controller: Controller, bounds: RetryBounds):
+        self.controller = controller
+        self.directory = UpstreamDirectory()
+        self.pools: Pools | None = None
+        self._host = host
+        self._bounds = bounds
+        self._routing = Routing()
+        self._entries: dict[str, EntryHost] = {}
+        self._led_since_ms = 0
+        self._list_shared_ms = 0
+
+    @property
+    def is_leading(self) -> bool:
+        """Tell whether this host schedules for all."""
+        return self.pools is not None
+
+    @property
+    def state(self) -> Any:
+        """Return the replicated state as applied here, possibly an old one."""
+        return self.controller.state
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        """Take an event and yield what the program has to do.
+
+        :param event: one of the controller's, :class:`RoutingChanged` or
+            :class:`UpstreamsListed`.
+        :param now_ms: the process's own monotonic clock.
+        """
+        yield from self._handle(event, now_ms)
+
+    def may_send_order(self, now_ms: int) -> bool:
+        """Tell whether this host leads at this very moment, by its own clock."""
+        return self.controller.may_send_order(now_ms)
+
+    @dispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
+        yield from self._control(event, now_ms)
+
+    @_handle.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
+        yield from self._control(event, now_ms)
+        if self.pools is None:
+            return
+        yield from self._drop_silent(now_ms)
+        if self.pools is None:
+            return
+        self._settle_budget(now_ms)
+        yield from self.pools.handle(event, now_ms)
+        if now_ms - self._list_shared_ms >= SHARE_LIST_MS:
+            yield from self._share(self.directory.whole(), now_ms)
+
+    @_handle.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._receive(event.message, event, now_ms)
+
+    @_handle.register
+    def _(self, event: RoutingChanged, now_ms: int) -> Iterator[Any]:
+        self._routing = event.routing
+        if self.pools is not None:
+            yield from self.pools.use_routing(event.routing, now_ms)
+
+    @_handle.register
+    def _(self, event: UpstreamsListed, now_ms: int) -> Iterator[Any]:
+        if self.pools is None:
+            return
+        update = self.directory.replace(event.upstreams)
+        if update is None:
+            return
+        yield _list_log(update)
+        yield from self.pools.use_upstreams(self.directory.upstreams, now_ms)
+        yield from self._share(update, now_ms)
+        for name, entry in self._entries.items():
+            if entry.upstreams_version == update.base_version:
+                entry.upstreams_version = update.version
+                entry.list_sent_ms = now_ms
+                yield Send(name, update)
+
+    @dispatchmethod
+    def _receive(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._control(event, now_ms)
+
+    @_receive.register
+    def _(self, message: Heartbeat, event: Received, now_ms: int) -> Iterator[Any]:
+        yield from self._control(event, now_ms)
+        if message.role != ENTRY_ROLE:
+            return
+        if self.pools is not None:
+            yield from self._record(message, event, now_ms)
+        answer = self.controller.heartbeat()
+        yield Send(
+            event.sender,
+            replace(
+                answer,
+                entry_hosts=len(self._entries) if self.is_leading else 0,
+                upstreams_version=self.directory.version,
+            ),
+        )
+
+    @_receive.register
+    def _(self, message: UpstreamsUpdate, event: Received, now_ms: int) -> Iterator:
+        if self.pools is None:
+            self.directory.apply(message)
+        yield from ()
+
+    @_receive.register(Want)
+    @_receive.register(CancelWant)
+    @_receive.register(HeldSlot)
+    @_receive.register(Release)
+    def _(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
+        if self.pools is not None:
+            yield from self.pools.handle(event, now_ms)
+
+    def _control(self, event: Any, now_ms: int) -> Iterator[Any]:
+        for action in self.controller.handle(event, now_ms):
+            if isinstance(action, RoleChanged):
+                yield from self._on_role(action, now_ms)
+            yield action
+
+    def _on_role(self, action: RoleChanged, now_ms: int) -> Iterator[Any]:
+        if action.role is not Role.LEADER:
+            self.pools = None
+            self._entries.clear()
+            return
+        self._led_since_ms = now_ms
+        self._list_shared_ms = now_ms
+        self.pools = Pools(self._bounds, 1.0)
+        self.pools.retries.share = TERM_OPENING_SHARE
+        known = self.directory.upstreams
+        self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
+        self.directory.replace(known)
+        yield from self.pools.use_upstreams(known, now_ms)
+        yield from self.pools.use_routing(self._routing, now_ms)
+
+    def _settle_budget(self, now_ms: int) -> None:
+        """Spend the whole retry budget once nothing of an earlier term counts."""
+        if now_ms - self._led_since_ms >= TERM_OPENING_MS:
+            self.pools.retries.share = 1.0
+
+    def _record(
+        self, message: Heartbeat, event: Received, now_ms: int
+    ) -> Iterator[Any]:
+        entry = self._entries.get(event.sender)
+        if entry is not None and entry.incarnation != event.incarnation:
+            yield from self._lose(event.sender, True, now_ms)
+            entry = None
+        if entry is None:
+            entry = EntryHost(event.incarnation, now_ms)
+            self._entries[event.sender] = entry
+            yield Log("entry_host_joined", (("peer", event.sender),))
+        entry.heard_ms = now_ms
+        entry.upstreams_version = message.upstreams_version
+        is_old = message.upstreams_version != self.directory.version
+        if is_old and now_ms - entry.list_sent_ms >= RESEND_LIST_MS:
+            entry.list_sent_ms = now_ms
+            yield Send(event.sender, self.directory.whole())
+
+    def _drop_silent(self, now_ms: int) -> Iterator[Any]:
+        oldest_ms = now_ms - ENTRY_SILENCE_MS
+        silent = [n for n, one in self._entries.items() if one.heard_ms < oldest_ms]
+        for name in silent:
+            yield from self._lose(name, False, now_ms)
+
+    def _lose(self, host: str, is_restarted: bool, now_ms: int) -> Iterator[Any]:
+        del self._entries[host]
+        yield Log("peer_silent", (("peer", host),))
+        yield from self.pools.handle(HostLost(host, is_restarted), now_ms)
+
+    def _share(self, update: UpstreamsUpdate, now_ms: int) -> Iterator[Send]:
+        self._list_shared_ms = now_ms
+        for host in self.controller.control_hosts:
+            if host != self._host:
+                yield Send(host, update)
+
+
+def _list_log(update: UpstreamsUpdate) -> Log:
+    changed = [f"{one.name}:{_state(one)}" for one in update.changed]
+    fields = (
+        ("version", update.version),
+        ("changed", ",".join(changed)),
+        ("gone", ",".join(update.gone)),
+    )
+    return Log("upstreams_listed", fields)
+
+
+def _state(one: ListedUpstream) -> str:
+    return "leaving" if one.is_leaving else "ready"
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -25,6 +25,7 @@
     :param max_slots: how many requests may run at once.
     :param honours_fencing: whether it refuses orders with an old fencing token.
     :param role: that a model engine is to have; empty leaves it as it is.
+    :param pool: the cell that schedules it; empty for the one of its data centre.
     """
 
     name: str
@@ -40,11 +41,12 @@
     max_slots: int = 16
     honours_fencing: bool = False
     role: str = ""
+    pool: str = ""
 
     @property
     def cell(self) -> str:
         """Return the name of the cell that schedules this upstream."""
-        return cell_name(self.data_centre, self.kind, self.service)
+        return self.pool or cell_name(self.data_centre, self.kind, self.service)
 
 
 def cell_name(data_centre: str, kind: UpstreamKind, service: str = "") -> str:
@@ -105,6 +107,8 @@
     :param urgent_ms: a want with less patience left is urgent.
     :param preempts: whether running requests may be cut for urgent higher ones.
     :param learns_rates: whether rates and slots follow what an engine does.
+    :param learns_slots: whether the slots do; else all of ``max_slots`` are used.
+    :param max_backoff_ms: until an upstream that failed is tried again, at most.
     :param slow_token_ms: holders count tokens that come later as slow; less than
         ``token_gap_ms``, so that slots shrink before callers notice.
     :param preempt_lead_ms: a lower request is cut for a want only when the want has
@@ -136,6 +140,8 @@
     preempt_lead_ms: int = 100
     affinity_ms: int = 1000
     learns_rates: bool = True
+    learns_slots: bool = True
+    max_backoff_ms: int = 30_000
     slow_token_ms: float = 26.5
     weight_loads_per_min: int = 12
     weight_load_burst: int = 2
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -20,9 +20,13 @@
 
 
 class Health:
-    """Decides how many requests an upstream may be trusted with."""
+    """Decides how many requests an upstream may be trusted with.
 
-    def __init__(self):
+    :param max_backoff_ms: until an upstream that failed is tried again, at most.
+    """
+
+    def __init__(self, max_backoff_ms: int = MAX_BACKOFF_MS):
+        self.max_backoff_ms = max_backoff_ms
         self.state = HealthState.HEALTHY
         self.down_ms = -1
         self.ramp_slots = FIRST_RAMP_SLOTS
@@ -109,6 +113,6 @@
     def _open(self, now_ms: int) -> None:
         self.state = HealthState.DOWN
         self._probe_at_ms = now_ms + self._backoff_ms
-        self._backoff_ms = min(MAX_BACKOFF_MS, self._backoff_ms * 2)
+        self._backoff_ms = min(self.max_backoff_ms, self._backoff_ms * 2)
         self._errors = 0
         self._timeouts = 0
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -16,6 +16,7 @@
     UPSTREAM_DIED = "upstream_died"
     UPSTREAM_ERROR = "upstream_error"
     UPSTREAM_TIMEOUT = "upstream_timeout"
+    REJECTED = "rejected"
     PREEMPTED = "preempted"
 
 
@@ -27,6 +28,13 @@
     :param prefix_hashes: chained hashes of the prompt's blocks, first to last.
     :param fingerprint: hash of the canonical body, for poison requests.
     :param deadline_ms: time left until the answer must have begun.
+    :param goal_ms: time left until the answer should have begun; 0 if there is no
+        such time, or it has passed.
+    :param prefix_tokens: prompt tokens behind each hash; empty if all stand for
+        blocks of the policy's size.
+    :param excluded: upstreams that must not be chosen.
+    :param is_repeat: whether the request was sent to another upstream before.
+    :param allowance_units: what the request takes of its account's allowance.
     """
 
     request_id: str
@@ -39,6 +47,11 @@
     prefix_hashes: tuple[int, ...]
     fingerprint: int
     deadline_ms: int
+    goal_ms: int = 0
+    prefix_tokens: tuple[int, ...] = ()
+    excluded: tuple[str, ...] = ()
+    is_repeat: bool = False
+    allowance_units: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +60,7 @@
 
     :param lease_ms: how long the slot is held without a word of the holder.
     :param predicted_prefix_tokens: prompt tokens expected in the cache there.
+    :param address: of the upstream, IP number and port.
     """
 
     request_id: str
@@ -54,6 +68,7 @@
     upstream: str
     lease_ms: int
     predicted_prefix_tokens: int
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +156,42 @@
     evicted_hashes: tuple[int, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """Is an upstream as the platform's list names it.
+
+    :param name: of this start of the upstream; a restart gets another one.
+    :param service: that it serves.
+    :param address: IP number and port.
+    :param slots: requests that it works on at once.
+    :param is_leaving: whether it takes no new work.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsUpdate:
+    """Brings the upstreams that a leader knows, or what changed among them.
+
+    :param version: of the list after the update.
+    :param base_version: of the list that the update applies to; 0 if the update
+        holds the whole list.
+    :param changed: upstreams that are new or differ.
+    :param gone: names of upstreams that are no longer listed.
+    """
+
+    version: int
+    base_version: int
+    changed: tuple[ListedUpstream, ...]
+    gone: tuple[str, ...] = ()
+
+
 CELL_MESSAGES = (
     Want,
     Grant,
@@ -150,4 +201,5 @@
     HeldSlot,
     Release,
     UpstreamReport,
+    UpstreamsUpdate,
 )
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -23,6 +23,7 @@
     """Names the outcome of proposing a configuration."""
 
     ACCEPTED = "accepted"
+    SUPERSEDED = "superseded"
     CONFLICT = "conflict"
     INVALID = "invalid"
     UNAVAILABLE = "unavailable"
@@ -149,13 +150,17 @@
 
     :param change_id: drawn by the operator; a repeat gets the first outcome.
     :param base_version: the version that the operator edited.
-    :param content: the whole new configuration as INI text.
+    :param content: the whole new configuration as text.
+    :param version: the number that the operator gives it; it comes into force if
+        that is higher than the one held. 0 leaves the numbering to the group, which
+        then compares ``base_version``.
     """
 
     change_id: str
     base_version: int
     author: str
     content: str
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +196,10 @@
     :param leader: the control leader that the sender knows; empty if none. That
         leader takes it as a sign that its own heartbeats arrive.
     :param term: the term of that leader; 0 if the sender is no replica.
+    :param control_hosts: the replicas that the sender knows; none if it is none.
+    :param entry_hosts: how many entry hosts the sender counts as alive; 0 if it
+        doesn't lead.
+    :param upstreams_version: of the list of upstreams that the sender holds.
     """
 
     data_centre: str
@@ -200,6 +209,9 @@
     is_leaving: bool
     leader: str = ""
     term: int = 0
+    control_hosts: tuple[str, ...] = ()
+    entry_hosts: int = 0
+    upstreams_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -51,6 +51,12 @@
             return int(limit)
         return self.health.slots(int(limit), now_ms)
 
+    def hit_tokens(self, want: Want) -> int:
+        """Return the prompt tokens of a want that its cache is expected to hold."""
+        return self.prefixes.hit_tokens(
+            want.prefix_hashes, want.prompt_tokens, want.prefix_tokens
+        )
+
     def can_hold(self, want: Want) -> bool:
         """Return whether the want fits into the upstream when it is empty."""
         if self.spec.kind is UpstreamKind.SERVICE:
@@ -162,6 +168,8 @@
             return Room.CLOSED
         if len(budget.slots) >= limit:
             return Room.FULL
+        if upstream.name in want.excluded:
+            return Room.NOT_THIS_WANT
         if upstream.suspects and self._strikes.is_suspect(want.fingerprint):
             return Room.NOT_THIS_WANT
         if upstream.spec.kind is UpstreamKind.SERVICE:
@@ -176,8 +184,7 @@
     def _fits_memory(self, upstream: Upstream, want: Want) -> bool:
         if upstream.budget.fits_memory(want, 0):
             return True
-        hit = upstream.prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
-        return upstream.budget.fits_memory(want, hit)
+        return upstream.budget.fits_memory(want, upstream.hit_tokens(want))
 
     def _accepts_slow(self, queued: QueuedWant, now_ms: int) -> bool:
         if queued.want.tier == HIGHEST_TIER:
@@ -192,7 +199,7 @@
         if upstream.spec.kind is UpstreamKind.SERVICE:
             return Choice(upstream, 0, fill_ms + budget.gap_ms)
         prefixes = upstream.prefixes
-        hit = prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
+        hit = upstream.hit_tokens(want)
         prefill_ms = budget.prefill_ms(want.prompt_tokens - hit * prefixes.trust)
         backlog_ms = budget.backlog_ms(now_ms)
         late_ms = now_ms + backlog_ms + prefill_ms - queued.deadline_at_ms
@@ -228,9 +235,7 @@
 
 
 def _hits(upstream: Upstream, want: Want) -> bool:
-    prefixes = upstream.prefixes
-    hit = prefixes.hit_tokens(want.prefix_hashes, want.prompt_tokens)
-    return hit >= MIN_HOLD_TOKENS
+    return upstream.hit_tokens(want) >= MIN_HOLD_TOKENS
 
 
 def _is_worth_waiting(later: Choice, now: Choice) -> bool:
--- /dev/null
+++ b/src/peridotfront/core/pools.py
@@ -0,0 +1,254 @@
+"""Scheduling of the upstreams of all services, within allowances and budgets.
+
+The leader of the control group schedules for all entry hosts. An entry host that
+cannot reach it schedules for itself alone, with its share of everything.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from .actions import Received, Send, Tick
+from .allowances import Allowances
+from .cell_events import FleetChanged, HostLost
+from .dispatch import dispatchmethod
+from .fleet import AccountSpec, Fleet, Policy, UpstreamKind, UpstreamSpec
+from .messages import (
+    CancelWant,
+    HeldSlot,
+    ListedUpstream,
+    Refuse,
+    Release,
+    ReleaseCause,
+    Want,
+)
+from .retry_budgets import RetryBounds, RetryBudgets
+from .routes import RoutedService, Routing
+from .scheduler import CellScheduler
+from .verdicts import Reason
+
+POOL_POLICY = Policy(
+    slot_lease_ms=3000,
+    suspect_after_ms=1500,
+    token_gap_ms=1000.0,
+    slow_token_ms=1000.0,
+    settle_ms=100,
+    preempts=False,
+    learns_slots=False,
+    max_backoff_ms=4000,
+    affinity_ms=0,
+)
+FIRST_PREFILL_TOKENS_PER_S = 30_000
+FIRST_DECODE_TOKENS_PER_S = 200
+UNSENT_CAUSES = (
+    ReleaseCause.NOT_SENT,
+    ReleaseCause.UNREACHABLE,
+    ReleaseCause.REJECTED,
+)
+CHARGE_KEPT_MS = 60_000
+NO_BUDGET_RETRY_MS = 1000
+NO_UPSTREAM_RETRY_MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Is what a want took of its account's allowance.
+
+    :param is_repeat: whether it took a repeat of its service's budget too.
+    """
+
+    account: str
+    units: float
+    service: str
+    is_repeat: bool
+    made_ms: int
+
+
+class Pools:
+    """Places wants onto the upstreams of their services.
+
+    :param bounds: of the repeats that each service may get.
+    :param share: of allowances and budgets that is spent here, from 0 to 1.
+    """
+
+    def __init__(self, bounds: RetryBounds, share: float = 1.0):
+        self.allowances = Allowances(share)
+        self.retries = RetryBudgets(bounds, share)
+        self.schedulers: dict[str, CellScheduler] = {}
+        self._routing = Routing()
+        self._upstreams: tuple[ListedUpstream, ...] = ()
+        self._charges: dict[str, Charge] = {}
+        self._purged_ms = 0
+
+    def handle(self, event: Any, now_ms: int) -> Iterator[Send]:
+        """Take a tick, a received message or the loss of an entry host."""
+        yield from self._handle(event, now_ms)
+
+    def use_routing(self, routing: Routing, now_ms: int) -> Iterator[Send]:
+        """Take over a new configuration."""
+        self._routing = routing
+        self.allowances.use(routing.accounts, now_ms)
+        yield from self._apply(now_ms)
+
+    def use_upstreams(
+        self, upstreams: tuple[ListedUpstream, ...], now_ms: int
+    ) -> Iterator[Send]:
+        """Take over a new list of upstreams."""
+        self._upstreams = upstreams
+        yield from self._apply(now_ms)
+
+    def use_share(self, share: float, now_ms: int) -> None:
+        """Spend another share of allowances and budgets from now on."""
+        self.allowances.use_share(share, now_ms)
+        self.retries.share = share
+
+    def _apply(self, now_ms: int) -> Iterator[Send]:
+        services = {one.name: one for one in self._routing.services}
+        listed = {one.service for one in self._upstreams}
+        for name in listed & services.keys():
+            service = services[name]
+            fleet = self._fleet(service)
+            scheduler = self.schedulers.get(name)
+            if scheduler is None:
+                kind = _kind(service)
+                self.schedulers[name] = CellScheduler(name, fleet, kind)
+                continue
+            yield from self._pass_on(
+                scheduler.handle(FleetChanged(fleet), now_ms), now_ms
+            )
+
+    def _fleet(self, service: RoutedService) -> Fleet:
+        specs = [
+            _spec(service, one)
+            for one in self._upstreams
+            if one.service == service.name
+        ]
+        accounts = [AccountSpec(one.name, "") for one in self._routing.accounts]
+        return Fleet(
+            version=self._routing.version,
+            upstreams=tuple(specs),
+            accounts=tuple(accounts),
+            policy=POOL_POLICY,
+        )
+
+    @dispatchmethod
+    def _handle(self, event: Any, now_ms: int) -> Iterator[Send]:
+        raise TypeError(f"not an event of a pool: {event!r}")
+
+    @_handle.register
+    def _(self, event: Tick, now_ms: int) -> Iterator[Send]:
+        for scheduler in tuple(self.schedulers.values()):
+            yield from self._pass_on(scheduler.handle(event, now_ms), now_ms)
+        if now_ms - self._purged_ms >= CHARGE_KEPT_MS:
+            self._purge(now_ms)
+
+    @_handle.register
+    def _(self, event: HostLost, now_ms: int) -> Iterator[Send]:
+        for scheduler in tuple(self.schedulers.values()):
+            yield from self._pass_on(scheduler.handle(event, now_ms), now_ms)
+
+    @_handle.register
+    def _(self, event: Received, now_ms: int) -> Iterator[Send]:
+        yield from self._receive(event.message, event, now_ms)
+
+    @dispatchmethod
+    def _receive(self, message: Any, event: Received, now_ms: int) -> Iterator[Send]:
+        raise TypeError(f"not a message to a pool: {message!r}")
+
+    @_receive.register
+    def _(self, message: Want, event: Received, now_ms: int) -> Iterator[Send]:
+        scheduler = self.schedulers.get(message.cell)
+        if scheduler is None:
+            yield _refusal(event, message, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+            return
+        if message.request_id not in self._charges:
+            refusal = self._charge(message, event, now_ms)
+            if refusal is not None:
+                yield refusal
+                return
+        yield from self._pass_on(scheduler.handle(event, now_ms), now_ms)
+
+    @_receive.register
+    def _(self, message: CancelWant, event: Received, now_ms: int) -> Iterator[Send]:
+        self._undo(message.request_id, now_ms)
+        yield from self._to_scheduler(message.cell, event, now_ms)
+
+    @_receive.register
+    def _(self, message: HeldSlot, event: Received, now_ms: int) -> Iterator[Send]:
+        yield from self._to_scheduler(message.want.cell, event, now_ms)
+
+    @_receive.register
+    def _(self, message: Release, event: Received, now_ms: int) -> Iterator[Send]:
+        if message.cause in UNSENT_CAUSES:
+            self._undo(message.request_id, now_ms)
+        self._charges.pop(message.request_id, None)
+        yield from self._to_scheduler(message.cell, event, now_ms)
+
+    def _to_scheduler(self, cell: str, event: Received, now_ms: int) -> Iterator[Send]:
+        scheduler = self.schedulers.get(cell)
+        if scheduler is not None:
+            yield from self._pass_on(scheduler.handle(event, now_ms), now_ms)
+
+    def _charge(self, want: Want, event: Received, now_ms: int) -> Send | None:
+        """Take what the want needs of allowance and budget, or refuse it."""
+        units = want.allowance_units
+        wait_ms = self.allowances.charge(want.client_account, units, now_ms)
+        if wait_ms:
+            return _refusal(event, want, Reason.RATE_LIMITED, wait_ms)
+        if not want.is_repeat:
+            self.retries.count_first(want.cell, now_ms)
+        elif not self.retries.take(want.cell, now_ms):
+            self.allowances.refund(want.client_account, units)
+            return _refusal(event, want, Reason.RETRY_BUDGET, NO_BUDGET_RETRY_MS)
+        self._charges[want.request_id] = Charge(
+            want.client_account, units, want.cell, want.is_repeat, now_ms
+        )
+        return None
+
+    def _undo(self, request_id: str, now_ms: int) -> None:
+        charge = self._charges.pop(request_id, None)
+        if charge is None:
+            return
+        self.allowances.refund(charge.account, charge.units)
+        if charge.is_repeat:
+            self.retries.give_back(charge.service, now_ms)
+
+    def _pass_on(self, actions: Iterator[Any], now_ms: int) -> Iterator[Any]:
+        for action in actions:
+            if isinstance(action, Send) and isinstance(action.message, Refuse):
+                self._undo(action.message.request_id, now_ms)
+            yield action
+
+    def _purge(self, now_ms: int) -> None:
+        self._purged_ms = now_ms
+        oldest_ms = now_ms - CHARGE_KEPT_MS
+        old = [key for key, one in self._charges.items() if one.made_ms < oldest_ms]
+        for request_id in old:
+            del self._charges[request_id]
+
+
+def _kind(service: RoutedService) -> UpstreamKind:
+    return UpstreamKind.SERVICE if service.engine is None else UpstreamKind.ENGINE
+
+
+def _spec(service: RoutedService, listed: ListedUpstream) -> UpstreamSpec:
+    engine = service.engine
+    return UpstreamSpec(
+        name=listed.name,
+        kind=_kind(service),
+        data_centre=listed.data_centre,
+        address=listed.address,
+        service=service.name,
+        models=("",),
+        is_leaving=listed.is_leaving,
+        prefill_tokens_per_s=FIRST_PREFILL_TOKENS_PER_S,
+        decode_tokens_per_s=FIRST_DECODE_TOKENS_PER_S,
+        kv_capacity_tokens=engine.kv_capacity_tokens if engine else 1,
+        max_slots=listed.slots,
+        pool=service.name,
+    )
+
+
+def _refusal(event: Received, want: Want, reason: Reason, retry_ms: int) -> Send:
+    refuse = Refuse(want.request_id, want.cell, reason, retry_ms)
+    return Send(event.sender, refuse)
--- a/src/peridotfront/core/prefixes.py
+++ b/src/peridotfront/core/prefixes.py
@@ -27,15 +27,23 @@
     def __len__(self) -> int:
         return len(self._blocks)
 
-    def hit_tokens(self, hashes: tuple[int, ...], prompt_tokens: int) -> int:
+    def hit_tokens(
+        self,
+        hashes: tuple[int, ...],
+        prompt_tokens: int,
+        tokens: tuple[int, ...] = (),
+    ) -> int:
         """Return the prompt tokens that are expected in the cache.
 
         A block is of use only with all before it, and is evicted before them.
+
+        :param tokens: behind each hash; empty if all blocks have the same size.
         """
         if not hashes or hashes[0] not in self._blocks:
             return 0
         blocks = bisect_left(hashes, True, key=lambda block: block not in self._blocks)
-        return min(blocks * self.block_tokens, max(0, prompt_tokens - 1))
+        cached_tokens = sum(tokens[:blocks]) if tokens else blocks * self.block_tokens
+        return min(cached_tokens, max(0, prompt_tokens - 1))
 
     def record(self, hashes: tuple[int, ...], spare_blocks: int) -> None:
         """Record a prompt that was sent; the oldest blocks make room.
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -29,6 +29,8 @@
     :param since_ms: when it came in.
     :param deadline_at_ms: when its answer must have begun.
     :param is_booked: whether it came back at the time that it was told.
+    :param goal_at_ms: when its answer should have begun; None if that has passed
+        or was not told.
     """
 
     want: Want
@@ -36,11 +38,14 @@
     since_ms: int
     deadline_at_ms: int
     is_booked: bool = False
+    goal_at_ms: int | None = None
 
     @property
     def turn_ms(self) -> int:
         """Return the key that orders the wants of an account."""
-        return self.since_ms if self.is_booked else self.deadline_at_ms
+        if self.is_booked:
+            return self.since_ms
+        return self.deadline_at_ms if self.goal_at_ms is None else self.goal_at_ms
 
     @property
     def cost_tokens(self) -> int:
@@ -70,6 +75,10 @@
         self.queued_tokens += queued.cost_tokens
         heappush(self.by_turn, (queued.turn_ms, sequence, request_id))
 
+    def requeue(self, queued: QueuedWant, sequence: int) -> None:
+        """Give a want the turn that its changed goal calls for."""
+        heappush(self.by_turn, (queued.turn_ms, sequence, queued.want.request_id))
+
     def discard(self, request_id: str) -> None:
         """Remove a want."""
         queued = self.members.pop(request_id)
@@ -102,6 +111,7 @@
         self._account_of: dict[str, str] = {}
         self._heaviest: list[tuple[float, str]] = []
         self._by_deadline: list[tuple[int, int, str]] = []
+        self._by_goal: list[tuple[int, str]] = []
         self._quantum_tokens = FIRST_QUANTUM_TOKENS
         self._sequence = 0
         self.prefill_tokens = 0
@@ -137,6 +147,21 @@
         heappush(self._heaviest, (-account.load, want.client_account))
         entry = (queued.deadline_at_ms, self._sequence, want.request_id)
         heappush(self._by_deadline, entry)
+        if queued.goal_at_ms is not None:
+            heappush(self._by_goal, (queued.goal_at_ms, want.request_id))
+
+    def demote_late(self, now_ms: int) -> None:
+        """Let wants that missed their goal wait behind those that can make it."""
+        while self._by_goal and self._by_goal[0][0] <= now_ms:
+            _, request_id = heappop(self._by_goal)
+            name = self._account_of.get(request_id)
+            if name is None:
+                continue
+            account = self._accounts[name]
+            queued = account.members[request_id]
+            queued.goal_at_ms = None
+            self._sequence += 1
+            account.requeue(queued, self._sequence)
 
     def discard(self, request_id: str) -> None:
         """Remove a want without charge to its account."""
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -32,6 +32,7 @@
 from .raft_types import (
     AppendEntries,
     Committed,
+    GroupPolicy,
     InstallSnapshot,
     Persist,
     ProposalDropped,
@@ -80,6 +81,7 @@
     :param state: what storage loaded at the start.
     :param timing: times and sizes of the protocol.
     :param jitter: returns a number from 0 to 1, new at each call.
+    :param policy: who may found, join and be replaced.
 
     Usage::
 
@@ -96,9 +98,10 @@
         state: RaftState,
         timing: RaftTiming,
         jitter: Callable[[], float],
+        policy: GroupPolicy | None = None,
     ) -> None:
         identity = Replica(host, incarnation)
-        local = LocalReplica(identity, configured_hosts, state, timing, jitter)
+        local = LocalReplica(identity, configured_hosts, state, timing, jitter, policy)
         self._local = local
         self._bootstrap = Bootstrap(local)
         self._follower = Follower(local)
@@ -128,6 +131,10 @@
         leading = self._leadership
         return leading is not None and leading.has_quorum(now_ms)
 
+    def use_configured_hosts(self, hosts: tuple[str, ...]) -> None:
+        """Take over the control hosts that changed settings name."""
+        self._local.configured_hosts = hosts
+
     @property
     def leader(self) -> str:
         """Return the host name of the known leader, or an empty string."""
--- a/src/peridotfront/core/raft_bootstrap.py
+++ b/src/peridotfront/core/raft_bootstrap.py
@@ -18,6 +18,8 @@
 )
 from .raft_replica import LocalReplica
 
+REJOIN_SILENCE_MS = 3000
+
 
 class Bootstrap:
     """Finds out whether the group exists, and who would found it.
@@ -30,12 +32,13 @@
         self._blank_peers: dict[str, Replica] = {}
         self._has_group = False
         self._query_due_ms = 0.0
+        self._led_ms: float | None = None
 
     @property
     def is_founder(self) -> bool:
         """Tell whether this host may ask for the votes to found the group."""
         local = self._local
-        if not local.is_blank or self._has_group:
+        if not local.is_blank or not local.policy.may_found or self._has_group:
             return False
         is_lowest = local.identity.host == min(local.configured_hosts)
         return is_lowest and set(self._blank_peers) == set(local.peer_hosts)
@@ -52,21 +55,42 @@
     def tick(self, leader: str, now_ms: float) -> Iterator[Send]:
         """Send the queries or the request to join that are due."""
         local = self._local
-        if local.is_member or now_ms < self._query_due_ms:
+        if leader or self._led_ms is None:
+            self._led_ms = now_ms
+        if now_ms < self._query_due_ms:
+            return
+        if local.is_member and not self._may_be_removed(now_ms):
             return
         self._query_due_ms = now_ms + local.timing.heartbeat_ms
         if local.is_blank and not leader:
             query = BootstrapQuery(local.identity.incarnation)
             yield from [Send(host, query) for host in local.peer_hosts]
-        if leader or self._has_group or not local.is_blank:
+        if leader or self._has_group or not local.is_blank or not self._may_found:
             request = JoinRequest(local.identity.incarnation)
-            hosts = (leader,) if leader else local.peer_hosts
+            hosts = (leader,) if leader else self._known_hosts()
             yield from [Send(host, request) for host in hosts]
 
+    @property
+    def _may_found(self) -> bool:
+        return self._local.policy.may_found
+
+    def _may_be_removed(self, now_ms: float) -> bool:
+        """Tell whether the group may have replaced this member while it was away."""
+        silent_ms = now_ms - self._led_ms
+        return self._local.policy.is_open and silent_ms >= REJOIN_SILENCE_MS
+
+    def _known_hosts(self) -> tuple[str, ...]:
+        local = self._local
+        voters = [voter.host for voter in local.log.membership.voters]
+        hosts = dict.fromkeys((*local.peer_hosts, *voters))
+        hosts.pop(local.identity.host, None)
+        return tuple(hosts)
+
     def on_query(self, sender: str) -> Iterator[Send]:
-        """Answer whether the own data folder is blank."""
+        """Answer whether the own data folder is blank and may found a group."""
         local = self._local
-        reply = BootstrapReply(local.identity.incarnation, local.is_blank)
+        may_found = local.is_blank and self._may_found
+        reply = BootstrapReply(local.identity.incarnation, may_found)
         yield Send(sender, reply)
 
     def on_reply(self, sender: str, reply: BootstrapReply) -> None:
--- a/src/peridotfront/core/raft_leader.py
+++ b/src/peridotfront/core/raft_leader.py
@@ -138,12 +138,20 @@
         membership = self._local.log.membership
         if is_member(membership, joiner) or not self._may_change_members():
             return
-        known = {*self._local.peer_hosts, *[v.host for v in membership.voters]}
-        if joiner.host not in known - {self._local.identity.host}:
+        if not self._may_join(joiner):
             yield Log("raft_join_refused", (("host", joiner.host),))
             return
         yield from self._change_members(add_learner(membership, joiner), now_ms)
 
+    def _may_join(self, joiner: Replica) -> bool:
+        local = self._local
+        if joiner.host == local.identity.host:
+            return False
+        if local.policy.is_open:
+            return True
+        voters = [voter.host for voter in local.log.membership.voters]
+        return joiner.host in (*local.peer_hosts, *voters)
+
     def dump(self, now_ms: float) -> tuple[PeerDump, ...]:
         """Describe the peers for operators."""
         return tuple(
@@ -240,10 +248,12 @@
 
     def _contact(self, replica: Replica, progress: Progress, now_ms: float) -> Contact:
         silent_ms = now_ms - progress.contact_ms
+        replace_after_ms = self._local.policy.replace_after_ms
         return Contact(
             replica=replica,
             is_live=silent_ms < self._local.timing.election_timeout_ms,
             is_caught_up=progress.match_index >= self._local.commit_index,
+            is_gone=replace_after_ms is not None and silent_ms >= replace_after_ms,
         )
 
     def _change_members(self, change: MembershipChange, now_ms: float) -> Iterator:
--- a/src/peridotfront/core/raft_membership.py
+++ b/src/peridotfront/core/raft_membership.py
@@ -12,11 +12,14 @@
 
     :param is_live: whether it answered within an election timeout.
     :param is_caught_up: whether it holds all that is committed.
+    :param is_gone: whether it was silent for so long that a learner on another
+        host may replace it.
     """
 
     replica: Replica
     is_live: bool
     is_caught_up: bool
+    is_gone: bool = False
 
 
 def quorum_size(voters: Collection[Replica]) -> int:
@@ -54,7 +57,8 @@
 
     A learner that caught up first has its silent predecessor removed from the
     voters and becomes a voter in a second step. While a voter of its host answers,
-    a learner replaces nothing, and is removed if it is silent itself.
+    a learner replaces nothing, and is removed if it is silent itself. A learner on
+    a new host has a voter removed that is gone, if there is one.
     """
     known = {contact.replica: contact for contact in contacts}
     for learner in membership.learners:
@@ -77,6 +81,9 @@
         return None
     if predecessors:
         return _without_voter(membership, predecessors[0])
+    gone = [v for v in membership.voters if _is_gone(known.get(v))]
+    if gone:
+        return _without_voter(membership, gone[0])
     return _promoted(membership, learner)
 
 
@@ -84,6 +91,10 @@
     return contact is not None and contact.is_live
 
 
+def _is_gone(contact: Contact | None) -> bool:
+    return contact is not None and contact.is_gone
+
+
 def _without_voter(membership: MembershipChange, voter: Replica) -> MembershipChange:
     voters = tuple([v for v in membership.voters if v != voter])
     return MembershipChange(voters, membership.learners)
--- a/src/peridotfront/core/raft_replica.py
+++ b/src/peridotfront/core/raft_replica.py
@@ -17,6 +17,7 @@
 from .raft_types import (
     AppendEntries,
     Committed,
+    GroupPolicy,
     InstallSnapshot,
     RaftState,
     RaftTiming,
@@ -37,6 +38,7 @@
     :param configured_hosts: the control hosts that the settings name.
     :param state: what storage loaded.
     :param jitter: returns a number from 0 to 1, new at each call.
+    :param policy: who may found, join and be replaced.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         state: RaftState,
         timing: RaftTiming,
         jitter: Jitter,
+        policy: GroupPolicy | None = None,
     ) -> None:
         self.identity = identity
+        self.policy = policy or GroupPolicy()
         self.configured_hosts = configured_hosts
         self.hard = state.hard
         self.log = RaftLog(state.snapshot, state.entries)
--- a/src/peridotfront/core/raft_types.py
+++ b/src/peridotfront/core/raft_types.py
@@ -22,6 +22,21 @@
     LEADER = "leader"
 
 
+@dataclass(frozen=True, slots=True)
+class GroupPolicy:
+    """Says who may found the group, join it, and replace a voter.
+
+    :param may_found: whether the own blank data folder may take part in a founding.
+    :param is_open: whether hosts that the settings don't name may join.
+    :param replace_after_ms: silence after which a voter may be replaced by a
+        learner on another host; None if that never happens.
+    """
+
+    may_found: bool = True
+    is_open: bool = False
+    replace_after_ms: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class RaftTiming:
     """Holds the times and sizes of the protocol.
--- /dev/null
+++ b/src/peridotfront/core/routes.py
@@ -0,0 +1,171 @@
+"""Routes: which service a request goes to, on whose account, and with what rights."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """Names what may be repeated of the requests of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """Names a service and the share of a route's requests that go there."""
+
+    service: str
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Maps a host and a prefix of paths to services.
+
+    :param host: of the request, in lower case and without a port.
+    :param prefix: begins and ends with a slash.
+    :param timeout_ms: the longest time that a caller is kept waiting.
+    :param goal_ms: until the answer, or the first event of a stream.
+    :param gap_goal_ms: the longest pause between two events of a stream.
+    :param tier: 1 is the highest; that of the account goes first.
+    :param attempts: upstreams that may run one request.
+    :param is_public: whether no account is needed.
+    :param is_resumable: whether a stream may go on at another upstream.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: int
+    goal_ms: int
+    gap_goal_ms: int
+    tier: int
+    services: tuple[WeightedService, ...]
+    attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+    def service_for(self, share: float) -> str:
+        """Return the service at a position from 0 to 1 among the weights."""
+        rest = share * sum(one.weight for one in self.services)
+        for one in self.services:
+            rest -= one.weight
+            if rest < 0:
+                return one.service
+        return [one.service for one in self.services if one.weight][-1]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTraits:
+    """Describes the model engines of a service.
+
+    :param slots: requests in one batch.
+    :param kv_capacity_tokens: memory for running requests and cached prefixes.
+    :param event_tokens: tokens in one event of a stream.
+    """
+
+    slots: int
+    kv_capacity_tokens: int
+    event_tokens: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedService:
+    """Is a service that routes name.
+
+    :param engine: None for a plain service.
+    """
+
+    name: str
+    engine: EngineTraits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedAccount:
+    """Is a client account of the routes.
+
+    :param keys: that its callers show.
+    :param tier: of its requests; None leaves that to the route.
+    :param counts_tokens: whether the allowance counts tokens, else requests.
+    :param plain_tokens: what a request without a token count takes.
+    :param rate_per_s: allowance over all hosts; 0 for none.
+    :param burst: what may be taken at once above the rate.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    tier: int | None = None
+    counts_tokens: bool = False
+    plain_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBounds:
+    """Bounds what a caller may send, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclass(frozen=True, slots=True)
+class Routing:
+    """Is a whole configuration of routes.
+
+    :param version: 0 if none is known yet.
+    """
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: tuple[RoutedService, ...] = ()
+    accounts: tuple[RoutedAccount, ...] = ()
+    bounds: CallerBounds = field(default_factory=CallerBounds)
+
+
+class RouteTable:
+    """Finds the route of a request and the account of a key."""
+
+    def __init__(self, routing: Routing):
+        self.routing = routing
+        self._routes = {(one.host, one.prefix): one for one in routing.routes}
+        self._accounts = {
+            key: account for account in routing.accounts for key in account.keys
+        }
+        self._event_tokens = {
+            one.name: one.engine.event_tokens for one in routing.services if one.engine
+        }
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration; 0 if there is none yet."""
+        return self.routing.version
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of the host with the longest prefix of the path."""
+        name = host.partition(":")[0].lower()
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._routes.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def account(self, key: str) -> RoutedAccount | None:
+        """Return the account that holds a key."""
+        return self._accounts.get(key)
+
+    def event_tokens(self, service: str) -> int:
+        """Return the tokens in one event of a service's streams."""
+        return self._event_tokens.get(service, 1)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler of a cell: which want gets a slot, at which upstream, when."""
 
 from collections.abc import Iterable, Iterator
+from dataclasses import replace
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
@@ -64,10 +65,12 @@
 
     :param cell: the cell's name.
     :param fleet: the configuration in force.
+    :param kind: of the cell's upstreams; told by the cell's name if not given.
     """
 
-    def __init__(self, cell: str, fleet: Fleet):
+    def __init__(self, cell: str, fleet: Fleet, kind: UpstreamKind | None = None):
         self.cell = cell
+        self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
         self.stats = CellStats()
         self._fleet = fleet
         self._weights: dict[str, int] = {}
@@ -156,6 +159,10 @@
         for queued in self._queues:
             if queued.host == event.host:
                 self._queues.discard(queued)
+        if event.is_restarted:
+            for slot in tuple(self._slots.values()):
+                if slot.host == event.host:
+                    self._vacate(slot)
         yield from self._place(now_ms)
 
     # Messages
@@ -249,12 +256,19 @@
     def _queued(self, want: Want, sender: str, now_ms: int) -> QueuedWant:
         patience = min(want.deadline_ms, self._fleet.policy.max_queue_ms)
         is_booked = self._bookings.redeem(want.request_id, now_ms)
-        return QueuedWant(want, sender, now_ms, now_ms + patience, is_booked)
+        goal_at_ms = now_ms + want.goal_ms if want.goal_ms > 0 else None
+        return QueuedWant(
+            want, sender, now_ms, now_ms + patience, is_booked, goal_at_ms
+        )
 
     def _final_reason(self, want: Want) -> Reason:
         if self._strikes.is_poison(want.fingerprint):
             return Reason.POISON
-        reach = self._reach.get(want.model, ())
+        reach = [
+            upstream
+            for upstream in self._reach.get(want.model, ())
+            if upstream.name not in want.excluded
+        ]
         if all(upstream.is_leaving for upstream in reach):
             return Reason.NO_UPSTREAM
         if not any(upstream.can_hold(want) for upstream in reach):
@@ -283,6 +297,7 @@
             upstream=slot.upstream,
             lease_ms=self._fleet.policy.slot_lease_ms,
             predicted_prefix_tokens=slot.predicted_prefix_tokens,
+            address=self._upstreams[slot.upstream].spec.address,
         )
 
     # Placement
@@ -293,6 +308,7 @@
         blocked: set[str] = set()
         for tier in self._queues.tiers():
             for model, queue in self._queues.models(tier):
+                queue.demote_late(now_ms)
                 reach = self._reach.get(model, [])
                 free = [one for one in reach if one.name not in blocked]
                 while free and len(queue):
@@ -424,7 +440,7 @@
             self._drain.forget_capacity()
         elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
             health.failed(True, now_ms)
-        elif cause is ReleaseCause.UPSTREAM_ERROR:
+        elif cause in (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED):
             health.failed(False, now_ms)
 
     def _upstream_died(self, upstream: Upstream, slot: Slot, now_ms: int) -> None:
@@ -605,10 +621,6 @@
 
     # Configuration
 
-    @property
-    def _is_service(self) -> bool:
-        return not self.cell.endswith(f"/{UpstreamKind.ENGINE.value}s")
-
     def _is_settled(self, now_ms: int) -> bool:
         return self._settled_ms is not None and now_ms >= self._settled_ms
 
@@ -654,22 +666,20 @@
             gap_ms=1000.0 / spec.decode_tokens_per_s,
             target_gap_ms=policy.token_gap_ms,
             learns=policy.learns_rates and spec.kind is UpstreamKind.ENGINE,
+            learns_slots=policy.learns_slots,
         )
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
-        return Upstream(spec, budget, prefixes, Health(), spec.is_leaving)
+        health = Health(policy.max_backoff_ms)
+        return Upstream(spec, budget, prefixes, health, spec.is_leaving)
+
+
+def _kind_of(cell: str, kind: UpstreamKind | None) -> UpstreamKind:
+    if kind is not None:
+        return kind
+    is_engine = cell.endswith(f"/{UpstreamKind.ENGINE.value}s")
+    return UpstreamKind.ENGINE if is_engine else UpstreamKind.SERVICE
 
 
 def _without_model(want: Want) -> Want:
-    return Want(
-        request_id=want.request_id,
-        cell=want.cell,
-        model="",
-        tier=want.tier,
-        client_account=want.client_account,
-        prompt_tokens=0,
-        output_tokens=0,
-        prefix_hashes=(),
-        fingerprint=want.fingerprint,
-        deadline_ms=want.deadline_ms,
-    )
+    return replace(want, model="", prompt_tokens=0, output_tokens=0, prefix_hashes=())
--- a/src/peridotfront/core/verdicts.py
+++ b/src/peridotfront/core/verdicts.py
@@ -26,6 +26,7 @@
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
     EVICTED = "evicted"
+    RETRY_BUDGET = "retry_budget_spent"
     DEADLINE = "deadline_exceeded"
     NO_UPSTREAM = "no_upstream"
     NO_QUORUM = "no_quorum"
--- a/src/peridotfront/exchanges.py
+++ b/src/peridotfront/exchanges.py
@@ -69,10 +69,14 @@
     only are dropped, so those of an upstream can be passed on.
 
     :param request: the whole request.
+    :param began_ms: when its first byte arrived, on the monotonic clock.
     """
 
-    def __init__(self, request: HttpRequest, connection: AnswerChannel):
+    def __init__(
+        self, request: HttpRequest, connection: AnswerChannel, began_ms: int = 0
+    ):
         self.request = request
+        self.began_ms = began_ms
         self.gone = asyncio.Event()
         self.is_started = False
         self.is_finished = False
--- /dev/null
+++ b/src/peridotfront/gateway_server.py
@@ -0,0 +1,127 @@
+"""Feeds events to the role of a gateway and carries out its actions."""
+
+import asyncio
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from . import logs
+from .core.actions import Log, Received, Send, Tick
+from .core.coordinator import RoutingChanged
+from .core.follower import ConfigInForce
+from .core.gateway_role import (
+    GatewayRole,
+    PlaceWant,
+    SlotEnded,
+    SlotGranted,
+    SlotRefused,
+    WithdrawWant,
+    release_of,
+)
+from .core.messages import Frame, ReleaseCause, Want
+from .core.routes import RouteTable, Routing
+from .exceptions import SettingsInvalid
+from .metrics import Metrics
+from .runtime import now_ms
+
+SendMessage = Callable[[str, Any], None]
+ParseRouting = Callable[[str, int], Routing]
+
+
+class GatewayServer:
+    """Runs the role of an entry host that serves routes.
+
+    :param role: decides.
+    :param parse: turns the text of a configuration into routes.
+    :param send: sends a message to another host.
+    """
+
+    def __init__(
+        self,
+        role: GatewayRole,
+        parse: ParseRouting,
+        send: SendMessage,
+        metrics: Metrics,
+    ):
+        self.role = role
+        self.table = RouteTable(Routing())
+        self.on_routing: Callable[[Routing], None] = lambda routing: None
+        self._parse = parse
+        self._send = send
+        self._metrics = metrics
+        self._waiting: dict[str, asyncio.Future] = {}
+
+    def on_frame(self, frame: Frame) -> None:
+        """Take the messages of one frame."""
+        for message in frame.messages:
+            self.feed(Received(frame.sender, frame.incarnation, message))
+
+    def tick(self) -> None:
+        """Tell the role that time has passed."""
+        self.feed(Tick())
+
+    def feed(self, event: Any) -> None:
+        """Let the role handle an event, and carry out what follows."""
+        for action in tuple(self.role.handle(event, now_ms())):
+            self._run(action)
+
+    async def place(self, want: Want) -> SlotGranted | SlotRefused:
+        """Ask for a slot and wait for the answer; a cancelled wait withdraws it."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[want.request_id] = future
+        try:
+            self.feed(PlaceWant(want))
+            return await future
+        except asyncio.CancelledError:
+            self._give_up(want, future)
+            raise
+        finally:
+            del self._waiting[want.request_id]
+
+    def _give_up(self, want: Want, future: asyncio.Future) -> None:
+        if future.cancelled():
+            self.feed(WithdrawWant(want.request_id))
+            return
+        answer = future.result()
+        if isinstance(answer, SlotGranted):
+            grant = answer.grant
+            cause = ReleaseCause.NOT_SENT
+            self.feed(SlotEnded(release_of(want, grant.upstream, cause)))
+
+    @singledispatchmethod
+    def _run(self, action: Any) -> None:
+        raise TypeError(f"unexpected action {action!r}")
+
+    @_run.register
+    def _(self, action: Send) -> None:
+        self._send(action.to_host, action.message)
+
+    @_run.register
+    def _(self, action: Log) -> None:
+        logs.write(action.event, **dict(action.fields))
+
+    @_run.register
+    def _(self, action: ConfigInForce) -> None:
+        try:
+            routing = self._parse(action.content, action.version)
+        except SettingsInvalid as error:
+            logs.write("config_unreadable", version=action.version, error=str(error))
+            return
+        self.table = RouteTable(routing)
+        self._metrics.set_config_version(routing.version)
+        logs.write("config_in_force", version=routing.version)
+        self.on_routing(routing)
+        self.feed(RoutingChanged(routing))
+
+    @_run.register
+    def _(self, action: SlotGranted) -> None:
+        self._resolve(action.grant.request_id, action)
+
+    @_run.register
+    def _(self, action: SlotRefused) -> None:
+        self._resolve(action.refuse.request_id, action)
+
+    def _resolve(self, request_id: str, answer: SlotGranted | SlotRefused) -> None:
+        future = self._waiting.get(request_id)
+        if future is not None and not future.done():
+            future.set_result(answer)
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -64,6 +64,7 @@
         headers: Iterable[tuple[str, str]] = (),
         body: bytes = b"",
         *,
+        host: str = "",
         timeouts: UpstreamTimeouts | None = None,
         before_send: Callable[[], None] | None = None,
     ) -> UpstreamAnswer:
@@ -73,6 +74,7 @@
         :param target: path and query.
         :param headers: may be those of a caller's request; what belongs to its
             connection, its host and its length are replaced.
+        :param host: for the Host header; the address if not given.
         :param before_send: called right before the request is handed to the
             socket; what it raises ends the call, which is then not run.
         :return: the answer; read it to its end or cancel it.
@@ -83,7 +85,7 @@
         :raises InvalidRequest: the request cannot be written as HTTP (not run).
         """
         timeouts = timeouts or UpstreamTimeouts()
-        request = self._request(address, method, target, headers, body)
+        request = self._request(host or address, method, target, headers, body)
         connection = self._take_kept(address)
         if connection is None:
             connection = await self._connect(address, timeouts.connect_ms)
@@ -131,10 +133,10 @@
             del self._kept[connection.address]
 
     @staticmethod
-    def _request(address, method, target, headers, body) -> h11.Request:
+    def _request(host, method, target, headers, body) -> h11.Request:
         passed = without_hop_headers(headers)
         fields = [(k, v) for k, v in passed if k.lower() not in OWN_HEADERS]
-        fields.append(("host", address))
+        fields.append(("host", host))
         if body or method not in ("GET", "HEAD", "DELETE"):
             fields.append(("content-length", str(len(body))))
         try:
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -420,6 +420,102 @@
     ),
 )
 
+FORWARDING_EVENTS = (
+    LogEvent(
+        520,
+        "slot_granted",
+        Level.INFO,
+        "a request has a slot at an upstream",
+        "Nothing to do. The line says how long it waited and who granted the slot.",
+    ),
+    LogEvent(
+        521,
+        "slot_refused",
+        Level.INFO,
+        "a request got no slot",
+        "The reason is in the line. It did not run at an upstream by this want.",
+    ),
+    LogEvent(
+        522,
+        "send_failed",
+        Level.INFO,
+        "a request that was sent to an upstream got no whole answer",
+        "The cause is in the line. Look for other lines that name the upstream.",
+    ),
+    LogEvent(
+        523,
+        "forwarding_ended",
+        Level.INFO,
+        "a routed request has ended",
+        "Outcome, sends and times are in the line; the request's id leads to the"
+        " lines before it.",
+    ),
+    LogEvent(
+        524,
+        "scheduler_changed",
+        Level.WARNING,
+        "another host schedules the requests of this one",
+        "Without a leader this host schedules for itself. Check the control group if"
+        " that lasts for more than seconds.",
+    ),
+    LogEvent(
+        525,
+        "entry_host_joined",
+        Level.INFO,
+        "an entry host asks this leader for slots",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        526,
+        "upstreams_listed",
+        Level.INFO,
+        "the list of upstreams has changed",
+        "Nothing to do. The line names what changed.",
+    ),
+    LogEvent(
+        527,
+        "upstream_list_unreadable",
+        Level.WARNING,
+        "the platform's list of upstreams could not be read",
+        "The last list stands. Check the list's address if it goes on.",
+    ),
+    LogEvent(
+        528,
+        "upstream_entry_unreadable",
+        Level.WARNING,
+        "an entry of the list of upstreams could not be read and is left out",
+        "Tell the platform's operators; the other entries are used.",
+    ),
+    LogEvent(
+        529,
+        "config_refused",
+        Level.WARNING,
+        "an operator's configuration was refused",
+        "The faults are in the line; the configuration in force stands.",
+    ),
+    LogEvent(
+        530,
+        "config_acknowledged",
+        Level.INFO,
+        "an operator's configuration was acknowledged",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        531,
+        "settings_changed",
+        Level.INFO,
+        "the settings file has changed and was read again",
+        "Nothing to do.",
+    ),
+    LogEvent(
+        532,
+        "settings_unreadable",
+        Level.ERROR,
+        "the changed settings file can't be read",
+        "The process goes on with its last settings. Mend the file.",
+    ),
+)
+
 UPSTREAM_EVENTS = (
     LogEvent(
         600,
@@ -586,6 +682,7 @@
     + CONTROL_EVENTS
     + CONFIGURATION_EVENTS
     + REQUEST_EVENTS
+    + FORWARDING_EVENTS
     + UPSTREAM_EVENTS
     + SCHEDULING_EVENTS
     + OPERATOR_EVENTS
--- /dev/null
+++ b/src/peridotfront/platform/configuration.py
@@ -0,0 +1,232 @@
+"""The operators' configuration on the platform, decoded into routes."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..core.routes import (
+    CallerBounds,
+    EngineTraits,
+    Route,
+    RoutedAccount,
+    RoutedService,
+    RouteKind,
+    Routing,
+    WeightedService,
+)
+from ..exceptions import SettingsInvalid
+from ..ini import Fault
+
+SOURCE = "configuration"
+Whole = Annotated[int, Field(ge=0)]
+
+
+def _pascal_case(name: str) -> str:
+    return "".join(word.capitalize() for word in name.split("_"))
+
+
+class WireModel(BaseModel):
+    """Is the base of the platform's messages, whose names are in PascalCase."""
+
+    model_config = ConfigDict(
+        alias_generator=_pascal_case, frozen=True, extra="ignore", strict=False
+    )
+
+
+class WireTarget(WireModel):
+    """Names one service of a route that is split."""
+
+    service: str
+    weight: Whole = 1
+
+
+class WireRoute(WireModel):
+    """Is a route; it names either one service or several with weights.
+
+    ``priority`` 0 is the highest. ``public`` routes need no key.
+    """
+
+    name: str = ""
+    host: str = Field(min_length=1)
+    prefix: str = Field(pattern=r"^/(.*/)?$")
+    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: float = Field(gt=0)
+    goal_ms: float = Field(default=0, ge=0)
+    gap_target_ms: float = Field(default=0, ge=0)
+    priority: Whole = 0
+    service: str = ""
+    backends: tuple[WireTarget, ...] = ()
+    attempts: int = Field(default=1, ge=1)
+    public: bool = False
+    resumable: bool = False
+
+
+class WireEngine(WireModel):
+    """Describes the model engines of a service.
+
+    ``stride`` is the number of tokens in one event of a stream.
+    """
+
+    slots: int = Field(default=1, ge=1)
+    kv_capacity: int = Field(default=1, ge=1)
+    stride: int = Field(default=1, ge=1)
+
+
+class WireService(WireModel):
+    """Is a service; one with an engine runs models."""
+
+    name: str = Field(min_length=1)
+    engine: WireEngine | None = None
+
+
+class WireAccount(WireModel):
+    """Is a client account.
+
+    ``unit`` says what ``rate_per_s`` and ``burst`` count.
+    """
+
+    name: str = Field(min_length=1)
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = Field(default=None, ge=0)
+    unit: str = ""
+    plain_tokens: Whole = 0
+    rate_per_s: float = Field(default=0, ge=0)
+    burst: float = Field(default=0, ge=0)
+
+
+class WireLimits(WireModel):
+    """Bounds what callers may send."""
+
+    max_header_bytes: int = Field(default=16_384, gt=0)
+    max_body_bytes: int = Field(default=4_194_304, gt=0)
+    header_timeout_ms: float = Field(default=3000, gt=0)
+    idle_timeout_ms: float = Field(default=15_000, gt=0)
+
+
+class WireConfiguration(WireModel):
+    """Is a whole configuration."""
+
+    version: int = Field(ge=1, strict=True)
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    tenants: tuple[WireAccount, ...] = ()
+    limits: WireLimits = Field(default_factory=WireLimits)
+
+
+def parse_configuration(text: str | bytes) -> Routing:
+    """Check a configuration and return its routes.
+
+    :raises SettingsInvalid: with every fault.
+    """
+    try:
+        wire = WireConfiguration.model_validate_json(text)
+    except ValidationError as error:
+        raise SettingsInvalid(SOURCE, tuple(_schema_faults(error))) from error
+    faults = tuple(_faults(wire))
+    if faults:
+        raise SettingsInvalid(SOURCE, faults)
+    return _routing(wire)
+
+
+def parse_routing(content: str, version: int) -> Routing:
+    """Return the routes of a configuration that was accepted under a version.
+
+    :raises SettingsInvalid: if this release can't read it.
+    """
+    return parse_configuration(content)
+
+
+def _schema_faults(error: ValidationError) -> Iterator[Fault]:
+    for detail in error.errors(include_input=False):
+        place = ".".join([str(part) for part in detail["loc"]])
+        yield Fault(SOURCE, place, "", detail["msg"])
+
+
+def _faults(wire: WireConfiguration) -> Iterator[Fault]:
+    known = {service.name for service in wire.services}
+    for route in wire.routes:
+        yield from _route_faults(route, known)
+    places = Counter((route.host.lower(), route.prefix) for route in wire.routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield Fault(SOURCE, host, prefix, "two routes have this host and prefix")
+    yield from _key_faults(wire.tenants)
+
+
+def _route_faults(route: WireRoute, known: set[str]) -> Iterator[Fault]:
+    targets = _targets(route)
+    for target in targets:
+        if target.service not in known:
+            yield Fault(route.name, "service", target.service, "is not a service")
+    if sum(target.weight for target in targets) == 0:
+        yield Fault(route.name, "weight", "0", "the weights add up to 0")
+
+
+def _key_faults(accounts: Iterable[WireAccount]) -> Iterator[Fault]:
+    holders: dict[str, str] = {}
+    for account in accounts:
+        for key in account.api_keys:
+            holder = holders.setdefault(key, account.name)
+            if holder != account.name:
+                yield Fault(account.name, "key", "", f"{holder} holds it too")
+
+
+def _targets(route: WireRoute) -> tuple[WeightedService, ...]:
+    if route.backends:
+        return tuple([WeightedService(b.service, b.weight) for b in route.backends])
+    return (WeightedService(route.service, 1),)
+
+
+def _routing(wire: WireConfiguration) -> Routing:
+    limits = wire.limits
+    return Routing(
+        version=wire.version,
+        routes=tuple([_route(route) for route in wire.routes]),
+        services=tuple([_service(service) for service in wire.services]),
+        accounts=tuple([_account(account) for account in wire.tenants]),
+        bounds=CallerBounds(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_ms=int(limits.header_timeout_ms),
+            idle_timeout_ms=int(limits.idle_timeout_ms),
+        ),
+    )
+
+
+def _route(route: WireRoute) -> Route:
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=RouteKind(route.kind),
+        timeout_ms=int(route.timeout_ms),
+        goal_ms=int(route.goal_ms),
+        gap_goal_ms=int(route.gap_target_ms),
+        tier=route.priority + 1,
+        services=_targets(route),
+        attempts=route.attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _service(service: WireService) -> RoutedService:
+    engine = service.engine
+    if engine is None:
+        return RoutedService(service.name)
+    traits = EngineTraits(engine.slots, engine.kv_capacity, engine.stride)
+    return RoutedService(service.name, traits)
+
+
+def _account(account: WireAccount) -> RoutedAccount:
+    return RoutedAccount(
+        name=account.name,
+        keys=account.api_keys,
+        tier=None if account.priority is None else account.priority + 1,
+        counts_tokens=account.unit == "tokens",
+        plain_tokens=account.plain_tokens,
+        rate_per_s=account.rate_per_s,
+        burst=account.burst,
+    )
--- /dev/null
+++ b/src/peridotfront/platform/operators.py
@@ -0,0 +1,90 @@
+"""The operators' calls on the platform: a configuration is sent or read back."""
+
+from http import HTTPStatus
+
+from .. import logs
+from ..core.messages import ConfigProposal
+from ..exceptions import NotLeader, SettingsInvalid
+from ..exchanges import Exchange
+from ..replica_server import ReplicaServer
+from ..runtime import new_request_id
+from .configuration import parse_configuration
+
+CONFIG_PATH = "/peridotfront/config"
+JSON = ("content-type", "application/json")
+RETRY = ("retry-after", "0.5")
+MAX_DETAIL_CHARACTERS = 500
+AUTHOR = "operator"
+
+
+class OperatorCalls:
+    """Answers the operators' calls; a handler for ``HttpServer``.
+
+    :param server: of the own replica.
+    :param port: at which every control host answers these calls.
+    """
+
+    def __init__(self, server: ReplicaServer, port: int):
+        self._server = server
+        self._port = port
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        request = exchange.request
+        if request.path != CONFIG_PATH:
+            await exchange.respond(HTTPStatus.NOT_FOUND)
+            return
+        if request.method not in ("GET", "PUT"):
+            await exchange.respond(HTTPStatus.METHOD_NOT_ALLOWED)
+            return
+        try:
+            if request.method == "PUT":
+                await self._put(exchange)
+            else:
+                await self._get(exchange)
+        except NotLeader as error:
+            await self._redirect(exchange, error.leader)
+
+    async def _put(self, exchange: Exchange) -> None:
+        body = exchange.request.body
+        try:
+            routing = parse_configuration(body)
+        except SettingsInvalid as error:
+            detail = str(error)[:MAX_DETAIL_CHARACTERS]
+            logs.write("config_refused", detail=detail)
+            text = ("content-type", "text/plain")
+            await exchange.respond(HTTPStatus.BAD_REQUEST, [text], detail.encode())
+            return
+        proposal = ConfigProposal(
+            change_id=new_request_id(),
+            base_version=0,
+            author=AUTHOR,
+            content=body.decode(),
+            version=routing.version,
+        )
+        result = await self._server.propose(proposal)
+        logs.write(
+            "config_acknowledged",
+            version=routing.version,
+            status=result.status,
+            held=result.version,
+        )
+        await exchange.respond(HTTPStatus.OK, [JSON], b"{}")
+
+    async def _get(self, exchange: Exchange) -> None:
+        view = await self._server.read()
+        if view.current.version == 0:
+            await exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, [RETRY])
+            return
+        content = view.current.content.encode()
+        await exchange.respond(HTTPStatus.OK, [JSON], content)
+
+    async def _redirect(self, exchange: Exchange, leader: str) -> None:
+        """Send the caller to the leader, or away if none is known."""
+        if not leader:
+            await exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, [RETRY])
+            return
+        ip = leader.rpartition(":")[0]
+        location = f"http://{ip}:{self._port}{exchange.request.target}"
+        status = HTTPStatus.TEMPORARY_REDIRECT
+        await exchange.respond(status, [("location", location)])
--- /dev/null
+++ b/src/peridotfront/platform/settings.py
@@ -0,0 +1,145 @@
+"""Settings of a process on the platform, filled into the product's INI form.
+
+``deploy/process.ini`` is the form; the platform fills it in before each start and
+whenever the settings change.
+"""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import Field
+
+from ..core.retry_budgets import RetryBounds
+from ..exceptions import SettingsInvalid
+from ..ini import Fault, Ini, Section, Words
+
+SETTINGS_VARIABLE = "PERIDOTFRONT_SETTINGS"
+MS_PER_S = 1000
+
+
+class HostSection(Section):
+    """Names the process's host."""
+
+    name: str
+    data_centre: str
+    ip: str
+
+
+class ListenSection(Section):
+    """Says where the process listens; empty for what it doesn't serve.
+
+    :param callers: for client requests.
+    :param readiness: for the balancer's questions.
+    :param operators: for the operators' calls.
+    :param first_peer_port: the first of the ports for other hosts.
+    :param metrics_port: for metrics.
+    """
+
+    callers: str = ""
+    readiness: str = ""
+    operators: str = ""
+    first_peer_port: int
+    metrics_port: int = 0
+
+
+class GroupSection(Section):
+    """Names the control hosts that are known at the start.
+
+    :param seeds: addresses of their operators' calls.
+    :param is_first_start: whether the whole system starts for the first time.
+    """
+
+    seeds: Words = ()
+    is_first_start: bool = False
+
+
+class StorageSection(Section):
+    """Names the data folder; empty on hosts without a disk."""
+
+    data_folder: str = ""
+
+
+class UpstreamListSection(Section):
+    """Says where the list of upstreams is read, and how often all hosts may."""
+
+    address: str
+    calls_per_s: float = Field(default=10.0, gt=0)
+
+
+class RetriesSection(Section):
+    """Bounds the repeats of each service, over all hosts."""
+
+    ratio: float = 0.2
+    slack: int = 10
+    window_s: float = 10.0
+
+
+class ShutdownSection(Section):
+    """Says how long a process has after SIGTERM."""
+
+    grace_s: float = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Holds all settings of a process."""
+
+    host: HostSection
+    listen: ListenSection
+    group: GroupSection
+    storage: StorageSection
+    upstream_list: UpstreamListSection
+    retries: RetriesSection
+    shutdown: ShutdownSection
+
+    @property
+    def name(self) -> str:
+        """Return the host name among peers: the address at which it listens."""
+        return f"{self.host.ip}:{self.listen.first_peer_port}"
+
+    @property
+    def seed_hosts(self) -> tuple[str, ...]:
+        """Return the seeds' host names; they listen at the same port as this host."""
+        port = self.listen.first_peer_port
+        return tuple([f"{s.rpartition(':')[0]}:{port}" for s in self.group.seeds])
+
+    @property
+    def retry_bounds(self) -> RetryBounds:
+        """Return the bounds on repeats as the core reads them."""
+        retries = self.retries
+        window_ms = int(retries.window_s * MS_PER_S)
+        return RetryBounds(retries.ratio, retries.slack, window_ms)
+
+
+SECTIONS = {
+    "host": HostSection,
+    "listen": ListenSection,
+    "group": GroupSection,
+    "storage": StorageSection,
+    "upstream_list": UpstreamListSection,
+    "retries": RetriesSection,
+    "shutdown": ShutdownSection,
+}
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file that the platform names."""
+    return Path(os.environ[SETTINGS_VARIABLE])
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Read a settings file.
+
+    :raises SettingsInvalid: with every fault.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsInvalid(str(path), (Fault("", "", "", str(error)),)) from error
+    ini = Ini.parse(text, str(path))
+    faults: list[Fault] = []
+    sections = {name: ini.read(model, name, faults) for name, model in SECTIONS.items()}
+    if faults:
+        raise SettingsInvalid(str(path), tuple(faults))
+    return PlatformSettings(**sections)
--- /dev/null
+++ b/src/peridotfront/platform/upstream_list.py
@@ -0,0 +1,107 @@
+"""Calls of the platform's list of upstreams."""
+
+import json
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+from pydantic import ConfigDict, Field, ValidationError
+
+from .. import logs
+from ..core.messages import ListedUpstream
+from ..exceptions import AnswerMalformed
+from ..http_client import HttpClient, UpstreamTimeouts
+from .configuration import WireModel
+
+TIMEOUTS = UpstreamTimeouts(connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000)
+MAX_PAGES = 100
+LEAVING_STATES = {"ready": False, "draining": True}
+
+
+class WireInstance(WireModel):
+    """Is an entry of the list; its id names one start of an upstream."""
+
+    model_config = ConfigDict(strict=True)
+
+    id: str = Field(min_length=1)
+    service: str = Field(min_length=1)
+    addr: str = Field(pattern=r"^[0-9.]+:[0-9]+$")
+    zone: str
+    slots: int = Field(ge=1)
+    state: str
+
+
+class UpstreamListClient:
+    """Reads the platform's list of upstreams.
+
+    :param address: of the list, IP number and port.
+    """
+
+    def __init__(self, client: HttpClient, address: str):
+        self._client = client
+        self._address = address
+
+    async def read(self) -> tuple[ListedUpstream, ...]:
+        """Return all upstreams that the list names.
+
+        :raises UpstreamError: if the list can't be read whole.
+        """
+        listed: dict[str, ListedUpstream] = {}
+        token = ""
+        for _ in range(MAX_PAGES):
+            entries, token = await self._page(token)
+            for entry in _decoded(entries):
+                listed[entry.name] = entry
+            if not token:
+                return tuple(listed.values())
+        raise AnswerMalformed("the list has too many pages", self._address)
+
+    async def _page(self, token: str) -> tuple[list, str]:
+        target = "/instances"
+        if token:
+            target = f"{target}?PageToken={quote(token, safe='')}"
+        answer = await self._client.send(
+            self._address, "GET", target, timeouts=TIMEOUTS
+        )
+        body = await answer.read()
+        if answer.status_code != HTTPStatus.OK:
+            raise AnswerMalformed(f"status {answer.status_code}", self._address)
+        page = _parsed(body, self._address)
+        if not isinstance(page, dict) or not isinstance(page.get("Instances"), list):
+            raise AnswerMalformed("not a list of upstreams", self._address)
+        next_token = page.get("NextToken")
+        return page["Instances"], next_token if isinstance(next_token, str) else ""
+
+
+def _parsed(body: bytes, address: str) -> Any:
+    # One entry with broken characters must not hide the others.
+    try:
+        return json.loads(body.decode("utf-8", "replace"))
+    except ValueError as error:
+        raise AnswerMalformed("not JSON", address) from error
+
+
+def _decoded(entries: list) -> Iterator[ListedUpstream]:
+    for entry in entries:
+        try:
+            wire = WireInstance.model_validate(entry)
+        except ValidationError as error:
+            logs.write("upstream_entry_unreadable", detail=_first(error))
+            continue
+        if wire.state not in LEAVING_STATES:
+            logs.write("upstream_entry_unreadable", detail=f"state {wire.state!r}")
+            continue
+        yield ListedUpstream(
+            name=wire.id,
+            service=wire.service,
+            address=wire.addr,
+            data_centre=wire.zone,
+            slots=wire.slots,
+            is_leaving=LEAVING_STATES[wire.state],
+        )
+
+
+def _first(error: ValidationError) -> str:
+    detail = error.errors(include_input=False)[0]
+    return f"{'.'.join([str(part) for part in detail['loc']])}: {detail['msg']}"
--- a/src/peridotfront/storage.py
+++ b/src/peridotfront/storage.py
@@ -4,6 +4,7 @@
 
 - ``lock``: held by the process that uses the folder;
 - ``incarnation``: the random identity of this folder;
+- ``founding``: shows that the folder was there when the deployment first started;
 - ``segment-N``: records of the log, numbered without gaps;
 - ``snapshot-N``: the state machine's state after entry N.
 
@@ -43,6 +44,7 @@
 INCARNATION_BITS = 62
 SEGMENT_SIZE_BYTES = 8 * 1024 * 1024
 LOG_START_BYTES = 256
+FOUNDING_FILE = "founding"
 TEMPORARY_SUFFIX = ".tmp"
 
 Write = Callable[[int, bytes], int]
@@ -68,16 +70,24 @@
         self._pending: list[StorageRecord] = []
         self._has_failed = False
         self.incarnation = 0
+        self.may_found = False
         self.state = RaftState()
         self._hard = self.state.hard
 
     @classmethod
     def open(
-        cls, folder: Path | str, write: Write = os.write, sync: Sync = os.fsync
+        cls,
+        folder: Path | str,
+        write: Write = os.write,
+        sync: Sync = os.fsync,
+        *,
+        is_first_start: bool = False,
     ) -> "Storage":
         """Open a data folder, which is made if it doesn't exist.
 
         :param folder: path of the folder.
+        :param is_first_start: whether the whole deployment starts for the first
+            time; a folder that saw it may found a group also after a restart.
         :return: the storage; its ``state`` holds what was found.
         :raises FolderInUse: if another process holds the folder.
         :raises StorageDamaged: if a file is damaged.
@@ -91,6 +101,7 @@
             raise StorageFailed(f"{path}: {error}") from error
         try:
             storage._load()
+            storage._load_founding(is_first_start)
         except OSError as error:
             storage.close()
             raise StorageFailed(f"{path}: {error}") from error
@@ -235,6 +246,12 @@
         body = wire.encode(Replica("", self.incarnation))
         self._files.replace(path.name, frame(body, 0, True))
 
+    def _load_founding(self, is_first_start: bool) -> None:
+        path = self._folder / FOUNDING_FILE
+        if is_first_start and not path.exists():
+            self._files.replace(path.name, b"")
+        self.may_found = path.exists()
+
 
 class SyncedFiles:
     """Writes files of one folder so that they last."""
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -16,12 +16,16 @@
 from . import logs, wire
 from .core.messages import Frame, Message
 from .proto import peridotfront_pb2, peridotfront_pb2_grpc
+from .runtime import Tasks, now_ms
 from .settings import Peer
 
 MAX_QUEUED_MESSAGES = 10_000
 MAX_FRAME_MESSAGES = 512
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 200
+SILENCE_MS = 1500
+CONNECT_MS = 1000
+IDLE_LINK_MS = 30_000
 WRITE_TIMEOUT_MS = 2000
 CANCEL_INTERVAL_MS = 100
 KEEPALIVE_MS = 2000
@@ -35,6 +39,7 @@
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
     ("grpc.initial_reconnect_backoff_ms", RECONNECT_MS),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_MS),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.so_reuseport", 0),
 )
@@ -51,7 +56,11 @@
 
 
 class PeerLink:
-    """Sends frames to one peer and connects again whenever the stream ends."""
+    """Sends frames to one peer and connects again whenever the stream ends.
+
+    A peer that was sent something and is not heard for ``SILENCE_MS`` gets a new
+    connection, since the old one may have gone silent for good.
+    """
 
     def __init__(self, peer: Peer, sender: str, incarnation: int, tls: Credentials):
         self.peer = peer
@@ -62,6 +71,12 @@
         self._queue: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
+        self._unheard_since_ms: int | None = None
+        self.sent_ms = now_ms()
+
+    def heard(self) -> None:
+        """Note that a frame of the peer has arrived."""
+        self._unheard_since_ms = None
 
     def start(self) -> None:
         """Start to connect and to send."""
@@ -73,6 +88,9 @@
             self._queue.popleft()
             self.dropped_messages += 1
         self._queue.append(message)
+        self.sent_ms = now_ms()
+        if self._unheard_since_ms is None:
+            self._unheard_since_ms = self.sent_ms
         self._wake.set()
 
     async def stop(self) -> None:
@@ -105,12 +123,20 @@
         try:
             while True:
                 await self._wake.wait()
+                self._check_silence()
                 frame = Frame(self.sender, self.incarnation, self._take())
                 write = call.write(wire.to_proto(frame))
                 await asyncio.wait_for(write, WRITE_TIMEOUT_MS / 1000)
         finally:
             call.cancel()
 
+    def _check_silence(self) -> None:
+        if self._unheard_since_ms is None:
+            return
+        if now_ms() - self._unheard_since_ms >= SILENCE_MS:
+            self._unheard_since_ms = now_ms()
+            raise TimeoutError("the peer is silent")
+
     def _take(self) -> tuple[Message, ...]:
         count = min(len(self._queue), MAX_FRAME_MESSAGES)
         messages = tuple([self._queue.popleft() for _ in range(count)])
@@ -127,12 +153,15 @@
 class _Servicer(peridotfront_pb2_grpc.PeerServicer):
     """Hands on the frames of known peers.
 
-    :param senders: the host names that the settings list.
+    :param senders: the host names that are heard; None for all.
     :param is_verified: whether a sender must be named by its certificate.
     """
 
     def __init__(
-        self, on_frame: FrameHandler, senders: frozenset[str], is_verified: bool
+        self,
+        on_frame: FrameHandler,
+        senders: frozenset[str] | None,
+        is_verified: bool,
     ):
         self._on_frame = on_frame
         self._senders = senders
@@ -149,7 +178,7 @@
         return peridotfront_pb2.Received()
 
     def _is_genuine(self, sender: str, context: grpc.aio.ServicerContext) -> bool:
-        if sender not in self._senders:
+        if self._senders is not None and sender not in self._senders:
             return False
         if not self._is_verified:
             return True
@@ -164,6 +193,8 @@
     :param peers: the other processes of the deployment.
     :param on_frame: called with each frame that arrives.
     :param tls: credentials; without them the streams are not encrypted.
+    :param is_open: whether hosts that ``peers`` doesn't name are heard and sent to;
+        their names are the addresses at which they listen.
 
     Usage::
 
@@ -179,8 +210,11 @@
         peers: Iterable[Peer],
         on_frame: FrameHandler,
         tls: Credentials | None = None,
+        is_open: bool = False,
     ):
         self.name = name
+        self._incarnation = incarnation
+        self._is_open = is_open
         self._tls = tls or Credentials()
         self._on_frame = on_frame
         self.links = {
@@ -189,6 +223,7 @@
             if peer.name != name
         }
         self._server: grpc.aio.Server | None = None
+        self._stopping = Tasks()
 
     async def start(self, listen_address: str) -> int:
         """Listen for peers and start to connect to them.
@@ -199,7 +234,8 @@
         """
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
         is_verified = self._tls.server is not None
-        servicer = _Servicer(self._on_frame, frozenset(self.links), is_verified)
+        senders = None if self._is_open else frozenset(self.links)
+        servicer = _Servicer(self._receive, senders, is_verified)
         peridotfront_pb2_grpc.add_PeerServicer_to_server(servicer, self._server)
         if self._tls.server is None:
             port = self._server.add_insecure_port(listen_address)
@@ -213,11 +249,33 @@
     def send(self, to_host: str, message: Message) -> None:
         """Queue a message to a peer; unknown peers are ignored."""
         link = self.links.get(to_host)
+        if link is None and self._is_open:
+            link = self._open_link(to_host)
         if link is None:
             logs.write("peer_unknown", peer=to_host)
             return
         link.send(message)
 
+    def _open_link(self, address: str) -> PeerLink:
+        self._drop_idle_links()
+        peer = Peer(address, "", "", address)
+        link = PeerLink(peer, self.name, self._incarnation, self._tls)
+        self.links[address] = link
+        link.start()
+        return link
+
+    def _drop_idle_links(self) -> None:
+        oldest_ms = now_ms() - IDLE_LINK_MS
+        idle = [name for name, one in self.links.items() if one.sent_ms < oldest_ms]
+        for name in idle:
+            self._stopping.start(self.links.pop(name).stop())
+
+    def _receive(self, frame: Frame) -> None:
+        link = self.links.get(frame.sender)
+        if link is not None:
+            link.heard()
+        self._on_frame(frame)
+
     async def stop(self) -> None:
         """Close all streams."""
         for link in self.links.values():
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -53,6 +53,11 @@
         self.headers = headers
         self._connection: UpstreamConnection | None = connection
 
+    @property
+    def address(self) -> str:
+        """Return the upstream's IP number and port; empty once it was read."""
+        return self._connection.address if self._connection is not None else ""
+
     def header(self, name: str, default: str = "") -> str:
         """Return the first header field with this name in lower case."""
         return find_header(self.headers, name, default)
