Rank tiers by account and route, and spend allowances up to their bound

Ruled out: capacity (the first tier alone fits it in every window) and the queue's order inside a tier.

Change: the tier of a request ranks the pair of account and route; a leader spends burst and six tenths of the slack, hosts without a leader a tenth together; a leaving host closes idle connections once the balancer has noticed; the kernel probes connections to upstreams.

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -391,6 +391,11 @@
             # The transport does not see the end while it reads nothing.
             self._transport.abort()
 
+    def close_if_idle(self) -> None:
+        """Close unless a request is being read or answered."""
+        if self.is_idle:
+            self._half_close()
+
     def abort(self) -> None:
         """Close at once."""
         self._transport.abort()
--- a/src/peridotfront/callers.py
+++ b/src/peridotfront/callers.py
@@ -132,6 +132,11 @@
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         return not self._tasks
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self._open):
+            connection.close_if_idle()
+
     async def close(self) -> None:
         """Stop at once: cancel what is in progress and close every connection."""
         self.close_listener()
--- a/src/peridotfront/core/allowances.py
+++ b/src/peridotfront/core/allowances.py
@@ -36,13 +36,55 @@
         return max(0, int(missing * 1000.0 / self.rate_per_s) + 1)
 
 
+@dataclass(frozen=True, slots=True)
+class AllowanceBounds:
+    """Says how far all hosts together may exceed an allowance.
+
+    :param over_ratio: of what rate and burst allow.
+    :param slack: units beyond that.
+    """
+
+    over_ratio: float = 0.0
+    slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceShare:
+    """Is the part of every allowance that is spent at one place.
+
+    The parts of the leader, of a new leader's opening and of the hosts that go on
+    without one add up to less than the whole bound.
+
+    :param rate: of the allowance's rate.
+    :param burst: of its burst.
+    :param slack: of the slack.
+    :param opening_slack: of the slack, when the spending begins there.
+    """
+
+    rate: float
+    burst: float
+    slack: float
+    opening_slack: float
+
+
+LEADER_SHARE = AllowanceShare(rate=1.0, burst=1.0, slack=0.6, opening_slack=0.2)
+
+
+def alone_share(entry_hosts: int) -> AllowanceShare:
+    """Return the share of one entry host that goes on without a leader."""
+    part = 1.0 / entry_hosts
+    return AllowanceShare(rate=part, burst=0.0, slack=0.1 * part, opening_slack=0.0)
+
+
 class Allowances:
     """Charges requests to the allowances of their accounts.
 
-    :param share: of each allowance that is spent here, from 0 to 1.
+    :param bounds: how far an allowance may be exceeded.
+    :param share: of each allowance that is spent here.
     """
 
-    def __init__(self, share: float = 1.0):
+    def __init__(self, bounds: AllowanceBounds, share: AllowanceShare = LEADER_SHARE):
+        self._bounds = bounds
         self._share = share
         self._accounts: dict[str, RoutedAccount] = {}
         self._buckets: dict[str, TokenBucket] = {}
@@ -55,7 +97,7 @@
         for account in accounts:
             self._resize(account, now_ms)
 
-    def use_share(self, share: float, now_ms: int) -> None:
+    def use_share(self, share: AllowanceShare, now_ms: int) -> None:
         """Spend another share of each allowance from now on."""
         if share != self._share:
             self._share = share
@@ -85,10 +127,15 @@
         if account.rate_per_s <= 0:
             self._buckets.pop(account.name, None)
             return
-        rate_per_s = account.rate_per_s * self._share
-        burst = (account.burst or account.rate_per_s) * self._share
+        share = self._share
+        over = 1 + self._bounds.over_ratio
+        rate_per_s = account.rate_per_s * over * share.rate
+        burst = (account.burst or account.rate_per_s) * over * share.burst
+        slack = self._bounds.slack
+        full = max(burst + slack * share.slack, rate_per_s)
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = TokenBucket(rate_per_s, burst, burst, now_ms)
+            level = burst + slack * share.opening_slack
+            bucket = TokenBucket(rate_per_s, full, min(full, level), now_ms)
             self._buckets[account.name] = bucket
-        bucket.resize(rate_per_s, burst, now_ms)
+        bucket.resize(rate_per_s, full, now_ms)
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -22,9 +22,8 @@
     UpstreamsUpdate,
     Want,
 )
-from .pools import Pools
+from .pools import PoolBounds, Pools
 from .raft_types import Role, RoleChanged
-from .retry_budgets import RetryBounds
 from .routes import Routing
 
 ENTRY_ROLE = "entry"
@@ -65,10 +64,10 @@
 
     :param host: the own host name.
     :param controller: replicates the configuration; this role alone drives it.
-    :param bounds: of the repeats that each service may get.
+    :param bounds: of what all hosts together may spend.
     """
 
-    def __init__(self, host: str, controller: Controller, bounds: RetryBounds):
+    def __init__(self, host: str, controller: Controller, bounds: PoolBounds):
         self.controller = controller
         self.directory = UpstreamDirectory()
         self.pools: Pools | None = None
@@ -193,7 +192,7 @@
             return
         self._led_since_ms = now_ms
         self._list_shared_ms = now_ms
-        self.pools = Pools(self._bounds, 1.0)
+        self.pools = Pools(self._bounds)
         self.pools.retries.share = TERM_OPENING_SHARE
         known = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .allowances import alone_share
 from .cell_events import HostLost
 from .coordinator import RoutingChanged, UpstreamsListed
 from .directory import UpstreamDirectory
@@ -30,8 +31,7 @@
     UpstreamsUpdate,
     Want,
 )
-from .pools import Pools
-from .retry_budgets import RetryBounds
+from .pools import PoolBounds, Pools
 
 HEARTBEAT_MS = 200
 LEADER_SILENCE_MS = 550
@@ -123,7 +123,7 @@
     :param host: the own host name.
     :param incarnation: drawn anew at each start.
     :param seeds: control hosts that the settings name.
-    :param bounds: of the repeats that each service may get.
+    :param bounds: of what all hosts together may spend.
     """
 
     def __init__(
@@ -132,7 +132,7 @@
         incarnation: int,
         data_centre: str,
         seeds: tuple[str, ...],
-        bounds: RetryBounds,
+        bounds: PoolBounds,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -145,7 +145,7 @@
         self._control_hosts: tuple[str, ...] = ()
         self._hints = LeaderHints(HINT_TIMEOUT_MS)
         self._led_ms: dict[str, int] = {}
-        self._own = Pools(bounds, 1.0)
+        self._own = Pools(bounds)
         self._own_list: tuple[ListedUpstream, ...] = ()
         self._detached_ms = 0
         self._beat_ms = -HEARTBEAT_MS
@@ -335,9 +335,8 @@
             yield from self._tell(_aged(pending, now_ms), now_ms)
 
     def _use_own_list(self, now_ms: int) -> Iterator[Any]:
-        share = 1.0 / self.entry_hosts
-        self._own.use_share(share, now_ms)
-        self._own.retries.share = share * ALONE_RETRY_SHARE
+        self._own.allowances.use_share(alone_share(self.entry_hosts), now_ms)
+        self._own.retries.share = ALONE_RETRY_SHARE / self.entry_hosts
         upstreams = own_share(
             self._own_list, self.host, self.data_centre, self.entry_hosts
         )
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -5,11 +5,11 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from .actions import Received, Send, Tick
-from .allowances import Allowances
+from .allowances import AllowanceBounds, Allowances
 from .cell_events import FleetChanged, HostLost
 from .dispatch import dispatchmethod
 from .fleet import AccountSpec, Fleet, Policy, UpstreamKind, UpstreamSpec
@@ -50,6 +50,14 @@
 NO_UPSTREAM_RETRY_MS = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class PoolBounds:
+    """Bounds what all hosts together may spend."""
+
+    retries: RetryBounds = field(default_factory=RetryBounds)
+    allowances: AllowanceBounds = field(default_factory=AllowanceBounds)
+
+
 @dataclass(frozen=True, slots=True)
 class Charge:
     """Is what a want took of its account's allowance.
@@ -67,13 +75,12 @@
 class Pools:
     """Places wants onto the upstreams of their services.
 
-    :param bounds: of the repeats that each service may get.
-    :param share: of allowances and budgets that is spent here, from 0 to 1.
+    :param bounds: of what all hosts together may spend.
     """
 
-    def __init__(self, bounds: RetryBounds, share: float = 1.0):
-        self.allowances = Allowances(share)
-        self.retries = RetryBudgets(bounds, share)
+    def __init__(self, bounds: PoolBounds):
+        self.allowances = Allowances(bounds.allowances)
+        self.retries = RetryBudgets(bounds.retries)
         self.schedulers: dict[str, CellScheduler] = {}
         self._routing = Routing()
         self._upstreams: tuple[ListedUpstream, ...] = ()
@@ -97,11 +104,6 @@
         self._upstreams = upstreams
         yield from self._apply(now_ms)
 
-    def use_share(self, share: float, now_ms: int) -> None:
-        """Spend another share of allowances and budgets from now on."""
-        self.allowances.use_share(share, now_ms)
-        self.retries.share = share
-
     def _apply(self, now_ms: int) -> Iterator[Send]:
         services = {one.name: one for one in self._routing.services}
         listed = {one.service for one in self._upstreams}
--- a/src/peridotfront/core/routes.py
+++ b/src/peridotfront/core/routes.py
@@ -1,5 +1,6 @@
 """Routes: which service a request goes to, on whose account, and with what rights."""
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -142,6 +143,7 @@
         self._accounts = {
             key: account for account in routing.accounts for key in account.keys
         }
+        self._tiers = _ranked_tiers(routing)
         self._event_tokens = {
             one.name: one.engine.event_tokens for one in routing.services if one.engine
         }
@@ -166,6 +168,31 @@
         """Return the account that holds a key."""
         return self._accounts.get(key)
 
+    def tier(self, route: Route, account: RoutedAccount | None, service: str) -> int:
+        """Return the tier of a request among all those for a service.
+
+        The tier of the account goes first, then that of the route.
+        """
+        return self._tiers[service][_tier_pair(route, account)]
+
     def event_tokens(self, service: str) -> int:
         """Return the tokens in one event of a service's streams."""
         return self._event_tokens.get(service, 1)
+
+
+def _tier_pair(route: Route, account: RoutedAccount | None) -> tuple[int, int]:
+    account_tier = account.tier if account is not None else None
+    return (route.tier if account_tier is None else account_tier, route.tier)
+
+
+def _ranked_tiers(routing: Routing) -> dict[str, dict[tuple[int, int], int]]:
+    """Number the pairs of account and route tier that each service may get."""
+    pairs: dict[str, set[tuple[int, int]]] = defaultdict(set)
+    for route in routing.routes:
+        accounts = (None,) if route.is_public else routing.accounts
+        for one in route.services:
+            pairs[one.service].update(_tier_pair(route, each) for each in accounts)
+    return {
+        service: {pair: rank for rank, pair in enumerate(sorted(found), start=1)}
+        for service, found in pairs.items()
+    }
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -129,6 +129,7 @@
     account: RoutedAccount | None
     began_ms: int
     end_ms: int
+    tier: int
     event_tokens: int
 
 
@@ -192,6 +193,7 @@
             account=account,
             began_ms=exchange.began_ms,
             end_ms=exchange.began_ms + waits_ms,
+            tier=table.tier(route, account, service),
             event_tokens=table.event_tokens(service),
         )
 
@@ -216,7 +218,7 @@
     def _count(self, admitted: Admitted, forwarding: "Forwarding") -> None:
         route = admitted.route
         self._metrics.count_answer(
-            route.tier, forwarding.verdict, forwarding.reason, forwarding.is_good
+            admitted.tier, forwarding.verdict, forwarding.reason, forwarding.is_good
         )
         logs.write(
             "forwarding_ended",
@@ -393,7 +395,7 @@
             request_id=f"{request.request_id}.{self.sends}.{len(self._attempts.excluded)}",
             cell=admitted.service,
             model="",
-            tier=_tier(route, account),
+            tier=admitted.tier,
             client_account=account.name if account else "",
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens,
@@ -623,12 +625,6 @@
     return reasons.get(cause, Reason.UPSTREAM_DIED)
 
 
-def _tier(route: Route, account: RoutedAccount | None) -> int:
-    if account is None or account.tier is None:
-        return route.tier
-    return account.tier
-
-
 def _units(request: RoutedRequest, account: RoutedAccount | None) -> int:
     if account is None:
         return 0
--- a/src/peridotfront/platform/control.py
+++ b/src/peridotfront/platform/control.py
@@ -50,7 +50,7 @@
         )
         self.raft = _raft(settings, storage)
         self.coordinator = Coordinator(
-            settings.name, _controller(settings, self.raft), settings.retry_bounds
+            settings.name, _controller(settings, self.raft), settings.bounds
         )
         self.server = ReplicaServer(
             self.coordinator,
--- a/src/peridotfront/platform/entry.py
+++ b/src/peridotfront/platform/entry.py
@@ -59,7 +59,7 @@
             incarnation,
             host.data_centre,
             settings.seed_hosts,
-            settings.retry_bounds,
+            settings.bounds,
         )
         self.server = GatewayServer(
             self.role, parse_routing, self.transport.send, metrics
@@ -110,6 +110,8 @@
         grace_ms = int(self.settings.shutdown.grace_s * 1000)
         await asyncio.sleep(ROTATION_MS / 1000)
         self.callers.close_listener()
+        self.callers.is_draining = True
+        self.callers.close_idle()
         await self.callers.drain(grace_ms - ROTATION_MS - EXIT_MARGIN_MS)
 
     def _use_routing(self, routing: Routing) -> None:
--- a/src/peridotfront/platform/settings.py
+++ b/src/peridotfront/platform/settings.py
@@ -10,6 +10,8 @@
 
 from pydantic import Field
 
+from ..core.allowances import AllowanceBounds
+from ..core.pools import PoolBounds
 from ..core.retry_budgets import RetryBounds
 from ..exceptions import SettingsInvalid
 from ..ini import Fault, Ini, Section, Words
@@ -75,6 +77,13 @@
     window_s: float = 10.0
 
 
+class AllowancesSection(Section):
+    """Says how far all hosts together may exceed an account's allowance."""
+
+    over_ratio: float = 0.0
+    slack: float = 0.0
+
+
 class ShutdownSection(Section):
     """Says how long a process has after SIGTERM."""
 
@@ -91,6 +100,7 @@
     storage: StorageSection
     upstream_list: UpstreamListSection
     retries: RetriesSection
+    allowances: AllowancesSection
     shutdown: ShutdownSection
 
     @property
@@ -105,11 +115,15 @@
         return tuple([f"{s.rpartition(':')[0]}:{port}" for s in self.group.seeds])
 
     @property
-    def retry_bounds(self) -> RetryBounds:
-        """Return the bounds on repeats as the core reads them."""
+    def bounds(self) -> PoolBounds:
+        """Return what all hosts together may spend, as the core reads it."""
         retries = self.retries
         window_ms = int(retries.window_s * MS_PER_S)
-        return RetryBounds(retries.ratio, retries.slack, window_ms)
+        allowances = self.allowances
+        return PoolBounds(
+            RetryBounds(retries.ratio, retries.slack, window_ms),
+            AllowanceBounds(allowances.over_ratio, allowances.slack),
+        )
 
 
 SECTIONS = {
@@ -119,6 +133,7 @@
     "storage": StorageSection,
     "upstream_list": UpstreamListSection,
     "retries": RetriesSection,
+    "allowances": AllowancesSection,
     "shutdown": ShutdownSection,
 }
 
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -4,6 +4,7 @@
 import contextlib
 import math
 import select
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -19,6 +20,10 @@
 )
 from .http_messages import Header, find_header
 
+PROBE_AFTER_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 3
+UNACKNOWLEDGED_MS = 3000
 DEFAULT_READ_BYTES = 16 * 1024 * 1024
 
 
@@ -108,6 +113,15 @@
             self._connection = None
 
 
+def _watch_peer(sock: socket.socket) -> None:
+    """Let the kernel find out within seconds that the other host is gone."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 class ConnectionKeeper(Protocol):
     """What a connection needs of its client."""
 
@@ -160,6 +174,7 @@
     def connection_made(self, transport) -> None:
         """Be ready for a first call."""
         self._transport = transport
+        _watch_peer(transport.get_extra_info("socket"))
         self._poll.register(transport.get_extra_info("socket"), select.POLLIN)
 
     def data_received(self, data: bytes) -> None:
