Test entry hosts and control groups that find each other, in virtual time

Cause: scenarios on four control hosts showed that a voter that is gone stayed in the group once its successor had a vote, and that a new leader knew no upstreams until it had read the list, since changes reached the other replicas only as deltas on a list that they did not have; slots held there were then granted again.

Change: a voter that is gone is removed while all others are live and three stay; it joins again if it comes back. The leader brings the whole list to the other replicas. Queued lower wants are not evicted when a higher one is late, they wait behind it. A process that starts asks for votes after two fifths of the usual silence.

--- /dev/null
+++ b/features/coordination.feature
@@ -0,0 +1,167 @@
+Feature: Entry hosts find a control group through seeds, and go on without it
+  A process is told three seeds and nothing else. The leader schedules for all.
+
+  Scenario: Entry hosts learn leader, configuration and upstreams from seeds
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1,m2" are listed
+    When the operator sends version 7 to any host and it is acknowledged
+    Then every entry host has version 7 within 300 ms
+    And every entry host lists "m1,m2" within 600 ms
+
+  Scenario: A control host that no settings name joins and gets a vote
+    Given a routed group of 4 control hosts and 1 entry host
+    When 2000 ms pass in the routed group
+    Then the voters are "c1,c2,c3,c4"
+
+  Scenario: A blank host that comes later never founds a group
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 7 is acknowledged
+    When all control hosts lose power and "c1" loses its disk
+    And all control hosts start again
+    And 5000 ms pass in the routed group
+    Then version 7 is read at the leader
+    And the voters are "c1,c2,c3"
+
+  Scenario: Two blank hosts of three never found a second group
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 7 is acknowledged
+    When "c1" goes down for good
+    And "c2" and "c3" restart with empty disks
+    And 8000 ms pass in the routed group
+    Then no control host leads
+
+  Scenario: A host that is gone for good is replaced by one at a new address
+    Given a routed group of 4 control hosts and 1 entry host
+    And version 7 is acknowledged
+    When "c4" goes down for good
+    And "c9" starts blank
+    And 10000 ms pass in the routed group
+    Then the voters are "c1,c2,c3,c9"
+    And version 7 is read at the leader
+
+  Scenario: A host that was replaced while it was cut off joins again
+    Given a routed group of 4 control hosts and 1 entry host
+    And version 7 is acknowledged
+    When "c4" is cut off from all
+    And "c9" starts blank
+    And 10000 ms pass in the routed group
+    And all cuts are healed
+    And 8000 ms pass in the routed group
+    Then the voters are "c1,c2,c3,c4,c9"
+
+  Scenario: Other seeds lead to the same group
+    Given a routed group of 4 control hosts and 1 entry host
+    And version 7 is acknowledged
+    When the seeds become "c4"
+    And entry host "e1" restarts
+    Then every entry host has version 7 within 2000 ms
+
+  Scenario: The highest version stands, an older one is acknowledged without effect
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 9 is acknowledged
+    When the operator sends version 8 to the leader
+    Then the answer is "superseded"
+    And version 9 is read at the leader
+
+  Scenario: Other content under the version held changes nothing
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 9 is acknowledged
+    When the operator sends version 9 with the route "/b/" to the leader
+    Then the answer is "superseded"
+    And version 9 with the route "/a/" is read at the leader
+
+  Scenario: A leader that is cut off acknowledges and reads nothing
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 9 is acknowledged
+    When the leader is cut off from all
+    And the operator sends version 10 to the old leader
+    And the operator reads at the old leader
+    And 4000 ms pass in the routed group
+    Then both calls were answered as unavailable
+
+  Scenario: All control hosts lose power right after an acknowledgement
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 9 is acknowledged
+    When all control hosts lose power and none loses its disk
+    And all control hosts start again
+    Then a host leads within 900 ms
+    And version 9 is read at the leader
+
+  Scenario: Without a leader an entry host schedules for itself after a short silence
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1,m2" are listed
+    And version 7 is acknowledged
+    When the leader freezes
+    And 600 ms pass in the routed group
+    And "e1" wants a slot for "r1"
+    Then "r1" is granted within 20 ms
+    And "r1" was granted by the entry host itself
+
+  Scenario: A want that waits for a leader that froze is placed without it
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1,m2" are listed
+    And version 7 is acknowledged
+    When the leader freezes
+    And "e1" wants a slot for "r1"
+    Then "r1" is granted within 800 ms
+
+  Scenario: A new leader learns the slots that are held
+    Given a routed group of 3 control hosts and 1 entry host
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When "e1" wants slots for 4 requests
+    And the leader freezes
+    And another host leads and the entry hosts follow it
+    And "e1" wants a slot for "late"
+    And 300 ms pass in the routed group
+    Then "late" has no slot
+    When "e1" ends its first request
+    Then "late" is granted within 100 ms
+
+  Scenario: An entry host that restarts frees its slots at once
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When "e1" wants slots for 4 requests
+    And "e2" wants a slot for "late"
+    And entry host "e1" restarts
+    Then "late" is granted within 400 ms
+
+  Scenario: A request that its caller left takes no slot
+    Given a routed group of 3 control hosts and 1 entry host
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When "e1" wants a slot for "r1" and withdraws it at once
+    And "e1" wants slots for 4 requests
+    And 100 ms pass in the routed group
+    Then all 4 requests have a slot
+
+  Scenario: A leaving upstream gets nothing from the next reading of the list on
+    Given a routed group of 3 control hosts and 1 entry host
+    And upstreams "m1,m2" are listed
+    And version 7 is acknowledged
+    When "m1" is listed as leaving
+    And 250 ms pass in the routed group
+    And "e1" wants slots for 4 requests
+    And 100 ms pass in the routed group
+    Then all 4 requests have a slot at "m2"
+
+  Scenario: An account's allowance is bounded over all hosts and a change of leader
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1,m2,m3,m4" are listed
+    And version 7 is acknowledged
+    When each entry host asks for 100 units every 20 ms for 8000 ms while the leader changes
+    Then no more than 12100 units were granted in any 8000 ms
+
+  Scenario: Repeats are bounded over all hosts
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1,m2,m3,m4" are listed
+    And version 7 is acknowledged
+    When each entry host asks for a repeat every 20 ms for 4000 ms
+    Then no more than 10 repeats were granted
+
+  Scenario: No message goes from all to all
+    Given a routed group of 4 control hosts and 6 entry hosts
+    And version 7 is acknowledged
+    When 1000 ms pass in the routed group and messages are counted
+    Then each entry host sent at most 6 heartbeats
--- /dev/null
+++ b/features/steps/coordination_steps.py
@@ -0,0 +1,347 @@
+"""Steps on coordinators and gateways that find each other through seeds."""
+
+import json
+
+from behave import given, then, when
+from support.routed_group import RoutedGroup, listed
+
+from peridotfront.core.control_types import OperatorUnavailable
+
+
+def names_of(text):
+    return tuple(text.split(","))
+
+
+@given("a routed group of {controls:d} control hosts and {entries:d} entry hosts")
+@given("a routed group of {controls:d} control hosts and {entries:d} entry host")
+def make_group(context, controls, entries):
+    names = tuple(f"c{number}" for number in range(1, controls + 1))
+    places = {f"e{number}": f"dc{number}" for number in range(1, entries + 1)}
+    context.group = RoutedGroup(names, places)
+    context.group.await_leader()
+    context.group.run(1000)
+
+
+@given('upstreams "{names}" are listed')
+def list_upstreams(context, names):
+    context.names = names_of(names)
+    context.group.list_upstreams(*[listed(name) for name in context.names])
+    context.group.run(500)
+
+
+@given("version {version:d} is acknowledged")
+@when("the operator sends version {version:d} to any host and it is acknowledged")
+def acknowledge(context, version):
+    group = context.group
+    ticket = group.put(group.await_leader().name, version)
+    group.run_until(lambda: ticket in group.answers)
+    assert group.answers[ticket].result.status.value == "accepted"
+    context.acknowledged_ms = group.now_ms
+    if "every entry host" not in "".join(s.name for s in context.scenario.steps[-2:]):
+        group.run(400)
+
+
+@when('the operator sends version {version:d} with the route "{route}" to the leader')
+def send_other_content(context, version, route):
+    group = context.group
+    context.ticket = group.put(group.leader().name, version, routes=(route,))
+    group.run_until(lambda: context.ticket in group.answers)
+
+
+@when("the operator sends version {version:d} to the leader")
+def send_version(context, version):
+    group = context.group
+    context.ticket = group.put(group.leader().name, version)
+    group.run_until(lambda: context.ticket in group.answers)
+
+
+@when("{duration:d} ms pass in the routed group")
+def pass_time(context, duration):
+    context.group.run(duration)
+
+
+@when("{duration:d} ms pass in the routed group and messages are counted")
+def pass_counted(context, duration):
+    context.group.sent.clear()
+    context.group.run(duration)
+
+
+@when('all control hosts lose power and "{name}" loses its disk')
+def lose_power_and_disk(context, name):
+    lose_power(context)
+    context.blank = name
+
+
+@when("all control hosts lose power and none loses its disk")
+def lose_power(context):
+    context.blank = ""
+    context.group.down.update(host.name for host in context.group.controls)
+    context.group.run(500)
+
+
+@when("all control hosts start again")
+def start_again(context):
+    for host in context.group.controls:
+        context.group.restart(host.name, is_blank=host.name == context.blank)
+
+
+@when('"{one}" and "{other}" restart with empty disks')
+def restart_blank(context, one, other):
+    for name in (one, other):
+        context.group.restart(name, is_blank=True)
+
+
+@when('"{name}" goes down for good')
+def go_down(context, name):
+    context.group.down.add(name)
+
+
+@when('"{name}" starts blank')
+def start_blank(context, name):
+    context.group.add_control(name)
+
+
+@when('"{name}" is cut off from all')
+def cut_off(context, name):
+    context.group.isolate(name)
+
+
+@when("the leader is cut off from all")
+def cut_leader(context):
+    context.old_leader = context.group.leader().name
+    context.group.isolate(context.old_leader)
+
+
+@when("all cuts are healed")
+def heal(context):
+    context.group.heal()
+
+
+@when('the seeds become "{names}"')
+def change_seeds(context, names):
+    context.group.use_seeds(names_of(names))
+
+
+@when('entry host "{name}" restarts')
+def restart_entry(context, name):
+    context.group.restart(name)
+
+
+@when("the operator sends version {version:d} to the old leader")
+def send_to_old(context, version):
+    context.tickets = [context.group.put(context.old_leader, version)]
+
+
+@when("the operator reads at the old leader")
+def read_at_old(context):
+    context.tickets.append(context.group.read(context.old_leader))
+
+
+@when("the leader freezes")
+def freeze(context):
+    context.old_leader = context.group.leader().name
+    context.group.down.add(context.old_leader)
+
+
+@when("another host leads and the entry hosts follow it")
+def follow_other(context):
+    group = context.group
+    group.run_until(
+        lambda: all(e.role.leader for e in group.entries) and group.leader()
+    )
+    group.run_until(
+        lambda: all(e.role.leader == group.leader().name for e in group.entries)
+    )
+    group.run(100)
+
+
+@when('"{host}" wants a slot for "{request_id}"')
+def want_slot(context, host, request_id):
+    context.asked_ms = context.group.now_ms
+    context.group.hosts[host].want(request_id)
+
+
+@when('"{host}" wants a slot for "{request_id}" and withdraws it at once')
+def want_and_withdraw(context, host, request_id):
+    context.group.hosts[host].want(request_id)
+    context.group.hosts[host].withdraw(request_id)
+
+
+@when('"{host}" wants slots for {count:d} requests')
+def want_slots(context, host, count):
+    context.wanted = [f"many{number}" for number in range(count)]
+    for request_id in context.wanted:
+        context.group.hosts[host].want(request_id)
+    context.group.run(50)
+
+
+@when('"{host}" ends its first request')
+def end_first(context, host):
+    context.asked_ms = context.group.now_ms
+    context.group.hosts[host].end(context.wanted[0])
+
+
+@when('"{name}" is listed as leaving')
+def list_leaving(context, name):
+    upstreams = [listed(n, is_leaving=n == name) for n in context.names]
+    context.group.list_upstreams(*upstreams)
+
+
+@when(
+    "each entry host asks for {units:d} units every {gap:d} ms for {duration:d} ms"
+    " while the leader changes"
+)
+def ask_for_units(context, units, gap, duration):
+    group = context.group
+    context.spent = []
+    for number in range(duration // gap):
+        if number == duration // gap // 2:
+            group.down.add(group.leader().name)
+        for entry in group.entries:
+            request_id = f"{entry.name}-{number}"
+            entry.want(request_id, allowance_units=units)
+        group.run(gap)
+        for entry in group.entries:
+            for request_id in set(entry.granted) - {one[1] for one in context.spent}:
+                context.spent.append((group.granted_ms[request_id], request_id, units))
+                entry.end(request_id)
+
+
+@when("each entry host asks for a repeat every {gap:d} ms for {duration:d} ms")
+def ask_for_repeats(context, gap, duration):
+    for number in range(duration // gap):
+        for entry in context.group.entries:
+            request_id = f"{entry.name}-{number}"
+            entry.want(request_id, is_repeat=True)
+        context.group.run(gap)
+        for entry in context.group.entries:
+            for request_id in tuple(entry.granted):
+                if request_id in entry.wants:
+                    entry.end(request_id)
+                    del entry.wants[request_id]
+
+
+@then("every entry host has version {version:d} within {limit:d} ms")
+def have_version(context, version, limit):
+    group = context.group
+    group.run_until(
+        lambda: all(e.versions[-1:] == [version] for e in group.entries), limit
+    )
+
+
+@then('every entry host lists "{names}" within {limit:d} ms')
+def have_list(context, names, limit):
+    group = context.group
+    wanted = list(names_of(names))
+    group.run_until(
+        lambda: all(
+            [u.name for u in e.role.directory.upstreams] == wanted
+            for e in group.entries
+        ),
+        limit,
+    )
+
+
+@then('the voters are "{names}"')
+def voters_are(context, names):
+    leader = context.group.await_leader()
+    voters = sorted(voter.host for voter in leader.raft.voters)
+    assert voters == list(names_of(names)), voters
+
+
+@then("no control host leads")
+def none_leads(context):
+    assert context.group.leader() is None
+
+
+@then("a host leads within {limit:d} ms")
+def leads_within(context, limit):
+    context.group.run_until(context.group.leader, limit)
+
+
+@then('version {version:d} with the route "{route}" is read at the leader')
+def read_route(context, version, route):
+    view = read_at_leader(context, version)
+    routes = json.loads(view.current.content)["Routes"]
+    assert [one["Prefix"] for one in routes] == [route]
+
+
+@then("version {version:d} is read at the leader")
+def read_at_leader(context, version):
+    group = context.group
+    ticket = group.read(group.await_leader().name)
+    group.run_until(lambda: ticket in group.answers)
+    view = group.answers[ticket].view
+    assert view.current.version == version, view.current.version
+    return view
+
+
+@then('the answer is "{status}"')
+def answer_is(context, status):
+    result = context.group.answers[context.ticket].result
+    assert result.status.value == status, result
+
+
+@then("both calls were answered as unavailable")
+def unavailable(context):
+    for ticket in context.tickets:
+        answer = context.group.answers[ticket]
+        is_unavailable = isinstance(answer, OperatorUnavailable)
+        assert is_unavailable or answer.result.status.value == "unavailable"
+
+
+@then('"{request_id}" is granted within {limit:d} ms')
+def granted_within(context, request_id, limit):
+    group = context.group
+    left_ms = context.asked_ms + limit - group.now_ms
+    group.run_until(
+        lambda: any(request_id in e.granted for e in group.entries), max(limit, left_ms)
+    )
+
+
+@then('"{request_id}" was granted by the entry host itself')
+def granted_itself(context, request_id):
+    entry = next(e for e in context.group.entries if request_id in e.granted)
+    assert entry.granted[request_id].is_own
+
+
+@then('"{request_id}" has no slot')
+def has_no_slot(context, request_id):
+    assert not any(request_id in e.granted for e in context.group.entries)
+
+
+@then("all {count:d} requests have a slot")
+def all_have_slots(context, count):
+    granted = [
+        r for e in context.group.entries for r in e.granted if r in context.wanted
+    ]
+    assert len(granted) == count, granted
+
+
+@then('all {count:d} requests have a slot at "{upstream}"')
+def all_have_slots_at(context, count, upstream):
+    all_have_slots(context, count)
+    entries = context.group.entries
+    places = {e.granted[r].grant.upstream for e in entries for r in e.granted}
+    assert places == {upstream}, places
+
+
+@then("no more than {units:d} units were granted in any {window:d} ms")
+def bounded_units(context, units, window):
+    assert context.spent
+    for start_ms, _, _ in context.spent:
+        spent = sum(u for t, _, u in context.spent if start_ms <= t < start_ms + window)
+        assert spent <= units, spent
+
+
+@then("no more than {count:d} repeats were granted")
+def bounded_repeats(context, count):
+    granted = sum(len(entry.granted) for entry in context.group.entries)
+    assert 0 < granted <= count, granted
+
+
+@then("each entry host sent at most {count:d} heartbeats")
+def few_heartbeats(context, count):
+    entries = len(context.group.entries)
+    # Each one of an entry host is answered by one of the leader.
+    assert context.group.sent["Heartbeat"] <= 2 * count * entries
--- /dev/null
+++ b/features/support/routed_group.py
@@ -0,0 +1,350 @@
+"""Coordinators and gateways in virtual time, with a network that can be cut."""
+
+import json
+import random
+from collections import defaultdict
+
+from peridotfront import wire
+from peridotfront.core.actions import Log, Received, Send, Tick
+from peridotfront.core.allowances import AllowanceBounds
+from peridotfront.core.control_types import (
+    ConfigApplied,
+    ControlTiming,
+    OperatorPropose,
+    OperatorRead,
+    OperatorResult,
+    OperatorUnavailable,
+    OperatorView,
+)
+from peridotfront.core.controller import Controller
+from peridotfront.core.coordinator import (
+    Coordinator,
+    RoutingChanged,
+    UpstreamsListed,
+)
+from peridotfront.core.follower import ConfigInForce
+from peridotfront.core.gateway_role import (
+    GatewayRole,
+    PlaceWant,
+    SeedsChanged,
+    SlotEnded,
+    SlotGranted,
+    SlotRefused,
+    WithdrawWant,
+    release_of,
+)
+from peridotfront.core.messages import (
+    ConfigProposal,
+    ControlSnapshot,
+    ListedUpstream,
+    ReleaseCause,
+    Want,
+)
+from peridotfront.core.pools import PoolBounds
+from peridotfront.core.raft import Persist, Raft, RaftTiming
+from peridotfront.core.raft_types import GroupPolicy, RoleChanged
+from peridotfront.core.retry_budgets import RetryBounds
+from peridotfront.platform.configuration import parse_routing
+
+from .raft_group import Disk
+
+TICK_MS = 10
+DELAY_MS = 2
+REPLACE_AFTER_MS = 8000
+SEEDS = ("c1", "c2", "c3")
+BOUNDS = PoolBounds(RetryBounds(0.2, 10, 10_000), AllowanceBounds(0.1, 1000))
+ACCOUNT = {
+    "Name": "club",
+    "ApiKeys": ["k1"],
+    "Priority": 1,
+    "Unit": "tokens",
+    "PlainTokens": 200,
+    "RatePerS": 1000,
+    "Burst": 2000,
+}
+
+
+def content(version, *, routes=("/a/",), rate=1000):
+    """Return a configuration as operators send it."""
+    return json.dumps(
+        {
+            "Version": version,
+            "Routes": [
+                {
+                    "Name": f"r{prefix}",
+                    "Host": "h.example",
+                    "Prefix": prefix,
+                    "Kind": "streaming",
+                    "TimeoutMs": 8000,
+                    "GoalMs": 1000,
+                    "GapTargetMs": 800,
+                    "Priority": 0,
+                    "Service": "models",
+                    "Attempts": 1,
+                }
+                for prefix in routes
+            ],
+            "Services": [
+                {"Name": "models", "Engine": {"Slots": 4, "KvCapacity": 500_000}},
+                {"Name": "ledger"},
+            ],
+            "Tenants": [{**ACCOUNT, "RatePerS": rate}],
+        }
+    )
+
+
+def listed(name, service="models", *, slots=4, place="dc1", is_leaving=False):
+    """Return an upstream of the platform's list."""
+    address = f"10.0.0.{sum(name.encode()) % 250}:80"
+    return ListedUpstream(name, service, address, place, slots, is_leaving)
+
+
+class ControlHost:
+    """A control host's process with its disk."""
+
+    def __init__(self, group, name, is_first_start):
+        self.group = group
+        self.name = name
+        self.disk = Disk(group.random.getrandbits(62) or 1)
+        self.may_found = is_first_start
+        self.logs = []
+        self.start()
+
+    def start(self):
+        raft = Raft(
+            self.name,
+            self.disk.incarnation,
+            self.group.seeds,
+            self.disk.load(),
+            RaftTiming(),
+            self.group.random.random,
+            GroupPolicy(self.may_found, True, REPLACE_AFTER_MS),
+        )
+        self.raft = raft
+        self.applied = []
+        controller = Controller(
+            self.name,
+            raft,
+            "dc1",
+            (),
+            wire.encode,
+            lambda data: wire.decode(ControlSnapshot, data),
+            ControlTiming(snapshot_entries=20),
+        )
+        self.role = Coordinator(self.name, controller, BOUNDS)
+        self.incarnation = self.disk.incarnation
+
+    def act(self, action):
+        if isinstance(action, Persist):
+            self.disk.run(action)
+        elif isinstance(action, ConfigApplied):
+            routing = parse_routing(action.content, action.version)
+            self.group.feed(self.name, RoutingChanged(routing))
+        elif isinstance(action, OperatorResult | OperatorView | OperatorUnavailable):
+            self.group.answers[action.ticket] = action
+        elif isinstance(action, Log):
+            self.logs.append(action)
+        else:
+            assert isinstance(action, RoleChanged), action
+
+
+class EntryHost:
+    """An entry host's process."""
+
+    def __init__(self, group, name, place):
+        self.group = group
+        self.name = name
+        self.place = place
+        self.start()
+
+    def start(self):
+        self.incarnation = self.group.random.getrandbits(62) or 1
+        self.role = GatewayRole(
+            self.name, self.incarnation, self.place, self.group.seeds, BOUNDS
+        )
+        self.versions = []
+        self.granted = {}
+        self.refused = {}
+        self.wants = {}
+
+    def act(self, action):
+        if isinstance(action, ConfigInForce):
+            self.versions.append(action.version)
+            routing = parse_routing(action.content, action.version)
+            self.group.feed(self.name, RoutingChanged(routing))
+        elif isinstance(action, SlotGranted):
+            request_id = action.grant.request_id
+            assert request_id not in self.granted, "granted twice"
+            self.granted[request_id] = action
+            self.group.granted_ms[request_id] = self.group.now_ms
+        elif isinstance(action, SlotRefused):
+            self.refused[action.refuse.request_id] = action
+        else:
+            assert isinstance(action, Log), action
+
+    def want(self, request_id, **fields):
+        values = {
+            "request_id": request_id,
+            "cell": "models",
+            "model": "",
+            "tier": 1,
+            "client_account": "club",
+            "prompt_tokens": 100,
+            "output_tokens": 10,
+            "prefix_hashes": (),
+            "fingerprint": 1,
+            "deadline_ms": 5000,
+            "goal_ms": 1000,
+            "allowance_units": 0,
+        }
+        want = Want(**{**values, **fields})
+        self.wants[request_id] = want
+        self.group.feed(self.name, PlaceWant(want))
+
+    def withdraw(self, request_id):
+        self.group.feed(self.name, WithdrawWant(request_id))
+
+    def end(self, request_id, cause=ReleaseCause.COMPLETED):
+        upstream = self.granted[request_id].grant.upstream
+        release = release_of(self.wants[request_id], upstream, cause)
+        self.group.feed(self.name, SlotEnded(release))
+
+
+class RoutedGroup:
+    """Drives control and entry hosts on one virtual clock.
+
+    :param controls: names; the first three are the seeds.
+    :param entries: data centre by entry host.
+    """
+
+    def __init__(self, controls=("c1", "c2", "c3"), entries=None, seed=0):
+        self.random = random.Random(seed)
+        self.now_ms = 0
+        self.seeds = SEEDS
+        self.cuts = set()
+        self.down = set()
+        self.in_flight = []
+        self.answers = {}
+        self.granted_ms = {}
+        self.ticket = 0
+        self.listed = ()
+        self.sent = defaultdict(int)
+        self.hosts = {}
+        for name in controls:
+            self.hosts[name] = ControlHost(self, name, is_first_start=True)
+        places = {"e1": "dc1", "e2": "dc2"} if entries is None else entries
+        for name, place in places.items():
+            self.hosts[name] = EntryHost(self, name, place)
+
+    @property
+    def controls(self):
+        return [h for h in self.hosts.values() if isinstance(h, ControlHost)]
+
+    @property
+    def entries(self):
+        return [h for h in self.hosts.values() if isinstance(h, EntryHost)]
+
+    def add_control(self, name):
+        self.hosts[name] = ControlHost(self, name, is_first_start=False)
+
+    def use_seeds(self, seeds):
+        self.seeds = seeds
+        for host in self.controls:
+            host.raft.use_configured_hosts(seeds)
+        for host in self.entries:
+            self.feed(host.name, SeedsChanged(seeds))
+
+    def restart(self, name, *, is_blank=False):
+        host = self.hosts[name]
+        self.down.discard(name)
+        if is_blank:
+            host.disk = Disk(self.random.getrandbits(62) or 1)
+            host.may_found = False
+        host.start()
+
+    def leader(self):
+        leaders = [
+            h
+            for h in self.controls
+            if h.name not in self.down
+            and h.role.is_leading
+            and h.raft.holds_quorum(self.now_ms)
+        ]
+        return leaders[0] if leaders else None
+
+    def await_leader(self):
+        self.run_until(self.leader, 10_000)
+        return self.leader()
+
+    def cut(self, one, other):
+        self.cuts.add(frozenset((one, other)))
+
+    def isolate(self, name):
+        for other in self.hosts:
+            if other != name:
+                self.cut(name, other)
+
+    def heal(self):
+        self.cuts.clear()
+
+    def list_upstreams(self, *upstreams):
+        """Set what the platform's list says; the leader reads it every 200 ms."""
+        self.listed = tuple(upstreams)
+
+    def put(self, host, version, **fields):
+        self.ticket += 1
+        text = content(version, **fields)
+        proposal = ConfigProposal(f"p{self.ticket}", 0, "operator", text, version)
+        self.feed(host, OperatorPropose(self.ticket, proposal))
+        return self.ticket
+
+    def read(self, host):
+        self.ticket += 1
+        self.feed(host, OperatorRead(self.ticket))
+        return self.ticket
+
+    def feed(self, name, event):
+        if name in self.down:
+            return
+        host = self.hosts[name]
+        for action in tuple(host.role.handle(event, self.now_ms)):
+            if isinstance(action, Send):
+                self._send(host, action)
+            else:
+                host.act(action)
+
+    def _send(self, host, action):
+        self.sent[type(action.message).__name__] += 1
+        data = wire.to_proto(action.message).SerializeToString()
+        message = wire.decode(type(action.message), data)
+        received = Received(host.name, host.incarnation, message)
+        due_ms = self.now_ms + DELAY_MS
+        self.in_flight.append((due_ms, action.to_host, received))
+
+    def _deliver(self):
+        due = [one for one in self.in_flight if one[0] <= self.now_ms]
+        self.in_flight = [one for one in self.in_flight if one[0] > self.now_ms]
+        for _, name, received in due:
+            is_cut = frozenset((name, received.sender)) in self.cuts
+            is_down = name in self.down or received.sender in self.down
+            if name in self.hosts and not is_cut and not is_down:
+                self.feed(name, received)
+
+    def run(self, duration_ms):
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 1
+            self._deliver()
+            if self.now_ms % TICK_MS == 0:
+                for name in tuple(self.hosts):
+                    self.feed(name, Tick())
+            if self.now_ms % 200 == 0:
+                leader = self.leader()
+                if leader is not None:
+                    self.feed(leader.name, UpstreamsListed(self.listed))
+
+    def run_until(self, condition, limit_ms=5000):
+        end_ms = self.now_ms + limit_ms
+        while not condition():
+            assert self.now_ms < end_ms, "the condition did not come"
+            self.run(10)
--- a/src/peridotfront/core/allowances.py
+++ b/src/peridotfront/core/allowances.py
@@ -67,7 +67,7 @@
     opening_slack: float
 
 
-LEADER_SHARE = AllowanceShare(rate=1.0, burst=1.0, slack=0.6, opening_slack=0.2)
+LEADER_SHARE = AllowanceShare(rate=1.0, burst=1.0, slack=0.6, opening_slack=0.3)
 
 
 def alone_share(entry_hosts: int) -> AllowanceShare:
@@ -135,7 +135,7 @@
         full = max(burst + slack * share.slack, rate_per_s)
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            level = burst + slack * share.opening_slack
-            bucket = TokenBucket(rate_per_s, full, min(full, level), now_ms)
+            level = min(full, slack * share.opening_slack)
+            bucket = TokenBucket(rate_per_s, full, level, now_ms)
             self._buckets[account.name] = bucket
         bucket.resize(rate_per_s, full, now_ms)
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -116,7 +116,7 @@
         self._settle_budget(now_ms)
         yield from self.pools.handle(event, now_ms)
         if now_ms - self._list_shared_ms >= SHARE_LIST_MS:
-            yield from self._share(self.directory.whole(), now_ms)
+            yield from self._share(now_ms)
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -137,7 +137,7 @@
             return
         yield _list_log(update)
         yield from self.pools.use_upstreams(self.directory.upstreams, now_ms)
-        yield from self._share(update, now_ms)
+        yield from self._share(now_ms)
         for name, entry in self._entries.items():
             if entry.upstreams_version == update.base_version:
                 entry.upstreams_version = update.version
@@ -234,8 +234,10 @@
         yield Log("peer_silent", (("peer", host),))
         yield from self.pools.handle(HostLost(host, is_restarted), now_ms)
 
-    def _share(self, update: UpstreamsUpdate, now_ms: int) -> Iterator[Send]:
+    def _share(self, now_ms: int) -> Iterator[Send]:
+        """Bring the whole list to the other replicas, one of which may lead next."""
         self._list_shared_ms = now_ms
+        update = self.directory.whole()
         for host in self.controller.control_hosts:
             if host != self._host:
                 yield Send(host, update)
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -106,6 +106,8 @@
     :param overfill_ratio: how far an urgent request may exceed the learned slots.
     :param urgent_ms: a want with less patience left is urgent.
     :param preempts: whether running requests may be cut for urgent higher ones.
+    :param evicts: whether lower wants are taken out of the queue when a higher one
+        is not expected to begin in time; else the higher one waits before them.
     :param learns_rates: whether rates and slots follow what an engine does.
     :param learns_slots: whether the slots do; else all of ``max_slots`` are used.
     :param max_backoff_ms: until an upstream that failed is tried again, at most.
@@ -137,6 +139,7 @@
     overfill_ratio: float = 1.0
     urgent_ms: int = 500
     preempts: bool = True
+    evicts: bool = True
     preempt_lead_ms: int = 100
     affinity_ms: int = 1000
     learns_rates: bool = True
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -16,7 +16,7 @@
 from .directory import UpstreamDirectory
 from .dispatch import dispatchmethod
 from .fallback import own_share
-from .follower import ConfigFollower, ConfigInForce
+from .follower import ConfigFollower, ConfigInForce, FollowerTiming
 from .leader_hints import LeaderHints
 from .messages import (
     CancelWant,
@@ -36,6 +36,7 @@
 HEARTBEAT_MS = 200
 LEADER_SILENCE_MS = 550
 HINT_TIMEOUT_MS = 1500
+BLANK_WAIT_MS = 100
 RESEND_WANT_MS = 300
 RENEW_SLOT_MS = 1000
 ALONE_RETRY_SHARE = 0.3
@@ -137,7 +138,7 @@
         self.host = host
         self.incarnation = incarnation
         self.data_centre = data_centre
-        self.follower = ConfigFollower()
+        self.follower = ConfigFollower(FollowerTiming(blank_wait_ms=BLANK_WAIT_MS))
         self.directory = UpstreamDirectory()
         self.leader = ""
         self.entry_hosts = 1
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -34,6 +34,7 @@
     slow_token_ms=1000.0,
     settle_ms=100,
     preempts=False,
+    evicts=False,
     learns_slots=False,
     max_backoff_ms=4000,
     affinity_ms=0,
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -72,6 +72,9 @@
 ]
 
 
+FIRST_TIMEOUT_SHARE = 0.4
+
+
 class Raft:
     """One replica of the control group.
 
@@ -216,7 +219,9 @@
 
     def _start(self) -> Iterator[Any]:
         self._is_started = True
-        self._delay_election()
+        # Pre-votes keep this from disturbing a group that has a leader.
+        timeout_ms = self._local.election_timeout_ms() * FIRST_TIMEOUT_SHARE
+        self._election_due_ms = self._now_ms + timeout_ms
         snapshot = self._local.log.snapshot
         if snapshot.last_index:
             yield Restore(snapshot.last_index, snapshot.data)
--- a/src/peridotfront/core/raft_membership.py
+++ b/src/peridotfront/core/raft_membership.py
@@ -5,6 +5,8 @@
 
 from .messages import MembershipChange, Replica
 
+MIN_VOTERS = 3
+
 
 @dataclass(frozen=True, slots=True)
 class Contact:
@@ -58,14 +60,27 @@
     A learner that caught up first has its silent predecessor removed from the
     voters and becomes a voter in a second step. While a voter of its host answers,
     a learner replaces nothing, and is removed if it is silent itself. A learner on
-    a new host has a voter removed that is gone, if there is one.
+    a new host has a voter removed that is gone, if there is one. Without a learner a
+    voter that is gone is removed too, as long as ``MIN_VOTERS`` stay; it joins again
+    if it comes back.
     """
     known = {contact.replica: contact for contact in contacts}
     for learner in membership.learners:
         step = _step_for(membership, learner, known)
         if step is not None:
             return step
-    return None
+    return _without_gone(membership, known)
+
+
+def _without_gone(
+    membership: MembershipChange, known: dict[Replica, Contact]
+) -> MembershipChange | None:
+    """Return the members without a voter that is gone while all others are live."""
+    # The leader itself has no contact.
+    away = [v for v in membership.voters if v in known and not known[v].is_live]
+    if len(away) != 1 or len(membership.voters) <= MIN_VOTERS:
+        return None
+    return _without_voter(membership, away[0]) if known[away[0]].is_gone else None
 
 
 def _step_for(
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -524,6 +524,10 @@
 
     def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
         reach = self._reach.get(model, [])
+        if not self._fleet.policy.evicts:
+            yield from self._shed_hopeless(tier, model, now_ms)
+            if not self._may_refuse(tier, model):
+                return
         while (excess := self._excess(tier, model, now_ms)) is not None:
             yield from self._evict_lower(tier, model, now_ms)
             if not self._may_refuse(tier, model):
@@ -533,6 +537,15 @@
             left_ms = self._drain.patience_ms(excess, reach, now_ms)
             yield self._shed_one(excess, wait_ms - left_ms, now_ms)
 
+    def _shed_hopeless(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
+        """Refuse the wants that no upstream can begin in time any more."""
+        queue = self._queues.queue(tier, model)
+        reach = self._reach.get(model, [])
+        while (urgent := queue.most_urgent()) is not None:
+            if not self._drain.is_hopeless(urgent, reach, now_ms):
+                return
+            yield self._shed_one(urgent, 0, now_ms)
+
     def _excess(self, tier: int, model: str, now_ms: int) -> QueuedWant | None:
         """Return a want of the tier that cannot begin in time."""
         queue = self._queues.queue(tier, model)
