--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,145 @@
+Feature: Routed requests are forwarded whole, once, and answered honestly
+  A gateway stands between callers and upstreams that follow a script.
+
+  Scenario: A whole answer passes unchanged with its digest
+    Given a gateway before upstream "u1" that will "answer"
+    When a caller sends "/transfer/x?q=%2F" with the body "pay 5"
+    Then the caller gets 200 with the body "whole answer of u1"
+    And the digest is "sig"
+    And upstream "u1" got "POST /transfer/x?q=%2F HTTP/1.1" with the body "pay 5"
+    And the slot ended as "completed"
+
+  Scenario: Only the system sets the header fields that are its own
+    Given a gateway before upstream "u1" that will "answer"
+    When a caller sends "/transfer/x" with forged system fields
+    Then upstream "u1" got the account "club" and the instance "u1"
+    And upstream "u1" got none of "api-key,x-hold,x-pin-ms,x-kv-backup,kv-from,kv-fetch"
+    And upstream "u1" got the host "h.example"
+
+  Scenario: The time that is handed on is what is left after a slow body
+    Given a gateway before upstream "u1" that will "answer"
+    When a caller sends the body of "/transfer/x" after 400 ms
+    Then upstream "u1" got between 2300 and 2620 ms
+
+  Scenario Outline: What can't be routed is refused before anything is sent
+    Given a gateway before upstream "u1" that will "answer"
+    When a caller sends "<path>" with the key "<key>"
+    Then the caller gets <status>
+    And upstream "u1" got 0 requests
+
+    Examples:
+      | path        | key         | status |
+      | /nowhere/x  | key-of-club | 404    |
+      | /transfer/x | wrong       | 401    |
+
+  Scenario: Without a configuration the caller is told to come back
+    Given a gateway without a configuration
+    When a caller sends "/transfer/x" with the key "key-of-club"
+    Then the caller gets 503
+    And the caller may come back within 1000 ms
+
+  Scenario Outline: A transfer that may have run is never said not to have run
+    Given a gateway before upstream "u1" that will "<fault>"
+    And upstream "u2" that will "answer"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 502
+    And upstream "u2" got 0 requests
+
+    Examples:
+      | fault          |
+      | reset          |
+      | short          |
+      | foreign        |
+      | unsigned       |
+      | unframed_reset |
+
+  Scenario: A transfer that was rejected goes to another upstream
+    Given a gateway before upstream "u1" that will "reject"
+    And upstream "u2" that will "answer"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 200 with the body "whole answer of u2"
+    And the second want is a repeat
+
+  Scenario: A transfer that every upstream rejected did not run
+    Given a gateway before upstream "u1" that will "reject"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 503
+    And the caller may come back within 1000 ms
+
+  Scenario: An address with another upstream gets no run
+    Given a gateway before upstream "u1" that will "other"
+    And upstream "u2" that will "answer"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 200 with the body "whole answer of u2"
+
+  Scenario Outline: A look-up is tried once more at another upstream
+    Given a gateway before upstream "u1" that will "<fault>"
+    And upstream "u2" that will "answer"
+    When a caller sends "/look-up/x" with the body ""
+    Then the caller gets 200 with the body "whole answer of u2"
+
+    Examples:
+      | fault   |
+      | reset   |
+      | fail    |
+      | foreign |
+      | hang    |
+
+  Scenario: A look-up that failed at all its upstreams gets the failure itself
+    Given a gateway before upstream "u1" that will "fail"
+    And upstream "u2" that will "fail"
+    When a caller sends "/look-up/x" with the body ""
+    Then the caller gets 500 with the body "sorry"
+    And the digest is "failed"
+
+  Scenario: An answer without a length ends with its connection
+    Given a gateway before upstream "u1" that will "unframed"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 200 with the body "to the end"
+
+  Scenario: Events are passed on as they come
+    Given a gateway before upstream "u1" that will "slow_events"
+    When a caller sends "/stream/x" with the body "prompt"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+    And the first event came at least 300 ms before the end
+
+  Scenario: A stream that may go on elsewhere is resumed after its last whole event
+    Given a gateway before upstream "u1" that will "cut_events"
+    And upstream "u2" that will "events"
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+    And the digest is "sig-of-u1"
+    And upstream "u2" was asked to go on after "3"
+
+  Scenario: A stream that may not go on elsewhere is broken off visibly
+    Given a gateway before upstream "u1" that will "cut_events"
+    And upstream "u2" that will "events"
+    When a caller sends "/stream/x" with the body "prompt"
+    Then the caller gets events "1,2,3" and no end
+    And upstream "u2" got 0 requests
+
+  Scenario: A resumable stream whose upstream falls silent goes on elsewhere
+    Given a gateway before upstream "u1" that will "silent_events"
+    And upstream "u2" that will "events"
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+    And upstream "u1" had its connection closed
+
+  Scenario: A caller that leaves ends the work at the upstream at once
+    Given a gateway before upstream "u1" that will "hang"
+    When a caller sends "/stream/x" and leaves after 100 ms
+    Then upstream "u1" had its connection closed within 300 ms
+    And the slot ended as "caller_gone"
+
+  Scenario: The time limit of a route ends the wait
+    Given a gateway with the time limit 400 ms before an upstream that hangs
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 504
+    And the answer took at most 550 ms
+
+  Scenario: Idle connections are closed when the host leaves, others are not
+    Given a gateway before upstream "u1" that will "slow_events"
+    When a caller keeps a connection idle while another one reads a stream
+    And the host closes what is idle
+    Then the idle connection ends
+    And the stream still comes to its end
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,252 @@
+"""Steps on a gateway before upstreams that follow a script."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from support.routed_upstreams import (
+    RoutedFront,
+    Upstream,
+    read_answer,
+    request,
+    routing,
+)
+
+from peridotfront.core.gateway_role import SlotEnded
+from peridotfront.core.routes import RouteTable, Routing
+
+POLL_S = 0.02
+
+
+def run(context, work):
+    """Run a coroutine against the gateway of the scenario."""
+
+    async def inside():
+        async with RoutedFront(context.upstreams, context.routes) as front:
+            context.front = front
+            answer = await work(front)
+            await asyncio.sleep(POLL_S)
+            return answer
+
+    return asyncio.run(inside())
+
+
+def call(context, path, **fields):
+    context.answer = run(context, lambda front: front.call(path, **fields))
+
+
+def upstream(context, name):
+    return next(one for one in context.upstreams if one.name == name)
+
+
+@given('a gateway before upstream "{name}" that will "{step}"')
+def make_front(context, name, step):
+    context.routes = None
+    context.upstreams = [Upstream(name, [step])]
+
+
+@given('upstream "{name}" that will "{step}"')
+def add_upstream(context, name, step):
+    context.upstreams.append(Upstream(name, [step]))
+
+
+@given("a gateway without a configuration")
+def make_blank(context):
+    context.routes = RouteTable(Routing())
+    context.upstreams = []
+
+
+@given("a gateway with the time limit {limit:d} ms before an upstream that hangs")
+def make_limited(context, limit):
+    context.routes = RouteTable(routing(transfer={"TimeoutMs": limit}))
+    context.upstreams = [Upstream("u1", ["hang"])]
+
+
+@when('a caller sends "{path}" with the body "{body}"')
+@when('a caller sends "{path}" with the body ""')
+def send(context, path, body=""):
+    call(context, path, body=body.encode())
+
+
+@when('a caller sends "{path}" with the key "{key}"')
+def send_with_key(context, path, key):
+    call(context, path, Api_Key=key)
+
+
+@when('a caller sends "{path}" with forged system fields')
+def send_forged(context, path):
+    forged = {
+        "X_Tenant": "bank",
+        "X_Expect_Instance": "u9",
+        "X_Hold": "1",
+        "X_Pin_Ms": "1000",
+        "X_Kv_Backup": "10.0.0.1:80",
+        "Kv_From": "10.0.0.1:80/1",
+        "Kv_Fetch": "10.0.0.1:80",
+    }
+    call(context, path, **forged)
+
+
+@when('a caller sends the body of "{path}" after {pause:d} ms')
+def send_slowly(context, path, pause):
+    call(context, path, body=b"pay 5", pause_s=pause / 1000)
+
+
+@when('a caller sends "{path}" and leaves after {pause:d} ms')
+def send_and_leave(context, path, pause):
+    async def work(front):
+        _, writer = await front.open()
+        writer.write(request(path))
+        await asyncio.sleep(pause / 1000)
+        writer.close()
+        left_s = time.monotonic()
+        while not context.upstreams[0].seen[0].is_closed:
+            await asyncio.sleep(POLL_S)
+        context.closed_after_s = time.monotonic() - left_s
+
+    run(context, work)
+
+
+@when("a caller keeps a connection idle while another one reads a stream")
+def keep_idle(context):
+    async def work(front):
+        idle_reader, _ = await front.open()
+        reader, writer = await front.open()
+        writer.write(request("/stream/x"))
+        await asyncio.sleep(0.2)
+        front.http.is_draining = True
+        front.http.close_idle()
+        context.idle_end = await asyncio.wait_for(idle_reader.read(), 1)
+        return await read_answer(reader)
+
+    context.answer = run(context, work)
+
+
+@when("the host closes what is idle")
+def closed_above(context):
+    assert context.front.http.is_draining
+
+
+@then("the idle connection ends")
+def idle_ended(context):
+    assert context.idle_end == b""
+
+
+@then("the stream still comes to its end")
+def stream_ended(context):
+    assert context.answer.is_whole
+
+
+@then('the caller gets {status:d} with the body "{body}"')
+def gets_body(context, status, body):
+    assert context.answer.status == status, context.answer
+    assert context.answer.is_whole
+    assert context.answer.body.decode() == body, context.answer.body
+
+
+@then("the caller gets {status:d}")
+def gets_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then('the digest is "{digest}"')
+def digest_is(context, digest):
+    assert context.answer.headers["x-response-sig"] == digest
+
+
+@then("the caller may come back within {limit:d} ms")
+def may_come_back(context, limit):
+    wait_ms = float(context.answer.headers["retry-after"]) * 1000
+    assert 0 < wait_ms <= limit, wait_ms
+
+
+@then('upstream "{name}" got "{line}" with the body "{body}"')
+def got_line(context, name, line, body):
+    seen = upstream(context, name).seen[0]
+    assert (seen.line, seen.body.decode()) == (line, body), seen
+
+
+@then('upstream "{name}" got {count:d} requests')
+def got_count(context, name, count):
+    assert len(upstream(context, name).seen) == count
+
+
+@then('upstream "{name}" got the account "{account}" and the instance "{instance}"')
+def got_system_fields(context, name, account, instance):
+    headers = upstream(context, name).seen[0].headers
+    found = (headers["x-tenant"], headers["x-expect-instance"])
+    assert found == (account, instance), found
+
+
+@then('upstream "{name}" got none of "{names}"')
+def got_none(context, name, names):
+    headers = upstream(context, name).seen[0].headers
+    assert not set(names.split(",")) & set(headers), headers
+
+
+@then('upstream "{name}" got the host "{host}"')
+def got_host(context, name, host):
+    assert upstream(context, name).seen[0].headers["host"] == host
+
+
+@then('upstream "{name}" got between {least:d} and {most:d} ms')
+def got_deadline(context, name, least, most):
+    left_ms = int(upstream(context, name).seen[0].headers["x-deadline-ms"])
+    assert least <= left_ms <= most, left_ms
+
+
+@then('upstream "{name}" was asked to go on after "{event_id}"')
+def got_last_event(context, name, event_id):
+    assert upstream(context, name).seen[0].headers["last-event-id"] == event_id
+
+
+@then('upstream "{name}" had its connection closed')
+def was_closed(context, name):
+    assert upstream(context, name).seen[0].is_closed
+
+
+@then('upstream "{name}" had its connection closed within {limit:d} ms')
+def was_closed_within(context, name, limit):
+    assert context.closed_after_s * 1000 <= limit, context.closed_after_s
+
+
+@then('the slot ended as "{cause}"')
+def slot_ended(context, cause):
+    events = context.front.placer.events
+    causes = [e.release.cause.value for e in events if isinstance(e, SlotEnded)]
+    assert causes == [cause], causes
+
+
+@then("the second want is a repeat")
+def second_is_repeat(context):
+    assert [want.is_repeat for want in context.front.placer.wants] == [False, True]
+
+
+@then('the caller gets events "{numbers}" and the end')
+def gets_events(context, numbers):
+    check_events(context, numbers)
+    assert context.answer.is_whole
+
+
+@then('the caller gets events "{numbers}" and no end')
+def gets_broken_events(context, numbers):
+    check_events(context, numbers)
+    assert not context.answer.is_whole
+
+
+def check_events(context, numbers):
+    expected = "".join(
+        f"id: {number}\ndata: piece {number}\n\n" for number in numbers.split(",")
+    )
+    assert context.answer.body.decode() == expected, context.answer.body
+
+
+@then("the first event came at least {spare:d} ms before the end")
+def came_early(context, spare):
+    answer = context.answer
+    assert (answer.duration_s - answer.first_s) * 1000 >= spare, answer
+
+
+@then("the answer took at most {limit:d} ms")
+def took_at_most(context, limit):
+    assert context.answer.duration_s * 1000 <= limit, context.answer.duration_s
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
-from typing import Protocol
+from typing import Any, Protocol
 
 from . import logs
 from .core.attempts import Attempts, patience_ms, silence_ms
@@ -216,27 +216,14 @@
             self._count(admitted, forwarding)
 
     def _count(self, admitted: Admitted, forwarding: "Forwarding") -> None:
-        route = admitted.route
         self._metrics.count_answer(
             admitted.tier, forwarding.verdict, forwarding.reason, forwarding.is_good
         )
-        logs.write(
-            "forwarding_ended",
-            route=route.name,
-            kind=route.kind,
-            outcome=forwarding.outcome,
-            status=forwarding.status_code,
-            verdict=forwarding.verdict,
-            reason=forwarding.reason,
-            sends=forwarding.sends,
-            waited_ms=forwarding.waited_ms,
-            first_ms=forwarding.first_ms,
-            duration_ms=now_ms() - admitted.began_ms,
-        )
+        forwarding.write_end()
 
     async def _refuse(self, exchange: Exchange, refused: "_Refused") -> None:
         request_id = exchange.request.header("x-attempt-id")
-        logs.write(
+        logs.write_sampled(
             "request_refused",
             request_id=request_id,
             reason=refused.reason,
@@ -310,6 +297,8 @@
         self._admitted = admitted
         self._attempts = Attempts(admitted.route)
         self._last_event_id = admitted.request.last_event_id
+        self._is_sent = False
+        self._skipped: list[tuple[str, dict[str, Any]]] = []
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
         self.outcome = "unfinished"
         self.reason = Reason.NONE
@@ -321,7 +310,9 @@
     @property
     def verdict(self) -> Verdict:
         """Tell whether the request may have run."""
-        return Verdict.COMPLETED if self.is_good else self._attempts.verdict
+        if self.is_good:
+            return Verdict.COMPLETED
+        return Verdict.MAY_HAVE_RUN if self._is_sent else self._attempts.verdict
 
     @property
     def is_good(self) -> bool:
@@ -346,6 +337,7 @@
             cause = await self._send(want, grant)
             if cause in (ReleaseCause.COMPLETED, None):
                 return
+            self._is_sent = False
             if not self._attempts.may_repeat(grant.upstream, cause):
                 await self._give_up(_reason_of(cause), SPENT_RETRY_MS)
                 return
@@ -363,18 +355,20 @@
         finally:
             self.waited_ms += now_ms() - started_ms
         if isinstance(answer, SlotRefused):
-            logs.write(
+            self._log(
                 "slot_refused",
                 service=want.cell,
+                tier=want.tier,
                 reason=answer.refuse.reason,
                 retry_after_ms=answer.refuse.retry_after_ms,
                 waited_ms=self.waited_ms,
                 is_own=answer.is_own,
             )
             return answer
-        logs.write(
+        self._log(
             "slot_granted",
             service=want.cell,
+            tier=want.tier,
             upstream=answer.grant.upstream,
             address=answer.grant.address,
             waited_ms=self.waited_ms,
@@ -447,6 +441,7 @@
         left_ms = self._left_ms()
         silence = silence_ms(admitted.route, self._attempts, left_ms)
         self.sends += 1
+        self._is_sent = True
         answer = await self._client.send(
             sending.grant.address,
             http.method,
@@ -577,7 +572,7 @@
     def _log_failure(
         self, sending: "_Sending", cause: ReleaseCause, error: Exception
     ) -> None:
-        logs.write(
+        self._log(
             "send_failed",
             upstream=sending.grant.upstream,
             address=sending.grant.address,
@@ -587,6 +582,35 @@
             duration_ms=now_ms() - sending.started_ms,
         )
 
+    def _log(self, event_name: str, **fields: Any) -> None:
+        """Write a line, or keep it for a request that fails when there are many."""
+        if not logs.write_sampled(event_name, **fields):
+            self._skipped.append((event_name, fields))
+
+    def write_end(self) -> None:
+        """Write how the request ended; one that failed gets all its lines."""
+        admitted = self._admitted
+        fields = {
+            "route": admitted.route.name,
+            "kind": admitted.route.kind,
+            "service": admitted.service,
+            "config_version": self._server.table.version,
+            "outcome": self.outcome,
+            "status": self.status_code,
+            "verdict": self.verdict,
+            "reason": self.reason,
+            "sends": self.sends,
+            "waited_ms": self.waited_ms,
+            "first_ms": self.first_ms,
+            "duration_ms": now_ms() - admitted.began_ms,
+        }
+        if self.is_good:
+            logs.write_sampled("forwarding_ended", **fields)
+            return
+        for event_name, skipped in self._skipped:
+            logs.write(event_name, is_late=True, **skipped)
+        logs.write("forwarding_ended", **fields)
+
     def _left_ms(self) -> int:
         return self._admitted.end_ms - END_MARGIN_MS - now_ms()
 
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -107,6 +107,17 @@
     ),
 )
 
+OUTPUT_EVENTS = (
+    LogEvent(
+        120,
+        "log_lines_left_out",
+        Level.INFO,
+        "log lines were left out",
+        "There were too many of the events named, or nobody read the output. Lines"
+        " of requests that failed are not left out for their number.",
+    ),
+)
+
 PEER_EVENTS = (
     LogEvent(
         200,
@@ -678,6 +689,7 @@
 
 EVENTS = (
     PROCESS_EVENTS
+    + OUTPUT_EVENTS
     + PEER_EVENTS
     + CONTROL_EVENTS
     + CONFIGURATION_EVENTS
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -7,20 +7,23 @@
 import asyncio
 import logging
 import sys
+import time
 import traceback
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, TextIO
 
 import structlog
 
 from .exceptions import LogEventUnknown
 from .log_events import EVENTS_BY_NAME, LEVEL_NUMBERS, Level
+from .log_output import LineBudget
 from .masking import MASK, is_secret
 from .settings import LogSection
 
+LEFT_OUT_INTERVAL_MS = 5000
 RESERVED_FIELDS = frozenset({"event", "host", "name", "number", "timestamp"})
 
 _request_id: ContextVar[str] = ContextVar("request_id", default="")
@@ -32,6 +35,9 @@
 
     logger: Any = None
     lowest_level: int = LEVEL_NUMBERS[Level.INFO]
+    stream: Any = None
+    budget: LineBudget = field(default_factory=LineBudget)
+    told_ms: int = 0
 
 
 _output = Output()
@@ -59,6 +65,7 @@
         host=host,
     )
     _output.lowest_level = LEVEL_NUMBERS[Level(section.level)]
+    _output.stream = stream
     logging.basicConfig(level=logging.WARNING, handlers=[LibraryHandler()], force=True)
 
 
@@ -118,6 +125,31 @@
     method(event.text, number=event.number, name=event.name, **values)
 
 
+def write_sampled(event_name: str, /, **fields: Any) -> bool:
+    """Write one line unless there were too many of its event lately.
+
+    :return: whether it was written; the lines left out are counted and told.
+    """
+    _tell_left_out()
+    if not _output.budget.take(event_name):
+        return False
+    write(event_name, **fields)
+    return True
+
+
+def _tell_left_out() -> None:
+    now_ms = time.monotonic_ns() // 1_000_000
+    if now_ms - _output.told_ms < LEFT_OUT_INTERVAL_MS:
+        return
+    _output.told_ms = now_ms
+    left_out = _output.budget.take_left_out()
+    lost = getattr(_output.stream, "lost_lines", 0)
+    if lost:
+        _output.stream.lost_lines = 0
+    if left_out or lost:
+        write("log_lines_left_out", by_event=left_out, lost=lost)
+
+
 def _free(name: str) -> str:
     return f"field_{name}" if name in RESERVED_FIELDS else name
 
--- a/src/peridotfront/platform/process.py
+++ b/src/peridotfront/platform/process.py
@@ -11,6 +11,7 @@
 from ..admin import METRICS_TYPE
 from ..exceptions import SettingsInvalid
 from ..exchanges import Exchange
+from ..log_output import BoundedStream
 from ..metrics import Metrics
 from ..settings import LogSection
 from .settings import PlatformSettings, load_settings, settings_path
@@ -27,7 +28,8 @@
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from error
-    logs.configure(LogSection(), settings.host.name, sys.stdout)
+    stream = BoundedStream(sys.stdout.fileno())
+    logs.configure(LogSection(), settings.host.name, stream)
     return settings
 
 
