Show nobody a configuration from a log that is still being replayed

Ruled out: the order of the messages (version 4 was sent first, alone).

Change: a replica tells a version only once all is applied that was committed when the leader began; the leader puts the newest one in force after a turn, not each.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -87,6 +87,13 @@
     Then a host leads within 900 ms
     And version 9 is read at the leader
 
+  Scenario: After a loss of power nobody is shown a version from the replayed log
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And versions 1 to 30 are acknowledged
+    When all hosts lose power and start again
+    And 3000 ms pass in the routed group
+    Then every entry host took version 30 alone
+
   Scenario: Without a leader an entry host schedules for itself after a short silence
     Given a routed group of 3 control hosts and 2 entry hosts
     And upstreams "m1,m2" are listed
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -41,6 +41,27 @@
         group.run(400)
 
 
+@given("versions {first:d} to {last:d} are acknowledged")
+def acknowledge_many(context, first, last):
+    for version in range(first, last + 1):
+        acknowledge(context, version)
+
+
+@when("all hosts lose power and start again")
+def restart_all(context):
+    group = context.group
+    group.down.update(group.hosts)
+    group.run(500)
+    for name in group.hosts:
+        group.restart(name)
+
+
+@then("every entry host took version {version:d} alone")
+def took_alone(context, version):
+    for entry in context.group.entries:
+        assert entry.versions == [version], entry.versions
+
+
 @when('the operator sends version {version:d} with the route "{route}" to the leader')
 def send_other_content(context, version, route):
     group = context.group
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -139,6 +139,7 @@
         self._batcher = ClaimBatcher(self._timing)
         self._limits = KEEP_LIMITS
         self._is_leader = False
+        self._announced_version = 0
         self._led_since_ms = 0
         self._claims_clock_base_ms = 0
         self._sequence = 0
@@ -164,6 +165,7 @@
         :return: actions, to be carried out in order.
         """
         yield from self._handle(event, now_ms)
+        yield from self._announce_config(now_ms)
         yield from self._propose_batches(now_ms)
         self._start_snapshot()
 
@@ -270,7 +272,7 @@
 
     @_receive.register
     def _(self, message: ConfigQuery, event: Received, now_ms: int) -> Iterator[Any]:
-        if self._state.configuration.version > message.version:
+        if self._known_version > message.version:
             yield Send(event.sender, self._state.configuration.update())
 
     @_receive.register
@@ -364,15 +366,21 @@
             self._claims_clock_base_ms = self._state.claims.time_ms
             for host in self._hosts.all():
                 host.has_strikes = False
-            if self._state.configuration.version:
-                yield self._config_applied()
+            self._announced_version = 0
         if self._is_leader and not is_leader:
             yield from self._step_down()
         self._is_leader = is_leader
 
-    def _config_applied(self) -> ConfigApplied:
+    def _announce_config(self, now_ms: int) -> Iterator[Any]:
+        """Put the newest configuration in force, once the old log is committed."""
         current = self._state.configuration.current
-        return ConfigApplied(current.version, current.content)
+        is_new = current.version > self._announced_version
+        if not (is_new and self._is_leader and self._raft.is_settled):
+            return
+        self._announced_version = current.version
+        yield ConfigApplied(current.version, current.content)
+        for host in self._hosts.live_entry_hosts(now_ms):
+            yield from self._send_update(host, now_ms)
 
     def _step_down(self) -> Iterator[Any]:
         for request in self._batcher.abandon():
@@ -406,10 +414,6 @@
         if result.status is ChangeStatus.ACCEPTED:
             fields = (("version", result.version), ("author", result.author))
             yield Log("configuration_applied", fields)
-        if self._is_leader and result.status is ChangeStatus.ACCEPTED:
-            yield self._config_applied()
-            for host in self._hosts.live_entry_hosts(now_ms):
-                yield from self._send_update(host, now_ms)
 
     @_answer.register
     def _(self, command: StrikeBatch, result: Any, now_ms: int) -> Iterator[Any]:
@@ -488,12 +492,17 @@
             return Send(waiting.host, result)
         return OperatorResult(waiting.ticket, result, self._leader_hint())
 
+    @property
+    def _known_version(self) -> int:
+        """Return the version that may be told; 0 while it may be an old one."""
+        return self._state.configuration.version if self._raft.is_settled else 0
+
     def _send_update(self, host: HostState, now_ms: int) -> Iterator[Any]:
         """Send the whole configuration to a host that has an older one.
 
         A message with only the difference would spare most of the bytes.
         """
-        version = self._state.configuration.version
+        version = self._known_version
         if host.heartbeat.config_version >= version:
             return
         is_new = host.update_version < version
@@ -571,7 +580,7 @@
             data_centre=self._data_centre,
             role=CONTROL_ROLE,
             sequence=self._sequence,
-            config_version=self._state.configuration.version,
+            config_version=self._known_version,
             is_leaving=False,
             leader=self._leader_hint(),
             term=self._raft.term,
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -115,6 +115,7 @@
         self._heard_ms = 0.0
         self._election_due_ms = 0.0
         self._is_started = False
+        self._told_index = 0
         self._now_ms = 0.0
         # Binding a single-dispatch method costs more than calling it.
         self._dispatch_event = self._on_event
@@ -134,6 +135,19 @@
         leading = self._leadership
         return leading is not None and leading.has_quorum(now_ms)
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether all is applied here that was committed when a leader began.
+
+        After a start that takes a leader that has committed an entry of its own
+        term: before, it may not know of entries that were committed.
+        """
+        local = self._local
+        told_index = local.commit_index if self.is_leader else self._told_index
+        if told_index == 0 or local.commit_index < told_index:
+            return False
+        return local.log.term_at(told_index) == local.term
+
     def use_configured_hosts(self, hosts: tuple[str, ...]) -> None:
         """Take over the control hosts that changed settings name."""
         self._local.configured_hosts = hosts
@@ -313,6 +327,7 @@
             yield self._follower.refuse(sender, message)
             return
         yield from self._hear_leader(sender, message.term)
+        self._told_index = max(self._told_index, message.commit_index)
         yield from self._follower.on_append(sender, message)
 
     @_on_message.register
