--- a/features/placement.feature
+++ b/features/placement.feature
@@ -63,3 +63,9 @@
     When the upstreams of all running requests die
     And a short want of tier 1 arrives
     Then it is refused until the next probe
+
+  Scenario: An upstream that fails part of its requests is chosen after the others
+    Given a cell with 2 engines of 4 slots
+    When half of 12 requests fail at the upstream that was chosen first
+    And host "a" wants "r1" at tier 1
+    Then "r1" is granted at the other upstream
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -253,3 +253,22 @@
 def refused_until_probe(context):
     refusal = context.cell.answers("short", Refuse)[0].message
     assert 100 <= refusal.retry_after_ms <= 1000, refusal
+
+
+@when("half of {count:d} requests fail at the upstream that was chosen first")
+def fail_half(context, count):
+    cell = context.cell
+    cell.want("f0")
+    context.failing = granted_at(cell, "f0")
+    cell.release("f0", ReleaseCause.UPSTREAM_ERROR)
+    for number in range(1, count):
+        request_id = f"f{number}"
+        cell.want(request_id)
+        is_failing = granted_at(cell, request_id) == context.failing and number % 2
+        cause = ReleaseCause.UPSTREAM_ERROR if is_failing else ReleaseCause.COMPLETED
+        cell.release(request_id, cause)
+
+
+@then('"{request_id}" is granted at the other upstream')
+def granted_at_other(context, request_id):
+    assert granted_at(context.cell, request_id) not in (None, context.failing)
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -7,6 +7,7 @@
 ERRORS_TO_OPEN = 5
 TIMEOUTS_TO_OPEN = 2
 FIRST_RAMP_SLOTS = 2
+FAILURE_GAIN = 0.15
 
 
 class HealthState(StrEnum):
@@ -22,6 +23,9 @@
 class Health:
     """Decides how many requests an upstream may be trusted with.
 
+    ``failure_share`` is the recent share of requests that failed there, though the
+    upstream may say that it is well.
+
     :param max_backoff_ms: until an upstream that failed is tried again, at most.
     """
 
@@ -30,6 +34,7 @@
         self.state = HealthState.HEALTHY
         self.down_ms = -1
         self.ramp_slots = FIRST_RAMP_SLOTS
+        self.failure_share = 0.0
         self._backoff_ms = FIRST_BACKOFF_MS
         self._probe_at_ms = 0
         self._errors = 0
@@ -68,6 +73,7 @@
 
     def failed(self, is_timeout: bool, now_ms: int) -> None:
         """Count an error or time-out; several in a row open the circuit."""
+        self.failure_share += (1 - self.failure_share) * FAILURE_GAIN
         if is_timeout:
             self._timeouts += 1
         else:
@@ -77,6 +83,10 @@
         if is_probe or too_many:
             self._open(now_ms)
 
+    def completed(self) -> None:
+        """Note that a request got its whole answer."""
+        self.failure_share -= self.failure_share * FAILURE_GAIN
+
     def progressed(self, granted_ms: int, limit: int, now_ms: int) -> None:
         """Note that a request got its first token or its end."""
         if granted_ms <= self.down_ms:
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -12,6 +12,7 @@
 from .queues import QueuedWant
 
 FILL_MS = 20.0
+FAILURE_COST_MS = 500.0
 LATE_WEIGHT = 5.0
 HOLD_COST_SHARE = 0.9
 MIN_HOLD_TOKENS = 256
@@ -196,8 +197,9 @@
         want = queued.want
         budget = upstream.budget
         fill_ms = FILL_MS * len(budget.slots) / max(1.0, budget.limit_slots)
+        failing_ms = upstream.health.failure_share * FAILURE_COST_MS
         if upstream.spec.kind is UpstreamKind.SERVICE:
-            return Choice(upstream, 0, fill_ms + budget.gap_ms)
+            return Choice(upstream, 0, fill_ms + budget.gap_ms + failing_ms)
         prefixes = upstream.prefixes
         hit = upstream.hit_tokens(want)
         prefill_ms = budget.prefill_ms(want.prompt_tokens - hit * prefixes.trust)
@@ -209,6 +211,7 @@
             + want.output_tokens * budget.gap_ms * DECODE_SHARE
             + fill_ms
             + max(0.0, late_ms) * LATE_WEIGHT
+            + failing_ms
         )
         return Choice(upstream, hit, cost_ms)
 
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -72,7 +72,7 @@
 ]
 
 
-FIRST_TIMEOUT_SHARE = 0.4
+FIRST_TIMEOUT_SHARE = 0.25
 
 
 class Raft:
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -431,6 +431,7 @@
         if cause is ReleaseCause.COMPLETED:
             limit = int(upstream.budget.limit_slots)
             health.progressed(slot.granted_ms, limit, now_ms)
+            health.completed()
             self._strikes.completed(slot.want.fingerprint)
         elif cause is ReleaseCause.UPSTREAM_DIED:
             self._upstream_died(upstream, slot, now_ms)
