--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,128 @@
+"""Steps on the explanation of a request and on the bound on log lines."""
+
+import io
+import os
+import time
+
+from behave import given, then, when
+from support.routed_upstreams import Upstream
+from support.routed_upstreams import run_front as run
+
+from peridotfront import logs
+from peridotfront.explain import explain
+from peridotfront.log_output import BoundedStream, LineBudget
+from peridotfront.settings import LogSection
+
+
+def write_log(context, work):
+    """Run work on the gateway of the scenario and keep its log lines."""
+    stream = io.StringIO()
+    budget = logs._output.budget
+    logs._output.budget = getattr(context, "budget", LineBudget())
+    logs.configure(LogSection(), "e1", stream)
+    try:
+        run(context, work)
+    finally:
+        logs._output.budget = budget
+        logs.configure(LogSection(), "")
+    context.lines = stream.getvalue().splitlines()
+
+
+@given('a gateway whose scheduler refuses as "overloaded"')
+def make_refusing(context):
+    context.routes = None
+    context.upstreams = []
+
+
+@given("a log output that takes {count:d} lines of one event")
+def make_bounded(context, count):
+    context.budget = LineBudget(lines_per_s=1, burst=count)
+    context.routes = None
+    context.upstreams = [Upstream("u1", ["answer"])]
+
+
+@when('a caller\'s request "{request_id}" was logged')
+def log_request(context, request_id):
+    write_log(context, lambda front: front.call("/transfer/x"))
+
+
+@when('a caller\'s stream "{request_id}" was logged')
+def log_stream(context, request_id):
+    write_log(context, lambda front: front.call("/stream/x"))
+
+
+@when("{count:d} requests succeed and one fails")
+def log_many(context, count):
+    async def work(front):
+        for number in range(count):
+            await front.call("/transfer/x", X_Attempt_Id=f"good{number}")
+        front.upstreams[0].script = ["reset"]
+        await front.call("/transfer/x", X_Attempt_Id="bad")
+        logs._output.told_ms = 0
+        logs.write_sampled("forwarding_ended")
+
+    write_log(context, work)
+
+
+@then('the explanation says "{one}" and "{other}"')
+def says_both(context, one, other):
+    verdict = explain("a1", [context.lines]).verdict
+    assert one in verdict and other in verdict, verdict
+
+
+@then('the explanation names the upstream "{name}"')
+def names_upstream(context, name):
+    assert f"sent to {name}" in explain("a1", [context.lines]).verdict
+
+
+@then('the explanation of "{request_id}" says "{text}"')
+def says_of(context, request_id, text):
+    assert text in explain(request_id, [context.lines]).verdict
+
+
+@then('the explanation without its last line says "{text}"')
+def says_without_end(context, text):
+    lines = [one for one in context.lines if "forwarding_ended" not in one]
+    assert text in explain("a1", [lines]).verdict
+
+
+@then("the log holds at most {count:d} lines of the requests that succeeded")
+def bounded_lines(context, count):
+    assert 0 < sum("good" in line for line in context.lines) <= count
+
+
+@then("the log holds all lines of the request that failed")
+def kept_lines(context):
+    names = [line.name for line in explain("bad", [context.lines]).lines]
+    assert sorted(names) == ["forwarding_ended", "send_failed", "slot_granted"], names
+
+
+@then("the log tells how many lines were left out")
+def told_lines(context):
+    assert any("log_lines_left_out" in line for line in context.lines)
+
+
+@given("a pipe that nobody reads")
+def make_pipe(context):
+    context.read_fd, write_fd = os.pipe()
+    context.add_cleanup(os.close, context.read_fd)
+    context.add_cleanup(os.close, write_fd)
+    context.stream = BoundedStream(write_fd)
+
+
+@when("{count:d} lines are written to it")
+def write_lines(context, count):
+    started_s = time.monotonic()
+    for number in range(count):
+        context.stream.write(f"line {number} of many that nobody reads\n")
+    context.took_ms = (time.monotonic() - started_s) * 1000
+
+
+@then("that took less than {limit:d} ms")
+def took_less(context, limit):
+    assert context.took_ms < limit, context.took_ms
+
+
+@then("the lines that did not fit were counted")
+def counted(context):
+    assert context.stream.lost_lines > 0
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -5,31 +5,17 @@
 
 from behave import given, then, when
 from support.routed_upstreams import (
-    RoutedFront,
+    POLL_S,
     Upstream,
     read_answer,
     request,
     routing,
 )
+from support.routed_upstreams import run_front as run
 
 from peridotfront.core.gateway_role import SlotEnded
 from peridotfront.core.routes import RouteTable, Routing
 
-POLL_S = 0.02
-
-
-def run(context, work):
-    """Run a coroutine against the gateway of the scenario."""
-
-    async def inside():
-        async with RoutedFront(context.upstreams, context.routes) as front:
-            context.front = front
-            answer = await work(front)
-            await asyncio.sleep(POLL_S)
-            return answer
-
-    return asyncio.run(inside())
-
 
 def call(context, path, **fields):
     context.answer = run(context, lambda front: front.call(path, **fields))
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -20,6 +20,7 @@
 
 KEY = "key-of-club"
 HOST = "h.example"
+POLL_S = 0.02
 
 
 def routing(**fields):
@@ -317,3 +318,16 @@
     status = int(line.split()[1])
     duration_s = loop.time() - started_s
     return Answered(status, headers, body, is_whole, first_s, duration_s)
+
+
+def run_front(context, work):
+    """Run a coroutine against the gateway of a scenario."""
+
+    async def inside():
+        async with RoutedFront(context.upstreams, context.routes) as front:
+            context.front = front
+            answer = await work(front)
+            await asyncio.sleep(POLL_S)
+            return answer
+
+    return asyncio.run(inside())
--- a/src/peridotfront/ctl.py
+++ b/src/peridotfront/ctl.py
@@ -27,6 +27,7 @@
     SettingsInvalid,
     UsageInvalid,
 )
+from .explain import explain
 from .ids import new_change_id
 from .ini_text import set_value
 from .inventory import plan_import, read_register, upstream_sections
@@ -460,6 +461,20 @@
             return
         change.propose(base, content)
 
+    @SetParseFn(str)
+    def explain(self, request_id: str, *files: str) -> None:
+        """Follow one request through log files and say what became of it.
+
+        :param request_id: the caller's id of the attempt, or the product's own.
+        :param files: logs of any processes, one JSON object a line.
+        """
+        if not files:
+            raise UsageInvalid("name at least one log file")
+        found = explain(request_id, [read_file(file).splitlines() for file in files])
+        for line in found.lines:
+            print(line)
+        print(found.verdict)
+
     @SetParseFn(str)
     def dump(self, host: str) -> None:
         """Print the state of one process as JSON."""
