--- /dev/null
+++ b/features/routes.feature
@@ -0,0 +1,59 @@
+Feature: Requests find their route, account and tier by the configuration
+  The users' platform sends its configuration as JSON; it is decoded into routes.
+
+  Scenario Outline: The longest prefix of the host wins
+    Given a configuration with the routes "a /; a /x/; a /x/y/; b /x/"
+    When "<path>" is asked of host "<host>"
+    Then the route is "<route>"
+
+    Examples:
+      | host      | path     | route  |
+      | a         | /x/y/z   | a /x/y/ |
+      | a         | /x/yz    | a /x/  |
+      | A:8080    | /x/      | a /x/  |
+      | a         | /other   | a /    |
+      | b         | /other   | none   |
+      | c         | /x/      | none   |
+
+  Scenario: Weights share the requests out, and none goes where the weight is 0
+    Given a route split 3 to 1 to 0
+    When 4000 requests take it
+    Then about 3000, 1000 and 0 of them go to the services
+
+  Scenario: The account's rank goes before the route's
+    Given accounts of rank 0 and 1 and routes of rank 0 and 2
+    Then the tiers are 1, 2, 3 and 4 in that order
+
+  Scenario Outline: A configuration that is not valid is refused whole
+    When the operator sends a configuration with <fault>
+    Then it is refused and the reason names "<reason>"
+
+    Examples:
+      | fault                          | reason          |
+      | its last bytes missing         | JSON            |
+      | a route to an unknown service  | not a service   |
+      | two routes at one place        | two routes      |
+      | weights that add up to 0       | weights         |
+      | a time limit of 0              | TimeoutMs       |
+      | a key that two accounts share  | holds it too    |
+      | a version that is a word       | Version         |
+      | a prefix without a slash       | Prefix          |
+
+  Scenario: Fields that are not known are left alone
+    When the operator sends a configuration with a field of tomorrow
+    Then it is taken
+
+  Scenario: Entries of the list that can't be read hide no others
+    Given a list of upstreams of which 5 entries are malformed and 2 are sound
+    When the list is read
+    Then it names the 2 sound upstreams
+
+  Scenario: A list in pages is read to its last page
+    Given a list of upstreams in 3 pages
+    When the list is read
+    Then it names 6 upstreams
+
+  Scenario: A list that breaks off is not taken for a shorter one
+    Given a list of upstreams whose second page fails
+    When the list is read
+    Then the reading fails
--- /dev/null
+++ b/features/steps/routes_steps.py
@@ -0,0 +1,219 @@
+"""Steps on routes and on the messages of the users' platform."""
+
+import asyncio
+import json
+from collections import Counter
+
+from behave import given, then, when
+
+from peridotfront.callers import HttpServer
+from peridotfront.core.routes import RouteTable
+from peridotfront.exceptions import SettingsInvalid, UpstreamError
+from peridotfront.http_client import HttpClient
+from peridotfront.platform.configuration import parse_configuration
+from peridotfront.platform.upstream_list import UpstreamListClient
+
+SOUND = {
+    "Id": "i-1",
+    "Service": "s",
+    "Addr": "10.0.0.1:80",
+    "Zone": "z",
+    "Slots": 4,
+    "State": "ready",
+}
+MALFORMED = (
+    {"Service": "s"},
+    {**SOUND, "Slots": "4"},
+    {**SOUND, "State": "sleeping"},
+    {**SOUND, "Addr": 7},
+    "not an entry \ufffd",
+)
+
+
+def route(host="a", prefix="/x/", **fields):
+    return {
+        "Name": f"{host} {prefix}",
+        "Host": host,
+        "Prefix": prefix,
+        "Kind": "idempotent",
+        "TimeoutMs": 1000,
+        "Service": "s",
+        **fields,
+    }
+
+
+def configuration(routes=None, **fields):
+    return {
+        "Version": 3,
+        "Routes": [route()] if routes is None else routes,
+        "Services": [{"Name": "s"}, {"Name": "t"}, {"Name": "u"}],
+        "Tenants": [{"Name": "club", "ApiKeys": ["k"]}],
+        **fields,
+    }
+
+
+FAULTS = {
+    "a route to an unknown service": configuration([route(Service="v")]),
+    "two routes at one place": configuration([route(), route(host="A")]),
+    "weights that add up to 0": configuration(
+        [route(Backends=[{"Service": "s", "Weight": 0}])]
+    ),
+    "a time limit of 0": configuration([route(TimeoutMs=0)]),
+    "a key that two accounts share": configuration(
+        Tenants=[{"Name": n, "ApiKeys": ["k"]} for n in ("one", "other")]
+    ),
+    "a version that is a word": configuration(Version="3"),
+    "a prefix without a slash": configuration([route(prefix="/x")]),
+    "a field of tomorrow": configuration([route(Tomorrow=1)], Tomorrow={}),
+}
+
+
+@given('a configuration with the routes "{places}"')
+def make_table(context, places):
+    routes = [route(*place.split()) for place in places.split("; ")]
+    routing = parse_configuration(json.dumps(configuration(routes)))
+    context.routes = RouteTable(routing)
+
+
+@when('"{path}" is asked of host "{host}"')
+def ask(context, path, host):
+    context.found = context.routes.route(host, path)
+
+
+@then('the route is "{name}"')
+def route_is(context, name):
+    found = context.found.name if context.found else "none"
+    assert found == name, found
+
+
+@given("a route split 3 to 1 to 0")
+def make_split(context):
+    weights = zip("stu", (3, 1, 0), strict=True)
+    backends = [{"Service": s, "Weight": w} for s, w in weights]
+    routing = parse_configuration(json.dumps(configuration([route(Backends=backends)])))
+    context.route = routing.routes[0]
+
+
+@when("{count:d} requests take it")
+def take_split(context, count):
+    shares = [number / count for number in range(count)]
+    context.taken = Counter(context.route.service_for(share) for share in shares)
+
+
+@then("about {first:d}, {second:d} and {third:d} of them go to the services")
+def split_is(context, first, second, third):
+    for name, expected in zip("stu", (first, second, third), strict=True):
+        assert abs(context.taken[name] - expected) <= 2, context.taken
+
+
+@given("accounts of rank 0 and 1 and routes of rank 0 and 2")
+def make_ranks(context):
+    accounts = [
+        {"Name": f"a{rank}", "ApiKeys": [f"k{rank}"], "Priority": rank}
+        for rank in (0, 1)
+    ]
+    routes = [route(prefix=f"/{rank}/", Priority=rank) for rank in (0, 2)]
+    content = configuration(routes, Tenants=accounts)
+    context.routes = RouteTable(parse_configuration(json.dumps(content)))
+
+
+@then("the tiers are 1, 2, 3 and 4 in that order")
+def tiers_are(context):
+    table = context.routes
+    tiers = [
+        table.tier(one, account, "s")
+        for account in table.routing.accounts
+        for one in table.routing.routes
+    ]
+    assert tiers == [1, 2, 3, 4], tiers
+
+
+@when("the operator sends a configuration with {fault}")
+def send_fault(context, fault):
+    if fault == "its last bytes missing":
+        text = json.dumps(configuration())[:-9]
+    else:
+        text = json.dumps(FAULTS[fault])
+    context.error = None
+    try:
+        context.routing = parse_configuration(text)
+    except SettingsInvalid as error:
+        context.error = str(error)
+
+
+@then('it is refused and the reason names "{reason}"')
+def refused(context, reason):
+    assert context.error is not None and reason in context.error, context.error
+
+
+@then("it is taken")
+def taken(context):
+    assert context.error is None, context.error
+
+
+def entry(number):
+    return {**SOUND, "Id": f"i-{number}"}
+
+
+@given("a list of upstreams of which 5 entries are malformed and 2 are sound")
+def make_malformed(context):
+    entries = [*MALFORMED, entry(1), entry(2)]
+    data = json.dumps({"Instances": entries, "NextToken": None}).encode()
+    context.pages = {"": (200, data.replace(b"\\ufffd", b"\xff\xfe"))}
+
+
+@given("a list of upstreams in 3 pages")
+def make_pages(context):
+    context.pages = {}
+    for number, (token, following) in enumerate(
+        (("", "p 1"), ("p 1", "p2"), ("p2", ""))
+    ):
+        entries = [entry(2 * number), entry(2 * number + 1)]
+        page = {"Instances": entries, "NextToken": following or None}
+        context.pages[token] = (200, json.dumps(page).encode())
+
+
+@given("a list of upstreams whose second page fails")
+def make_broken(context):
+    page = {"Instances": [entry(1)], "NextToken": "p1"}
+    context.pages = {"": (200, json.dumps(page).encode()), "p1": (429, b"")}
+
+
+@when("the list is read")
+def read_list(context):
+    async def answer(exchange):
+        token = exchange.request.query.removeprefix("PageToken=").replace("%20", " ")
+        status, body = context.pages[token]
+        await exchange.respond(status, (), body)
+
+    async def inside():
+        server = HttpServer(answer)
+        await server.start("127.0.0.1")
+        client = HttpClient()
+        try:
+            address = f"127.0.0.1:{server.port}"
+            return await UpstreamListClient(client, address).read()
+        finally:
+            await client.close()
+            await server.close()
+
+    context.listed = None
+    try:
+        context.listed = asyncio.run(inside())
+    except UpstreamError as error:
+        context.error = error
+
+
+@then("it names the 2 sound upstreams")
+def names_sound(context):
+    assert [one.name for one in context.listed] == ["i-1", "i-2"], context.listed
+
+
+@then("it names {count:d} upstreams")
+def names_count(context, count):
+    assert len(context.listed) == count
+
+
+@then("the reading fails")
+def reading_fails(context):
+    assert context.listed is None and context.error is not None
