Do not shut out an upstream for one broken connection

Ruled out: the allowance (no refusal for it) and the leader (followed throughout).

Change: an upstream that was well is tried again after 150 ms, and at once if a request that had been granted before goes on there. Three upstreams, not two, must die on a request before it is refused for good, since a reset looks like a death.

Shown: the scenario with one broken connection fails without the change.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -69,3 +69,9 @@
     When half of 12 requests fail at the upstream that was chosen first
     And host "a" wants "r1" at tier 1
     Then "r1" is granted at the other upstream
+
+  Scenario: A broken connection does not shut out an upstream that goes on working
+    Given a cell with 1 engines of 4 slots
+    When one of two requests there loses its connection and the other goes on
+    And host "a" wants "r1" at tier 1
+    Then "r1" is granted
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -272,3 +272,15 @@
 @then('"{request_id}" is granted at the other upstream')
 def granted_at_other(context, request_id):
     assert granted_at(context.cell, request_id) not in (None, context.failing)
+
+
+@when("one of two requests there loses its connection and the other goes on")
+def lose_one_connection(context):
+    cell = context.cell
+    cell.want("broken")
+    cell.want("going")
+    upstream = granted_at(cell, "going")
+    cell.hold("going", "h", upstream, 5)
+    cell.release("broken", ReleaseCause.UPSTREAM_DIED)
+    cell.pass_time(200)
+    cell.hold("going", "h", upstream, 50)
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -111,6 +111,7 @@
     :param learns_rates: whether rates and slots follow what an engine does.
     :param learns_slots: whether the slots do; else all of ``max_slots`` are used.
     :param max_backoff_ms: until an upstream that failed is tried again, at most.
+    :param died_backoff_ms: until one to which a connection broke is tried again.
     :param slow_token_ms: holders count tokens that come later as slow; less than
         ``token_gap_ms``, so that slots shrink before callers notice.
     :param preempt_lead_ms: a lower request is cut for a want only when the want has
@@ -145,6 +146,7 @@
     learns_rates: bool = True
     learns_slots: bool = True
     max_backoff_ms: int = 30_000
+    died_backoff_ms: int = 1000
     slow_token_ms: float = 26.5
     weight_loads_per_min: int = 12
     weight_load_burst: int = 2
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -8,6 +8,7 @@
 TIMEOUTS_TO_OPEN = 2
 FIRST_RAMP_SLOTS = 2
 FAILURE_GAIN = 0.15
+LATE_NEWS_MS = 100
 
 
 class HealthState(StrEnum):
@@ -27,10 +28,17 @@
     upstream may say that it is well.
 
     :param max_backoff_ms: until an upstream that failed is tried again, at most.
+    :param died_backoff_ms: until one is tried again that was well until a connection
+        to it broke, which need not be its end.
     """
 
-    def __init__(self, max_backoff_ms: int = MAX_BACKOFF_MS):
+    def __init__(
+        self,
+        max_backoff_ms: int = MAX_BACKOFF_MS,
+        died_backoff_ms: int = FIRST_BACKOFF_MS,
+    ):
         self.max_backoff_ms = max_backoff_ms
+        self.died_backoff_ms = died_backoff_ms
         self.state = HealthState.HEALTHY
         self.down_ms = -1
         self.ramp_slots = FIRST_RAMP_SLOTS
@@ -63,7 +71,10 @@
         if granted_ms <= self.down_ms:
             return False
         self.down_ms = now_ms
+        was_well = self.state is HealthState.HEALTHY
         self._open(now_ms)
+        if was_well:
+            self._probe_at_ms = now_ms + self.died_backoff_ms
         return True
 
     def unreachable(self, now_ms: int) -> None:
@@ -88,8 +99,14 @@
         self.failure_share -= self.failure_share * FAILURE_GAIN
 
     def progressed(self, granted_ms: int, limit: int, now_ms: int) -> None:
-        """Note that a request got its first token or its end."""
+        """Note that a request got its first token or its end.
+
+        One that was granted before the upstream was judged dead, and goes on after
+        that, shows that only a connection had broken.
+        """
         if granted_ms <= self.down_ms:
+            if now_ms - self.down_ms >= LATE_NEWS_MS:
+                self._recover()
             return
         self._progress_ms = now_ms
         self._errors = 0
@@ -100,8 +117,11 @@
         elif self.state is HealthState.RAMPING:
             self.ramp_slots += 1
         if self.state is HealthState.RAMPING and self.ramp_slots >= limit:
-            self.state = HealthState.HEALTHY
-            self._backoff_ms = FIRST_BACKOFF_MS
+            self._recover()
+
+    def _recover(self) -> None:
+        self.state = HealthState.HEALTHY
+        self._backoff_ms = FIRST_BACKOFF_MS
 
     def reported_dead(self, suspect_after_ms: int, now_ms: int) -> None:
         """Take in a report, maybe old, that the upstream does not live."""
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -38,6 +38,8 @@
     evicts=False,
     learns_slots=False,
     max_backoff_ms=4000,
+    died_backoff_ms=150,
+    poison_strikes=3,
     affinity_ms=0,
 )
 FIRST_PREFILL_TOKENS_PER_S = 30_000
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -684,7 +684,7 @@
         )
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixModel(policy.prefix_block_tokens, blocks)
-        health = Health(policy.max_backoff_ms)
+        health = Health(policy.max_backoff_ms, policy.died_backoff_ms)
         return Upstream(spec, budget, prefixes, health, spec.is_leaving)
 
 
