--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -372,3 +372,51 @@
         assert reading.cancelled()
 
     run(context, make())
+
+
+@given("an upstream that keeps idle connections for {timeout:d} s")
+def keep_for(context, timeout):
+    context.accepted = 0
+
+    async def serve(reader, writer):
+        context.accepted += 1
+        while not reader.at_eof():
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            stated = b"Keep-Alive: timeout=%d\r\n" % timeout
+            writer.write(OK + stated + b"Content-Length: 0\r\n\r\n")
+        writer.close()
+
+    context.client = client(context, ClientLimits(kept_idle_ms=100))
+    context.serve = serve
+
+
+async def call_twice(context, pause_ms):
+    server = await asyncio.start_server(context.serve, HOST_IP)
+    host, port = server.sockets[0].getsockname()
+    for number in range(2):
+        if number:
+            await asyncio.sleep(pause_ms / 1000)
+        answer = await context.client.send(f"{host}:{port}", "GET", "/")
+        await answer.read()
+    server.close()
+
+
+@when("it is called twice with a pause of {pause:d} ms")
+@when(
+    "it is called twice with a pause of {pause:d} ms while others are kept for 100 ms"
+)
+def call_it_twice(context, pause):
+    run(context, call_twice(context, pause))
+
+
+@then("the second call used a new connection")
+def used_new(context):
+    assert context.accepted == 2, context.accepted
+
+
+@then("the second call used the same connection")
+def used_same(context):
+    assert context.accepted == 1, context.accepted
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -93,3 +93,13 @@
     Given an upstream that pauses for ever within the body
     When the task that reads the answer is cancelled
     Then no connection of the client is left
+
+  Scenario: A kept connection is used no longer than the upstream says
+    Given an upstream that keeps idle connections for 2 s
+    When it is called twice with a pause of 1200 ms
+    Then the second call used a new connection
+
+  Scenario: A kept connection is used as long as the upstream says
+    Given an upstream that keeps idle connections for 60 s
+    When it is called twice with a pause of 300 ms while others are kept for 100 ms
+    Then the second call used the same connection
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,195 @@
+"""Callers and an operator that check every answer against the promises."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from peridotfront.exceptions import PeridotfrontError
+from peridotfront.http_client import ClientLimits, HttpClient, UpstreamTimeouts
+
+from .deployment import CALLERS_PORT, OPERATORS_PORT
+from .world import EVENTS, digest_of, event_of
+
+KEY = "key-of-club"
+HOST = "h.example"
+KINDS = {
+    "transfer": ("non_idempotent", {}),
+    "look-up": ("idempotent", {"Attempts": 2}),
+    "stream": ("streaming", {"GapTargetMs": 500}),
+    "resumable": ("streaming", {"Resumable": True, "Attempts": 2}),
+}
+DEADLINE_MS = 4000
+NOT_RUN = (408, 421, 429, 503)
+TIMEOUTS = UpstreamTimeouts(connect_ms=1000, first_byte_ms=5000, between_bytes_ms=5000)
+QUICK = UpstreamTimeouts(connect_ms=500, first_byte_ms=1500, between_bytes_ms=1500)
+
+
+def configuration(version):
+    """Return a configuration as the operator sends it."""
+    routes = [
+        {
+            "Name": name,
+            "Host": HOST,
+            "Prefix": f"/{name}/",
+            "Kind": kind,
+            "TimeoutMs": DEADLINE_MS,
+            "GoalMs": 500,
+            "Service": "models" if kind == "streaming" else "ledger",
+            **more,
+        }
+        for name, (kind, more) in KINDS.items()
+    ]
+    engine = {"Slots": 4, "KvCapacity": 500_000}
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [{"Name": "models", "Engine": engine}, {"Name": "ledger"}],
+        "Tenants": [{"Name": "club", "ApiKeys": [KEY]}],
+    }
+
+
+@dataclass
+class Record:
+    """Keeps what callers and the operator saw.
+
+    :param refused: ids that were told not to have run.
+    :param faults: promises that were broken, in words.
+    """
+
+    sent: int = 0
+    served: int = 0
+    refused: set = field(default_factory=set)
+    transfers: set = field(default_factory=set)
+    acknowledged: int = 0
+    faults: list = field(default_factory=list)
+    last_served_s: float = 0.0
+
+
+class Callers:
+    """Sends requests of all kinds to all entry hosts and checks the answers."""
+
+    def __init__(self, hosts, record, random):
+        self._hosts = hosts
+        self._record = record
+        self._random = random
+        self._client = HttpClient(ClientLimits(kept_idle_ms=10_000))
+        self._tasks = set()
+
+    async def run(self, duration_s, per_s):
+        """Send at a rate, then wait for the answers that are owed."""
+        for number in range(int(duration_s * per_s)):
+            task = asyncio.create_task(self._call(number))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(1 / per_s)
+        await asyncio.gather(*self._tasks)
+        await self._client.close()
+
+    async def _call(self, number):
+        kind = self._random.choice(list(KINDS))
+        request_id = f"{kind}-{number}"
+        host = self._random.choice(self._hosts)
+        self._record.sent += 1
+        if kind == "transfer":
+            self._record.transfers.add(request_id)
+        headers = [
+            ("X-Attempt-Id", request_id),
+            ("X-Deadline-Ms", str(DEADLINE_MS)),
+            ("Api-Key", KEY),
+            ("X-Tenant", "forged"),
+        ]
+        try:
+            answer = await self._client.send(
+                f"{host.ip}:{CALLERS_PORT}",
+                "POST",
+                f"/{kind}/x",
+                headers,
+                request_id.encode(),
+                host=HOST,
+                timeouts=TIMEOUTS,
+            )
+            body = await answer.read()
+        except PeridotfrontError:
+            return
+        self._check(kind, request_id, answer, body)
+
+    def _check(self, kind, request_id, answer, body):
+        record = self._record
+        status = answer.status_code
+        if status in NOT_RUN:
+            record.refused.add(request_id)
+        if status != 200:
+            if status in (400, 401, 404):
+                record.faults.append(f"{request_id} was denied with {status}")
+            return
+        if kind in ("transfer", "look-up"):
+            expected = f"{request_id} {request_id}".encode()
+            digest = digest_of(expected.decode())
+        else:
+            events = [event_of(request_id, n) for n in range(1, EVENTS + 1)]
+            expected = b"".join(events)
+            digest = digest_of(request_id)
+        if body != expected or answer.header("x-response-sig") != digest:
+            record.faults.append(f"{request_id} got the wrong answer: {body[:80]!r}")
+            return
+        record.served += 1
+        record.last_served_s = asyncio.get_running_loop().time()
+
+
+class Operator:
+    """Sends configurations and reads them back."""
+
+    def __init__(self, hosts, record, random):
+        self._hosts = hosts
+        self._record = record
+        self._random = random
+        self._client = HttpClient()
+        self._version = 0
+
+    async def change(self, limit_s=10.0):
+        """Send the next version to any host until it is acknowledged."""
+        self._version += self._random.randint(1, 5)
+        body = json.dumps(configuration(self._version)).encode()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        while loop.time() < end_s:
+            answer = await self._ask("PUT", body)
+            if answer is not None and answer[0] == 200:
+                self._record.acknowledged = self._version
+                return
+            if answer is not None and answer[0] == 400:
+                self._record.faults.append("a valid configuration was refused")
+                return
+            await asyncio.sleep(0.2)
+
+    async def read(self):
+        """Read the configuration back and check that it is not an older one."""
+        acknowledged = self._record.acknowledged
+        answer = await self._ask("GET", b"")
+        if answer is None or answer[0] != 200:
+            return False
+        version = json.loads(answer[1])["Version"]
+        if version < acknowledged:
+            self._record.faults.append(f"read {version} after {acknowledged}")
+        return True
+
+    async def close(self):
+        """Close the connections."""
+        await self._client.close()
+
+    async def _ask(self, method, body):
+        address = f"{self._random.choice(self._hosts).ip}:{OPERATORS_PORT}"
+        path = "/peridotfront/config"
+        try:
+            for _ in range(3):
+                answer = await self._client.send(
+                    address, method, path, (), body, timeouts=QUICK
+                )
+                content = await answer.read()
+                if answer.status_code != 307:
+                    return answer.status_code, content
+                location = answer.header("location").removeprefix("http://")
+                address = location.partition("/")[0]
+        except PeridotfrontError:
+            return None
+        return None
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,148 @@
+"""Real processes of control and entry hosts on loopback addresses."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+from .world import LIST_ADDRESS, NETWORK, Proxy
+
+PEER_PORT = 7600
+REAL_PEER_PORT = 7700
+OPERATORS_PORT = 8229
+CALLERS_PORT = 8221
+READY_PORT = 8224
+METRICS_PORT = 9464
+GRACE_S = 8
+ROOT = Path(__file__).resolve().parent.parent
+FORM = """\
+[host]
+name = {name}
+data_centre = z1
+ip = {ip}
+[listen]
+callers = {callers}
+readiness = {readiness}
+operators = {operators}
+first_peer_port = {peer_port}
+peers = {ip}:{real_port}
+metrics_port = {metrics_port}
+[group]
+seeds = {seeds}
+is_first_start = {is_first_start}
+[storage]
+data_folder = {folder}
+[upstream_list]
+address = {list_address}
+[retries]
+ratio = 0.2
+slack = 50
+[shutdown]
+grace_s = {grace_s}
+"""
+
+
+class Host:
+    """Is one process, its settings and the proxy before its peer address."""
+
+    def __init__(self, role, number, seeds, folder):
+        self.role = role
+        self.name = f"{role}-{number}"
+        self.ip = f"{NETWORK}.{0 if role == 'control' else 1}.{number}"
+        self.proxy = Proxy(self.ip, PEER_PORT, REAL_PEER_PORT)
+        self._seeds = seeds
+        self._folder = folder
+        self._process = None
+
+    @property
+    def pid(self):
+        """Return the id of the process; None while there is none."""
+        process = self._process
+        return process.pid if process and process.returncode is None else None
+
+    async def start(self, is_first_start=False):
+        """Start the process; its output goes to a file of the host."""
+        settings = self._folder / f"{self.name}.ini"
+        settings.write_text(self._settings(is_first_start))
+        environment = {
+            **os.environ,
+            "PERIDOTFRONT_SETTINGS": str(settings),
+            "PYTHONPATH": str(ROOT / "src"),
+        }
+        module = f"peridotfront.platform.{self.role}"
+        with open(self._folder / f"{self.name}.log", "ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", module, stdout=log, stderr=log, env=environment
+            )
+
+    def send_signal(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.pid is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def stop(self, number=signal.SIGTERM, limit_s=GRACE_S):
+        """End the process by a signal; kill it after the grace period."""
+        if self._process is None:
+            return
+        self.send_signal(number)
+        try:
+            await asyncio.wait_for(self._process.wait(), limit_s)
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            await self._process.wait()
+
+    def _settings(self, is_first_start):
+        is_control = self.role == "control"
+        return FORM.format(
+            name=self.name,
+            ip=self.ip,
+            callers="" if is_control else f"{self.ip}:{CALLERS_PORT}",
+            readiness="" if is_control else f"{self.ip}:{READY_PORT}",
+            operators=f"{self.ip}:{OPERATORS_PORT}" if is_control else "",
+            peer_port=PEER_PORT,
+            real_port=REAL_PEER_PORT,
+            metrics_port=METRICS_PORT,
+            seeds=",".join(f"{ip}:{OPERATORS_PORT}" for ip in self._seeds),
+            is_first_start=str(is_first_start).lower(),
+            folder=self._folder / self.name if is_control else "",
+            list_address=":".join(str(part) for part in LIST_ADDRESS),
+            grace_s=GRACE_S,
+        )
+
+
+class Deployment:
+    """All hosts of one run.
+
+    :param folder: for settings, logs and data.
+    """
+
+    def __init__(self, folder, controls, entries):
+        seeds = [f"{NETWORK}.0.{number}" for number in (1, 2, 3)]
+        self.controls = [
+            Host("control", number + 1, seeds, folder) for number in range(controls)
+        ]
+        self.entries = [
+            Host("entry", number + 1, seeds, folder) for number in range(entries)
+        ]
+
+    @property
+    def hosts(self):
+        """Return all hosts."""
+        return [*self.controls, *self.entries]
+
+    async def start(self):
+        """Start everything for the first time."""
+        for host in self.hosts:
+            await host.proxy.start()
+            await host.start(is_first_start=True)
+
+    async def stop(self):
+        """End everything that was started."""
+        for host in self.hosts:
+            host.send_signal(signal.SIGCONT)
+        await asyncio.gather(*[host.stop(signal.SIGKILL) for host in self.hosts])
+        for host in self.hosts:
+            await host.proxy.stop()
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -15,6 +15,7 @@
 
 __all__ = ["ClientLimits", "HttpClient", "UpstreamAnswer", "UpstreamTimeouts"]
 
+SWEEPS_PER_LIMIT = 4
 OWN_HEADERS = ("host", "content-length", "expect")
 
 
@@ -116,7 +117,8 @@
         if len(kept) >= self.limits.kept_connections:
             connection.close()
             return
-        connection.idle_since_s = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        connection.kept_until_s = now_s + connection.idle_limit_ms / 1000
         kept.append(connection)
         if self._sweeper is None:
             self._sweep()
@@ -148,9 +150,11 @@
 
     def _take_kept(self, address: str) -> UpstreamConnection | None:
         kept = self._kept.get(address)
+        now_s = asyncio.get_running_loop().time()
         while kept:
             connection = kept.pop()
-            if connection.is_usable and connection.is_silent:
+            is_fresh = now_s < connection.kept_until_s
+            if is_fresh and connection.is_usable and connection.is_silent:
                 return connection
             connection.close()
         return None
@@ -178,12 +182,12 @@
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
-        kept_s = self.limits.kept_idle_ms / 1000
-        oldest_s = loop.time() - kept_s
+        now_s = loop.time()
         for kept in list(self._kept.values()):
-            for connection in [c for c in kept if c.idle_since_s <= oldest_s]:
+            for connection in [c for c in kept if c.kept_until_s <= now_s]:
                 kept.remove(connection)
                 connection.close()
         self._sweeper = None
         if any(self._kept.values()):
-            self._sweeper = loop.call_later(kept_s / 4, self._sweep)
+            interval_s = self.limits.kept_idle_ms / 1000 / SWEEPS_PER_LIMIT
+            self._sweeper = loop.call_later(interval_s, self._sweep)
--- a/src/peridotfront/platform/control.py
+++ b/src/peridotfront/platform/control.py
@@ -84,7 +84,7 @@
         stop.install()
         listen = self.settings.listen
         try:
-            await self.transport.start(self.settings.name)
+            await self.transport.start(self.settings.peer_address)
             await self.operators.start(*self.operators_address)
             await self.metrics_server.start(self.settings.host.ip, listen.metrics_port)
         except (OSError, RuntimeError) as error:
--- a/src/peridotfront/platform/entry.py
+++ b/src/peridotfront/platform/entry.py
@@ -88,7 +88,7 @@
         stop.install()
         listen = self.settings.listen
         try:
-            await self.transport.start(self.settings.name)
+            await self.transport.start(self.settings.peer_address)
             await self.callers.start(*split_address(listen.callers))
             await self.readiness.start(*split_address(listen.readiness))
             await self.metrics_server.start(self.settings.host.ip, listen.metrics_port)
--- a/src/peridotfront/platform/settings.py
+++ b/src/peridotfront/platform/settings.py
@@ -35,6 +35,8 @@
     :param readiness: for the balancer's questions.
     :param operators: for the operators' calls.
     :param first_peer_port: the first of the ports for other hosts.
+    :param peers: where other hosts' connections are accepted, if that is not the
+        address under which they know this host.
     :param metrics_port: for metrics.
     """
 
@@ -42,6 +44,7 @@
     readiness: str = ""
     operators: str = ""
     first_peer_port: int
+    peers: str = ""
     metrics_port: int = 0
 
 
@@ -109,6 +112,11 @@
         """Return the host name among peers: the address at which it listens."""
         return f"{self.host.ip}:{self.listen.first_peer_port}"
 
+    @property
+    def peer_address(self) -> str:
+        """Return the address at which other hosts' connections are accepted."""
+        return self.listen.peers or self.name
+
     @property
     def seed_hosts(self) -> tuple[str, ...]:
         """Return the seeds' host names; they listen at the same port as this host."""
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import re
 import select
 import socket
 from collections.abc import AsyncIterator
@@ -24,6 +25,8 @@
 PROBE_INTERVAL_S = 1
 PROBES = 3
 UNACKNOWLEDGED_MS = 3000
+KEPT_MARGIN_MS = 1000
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 DEFAULT_READ_BYTES = 16 * 1024 * 1024
 
 
@@ -32,13 +35,16 @@
     """Bounds what the client keeps.
 
     :param kept_connections: idle connections kept open to one address.
-    :param kept_idle_ms: how long an idle connection is kept.
+    :param kept_idle_ms: how long an idle connection is kept if the upstream does not
+        say how long it keeps it.
+    :param kept_stated_ms: the longest time, if the upstream says so.
     :param read_buffer_bytes: received data of one answer that nobody has read.
     """
 
     header_bytes: int = 16 * 1024
     kept_connections: int = 64
     kept_idle_ms: int = 30_000
+    kept_stated_ms: int = 30_000
     read_buffer_bytes: int = 256 * 1024
 
 
@@ -113,6 +119,13 @@
             self._connection = None
 
 
+def _stated_timeout_s(head: h11.Response | None) -> int | None:
+    """Return the idle time-out of a Keep-Alive header, None if there is none."""
+    fields = dict(head.headers) if head is not None else {}
+    found = KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))
+    return int(found[1]) if found else None
+
+
 def _watch_peer(sock: socket.socket) -> None:
     """Let the kernel find out within seconds that the other host is gone."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -139,7 +152,7 @@
 
     def __init__(self, client: ConnectionKeeper, address: str):
         self.address = address
-        self.idle_since_s = 0.0
+        self.kept_until_s = 0.0
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -159,6 +172,15 @@
         self._deadline_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def idle_limit_ms(self) -> int:
+        """Return how long the connection may be kept for the next call."""
+        stated_s = _stated_timeout_s(self._head)
+        if stated_s is None:
+            return self._limits.kept_idle_ms
+        stated_ms = max(0, stated_s * 1000 - KEPT_MARGIN_MS)
+        return min(self._limits.kept_stated_ms, stated_ms)
+
     @property
     def is_usable(self) -> bool:
         """Tell whether a new call may be sent."""
