Count broken connections among the failures of an upstream

Change: broken connections count in the share of failures, which costs up to 2 s.

Shown: the scenario on broken connections fails without the change.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -64,12 +64,19 @@
     And a short want of tier 1 arrives
     Then it is refused until the next probe
 
-  Scenario: An upstream that fails part of its requests is chosen after the others
+  Scenario Outline: An upstream that fails part of its requests is chosen after others
     Given a cell with 2 engines of 4 slots
-    When half of 12 requests fail at the upstream that was chosen first
+    When half of 12 requests end as "<cause>" at the upstream that was chosen first
+    And 31000 ms pass in the cell
     And host "a" wants "r1" at tier 1
     Then "r1" is granted at the other upstream
 
+    Examples:
+      | cause          |
+      | upstream_error |
+      | rejected       |
+      | upstream_died  |
+
   Scenario: A broken connection does not shut out an upstream that goes on working
     Given a cell with 1 engines of 4 slots
     When one of two requests there loses its connection and the other goes on
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -255,18 +255,21 @@
     assert 100 <= refusal.retry_after_ms <= 1000, refusal
 
 
-@when("half of {count:d} requests fail at the upstream that was chosen first")
-def fail_half(context, count):
+@when(
+    'half of {count:d} requests end as "{cause}" at the upstream that was chosen first'
+)
+def fail_half(context, count, cause):
     cell = context.cell
     cell.want("f0")
     context.failing = granted_at(cell, "f0")
-    cell.release("f0", ReleaseCause.UPSTREAM_ERROR)
+    cell.release("f0", ReleaseCause(cause))
     for number in range(1, count):
         request_id = f"f{number}"
+        cell.pass_time(100)
         cell.want(request_id)
         is_failing = granted_at(cell, request_id) == context.failing and number % 2
-        cause = ReleaseCause.UPSTREAM_ERROR if is_failing else ReleaseCause.COMPLETED
-        cell.release(request_id, cause)
+        end = ReleaseCause(cause) if is_failing else ReleaseCause.COMPLETED
+        cell.release(request_id, end)
 
 
 @then('"{request_id}" is granted at the other upstream')
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -68,6 +68,7 @@
 
         :param granted_ms: when the request that met the death was granted.
         """
+        self._count_failure()
         if granted_ms <= self.down_ms:
             return False
         self.down_ms = now_ms
@@ -84,7 +85,7 @@
 
     def failed(self, is_timeout: bool, now_ms: int) -> None:
         """Count an error or time-out; several in a row open the circuit."""
-        self.failure_share += (1 - self.failure_share) * FAILURE_GAIN
+        self._count_failure()
         if is_timeout:
             self._timeouts += 1
         else:
@@ -119,6 +120,9 @@
         if self.state is HealthState.RAMPING and self.ramp_slots >= limit:
             self._recover()
 
+    def _count_failure(self) -> None:
+        self.failure_share += (1 - self.failure_share) * FAILURE_GAIN
+
     def _recover(self) -> None:
         self.state = HealthState.HEALTHY
         self._backoff_ms = FIRST_BACKOFF_MS
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -12,7 +12,7 @@
 from .queues import QueuedWant
 
 FILL_MS = 20.0
-FAILURE_COST_MS = 500.0
+FAILURE_COST_MS = 2000.0
 LATE_WEIGHT = 5.0
 HOLD_COST_SHARE = 0.9
 MIN_HOLD_TOKENS = 256
