Split the gateway by jobs and keep one copy of what two programs share

How a control program waits for its end and the release of an unused slot stood twice; each is one function now.

--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -23,15 +23,14 @@
     UpstreamsListed,
 )
 from peridotfront.core.follower import ConfigInForce
-from peridotfront.core.gateway_role import (
-    GatewayRole,
+from peridotfront.core.gateway_role import GatewayRole
+from peridotfront.core.gateway_types import (
     PlaceWant,
     SeedsChanged,
     SlotEnded,
     SlotGranted,
     SlotRefused,
     WithdrawWant,
-    release_of,
 )
 from peridotfront.core.messages import (
     ConfigProposal,
@@ -43,6 +42,7 @@
 from peridotfront.core.pools import PoolBounds
 from peridotfront.core.raft import Persist, Raft, RaftTiming
 from peridotfront.core.raft_types import GroupPolicy, RoleChanged
+from peridotfront.core.releases import release_of
 from peridotfront.core.retry_budgets import RetryBounds
 from peridotfront.platform.configuration import parse_routing
 
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -8,7 +8,7 @@
 from socket import SO_LINGER, SOL_SOCKET
 
 from peridotfront.callers import HttpServer
-from peridotfront.core.gateway_role import SlotGranted, SlotRefused
+from peridotfront.core.gateway_types import SlotGranted, SlotRefused
 from peridotfront.core.messages import Grant, Refuse
 from peridotfront.core.routes import RouteTable
 from peridotfront.core.verdicts import Reason
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -1,6 +1,5 @@
 """The program of a control host: one replica of the control group."""
 
-import asyncio
 import random
 import time
 
@@ -21,14 +20,12 @@
 from .exceptions import FolderInUse, StorageDamaged, StorageFailed
 from .metrics import Metrics
 from .operators import OperatorPages
+from .replica_server import EXIT_STORAGE, wait_for_end
 from .runtime import TICK_MS, StopSignal, Ticker, now_ms, run
 from .settings import ControlSettings, load_control, load_file, split_address
 from .storage import Storage
 from .transport import Transport
 
-EXIT_STORAGE = 3
-EXIT_INTERNAL_ERROR = 70
-
 
 class ControlProgram:
     """Joins the parts of a control host.
@@ -81,7 +78,7 @@
             return 1
         self.ticker.start()
         logs.write("process_ready", port=self.admin.port)
-        exit_code = await self._wait(stop)
+        exit_code = await wait_for_end(self.server, stop)
         self.ticker.stop()
         await self.server.orders.stop()
         await self.admin.close()
@@ -90,20 +87,6 @@
         logs.write("process_stopped")
         return exit_code
 
-    async def _wait(self, stop: StopSignal) -> int:
-        stopped = asyncio.ensure_future(stop.wait())
-        waiting = (stopped, self.server.failed)
-        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        stopped.cancel()
-        if not self.server.failed.done():
-            return 0
-        error = self.server.failed.exception()
-        if isinstance(error, StorageFailed):
-            logs.write("storage_failed", detail=repr(error))
-            return EXIT_STORAGE
-        logs.write("internal_error", detail=repr(error))
-        return EXIT_INTERNAL_ERROR
-
     def _on_frame(self, frame) -> None:
         self.server.on_frame(frame)
 
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -84,11 +84,6 @@
         """Tell whether this host schedules for all."""
         return self.pools is not None
 
-    @property
-    def state(self) -> Any:
-        """Return the replicated state as applied here, possibly an old one."""
-        return self.controller.state
-
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Take an event and yield what the program has to do.
 
@@ -98,10 +93,6 @@
         """
         yield from self._handle(event, now_ms)
 
-    def may_send_order(self, now_ms: int) -> bool:
-        """Tell whether this host leads at this very moment, by its own clock."""
-        return self.controller.may_send_order(now_ms)
-
     @dispatchmethod
     def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         yield from self._control(event, now_ms)
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -57,6 +57,7 @@
     Release,
     ReleaseCause,
 )
+from .releases import unused_release
 from .requests import Request
 from .verdicts import Reason, Refusal, Verdict
 
@@ -336,7 +337,7 @@
         is_wanted = flow is not None and flow.state is FlowState.QUEUED
         if not is_wanted or flow.cell != message.cell:
             if not self._holds(message):
-                yield Send(event.sender, _unused(message))
+                yield Send(event.sender, unused_release(message))
             return
         flow.upstream = message.upstream
         flow.renewed_ms = now_ms
@@ -526,7 +527,7 @@
 
     def _not_sent(self, flow: Flow) -> Send:
         grant = Grant(flow.request.request_id, flow.cell, flow.upstream, 0, 0)
-        return Send(flow.scheduler, _unused(grant))
+        return Send(flow.scheduler, unused_release(grant))
 
     # -- ends --------------------------------------------------------------
 
@@ -588,17 +589,3 @@
         return True
     is_ended = reply.status is ClaimStatus.ENDED
     return is_ended and reply.outcome.verdict is Verdict.NOT_RUN
-
-
-def _unused(grant: Grant) -> Release:
-    return Release(
-        request_id=grant.request_id,
-        cell=grant.cell,
-        upstream=grant.upstream,
-        cause=ReleaseCause.NOT_SENT,
-        prompt_tokens=0,
-        cached_tokens=0,
-        produced_tokens=0,
-        first_token_ms=-1,
-        duration_ms=0,
-    )
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -4,7 +4,7 @@
 it schedules for itself on its own share of the upstreams.
 """
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Any
@@ -17,6 +17,15 @@
 from .dispatch import dispatchmethod
 from .fallback import own_share
 from .follower import ConfigFollower, ConfigInForce, FollowerTiming
+from .gateway_types import (
+    PlaceWant,
+    SeedsChanged,
+    SlotEnded,
+    SlotGranted,
+    SlotProgress,
+    SlotRefused,
+    WithdrawWant,
+)
 from .leader_hints import LeaderHints
 from .messages import (
     CancelWant,
@@ -26,13 +35,12 @@
     HeldSlot,
     ListedUpstream,
     Refuse,
-    Release,
-    ReleaseCause,
-    Spending,
     UpstreamsUpdate,
     Want,
 )
 from .pools import PoolBounds, Pools
+from .releases import unused_release
+from .spending import SpendingLedger
 
 HEARTBEAT_MS = 200
 LEADER_SILENCE_MS = 550
@@ -40,71 +48,9 @@
 BLANK_WAIT_MS = 100
 RESEND_WANT_MS = 300
 RENEW_SLOT_MS = 1000
-SPENDING_STEP_MS = 500
 ALONE_RETRY_SHARE = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class PlaceWant:
-    """Event: a request needs a slot."""
-
-    want: Want
-
-
-@dataclass(frozen=True, slots=True)
-class WithdrawWant:
-    """Event: a request no longer needs the slot that it asked for."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class SlotProgress:
-    """Event: a request got more of its answer.
-
-    :param produced_tokens: since its start.
-    """
-
-    request_id: str
-    produced_tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class SlotEnded:
-    """Event: a request gives its slot back."""
-
-    release: Release
-
-
-@dataclass(frozen=True, slots=True)
-class SeedsChanged:
-    """Event: changed settings name other control hosts."""
-
-    control_hosts: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class SlotGranted:
-    """Action: a request has its slot.
-
-    :param is_own: whether this host granted it to itself, without a leader.
-    """
-
-    grant: Grant
-    is_own: bool
-
-
-@dataclass(frozen=True, slots=True)
-class SlotRefused:
-    """Action: a request gets no slot; it did not run.
-
-    :param is_own: whether this host refused it by itself, without a leader.
-    """
-
-    refuse: Refuse
-    is_own: bool
-
-
 @dataclass(slots=True)
 class _Pending:
     """Is a want that waits; ``asked_ms`` is when the leader was last asked."""
@@ -120,19 +66,6 @@
     told_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Spent:
-    """Is what a grant took of an allowance.
-
-    :param term: of the leader that has counted it; 0 if none has.
-    """
-
-    client_account: str
-    units: int
-    spent_ms: int
-    term: int
-
-
 class GatewayRole:
     """Finds slots for the requests of one entry host.
 
@@ -168,8 +101,7 @@
         self._sequence = 0
         self._pending: dict[str, _Pending] = {}
         self._held: dict[str, _Held] = {}
-        self._window_ms = bounds.allowances.window_ms
-        self._spent: deque[_Spent] = deque()
+        self._ledger = SpendingLedger(bounds.allowances.window_ms)
         self._term = 0
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
@@ -294,9 +226,10 @@
         pending = self._pending.pop(message.request_id, None)
         if pending is None:
             if not self._holds(message):
-                yield Send(event.sender, _unused(message))
+                yield Send(event.sender, unused_release(message))
             return
-        self._note_spending(pending.want, event.sender, now_ms)
+        is_counted = event.sender == self.leader
+        self._ledger.note(pending.want, self._term if is_counted else 0, now_ms)
         slot = HeldSlot(pending.want, message.upstream, 0)
         self._held[message.request_id] = _Held(slot, now_ms)
         yield SlotGranted(message, event.sender == self.host)
@@ -308,27 +241,6 @@
         if self._pending.pop(message.request_id, None) is not None:
             yield SlotRefused(message, event.sender == self.host)
 
-    def _note_spending(self, want: Want, granter: str, now_ms: int) -> None:
-        oldest_ms = now_ms - self._window_ms
-        while self._spent and self._spent[0].spent_ms <= oldest_ms:
-            self._spent.popleft()
-        if want.allowance_units:
-            term = self._term if granter == self.leader else 0
-            spent = _Spent(want.client_account, want.allowance_units, now_ms, term)
-            self._spent.append(spent)
-
-    def _tell_spending(self, now_ms: int) -> Iterator[Send]:
-        """Tell a leader what it has not granted itself in its term."""
-        units_by_age: Counter[tuple[str, int]] = Counter()
-        for spent in self._spent:
-            age_ms = now_ms - spent.spent_ms
-            if spent.term != self._term and age_ms < self._window_ms:
-                rounded_ms = age_ms - age_ms % SPENDING_STEP_MS
-                units_by_age[spent.client_account, rounded_ms] += spent.units
-        for (account, age_ms), units in units_by_age.items():
-            yield Send(self.leader, Spending(account, units, age_ms))
-        self._spent = deque(replace(one, term=self._term) for one in self._spent)
-
     def _holds(self, grant: Grant) -> bool:
         held = self._held.get(grant.request_id)
         return held is not None and held.slot.upstream == grant.upstream
@@ -359,7 +271,8 @@
             yield from self._detach(now_ms)
 
     def _attach(self, now_ms: int) -> Iterator[Any]:
-        yield from self._tell_spending(now_ms)
+        for spending in self._ledger.take_uncounted(self._term, now_ms):
+            yield Send(self.leader, spending)
         for held in self._held.values():
             held.told_ms = now_ms
             yield Send(self.leader, held.slot)
@@ -425,43 +338,3 @@
         deadline_ms=max(0, want.deadline_ms - waited_ms),
         goal_ms=max(0, want.goal_ms - waited_ms),
     )
-
-
-def release_of(
-    want: Want,
-    upstream: str,
-    cause: ReleaseCause,
-    *,
-    produced_tokens: int = 0,
-    first_token_ms: int = -1,
-    duration_ms: int = 0,
-) -> Release:
-    """Return the message that gives back the slot of a want.
-
-    :param first_token_ms: from the send to the first event; -1 if there was none.
-    """
-    return Release(
-        request_id=want.request_id,
-        cell=want.cell,
-        upstream=upstream,
-        cause=cause,
-        prompt_tokens=want.prompt_tokens,
-        cached_tokens=0,
-        produced_tokens=produced_tokens,
-        first_token_ms=first_token_ms,
-        duration_ms=duration_ms,
-    )
-
-
-def _unused(grant: Grant) -> Release:
-    return Release(
-        request_id=grant.request_id,
-        cell=grant.cell,
-        upstream=grant.upstream,
-        cause=ReleaseCause.NOT_SENT,
-        prompt_tokens=0,
-        cached_tokens=0,
-        produced_tokens=0,
-        first_token_ms=-1,
-        duration_ms=0,
-    )
--- /dev/null
+++ b/src/peridotfront/core/releases.py
@@ -0,0 +1,44 @@
+"""Messages that give slots back."""
+
+from .messages import Grant, Release, ReleaseCause, Want
+
+
+def release_of(
+    want: Want,
+    upstream: str,
+    cause: ReleaseCause,
+    *,
+    produced_tokens: int = 0,
+    first_token_ms: int = -1,
+    duration_ms: int = 0,
+) -> Release:
+    """Return the message that gives back the slot of a want.
+
+    :param first_token_ms: from the send to the first event; -1 if there was none.
+    """
+    return Release(
+        request_id=want.request_id,
+        cell=want.cell,
+        upstream=upstream,
+        cause=cause,
+        prompt_tokens=want.prompt_tokens,
+        cached_tokens=0,
+        produced_tokens=produced_tokens,
+        first_token_ms=first_token_ms,
+        duration_ms=duration_ms,
+    )
+
+
+def unused_release(grant: Grant) -> Release:
+    """Return the message that gives back a slot to which nothing was sent."""
+    return Release(
+        request_id=grant.request_id,
+        cell=grant.cell,
+        upstream=grant.upstream,
+        cause=ReleaseCause.NOT_SENT,
+        prompt_tokens=0,
+        cached_tokens=0,
+        produced_tokens=0,
+        first_token_ms=-1,
+        duration_ms=0,
+    )
--- a/src/peridotfront/gateway_server.py
+++ b/src/peridotfront/gateway_server.py
@@ -9,16 +9,16 @@
 from .core.actions import Log, Received, Send, Tick
 from .core.coordinator import RoutingChanged
 from .core.follower import ConfigInForce
-from .core.gateway_role import (
-    GatewayRole,
+from .core.gateway_role import GatewayRole
+from .core.gateway_types import (
     PlaceWant,
     SlotEnded,
     SlotGranted,
     SlotRefused,
     WithdrawWant,
-    release_of,
 )
 from .core.messages import Frame, ReleaseCause, Want
+from .core.releases import release_of
 from .core.routes import RouteTable, Routing
 from .exceptions import SettingsInvalid
 from .metrics import Metrics
--- a/src/peridotfront/platform/control.py
+++ b/src/peridotfront/platform/control.py
@@ -1,6 +1,5 @@
 """The program of a control host on the platform."""
 
-import asyncio
 import random
 import time
 
@@ -15,7 +14,7 @@
 from ..exceptions import FolderInUse, SettingsInvalid, StorageDamaged, StorageFailed
 from ..http_client import HttpClient
 from ..metrics import Metrics
-from ..replica_server import ReplicaServer
+from ..replica_server import EXIT_STORAGE, ReplicaServer, wait_for_end
 from ..runtime import TICK_MS, StopSignal, Tasks, Ticker, now_ms, run
 from ..settings import split_address
 from ..storage import Storage
@@ -27,8 +26,6 @@
 from .settings import PlatformSettings
 from .upstream_list import UpstreamListClient
 
-EXIT_STORAGE = 3
-EXIT_INTERNAL_ERROR = 4
 LIST_INTERVAL_MS = 800
 REPLACE_AFTER_MS = 8000
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
@@ -94,26 +91,12 @@
         self.tasks.start(self.poller.run())
         self.tasks.start(self.watch.run())
         logs.write("process_ready", port=self.operators.port)
-        exit_code = await self._wait(stop)
+        exit_code = await wait_for_end(self.server, stop)
         self.ticker.stop()
         self.storage.close()
         logs.write("process_stopped")
         return exit_code
 
-    async def _wait(self, stop: StopSignal) -> int:
-        stopped = asyncio.ensure_future(stop.wait())
-        waiting = (stopped, self.server.failed)
-        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        stopped.cancel()
-        if not self.server.failed.done():
-            return 0
-        error = self.server.failed.exception()
-        if isinstance(error, StorageFailed):
-            logs.write("storage_failed", detail=repr(error))
-            return EXIT_STORAGE
-        logs.write("internal_error", detail=repr(error))
-        return EXIT_INTERNAL_ERROR
-
     def _on_frame(self, frame) -> None:
         self.server.on_frame(frame)
 
--- a/src/peridotfront/platform/entry.py
+++ b/src/peridotfront/platform/entry.py
@@ -5,7 +5,8 @@
 
 from .. import logs
 from ..callers import HttpLimits, HttpServer
-from ..core.gateway_role import GatewayRole, SeedsChanged
+from ..core.gateway_role import GatewayRole
+from ..core.gateway_types import SeedsChanged
 from ..core.routes import CallerBounds, Routing
 from ..exchanges import Exchange
 from ..gateway import Gateway
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -6,16 +6,15 @@
 
 from ..core.routes import RoutedAccount
 from ..exceptions import InvalidRequest
-from ..gateway import AnswerKind, RoutedRequest
 from ..http_client import UpstreamAnswer
 from ..http_messages import Header, HttpRequest, find_header
+from ..routed_requests import AnswerKind, RoutedRequest
 
 ATTEMPT_ID = "x-attempt-id"
 DEADLINE = "x-deadline-ms"
 ACCOUNT_KEY = "api-key"
 ACCOUNT = "x-tenant"
 INSTANCE = "x-expect-instance"
-MODEL = "x-model"
 TOKEN_COUNT = "x-token-count"
 LENGTH_HINT = "x-length-hint"
 PREFIX = "x-prefix-hash"
@@ -61,7 +60,6 @@
             host=http.header("host"),
             key=http.header(ACCOUNT_KEY),
             deadline_ms=_number(http, DEADLINE, default_deadline_ms),
-            model=http.header(MODEL),
             prompt_tokens=prompt_tokens,
             output_tokens=_number(http, LENGTH_HINT, most_output_tokens),
             counted_tokens=prompt_tokens + most_output_tokens if counted else None,
--- a/src/peridotfront/replica_server.py
+++ b/src/peridotfront/replica_server.py
@@ -26,11 +26,14 @@
     Frame,
 )
 from .core.raft_types import Persist, Role, RoleChanged
-from .exceptions import NotLeader
+from .exceptions import NotLeader, StorageFailed
 from .metrics import Metrics
-from .runtime import now_ms
+from .runtime import StopSignal, now_ms
 from .storage import Storage
 
+EXIT_STORAGE = 3
+EXIT_INTERNAL_ERROR = 70
+
 SendMessage = Callable[[str, Any], None]
 ActionHandler = Callable[[Any], None]
 
@@ -195,3 +198,22 @@
         future = self._waiting.get(ticket)
         if future is not None and not future.done():
             future.set_exception(error)
+
+
+async def wait_for_end(server: ReplicaServer, stop: StopSignal) -> int:
+    """Wait until a signal comes or the replica fails.
+
+    :return: the exit code of the process.
+    """
+    stopped = asyncio.ensure_future(stop.wait())
+    waiting = (stopped, server.failed)
+    await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+    stopped.cancel()
+    if not server.failed.done():
+        return 0
+    error = server.failed.exception()
+    if isinstance(error, StorageFailed):
+        logs.write("storage_failed", detail=repr(error))
+        return EXIT_STORAGE
+    logs.write("internal_error", detail=repr(error))
+    return EXIT_INTERNAL_ERROR
