--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -159,3 +159,10 @@
     And the host closes what is idle
     Then the idle connection ends
     And the stream still comes to its end
+
+  Scenario: The metrics show waiting, first events and sends of routed requests
+    Given a gateway before upstream "u1" that will "reject"
+    And upstream "u2" that will "events"
+    When a caller sends "/stream/x" with the body "prompt"
+    Then the metrics show 2 sends of the kind "streaming"
+    And the metrics show 1 wait and 1 first event of tier 1
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -249,3 +249,20 @@
 @then("the answer took at most {limit:d} ms")
 def took_at_most(context, limit):
     assert context.answer.duration_s * 1000 <= limit, context.answer.duration_s
+
+
+@then('the metrics show {count:d} sends of the kind "{kind}"')
+def shows_sends(context, count, kind):
+    text = context.front.metrics.render().decode()
+    lines = [one for one in text.splitlines() if "dispatches_total{" in one]
+    found = [one for one in lines if f'kind="{kind}"' in one]
+    assert found and found[0].endswith(f" {count}"), lines
+
+
+@then("the metrics show 1 wait and 1 first event of tier 1")
+def shows_times(context):
+    text = context.front.metrics.render().decode()
+    for name in ("queue_ms", "first_token_ms"):
+        lines = [one for one in text.splitlines() if f"{name}_count{{" in one]
+        counts = [float(one.split()[-1]) for one in lines if 'tier="1"' in one]
+        assert counts == [1.0], lines
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -250,8 +250,8 @@
         for one in self.upstreams:
             await one.start()
         self.client = HttpClient()
-        metrics = Metrics("e1", "dc1")
-        gateway = Gateway(self.placer, self.client, PlatformDialect(), metrics)
+        self.metrics = Metrics("e1", "dc1")
+        gateway = Gateway(self.placer, self.client, PlatformDialect(), self.metrics)
         self.http = HttpServer(gateway.handle)
         await self.http.start("127.0.0.1")
         return self
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -99,9 +99,15 @@
             self._count(admitted, forwarding)
 
     def _count(self, admitted: Admitted, forwarding: "Forwarding") -> None:
+        tier = admitted.tier
         self._metrics.count_answer(
-            admitted.tier, forwarding.verdict, forwarding.reason, forwarding.is_good
+            tier, forwarding.verdict, forwarding.reason, forwarding.is_good
         )
+        self._metrics.observe_queue(tier, forwarding.waited_ms)
+        if forwarding.first_ms >= 0:
+            self._metrics.observe_first_token(tier, forwarding.first_ms)
+        for _ in range(forwarding.sends):
+            self._metrics.count_dispatch(admitted.route.kind)
         forwarding.write_end()
 
     async def _refuse(self, exchange: Exchange, refused: "_Refused") -> None:
--- a/src/peridotfront/metrics.py
+++ b/src/peridotfront/metrics.py
@@ -121,7 +121,7 @@
     def count_dispatch(self, kind: str) -> None:
         """Count a request sent to an upstream.
 
-        :param kind: ``engine`` or ``service``.
+        :param kind: ``engine`` or ``service``; of the route, if it has one.
         """
         self._dispatches.inc({"kind": str(kind)})
 
