--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -30,6 +30,13 @@
     And 8000 ms pass in the routed group
     Then no control host leads
 
+  Scenario: Hosts that all lost their disks never found a second group
+    Given a routed group of 3 control hosts and 1 entry host
+    And version 7 is acknowledged
+    When all control hosts lose power and all lose their disks
+    And 8000 ms pass in the routed group
+    Then no control host leads
+
   Scenario: A host that is gone for good is replaced by one at a new address
     Given a routed group of 4 control hosts and 1 entry host
     And version 7 is acknowledged
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -100,6 +100,13 @@
     context.group.run(500)
 
 
+@when("all control hosts lose power and all lose their disks")
+def lose_all_disks(context):
+    lose_power(context)
+    for host in context.group.controls:
+        context.group.restart(host.name, is_blank=True)
+
+
 @when("all control hosts start again")
 def start_again(context):
     for host in context.group.controls:
