Move all that decides out of the adapter

The adapter's programs held the order of a shutdown, when a host is ready, who reads the list and how often, and what a control host is joined from. These are the product's now (routed_entry, routed_control, routed_settings, settings_watch, metrics_page); src/peridotfront/platform/ hands them its translations. Opening a data folder stands once.

--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -17,10 +17,9 @@
 from .core.raft import Raft
 from .core.raft_types import RaftTiming
 from .credentials import admin_context, check_files, peer_credentials
-from .exceptions import FolderInUse, StorageDamaged, StorageFailed
 from .metrics import Metrics
 from .operators import OperatorPages
-from .replica_server import EXIT_STORAGE, wait_for_end
+from .replica_server import open_storage, wait_for_end
 from .runtime import TICK_MS, StopSignal, Ticker, now_ms, run
 from .settings import ControlSettings, load_control, load_file, split_address
 from .storage import Storage
@@ -134,12 +133,7 @@
     """
     loaded = load_file(load_control, settings, check_files)
     logs.configure(loaded.log, loaded.host.name)
-    try:
-        storage = Storage.open(loaded.storage.data_folder)
-    except (FolderInUse, StorageDamaged, StorageFailed, OSError) as error:
-        logs.write("storage_damaged", detail=str(error))
-        raise SystemExit(EXIT_STORAGE) from error
-    logs.write("storage_opened", incarnation=storage.incarnation)
+    storage = open_storage(loaded.storage.data_folder)
     raise SystemExit(run(_main(loaded, storage)))
 
 
--- /dev/null
+++ b/src/peridotfront/metrics_page.py
@@ -0,0 +1,23 @@
+"""The page on which a process shows its metrics."""
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+from .admin import METRICS_TYPE
+from .exchanges import Exchange
+from .metrics import Metrics
+
+METRICS_PATH = "/metrics"
+
+
+def metrics_page(metrics: Metrics) -> Callable[[Exchange], Awaitable[None]]:
+    """Return a handler that answers with the metrics of the process."""
+
+    async def handle(exchange: Exchange) -> None:
+        if exchange.request.path != METRICS_PATH:
+            await exchange.respond(HTTPStatus.NOT_FOUND)
+            return
+        fields = [("content-type", METRICS_TYPE)]
+        await exchange.respond(HTTPStatus.OK, fields, metrics.render())
+
+    return handle
--- a/src/peridotfront/platform/entry.py
+++ b/src/peridotfront/platform/entry.py
@@ -1,162 +1,25 @@
 """The program of an entry host on the platform."""
 
-import asyncio
-from http import HTTPStatus
-
-from .. import logs
-from ..callers import HttpLimits, HttpServer
-from ..core.gateway_role import GatewayRole
-from ..core.gateway_types import SeedsChanged
-from ..core.routes import CallerBounds, Routing
-from ..exchanges import Exchange
-from ..gateway import Gateway
-from ..gateway_server import GatewayServer
-from ..http_client import ClientLimits, HttpClient
-from ..metrics import Metrics
-from ..runtime import (
-    BUSY_TICK_MS,
-    IDLE_TICK_MS,
-    StopSignal,
-    Tasks,
-    Ticker,
-    new_incarnation,
-    now_ms,
-    run,
-)
-from ..settings import split_address
-from ..transport import Transport
-from ..upstream_poller import UpstreamPoller
+from ..http_client import HttpClient
+from ..routed_entry import EntryAdapter, RoutedEntry
+from ..routed_settings import RoutedSettings
+from ..runtime import run
 from .configuration import parse_routing
-from .process import SettingsWatch, load_or_exit, metrics_page
+from .process import load_or_exit, settings_path
 from .requests import PlatformDialect
-from .settings import PlatformSettings
 from .upstream_list import UpstreamListClient
 
 READY_PATH = "/peridotfront/readyz"
-OWN_LIST_AFTER_MS = 800
-OWN_LIST_INTERVAL_MS = 1500
-ROTATION_MS = 2500
-EXIT_MARGIN_MS = 1000
-KEPT_IDLE_MS = 4000
-KEPT_CONNECTIONS = 8
-REQUEST_MS = 15_000
-MAX_CALLERS = 3000
-ALL_BODIES_BYTES = 48 * 1024 * 1024
-
-
-class EntryProcess:
-    """Joins the parts of an entry host."""
-
-    def __init__(self, settings: PlatformSettings):
-        self.settings = settings
-        host = settings.host
-        incarnation = new_incarnation()
-        metrics = Metrics(host.name, host.data_centre)
-        self.is_leaving = False
-        self.transport = Transport(
-            settings.name, incarnation, (), self._on_frame, is_open=True
-        )
-        self.role = GatewayRole(
-            settings.name,
-            incarnation,
-            host.data_centre,
-            settings.seed_hosts,
-            settings.bounds,
-        )
-        self.server = GatewayServer(
-            self.role, parse_routing, self.transport.send, metrics
-        )
-        self.server.on_routing = self._use_routing
-        limits = ClientLimits(
-            kept_connections=KEPT_CONNECTIONS, kept_idle_ms=KEPT_IDLE_MS
-        )
-        self.client = HttpClient(limits)
-        self.gateway = Gateway(self.server, self.client, PlatformDialect(), metrics)
-        self.callers = HttpServer(self.gateway.handle, _limits(CallerBounds()))
-        self.readiness = HttpServer(self._answer_ready)
-        self.metrics_server = HttpServer(metrics_page(metrics))
-        upstreams = UpstreamListClient(HttpClient(), settings.upstream_list.address)
-        self.poller = UpstreamPoller(
-            upstreams, self.server.feed, self._reads_list, self._list_interval_ms
-        )
-        self.watch = SettingsWatch(settings, self._use_settings)
-        self.ticker = Ticker(self.server.tick, self._tick_ms)
-        self.tasks = Tasks()
-
-    async def run(self) -> int:
-        """Serve until a signal comes, then let the requests under way finish."""
-        logs.write("process_started", role="entry")
-        stop = StopSignal(lambda: logs.write("drain_signal_repeated"))
-        stop.install()
-        listen = self.settings.listen
-        try:
-            await self.transport.start(self.settings.peer_address)
-            await self.callers.start(*split_address(listen.callers))
-            await self.readiness.start(*split_address(listen.readiness))
-            await self.metrics_server.start(self.settings.host.ip, listen.metrics_port)
-        except (OSError, RuntimeError) as error:
-            logs.write("port_unavailable", detail=str(error))
-            return 1
-        self.ticker.start()
-        self.tasks.start(self.poller.run())
-        self.tasks.start(self.watch.run())
-        logs.write("process_ready", port=self.callers.port)
-        await stop.wait()
-        await self._drain()
-        logs.write("process_stopped")
-        return 0
-
-    async def _drain(self) -> None:
-        logs.write("drain_started", in_progress=self.gateway.in_progress)
-        self.is_leaving = True
-        grace_ms = int(self.settings.shutdown.grace_s * 1000)
-        await asyncio.sleep(ROTATION_MS / 1000)
-        self.callers.close_listener()
-        self.callers.is_draining = True
-        self.callers.close_idle()
-        await self.callers.drain(grace_ms - ROTATION_MS - EXIT_MARGIN_MS)
-
-    def _use_routing(self, routing: Routing) -> None:
-        self.callers.limits = _limits(routing.bounds)
-
-    def _use_settings(self, settings: PlatformSettings) -> None:
-        self.server.feed(SeedsChanged(settings.seed_hosts))
 
-    def _reads_list(self) -> bool:
-        return self.role.detached_ms(now_ms()) >= OWN_LIST_AFTER_MS
 
-    def _list_interval_ms(self) -> int:
-        """Return the interval at which all entry hosts together keep to the rate."""
-        calls_per_s = self.settings.upstream_list.calls_per_s
-        fair_ms = 2000 * self.role.entry_hosts / calls_per_s
-        return max(OWN_LIST_INTERVAL_MS, int(fair_ms))
-
-    async def _answer_ready(self, exchange: Exchange) -> None:
-        is_ready = self.server.table.version > 0 and not self.is_leaving
-        is_known = exchange.request.path == READY_PATH
-        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
-        await exchange.respond(status if is_known else HTTPStatus.NOT_FOUND)
-
-    def _tick_ms(self) -> int:
-        return BUSY_TICK_MS if self.role.is_busy else IDLE_TICK_MS
-
-    def _on_frame(self, frame) -> None:
-        self.server.on_frame(frame)
-
-
-def _limits(bounds: CallerBounds) -> HttpLimits:
-    return HttpLimits(
-        header_bytes=bounds.header_bytes,
-        body_bytes=bounds.body_bytes,
-        all_bodies_bytes=ALL_BODIES_BYTES,
-        connections=MAX_CALLERS,
-        idle_ms=bounds.idle_timeout_ms,
-        request_ms=max(bounds.header_timeout_ms, REQUEST_MS),
+async def _main(settings: RoutedSettings) -> int:
+    adapter = EntryAdapter(
+        dialect=PlatformDialect(),
+        parse=parse_routing,
+        list_client=lambda address: UpstreamListClient(HttpClient(), address),
+        ready_path=READY_PATH,
     )
-
-
-async def _main(settings: PlatformSettings) -> int:
-    return await EntryProcess(settings).run()
+    return await RoutedEntry(settings, settings_path(), adapter).run()
 
 
 def main() -> None:
--- a/src/peridotfront/replica_server.py
+++ b/src/peridotfront/replica_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 from itertools import count
+from pathlib import Path
 from typing import Any, Protocol
 
 from . import logs
@@ -26,7 +27,7 @@
     Frame,
 )
 from .core.raft_types import Persist, Role, RoleChanged
-from .exceptions import NotLeader, StorageFailed
+from .exceptions import FolderInUse, NotLeader, StorageDamaged, StorageFailed
 from .metrics import Metrics
 from .runtime import StopSignal, now_ms
 from .storage import Storage
@@ -200,6 +201,20 @@
             future.set_exception(error)
 
 
+def open_storage(folder: Path | str, *, is_first_start: bool = False) -> Storage:
+    """Open a data folder, or say what is wrong with it and exit.
+
+    :param is_first_start: whether the whole deployment starts for the first time.
+    """
+    try:
+        storage = Storage.open(folder, is_first_start=is_first_start)
+    except (FolderInUse, StorageDamaged, StorageFailed, OSError) as error:
+        logs.write("storage_damaged", detail=str(error))
+        raise SystemExit(EXIT_STORAGE) from error
+    logs.write("storage_opened", incarnation=storage.incarnation)
+    return storage
+
+
 async def wait_for_end(server: ReplicaServer, stop: StopSignal) -> int:
     """Wait until a signal comes or the replica fails.
 
--- /dev/null
+++ b/src/peridotfront/routed_control.py
@@ -0,0 +1,164 @@
+"""A control host that others find through seeds: its parts, and how it starts."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from . import logs, wire
+from .callers import Handler, HttpLimits, HttpServer
+from .core.control_types import ConfigApplied, ControlTiming
+from .core.controller import Controller
+from .core.coordinator import Coordinator, RoutingChanged
+from .core.messages import ControlSnapshot
+from .core.raft import Raft
+from .core.raft_types import GroupPolicy, RaftTiming
+from .exceptions import SettingsInvalid
+from .gateway_server import ParseRouting
+from .metrics import Metrics
+from .metrics_page import metrics_page
+from .replica_server import ReplicaServer, wait_for_end
+from .routed_settings import RoutedSettings
+from .runtime import TICK_MS, StopSignal, Tasks, Ticker, now_ms
+from .settings import split_address
+from .settings_watch import SettingsWatch
+from .storage import Storage
+from .transport import Transport
+from .upstream_poller import UpstreamList, UpstreamPoller
+
+LIST_INTERVAL_MS = 800
+REPLACE_AFTER_MS = 8000
+MAX_CONFIG_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ControlAdapter:
+    """Is what a control host needs of a platform.
+
+    :param parse: turns the text of a configuration into routes.
+    :param list_client: returns a reader of the list of upstreams at an address.
+    :param operators: returns the handler of the operators' calls, for the own
+        replica and the port at which every control host answers them.
+    """
+
+    parse: ParseRouting
+    list_client: Callable[[str], UpstreamList]
+    operators: Callable[[ReplicaServer, int], Handler]
+
+
+class RoutedControl:
+    """Joins the parts of a control host that hosts find through seeds.
+
+    :param settings_path: of the file that ``settings`` were read from.
+    :param storage: the opened data folder.
+    """
+
+    def __init__(
+        self,
+        settings: RoutedSettings,
+        settings_path: Path,
+        storage: Storage,
+        adapter: ControlAdapter,
+    ):
+        self.settings = settings
+        self.storage = storage
+        self._parse = adapter.parse
+        host = settings.host
+        metrics = Metrics(host.name, host.data_centre)
+        self.transport = Transport(
+            settings.name, storage.incarnation, (), self._on_frame, is_open=True
+        )
+        self.raft = _raft(settings, storage)
+        self.coordinator = Coordinator(
+            settings.name, _controller(settings, self.raft), settings.bounds
+        )
+        self.server = ReplicaServer(
+            self.coordinator,
+            storage,
+            self.transport.send,
+            metrics,
+            {ConfigApplied: self._use_config},
+        )
+        ip, port = split_address(settings.listen.operators)
+        self.operators = HttpServer(
+            adapter.operators(self.server, port),
+            HttpLimits(body_bytes=MAX_CONFIG_BYTES),
+        )
+        self.operators_address = (ip, port)
+        self.metrics_server = HttpServer(metrics_page(metrics))
+        self.poller = UpstreamPoller(
+            adapter.list_client(settings.upstream_list.address),
+            self.server.feed,
+            lambda: self.coordinator.is_leading,
+            lambda: LIST_INTERVAL_MS,
+        )
+        self.watch = SettingsWatch(settings_path, settings, self._use_settings)
+        self.ticker = Ticker(self.server.tick, lambda: TICK_MS)
+        self.tasks = Tasks()
+
+    async def run(self) -> int:
+        """Serve until a signal comes or the storage fails."""
+        logs.write("process_started", role="control")
+        stop = StopSignal(lambda: logs.write("drain_signal_repeated"))
+        stop.install()
+        try:
+            await self.transport.start(self.settings.peer_address)
+            await self.operators.start(*self.operators_address)
+            await self.metrics_server.start(*self.settings.metrics_address)
+        except (OSError, RuntimeError) as error:
+            logs.write("port_unavailable", detail=str(error))
+            return 1
+        self.ticker.start()
+        self.tasks.start(self.poller.run())
+        self.tasks.start(self.watch.run())
+        logs.write("process_ready", port=self.operators.port)
+        exit_code = await wait_for_end(self.server, stop)
+        self.ticker.stop()
+        self.storage.close()
+        logs.write("process_stopped")
+        return exit_code
+
+    def _on_frame(self, frame) -> None:
+        self.server.on_frame(frame)
+
+    def _use_config(self, action: ConfigApplied) -> None:
+        try:
+            routing = self._parse(action.content, action.version)
+        except SettingsInvalid as error:
+            logs.write("config_unreadable", version=action.version, error=str(error))
+            return
+        self.server.feed(RoutingChanged(routing))
+
+    def _use_settings(self, settings: RoutedSettings) -> None:
+        self.raft.use_configured_hosts(settings.seed_hosts)
+
+
+def _raft(settings: RoutedSettings, storage: Storage) -> Raft:
+    policy = GroupPolicy(
+        may_found=storage.may_found,
+        is_open=True,
+        replace_after_ms=REPLACE_AFTER_MS,
+    )
+    return Raft(
+        settings.name,
+        storage.incarnation,
+        settings.seed_hosts,
+        storage.state,
+        RaftTiming(),
+        random.random,
+        policy,
+    )
+
+
+def _controller(settings: RoutedSettings, raft: Raft) -> Controller:
+    return Controller(
+        settings.name,
+        raft,
+        settings.host.data_centre,
+        (),
+        wire.encode,
+        lambda data: wire.decode(ControlSnapshot, data),
+        ControlTiming(),
+        wall_offset_ms=time.time_ns() // 1_000_000 - now_ms(),
+    )
--- a/src/peridotfront/platform/settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -1,22 +1,16 @@
-"""Settings of a process on the platform, filled into the product's INI form.
+"""Start-up settings of a process that finds its control group through seeds."""
 
-``deploy/process.ini`` is the form; the platform fills it in before each start and
-whenever the settings change.
-"""
-
-import os
 from dataclasses import dataclass
 from pathlib import Path
 
 from pydantic import Field
 
-from ..core.allowances import AllowanceBounds
-from ..core.pools import PoolBounds
-from ..core.retry_budgets import RetryBounds
-from ..exceptions import SettingsInvalid
-from ..ini import Fault, Ini, Section, Words
+from .core.allowances import AllowanceBounds
+from .core.pools import PoolBounds
+from .core.retry_budgets import RetryBounds
+from .exceptions import SettingsInvalid
+from .ini import Fault, Ini, Section, Words
 
-SETTINGS_VARIABLE = "PERIDOTFRONT_SETTINGS"
 MS_PER_S = 1000
 
 
@@ -95,7 +89,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlatformSettings:
+class RoutedSettings:
     """Holds all settings of a process."""
 
     host: HostSection
@@ -117,6 +111,16 @@
         """Return the address at which other hosts' connections are accepted."""
         return self.listen.peers or self.name
 
+    @property
+    def metrics_address(self) -> tuple[str, int]:
+        """Return where metrics are served."""
+        return self.host.ip, self.listen.metrics_port
+
+    @property
+    def grace_ms(self) -> int:
+        """Return the time from SIGTERM until the process is killed."""
+        return int(self.shutdown.grace_s * MS_PER_S)
+
     @property
     def seed_hosts(self) -> tuple[str, ...]:
         """Return the seeds' host names; they listen at the same port as this host."""
@@ -151,12 +155,7 @@
 }
 
 
-def settings_path() -> Path:
-    """Return the path of the settings file that the platform names."""
-    return Path(os.environ[SETTINGS_VARIABLE])
-
-
-def load_settings(path: Path) -> PlatformSettings:
+def load_settings(path: Path) -> RoutedSettings:
     """Read a settings file.
 
     :raises SettingsInvalid: with every fault.
@@ -170,4 +169,4 @@
     sections = {name: ini.read(model, name, faults) for name, model in SECTIONS.items()}
     if faults:
         raise SettingsInvalid(str(path), tuple(faults))
-    return PlatformSettings(**sections)
+    return RoutedSettings(**sections)
--- /dev/null
+++ b/src/peridotfront/settings_watch.py
@@ -0,0 +1,53 @@
+"""Watch over the settings file of a running process."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+from . import logs
+from .exceptions import SettingsInvalid
+from .routed_settings import RoutedSettings, load_settings
+
+SETTINGS_POLL_S = 1.0
+
+
+class SettingsWatch:
+    """Tells of changed settings, on SIGHUP and without any signal.
+
+    :param path: of the settings file.
+    :param on_change: gets the settings that were read again.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        settings: RoutedSettings,
+        on_change: Callable[[RoutedSettings], None],
+    ):
+        self._settings = settings
+        self._on_change = on_change
+        self._path = path
+        self._text = self._path.read_text(encoding="utf-8")
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._look)
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            self._look()
+
+    def _look(self) -> None:
+        try:
+            text = self._path.read_text(encoding="utf-8")
+            if text == self._text:
+                return
+            self._text = text
+            settings = load_settings(self._path)
+        except (OSError, UnicodeDecodeError, SettingsInvalid) as error:
+            logs.write("settings_unreadable", detail=str(error))
+            return
+        if settings != self._settings:
+            self._settings = settings
+            logs.write("settings_changed", seeds=",".join(settings.group.seeds))
+            self._on_change(settings)
