Leave the own interface's first election as it was, and let its rules set the new knobs

Ruled out: load (both fail alone, each time).

Change: the share of the first time-out is a setting of the protocol, 1 unless a program says less, as the platform's control host does; the four knobs can be set.

--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -45,12 +45,12 @@
 from peridotfront.core.releases import release_of
 from peridotfront.core.retry_budgets import RetryBounds
 from peridotfront.platform.configuration import parse_routing
+from peridotfront.routed_control import FIRST_TIMEOUT_SHARE, REPLACE_AFTER_MS
 
 from .raft_group import Disk
 
 TICK_MS = 10
 DELAY_MS = 2
-REPLACE_AFTER_MS = 8000
 SEEDS = ("c1", "c2", "c3")
 BOUNDS = PoolBounds(RetryBounds(0.2, 10, 10_000), AllowanceBounds(0.1, 1000))
 ACCOUNT = {
@@ -116,7 +116,7 @@
             self.disk.incarnation,
             self.group.seeds,
             self.disk.load(),
-            RaftTiming(),
+            RaftTiming(first_timeout_share=FIRST_TIMEOUT_SHARE),
             self.group.random.random,
             GroupPolicy(self.may_found, True, REPLACE_AFTER_MS),
         )
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -72,9 +72,6 @@
 ]
 
 
-FIRST_TIMEOUT_SHARE = 0.25
-
-
 class Raft:
     """One replica of the control group.
 
@@ -233,8 +230,9 @@
 
     def _start(self) -> Iterator[Any]:
         self._is_started = True
-        # Pre-votes keep this from disturbing a group that has a leader.
-        timeout_ms = self._local.election_timeout_ms() * FIRST_TIMEOUT_SHARE
+        timing = self._local.timing
+        # Pre-votes keep a short one from disturbing a group that has a leader.
+        timeout_ms = self._local.election_timeout_ms() * timing.first_timeout_share
         self._election_due_ms = self._now_ms + timeout_ms
         snapshot = self._local.log.snapshot
         if snapshot.last_index:
--- a/src/peridotfront/core/raft_types.py
+++ b/src/peridotfront/core/raft_types.py
@@ -50,6 +50,8 @@
         that a peer that is a little behind needs no snapshot.
     :param max_append_bytes: size of the entries in one request at most, by
         estimate; a single entry may be larger.
+    :param first_timeout_share: of the election timeout, that a voter waits for a
+        leader after its start.
     """
 
     election_timeout_ms: int = ELECTION_TIMEOUT_MS
@@ -58,6 +60,7 @@
     max_chunk_bytes: int = MAX_CHUNK_BYTES
     trailing_entries: int = TRAILING_ENTRIES
     max_append_bytes: int = MAX_APPEND_BYTES
+    first_timeout_share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -29,6 +29,7 @@
 
 LIST_INTERVAL_MS = 800
 REPLACE_AFTER_MS = 8000
+FIRST_TIMEOUT_SHARE = 0.25
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
@@ -145,7 +146,7 @@
         storage.incarnation,
         settings.seed_hosts,
         storage.state,
-        RaftTiming(),
+        RaftTiming(first_timeout_share=FIRST_TIMEOUT_SHARE),
         random.random,
         policy,
     )
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -108,6 +108,10 @@
     preempts: bool = DEFAULTS.preempts
     affinity_ms: int = Field(default=DEFAULTS.affinity_ms, ge=0)
     learns_rates: bool = DEFAULTS.learns_rates
+    learns_slots: bool = DEFAULTS.learns_slots
+    evicts: bool = DEFAULTS.evicts
+    max_backoff_ms: int = Field(default=DEFAULTS.max_backoff_ms, ge=100)
+    died_backoff_ms: int = Field(default=DEFAULTS.died_backoff_ms, ge=0)
     slow_token_ms: float = Field(default=DEFAULTS.slow_token_ms, gt=0)
     preempt_lead_ms: int = Field(default=DEFAULTS.preempt_lead_ms, ge=0)
     weight_loads_per_min: int = Field(default=DEFAULTS.weight_loads_per_min, ge=1)
