Break a resumed stream off when it does not go on after its last event

Cause: an upstream that ignores Last-Event-Id begins its stream anew, and the events that the caller already had were passed on once more. Nothing compared the ids. Ruled out: that the event splitter loses ids; it has them, also for events that come in one piece. Change: the first event that a second upstream sends has to follow the last one that was passed on (ids that are numbers; others can't be compared). Otherwise the send counts as malformed, and the stream is cut without its end. Gaps can't be told from ids, as these only have to rise.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -136,6 +136,12 @@
 
   Scenario: A resumable stream whose upstream falls silent goes on elsewhere
     Given a gateway before upstream "u1" that will "silent_events"
+  Scenario: A resumed stream that begins again is not joined to what went before
+    Given a gateway before upstream "u1" that will "cut_events"
+    And upstream "u2" that will "events_from_the_start"
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3" and no end
+
     And upstream "u2" that will "events"
     When a caller sends "/resumable/x" with the body "prompt"
     Then the caller gets events "1,2,3,4,5,6" and the end
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -178,6 +178,10 @@
             self._event(writer, number)
         writer.write(b"0\r\n\r\n")
 
+    async def _events_from_the_start(self, seen, reader, writer):
+        seen.headers.pop("last-event-id", None)
+        await self._events(seen, reader, writer)
+
     async def _slow_events(self, seen, reader, writer):
         self._start_events(seen, writer)
         for number in range(1, 7):
--- a/src/peridotfront/core/event_stream.py
+++ b/src/peridotfront/core/event_stream.py
@@ -18,6 +18,15 @@
     data: bytes
     event_id: str
 
+    def follows(self, last_event_id: str) -> bool:
+        """Tell whether the event may come after the one with the given id.
+
+        Ids that are not numbers can't be compared and are taken as they come.
+        """
+        if not (self.event_id.isdecimal() and last_event_id.isdecimal()):
+            return True
+        return int(self.event_id) > int(last_event_id)
+
 
 class EventSplitter:
     """Gives out the whole events of the bytes that it is fed."""
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -8,7 +8,7 @@
 
 from . import logs
 from .core.attempts import Attempts, patience_ms, silence_ms
-from .core.event_stream import EventSplitter
+from .core.event_stream import EventSplitter, StreamEvent
 from .core.gateway_types import SlotEnded, SlotProgress, SlotRefused
 from .core.messages import Grant, ReleaseCause, Want
 from .core.releases import release_of
@@ -296,6 +296,8 @@
             events = list(splitter.feed(chunk))
             if not events:
                 continue
+            if self._exchange.is_started and sending.produced_tokens == 0:
+                self._check_resumed(events[0], answer)
             await self._begin_stream(sending, answer)
             self._last_event_id = events[-1].event_id or self._last_event_id
             await exchange.write(b"".join([event.data for event in events]))
@@ -310,6 +312,11 @@
         await exchange.finish()
         return ReleaseCause.COMPLETED
 
+    def _check_resumed(self, event: StreamEvent, answer: UpstreamAnswer) -> None:
+        if not event.follows(self._last_event_id):
+            detail = f"event {event.event_id} after {self._last_event_id}"
+            raise AnswerMalformed(detail, answer.address)
+
     async def _begin_stream(self, sending: "_Sending", answer: UpstreamAnswer) -> None:
         if sending.first_ms < 0:
             sending.first_ms = now_ms() - sending.started_ms
