Count a repeat that reached another upstream at the address, or was rejected

Cause: an upstream that is not the one expected (421) ended as unreachable, so that the next send was not counted as a repeat, though the budget of repeats counts it. Repeats that an upstream rejected were given back to the budget, though they had reached it. Ruled out: that the allowance is affected; what did not run is still given back there. Change: such a send has a cause of its own, other_upstream. Only repeats that reached nobody are given back.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -179,3 +179,22 @@
     And version 7 is acknowledged
     When 1000 ms pass in the routed group and messages are counted
     Then each entry host sent at most 6 heartbeats
+  Scenario Outline: A repeat that reached an upstream is not given back
+    Given a routed group of 3 control hosts and 1 entry host
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When "e1" asks for 40 repeats one after the other that end as "<cause>"
+    Then no more than 10 repeats were granted
+
+    Examples:
+      | cause          |
+      | rejected       |
+      | other_upstream |
+
+  Scenario: A repeat that reached no upstream is given back
+    Given a routed group of 3 control hosts and 1 entry host
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When "e1" asks for 40 repeats one after the other that end as "unreachable"
+    Then 40 repeats were granted
+
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -87,6 +87,8 @@
     And upstream "u2" that will "answer"
     When a caller sends "/transfer/x" with the body "pay 5"
     Then the caller gets 200 with the body "whole answer of u2"
+    And the second want is a repeat
+    And the first slot ended as "other_upstream"
 
   Scenario Outline: A look-up is tried once more at another upstream
     Given a gateway before upstream "u1" that will "<fault>"
@@ -134,14 +136,14 @@
     Then the caller gets events "1,2,3" and no end
     And upstream "u2" got 0 requests
 
-  Scenario: A resumable stream whose upstream falls silent goes on elsewhere
-    Given a gateway before upstream "u1" that will "silent_events"
   Scenario: A resumed stream that begins again is not joined to what went before
     Given a gateway before upstream "u1" that will "cut_events"
     And upstream "u2" that will "events_from_the_start"
     When a caller sends "/resumable/x" with the body "prompt"
     Then the caller gets events "1,2,3" and no end
 
+  Scenario: A resumable stream whose upstream falls silent goes on elsewhere
+    Given a gateway before upstream "u1" that will "silent_events"
     And upstream "u2" that will "events"
     When a caller sends "/resumable/x" with the body "prompt"
     Then the caller gets events "1,2,3,4,5,6" and the end
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -6,6 +6,7 @@
 from support.routed_group import RoutedGroup, listed
 
 from peridotfront.core.control_types import OperatorUnavailable
+from peridotfront.core.messages import ReleaseCause
 
 
 def names_of(text):
@@ -29,6 +30,12 @@
     context.group.run(500)
 
 
+@given("{count:d} upstreams are listed")
+def list_many(context, count):
+    context.group.list_upstreams(*[listed(f"m{number}") for number in range(count)])
+    context.group.run(500)
+
+
 @given("version {version:d} is acknowledged")
 @when("the operator sends version {version:d} to any host and it is acknowledged")
 def acknowledge(context, version):
@@ -366,6 +373,23 @@
 def bounded_repeats(context, count):
     granted = sum(len(entry.granted) for entry in context.group.entries)
     assert 0 < granted <= count, granted
+@when('"{host}" asks for {count:d} repeats one after the other that end as "{cause}"')
+def repeats_that_end(context, host, count, cause):
+    entry = context.group.hosts[host]
+    for number in range(count):
+        request_id = f"again{number}"
+        entry.want(request_id, is_repeat=True)
+        context.group.run(10)
+        if request_id in entry.granted:
+            entry.end(request_id, ReleaseCause(cause))
+
+
+@then("{count:d} repeats were granted")
+def granted_repeats(context, count):
+    granted = [len(entry.granted) for entry in context.group.entries]
+    assert sum(granted) == count, granted
+
+
 
 
 @then("each entry host sent at most {count:d} heartbeats")
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -216,6 +216,13 @@
     assert causes == [cause], causes
 
 
+@then('the first slot ended as "{cause}"')
+def first_slot_ended(context, cause):
+    events = context.front.placer.events
+    causes = [e.release.cause.value for e in events if isinstance(e, SlotEnded)]
+    assert causes[0] == cause, causes
+
+
 @then("the second want is a repeat")
 def second_is_repeat(context):
     assert [want.is_repeat for want in context.front.placer.wants] == [False, True]
--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -6,6 +6,7 @@
 
 MAX_UNREACHABLE = 3
 MAX_REJECTED = 2
+MAX_MISDIRECTED = 2
 FIRST_SILENCE_SPARE_MS = 500
 MIN_SILENCE_MS = 600
 STREAM_SILENCE_MS = 1500
@@ -24,13 +25,14 @@
         self._route = route
         self._unreachable = 0
         self._rejected = 0
+        self._misdirected = 0
         self.ran = 0
         self.excluded: list[str] = []
 
     @property
     def is_repeat(self) -> bool:
         """Tell whether an upstream got the request before."""
-        return self.ran + self._rejected > 0
+        return self.ran + self._rejected + self._misdirected > 0
 
     @property
     def verdict(self) -> Verdict:
@@ -50,6 +52,9 @@
         if cause is ReleaseCause.UNREACHABLE:
             self._unreachable += 1
             return self._unreachable <= MAX_UNREACHABLE
+        if cause is ReleaseCause.OTHER_UPSTREAM:
+            self._misdirected += 1
+            return self._misdirected <= MAX_MISDIRECTED
         if cause is ReleaseCause.REJECTED:
             self._rejected += 1
             return self._rejected <= MAX_REJECTED
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -13,6 +13,7 @@
     NOT_SENT = "not_sent"
     CALLER_GONE = "caller_gone"
     UNREACHABLE = "unreachable"
+    OTHER_UPSTREAM = "other_upstream"
     UPSTREAM_DIED = "upstream_died"
     UPSTREAM_ERROR = "upstream_error"
     UPSTREAM_TIMEOUT = "upstream_timeout"
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -44,11 +44,9 @@
 )
 FIRST_PREFILL_TOKENS_PER_S = 30_000
 FIRST_DECODE_TOKENS_PER_S = 200
-UNSENT_CAUSES = (
-    ReleaseCause.NOT_SENT,
-    ReleaseCause.UNREACHABLE,
-    ReleaseCause.REJECTED,
-)
+UNSENT_CAUSES = (ReleaseCause.NOT_SENT, ReleaseCause.UNREACHABLE)
+# The upstream saw these requests, so that they keep what they took of the budget.
+UNRUN_CAUSES = (*UNSENT_CAUSES, ReleaseCause.OTHER_UPSTREAM, ReleaseCause.REJECTED)
 CHARGE_KEPT_MS = 60_000
 NO_BUDGET_RETRY_MS = 1000
 NO_UPSTREAM_RETRY_MS = 1000
@@ -191,9 +189,11 @@
 
     @_receive.register
     def _(self, message: Release, event: Received, now_ms: int) -> Iterator[Send]:
-        if message.cause in UNSENT_CAUSES:
-            self._undo(message.request_id, now_ms)
-        self._charges.pop(message.request_id, None)
+        charge = self._charges.pop(message.request_id, None)
+        if charge is not None and message.cause in UNRUN_CAUSES:
+            self.allowances.refund(charge.account, charge.units, now_ms)
+        if charge is not None and message.cause in UNSENT_CAUSES:
+            self._give_back(charge, now_ms)
         yield from self._to_scheduler(message.cell, event, now_ms)
 
     def _to_scheduler(self, cell: str, event: Received, now_ms: int) -> Iterator[Send]:
@@ -224,6 +224,9 @@
         self.allowances.refund(charge.account, charge.units, now_ms)
         if charge.is_repeat:
             self.retries.give_back(charge.service, now_ms)
+        self._give_back(charge, now_ms)
+
+    def _give_back(self, charge: Charge, now_ms: int) -> None:
 
     def _pass_on(self, actions: Iterator[Any], now_ms: int) -> Iterator[Any]:
         for action in actions:
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -48,6 +48,8 @@
 RESEND_AFTER_ELSEWHERE_MS = 500
 NO_UPSTREAM_RETRY_MS = 1000
 SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
+ABSENT_CAUSES = (ReleaseCause.UNREACHABLE, ReleaseCause.OTHER_UPSTREAM)
+FAILED_CAUSES = (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED)
 WASTING_CAUSES = (
     ReleaseCause.CALLER_GONE,
     ReleaseCause.UPSTREAM_DIED,
@@ -435,13 +437,13 @@
             self._strikes.completed(slot.want.fingerprint)
         elif cause is ReleaseCause.UPSTREAM_DIED:
             self._upstream_died(upstream, slot, now_ms)
-        elif cause is ReleaseCause.UNREACHABLE:
+        elif cause in ABSENT_CAUSES:
             # The request never ran there, so that it gets no strike.
             health.unreachable(now_ms)
             self._drain.forget_capacity()
         elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
             health.failed(True, now_ms)
-        elif cause in (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED):
+        elif cause in FAILED_CAUSES:
             health.failed(False, now_ms)
 
     def _upstream_died(self, upstream: Upstream, slot: Slot, now_ms: int) -> None:
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -260,7 +260,7 @@
         if kind is AnswerKind.REJECTED:
             return ReleaseCause.REJECTED
         if kind is AnswerKind.OTHER_UPSTREAM:
-            return ReleaseCause.UNREACHABLE
+            return ReleaseCause.OTHER_UPSTREAM
         return await self._pass_whole(sending, answer, body, kind)
 
     async def _pass_whole(
@@ -437,6 +437,7 @@
 def _reason_of(cause: ReleaseCause) -> Reason:
     reasons = {
         ReleaseCause.UNREACHABLE: Reason.NO_UPSTREAM,
+        ReleaseCause.OTHER_UPSTREAM: Reason.NO_UPSTREAM,
         ReleaseCause.REJECTED: Reason.OVERLOADED,
         ReleaseCause.UPSTREAM_TIMEOUT: Reason.UPSTREAM_TIMEOUT,
         ReleaseCause.UPSTREAM_ERROR: Reason.UPSTREAM_ERROR,
