Take the last upstream of a service out of use once it has left the list

Cause: the pools walked the services that the list still names. The last upstream of a service therefore stayed grantable after it had left, and so did all of a service that the configuration had dropped. Ruled out: the directory and its deltas; they had no entry for it any more. Change: the schedulers that are known hear of every change, with an empty fleet too; those whose fleet is the same hear nothing, which saves the rebuilding of all for one.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -160,6 +160,36 @@
     And 100 ms pass in the routed group
     Then all 4 requests have a slot at "m2"
 
+  Scenario: The last upstream of a service gets nothing once it has left the list
+    Given a routed group of 3 control hosts and 1 entry host
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When no upstream is listed any more
+    And 250 ms pass in the routed group
+    And "e1" wants a slot for "late"
+    And 300 ms pass in the routed group
+    Then "late" has no slot
+
+  Scenario: The last upstream of a service that came back is granted again
+    Given a routed group of 3 control hosts and 1 entry host
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When no upstream is listed any more
+    And 250 ms pass in the routed group
+    And upstreams "m1" are listed again
+    And 250 ms pass in the routed group
+    And "e1" wants a slot for "late"
+    Then "late" is granted within 100 ms
+
+  Scenario: A service that the configuration dropped gets nothing
+    Given a routed group of 3 control hosts and 1 entry host
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When the operator drops the service "models" by version 8
+    And "e1" wants a slot for "late"
+    And 300 ms pass in the routed group
+    Then "late" has no slot
+
   Scenario: An account's allowance is bounded over all hosts and a change of leader
     Given a routed group of 3 control hosts and 2 entry hosts
     And upstreams "m1,m2,m3,m4" are listed
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -222,6 +222,123 @@
     context.group.list_upstreams(*upstreams)
 
 
+@when("no upstream is listed any more")
+def list_none(context):
+    context.group.list_upstreams()
+
+
+@when('upstreams "{names}" are listed again')
+def list_again(context, names):
+    context.group.list_upstreams(*[listed(name) for name in names_of(names)])
+
+
+@when('the operator drops the service "{service}" by version {version:d}')
+def drop_service(context, service, version):
+    group = context.group
+    ticket = group.put(
+        group.await_leader().name, version, routes=(), dropped_service=service
+    )
+    group.run_until(lambda: ticket in group.answers)
+    assert group.answers[ticket].result.status.value == "accepted"
+    group.run(400)
+
+
+def set_cut(group, hosts, is_cut):
+    """Cut entry hosts off from all control hosts, or join them again."""
+    group.heal()
+    if not is_cut:
+        return
+    for host in hosts:
+        for control in group.controls:
+            group.cut(host, control.name)
+
+
+@when(
+    '"{hosts}" can\'t reach the control hosts from {first:d} to {last:d} ms of the load'
+)
+def cut_once(context, hosts, first, last):
+    names = names_of(hosts)
+    context.cut_at = lambda at_ms: set_cut(context.group, names, first <= at_ms < last)
+
+
+@when('"{hosts}" are cut off and joined again every {period:d} ms of the load')
+def cut_often(context, hosts, period):
+    names = names_of(hosts)
+    context.cut_at = lambda at_ms: set_cut(
+        context.group, names, at_ms // period % 2 == 1
+    )
+
+
+def load(context, gap, duration, ask):
+    """Let each entry host ask, and end what was granted, step by step.
+
+    :param ask: given an entry host and a number; returns units by request.
+    """
+    group = context.group
+    context.spent = []
+    for number in range(duration // gap):
+        context.cut_at(number * gap)
+        open_units = {}
+        for entry in group.entries:
+            open_units.update(ask(entry, number))
+        group.run(gap)
+        for entry in group.entries:
+            for request_id in open_units.keys() & entry.granted.keys():
+                units = open_units[request_id]
+                context.spent.append((group.granted_ms[request_id], request_id, units))
+                entry.end(request_id)
+
+
+@when("each entry host asks for {units:d} units every {gap:d} ms for {duration:d} ms")
+def ask_steadily(context, units, gap, duration):
+    def ask(entry, number):
+        request_id = f"{entry.name}-{number}"
+        entry.want(request_id, allowance_units=units)
+        return {request_id: units}
+
+    load(context, gap, duration, ask)
+
+
+@when(
+    "each entry host asks for a first slot and a repeat every {gap:d} ms"
+    " for {duration:d} ms"
+)
+def ask_for_both(context, gap, duration):
+    def ask(entry, number):
+        entry.want(f"{entry.name}-{number}")
+        entry.want(f"{entry.name}-{number}-again", is_repeat=True)
+        return {f"{entry.name}-{number}": 0, f"{entry.name}-{number}-again": 1}
+
+    load(context, gap, duration, ask)
+
+
+@then("each entry host was granted something")
+def granted_to_all(context):
+    served = {request_id.partition("-")[0] for _, request_id, _ in context.spent}
+    assert served == {entry.name for entry in context.group.entries}, served
+
+
+@then(
+    "repeats were at most {ratio:g} of the first ones and {slack:d} in any"
+    " {window:d} ms"
+)
+def bounded_share(context, ratio, slack, window):
+    # The bound takes the first ones of that window, of the one before it or of the
+    # one half a window before it, whichever has most.
+    repeats = [at_ms for at_ms, _, is_repeat in context.spent if is_repeat]
+    firsts = [at_ms for at_ms, _, is_repeat in context.spent if not is_repeat]
+    assert repeats
+
+    def count(times, start_ms):
+        return sum(start_ms <= at_ms < start_ms + window for at_ms in times)
+
+    for start_ms in repeats:
+        starts = (start_ms, start_ms - window // 2, start_ms - window)
+        most = max(count(firsts, one) for one in starts)
+        found = count(repeats, start_ms)
+        assert found <= ratio * most + slack, (found, most)
+
+
 @when(
     "each entry host asks for {units:d} units every {gap:d} ms for {duration:d} ms"
     " while the leader changes"
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -64,8 +64,12 @@
 }
 
 
-def content(version, *, routes=("/a/",), rate=1000):
+def content(version, *, routes=("/a/",), rate=1000, dropped_service=""):
     """Return a configuration as operators send it."""
+    services = [
+        {"Name": "models", "Engine": {"Slots": 4, "KvCapacity": 500_000}},
+        {"Name": "ledger"},
+    ]
     return json.dumps(
         {
             "Version": version,
@@ -84,10 +88,7 @@
                 }
                 for prefix in routes
             ],
-            "Services": [
-                {"Name": "models", "Engine": {"Slots": 4, "KvCapacity": 500_000}},
-                {"Name": "ledger"},
-            ],
+            "Services": [one for one in services if one["Name"] != dropped_service],
             "Tenants": [{**ACCOUNT, "RatePerS": rate}],
         }
     )
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -108,32 +108,27 @@
 
     def _apply(self, now_ms: int) -> Iterator[Send]:
         services = {one.name: one for one in self._routing.services}
-        listed = {one.service for one in self._upstreams}
-        for name in listed & services.keys():
-            service = services[name]
-            fleet = self._fleet(service)
-            scheduler = self.schedulers.get(name)
-            if scheduler is None:
-                kind = _kind(service)
-                self.schedulers[name] = CellScheduler(name, fleet, kind)
-                continue
-            yield from self._pass_on(
-                scheduler.handle(FleetChanged(fleet), now_ms), now_ms
+        accounts = tuple([AccountSpec(one.name, "") for one in self._routing.accounts])
+        specs: dict[str, list[UpstreamSpec]] = {}
+        for listed in self._upstreams:
+            service = services.get(listed.service)
+            if service is not None:
+                specs.setdefault(service.name, []).append(_spec(service, listed))
+        for name in specs.keys() - self.schedulers.keys():
+            first = Fleet(policy=POOL_POLICY)
+            self.schedulers[name] = CellScheduler(name, first, _kind(services[name]))
+        # A service without any upstream left has to hear that as well.
+        for name, scheduler in self.schedulers.items():
+            fleet = Fleet(
+                version=self._routing.version,
+                upstreams=tuple(specs.get(name, ())),
+                accounts=accounts,
+                policy=POOL_POLICY,
             )
-
-    def _fleet(self, service: RoutedService) -> Fleet:
-        specs = [
-            _spec(service, one)
-            for one in self._upstreams
-            if one.service == service.name
-        ]
-        accounts = [AccountSpec(one.name, "") for one in self._routing.accounts]
-        return Fleet(
-            version=self._routing.version,
-            upstreams=tuple(specs),
-            accounts=tuple(accounts),
-            policy=POOL_POLICY,
-        )
+            if fleet == scheduler.fleet:
+                continue
+            changed = FleetChanged(fleet)
+            yield from self._pass_on(scheduler.handle(changed, now_ms), now_ms)
 
     @dispatchmethod
     def _handle(self, event: Any, now_ms: int) -> Iterator[Send]:
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -101,6 +101,11 @@
         self._now_ms = now_ms
         yield from self._on(event, now_ms)
 
+    @property
+    def fleet(self) -> Fleet:
+        """Return the configuration in force."""
+        return self._fleet
+
     @property
     def has_queued(self) -> bool:
         """Tell whether any want waits for a slot."""
