Bound repeats also while hosts schedule for themselves

Cause: the leader spent the whole retry budget, while hosts that were cut off from it spent another 0.3 of it; and a host that came back told the leader what it had spent of the allowances, not of the repeats. Ruled out: the size of the budget's buckets alone (500 ms before, 100 ms now: the excess stayed); the leader's opening share, which was already smaller. Change: the leader leaves 0.3 of the fixed part to hosts that are alone, and half of its own in the first window of a term; the ledger of each host tells a new leader its repeats too. A bucket that the window holds in part counts for repeats, not for first sends. Before: 412 repeats to 2,000 first sends in 10 s with a bound of 410 (four hosts cut off for 12 s); after: within it for one, two and all four hosts. New as well, and green before: the allowance in the same cuts, and in cuts that come and go every 700, 1500 and 4000 ms.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -197,6 +197,49 @@
     When each entry host asks for 100 units every 20 ms for 8000 ms while the leader changes
     Then no more than 12000 units were granted in any 8000 ms
 
+  Scenario Outline: An allowance is bounded while hosts schedule for themselves
+    Given a routed group of 3 control hosts and 4 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When "<hosts>" can't reach the control hosts from 2000 to 14000 ms of the load
+    And each entry host asks for 100 units every 20 ms for 24000 ms
+    Then no more than 12000 units were granted in any 8000 ms
+    And each entry host was granted something
+
+    Examples:
+      | hosts       |
+      | e1          |
+      | e1,e2       |
+      | e1,e2,e3,e4 |
+
+  Scenario Outline: Cuts that come and go again and again keep the allowance
+    Given a routed group of 3 control hosts and 4 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When "<hosts>" are cut off and joined again every <period> ms of the load
+    And each entry host asks for 100 units every 20 ms for 24000 ms
+    Then no more than 12000 units were granted in any 8000 ms
+
+    Examples:
+      | hosts       | period |
+      | e1,e2       | 700    |
+      | e1,e2,e3,e4 | 1500   |
+      | e1,e2,e3,e4 | 4000   |
+
+  Scenario Outline: Repeats are bounded while hosts schedule for themselves
+    Given a routed group of 3 control hosts and 4 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When "<hosts>" can't reach the control hosts from 2000 to 14000 ms of the load
+    And each entry host asks for a first slot and a repeat every 20 ms for 24000 ms
+    Then repeats were at most 0.2 of the first ones and 10 in any 10000 ms
+
+    Examples:
+      | hosts       |
+      | e1          |
+      | e1,e2       |
+      | e1,e2,e3,e4 |
+
   Scenario: Repeats are bounded over all hosts
     Given a routed group of 3 control hosts and 2 entry hosts
     And upstreams "m1,m2,m3,m4" are listed
@@ -204,11 +247,6 @@
     When each entry host asks for a repeat every 20 ms for 4000 ms
     Then no more than 10 repeats were granted
 
-  Scenario: No message goes from all to all
-    Given a routed group of 4 control hosts and 6 entry hosts
-    And version 7 is acknowledged
-    When 1000 ms pass in the routed group and messages are counted
-    Then each entry host sent at most 6 heartbeats
   Scenario Outline: A repeat that reached an upstream is not given back
     Given a routed group of 3 control hosts and 1 entry host
     And 40 upstreams are listed
@@ -228,3 +266,8 @@
     When "e1" asks for 40 repeats one after the other that end as "unreachable"
     Then 40 repeats were granted
 
+  Scenario: No message goes from all to all
+    Given a routed group of 4 control hosts and 6 entry hosts
+    And version 7 is acknowledged
+    When 1000 ms pass in the routed group and messages are counted
+    Then each entry host sent at most 6 heartbeats
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -373,6 +373,23 @@
                     del entry.wants[request_id]
 
 
+@when('"{host}" asks for {count:d} repeats one after the other that end as "{cause}"')
+def repeats_that_end(context, host, count, cause):
+    entry = context.group.hosts[host]
+    for number in range(count):
+        request_id = f"again{number}"
+        entry.want(request_id, is_repeat=True)
+        context.group.run(10)
+        if request_id in entry.granted:
+            entry.end(request_id, ReleaseCause(cause))
+
+
+@then("{count:d} repeats were granted")
+def granted_repeats(context, count):
+    granted = [len(entry.granted) for entry in context.group.entries]
+    assert sum(granted) == count, granted
+
+
 @then("every entry host has version {version:d} within {limit:d} ms")
 def have_version(context, version, limit):
     group = context.group
@@ -490,23 +507,6 @@
 def bounded_repeats(context, count):
     granted = sum(len(entry.granted) for entry in context.group.entries)
     assert 0 < granted <= count, granted
-@when('"{host}" asks for {count:d} repeats one after the other that end as "{cause}"')
-def repeats_that_end(context, host, count, cause):
-    entry = context.group.hosts[host]
-    for number in range(count):
-        request_id = f"again{number}"
-        entry.want(request_id, is_repeat=True)
-        context.group.run(10)
-        if request_id in entry.granted:
-            entry.end(request_id, ReleaseCause(cause))
-
-
-@then("{count:d} repeats were granted")
-def granted_repeats(context, count):
-    granted = [len(entry.granted) for entry in context.group.entries]
-    assert sum(granted) == count, granted
-
-
 
 
 @then("each entry host sent at most {count:d} heartbeats")
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -19,12 +19,14 @@
     HeldSlot,
     ListedUpstream,
     Release,
+    SentRepeats,
     Spending,
     UpstreamsUpdate,
     Want,
 )
 from .pools import PoolBounds, Pools
 from .raft_types import Role, RoleChanged
+from .retry_budgets import ALONE_RETRY_SHARE
 from .routes import Routing
 
 ENTRY_ROLE = "entry"
@@ -32,7 +34,9 @@
 RESEND_LIST_MS = 300
 SHARE_LIST_MS = 2000
 EPOCH_VERSIONS = 2**24
-TERM_OPENING_SHARE = 0.5
+# Hosts that schedule for themselves have the rest of the retry budget.
+LEADER_RETRY_SHARE = 1 - ALONE_RETRY_SHARE
+TERM_OPENING_SHARE = LEADER_RETRY_SHARE / 2
 TERM_OPENING_MS = 10_000
 
 
@@ -167,6 +171,7 @@
     @_receive.register(CancelWant)
     @_receive.register(HeldSlot)
     @_receive.register(Release)
+    @_receive.register(SentRepeats)
     @_receive.register(Spending)
     def _(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
         if self.pools is not None:
@@ -196,7 +201,7 @@
     def _settle_budget(self, now_ms: int) -> None:
         """Spend the whole retry budget once nothing of an earlier term counts."""
         if now_ms - self._led_since_ms >= TERM_OPENING_MS:
-            self.pools.retries.share = 1.0
+            self.pools.retries.share = LEADER_RETRY_SHARE
 
     def _record(
         self, message: Heartbeat, event: Received, now_ms: int
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -40,6 +40,7 @@
 )
 from .pools import PoolBounds, Pools
 from .releases import unused_release
+from .retry_budgets import ALONE_RETRY_SHARE
 from .spending import SpendingLedger
 
 HEARTBEAT_MS = 200
@@ -48,7 +49,6 @@
 BLANK_WAIT_MS = 100
 RESEND_WANT_MS = 300
 RENEW_SLOT_MS = 1000
-ALONE_RETRY_SHARE = 0.3
 
 
 @dataclass(slots=True)
@@ -101,7 +101,9 @@
         self._sequence = 0
         self._pending: dict[str, _Pending] = {}
         self._held: dict[str, _Held] = {}
-        self._ledger = SpendingLedger(bounds.allowances.window_ms)
+        self._ledger = SpendingLedger(
+            max(bounds.allowances.window_ms, bounds.retries.window_ms)
+        )
         self._term = 0
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -205,6 +205,18 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class SentRepeats:
+    """Tells a new leader how many repeats a host sent to a service before.
+
+    :param age_ms: how long ago.
+    """
+
+    service: str
+    count: int
+    age_ms: int
+
+
 CELL_MESSAGES = (
     Want,
     Grant,
@@ -216,4 +228,5 @@
     UpstreamReport,
     UpstreamsUpdate,
     Spending,
+    SentRepeats,
 )
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -20,6 +20,7 @@
     Refuse,
     Release,
     ReleaseCause,
+    SentRepeats,
     Spending,
     Want,
 )
@@ -178,6 +179,12 @@
         self.allowances.record(message.client_account, message.units, at_ms, now_ms)
         yield from ()
 
+    @_receive.register
+    def _(self, message: SentRepeats, event: Received, now_ms: int) -> Iterator[Send]:
+        at_ms = now_ms - message.age_ms
+        self.retries.record(message.service, message.count, at_ms, now_ms)
+        yield from ()
+
     @_receive.register
     def _(self, message: HeldSlot, event: Received, now_ms: int) -> Iterator[Send]:
         yield from self._to_scheduler(message.want.cell, event, now_ms)
@@ -217,11 +224,11 @@
         if charge is None:
             return
         self.allowances.refund(charge.account, charge.units, now_ms)
-        if charge.is_repeat:
-            self.retries.give_back(charge.service, now_ms)
         self._give_back(charge, now_ms)
 
     def _give_back(self, charge: Charge, now_ms: int) -> None:
+        if charge.is_repeat:
+            self.retries.give_back(charge.service, now_ms)
 
     def _pass_on(self, actions: Iterator[Any], now_ms: int) -> Iterator[Any]:
         for action in actions:
--- a/src/peridotfront/core/retry_budgets.py
+++ b/src/peridotfront/core/retry_budgets.py
@@ -7,7 +7,8 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
-BUCKET_MS = 500
+BUCKET_MS = 100
+ALONE_RETRY_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,13 +38,19 @@
     buckets: deque[_Bucket] = field(default_factory=deque)
 
     def current(self, window_ms: int, now_ms: int) -> _Bucket:
-        """Return the bucket for now, after the buckets of old were dropped."""
-        while self.buckets and self.buckets[0].started_ms <= now_ms - window_ms:
+        """Return the bucket for now, after those before the window were dropped."""
+        oldest_ms = now_ms - window_ms - BUCKET_MS
+        while self.buckets and self.buckets[0].started_ms <= oldest_ms:
             self.buckets.popleft()
         if not self.buckets or now_ms - self.buckets[-1].started_ms >= BUCKET_MS:
             self.buckets.append(_Bucket(now_ms))
         return self.buckets[-1]
 
+    def insert(self, bucket: _Bucket) -> None:
+        """Add what was sent before now."""
+        by_age = sorted((*self.buckets, bucket), key=lambda one: one.started_ms)
+        self.buckets = deque(by_age)
+
 
 class RetryBudgets:
     """Counts first sends and repeats by service and says which repeats fit.
@@ -73,11 +80,22 @@
         bucket = self._current(service, now_ms)
         bucket.repeats -= 1
 
+    def record(self, service: str, repeats: int, at_ms: int, now_ms: int) -> None:
+        """Count repeats that another scheduler granted some time ago."""
+        window = self._windows[service]
+        window.current(self._bounds.window_ms, now_ms)
+        window.insert(_Bucket(at_ms, repeats=repeats))
+
     def left(self, service: str, now_ms: int) -> float:
-        """Return how many repeats fit at the moment."""
+        """Return how many repeats fit at the moment.
+
+        A bucket that the window holds in part counts for repeats, not for first
+        sends.
+        """
         self._current(service, now_ms)
         buckets = self._windows[service].buckets
-        firsts = sum(bucket.firsts for bucket in buckets)
+        begin_ms = now_ms - self._bounds.window_ms
+        firsts = sum(one.firsts for one in buckets if one.started_ms > begin_ms)
         repeats = sum(bucket.repeats for bucket in buckets)
         slack = self._bounds.slack * self.share
         return self._bounds.ratio * firsts + slack - repeats
