Load only what an entry host needs at its start

Cause: an entry host imported the control group's modules for two events, the admin interface for one constant and the whole of the own interface's settings for a type. Every start pays for that, and starts are what callers wait for after a loss of power. Ruled out: collecting garbage during imports (switched off: the same time). Processor time is not given: the machine's speed varied by a factor of two between runs of one and the same code.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,6 +13,7 @@
 import tracemalloc
 
 from peridotfront import wire
+from peridotfront.addresses import Peer
 from peridotfront.core.actions import Received, Send, Tick
 from peridotfront.core.cell_events import FleetChanged
 from peridotfront.core.claimant import Claimant
@@ -40,7 +41,6 @@
 from peridotfront.core.requests import Request
 from peridotfront.core.verdicts import Reason, Verdict
 from peridotfront.rules import parse_rules
-from peridotfront.settings import Peer
 from peridotfront.transport import Transport
 
 HOSTS = (6, 100, 390)
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -11,7 +11,7 @@
 from peridotfront import logs
 from peridotfront.explain import explain
 from peridotfront.log_output import BoundedStream, LineBudget
-from peridotfront.settings import LogSection
+from peridotfront.log_settings import LogSection
 
 
 def write_log(context, work):
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -19,8 +19,8 @@
 from peridotfront.dump import CUT, REPEATED, dump
 from peridotfront.exceptions import LogEventUnknown
 from peridotfront.http_messages import Header
+from peridotfront.log_settings import LogSection
 from peridotfront.metrics import Metrics
-from peridotfront.settings import LogSection
 
 SECRET = "s3cr3t-value"
 EVENT_GROUPS = (
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -14,7 +14,7 @@
 from support.deployment import call, wait_until
 from support.operated import OperatedDeployment
 
-from peridotfront.settings import Peer
+from peridotfront.addresses import Peer
 from peridotfront.transport import Credentials, PeerLink
 
 TIMEOUT_S = 30
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -20,7 +20,7 @@
 )
 from peridotfront.core.verdicts import Reason, Verdict
 from peridotfront.http_client import HttpClient
-from peridotfront.settings import LogSection
+from peridotfront.log_settings import LogSection
 from peridotfront.tls import server_context
 
 STRANGE_KEY = "counter/payout/a b%2F?"
--- a/features/steps/transport_steps.py
+++ b/features/steps/transport_steps.py
@@ -9,8 +9,8 @@
 from support.authority import Authority
 from support.deployment import free_port
 
+from peridotfront.addresses import Peer
 from peridotfront.core.messages import JoinRequest
-from peridotfront.settings import Peer
 from peridotfront.tls import peer_channel_credentials, peer_server_credentials
 from peridotfront.transport import Credentials, Transport
 
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -17,11 +17,7 @@
     OperatorView,
 )
 from peridotfront.core.controller import Controller
-from peridotfront.core.coordinator import (
-    Coordinator,
-    RoutingChanged,
-    UpstreamsListed,
-)
+from peridotfront.core.coordinator import Coordinator
 from peridotfront.core.follower import ConfigInForce
 from peridotfront.core.gateway_role import GatewayRole
 from peridotfront.core.gateway_types import (
@@ -44,6 +40,7 @@
 from peridotfront.core.raft_types import GroupPolicy, RoleChanged
 from peridotfront.core.releases import release_of
 from peridotfront.core.retry_budgets import RetryBounds
+from peridotfront.core.routing_events import RoutingChanged, UpstreamsListed
 from peridotfront.platform.configuration import parse_routing
 from peridotfront.routed_control import FIRST_TIMEOUT_SHARE, REPLACE_AFTER_MS
 
--- /dev/null
+++ b/src/peridotfront/addresses.py
@@ -0,0 +1,41 @@
+"""Names and addresses of processes, and the checks on them."""
+
+from dataclasses import dataclass
+from ipaddress import ip_address
+from typing import Annotated
+
+from pydantic import AfterValidator, Field
+
+
+def check_address(value: str) -> str:
+    """Check that a value is an IP number and a port.
+
+    :raises ValueError: if it is not.
+    """
+    host, separator, port = value.rpartition(":")
+    if not separator:
+        raise ValueError("must be IP:PORT")
+    ip_address(host.strip("[]"))
+    if not port.isdigit() or int(port) > 65535:
+        raise ValueError("the port must be a number up to 65535")
+    return value
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT`` into its parts."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Is another process of the deployment."""
+
+    name: str
+    role: str
+    data_centre: str
+    address: str
--- a/src/peridotfront/admin.py
+++ b/src/peridotfront/admin.py
@@ -15,11 +15,10 @@
 from .dump import MAX_ITEMS, dump
 from .http_messages import Header
 from .logs import write
-from .metrics import Metrics
+from .metrics import METRICS_TYPE, Metrics
 
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 TEXT_TYPE = "text/plain; charset=utf-8"
 BEARER = "bearer "
 MAX_DUMP_ITEMS = 10_000
--- a/src/peridotfront/control.py
+++ b/src/peridotfront/control.py
@@ -7,6 +7,7 @@
 from fire.decorators import SetParseFn
 
 from . import logs, wire
+from .addresses import split_address
 from .admin import AdminPages
 from .callers import HttpServer
 from .control_server import ControlServer
@@ -21,7 +22,7 @@
 from .operators import OperatorPages
 from .replica_server import open_storage, wait_for_end
 from .runtime import TICK_MS, StopSignal, Ticker, now_ms, run
-from .settings import ControlSettings, load_control, load_file, split_address
+from .settings import ControlSettings, load_control, load_file
 from .storage import Storage
 from .transport import Transport
 
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -28,6 +28,7 @@
 from .raft_types import Role, RoleChanged
 from .retry_budgets import ALONE_RETRY_SHARE
 from .routes import Routing
+from .routing_events import RoutingChanged, UpstreamsListed
 
 ENTRY_ROLE = "entry"
 ENTRY_SILENCE_MS = 1500
@@ -40,20 +41,6 @@
 TERM_OPENING_MS = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingChanged:
-    """Event: a configuration of routes is in force."""
-
-    routing: Routing
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamsListed:
-    """Event: the platform's list was read."""
-
-    upstreams: tuple[ListedUpstream, ...]
-
-
 @dataclass(slots=True)
 class EntryHost:
     """Is what the leader knows of an entry host."""
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -12,7 +12,6 @@
 from .actions import Log, Received, Send, Tick
 from .allowances import ALONE_SHARE
 from .cell_events import HostLost
-from .coordinator import RoutingChanged, UpstreamsListed
 from .directory import UpstreamDirectory
 from .dispatch import dispatchmethod
 from .fallback import own_share
@@ -41,6 +40,7 @@
 from .pools import PoolBounds, Pools
 from .releases import unused_release
 from .retry_budgets import ALONE_RETRY_SHARE
+from .routing_events import RoutingChanged, UpstreamsListed
 from .spending import SpendingLedger
 
 HEARTBEAT_MS = 200
--- a/src/peridotfront/ctl_settings.py
+++ b/src/peridotfront/ctl_settings.py
@@ -5,11 +5,11 @@
 
 from pydantic import Field
 
+from .addresses import Address, Name
 from .admin_messages import Author
 from .exceptions import SettingsInvalid
 from .ini import Fault, Ini, Section
 from .inventory import KEYS, Column
-from .settings import Address, Name
 
 CTL_SECTIONS = {"operator", "host", "tls", "timing", "register"}
 CONTROL_ROLE = "control"
--- a/src/peridotfront/entry.py
+++ b/src/peridotfront/entry.py
@@ -6,6 +6,7 @@
 from fire.decorators import SetParseFn
 
 from . import logs
+from .addresses import split_address
 from .admin import AdminPages
 from .callers import HttpLimits, HttpServer
 from .cell_pages import CellPages
@@ -33,7 +34,7 @@
     run,
 )
 from .serving import Serving
-from .settings import EntrySettings, load_entry, load_file, split_address
+from .settings import EntrySettings, load_entry, load_file
 from .transport import Transport
 from .upstreams import EngineClient
 
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -15,6 +15,8 @@
     :param faults: one :class:`~peridotfront.ini.Fault` for each bad value.
     """
 
+    exit_code = 2
+
     def __init__(self, source: str, faults: tuple):
         self.source = source
         self.faults = faults
--- a/src/peridotfront/gateway_server.py
+++ b/src/peridotfront/gateway_server.py
@@ -7,7 +7,6 @@
 
 from . import logs
 from .core.actions import Log, Received, Send, Tick
-from .core.coordinator import RoutingChanged
 from .core.follower import ConfigInForce
 from .core.gateway_role import GatewayRole
 from .core.gateway_types import (
@@ -20,6 +19,7 @@
 from .core.messages import Frame, ReleaseCause, Want
 from .core.releases import release_of
 from .core.routes import RouteTable, Routing
+from .core.routing_events import RoutingChanged
 from .exceptions import SettingsInvalid
 from .metrics import Metrics
 from .runtime import now_ms
--- a/src/peridotfront/logs.py
+++ b/src/peridotfront/logs.py
@@ -20,8 +20,8 @@
 from .exceptions import LogEventUnknown
 from .log_events import EVENTS_BY_NAME, LEVEL_NUMBERS, Level
 from .log_output import LineBudget
+from .log_settings import LogSection
 from .masking import MASK, is_secret
-from .settings import LogSection
 
 LEFT_OUT_INTERVAL_MS = 5000
 RESERVED_FIELDS = frozenset({"event", "host", "name", "number", "timestamp"})
--- a/src/peridotfront/metrics.py
+++ b/src/peridotfront/metrics.py
@@ -26,6 +26,7 @@
     60_000,
 )
 PREFIX = "peridotfront_"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class Metrics:
--- a/src/peridotfront/metrics_page.py
+++ b/src/peridotfront/metrics_page.py
@@ -3,9 +3,8 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
-from .admin import METRICS_TYPE
 from .exchanges import Exchange
-from .metrics import Metrics
+from .metrics import METRICS_TYPE, Metrics
 
 METRICS_PATH = "/metrics"
 
--- a/src/peridotfront/platform/process.py
+++ b/src/peridotfront/platform/process.py
@@ -11,8 +11,8 @@
 from .. import logs
 from ..exceptions import SettingsInvalid
 from ..log_output import BoundedStream
+from ..log_settings import LogSection
 from ..routed_settings import RoutedSettings, load_settings
-from ..settings import EXIT_BAD_SETTINGS, LogSection
 
 SETTINGS_VARIABLE = "PERIDOTFRONT_SETTINGS"
 
@@ -28,7 +28,7 @@
         settings = load_settings(settings_path())
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS) from error
+        raise SystemExit(error.exit_code) from error
     stream = BoundedStream(sys.stdout.fileno())
     logs.configure(LogSection(), settings.host.name, stream)
     return settings
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -7,13 +7,15 @@
 from pathlib import Path
 
 from . import logs, wire
+from .addresses import split_address
 from .callers import Handler, HttpLimits, HttpServer
 from .core.control_types import ConfigApplied, ControlTiming
 from .core.controller import Controller
-from .core.coordinator import Coordinator, RoutingChanged
+from .core.coordinator import Coordinator
 from .core.messages import ControlSnapshot
 from .core.raft import Raft
 from .core.raft_types import GroupPolicy, RaftTiming
+from .core.routing_events import RoutingChanged
 from .exceptions import SettingsInvalid
 from .gateway_server import ParseRouting
 from .metrics import Metrics
@@ -21,7 +23,6 @@
 from .replica_server import ReplicaServer, wait_for_end
 from .routed_settings import RoutedSettings
 from .runtime import TICK_MS, StopSignal, Tasks, Ticker, now_ms
-from .settings import split_address
 from .settings_watch import SettingsWatch
 from .storage import Storage
 from .transport import Transport
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from . import logs
+from .addresses import split_address
 from .callers import HttpLimits, HttpServer
 from .core.gateway_role import GatewayRole
 from .core.gateway_types import SeedsChanged
@@ -28,7 +29,6 @@
     new_incarnation,
     now_ms,
 )
-from .settings import split_address
 from .settings_watch import SettingsWatch
 from .transport import Transport
 from .upstream_poller import UpstreamList, UpstreamPoller
--- a/src/peridotfront/rules.py
+++ b/src/peridotfront/rules.py
@@ -9,6 +9,7 @@
 
 from pydantic import Field
 
+from .addresses import Address, Name
 from .core.fleet import (
     AccountSpec,
     Fleet,
@@ -19,7 +20,6 @@
 )
 from .exceptions import SettingsInvalid
 from .ini import Fault, Ini, Section, Words
-from .settings import Address, Name
 
 LOWEST_TIER = 5
 DEFAULTS = Policy()
--- a/src/peridotfront/settings.py
+++ b/src/peridotfront/settings.py
@@ -2,43 +2,19 @@
 
 import sys
 from dataclasses import dataclass
-from ipaddress import ip_address
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Literal
 
-from pydantic import AfterValidator, Field
+from pydantic import Field
 
+from .addresses import Address, Name, Peer
 from .exceptions import SettingsInvalid
 from .ini import Fault, Ini, Section
+from .log_settings import LogSection
 
-EXIT_BAD_SETTINGS = 2
 SHARED_SECTIONS = {"host", "tls", "log", "timing", "peer"}
 
 
-def check_address(value: str) -> str:
-    """Check that a value is an IP number and a port.
-
-    :raises ValueError: if it is not.
-    """
-    host, separator, port = value.rpartition(":")
-    if not separator:
-        raise ValueError("must be IP:PORT")
-    ip_address(host.strip("[]"))
-    if not port.isdigit() or int(port) > 65535:
-        raise ValueError("the port must be a number up to 65535")
-    return value
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:PORT`` into its parts."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-Address = Annotated[str, AfterValidator(check_address)]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
-
-
 class HostSection(Section):
     """Names the process and says where it listens.
 
@@ -98,17 +74,6 @@
     list_file: str = ""
 
 
-class LogSection(Section):
-    """Chooses how logs are written.
-
-    :param format: JSON for programs, console for people.
-    :param level: the lowest level that is written.
-    """
-
-    format: Literal["json", "console"] = "json"
-    level: Literal["debug", "info", "warning", "error"] = "info"
-
-
 class CallersSection(Section):
     """Holds the limits towards callers.
 
@@ -161,16 +126,6 @@
     claim_timeout_ms: int = Field(default=2000, ge=50)
 
 
-@dataclass(frozen=True, slots=True)
-class Peer:
-    """Is another process of the deployment."""
-
-    name: str
-    role: str
-    data_centre: str
-    address: str
-
-
 @dataclass(frozen=True, slots=True)
 class HostSettings:
     """Holds the settings that every host's process has."""
@@ -246,7 +201,7 @@
         print(error, file=sys.stderr)
     except (OSError, UnicodeDecodeError) as error:
         print(f"{path}: {error}", file=sys.stderr)
-    raise SystemExit(EXIT_BAD_SETTINGS)
+    raise SystemExit(SettingsInvalid.exit_code)
 
 
 def _read_peers(ini: Ini, faults: list[Fault]) -> tuple[Peer, ...]:
--- a/src/peridotfront/standin.py
+++ b/src/peridotfront/standin.py
@@ -16,7 +16,6 @@
 
 __all__ = ["expected_text", "main", "run"]
 
-EXIT_BAD_SETTINGS = 2
 DRAIN_MS = 600_000
 
 
@@ -95,7 +94,7 @@
         checked = load_settings(settings)
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+        sys.exit(SettingsInvalid.exit_code)
     asyncio.run(run(checked))
 
 
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -14,10 +14,10 @@
 import grpc
 
 from . import logs, wire
+from .addresses import Peer
 from .core.messages import Frame, Message
 from .proto import peridotfront_pb2, peridotfront_pb2_grpc
 from .runtime import Tasks, now_ms
-from .settings import Peer
 
 MAX_QUEUED_MESSAGES = 10_000
 MAX_FRAME_MESSAGES = 512
--- a/src/peridotfront/upstream_poller.py
+++ b/src/peridotfront/upstream_poller.py
@@ -5,8 +5,8 @@
 from typing import Any, Protocol
 
 from . import logs
-from .core.coordinator import UpstreamsListed
 from .core.messages import ListedUpstream
+from .core.routing_events import UpstreamsListed
 from .exceptions import UpstreamError
 
 IDLE_MS = 50
