--- a/src/peridotfront/core/budgets.py
+++ b/src/peridotfront/core/budgets.py
@@ -113,11 +113,6 @@
         first_ms = next(iter(self._pending.values()))
         return max(left_ms, first_ms * OVERDUE_SHARE)
 
-    @property
-    def latest_slow_share(self) -> float:
-        """Return the share of slow tokens when they were last seen."""
-        return self._slow_share
-
     def slow_share(self, now_ms: int) -> float:
         """Return the recent share of slow tokens; it fades while none are seen."""
         return self._slow_share * exp((self._slow_share_ms - now_ms) / SLOW_FADE_MS)
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
-from typing import NamedTuple
 
 from .budgets import Budget, Slot
 from .fleet import Policy, UpstreamKind, UpstreamSpec
@@ -42,10 +41,7 @@
 
     def is_slow(self, now_ms: int) -> bool:
         """Return whether its tokens come slower than callers accept."""
-        budget = self.budget
-        if budget.latest_slow_share <= SLOW_ENGINE_SHARE:
-            return False
-        return budget.slow_share(now_ms) > SLOW_ENGINE_SHARE
+        return self.budget.slow_share(now_ms) > SLOW_ENGINE_SHARE
 
     def limit(self, policy: Policy, is_urgent: bool, now_ms: int) -> int:
         """Return how many slots may be in use after a grant."""
@@ -70,16 +66,13 @@
         return need <= self.spec.kv_capacity_tokens
 
 
-class Choice(NamedTuple):
-    """Is the upstream chosen for a want and what its cache is expected to hold.
-
-    :param backlog_ms: how long its prefill queue is expected to take.
-    """
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Is the upstream chosen for a want and what its cache is expected to hold."""
 
     upstream: Upstream
     predicted_prefix_tokens: int
     cost_ms: float
-    backlog_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,10 +135,10 @@
                 ):
                     best = _cheaper(best, choice)
                 elif may_hold:
-                    better = _cheaper(better, self._with_wait(choice))
+                    better = _cheaper(better, self._with_wait(choice, now_ms))
             elif may_hold and room is Room.FULL and _hits(upstream, queued.want):
                 choice = self._score(upstream, queued, now_ms)
-                better = _cheaper(better, self._with_wait(choice))
+                better = _cheaper(better, self._with_wait(choice, now_ms))
         if best is None:
             return Hold()
         if better is not None and _is_worth_waiting(better, best):
@@ -156,12 +149,13 @@
         waited_ms = now_ms - queued.since_ms
         return not urgent and waited_ms < self._policy.affinity_ms
 
-    def _with_wait(self, choice: Choice) -> Choice:
+    def _with_wait(self, choice: Choice, now_ms: int) -> Choice:
         budget = choice.upstream.budget
         wait_ms = budget.slot_wait_ms
-        queue_ms = choice.backlog_ms - self._policy.engine_queue_ms
-        wait_ms = max(wait_ms, queue_ms, 0.0)
-        return choice._replace(cost_ms=choice.cost_ms + wait_ms)
+        backlog_ms = budget.backlog_ms(now_ms) - self._policy.engine_queue_ms
+        wait_ms = max(wait_ms, backlog_ms, 0.0)
+        cost_ms = choice.cost_ms + wait_ms
+        return Choice(choice.upstream, choice.predicted_prefix_tokens, cost_ms)
 
     def _room(
         self, upstream: Upstream, queued: QueuedWant, urgent: bool, now_ms: int
@@ -175,7 +169,7 @@
             return Room.CLOSED
         if len(budget.slots) >= limit:
             return Room.FULL
-        if want.excluded and upstream.spec.name in want.excluded:
+        if upstream.name in want.excluded:
             return Room.NOT_THIS_WANT
         if upstream.suspects and self._strikes.is_suspect(want.fingerprint):
             return Room.NOT_THIS_WANT
@@ -205,7 +199,7 @@
         fill_ms = FILL_MS * len(budget.slots) / max(1.0, budget.limit_slots)
         failing_ms = upstream.health.failure_share * FAILURE_COST_MS
         if upstream.spec.kind is UpstreamKind.SERVICE:
-            return Choice(upstream, 0, fill_ms + budget.gap_ms + failing_ms, 0.0)
+            return Choice(upstream, 0, fill_ms + budget.gap_ms + failing_ms)
         prefixes = upstream.prefixes
         hit = upstream.hit_tokens(want)
         prefill_ms = budget.prefill_ms(want.prompt_tokens - hit * prefixes.trust)
@@ -219,7 +213,7 @@
             + max(0.0, late_ms) * LATE_WEIGHT
             + failing_ms
         )
-        return Choice(upstream, hit, cost_ms, backlog_ms)
+        return Choice(upstream, hit, cost_ms)
 
     def _leaves_room(
         self, choice: Choice, upstreams: list[Upstream], want: Want, now_ms: int
@@ -229,20 +223,18 @@
             return True
         budget = upstream.budget
         headroom_ms = self._policy.headroom_ms
+        backlog_ms = budget.backlog_ms(now_ms)
         own_ms = budget.prefill_ms(want.prompt_tokens - choice.predicted_prefix_tokens)
-        if choice.backlog_ms + own_ms <= headroom_ms:
+        if backlog_ms + own_ms <= headroom_ms:
             return True
-        if choice.backlog_ms > 0:
+        if backlog_ms > 0:
             return False
         open_ms = headroom_ms * OPEN_BACKLOG_SHARE
-        if len(upstreams) == 1:
-            return True
-        for other in upstreams:
-            if other is upstream or other.is_leaving:
-                continue
-            if other.budget.backlog_ms(now_ms) <= open_ms:
-                return True
-        return False
+        others = [other for other in upstreams if other is not upstream]
+        return not others or any(
+            not other.is_leaving and other.budget.backlog_ms(now_ms) <= open_ms
+            for other in others
+        )
 
 
 def _hits(upstream: Upstream, want: Want) -> bool:
--- a/src/peridotfront/core/prefixes.py
+++ b/src/peridotfront/core/prefixes.py
@@ -41,9 +41,7 @@
         """
         if not hashes or hashes[0] not in self._blocks:
             return 0
-        blocks = len(hashes)
-        if hashes[-1] not in self._blocks:
-            blocks = bisect_left(hashes, True, key=self._is_missing)
+        blocks = bisect_left(hashes, True, key=lambda block: block not in self._blocks)
         cached_tokens = sum(tokens[:blocks]) if tokens else blocks * self.block_tokens
         return min(cached_tokens, max(0, prompt_tokens - 1))
 
@@ -82,9 +80,6 @@
         self._blocks.clear()
         self._sequence = -1
 
-    def _is_missing(self, block: int) -> bool:
-        return block not in self._blocks
-
     def _add(self, hashes: Iterable[int]) -> None:
         for block in hashes:
             self._blocks[block] = None
