Let an account spend what it may, and count it when it is sent

Found while the shares were raised, by cuts that last longer than a window: a request was counted when it was asked for, not when it was sent, so that what waited counted too early by as much as 0.1 of a bound; a bucket expired up to 100 ms early; and what was given back was taken off at the wrong time, which freed it twice. Ruled out: each host reckoning by its own spending alone; an account whose requests come through one host would spend the whole share again at the others. A charge moves to the time of its grant; refunds go to the time of the charge.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -197,6 +197,37 @@
     When each entry host asks for 100 units every 20 ms for 8000 ms while the leader changes
     Then no more than 12000 units were granted in any 8000 ms
 
+  Scenario: An account within its rate and burst is refused nothing
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When 10000 ms pass in the routed group
+    And each entry host asks for 10 wants of 100 units at once
+    And each entry host asks for 100 units every 200 ms for 16000 ms
+    Then every want was granted
+
+  Scenario: Random charges, waits and refunds keep an allowance
+    When requests are charged, granted later and given back in any order
+    Then what was granted and kept was never above the bound in any window
+
+  Scenario: A saturated account stays within its bound when all hosts are cut off
+    Given a routed group of 3 control hosts and 4 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When 10000 ms pass in the routed group
+    And "e1,e2,e3,e4" can't reach the control hosts from 9000 to 14000 ms of the load
+    And each entry host asks for 100 units every 20 ms for 24000 ms
+    Then no more than 12000 units were granted in any 8000 ms
+
+  Scenario: An account that one host saturated stays within its bound in a cut
+    Given a routed group of 3 control hosts and 4 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When 10000 ms pass in the routed group
+    And "e1,e2,e3,e4" can't reach the control hosts from 9000 to 14000 ms of the load
+    And "e1" alone asks for 100 units every 20 ms, and all from 9000 ms on, for 24000 ms
+    Then no more than 12000 units were granted in any 8000 ms
+
   Scenario Outline: An allowance is bounded while hosts schedule for themselves
     Given a routed group of 3 control hosts and 4 entry hosts
     And 40 upstreams are listed
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -3,10 +3,15 @@
 import json
 
 from behave import given, then, when
+from hypothesis import given as given_steps
+from hypothesis import settings
+from hypothesis import strategies as st
 from support.routed_group import RoutedGroup, listed
 
+from peridotfront.core.allowances import AllowanceBounds, Allowances
 from peridotfront.core.control_types import OperatorUnavailable
 from peridotfront.core.messages import ReleaseCause
+from peridotfront.core.routes import RoutedAccount
 
 
 def names_of(text):
@@ -276,19 +281,109 @@
     """
     group = context.group
     context.spent = []
+    cut_at = getattr(context, "cut_at", None)
+    open_units = {}
     for number in range(duration // gap):
-        context.cut_at(number * gap)
-        open_units = {}
+        if cut_at is not None:
+            cut_at(number * gap)
         for entry in group.entries:
             open_units.update(ask(entry, number))
         group.run(gap)
         for entry in group.entries:
             for request_id in open_units.keys() & entry.granted.keys():
-                units = open_units[request_id]
+                units = open_units.pop(request_id)
                 context.spent.append((group.granted_ms[request_id], request_id, units))
                 entry.end(request_id)
 
 
+CHARGE_STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 200),
+        st.sampled_from(("charge", "charge", "grant", "grant", "refund")),
+        st.integers(1, 200),
+    ),
+    min_size=40,
+    max_size=120,
+)
+
+
+@when("requests are charged, granted later and given back in any order")
+def charge_randomly(context):
+    context.histories = []
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_steps(CHARGE_STEPS)
+    def play(steps):
+        context.histories.append(list(charge_history(steps)))
+
+    play()
+
+
+def charge_history(steps):
+    """Yield when and what was granted and not given back."""
+    bounds = AllowanceBounds(0.0, 0.0, 2000)
+    allowances = Allowances(bounds, share=1.0)
+    allowances.use((RoutedAccount("club", (), rate_per_s=400, burst=200),))
+    now_ms = 0
+    waiting, granted = [], []
+    for pause_ms, step, units in steps:
+        now_ms += pause_ms
+        if step == "charge" and not allowances.charge("club", units, now_ms):
+            waiting.append((now_ms, units))
+        elif step == "grant" and waiting:
+            at_ms, taken = waiting.pop(0)
+            if now_ms - at_ms >= 2000:
+                # Nobody waits for a slot as long as a window.
+                continue
+            allowances.move("club", taken, at_ms, now_ms)
+            granted.append((now_ms, taken))
+        elif step == "refund" and granted:
+            at_ms, taken = granted.pop(units % len(granted))
+            allowances.refund("club", taken, at_ms, now_ms)
+    yield from granted
+
+
+@then("what was granted and kept was never above the bound in any window")
+def below_bound(context):
+    longest = max(map(len, context.histories))
+    assert longest > 5, longest
+    for history in context.histories:
+        for start_ms, first in history:
+            inside = [u for t, u in history if start_ms <= t < start_ms + 2000]
+            # One request may exceed the bound when nothing else counts.
+            is_kept = sum(inside) <= 1000 or inside == [first]
+            assert is_kept, (start_ms, sum(inside), history)
+
+
+@when("each entry host asks for {count:d} wants of {units:d} units at once")
+def ask_at_once(context, count, units):
+    for entry in context.group.entries:
+        for number in range(count):
+            entry.want(f"{entry.name}-first{number}", allowance_units=units)
+    context.group.run(20)
+
+
+@then("every want was granted")
+def all_granted(context):
+    for entry in context.group.entries:
+        assert not entry.refused, len(entry.refused)
+
+
+@when(
+    '"{first}" alone asks for {units:d} units every {gap:d} ms, and all from'
+    " {start:d} ms on, for {duration:d} ms"
+)
+def ask_unevenly(context, first, units, gap, start, duration):
+    def ask(entry, number):
+        if entry.name != first and number * gap < start:
+            return {}
+        request_id = f"{entry.name}-{number}"
+        entry.want(request_id, allowance_units=units)
+        return {request_id: units}
+
+    load(context, gap, duration, ask)
+
+
 @when("each entry host asks for {units:d} units every {gap:d} ms for {duration:d} ms")
 def ask_steadily(context, units, gap, duration):
     def ask(entry, number):
--- a/src/peridotfront/core/allowances.py
+++ b/src/peridotfront/core/allowances.py
@@ -6,13 +6,14 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from .messages import SpentShare
 from .routes import RoutedAccount
+from .shares import TERM_OPENING_SHARE
 
 BUCKET_MS = 100
-LEADER_SHARE = 0.65
-ALONE_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,18 +45,27 @@
     total: float = 0.0
 
     def expire(self, oldest_ms: int) -> None:
-        """Drop what was spent before a time."""
-        while self.buckets and self.buckets[0][0] <= oldest_ms:
+        """Drop the buckets that lie before a time as a whole."""
+        while self.buckets and self.buckets[0][0] + BUCKET_MS <= oldest_ms:
             self.total -= self.buckets.popleft()[1]
 
     def add(self, units: float, at_ms: int) -> None:
-        """Count units that were spent at a time; negative ones were given back."""
+        """Count units that are spent now."""
         self.total += units
         start_ms = at_ms - at_ms % BUCKET_MS
         if self.buckets and self.buckets[-1][0] == start_ms:
             units += self.buckets.pop()[1]
         self.buckets.append((start_ms, units))
 
+    def remove(self, units: float, at_ms: int) -> None:
+        """Take out units that were counted at a time, unless that has expired."""
+        start_ms = at_ms - at_ms % BUCKET_MS
+        for index, (bucket_ms, counted) in enumerate(self.buckets):
+            if bucket_ms == start_ms:
+                self.buckets[index] = (start_ms, counted - units)
+                self.total -= units
+                return
+
     def insert(self, units: float, at_ms: int) -> None:
         """Count units that were spent some time ago."""
         self.total += units
@@ -67,8 +77,10 @@
         for start_ms, units in self.buckets:
             missing -= units
             if missing <= 0:
-                return max(1, start_ms - oldest_ms)
-        return max(1, self.buckets[-1][0] - oldest_ms) if self.buckets else 1
+                return max(1, start_ms + BUCKET_MS - oldest_ms)
+        if not self.buckets:
+            return 1
+        return max(1, self.buckets[-1][0] + BUCKET_MS - oldest_ms)
 
 
 class Allowances:
@@ -78,9 +90,11 @@
     :param share: of each allowance that is spent here, from 0 to 1.
     """
 
-    def __init__(self, bounds: AllowanceBounds, share: float = LEADER_SHARE):
+    def __init__(self, bounds: AllowanceBounds, share: float = TERM_OPENING_SHARE):
         self.share = share
         self._bounds = bounds
+        self._account_shares: dict[str, float] = {}
+        self._account_shares_until_ms = 0
         self._accounts: dict[str, RoutedAccount] = {}
         self._windows: dict[str, SlidingWindow] = {}
 
@@ -99,23 +113,49 @@
         if account is None or account.rate_per_s <= 0:
             return 0
         window = self._window(name, now_ms)
-        limit = self._bounds.limit(account) * self.share
+        limit = self._bounds.limit(account) * self._share_of(name, now_ms)
         if window.total + units > limit and window.total > 0:
             missing = window.total + units - limit
             return window.wait_ms(missing, now_ms - self._bounds.window_ms)
         window.add(units, now_ms)
         return 0
 
-    def refund(self, name: str, units: float, now_ms: int) -> None:
-        """Give back what a request that did not run had taken."""
+    def use_account_shares(self, shares: dict[str, float], now_ms: int) -> None:
+        """Spend other shares of some accounts for the length of a window."""
+        self._account_shares = shares
+        self._account_shares_until_ms = now_ms + self._bounds.window_ms
+
+    def spent_shares(self, least_share: float, now_ms: int) -> Iterator[SpentShare]:
+        """Yield the accounts of whose bound at least so much is spent."""
+        for name, account in self._accounts.items():
+            if account.rate_per_s <= 0 or name not in self._windows:
+                continue
+            share = self._window(name, now_ms).total / self._bounds.limit(account)
+            if share >= least_share:
+                yield SpentShare(name, share)
+
+    def refund(self, name: str, units: float, at_ms: int, now_ms: int) -> None:
+        """Give back what a request that did not run had taken at a time."""
         if name in self._windows:
-            self._window(name, now_ms).add(-units, now_ms)
+            self._window(name, now_ms).remove(units, at_ms)
+
+    def move(self, name: str, units: float, at_ms: int, now_ms: int) -> None:
+        """Count what was taken at a time as spent now, when the request is sent."""
+        if name in self._windows:
+            window = self._window(name, now_ms)
+            window.remove(units, at_ms)
+            window.add(units, now_ms)
 
     def record(self, name: str, units: float, at_ms: int, now_ms: int) -> None:
         """Count units that were spent elsewhere, some time ago."""
         if at_ms > now_ms - self._bounds.window_ms:
             self._window(name, now_ms).insert(units, at_ms)
 
+    def _share_of(self, name: str, now_ms: int) -> float:
+        if now_ms >= self._account_shares_until_ms:
+            return self.share
+        return self._account_shares.get(name, self.share)
+
     def _window(self, name: str, now_ms: int) -> SlidingWindow:
         window = self._windows.setdefault(name, SlidingWindow())
         window.expire(now_ms - self._bounds.window_ms)
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -21,6 +21,7 @@
     Release,
     SentRepeats,
     Spending,
+    SpentShare,
     UpstreamsUpdate,
     Want,
 )
@@ -29,6 +30,7 @@
 from .retry_budgets import ALONE_RETRY_SHARE
 from .routes import Routing
 from .routing_events import RoutingChanged, UpstreamsListed
+from .shares import TOLD_SHARE, leader_share
 
 ENTRY_ROLE = "entry"
 ENTRY_SILENCE_MS = 1500
@@ -37,8 +39,10 @@
 EPOCH_VERSIONS = 2**24
 # Hosts that schedule for themselves have the rest of the retry budget.
 LEADER_RETRY_SHARE = 1 - ALONE_RETRY_SHARE
-TERM_OPENING_SHARE = LEADER_RETRY_SHARE / 2
+TERM_OPENING_RETRY_SHARE = LEADER_RETRY_SHARE / 2
 TERM_OPENING_MS = 10_000
+SHARES_EVERY_MS = 100
+LOST_KEPT_MS = 60_000
 
 
 @dataclass(slots=True)
@@ -69,6 +73,9 @@
         self._entries: dict[str, EntryHost] = {}
         self._led_since_ms = 0
         self._list_shared_ms = 0
+        self._lost_ms: dict[str, int] = {}
+        self._spent: tuple[SpentShare, ...] = ()
+        self._spent_ms = 0
 
     @property
     def is_leading(self) -> bool:
@@ -96,7 +103,7 @@
         yield from self._drop_silent(now_ms)
         if self.pools is None:
             return
-        self._settle_budget(now_ms)
+        self._settle_shares(now_ms)
         yield from self.pools.handle(event, now_ms)
         if now_ms - self._list_shared_ms >= SHARE_LIST_MS:
             yield from self._share(now_ms)
@@ -145,6 +152,7 @@
                 answer,
                 entry_hosts=len(self._entries) if self.is_leading else 0,
                 upstreams_version=self.directory.version,
+                spent=self._spent if self.is_leading else (),
             ),
         )
 
@@ -176,19 +184,31 @@
             self._entries.clear()
             return
         self._led_since_ms = now_ms
+        self._lost_ms.clear()
         self._list_shared_ms = now_ms
         self.pools = Pools(self._bounds)
-        self.pools.retries.share = TERM_OPENING_SHARE
+        self.pools.retries.share = TERM_OPENING_RETRY_SHARE
         known = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
         self.directory.replace(known)
         yield from self.pools.use_upstreams(known, now_ms)
         yield from self.pools.use_routing(self._routing, now_ms)
 
-    def _settle_budget(self, now_ms: int) -> None:
-        """Spend the whole retry budget once nothing of an earlier term counts."""
-        if now_ms - self._led_since_ms >= TERM_OPENING_MS:
+    def _settle_shares(self, now_ms: int) -> None:
+        """Spend more once nothing of an earlier term counts, and tell what is spent."""
+        if now_ms - self._spent_ms < SHARES_EVERY_MS:
+            return
+        self._spent_ms = now_ms
+        oldest_ms = now_ms - LOST_KEPT_MS
+        self._lost_ms = {n: at for n, at in self._lost_ms.items() if at > oldest_ms}
+        is_opening = now_ms - self._led_since_ms < TERM_OPENING_MS
+        if not is_opening:
             self.pools.retries.share = LEADER_RETRY_SHARE
+        allowances = self.pools.allowances
+        allowances.share = leader_share(
+            len(self._entries), len(self._lost_ms), is_opening=is_opening
+        )
+        self._spent = tuple(allowances.spent_shares(TOLD_SHARE, now_ms))
 
     def _record(
         self, message: Heartbeat, event: Received, now_ms: int
@@ -200,6 +220,7 @@
         if entry is None:
             entry = EntryHost(event.incarnation, now_ms)
             self._entries[event.sender] = entry
+            self._lost_ms.pop(event.sender, None)
             yield Log("entry_host_joined", (("peer", event.sender),))
         entry.heard_ms = now_ms
         entry.upstreams_version = message.upstreams_version
@@ -216,6 +237,7 @@
 
     def _lose(self, host: str, is_restarted: bool, now_ms: int) -> Iterator[Any]:
         del self._entries[host]
+        self._lost_ms[host] = now_ms
         yield Log("peer_silent", (("peer", host),))
         yield from self.pools.handle(HostLost(host, is_restarted), now_ms)
 
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
-from .allowances import ALONE_SHARE
 from .cell_events import HostLost
 from .directory import UpstreamDirectory
 from .dispatch import dispatchmethod
@@ -34,6 +33,7 @@
     HeldSlot,
     ListedUpstream,
     Refuse,
+    SpentShare,
     UpstreamsUpdate,
     Want,
 )
@@ -41,6 +41,7 @@
 from .releases import unused_release
 from .retry_budgets import ALONE_RETRY_SHARE
 from .routing_events import RoutingChanged, UpstreamsListed
+from .shares import alone_share
 from .spending import SpendingLedger
 
 HEARTBEAT_MS = 200
@@ -105,6 +106,7 @@
             max(bounds.allowances.window_ms, bounds.retries.window_ms)
         )
         self._term = 0
+        self._spent: tuple[SpentShare, ...] = ()
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Take an event and yield what the program has to do.
@@ -208,6 +210,7 @@
         self._led_ms[event.sender] = now_ms
         self._term = message.term
         self.entry_hosts = max(1, message.entry_hosts)
+        self._spent = message.spent
         yield from self._watch_leader(now_ms)
 
     @_receive.register
@@ -285,6 +288,11 @@
     def _detach(self, now_ms: int) -> Iterator[Any]:
         self._detached_ms = now_ms
         self._own_list = self.directory.upstreams
+        shares = {
+            one.client_account: alone_share(one.share, self.entry_hosts)
+            for one in self._spent
+        }
+        self._own.allowances.use_account_shares(shares, now_ms)
         yield from self._own.handle(HostLost(self.host, True), now_ms)
         yield from self._use_own_list(now_ms)
         for held in self._held.values():
@@ -293,7 +301,7 @@
             yield from self._tell(_aged(pending, now_ms), now_ms)
 
     def _use_own_list(self, now_ms: int) -> Iterator[Any]:
-        self._own.allowances.share = ALONE_SHARE / self.entry_hosts
+        self._own.allowances.share = alone_share(0.0, self.entry_hosts)
         self._own.retries.share = ALONE_RETRY_SHARE / self.entry_hosts
         upstreams = own_share(
             self._own_list, self.host, self.data_centre, self.entry_hosts
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -188,6 +188,17 @@
     content: str
 
 
+@dataclass(frozen=True, slots=True)
+class SpentShare:
+    """Says what of an account's bound was spent in the last window.
+
+    :param share: of the bound, 1 if all of it.
+    """
+
+    client_account: str
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Shows peers that a host lives and what it runs with.
@@ -200,6 +211,7 @@
     :param entry_hosts: how many entry hosts the sender counts as alive; 0 if it
         doesn't lead.
     :param upstreams_version: of the list of upstreams that the sender holds.
+    :param spent: accounts that spent much of their allowance; only a leader says so.
     """
 
     data_centre: str
@@ -212,6 +224,7 @@
     control_hosts: tuple[str, ...] = ()
     entry_hosts: int = 0
     upstreams_version: int = 0
+    spent: tuple[SpentShare, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from .actions import Received, Send, Tick
@@ -15,6 +15,7 @@
 from .fleet import AccountSpec, Fleet, Policy, UpstreamKind, UpstreamSpec
 from .messages import (
     CancelWant,
+    Grant,
     HeldSlot,
     ListedUpstream,
     Refuse,
@@ -66,6 +67,7 @@
     """Is what a want took of its account's allowance.
 
     :param is_repeat: whether it took a repeat of its service's budget too.
+    :param is_spent: whether the want was granted, so that the request is sent.
     """
 
     account: str
@@ -73,6 +75,7 @@
     service: str
     is_repeat: bool
     made_ms: int
+    is_spent: bool = False
 
 
 class Pools:
@@ -193,7 +196,7 @@
     def _(self, message: Release, event: Received, now_ms: int) -> Iterator[Send]:
         charge = self._charges.pop(message.request_id, None)
         if charge is not None and message.cause in UNRUN_CAUSES:
-            self.allowances.refund(charge.account, charge.units, now_ms)
+            self._refund(charge, now_ms)
         if charge is not None and message.cause in UNSENT_CAUSES:
             self._give_back(charge, now_ms)
         yield from self._to_scheduler(message.cell, event, now_ms)
@@ -212,7 +215,7 @@
         if not want.is_repeat:
             self.retries.count_first(want.cell, now_ms)
         elif not self.retries.take(want.cell, now_ms):
-            self.allowances.refund(want.client_account, units, now_ms)
+            self.allowances.refund(want.client_account, units, now_ms, now_ms)
             return _refusal(event, want, Reason.RETRY_BUDGET, NO_BUDGET_RETRY_MS)
         self._charges[want.request_id] = Charge(
             want.client_account, units, want.cell, want.is_repeat, now_ms
@@ -223,9 +226,12 @@
         charge = self._charges.pop(request_id, None)
         if charge is None:
             return
-        self.allowances.refund(charge.account, charge.units, now_ms)
+        self._refund(charge, now_ms)
         self._give_back(charge, now_ms)
 
+    def _refund(self, charge: Charge, now_ms: int) -> None:
+        self.allowances.refund(charge.account, charge.units, charge.made_ms, now_ms)
+
     def _give_back(self, charge: Charge, now_ms: int) -> None:
         if charge.is_repeat:
             self.retries.give_back(charge.service, now_ms)
@@ -234,8 +240,18 @@
         for action in actions:
             if isinstance(action, Send) and isinstance(action.message, Refuse):
                 self._undo(action.message.request_id, now_ms)
+            elif isinstance(action, Send) and isinstance(action.message, Grant):
+                self._spend(action.message.request_id, now_ms)
             yield action
 
+    def _spend(self, request_id: str, now_ms: int) -> None:
+        """Count what a want took from now on, since it is sent only now."""
+        charge = self._charges.get(request_id)
+        if charge is None or charge.is_spent:
+            return
+        self.allowances.move(charge.account, charge.units, charge.made_ms, now_ms)
+        self._charges[request_id] = replace(charge, made_ms=now_ms, is_spent=True)
+
     def _purge(self, now_ms: int) -> None:
         self._purged_ms = now_ms
         oldest_ms = now_ms - CHARGE_KEPT_MS
