Blame no upstream for requests that came to it with their time nearly spent

Cause: a request that had waited 1.4 s of its 1.5 s was granted a slot, had no time left for the 60 ms of work, and ended as a timeout of its upstream. Two of these open the circuit, and so does a probe that ends so. Change: a cause of its own, out_of_time, for sends that had less than the route's objective; it says nothing about the upstream, and a probe that ends so is followed by another at once. A want can wait only as long as leaves half of the objective for the work.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -148,6 +148,7 @@
     When a caller sends "/resumable/x" with the body "prompt"
     Then the caller gets events "1,2,3,4,5,6" and the end
     And upstream "u1" had its connection closed
+    And the first slot ended as "upstream_timeout"
 
   Scenario: A caller that leaves ends the work at the upstream at once
     Given a gateway before upstream "u1" that will "hang"
@@ -161,6 +162,22 @@
     Then the caller gets 504
     And the answer took at most 550 ms
 
+  Scenario Outline: An upstream is blamed only for silence beyond the route's objective
+    Given a gateway before upstream "u1" that will "hang"
+    When a caller sends "/transfer/x" with the deadline "<deadline>"
+    Then the caller gets 504
+    And the slot ended as "<cause>"
+
+    Examples:
+      | deadline | cause            |
+      | 250      | out_of_time      |
+      | 600      | upstream_timeout |
+
+  Scenario: A want leaves the upstream time for its work
+    Given a gateway before upstream "u1" that will "answer"
+    When a caller sends "/transfer/x" with the deadline "1000"
+    Then the want can wait between 700 and 850 ms
+
   Scenario: Idle connections are closed when the host leaves, others are not
     Given a gateway before upstream "u1" that will "slow_events"
     When a caller keeps a connection idle while another one reads a stream
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -54,6 +54,17 @@
     And both come back while one upstream is left
     Then only one of them is granted
 
+  Scenario: Requests that run out of their own time shut no upstream out
+    Given a cell of a plain service with 2 upstreams of 1 slot
+    When 8 requests one after the other end as "out_of_time"
+    Then a want right after them is granted at once
+
+  Scenario: A probe that ran out of its own time is followed by another at once
+    When the upstream of a running request dies
+    And 1100 ms pass in the cell
+    And the probe there ends as "out_of_time"
+    Then another request is granted there as a probe
+
   Scenario: A plain service is scheduled by slot counts only
     Given a cell of a plain service with 2 upstreams of 1 slot
     When 3 wants of tier 1 arrive
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -223,6 +223,12 @@
     assert causes[0] == cause, causes
 
 
+@then("the want can wait between {least:d} and {most:d} ms")
+def want_waits(context, least, most):
+    waits_ms = [want.deadline_ms for want in context.front.placer.wants]
+    assert least <= waits_ms[0] <= most, waits_ms
+
+
 @then("the second want is a repeat")
 def second_is_repeat(context):
     assert [want.is_repeat for want in context.front.placer.wants] == [False, True]
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -161,6 +161,38 @@
         assert granted_at(context.cell, f"after{index}") != context.dead
 
 
+@when('{count:d} requests one after the other end as "{cause}"')
+def end_in_turn(context, count, cause):
+    for number in range(count):
+        context.cell.want(f"late{number}")
+        context.cell.pass_time(20)
+        context.cell.release(f"late{number}", ReleaseCause(cause), first_token_ms=-1)
+
+
+@then("a want right after them is granted at once")
+def granted_at_once(context):
+    context.cell.want("next")
+    assert context.cell.answers("next", Grant)
+
+
+@when('the probe there ends as "{cause}"')
+def end_probe(context, cause):
+    cell = context.cell
+    wanted = [f"probe{number}" for number in range(40)]
+    for request_id in wanted:
+        cell.want(request_id, deadline_ms=20_000)
+    context.probes = [one for one in wanted if granted_at(cell, one) == context.dead]
+    cell.release(context.probes[0], ReleaseCause(cause), first_token_ms=-1)
+
+
+@then("another request is granted there as a probe")
+def granted_as_probe(context):
+    wants = context.cell.wants
+    there = [one for one in wants if granted_at(context.cell, one) == context.dead]
+    assert len(context.probes) == 1
+    assert there[-1] not in ("victim", *context.probes)
+
+
 @then("it gets {count:d} request as a probe")
 def gets_probe(context, count):
     for index in range(4):
--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -13,6 +13,8 @@
 STREAM_PATIENCE_MS = 2000
 GOALS_OF_PATIENCE = 4
 GAPS_OF_PATIENCE = 8
+MIN_WORK_MS = 40
+WORK_SHARE = 0.5
 
 
 class Attempts:
@@ -77,6 +79,11 @@
     return min(left_ms, wanted_ms)
 
 
+def work_ms(route: Route) -> int:
+    """Return the time that a request needs at its upstream to be worth a send."""
+    return max(MIN_WORK_MS, int(route.goal_ms * WORK_SHARE))
+
+
 def patience_ms(route: Route) -> int:
     """Return how long callers of a route wait for the first part of an answer."""
     if route.kind is not RouteKind.STREAMING:
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -17,6 +17,7 @@
     UPSTREAM_DIED = "upstream_died"
     UPSTREAM_ERROR = "upstream_error"
     UPSTREAM_TIMEOUT = "upstream_timeout"
+    OUT_OF_TIME = "out_of_time"
     REJECTED = "rejected"
     PREEMPTED = "preempted"
 
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -55,6 +55,7 @@
     ReleaseCause.UPSTREAM_DIED,
     ReleaseCause.UPSTREAM_ERROR,
     ReleaseCause.UPSTREAM_TIMEOUT,
+    ReleaseCause.OUT_OF_TIME,
     ReleaseCause.PREEMPTED,
 )
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from . import logs
-from .core.attempts import Attempts, patience_ms, silence_ms
+from .core.attempts import Attempts, patience_ms, silence_ms, work_ms
 from .core.event_stream import EventSplitter, StreamEvent
 from .core.gateway_types import SlotEnded, SlotProgress, SlotRefused
 from .core.messages import Grant, ReleaseCause, Want
@@ -31,7 +31,6 @@
 from .runtime import now_ms
 
 CONNECT_MS = 300
-MIN_SEND_MS = 40
 END_MARGIN_MS = 30
 PROGRESS_INTERVAL_MS = 500
 SPENT_RETRY_MS = 300
@@ -109,7 +108,7 @@
     async def run(self) -> None:
         """Bring the request to its answer."""
         while True:
-            if self._left_ms() < MIN_SEND_MS:
+            if self._left_ms() < work_ms(self._admitted.route):
                 await self._give_up(Reason.DEADLINE, 0)
                 return
             placed = await self._place()
@@ -173,7 +172,7 @@
         account = admitted.account
         waited_ms = now_ms() - admitted.began_ms
         patience_left_ms = patience_ms(route) - waited_ms
-        deadline_ms = min(patience_left_ms, self._left_ms() - MIN_SEND_MS)
+        deadline_ms = min(patience_left_ms, self._left_ms() - work_ms(route))
         return Want(
             request_id=f"{request.request_id}.{self.sends}.{len(self._attempts.excluded)}",
             cell=admitted.service,
@@ -208,7 +207,7 @@
             cause = ReleaseCause.UNREACHABLE
             self._log_failure(sending, cause, error)
         except (UpstreamTimedOut, TimeoutError) as error:
-            cause = ReleaseCause.UPSTREAM_TIMEOUT
+            cause = self._cause_of_silence(sending, error)
             self._log_failure(sending, cause, error)
         except InvalidRequest as error:
             cause = ReleaseCause.NOT_SENT
@@ -223,12 +222,24 @@
             self._release(sending, cause)
         return None if sending.is_answered else cause
 
+    def _cause_of_silence(self, sending: "_Sending", error: Exception) -> ReleaseCause:
+        """Tell whether the upstream was silent or the request came to it late."""
+        silent_ms = 0
+        if isinstance(error, UpstreamTimedOut):
+            silent_ms = sending.silence_ms
+        elif sending.first_ms < 0:
+            silent_ms = now_ms() - sending.started_ms
+        if silent_ms >= self._admitted.route.goal_ms:
+            return ReleaseCause.UPSTREAM_TIMEOUT
+        return ReleaseCause.OUT_OF_TIME
+
     async def _exchange_with(self, sending: "_Sending") -> ReleaseCause:
         admitted = self._admitted
         request = admitted.request
         http = request.http
         left_ms = self._left_ms()
         silence = silence_ms(admitted.route, self._attempts, left_ms)
+        sending.silence_ms = silence
         self.sends += 1
         self._is_sent = True
         answer = await self._client.send(
@@ -416,6 +427,7 @@
     """Is one send of a request.
 
     :param first_ms: until the first part of the answer; -1 if there was none yet.
+    :param silence_ms: how long the upstream may be silent.
     :param is_answered: whether the caller has its final answer.
     """
 
@@ -426,6 +438,7 @@
     first_ms: int = -1
     produced_tokens: int = 0
     told_ms: int = 0
+    silence_ms: int = 0
     is_answered: bool = False
 
     def end(self) -> None:
@@ -440,6 +453,7 @@
         ReleaseCause.OTHER_UPSTREAM: Reason.NO_UPSTREAM,
         ReleaseCause.REJECTED: Reason.OVERLOADED,
         ReleaseCause.UPSTREAM_TIMEOUT: Reason.UPSTREAM_TIMEOUT,
+        ReleaseCause.OUT_OF_TIME: Reason.UPSTREAM_TIMEOUT,
         ReleaseCause.UPSTREAM_ERROR: Reason.UPSTREAM_ERROR,
         ReleaseCause.NOT_SENT: Reason.INVALID_REQUEST,
     }
