Give back a slot that is granted in the moment in which its request leaves

Cause: a wait for a slot that is cancelled (its time is over, its caller left) runs again only in the next turn of the loop. A grant that came in between found the wait cancelled and was dropped, while the entry host held the slot and renewed it for ever. Under overload most waits end that way in the same moments as slots come free, so that a service loses one slot after the other. Ruled out as well: leases that lapse (none did, as the holder renewed them). Change: a granted slot that nobody waits for goes back as not sent. Before: the first example of the new scenario held the slot and sent nothing; after: it goes back.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -162,6 +162,18 @@
     Then the caller gets 504
     And the answer took at most 550 ms
 
+  Scenario Outline: A slot that comes when nobody waits for it is given back
+    Given an entry host that asks a leader for slots
+    When a slot is granted <moment>
+    Then the slot goes back as not sent
+    And the entry host holds no slot
+
+    Examples:
+      | moment                                    |
+      | in the moment in which its request leaves |
+      | right after its request got it            |
+      | after its request has left                |
+
   Scenario Outline: An upstream is blamed only for silence beyond the route's objective
     Given a gateway before upstream "u1" that will "hang"
     When a caller sends "/transfer/x" with the deadline "<deadline>"
--- /dev/null
+++ b/features/support/service_load.py
@@ -0,0 +1,162 @@
+"""A plain service under load in virtual time, with upstreams that go down."""
+
+from collections import Counter
+
+from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.cell_events import FleetChanged
+from peridotfront.core.fleet import AccountSpec, Fleet, UpstreamKind, UpstreamSpec
+from peridotfront.core.messages import (
+    CancelWant,
+    Grant,
+    Refuse,
+    Release,
+    ReleaseCause,
+    Want,
+)
+from peridotfront.core.pools import POOL_POLICY
+from peridotfront.core.scheduler import CellScheduler
+
+CELL = "ledger"
+HOST = "e1"
+TICK_MS = 10
+SLOTS = 6
+WORK_MS = 60
+LIMIT_MS = 1500
+GOAL_MS = 300
+SPARE_MS = 40
+ACCOUNTS = 5
+
+
+class ServiceLoad:
+    """Sends requests of one service through a scheduler, as an entry host does.
+
+    :param spare_ms: what a want leaves of its time limit to the upstream.
+    :param blames_late: whether an upstream is blamed for requests that had less than
+        the objective.
+    """
+
+    def __init__(self, upstreams, *, spare_ms, blames_late):
+        self.now_ms = 0
+        self.served = Counter()
+        self.asked = Counter()
+        self.down = set()
+        self._spare_ms = spare_ms
+        self._blames_late = blames_late
+        self._count = 0
+        self._due = 0.0
+        self._wants = {}
+        self._running = []
+        names = [f"l{number}" for number in range(upstreams)]
+        specs = [
+            UpstreamSpec(
+                name=name,
+                kind=UpstreamKind.SERVICE,
+                data_centre="dc",
+                address="",
+                service=CELL,
+                models=("",),
+                max_slots=SLOTS,
+                pool=CELL,
+            )
+            for name in names
+        ]
+        accounts = tuple([AccountSpec(f"a{n}", "") for n in range(ACCOUNTS)])
+        fleet = Fleet(1, tuple(specs), accounts, policy=POOL_POLICY)
+        self.upstreams = names
+        self.scheduler = CellScheduler(CELL, fleet, UpstreamKind.SERVICE)
+        self._step(FleetChanged(fleet))
+
+    def run(self, duration_ms, rate_per_s):
+        """Let requests come at a rate for a time."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            self._due += rate_per_s * TICK_MS / 1000
+            while self._due >= 1:
+                self._due -= 1
+                self._ask()
+            self._end_runs()
+            self._give_up()
+            self._step(Tick())
+
+    def share_served(self, from_ms):
+        """Return the share served of what was asked for from a time on."""
+        asked = sum(n for at_ms, n in self.asked.items() if at_ms >= from_ms)
+        served = sum(n for at_ms, n in self.served.items() if at_ms >= from_ms)
+        return served / asked
+
+    def _ask(self):
+        self._count += 1
+        self.asked[self.now_ms] += 1
+        want = Want(
+            request_id=f"r{self._count}",
+            cell=CELL,
+            model="",
+            tier=1,
+            client_account=f"a{self._count % ACCOUNTS}",
+            prompt_tokens=0,
+            output_tokens=0,
+            prefix_hashes=(),
+            fingerprint=self._count,
+            deadline_ms=LIMIT_MS - self._spare_ms,
+            goal_ms=GOAL_MS,
+        )
+        self._wants[want.request_id] = (want, self.now_ms)
+        self._step(Received(HOST, 1, want))
+
+    def _give_up(self):
+        """Withdraw the wants that waited to the end of their time."""
+        waiting_ms = LIMIT_MS - self._spare_ms
+        old = [
+            want
+            for want, since_ms in self._wants.values()
+            if self.now_ms - since_ms >= waiting_ms
+        ]
+        for want in old:
+            del self._wants[want.request_id]
+            self._step(Received(HOST, 1, CancelWant(want.request_id, CELL)))
+
+    def _step(self, event):
+        for action in tuple(self.scheduler.handle(event, self.now_ms)):
+            message = action.message if isinstance(action, Send) else None
+            if isinstance(message, Grant):
+                self._start(message)
+            elif isinstance(message, Refuse):
+                self._wants.pop(message.request_id, None)
+
+    def _start(self, grant):
+        want, since_ms = self._wants.pop(grant.request_id)
+        left_ms = since_ms + LIMIT_MS - self.now_ms
+        cause = ReleaseCause.COMPLETED
+        duration_ms = WORK_MS
+        if grant.upstream in self.down:
+            cause = ReleaseCause.UNREACHABLE
+            duration_ms = TICK_MS
+        elif left_ms < WORK_MS:
+            is_blamed = self._blames_late or left_ms >= GOAL_MS
+            cause = ReleaseCause.OUT_OF_TIME
+            if is_blamed:
+                cause = ReleaseCause.UPSTREAM_TIMEOUT
+            duration_ms = left_ms
+        end_ms = self.now_ms + duration_ms
+        self._running.append((end_ms, want, since_ms, grant.upstream, cause))
+
+    def _end_runs(self):
+        ended = [one for one in self._running if one[0] <= self.now_ms]
+        self._running = [one for one in self._running if one[0] > self.now_ms]
+        for _, want, since_ms, upstream, cause in ended:
+            if cause is ReleaseCause.COMPLETED:
+                self.served[since_ms] += 1
+            release = Release(
+                request_id=want.request_id,
+                cell=CELL,
+                upstream=upstream,
+                cause=cause,
+                prompt_tokens=0,
+                cached_tokens=0,
+                produced_tokens=0,
+                first_token_ms=-1,
+                duration_ms=WORK_MS,
+                slow_tokens=-1,
+            )
+            self._step(Received(HOST, 1, release))
--- a/src/peridotfront/gateway_server.py
+++ b/src/peridotfront/gateway_server.py
@@ -17,7 +17,7 @@
     WithdrawWant,
 )
 from .core.messages import Frame, ReleaseCause, Want
-from .core.releases import release_of
+from .core.releases import release_of, unused_release
 from .core.routes import RouteTable, Routing
 from .core.routing_events import RoutingChanged
 from .exceptions import SettingsInvalid
@@ -125,3 +125,7 @@
         future = self._waiting.get(request_id)
         if future is not None and not future.done():
             future.set_result(answer)
+            return
+        if isinstance(answer, SlotGranted):
+            # Whoever asked was cancelled, and has yet to run and to say so.
+            self.feed(SlotEnded(unused_release(answer.grant)))
