--- /dev/null
+++ b/features/steps/overload_steps.py
@@ -0,0 +1,31 @@
+"""Steps on a plain service under more load than it can serve."""
+
+from behave import given, then, when
+from support.service_load import ServiceLoad
+
+
+@given("a service of {count:d} upstreams at {load:g} times its capacity")
+def make_service(context, count, load):
+    context.load = ServiceLoad(count)
+    context.rate_per_s = load * context.load.capacity_per_s
+    context.possible_per_s = min(context.rate_per_s, context.load.capacity_per_s)
+
+
+@when("the load goes on for {duration:d} ms")
+def go_on(context, duration):
+    context.load.run(duration, context.rate_per_s)
+
+
+@when("all its upstreams are unreachable for {duration:d} ms")
+def go_away(context, duration):
+    load = context.load
+    load.down.update(load.upstreams)
+    load.run(duration, context.rate_per_s)
+    load.down.clear()
+
+
+@then("in the last {duration:d} ms it served {share:g} of what it can")
+def served_share(context, duration, share):
+    load = context.load
+    served = load.rate_served(load.now_ms - duration) / context.possible_per_s
+    assert served >= share, served
--- a/features/support/service_load.py
+++ b/features/support/service_load.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.attempts import work_ms
 from peridotfront.core.cell_events import FleetChanged
 from peridotfront.core.fleet import AccountSpec, Fleet, UpstreamKind, UpstreamSpec
 from peridotfront.core.messages import (
@@ -14,6 +15,7 @@
     Want,
 )
 from peridotfront.core.pools import POOL_POLICY
+from peridotfront.core.routes import Route, RouteKind, WeightedService
 from peridotfront.core.scheduler import CellScheduler
 
 CELL = "ledger"
@@ -23,25 +25,32 @@
 WORK_MS = 60
 LIMIT_MS = 1500
 GOAL_MS = 300
-SPARE_MS = 40
 ACCOUNTS = 5
+ROUTE = Route(
+    name="transfer",
+    host="h.example",
+    prefix="/transfer/",
+    kind=RouteKind.NON_IDEMPOTENT,
+    timeout_ms=LIMIT_MS,
+    goal_ms=GOAL_MS,
+    gap_goal_ms=0,
+    tier=1,
+    services=(WeightedService(CELL, 1),),
+)
 
 
 class ServiceLoad:
     """Sends requests of one service through a scheduler, as an entry host does.
 
-    :param spare_ms: what a want leaves of its time limit to the upstream.
-    :param blames_late: whether an upstream is blamed for requests that had less than
-        the objective.
+    :param upstreams: how many there are.
     """
 
-    def __init__(self, upstreams, *, spare_ms, blames_late):
+    def __init__(self, upstreams):
         self.now_ms = 0
         self.served = Counter()
-        self.asked = Counter()
         self.down = set()
-        self._spare_ms = spare_ms
-        self._blames_late = blames_late
+        self._spare_ms = work_ms(ROUTE)
+        self.capacity_per_s = upstreams * SLOTS * 1000 / WORK_MS
         self._count = 0
         self._due = 0.0
         self._wants = {}
@@ -79,15 +88,13 @@
             self._give_up()
             self._step(Tick())
 
-    def share_served(self, from_ms):
-        """Return the share served of what was asked for from a time on."""
-        asked = sum(n for at_ms, n in self.asked.items() if at_ms >= from_ms)
+    def rate_served(self, from_ms):
+        """Return the requests served a second from a time on."""
         served = sum(n for at_ms, n in self.served.items() if at_ms >= from_ms)
-        return served / asked
+        return served * 1000 / (self.now_ms - from_ms)
 
     def _ask(self):
         self._count += 1
-        self.asked[self.now_ms] += 1
         want = Want(
             request_id=f"r{self._count}",
             cell=CELL,
@@ -133,20 +140,17 @@
             cause = ReleaseCause.UNREACHABLE
             duration_ms = TICK_MS
         elif left_ms < WORK_MS:
-            is_blamed = self._blames_late or left_ms >= GOAL_MS
             cause = ReleaseCause.OUT_OF_TIME
-            if is_blamed:
-                cause = ReleaseCause.UPSTREAM_TIMEOUT
             duration_ms = left_ms
         end_ms = self.now_ms + duration_ms
-        self._running.append((end_ms, want, since_ms, grant.upstream, cause))
+        self._running.append((end_ms, want, grant.upstream, cause))
 
     def _end_runs(self):
         ended = [one for one in self._running if one[0] <= self.now_ms]
         self._running = [one for one in self._running if one[0] > self.now_ms]
-        for _, want, since_ms, upstream, cause in ended:
+        for _, want, upstream, cause in ended:
             if cause is ReleaseCause.COMPLETED:
-                self.served[since_ms] += 1
+                self.served[self.now_ms] += 1
             release = Release(
                 request_id=want.request_id,
                 cell=CELL,
