Count the entry hosts before they share an allowance among themselves

Cause: a new leader told the count of the hosts that had joined it so far: 1 to the first, 2 to the second. Hosts that were cut off in that moment spent 0.6 of a bound, divided by these counts, each; so did hosts that had all just started. Ruled out: the leader's word on what is spent; a new leader has it from the ledgers. Change: a leader tells its count once it has led for as long as a silent host is waited for; an entry host takes the largest count of the last 10 s, and without any as good as nothing. The virtual group lets hosts that are alone read the list themselves, as the programs do.

--- a/features/shared_bounds.feature
+++ b/features/shared_bounds.feature
@@ -27,6 +27,25 @@
     And each entry host asks for 100 units every 640 ms for 20000 ms
     Then every want was granted
 
+  Scenario: A new leader that is lost while entry hosts join it
+    Given a routed group of 3 control hosts and 8 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When 10000 ms pass in the routed group
+    And the leader freezes
+    And every entry host is cut off as soon as one follows another leader
+    And each entry host asks for 100 units every 20 ms for 8000 ms
+    Then no more than 12000 units were granted in any 8000 ms
+
+  Scenario: Entry hosts that have all just started are cut off
+    Given a routed group of 3 control hosts and 8 entry hosts
+    And 40 upstreams are listed
+    And version 7 is acknowledged
+    When all hosts lose power and start again
+    And every entry host is cut off as soon as all have version 7
+    And each entry host asks for 100 units every 20 ms for 8000 ms
+    Then no more than 12000 units were granted in any 8000 ms
+
   Scenario: Random charges, waits and refunds keep an allowance
     When requests are charged, granted later and given back in any order
     Then what was granted and kept was never above the bound in any window
--- a/features/steps/shared_bounds_steps.py
+++ b/features/steps/shared_bounds_steps.py
@@ -32,6 +32,26 @@
     context.cut_at = lambda at_ms: set_cut(context.group, names, first <= at_ms < last)
 
 
+@when("every entry host is cut off as soon as one follows another leader")
+def cut_after_first(context):
+    group = context.group
+    old = getattr(context, "old_leader", "")
+
+    def has_followed():
+        leaders = {entry.role.leader for entry in group.entries}
+        return bool(leaders - {"", old})
+
+    group.run_until(has_followed)
+    set_cut(group, [entry.name for entry in group.entries], True)
+
+
+@when("every entry host is cut off as soon as all have version {version:d}")
+def cut_after_version(context, version):
+    group = context.group
+    group.run_until(lambda: all(e.versions[-1:] == [version] for e in group.entries))
+    set_cut(group, [entry.name for entry in group.entries], True)
+
+
 @when('"{hosts}" are cut off and joined again every {period:d} ms of the load')
 def cut_often(context, hosts, period):
     names = names_of(hosts)
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -43,6 +43,7 @@
 from peridotfront.core.routing_events import RoutingChanged, UpstreamsListed
 from peridotfront.platform.configuration import parse_routing
 from peridotfront.routed_control import FIRST_TIMEOUT_SHARE, REPLACE_AFTER_MS
+from peridotfront.routed_entry import OWN_LIST_AFTER_MS
 
 from .raft_group import Disk
 
@@ -337,9 +338,15 @@
                 for name in tuple(self.hosts):
                     self.feed(name, Tick())
             if self.now_ms % 200 == 0:
-                leader = self.leader()
-                if leader is not None:
-                    self.feed(leader.name, UpstreamsListed(self.listed))
+                self._read_list()
+
+    def _read_list(self):
+        leader = self.leader()
+        if leader is not None:
+            self.feed(leader.name, UpstreamsListed(self.listed))
+        for entry in self.entries:
+            if entry.role.detached_ms(self.now_ms) >= OWN_LIST_AFTER_MS:
+                self.feed(entry.name, UpstreamsListed(self.listed))
 
     def run_until(self, condition, limit_ms=5000):
         end_ms = self.now_ms + limit_ms
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -150,7 +150,7 @@
             event.sender,
             replace(
                 answer,
-                entry_hosts=len(self._entries) if self.is_leading else 0,
+                entry_hosts=self._counted_hosts(now_ms),
                 upstreams_version=self.directory.version,
                 spent=self._spent if self.is_leading else (),
             ),
@@ -194,6 +194,12 @@
         yield from self.pools.use_upstreams(known, now_ms)
         yield from self.pools.use_routing(self._routing, now_ms)
 
+    def _counted_hosts(self, now_ms: int) -> int:
+        """Return how many entry hosts there are; 0 as long as some may yet join."""
+        if not self.is_leading or now_ms - self._led_since_ms < ENTRY_SILENCE_MS:
+            return 0
+        return len(self._entries)
+
     def _settle_shares(self, now_ms: int) -> None:
         """Spend more once nothing of an earlier term counts, and tell what is spent."""
         if now_ms - self._spent_ms < SHARES_EVERY_MS:
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -50,6 +50,8 @@
 BLANK_WAIT_MS = 100
 RESEND_WANT_MS = 300
 RENEW_SLOT_MS = 1000
+COUNT_KEPT_MS = 10_000
+UNCOUNTED_HOSTS = 1000
 
 
 @dataclass(slots=True)
@@ -91,6 +93,8 @@
         self.directory = UpstreamDirectory()
         self.leader = ""
         self.entry_hosts = 1
+        self._is_counted = False
+        self._counted_ms = 0
         self._seeds = seeds
         self._control_hosts: tuple[str, ...] = ()
         self._hints = LeaderHints(HINT_TIMEOUT_MS)
@@ -126,6 +130,11 @@
         """Return for how long no leader has answered; 0 while one does."""
         return 0 if self.leader else now_ms - self._detached_ms
 
+    @property
+    def _sharing_hosts(self) -> int:
+        """Return how many hosts may spend the same allowances and budgets."""
+        return self.entry_hosts if self._is_counted else UNCOUNTED_HOSTS
+
     @property
     def is_busy(self) -> bool:
         """Tell whether requests wait for slots or hold them."""
@@ -209,7 +218,7 @@
             return
         self._led_ms[event.sender] = now_ms
         self._term = message.term
-        self.entry_hosts = max(1, message.entry_hosts)
+        self._count_hosts(message.entry_hosts, now_ms)
         self._spent = message.spent
         yield from self._watch_leader(now_ms)
 
@@ -246,6 +255,16 @@
         if self._pending.pop(message.request_id, None) is not None:
             yield SlotRefused(message, event.sender == self.host)
 
+    def _count_hosts(self, entry_hosts: int, now_ms: int) -> None:
+        """Take the largest count of late, since hosts may be slow to join a leader."""
+        if entry_hosts == 0:
+            return
+        is_outdated = now_ms - self._counted_ms >= COUNT_KEPT_MS
+        if entry_hosts >= self.entry_hosts or is_outdated or not self._is_counted:
+            self.entry_hosts = entry_hosts
+            self._counted_ms = now_ms
+        self._is_counted = True
+
     def _holds(self, grant: Grant) -> bool:
         held = self._held.get(grant.request_id)
         return held is not None and held.slot.upstream == grant.upstream
@@ -289,7 +308,7 @@
         self._detached_ms = now_ms
         self._own_list = self.directory.upstreams
         shares = {
-            one.client_account: alone_share(one.share, self.entry_hosts)
+            one.client_account: alone_share(one.share, self._sharing_hosts)
             for one in self._spent
         }
         self._own.allowances.use_account_shares(shares, now_ms)
@@ -301,8 +320,8 @@
             yield from self._tell(_aged(pending, now_ms), now_ms)
 
     def _use_own_list(self, now_ms: int) -> Iterator[Any]:
-        self._own.allowances.share = alone_share(0.0, self.entry_hosts)
-        self._own.retries.share = ALONE_RETRY_SHARE / self.entry_hosts
+        self._own.allowances.share = alone_share(0.0, self._sharing_hosts)
+        self._own.retries.share = ALONE_RETRY_SHARE / self._sharing_hosts
         upstreams = own_share(
             self._own_list, self.host, self.data_centre, self.entry_hosts
         )
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -209,7 +209,7 @@
     :param term: the term of that leader; 0 if the sender is no replica.
     :param control_hosts: the replicas that the sender knows; none if it is none.
     :param entry_hosts: how many entry hosts the sender counts as alive; 0 if it
-        doesn't lead.
+        doesn't lead, or not for long enough to know.
     :param upstreams_version: of the list of upstreams that the sender holds.
     :param spent: accounts that spent much of their allowance; only a leader says so.
     """
