Say once which sends reached an upstream, and spare a search on each grant

Read again, no behaviour changed. Which causes mean that a request was not sent, or not run, stood in pools.py as tuples and in attempts.py as a counter and a branch each; core/releases.py holds them now, and attempts.py one limit for each. The two ways in which an entry host gave an unused slot back are one. A grant in the same 100 ms as its charge searched the whole window of its account to take the charge out and put it back; it is left where it is.

--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -3,15 +3,11 @@
 import json
 
 from behave import given, then, when
-from support.routed_group import RoutedGroup, listed
+from support.routed_group import RoutedGroup, listed, names_of
 
 from peridotfront.core.control_types import OperatorUnavailable
 
 
-def names_of(text):
-    return tuple(text.split(","))
-
-
 @given("a routed group of {controls:d} control hosts and {entries:d} entry hosts")
 @given("a routed group of {controls:d} control hosts and {entries:d} entry host")
 def make_group(context, controls, entries):
--- a/features/steps/shared_bounds_steps.py
+++ b/features/steps/shared_bounds_steps.py
@@ -4,16 +4,13 @@
 from hypothesis import given as given_steps
 from hypothesis import settings
 from hypothesis import strategies as st
+from support.routed_group import names_of
 
 from peridotfront.core.allowances import AllowanceBounds, Allowances
 from peridotfront.core.messages import ReleaseCause
 from peridotfront.core.routes import RoutedAccount
 
 
-def names_of(text):
-    return tuple(text.split(","))
-
-
 def set_cut(group, hosts, is_cut):
     """Cut entry hosts off from all control hosts, or join them again."""
     group.heal()
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -92,6 +92,11 @@
     )
 
 
+def names_of(text):
+    """Return the names of a list with commas."""
+    return tuple(text.split(","))
+
+
 def listed(name, service="models", *, slots=4, place="dc1", is_leaving=False):
     """Return an upstream of the platform's list."""
     address = f"10.0.0.{sum(name.encode()) % 250}:80"
--- a/src/peridotfront/core/allowances.py
+++ b/src/peridotfront/core/allowances.py
@@ -141,6 +141,8 @@
 
     def move(self, name: str, units: float, at_ms: int, now_ms: int) -> None:
         """Count what was taken at a time as spent now, when the request is sent."""
+        if at_ms // BUCKET_MS == now_ms // BUCKET_MS:
+            return
         if name in self._windows:
             window = self._window(name, now_ms)
             window.remove(units, at_ms)
--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -1,12 +1,19 @@
 """What one request was sent to, and whether it may be sent once more."""
 
+from collections import Counter
+
 from .messages import ReleaseCause
+from .releases import REACHED_CAUSES
 from .routes import Route, RouteKind
 from .verdicts import Verdict
 
-MAX_UNREACHABLE = 3
-MAX_REJECTED = 2
-MAX_MISDIRECTED = 2
+# Sends that did not run, of each kind, after which another upstream may follow.
+MAX_UNRUN = {
+    ReleaseCause.NOT_SENT: 0,
+    ReleaseCause.UNREACHABLE: 3,
+    ReleaseCause.OTHER_UPSTREAM: 2,
+    ReleaseCause.REJECTED: 2,
+}
 FIRST_SILENCE_SPARE_MS = 500
 MIN_SILENCE_MS = 600
 STREAM_SILENCE_MS = 1500
@@ -25,16 +32,15 @@
 
     def __init__(self, route: Route):
         self._route = route
-        self._unreachable = 0
-        self._rejected = 0
-        self._misdirected = 0
+        self._unrun: Counter[ReleaseCause] = Counter()
         self.ran = 0
         self.excluded: list[str] = []
 
     @property
     def is_repeat(self) -> bool:
         """Tell whether an upstream got the request before."""
-        return self.ran + self._rejected + self._misdirected > 0
+        reached = sum(self._unrun[cause] for cause in REACHED_CAUSES)
+        return self.ran + reached > 0
 
     @property
     def verdict(self) -> Verdict:
@@ -49,17 +55,9 @@
     def may_repeat(self, upstream: str, cause: ReleaseCause) -> bool:
         """Note how a send ended, and tell whether another upstream may follow."""
         self.excluded.append(upstream)
-        if cause is ReleaseCause.NOT_SENT:
-            return False
-        if cause is ReleaseCause.UNREACHABLE:
-            self._unreachable += 1
-            return self._unreachable <= MAX_UNREACHABLE
-        if cause is ReleaseCause.OTHER_UPSTREAM:
-            self._misdirected += 1
-            return self._misdirected <= MAX_MISDIRECTED
-        if cause is ReleaseCause.REJECTED:
-            self._rejected += 1
-            return self._rejected <= MAX_REJECTED
+        if cause in MAX_UNRUN:
+            self._unrun[cause] += 1
+            return self._unrun[cause] <= MAX_UNRUN[cause]
         may_repeat = self.may_repeat_after_run
         self.ran += 1
         return may_repeat
--- a/src/peridotfront/core/pools.py
+++ b/src/peridotfront/core/pools.py
@@ -20,11 +20,11 @@
     ListedUpstream,
     Refuse,
     Release,
-    ReleaseCause,
     SentRepeats,
     Spending,
     Want,
 )
+from .releases import UNRUN_CAUSES, UNSENT_CAUSES
 from .retry_budgets import RetryBounds, RetryBudgets
 from .routes import RoutedService, Routing
 from .scheduler import CellScheduler
@@ -46,9 +46,6 @@
 )
 FIRST_PREFILL_TOKENS_PER_S = 30_000
 FIRST_DECODE_TOKENS_PER_S = 200
-UNSENT_CAUSES = (ReleaseCause.NOT_SENT, ReleaseCause.UNREACHABLE)
-# The upstream saw these requests, so that they keep what they took of the budget.
-UNRUN_CAUSES = (*UNSENT_CAUSES, ReleaseCause.OTHER_UPSTREAM, ReleaseCause.REJECTED)
 CHARGE_KEPT_MS = 60_000
 NO_BUDGET_RETRY_MS = 1000
 NO_UPSTREAM_RETRY_MS = 1000
--- a/src/peridotfront/core/releases.py
+++ b/src/peridotfront/core/releases.py
@@ -2,6 +2,10 @@
 
 from .messages import Grant, Release, ReleaseCause, Want
 
+UNSENT_CAUSES = (ReleaseCause.NOT_SENT, ReleaseCause.UNREACHABLE)
+REACHED_CAUSES = (ReleaseCause.OTHER_UPSTREAM, ReleaseCause.REJECTED)
+UNRUN_CAUSES = (*UNSENT_CAUSES, *REACHED_CAUSES)
+
 
 def release_of(
     want: Want,
--- a/src/peridotfront/gateway_server.py
+++ b/src/peridotfront/gateway_server.py
@@ -16,8 +16,8 @@
     SlotRefused,
     WithdrawWant,
 )
-from .core.messages import Frame, ReleaseCause, Want
-from .core.releases import release_of, unused_release
+from .core.messages import Frame, Want
+from .core.releases import unused_release
 from .core.routes import RouteTable, Routing
 from .core.routing_events import RoutingChanged
 from .exceptions import SettingsInvalid
@@ -84,9 +84,7 @@
             return
         answer = future.result()
         if isinstance(answer, SlotGranted):
-            grant = answer.grant
-            cause = ReleaseCause.NOT_SENT
-            self.feed(SlotEnded(release_of(want, grant.upstream, cause)))
+            self.feed(SlotEnded(unused_release(answer.grant)))
 
     @singledispatchmethod
     def _run(self, action: Any) -> None:
