--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -107,6 +107,9 @@
         self.sends = 0
         self.waited_ms = 0
         self.first_ms = -1
+        self._framing = ""
+        self._event_count = 0
+        self._unfinished_bytes = 0
 
     @property
     def verdict(self) -> Verdict:
@@ -285,6 +288,7 @@
             ),
         )
         attempt.answer = answer
+        self._framing = answer.framing
         kind = self._codec.classify_answer(request, answer)
         if kind is AnswerKind.MISMATCHED:
             raise AnswerMalformed(
@@ -339,6 +343,8 @@
         exchange = self._exchange
         async for chunk in answer.chunks():
             events = list(parser.feed(chunk))
+            self._event_count += len(events)
+            self._unfinished_bytes = len(parser.buffered)
             if not events:
                 continue
             if self._exchange.is_started and attempt.produced_tokens == 0:
@@ -448,6 +454,9 @@
             "waited_ms": self.waited_ms,
             "first_ms": self.first_ms,
             "duration_ms": now_ms() - admitted.began_ms,
+            "framing": self._framing,
+            "events": self._event_count,
+            "unfinished_bytes": self._unfinished_bytes,
         }
         if self.is_complete:
             logs.write_rate_limited("forwarding_ended", **fields)
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -11,7 +11,12 @@
 
 from .exceptions import ConnectFailed, InvalidRequest
 from .http_messages import decode_headers, encode_headers, without_hop_headers
-from .upstream_connections import ClientLimits, UpstreamAnswer, UpstreamConnection
+from .upstream_connections import (
+    ClientLimits,
+    UpstreamAnswer,
+    UpstreamConnection,
+    body_framing,
+)
 
 __all__ = ["ClientLimits", "HttpClient", "UpstreamAnswer", "UpstreamTimeouts"]
 
@@ -103,9 +108,9 @@
         except BaseException:
             connection.close()
             raise
-        return UpstreamAnswer(
-            head.status_code, decode_headers(head.headers), connection
-        )
+        answer_headers = decode_headers(head.headers)
+        framing = body_framing(method, head.status_code, answer_headers)
+        return UpstreamAnswer(head.status_code, answer_headers, connection, framing)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -467,7 +467,9 @@
         Level.INFO,
         "a routed request has ended",
         "Outcome, sends and times are in the line; the earlier lines of the request"
-        " have the same request id.",
+        " have the same request id. framing is how the last answer's body was framed,"
+        " events the events of all answers, unfinished_bytes what followed the last"
+        " whole event.",
     ),
     LogEvent(
         524,
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -8,6 +8,8 @@
 import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from enum import StrEnum
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
@@ -28,6 +30,7 @@
 KEEP_ALIVE_MARGIN_MS = 1000
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 DEFAULT_READ_BYTES = 16 * 1024 * 1024
+BODILESS_STATUS_CODES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,10 +53,24 @@
     read_buffer_bytes: int = 256 * 1024
 
 
+class BodyFraming(StrEnum):
+    """Ways in which the end of an answer's body is marked.
+
+    ``NONE`` is an answer that cannot have a body; ``CLOSE`` ends with its connection.
+    """
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 class UpstreamAnswer:
     """Answer to one call, whose body is read as a stream.
 
     Read it to its end or cancel it, so that its connection is released.
+
+    :param framing: how the end of the body is marked.
     """
 
     def __init__(
@@ -61,9 +78,11 @@
         status_code: int,
         headers: tuple[Header, ...],
         connection: "UpstreamConnection",
+        framing: BodyFraming,
     ):
         self.status_code = status_code
         self.headers = headers
+        self.framing = framing
         self._connection: UpstreamConnection | None = connection
 
     @property
@@ -121,6 +140,21 @@
             self._connection = None
 
 
+def body_framing(method: str, status_code: int, headers: tuple) -> BodyFraming:
+    """Return how the end of an answer's body is marked.
+
+    :param method: method of the request.
+    :param headers: decoded header fields of the answer.
+    """
+    if method == "HEAD" or status_code in BODILESS_STATUS_CODES:
+        return BodyFraming.NONE
+    if find_header(headers, "transfer-encoding"):
+        return BodyFraming.CHUNKS
+    if find_header(headers, "content-length"):
+        return BodyFraming.LENGTH
+    return BodyFraming.CLOSE
+
+
 def _keep_alive_timeout_s(head: h11.Response | None) -> int | None:
     """Return the timeout of a Keep-Alive header in seconds, or None."""
     fields = dict(head.headers) if head is not None else {}
