--- a/features/callers.feature
+++ b/features/callers.feature
@@ -111,6 +111,11 @@
       | HTTP/1.1 |
       | HTTP/1.0 |
 
+  Scenario: A truncated stream over TLS never looks complete to HTTP/1.0
+    Given a server with a certificate whose handler truncates its stream
+    When a caller reads the stream over TLS by HTTP/1.0
+    Then the connection is reset and TLS is not ended
+
   Scenario Outline: A handler that fails <when> exposes no internals
     Given a server whose handler fails <when>
     When a caller sends a request
--- a/features/calls.feature
+++ b/features/calls.feature
@@ -7,7 +7,7 @@
     When a streamed completion is dispatched to it
     Then the call has ended once, as <verdict>
 
-    Examples:
+    Examples: Ends of a call
       | trouble                                            | verdict      |
       | answers completely                                 | completed    |
       | can't be reached                                   | not_run      |
@@ -15,6 +15,9 @@
       | truncates its answer and can't be reached again    | may_have_run |
       | truncates its answer and does not know the request | may_have_run |
       | truncates its answer and resumes it                | completed    |
+      | ends inside an event and can't be reached again    | may_have_run |
+      | ends inside an event and resumes it                | completed    |
+      | ends without a length before its first event       | may_have_run |
       | times out                                          | may_have_run |
       | causes an unexpected exception in the client       | may_have_run |
 
@@ -22,3 +25,8 @@
     Given a fake engine that truncates its answer and resumes it
     When a streamed completion is dispatched to it
     Then the answer is the complete stream
+
+  Scenario: A stream that ended inside an event contains each byte once when resumed
+    Given a fake engine that ends inside an event and resumes it
+    When a streamed completion is dispatched to it
+    Then the answer is the complete stream
--- a/features/http_fixtures.py
+++ b/features/http_fixtures.py
@@ -79,10 +79,11 @@
     )
 
 
-def serve_script(context, script):
+def serve_script(context, script, ssl_context=None):
     """Start an upstream that runs a script on each accepted connection.
 
     :param script: async function of reader, writer and the connection's number.
+    :param ssl_context: TLS context; None uses plain TCP.
     :return: address of the upstream.
     """
     accepted = []
@@ -104,7 +105,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    listener = run(context, asyncio.start_server(accept, HOST_IP, 0))
+    listener = run(context, asyncio.start_server(accept, HOST_IP, 0, ssl=ssl_context))
     context.add_cleanup(lambda: run(context, stop()))
     context.accepted = accepted
     return f"{HOST_IP}:{listener.sockets[0].getsockname()[1]}"
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import ssl
 import tempfile
 from functools import partial
 from pathlib import Path
@@ -547,10 +548,51 @@
 
 @given("a server with a certificate")
 def tls_server(context):
+    start_with_certificate(context, "repeats the body")
+
+
+@given("a server with a certificate whose handler truncates its stream")
+def truncating_tls_server(context):
+    start_with_certificate(context, "truncates its stream")
+
+
+def start_with_certificate(context, handler_name):
     folder = Path(tempfile.mkdtemp())
     context.certificate_file, key_file = write_certificate(folder, HOST_IP)
     ssl_context = tls.server_ssl_context(context.certificate_file, key_file)
-    start(context, "repeats the body", ssl_context)
+    start(context, handler_name, ssl_context)
+
+
+def read_until_tls_ends(context, request):
+    """Return the answer, and how the connection ended, by a strict TLS caller."""
+    trusting = tls.client_ssl_context(context.certificate_file)
+    with (
+        socket.create_connection((HOST_IP, context.server.port), TIMEOUT_S) as sock,
+        trusting.wrap_socket(
+            sock, server_hostname=HOST_IP, suppress_ragged_eofs=False
+        ) as tls_socket,
+    ):
+        tls_socket.sendall(request)
+        received = b""
+        try:
+            while data := tls_socket.recv(1000):
+                received += data
+        except (ConnectionResetError, ssl.SSLEOFError) as error:
+            return received, error
+    return received, None
+
+
+@when("a caller reads the stream over TLS by HTTP/1.0")
+def read_stream_over_tls(context):
+    request = GOOD.replace(b"HTTP/1.1", b"HTTP/1.0")
+    _, context.end = run(
+        context, asyncio.to_thread(read_until_tls_ends, context, request)
+    )
+
+
+@then("the connection is reset and TLS is not ended")
+def tls_is_reset(context):
+    assert context.end is not None
 
 
 @when("a client that trusts it sends a megabyte")
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -26,8 +26,9 @@
 class FakeAnswer:
     """Upstream answer that yields a part of the stream, then ends or fails."""
 
-    def __init__(self, data, error=None, status_code=200):
+    def __init__(self, data, error=None, status_code=200, is_framed=True):
         self.status_code = status_code
+        self.is_framed = is_framed
         self.headers = (Header("content-type", "text/event-stream"),)
         self._data = data
         self._error = error
@@ -49,6 +50,14 @@
     return FakeAnswer(STREAM[:CUT_BYTES], AnswerTruncated("closed"))
 
 
+def ended_answer():
+    return FakeAnswer(STREAM[:CUT_BYTES])
+
+
+def ended_empty_answer():
+    return FakeAnswer(b"", is_framed=False)
+
+
 def not_found_answer():
     return FakeAnswer(b"", status_code=404)
 
@@ -77,6 +86,15 @@
         not_found_answer,
     ),
     "truncates its answer and resumes it": (truncated_answer, remaining_answer),
+    "ends inside an event and can't be reached again": (
+        ended_answer,
+        failing(ConnectFailed("refused")),
+    ),
+    "ends inside an event and resumes it": (ended_answer, remaining_answer),
+    "ends without a length before its first event": (
+        ended_empty_answer,
+        failing(ConnectFailed("refused")),
+    ),
     "times out": (failing(UpstreamTimedOut("silent")), None),
     "causes an unexpected exception in the client": (
         failing(ZeroDivisionError("unforeseen")),
--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -5,12 +5,15 @@
 import re
 import socket
 import struct
+import tempfile
+from pathlib import Path
 
 import parse
 from behave import given, register_type, then, when
+from certificates import write_certificate
 from http_fixtures import HOST_IP, TIMEOUT_S, client, run, serve_script, until
 
-from peridotfront import exceptions
+from peridotfront import exceptions, tls
 from peridotfront.core.verdicts import Verdict
 from peridotfront.engine_client import ClientLimits, UpstreamTimeouts
 
@@ -421,3 +424,76 @@
 @then("the second call used the same connection")
 def used_same(context):
     assert context.accepted == 1, context.accepted
+
+
+TLS_ENDS = {
+    "the end of TLS": lambda writer: writer.close(),
+    "the end of TCP alone": lambda writer: writer.transport.abort(),
+    "a reset": reset,
+}
+
+
+@given("an upstream with a certificate whose answer ends by {end}")
+def tls_upstream(context, end):
+    async def script(reader, writer, number):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK + b"\r\ndata")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        TLS_ENDS[end](writer)
+
+    folder = Path(tempfile.mkdtemp())
+    context.certificate_file, key_file = write_certificate(folder, HOST_IP)
+    ssl_context = tls.server_ssl_context(context.certificate_file, key_file)
+    context.address = serve_script(context, script, ssl_context)
+
+
+@when("a request is sent over TLS and its answer read")
+def read_over_tls(context):
+    trusting = tls.client_ssl_context(context.certificate_file)
+    http_client = client(context, ssl_context=trusting)
+    context.result = read_result(context, http_client.send(context.address, "GET", "/"))
+
+
+def read_result(context, call):
+    """Return whether an answer is complete or truncated."""
+
+    async def read():
+        answer = await call
+        return await answer.read()
+
+    try:
+        context.body = run(context, read())
+    except exceptions.AnswerTruncated:
+        return "truncated"
+    return "complete"
+
+
+@then("the body over TLS is {result}")
+@then("the export is {result}")
+def result_is(context, result):
+    assert context.result == result, context.result
+
+
+@given("an upstream that exports a cache {framing}")
+def exporting_upstream(context, framing):
+    head = OK + (b"Content-Length: 4\r\n" if framing == "with a length" else b"")
+
+    async def script(reader, writer, number):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + b"\r\ndata")
+        await writer.drain()
+
+    context.address = serve_script(context, script)
+
+
+@when("the cache of a request is exported")
+def export_cache(context):
+    http_client = client(context)
+    try:
+        exported = run(context, http_client.export_kv(context.address, "r1"))
+    except exceptions.AnswerTruncated:
+        context.result = "truncated"
+        return
+    assert exported == b"data"
+    context.result = "complete"
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -206,6 +206,78 @@
         await asyncio.sleep(0.05)
         await self._reset(received, reader, writer)
 
+    def _cut_body(self, whole_events):
+        """Return the given number of events and the first half of the next one."""
+        events = [f"id: {n}\ndata: piece {n}\n\n" for n in range(1, 7)]
+        cut_event = events[whole_events]
+        whole = "".join(events[:whole_events])
+        return (whole + cut_event[: len(cut_event) // 2]).encode()
+
+    def _start_unframed_events(self, received, writer, *fields):
+        signature = f"X-Response-Sig: sig-of-{self.name}"
+        kind = "Content-Type: text/event-stream"
+        writer.write(self._head(received, "200 OK", signature, kind, *fields))
+
+    async def _close(self, writer):
+        await writer.drain()
+        writer.close()
+        raise ConnectionError
+
+    async def _close_within_event(self, received, reader, writer):
+        self._start_unframed_events(received, writer)
+        writer.write(self._cut_body(3))
+        await self._close(writer)
+
+    async def _close_in_first_event(self, received, reader, writer):
+        self._start_unframed_events(received, writer)
+        writer.write(self._cut_body(0))
+        await self._close(writer)
+
+    async def _close_before_events(self, received, reader, writer):
+        self._start_unframed_events(received, writer)
+        await self._close(writer)
+
+    async def _close_after_events(self, received, reader, writer):
+        self._start_unframed_events(received, writer)
+        first = int(received.headers.get("last-event-id", 0)) + 1
+        for number in range(first, 7):
+            writer.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        await self._close(writer)
+
+    async def _reset_within_event(self, received, reader, writer):
+        self._start_unframed_events(received, writer)
+        writer.write(self._cut_body(3))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        await self._reset(received, reader, writer)
+
+    async def _last_chunk_within_event(self, received, reader, writer):
+        self._start_events(received, writer)
+        for number in (1, 2, 3):
+            self._event(writer, number)
+        self._event(writer, 4, cut=True)
+        writer.write(b"0\r\n\r\n")
+
+    async def _close_within_chunk(self, received, reader, writer):
+        self._start_events(received, writer)
+        for number in (1, 2, 3):
+            self._event(writer, number)
+        writer.write(b"19\r\nid: 4")
+        await self._close(writer)
+
+    async def _length_within_event(self, received, reader, writer):
+        body = self._cut_body(3)
+        length = f"Content-Length: {len(body)}"
+        self._start_unframed_events(received, writer, length)
+        writer.write(body)
+
+    async def _close_within_length(self, received, reader, writer):
+        self._start_unframed_events(received, writer, "Content-Length: 150")
+        writer.write(self._cut_body(3))
+        await self._close(writer)
+
     async def _silent_events(self, received, reader, writer):
         self._start_events(received, writer)
         self._event(writer, 1)
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -37,6 +37,27 @@
       | a bad chunk                  | AnswerMalformed  |
       | a header over the limit      | AnswerMalformed  |
 
+  Scenario Outline: An answer without a length over TLS ends only with TLS: <end>
+    Given an upstream with a certificate whose answer ends by <end>
+    When a request is sent over TLS and its answer read
+    Then the body over TLS is <result>
+
+    Examples: Ends
+      | end                    | result    |
+      | the end of TLS         | complete  |
+      | the end of TCP alone   | truncated |
+      | a reset                | truncated |
+
+  Scenario Outline: An exported cache must be framed, so that a part is not imported: <framing>
+    Given an upstream that exports a cache <framing>
+    When the cache of a request is exported
+    Then the export is <result>
+
+    Examples: Framings
+      | framing           | result    |
+      | with a length     | complete  |
+      | without a length  | truncated |
+
   Scenario: A request that cannot be written as HTTP is not sent
     Given an upstream that repeats the body
     When a request with a line break in a header is sent
