--- a/features/truncated_streams.feature
+++ b/features/truncated_streams.feature
@@ -69,3 +69,21 @@
     When a caller sends "/resumable/x" with the body "prompt"
     Then the caller gets events "1,2,3,4,5,6" and the end
     And upstream "u2" was asked to resume after "3"
+
+  Scenario Outline: The end of a stream is recognised for each line end and way to arrive: <stream>
+    When the stream "<stream>" arrives in pieces of 1 to 9 bytes
+    Then it has <count> events each time
+    And with a last chunk it is <framed>, and without one it is <unframed>
+
+    Examples: Streams
+      | stream                         | count | framed    | unframed  |
+      | id: 1\n\nid: 2\n\n             | 2     | complete  | complete  |
+      | id: 1\r\n\r\nid: 2\r\n\r\n     | 2     | complete  | complete  |
+      | id: 1\r\rid: 2\r\r             | 2     | complete  | complete  |
+      | id: 1\n\n:\sping\n             | 1     | complete  | complete  |
+      | id: 1\n\n\n                    | 1     | complete  | complete  |
+      | id: 1\n\nid: 2\n               | 1     | truncated | truncated |
+      | id: 1\n\ndata                  | 1     | truncated | truncated |
+      | id: 1\r\n                      | 0     | truncated | truncated |
+      | :\sping\n\n                    | 1     | complete  | truncated |
+      | \s                             | 0     | complete  | truncated |
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -2,6 +2,7 @@
 
 import re
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -10,6 +11,7 @@
 from . import logs
 from .answers import Answer
 from .core.dispatcher_events import DispatchEnded, DispatchProgress
+from .core.event_stream import ServerSentEventParser
 from .core.fleet import Policy, UpstreamKind, UpstreamSpec
 from .core.messages import Header, Outcome, ReleaseCause
 from .core.verdicts import Reason, Verdict
@@ -22,6 +24,7 @@
     UpstreamError,
     UpstreamTimedOut,
 )
+from .http_messages import is_event_stream
 from .prompts import fingerprint
 from .request_validator import Admission
 
@@ -80,6 +83,7 @@
     """One dispatch of a request to an upstream.
 
     :param cancel_cause: release cause if the call is cancelled, else None.
+    :param events: parser of the answer if it is a stream of events, else None.
     :param body: copy of the answer's body if the request has an idempotency key.
     """
 
@@ -88,6 +92,7 @@
     upstream: UpstreamSpec
     stats: CallStats
     cancel_cause: ReleaseCause | None = None
+    events: ServerSentEventParser | None = None
     body: bytearray = field(default_factory=bytearray)
 
     @property
@@ -198,6 +203,8 @@
                 call.answer.start(
                     answer.status_code, _forwarded_headers(answer.headers)
                 )
+                if is_event_stream(answer.headers):
+                    call.events = ServerSentEventParser()
             try:
                 await self._copy(call, answer, policy)
                 return
@@ -214,6 +221,10 @@
             if call.answer.key:
                 call.body += chunk
             await call.answer.write(chunk)
+            if call.events is not None:
+                deque(call.events.feed(chunk), maxlen=0)
+        if call.events is not None and call.events.is_truncated(answer.is_framed):
+            raise AnswerTruncated("the stream broke off", call.upstream.address)
 
     def _update_stats(self, call: Call, chunk: bytes, slow_token_ms: float) -> None:
         stats = call.stats
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -21,6 +21,7 @@
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import (
     AnswerMalformed,
+    AnswerTruncated,
     CallerGone,
     ConnectFailed,
     InvalidRequest,
@@ -353,6 +354,8 @@
             self._last_event_id = events[-1].event_id or self._last_event_id
             await exchange.write(b"".join([event.data for event in events]))
             self._report_progress(attempt, len(events))
+        if parser.is_truncated(answer.is_framed):
+            raise AnswerTruncated("the stream broke off", attempt.grant.address)
         if parser.buffered:
             await self._start_stream(attempt, answer)
             await exchange.write(parser.buffered)
--- a/src/peridotfront/http_messages.py
+++ b/src/peridotfront/http_messages.py
@@ -8,6 +8,7 @@
 from .exceptions import InvalidRequest
 
 MAX_JSON_INTEGER_DIGITS = 19
+EVENT_STREAM = "text/event-stream"
 HOP_HEADERS = frozenset(
     (
         "connection",
@@ -39,6 +40,11 @@
     return next((value for key, value in headers if key == name), default)
 
 
+def is_event_stream(headers: Iterable[Header]) -> bool:
+    """Return whether the body is a stream of server-sent events."""
+    return find_header(headers, "content-type").lower().startswith(EVENT_STREAM)
+
+
 def decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> tuple[Header, ...]:
     """Decode header fields from Latin-1."""
     return tuple(Header(k.decode("latin-1"), v.decode("latin-1")) for k, v in raw)
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -7,7 +7,7 @@
 from ..core.routes import RoutedAccount
 from ..exceptions import InvalidRequest
 from ..http_client import UpstreamAnswer
-from ..http_messages import Header, HttpRequest, find_header
+from ..http_messages import Header, HttpRequest, find_header, is_event_stream
 from ..routed_requests import AnswerKind, RoutedRequest
 
 ATTEMPT_ID = "x-attempt-id"
@@ -21,7 +21,6 @@
 LAST_EVENT_ID = "last-event-id"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
-EVENT_STREAM = "text/event-stream"
 # Header fields of a caller that are not forwarded: only peridotfront may set them
 # in a request to an upstream.
 SYSTEM_HEADERS = frozenset(
@@ -117,7 +116,7 @@
             return AnswerKind.FAILURE
         if not answer.header(DIGEST):
             return AnswerKind.MISMATCHED
-        if answer.header("content-type").startswith(EVENT_STREAM):
+        if is_event_stream(answer.headers):
             return AnswerKind.EVENT_STREAM
         return AnswerKind.COMPLETE
 
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -85,6 +85,11 @@
         self.framing = framing
         self._connection: UpstreamConnection | None = connection
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether more than the connection's end marks the body's end."""
+        return self.framing is not BodyFraming.CLOSE
+
     @property
     def address(self) -> str:
         """Return the upstream's IP address and port; empty after the call has ended."""
