--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -6,6 +6,7 @@
 import re
 import select
 import socket
+import ssl
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import StrEnum
@@ -260,11 +261,26 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the stream, which may be the end of the answer."""
+        if not self._has_ended_tls():
+            return False
         with contextlib.suppress(h11.RemoteProtocolError):
             self._http.receive_data(b"")
             self._process_events()
         return False
 
+    def _has_ended_tls(self) -> bool:
+        """Return whether the upstream ended TLS, or whether there is no TLS.
+
+        An end of TCP alone can be a truncation, which anyone on the path can forge.
+        """
+        ssl_object = self._transport.get_extra_info("ssl_object")
+        if ssl_object is None:
+            return True
+        try:
+            return ssl_object.read(1) == b""
+        except ssl.SSLError:
+            return False
+
     def connection_lost(self, exc) -> None:
         """Fail the call unless its answer is complete."""
         if not self._is_complete:
