--- a/src/peridotfront/engine_client.py
+++ b/src/peridotfront/engine_client.py
@@ -7,7 +7,7 @@
 from pydantic import ValidationError
 
 from .engine_messages import EngineOrder, EngineReport, OrderResult
-from .exceptions import AnswerMalformed
+from .exceptions import AnswerMalformed, AnswerTruncated
 from .http_client import ClientLimits, HttpClient, UpstreamAnswer, UpstreamTimeouts
 from .http_messages import Header
 
@@ -101,9 +101,16 @@
         *,
         timeouts: UpstreamTimeouts | None = None,
     ) -> bytes | None:
-        """Export a request with its KV cache; return None if it can't be exported."""
+        """Export a request with its KV cache; return None if it can't be exported.
+
+        :raises AnswerTruncated: if the export has neither a length nor chunks, so that
+            a part of it can't be told from the whole.
+        """
         target = f"/kv/export/{quote(request_id, safe='')}"
         answer = await self.send(address, "POST", target, timeouts=timeouts)
+        if not answer.is_framed:
+            answer.cancel()
+            raise AnswerTruncated("the export has no length", address)
         body = await answer.read()
         return body if answer.status_code == HTTPStatus.OK else None
 
