--- a/features/steps/routes_steps.py
+++ b/features/steps/routes_steps.py
@@ -20,10 +20,13 @@
     "Zone": "z",
     "Slots": 4,
     "State": "ready",
+    "Version": "v1",
 }
 MALFORMED_ENTRIES = (
     {"Service": "s"},
     {**VALID_ENTRY, "Slots": "4"},
+    {**VALID_ENTRY, "Version": None},
+    {key: value for key, value in VALID_ENTRY.items() if key != "Version"},
     {**VALID_ENTRY, "State": "sleeping"},
     {**VALID_ENTRY, "Addr": 7},
     "not an entry \ufffd",
--- a/soak/world.py
+++ b/soak/world.py
@@ -66,6 +66,7 @@
             "Zone": "z1",
             "Slots": 4,
             "State": self.state,
+            "Version": "v1",
         }
 
     async def _serve(self, exchange):
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -280,7 +280,8 @@
 
 def _build_list_log(update: UpstreamsUpdate) -> Log:
     changed = [
-        f"{upstream.name}:{_state_name(upstream)}" for upstream in update.changed
+        f"{upstream.name}:{_state_name(upstream)}:{upstream.software_version}"
+        for upstream in update.changed
     ]
     fields = (
         ("version", update.version),
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -26,6 +26,7 @@
     :param honours_fencing: whether it refuses orders with an old fencing token.
     :param role: role that a model engine should have; empty leaves its role.
     :param pool: name of its cell; empty for the cell of its data centre.
+    :param software_version: version of its software; empty if unknown.
     """
 
     name: str
@@ -42,6 +43,7 @@
     honours_fencing: bool = False
     role: str = ""
     pool: str = ""
+    software_version: str = ""
 
     @property
     def cell(self) -> str:
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -47,6 +47,9 @@
     :param excluded: upstreams that must not be chosen.
     :param is_repeat: whether the request was delivered to an upstream before.
     :param allowance_units: units that the request uses of its account's allowance.
+    :param stream_id: id of the caller's attempt that began the stream; empty if the
+        request is no stream that may be resumed, or if the caller did not name it.
+    :param is_resumed: whether the caller has events of the stream already.
     """
 
     proto_name: ClassVar[str] = "Want"
@@ -66,6 +69,8 @@
     excluded: tuple[str, ...] = ()
     is_repeat: bool = False
     allowance_units: int = 0
+    stream_id: str = ""
+    is_resumed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +80,7 @@
     :param lease_ms: time after which the slot expires without a renewal.
     :param predicted_prefix_tokens: prompt tokens expected in the upstream's cache.
     :param address: address of the upstream, as IP address and port.
+    :param software_version: version of the upstream's software; empty if unknown.
     """
 
     request_id: str
@@ -83,6 +89,7 @@
     lease_ms: int
     predicted_prefix_tokens: int
     address: str = ""
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,6 +196,8 @@
     :param address: IP address and port.
     :param slots: number of requests that it executes concurrently.
     :param is_leaving: whether it accepts no new requests.
+    :param software_version: version of its software, not of its models; empty if
+        unknown.
     """
 
     name: str
@@ -197,6 +206,7 @@
     data_centre: str
     slots: int
     is_leaving: bool
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -320,13 +320,15 @@
         return Send(sender, refusal)
 
     def _build_grant(self, slot: Slot) -> Grant:
+        spec = self._upstreams[slot.upstream].spec
         return Grant(
             request_id=slot.slot_request.request_id,
             cell=self.cell,
             upstream=slot.upstream,
             lease_ms=self._fleet.policy.slot_lease_ms,
             predicted_prefix_tokens=slot.predicted_prefix_tokens,
-            address=self._upstreams[slot.upstream].spec.address,
+            address=spec.address,
+            software_version=spec.software_version,
         )
 
     # Placement
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -301,6 +301,7 @@
         kv_capacity_tokens=engine.kv_capacity_tokens if engine else 1,
         max_slots=listed.slots,
         pool=service.name,
+        software_version=listed.software_version,
     )
 
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -178,6 +178,9 @@
             tier=slot_request.tier,
             upstream=answer.grant.upstream,
             address=answer.grant.address,
+            software_version=answer.grant.software_version,
+            stream_id=slot_request.stream_id,
+            is_resumed=slot_request.is_resumed,
             waited_ms=self.waited_ms,
             cached_tokens=answer.grant.predicted_prefix_tokens,
             is_own=answer.is_own,
@@ -210,6 +213,8 @@
             excluded=tuple(self._attempts.excluded),
             is_repeat=self._attempts.is_repeat,
             allowance_units=_allowance_units(request, account),
+            stream_id=admitted.stream_id,
+            is_resumed=admitted.is_resumed or self._exchange.is_started,
         )
 
     # Sending
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -19,6 +19,7 @@
 LENGTH_HINT = "x-length-hint"
 PREFIX = "x-prefix-hash"
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
 # Header fields of a caller that are not forwarded: only peridotfront may set them
@@ -73,6 +74,7 @@
             prefix_hashes=tuple([segment_hash for segment_hash, _ in prefix]),
             prefix_tokens=tuple([tokens for _, tokens in prefix]),
             last_event_id=http.header(LAST_EVENT_ID),
+            resumed_stream_id=http.header(RESUMES),
             http=http,
         )
 
--- a/src/peridotfront/platform/upstream_list.py
+++ b/src/peridotfront/platform/upstream_list.py
@@ -20,7 +20,10 @@
 
 
 class WireInstance(WireModel):
-    """Entry of the list; its id identifies one incarnation of an upstream."""
+    """Entry of the list; its id identifies one incarnation of an upstream.
+
+    :param version: version of the upstream's software, not of its models.
+    """
 
     model_config = ConfigDict(strict=True)
 
@@ -30,6 +33,7 @@
     zone: str
     slots: int = Field(ge=1)
     state: str
+    version: str = Field(min_length=1)
 
 
 class UpstreamListClient:
@@ -103,6 +107,7 @@
             data_centre=wire.zone,
             slots=wire.slots,
             is_leaving=LEAVING_STATES[wire.state],
+            software_version=wire.version,
         )
 
 
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -4,7 +4,7 @@
 from enum import Enum, auto
 from typing import Protocol
 
-from .core.routes import Route, RoutedAccount
+from .core.routes import Route, RoutedAccount, RouteKind
 from .http_client import UpstreamAnswer
 from .http_messages import Header, HttpRequest
 
@@ -41,6 +41,8 @@
     :param prefix_tokens: lengths of the prompt's prefixes.
     :param last_event_id: id of the event after which to resume a stream; empty for
         a new stream.
+    :param resumed_stream_id: id of the caller's attempt that began the stream to
+        resume; empty for a new stream, or if the caller did not name it.
     :param http: the HTTP request.
     """
 
@@ -54,8 +56,14 @@
     prefix_hashes: tuple[int, ...]
     prefix_tokens: tuple[int, ...]
     last_event_id: str
+    resumed_stream_id: str
     http: HttpRequest
 
+    @property
+    def is_resumed(self) -> bool:
+        """Return whether the caller says that it has events of the stream already."""
+        return bool(self.last_event_id or self.resumed_stream_id)
+
 
 class RequestCodec(Protocol):
     """Codec between a platform's HTTP conventions and this package's types."""
@@ -116,3 +124,18 @@
     end_ms: int
     tier: int
     tokens_per_event: int
+
+    @property
+    def is_resumed(self) -> bool:
+        """Return whether the request resumes a stream of which the caller has events."""
+        return self.route.kind is RouteKind.STREAMING and self.request.is_resumed
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the attempt that began the stream; empty if unknown.
+
+        It is also empty if the request is no stream that may be resumed.
+        """
+        if self.is_resumed:
+            return self.request.resumed_stream_id
+        return self.request.request_id if self.route.is_resumable else ""
