--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -102,10 +102,20 @@
     return tuple(text.split(","))
 
 
-def listed(name, service="models", *, slots=4, data_centre="dc1", is_leaving=False):
+def listed(
+    name,
+    service="models",
+    *,
+    slots=4,
+    data_centre="dc1",
+    is_leaving=False,
+    software_version="v1",
+):
     """Return an entry of the platform's upstream list."""
     address = f"10.0.0.{sum(name.encode()) % 250}:80"
-    return ListedUpstream(name, service, address, data_centre, slots, is_leaving)
+    return ListedUpstream(
+        name, service, address, data_centre, slots, is_leaving, software_version
+    )
 
 
 class ControlHost:
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import struct
+import time
 from dataclasses import dataclass, field
 from socket import SO_LINGER, SOL_SOCKET
 
@@ -73,6 +74,7 @@
 
     name: str
     script: list
+    software_version: str = "v1"
     requests: list = field(default_factory=list)
     server: asyncio.Server = None
 
@@ -285,22 +287,29 @@
 
 
 class FakeSlotServer:
-    """Replacement for the scheduler that grants the first upstream not excluded."""
+    """Replacement for the scheduler that grants the first upstream that suits.
 
-    def __init__(self, upstreams, table):
+    :param knows_versions: whether software versions are known to it.
+    :param origins_known_after_ms: time after which it knows how streams began.
+    """
+
+    def __init__(
+        self, upstreams, table, *, knows_versions=True, origins_known_after_ms=0
+    ):
         self.upstreams = upstreams
         self.route_table = table
+        self.knows_versions = knows_versions
+        self.origins_known_s = time.monotonic() + origins_known_after_ms / 1000
         self.slot_requests = []
         self.events = []
 
     async def acquire_slot(self, slot_request):
         self.slot_requests.append(slot_request)
-        free = [u for u in self.upstreams if u.name not in slot_request.excluded]
+        if slot_request.is_resumed and time.monotonic() < self.origins_known_s:
+            return self._refuse(slot_request, "unknown_origin", 300)
+        free = [u for u in self.upstreams if self._suits(u, slot_request)]
         if not free:
-            refuse = SlotRefusal(
-                slot_request.request_id, slot_request.cell, Reason.OVERLOADED, 5000
-            )
-            return SlotRefused(refuse, False)
+            return self._refuse(slot_request, "overloaded", 5000)
         upstream = free[0]
         grant = Grant(
             slot_request.request_id,
@@ -309,9 +318,23 @@
             3000,
             0,
             upstream.address,
+            upstream.software_version if self.knows_versions else "",
         )
         return SlotGranted(grant, False)
 
+    def _suits(self, upstream, slot_request):
+        version = getattr(slot_request, "software_version", "")
+        is_of_version = not version or upstream.software_version == version
+        is_excluded = upstream.name in slot_request.excluded
+        return (is_of_version or not self.knows_versions) and not is_excluded
+
+    @staticmethod
+    def _refuse(slot_request, reason, retry_after_ms):
+        refusal = SlotRefusal(
+            slot_request.request_id, slot_request.cell, Reason(reason), retry_after_ms
+        )
+        return SlotRefused(refusal, False)
+
     def feed(self, event):
         self.events.append(event)
 
@@ -336,9 +359,11 @@
 class GatewayRunner:
     """Asynchronous context manager that runs a gateway and scripted upstreams."""
 
-    def __init__(self, upstreams, table=None):
+    def __init__(self, upstreams, table=None, slot_options=None):
         self.upstreams = upstreams
-        self.slot_server = FakeSlotServer(upstreams, table or RouteTable(routing()))
+        self.slot_server = FakeSlotServer(
+            upstreams, table or RouteTable(routing()), **(slot_options or {})
+        )
 
     async def __aenter__(self):
         for upstream in self.upstreams:
@@ -420,7 +445,10 @@
     """Run a coroutine against the gateway of a scenario."""
 
     async def inside():
-        async with GatewayRunner(context.upstreams, context.routes) as front:
+        slot_options = getattr(context, "slot_options", None)
+        async with GatewayRunner(
+            context.upstreams, context.routes, slot_options
+        ) as front:
             context.front = front
             answer = await work(front)
             await asyncio.sleep(POLL_S)
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -127,7 +127,7 @@
 
     @property
     def is_resumed(self) -> bool:
-        """Return whether the request resumes a stream of which the caller has events."""
+        """Return whether the caller has events of the requested stream already."""
         return self.route.kind is RouteKind.STREAMING and self.request.is_resumed
 
     @property
