--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -67,7 +67,7 @@
       | event                                                    | host |
       | no host changes                                          | e1   |
       | no host changes                                          | e2   |
-      | entry host "e1" restarts                                 | e1   |
+      | entry host "e1" restarts and follows the leader          | e1   |
       | entry host "e1" is down                                  | e2   |
       | the leader freezes                                       | e1   |
       | the leader freezes and another one leads                 | e2   |
@@ -82,6 +82,7 @@
     And version 7 is acknowledged
     When 20 streams begin at "e1" and break off
     And <event>
+    And 1000 ms pass in the routed group
     And "<host>" resumes the streams
     Then no stream is resumed, and each is refused as not run for "<reason>"
 
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -8,8 +8,12 @@
 from peridotfront.core.gateway_events import SlotProgress
 from peridotfront.core.messages import ReleaseCause
 from peridotfront.core.routing_events import UpstreamsListed
+from peridotfront.core.verdicts import Reason
+from peridotfront.forwarding import ORIGIN_WAIT_MS
 
 EVENT_TOKENS = 6
+STEP_MS = 100
+RESUME_MS = 3000
 
 
 # Streams through a gateway.
@@ -98,6 +102,15 @@
     pass
 
 
+@when('entry host "{name}" restarts and follows the leader')
+def restart_entry_host(context, name):
+    group = context.group
+    group.restart(name)
+    group.run_until(
+        lambda: group.hosts[name].role.leader and group.hosts[name].versions
+    )
+
+
 @when('entry host "{name}" is down')
 def entry_host_down(context, name):
     context.group.down.add(name)
@@ -178,14 +191,34 @@
     group = context.group
     context.resuming_host = name
     service = getattr(context, "resumed_service", "models")
-    for stream_id in context.streams:
-        group.hosts[name].request_slot(
+    host = group.hosts[name]
+
+    def ask(stream_id):
+        host.request_slot(
             f"{stream_id}.next", cell=service, stream_id=stream_id, is_resumed=True
         )
-    if hasattr(context, "list_later"):
-        group.run(context.list_later_ms)
-        context.list_later()
-    group.run(2000)
+
+    for stream_id in context.streams:
+        ask(stream_id)
+    running = set(context.streams)
+    for elapsed_ms in range(0, RESUME_MS, STEP_MS):
+        if elapsed_ms == getattr(context, "list_later_ms", None):
+            context.list_later()
+        group.run(STEP_MS)
+        for stream_id in tuple(running):
+            request_id = f"{stream_id}.next"
+            if request_id in host.granted:
+                running.remove(stream_id)
+                host.release(request_id)
+            elif is_origin_unknown(host, request_id) and elapsed_ms < ORIGIN_WAIT_MS:
+                del host.refused[request_id]
+                ask(stream_id)
+
+
+def is_origin_unknown(host, request_id):
+    """Return whether a host refused a request since it doesn't know the beginning."""
+    refused = host.refused.get(request_id)
+    return refused is not None and refused.refusal.reason is Reason.UNKNOWN_ORIGIN
 
 
 @then("every stream goes on at the version that began it")
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -21,6 +21,7 @@
     SlotRequest,
     Spending,
     SpentShare,
+    StreamsBegun,
     UpstreamsUpdate,
 )
 from .raft_types import Role, RoleChanged
@@ -30,12 +31,14 @@
 from .scheduler_events import HostLost
 from .service_schedulers import ServiceSchedulers, SharedLimits
 from .single_dispatch import dispatchmethod
+from .stream_origins import StreamOrigins
 from .upstream_directory import UpstreamDirectory
 
 ENTRY_ROLE = "entry"
 ENTRY_TIMEOUT_MS = 1500
 RESEND_LIST_MS = 300
 LIST_INTERVAL_MS = 2000
+ORIGINS_INTERVAL_MS = 100
 # Versions of the list of upstreams that one term may use.
 EPOCH_VERSIONS = 2**24
 # Entry hosts without a leader use the rest of the retry budget.
@@ -81,6 +84,8 @@
         self._leader_since_ms = 0
         self._list_sent_ms = 0
         self._lost_ms: dict[str, int] = {}
+        self._origins = StreamOrigins()
+        self._origins_sent_ms = 0
         self._spent: tuple[SpentShare, ...] = ()
         self._shares_updated_ms = 0
 
@@ -115,6 +120,8 @@
         yield from self.service_schedulers.handle(event, now_ms)
         if now_ms - self._list_sent_ms >= LIST_INTERVAL_MS:
             yield from self._send_list_to_replicas(now_ms)
+        if now_ms - self._origins_sent_ms >= ORIGINS_INTERVAL_MS:
+            yield from self._send_origins_to_replicas(now_ms)
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -172,9 +179,20 @@
             self.directory.apply(message)
         yield from ()
 
+    @_on_message.register
+    def _(self, message: StreamsBegun, event: Received, now_ms: int) -> Iterator[Any]:
+        for stream in message.streams:
+            self._origins.record(stream, now_ms)
+        yield from ()
+
+    @_on_message.register
+    def _(self, message: HeldSlot, event: Received, now_ms: int) -> Iterator[Any]:
+        self._origins.record_held(message, now_ms)
+        if self.service_schedulers is not None:
+            yield from self.service_schedulers.handle(event, now_ms)
+
     @_on_message.register(SlotRequest)
     @_on_message.register(CancelSlotRequest)
-    @_on_message.register(HeldSlot)
     @_on_message.register(Release)
     @_on_message.register(SentRepeats)
     @_on_message.register(Spending)
@@ -196,7 +214,7 @@
         self._leader_since_ms = now_ms
         self._lost_ms.clear()
         self._list_sent_ms = now_ms
-        self.service_schedulers = ServiceSchedulers(self._shared_limits)
+        self.service_schedulers = ServiceSchedulers(self._shared_limits, self._origins)
         self.service_schedulers.retries.share = NEW_TERM_RETRY_SHARE
         upstreams = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
@@ -272,10 +290,19 @@
     def _send_list_to_replicas(self, now_ms: int) -> Iterator[Send]:
         """Send the whole list to the other replicas, any of which may lead next."""
         self._list_sent_ms = now_ms
-        update = self.directory.full_update()
+        yield from self._send_to_replicas(self.directory.full_update())
+
+    def _send_origins_to_replicas(self, now_ms: int) -> Iterator[Send]:
+        """Send the new origins of streams to the other replicas."""
+        streams = tuple(self._origins.recorded_since(self._origins_sent_ms, now_ms))
+        self._origins_sent_ms = now_ms
+        if streams:
+            yield from self._send_to_replicas(StreamsBegun(streams))
+
+    def _send_to_replicas(self, message: Any) -> Iterator[Send]:
         for host in self.controller.control_hosts:
             if host != self._host:
-                yield Send(host, update)
+                yield Send(host, message)
 
 
 def _build_list_log(update: UpstreamsUpdate) -> Log:
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -33,6 +33,7 @@
     SlotRefusal,
     SlotRequest,
     SpentShare,
+    StreamsBegun,
     UpstreamsUpdate,
     proto_name_of,
 )
@@ -42,6 +43,7 @@
 from .scheduler_events import HostLost
 from .service_schedulers import ServiceSchedulers, SharedLimits
 from .single_dispatch import dispatchmethod
+from .stream_origins import StreamOrigins
 from .upstream_directory import UpstreamDirectory
 from .usage_history import UsageHistory
 
@@ -107,7 +109,8 @@
         self._control_hosts: tuple[str, ...] = ()
         self._hints = LeaderHints(HINT_TIMEOUT_MS)
         self._leader_seen_ms: dict[str, int] = {}
-        self._local_schedulers = ServiceSchedulers(shared_limits)
+        self._origins = StreamOrigins()
+        self._local_schedulers = ServiceSchedulers(shared_limits, self._origins)
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
         self._heartbeat_sent_ms = -HEARTBEAT_MS
@@ -188,7 +191,7 @@
 
     @_handle.register
     def _(self, event: SlotRequested, now_ms: int) -> Iterator[Any]:
-        slot_request = event.slot_request
+        slot_request = self._origins.with_version(event.slot_request, now_ms)
         self._pending[slot_request.request_id] = _PendingRequest(
             slot_request, now_ms, now_ms
         )
@@ -208,6 +211,8 @@
             return
         is_first = held.slot.produced_tokens == 0
         held.slot = replace(held.slot, produced_tokens=event.produced_tokens)
+        if is_first:
+            self._origins.record_held(held.slot, now_ms)
         if is_first or now_ms - held.reported_ms >= SLOT_RENEWAL_MS:
             held.reported_ms = now_ms
             yield from self._pass_to_scheduler(held.slot, now_ms)
@@ -259,7 +264,12 @@
         self._usage_history.record(
             pending.slot_request, self._term if is_from_leader else 0, now_ms
         )
-        slot = HeldSlot(pending.slot_request, message.upstream, 0)
+        slot = HeldSlot(
+            pending.slot_request,
+            message.upstream,
+            0,
+            software_version=message.software_version,
+        )
         self._held[message.request_id] = _SlotLease(slot, now_ms)
         yield SlotGranted(message, event.sender == self.host)
 
@@ -315,6 +325,9 @@
     def _start_following_leader(self, now_ms: int) -> Iterator[Any]:
         for spending in self._usage_history.take_unreported(self._term, now_ms):
             yield Send(self.leader, spending)
+        streams = tuple(self._origins.recorded_since(0, now_ms))
+        if streams:
+            yield Send(self.leader, StreamsBegun(streams))
         for held in self._held.values():
             held.reported_ms = now_ms
             yield Send(self.leader, held.slot)
--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -11,6 +11,7 @@
 from .answers import ANSWER_MESSAGES, AnswerChunk, AttachRequest
 from .cells import (
     CELL_MESSAGES,
+    BegunStream,
     CancelSlotRequest,
     Grant,
     HeldSlot,
@@ -22,6 +23,7 @@
     SlotRefusal,
     SlotRequest,
     Spending,
+    StreamsBegun,
     UpstreamReport,
     UpstreamsUpdate,
 )
@@ -106,6 +108,7 @@
     "AppendReply",
     "AppendRequest",
     "AttachRequest",
+    "BegunStream",
     "BootstrapQuery",
     "BootstrapReply",
     "CancelSlotRequest",
@@ -159,6 +162,7 @@
     "Spending",
     "SpentShare",
     "StorageRecord",
+    "StreamsBegun",
     "StrikeBatch",
     "StrikeRecord",
     "StrikeReport",
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -50,6 +50,9 @@
     :param stream_id: id of the caller's attempt that began the stream; empty if the
         request is no stream that may be resumed, or if the caller did not name it.
     :param is_resumed: whether the caller has events of the stream already.
+    :param software_version: version that the upstream's software must have; empty for
+        any, or for the version at which a resumed stream began if the sender does not
+        know it.
     """
 
     proto_name: ClassVar[str] = "Want"
@@ -71,6 +74,7 @@
     allowance_units: int = 0
     stream_id: str = ""
     is_resumed: bool = False
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,12 +135,14 @@
     :param produced_tokens: tokens produced so far.
     :param slow_tokens: tokens so far whose gap to the previous one exceeded the
         policy's ``slow_token_ms``; -1 if that was not measured.
+    :param software_version: version of the upstream's software; empty if unknown.
     """
 
     slot_request: SlotRequest = field(metadata={"proto_name": "want"})
     upstream: str
     produced_tokens: int
     slow_tokens: int = -1
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,6 +245,27 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class BegunStream:
+    """Stream of which a caller has events, with the software version that began it.
+
+    :param stream_id: id of the caller's attempt that began the stream.
+    :param age_ms: time since one of its events was last passed on.
+    """
+
+    stream_id: str
+    service: str
+    software_version: str
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamsBegun:
+    """Streams that may be resumed, for a new leader or for the other replicas."""
+
+    streams: tuple[BegunStream, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class SentRepeats:
     """Number of earlier retries of a host at a service, for a new leader.
@@ -264,4 +291,5 @@
     UpstreamsUpdate,
     Spending,
     SentRepeats,
+    StreamsBegun,
 )
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -63,6 +63,13 @@
             slot_request.prefix_tokens,
         )
 
+    def suits(self, slot_request: SlotRequest) -> bool:
+        """Return whether the slot request allows this upstream."""
+        if self.name in slot_request.excluded:
+            return False
+        software_version = slot_request.software_version
+        return software_version in ("", self.spec.software_version)
+
     def fits_when_empty(self, slot_request: SlotRequest) -> bool:
         """Return whether the slot request fits into the upstream when it is idle."""
         if self.spec.kind is UpstreamKind.SERVICE:
@@ -198,7 +205,7 @@
             return Availability.UNAVAILABLE
         if len(capacity.slots) >= limit:
             return Availability.FULL
-        if upstream.name in slot_request.excluded:
+        if not upstream.suits(slot_request):
             return Availability.UNSUITABLE
         if upstream.suspects and self._poison_detector.is_suspect(
             slot_request.fingerprint
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -157,6 +157,7 @@
     @_handle_event.register
     def _(self, event: FleetChanged, now_ms: int) -> Iterator[Action]:
         self._apply_fleet(event.fleet)
+        yield from self._refuse_stranded()
         yield from self._grant_queued(now_ms)
 
     @_handle_event.register
@@ -296,7 +297,7 @@
         candidates = [
             upstream
             for upstream in self._upstreams_by_model.get(slot_request.model, ())
-            if upstream.name not in slot_request.excluded
+            if upstream.suits(slot_request)
         ]
         if all(upstream.is_leaving for upstream in candidates):
             return Reason.NO_UPSTREAM
@@ -304,6 +305,15 @@
             return Reason.TOO_LARGE
         return Reason.NONE
 
+    def _refuse_stranded(self) -> Iterator[Action]:
+        """Refuse the queued slot requests whose software version has left."""
+        for queued in tuple(self._queues):
+            slot_request = queued.slot_request
+            if not slot_request.software_version:
+                continue
+            if self._rejection_reason(slot_request) is Reason.NO_UPSTREAM:
+                yield self._refuse(queued, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+
     def _rejection_retry_ms(self, slot_request: SlotRequest, reason: Reason) -> int:
         is_configured = slot_request.model in self._upstreams_by_model
         if reason is Reason.NO_UPSTREAM and is_configured:
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -28,6 +28,7 @@
 from .scheduler import CellScheduler
 from .scheduler_events import FleetChanged, HostLost
 from .single_dispatch import dispatchmethod
+from .stream_origins import StreamOrigins
 from .verdicts import Reason
 
 SERVICE_POLICY = Policy(
@@ -49,6 +50,7 @@
 CHARGE_RETENTION_MS = 60_000
 NO_BUDGET_RETRY_MS = 1000
 NO_UPSTREAM_RETRY_MS = 1000
+UNKNOWN_ORIGIN_RETRY_MS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,9 +82,11 @@
     """Schedulers of all services, one for each.
 
     :param shared_limits: limits on what all hosts together may use.
+    :param origins: versions at which the streams began that callers may resume.
     """
 
-    def __init__(self, shared_limits: SharedLimits):
+    def __init__(self, shared_limits: SharedLimits, origins: StreamOrigins):
+        self._origins = origins
         self.allowances = Allowances(shared_limits.allowances)
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
@@ -168,6 +172,13 @@
                 event, message, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS
             )
             return
+        message = self._origins.with_version(message, now_ms)
+        if message.is_resumed and not message.software_version:
+            yield _build_refusal(
+                event, message, Reason.UNKNOWN_ORIGIN, UNKNOWN_ORIGIN_RETRY_MS
+            )
+            return
+        event = replace(event, message=message)
         if message.request_id not in self._charges:
             refusal = self._charge(message, event, now_ms)
             if refusal is not None:
--- a/src/peridotfront/core/verdicts.py
+++ b/src/peridotfront/core/verdicts.py
@@ -39,6 +39,7 @@
     HOLDER_LOST = "holder_lost"
     LEAVING = "leaving"
     IN_PROGRESS = "in_progress"
+    UNKNOWN_ORIGIN = "unknown_origin"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -14,9 +14,14 @@
     min_service_time_ms,
 )
 from .core.event_stream import ServerSentEvent, ServerSentEventParser
-from .core.gateway_events import SlotProgress, SlotRefused, SlotReleased
-from .core.messages import Grant, ReleaseCause, SlotRequest
-from .core.releases import build_release
+from .core.gateway_events import (
+    SlotGranted,
+    SlotProgress,
+    SlotRefused,
+    SlotReleased,
+)
+from .core.messages import Grant, ReleaseCause, SlotRefusal, SlotRequest
+from .core.releases import build_release, build_unsent_release
 from .core.routes import RoutedAccount
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import (
@@ -40,6 +45,8 @@
 END_MARGIN_MS = 30
 PROGRESS_INTERVAL_MS = 500
 EXHAUSTED_RETRY_MS = 300
+ORIGIN_WAIT_MS = 1500
+ORIGIN_RETRY_MS = 100
 MAX_RETRY_AFTER_RATIO = 1 / 3
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_RUN_STATUS = {
@@ -99,6 +106,8 @@
         self._admitted = admitted
         self._attempts = AttemptHistory(admitted.route)
         self._last_event_id = admitted.request.last_event_id
+        self._software_version = ""
+        self._origin_wait_end_ms: int | None = None
         self._is_sent = False
         self._suppressed_lines: list[tuple[str, dict[str, Any]]] = []
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
@@ -136,6 +145,9 @@
                 return
             if isinstance(slot, SlotRefused):
                 refusal = slot.refusal
+                if self._may_become_known(refusal):
+                    await asyncio.sleep(ORIGIN_RETRY_MS / 1000)
+                    continue
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
                 return
             slot_request, grant = slot
@@ -147,6 +159,19 @@
                 await self._give_up(_refusal_reason(cause), EXHAUSTED_RETRY_MS)
                 return
 
+    def _may_become_known(self, refusal: SlotRefusal) -> bool:
+        """Return whether to wait until the scheduler knows how a stream began.
+
+        A new leader learns it from the entry hosts within a moment.
+        """
+        if refusal.reason is not Reason.UNKNOWN_ORIGIN:
+            return False
+        if self._origin_wait_end_ms is None:
+            remaining_ms = int(self._remaining_ms() * MAX_RETRY_AFTER_RATIO)
+            wait_ms = min(ORIGIN_WAIT_MS, remaining_ms)
+            self._origin_wait_end_ms = now_ms() + wait_ms
+        return now_ms() + ORIGIN_RETRY_MS <= self._origin_wait_end_ms
+
     # Finding a slot
 
     async def _acquire_slot(self) -> tuple[SlotRequest, Grant] | SlotRefused | None:
@@ -159,6 +184,8 @@
             return None
         finally:
             self.waited_ms += now_ms() - started_ms
+        if isinstance(answer, SlotGranted) and not _is_usable(slot_request, answer):
+            answer = self._give_back(answer)
         if isinstance(answer, SlotRefused):
             self._log(
                 "slot_refused",
@@ -168,10 +195,14 @@
                 tier=slot_request.tier,
                 reason=answer.refusal.reason,
                 retry_after_ms=answer.refusal.retry_after_ms,
+                stream_id=slot_request.stream_id,
+                software_version=slot_request.software_version,
                 waited_ms=self.waited_ms,
                 is_own=answer.is_own,
             )
             return answer
+        if slot_request.is_resumed:
+            self._software_version = answer.grant.software_version
         self._log(
             "slot_granted",
             service=slot_request.cell,
@@ -187,6 +218,15 @@
         )
         return slot_request, answer.grant
 
+    def _give_back(self, granted: SlotGranted) -> SlotRefused:
+        """Release a slot that can't be used, and return a refusal in its place."""
+        grant = granted.grant
+        self._server.feed(SlotReleased(build_unsent_release(grant)))
+        refusal = SlotRefusal(
+            grant.request_id, grant.cell, Reason.UNKNOWN_ORIGIN, EXHAUSTED_RETRY_MS
+        )
+        return SlotRefused(refusal, granted.is_own)
+
     def _build_slot_request(self) -> SlotRequest:
         admitted = self._admitted
         request = admitted.request
@@ -215,6 +255,7 @@
             allowance_units=_allowance_units(request, account),
             stream_id=admitted.stream_id,
             is_resumed=admitted.is_resumed or self._exchange.is_started,
+            software_version=self._software_version,
         )
 
     # Sending
@@ -357,8 +398,10 @@
                 self._check_resumed(events[0], answer)
             await self._start_stream(attempt, answer)
             self._last_event_id = events[-1].event_id or self._last_event_id
-            await exchange.write(b"".join([event.data for event in events]))
+            self._software_version = attempt.grant.software_version
+            # The scheduler has to know how a stream began before its caller does.
             self._report_progress(attempt, len(events))
+            await exchange.write(b"".join([event.data for event in events]))
         if parser.is_truncated(answer.is_framed):
             raise AnswerTruncated("the stream broke off", attempt.grant.address)
         if parser.buffered:
@@ -504,6 +547,17 @@
             self.answer.cancel()
 
 
+def _is_usable(slot_request: SlotRequest, granted: SlotGranted) -> bool:
+    """Return whether a stream may go on at the granted upstream.
+
+    A scheduler of an older release grants without regard to software versions.
+    """
+    if not slot_request.is_resumed:
+        return True
+    version = granted.grant.software_version
+    return bool(version) and slot_request.software_version in ("", version)
+
+
 def _refusal_reason(cause: ReleaseCause) -> Reason:
     reasons = {
         ReleaseCause.UNREACHABLE: Reason.NO_UPSTREAM,
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -83,7 +83,9 @@
                 raise _refusal_error(
                     HTTPStatus.UNAUTHORIZED, Reason.UNAUTHENTICATED, "unknown key"
                 )
-        service = route.service_at(_hash_fraction(request.request_id))
+        # A resumed stream goes to the service at which its first attempt began.
+        stream_id = request.resumed_stream_id or request.request_id
+        service = route.service_at(_hash_fraction(stream_id))
         timeout_ms = min(request.deadline_ms, route.timeout_ms)
         return AdmittedRequest(
             request=request,
