--- /dev/null
+++ b/features/steps/upstream_notices_steps.py
@@ -0,0 +1,92 @@
+"""Steps for what upstreams say of themselves in the header of an answer."""
+
+import time
+
+from behave import given, then, when
+from support.routed_group import listed
+from support.routed_upstreams import run_front as run
+
+from peridotfront.core.gateway_events import UpstreamBusy, UpstreamLeaving
+
+
+@given("the host schedules the upstreams by itself")
+def schedule_by_itself(context):
+    context.is_scheduling = True
+
+
+def call_while(context, path, condition):
+    """Send requests in sequence while a condition holds for their number."""
+
+    async def work(front):
+        answers = []
+        while condition(len(answers)):
+            answers.append(await front.call(path))
+        return answers
+
+    context.answers = run(context, work)
+    context.answer = context.answers[-1]
+
+
+@when('a caller sends "{path}" {count:d} times in sequence')
+def send_times(context, path, count):
+    call_while(context, path, lambda sent: sent < count)
+
+
+@when('a caller sends "{path}" for {duration_ms:d} ms without a pause')
+def send_for(context, path, duration_ms):
+    end_s = time.monotonic() + duration_ms / 1000
+    call_while(context, path, lambda sent: time.monotonic() < end_s)
+
+
+@then('upstream "{name}" got at most {count:d} requests')
+def got_at_most(context, name, count):
+    upstream = next(item for item in context.upstreams if item.name == name)
+    assert len(upstream.requests) <= count, len(upstream.requests)
+
+
+@then("every caller got {status:d}")
+def every_caller_got(context, status):
+    assert {answer.status for answer in context.answers} == {status}
+
+
+@then("the last request was refused as not run, to be retried within {limit_ms:d} ms")
+def last_is_refused(context, limit_ms):
+    answer = context.answers[-1]
+    assert answer.status == 503, answer
+    assert 0 < float(answer.headers["retry-after"]) * 1000 <= limit_ms, answer
+
+
+@then("the host got no notice")
+def got_no_notice(context):
+    events = context.front.slot_server.events
+    notices = [e for e in events if isinstance(e, UpstreamBusy | UpstreamLeaving)]
+    assert not notices, notices
+
+
+@when('only upstream "{upstream}" is listed')
+def list_only(context, upstream):
+    context.group.list_upstreams(listed(upstream))
+    context.group.run(500)
+
+
+@when('"{name}" is told by "{upstream}" that it leaves')
+def told_of_leaving(context, name, upstream):
+    context.group.feed(name, UpstreamLeaving(upstream))
+
+
+@when('"{name}" is told by "{upstream}" that it is busy for {duration_ms:d} ms')
+def told_of_busy(context, name, upstream, duration_ms):
+    context.group.feed(name, UpstreamBusy(upstream, duration_ms))
+
+
+@then('the slots of "{name}" are at "{upstream}"')
+def slots_are_at(context, name, upstream):
+    grants = context.group.hosts[name].granted.values()
+    assert {granted.grant.upstream for granted in grants} == {upstream}, grants
+    assert len(grants) == 4
+
+
+@then('"{request_id}" is refused as not run for "{reason}"')
+def is_refused(context, request_id, reason):
+    refused = context.group.hosts["e1"].refused[request_id]
+    assert refused.refusal.reason.value == reason, refused
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -9,10 +9,14 @@
 from socket import SO_LINGER, SOL_SOCKET
 
 from peridotfront.core.gateway_events import SlotGranted, SlotRefused
-from peridotfront.core.messages import Grant, SlotRefusal
+from peridotfront.core.gateway_role import GatewayRole
+from peridotfront.core.messages import Grant, ListedUpstream, SlotRefusal
 from peridotfront.core.routes import RouteTable
+from peridotfront.core.routing_events import RoutingChanged, UpstreamsListed
+from peridotfront.core.service_schedulers import SharedLimits
 from peridotfront.core.verdicts import Reason
 from peridotfront.gateway import Gateway
+from peridotfront.gateway_server import GatewayServer
 from peridotfront.http_client import HttpClient
 from peridotfront.http_server import HttpServer
 from peridotfront.metrics import Metrics
@@ -129,6 +133,33 @@
         fields = ("X-Not-Executed: 1", "Content-Length: 0")
         writer.write(self._head(received, "503 Service Unavailable", *fields))
 
+    async def _leave(self, received, reader, writer):
+        body = f"whole answer of {self.name}".encode()
+        fields = ("X-Response-Sig: sig", f"Content-Length: {len(body)}")
+        writer.write(self._head(received, "200 OK", "Server-Leaving: 1", *fields))
+        writer.write(body)
+
+    async def _leave_within_stream(self, received, reader, writer):
+        self._start_unframed_events(received, writer, "Server-Leaving: 1")
+        for number in range(1, 7):
+            writer.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        await self._close(writer)
+
+    async def _leave_with_failure(self, received, reader, writer):
+        fields = ("X-Response-Sig: failed", "Content-Length: 0", "Server-Leaving: 1")
+        writer.write(self._head(received, "500 Internal Server Error", *fields))
+
+    async def _reject_for_a_second(self, received, reader, writer):
+        fields = ("X-Not-Executed: 1", "Content-Length: 0", "Retry-After: 1")
+        writer.write(self._head(received, "503 Service Unavailable", *fields))
+
+    async def _reject_until_a_date(self, received, reader, writer):
+        date = "Retry-After: Fri, 31 Dec 1999 23:59:59 GMT"
+        fields = ("X-Not-Executed: 1", "Content-Length: 0", date)
+        writer.write(self._head(received, "503 Service Unavailable", *fields))
+
     async def _other(self, received, reader, writer):
         fields = ("X-Instance-Id: other", "Content-Length: 0")
         writer.write(self._head(received, "421 Misdirected Request", *fields))
@@ -356,11 +387,29 @@
     duration_s: float
 
 
+def leaderless_server(upstreams, metrics):
+    """Return the server of an entry host that schedules the upstreams by itself."""
+    role = GatewayRole("e1", 1, "dc1", (), SharedLimits())
+    server = GatewayServer(role, lambda *_: None, lambda *_: None, metrics)
+    server.route_table = RouteTable(routing())
+    server.feed(RoutingChanged(server.route_table.routing))
+    listed = [
+        ListedUpstream(u.name, "s", u.address, "dc1", 4, False, u.software_version)
+        for u in upstreams
+    ]
+    server.feed(UpstreamsListed(tuple(listed)))
+    return server
+
+
 class GatewayRunner:
-    """Asynchronous context manager that runs a gateway and scripted upstreams."""
+    """Asynchronous context manager that runs a gateway and scripted upstreams.
+
+    :param is_scheduling: whether the entry host schedules the upstreams by itself.
+    """
 
-    def __init__(self, upstreams, table=None, slot_options=None):
+    def __init__(self, upstreams, table=None, slot_options=None, is_scheduling=False):
         self.upstreams = upstreams
+        self.is_scheduling = is_scheduling
         self.slot_server = FakeSlotServer(
             upstreams, table or RouteTable(routing()), **(slot_options or {})
         )
@@ -370,6 +419,9 @@
             await upstream.start()
         self.client = HttpClient()
         self.metrics = Metrics("e1", "dc1")
+        if self.is_scheduling:
+            self.slot_server = leaderless_server(self.upstreams, self.metrics)
+            self.ticks = asyncio.ensure_future(self._tick())
         gateway = Gateway(
             self.slot_server, self.client, PlatformRequestCodec(), self.metrics
         )
@@ -377,7 +429,14 @@
         await self.http.start("127.0.0.1")
         return self
 
+    async def _tick(self):
+        while True:
+            self.slot_server.tick()
+            await asyncio.sleep(POLL_S)
+
     async def __aexit__(self, *error):
+        if self.is_scheduling:
+            self.ticks.cancel()
         await self.http.close()
         await self.client.close()
         for upstream in self.upstreams:
@@ -446,8 +505,9 @@
 
     async def inside():
         slot_options = getattr(context, "slot_options", None)
+        is_scheduling = getattr(context, "is_scheduling", False)
         async with GatewayRunner(
-            context.upstreams, context.routes, slot_options
+            context.upstreams, context.routes, slot_options, is_scheduling
         ) as front:
             context.front = front
             answer = await work(front)
--- a/src/peridotfront/core/gateway_events.py
+++ b/src/peridotfront/core/gateway_events.py
@@ -30,6 +30,24 @@
     produced_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """Event: an upstream said in an answer that it is leaving."""
+
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamBusy:
+    """Event: an upstream rejected a request and wants no other one for some time.
+
+    :param retry_after_ms: time for which it wants no requests of this host.
+    """
+
+    upstream: str
+    retry_after_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SlotReleased:
     """Event: a request releases its slot."""
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -11,6 +11,7 @@
 
 from .actions import Log, Received, Send, Tick
 from .allowance_shares import leaderless_share
+from .avoided_upstreams import AvoidedUpstreams
 from .config_follower import ConfigActivated, ConfigFollower, ConfigFollowerTiming
 from .fallback import leaderless_upstreams
 from .gateway_events import (
@@ -21,6 +22,8 @@
     SlotReleased,
     SlotRequestCancelled,
     SlotRequested,
+    UpstreamBusy,
+    UpstreamLeaving,
 )
 from .leader_hints import LeaderHints
 from .messages import (
@@ -109,6 +112,7 @@
         self._control_hosts: tuple[str, ...] = ()
         self._hints = LeaderHints(HINT_TIMEOUT_MS)
         self._leader_seen_ms: dict[str, int] = {}
+        self._avoided = AvoidedUpstreams()
         self._origins = StreamOrigins()
         self._local_schedulers = ServiceSchedulers(shared_limits, self._origins)
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
@@ -169,6 +173,7 @@
         else:
             yield from self._local_schedulers.handle(event, now_ms)
         yield from self._renew_slots(now_ms)
+        self._update_avoided(now_ms)
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -192,10 +197,8 @@
     @_handle.register
     def _(self, event: SlotRequested, now_ms: int) -> Iterator[Any]:
         slot_request = self._origins.with_version(event.slot_request, now_ms)
-        self._pending[slot_request.request_id] = _PendingRequest(
-            slot_request, now_ms, now_ms
-        )
-        yield from self._pass_to_scheduler(slot_request, now_ms)
+        pending = _PendingRequest(slot_request, now_ms, now_ms)
+        yield from self._request_slot(pending, now_ms)
 
     @_handle.register
     def _(self, event: SlotRequestCancelled, now_ms: int) -> Iterator[Any]:
@@ -217,6 +220,18 @@
             held.reported_ms = now_ms
             yield from self._pass_to_scheduler(held.slot, now_ms)
 
+    @_handle.register
+    def _(self, event: UpstreamLeaving, now_ms: int) -> Iterator[Any]:
+        if event.upstream not in self._avoided:
+            yield Log("leaving_notice", (("upstream", event.upstream),))
+        self._avoided.mark_leaving(event.upstream, now_ms)
+
+    @_handle.register
+    def _(self, event: UpstreamBusy, now_ms: int) -> Iterator[Any]:
+        self._avoided.mark_busy(event.upstream, event.retry_after_ms, now_ms)
+        fields = (("upstream", event.upstream), ("for_ms", event.retry_after_ms))
+        yield Log("busy_notice", fields)
+
     @_handle.register
     def _(self, event: SlotReleased, now_ms: int) -> Iterator[Any]:
         self._held.pop(event.release.request_id, None)
@@ -260,6 +275,11 @@
             if not self._holds_slot(message):
                 yield Send(event.sender, build_unsent_release(message))
             return
+        self._update_avoided(now_ms)
+        if message.upstream in self._avoided:
+            yield Send(event.sender, build_unsent_release(message))
+            yield from self._request_slot(pending, now_ms)
+            return
         is_from_leader = event.sender == self.leader
         self._usage_history.record(
             pending.slot_request, self._term if is_from_leader else 0, now_ms
@@ -280,6 +300,24 @@
         if self._pending.pop(message.request_id, None) is not None:
             yield SlotRefused(message, event.sender == self.host)
 
+    def _request_slot(self, pending: _PendingRequest, now_ms: int) -> Iterator[Any]:
+        """Request a slot at an upstream that is not avoided now."""
+        self._update_avoided(now_ms)
+        excluded = dict.fromkeys(
+            (*pending.slot_request.excluded, *self._avoided.names())
+        )
+        pending.slot_request = replace(pending.slot_request, excluded=tuple(excluded))
+        pending.asked_ms = now_ms
+        self._pending[pending.slot_request.request_id] = pending
+        slot_request = _with_remaining_times(pending, now_ms)
+        yield from self._pass_to_scheduler(slot_request, now_ms)
+
+    def _update_avoided(self, now_ms: int) -> None:
+        if not self._avoided:
+            return
+        listed = {upstream.name for upstream in self._local_upstreams}
+        self._avoided.update(listed | self.directory.names, now_ms)
+
     def _update_host_count(self, entry_hosts: int, now_ms: int) -> None:
         """Update the host count to the largest recent value.
 
--- a/src/peridotfront/core/upstream_directory.py
+++ b/src/peridotfront/core/upstream_directory.py
@@ -1,6 +1,6 @@
 """Versioned directory of the upstreams in the platform's list."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from .messages import ListedUpstream, UpstreamsUpdate
 
@@ -24,6 +24,11 @@
         """Return all upstreams, ordered by name."""
         return tuple([self._upstreams[name] for name in sorted(self._upstreams)])
 
+    @property
+    def names(self) -> Set[str]:
+        """Return the names of all upstreams."""
+        return self._upstreams.keys()
+
     def replace(self, listed: Iterable[ListedUpstream]) -> UpstreamsUpdate | None:
         """Replace the whole list.
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -19,6 +19,8 @@
     SlotProgress,
     SlotRefused,
     SlotReleased,
+    UpstreamBusy,
+    UpstreamLeaving,
 )
 from .core.messages import Grant, ReleaseCause, SlotRefusal, SlotRequest
 from .core.releases import build_release, build_unsent_release
@@ -38,7 +40,13 @@
 from .http_client import HttpClient, UpstreamAnswer, UpstreamTimeouts
 from .http_messages import Header
 from .problems import problem
-from .routed_requests import AdmittedRequest, AnswerKind, RequestCodec, RoutedRequest
+from .routed_requests import (
+    AdmittedRequest,
+    AnswerKind,
+    RequestCodec,
+    RoutedRequest,
+    UpstreamNotice,
+)
 from .runtime import now_ms
 
 CONNECT_MS = 300
@@ -336,6 +344,7 @@
         )
         attempt.answer = answer
         self._framing = answer.framing
+        self._note(attempt.grant.upstream, self._codec.read_notice(answer))
         kind = self._codec.classify_answer(request, answer)
         if kind is AnswerKind.MISMATCHED:
             raise AnswerMalformed(
@@ -350,6 +359,12 @@
             return ReleaseCause.OTHER_UPSTREAM
         return await self._relay_complete(attempt, answer, body, kind)
 
+    def _note(self, upstream: str, notice: UpstreamNotice) -> None:
+        if notice.is_leaving:
+            self._server.feed(UpstreamLeaving(upstream))
+        if notice.retry_after_ms:
+            self._server.feed(UpstreamBusy(upstream, notice.retry_after_ms))
+
     async def _relay_complete(
         self, attempt: "_Attempt", answer: UpstreamAnswer, body: bytes, kind: AnswerKind
     ) -> ReleaseCause:
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -535,6 +535,20 @@
         "the changed settings file cannot be read",
         "The process continues with its last settings. Correct the file.",
     ),
+    LogEvent(
+        533,
+        "leaving_notice",
+        Level.INFO,
+        "an upstream said in an answer that it is leaving",
+        "Nothing to do. This host sends no requests to it until it is unlisted.",
+    ),
+    LogEvent(
+        534,
+        "busy_notice",
+        Level.INFO,
+        "an upstream wants no requests of this host for some time",
+        "Nothing to do, unless many upstreams say so: then add some.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -3,12 +3,13 @@
 import hashlib
 import re
 from http import HTTPStatus
+from math import ceil
 
 from ..core.routes import RoutedAccount
 from ..exceptions import InvalidRequest
 from ..http_client import UpstreamAnswer
 from ..http_messages import Header, HttpRequest, find_header, is_event_stream
-from ..routed_requests import AnswerKind, RoutedRequest
+from ..routed_requests import AnswerKind, RoutedRequest, UpstreamNotice
 
 ATTEMPT_ID = "x-attempt-id"
 DEADLINE = "x-deadline-ms"
@@ -20,6 +21,8 @@
 PREFIX = "x-prefix-hash"
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
 # Header fields of a caller that are not forwarded: only peridotfront may set them
@@ -39,6 +42,7 @@
     )
 )
 HASH_BYTES = 7
+SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]*)?")
 NUMBER = re.compile(r"([0-9]{1,15})(?:\.[0-9]*)?")
 
 
@@ -122,9 +126,16 @@
             return AnswerKind.EVENT_STREAM
         return AnswerKind.COMPLETE
 
+    def read_notice(self, answer: UpstreamAnswer) -> UpstreamNotice:
+        """Return what the upstream says of itself in an answer."""
+        retry_after_ms = 0
+        if answer.status_code == HTTPStatus.SERVICE_UNAVAILABLE:
+            retry_after_ms = _parse_seconds(answer.header(RETRY_AFTER))
+        return UpstreamNotice(answer.header(LEAVING) == "1", retry_after_ms)
+
     def retry_after_header(self, retry_after_ms: int) -> Header:
         """Build the header field with the time to wait before a retry, in seconds."""
-        return Header("retry-after", f"{retry_after_ms / 1000:.3f}")
+        return Header(RETRY_AFTER, f"{retry_after_ms / 1000:.3f}")
 
 
 def _parse_token_counts(http: HttpRequest) -> tuple[int, int]:
@@ -150,6 +161,12 @@
     return segments
 
 
+def _parse_seconds(text: str) -> int:
+    """Return a number of seconds in milliseconds; 0 if it is none, such as a date."""
+    match = SECONDS.fullmatch(text.strip())
+    return ceil(float(match[0]) * 1000) if match else 0
+
+
 def _read_number(http: HttpRequest, name: str, default: int) -> int:
     text = find_header(http.headers, name)
     return _parse_number(text, name) if text else default
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -65,6 +65,19 @@
         return bool(self.last_event_id or self.resumed_stream_id)
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream says of itself in the header of an answer.
+
+    :param is_leaving: whether it is leaving.
+    :param retry_after_ms: time for which it wants no requests of this host; 0 if it
+        doesn't say so.
+    """
+
+    is_leaving: bool = False
+    retry_after_ms: int = 0
+
+
 class RequestCodec(Protocol):
     """Codec between a platform's HTTP conventions and this package's types."""
 
@@ -101,6 +114,9 @@
     ) -> AnswerKind:
         """Return the kind of an upstream's answer."""
 
+    def read_notice(self, answer: UpstreamAnswer) -> UpstreamNotice:
+        """Return what the upstream says of itself in an answer."""
+
     def retry_after_header(self, retry_after_ms: int) -> Header:
         """Return the header field with the time to wait before a retry."""
 
