--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,13 +15,14 @@
 
 import fire
 
-from .callers import Callers, Operator, Record
+from .callers import VERSIONS, Callers, Operator, Record
 from .deployment import Deployment
 from .world import NETWORK, Upstream, UpstreamList
 
 START_TIMEOUT_S = 15.0
 RECOVERY_S = 8.0
 MIN_SERVED_SHARE = 0.25
+
 RUN_FOLDER = Path("run")
 
 
@@ -52,7 +53,13 @@
             self.folder.resolve(), sizes.controls, sizes.entries
         )
         self.upstreams = [
-            Upstream(f"m{n}", "models", f"{NETWORK}.8.{n}", self.runs)
+            Upstream(
+                f"m{n}",
+                "models",
+                f"{NETWORK}.8.{n}",
+                self.runs,
+                version=VERSIONS[n % len(VERSIONS)],
+            )
             for n in range(1, sizes.engines + 1)
         ] + [
             Upstream(f"l{n}", "ledger", f"{NETWORK}.8.{100 + n}", self.runs)
@@ -179,19 +186,25 @@
     async def disturb_upstream(self):
         """Make an upstream hang, reject, cut its answers, leave or restart."""
         upstream = self.random.choice(self.upstreams)
-        fault = self.random.choice(("hang", "reject", "cut", "leave", "restart"))
+        faults = ("hang", "reject", "cut", "end", "leave", "restart")
+        fault = self.random.choice(faults)
         self._log(fault, upstream.name)
-        if fault == "restart":
-            await upstream.stop()
-            await asyncio.sleep(self.random.uniform(0.1, 1.0))
-            await upstream.start()
-            return
         if fault == "leave":
             upstream.state = "draining"
-        else:
-            upstream.fault = fault
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        if fault in ("leave", "restart"):
+            await self._restart(upstream)
+            return
+        upstream.fault = fault
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
-        upstream.state, upstream.fault = "ready", ""
+        upstream.fault = ""
+
+    async def _restart(self, upstream):
+        await upstream.stop()
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        upstream.restarts += 1
+        upstream.state = "ready"
+        await upstream.start()
 
     async def change(self):
         """Change the configuration."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,8 @@
     "stream": ("streaming", {"GapTargetMs": 500}),
     "resumable": ("streaming", {"Resumable": True, "Attempts": 2}),
 }
+VERSIONS = ("v1", "v2")
+MAX_STREAM_ATTEMPTS = 3
 DEADLINE_MS = 4000
 NOT_EXECUTED_CODES = (408, 421, 429, 503)
 TIMEOUTS = UpstreamTimeouts(connect_ms=1000, first_byte_ms=5000, between_bytes_ms=5000)
@@ -90,30 +92,84 @@
     async def _call(self, number):
         kind = self._random.choice(list(KINDS))
         request_id = f"{kind}-{number}"
-        host = self._random.choice(self._hosts)
         self._record.sent += 1
         if kind == "transfer":
             self._record.transfers.add(request_id)
+        if kind in ("stream", "resumable"):
+            await self._read_stream(kind, request_id)
+            return
+        try:
+            answer = await self._send(kind, request_id, request_id)
+            body = await answer.read()
+        except PeridotfrontError:
+            return
+        self._check(kind, request_id, answer, body)
+
+    async def _send(self, kind, text, request_id, *fields):
+        host = self._random.choice(self._hosts)
         headers = [
             ("X-Attempt-Id", request_id),
             ("X-Deadline-Ms", str(DEADLINE_MS)),
             ("Api-Key", KEY),
             ("X-Tenant", "forged"),
+            *fields,
         ]
-        try:
-            answer = await self._client.send(
-                f"{host.ip}:{CALLERS_PORT}",
-                "POST",
-                f"/{kind}/x",
-                headers,
-                request_id.encode(),
-                host=HOST,
-                timeouts=TIMEOUTS,
-            )
-            body = await answer.read()
-        except PeridotfrontError:
+        return await self._client.send(
+            f"{host.ip}:{CALLERS_PORT}",
+            "POST",
+            f"/{kind}/x",
+            headers,
+            text.encode(),
+            host=HOST,
+            timeouts=TIMEOUTS,
+        )
+
+    async def _read_stream(self, kind, text):
+        """Read a stream; if it may be resumed, also from where it broke off."""
+        received = b""
+        fields = []
+        for attempt in range(MAX_STREAM_ATTEMPTS if kind == "resumable" else 1):
+            request_id = f"{text}.{attempt}" if attempt else text
+            try:
+                answer = await self._send(kind, text, request_id, *fields)
+                if answer.status_code != 200:
+                    answer.cancel()
+                    self._check(kind, request_id, answer, b"")
+                    break
+                async for chunk in answer.chunks():
+                    received += chunk
+            except PeridotfrontError:
+                received = received[: received.rfind(b"\n\n") + 2]
+                self._check_events(text, received)
+                count = received.count(b"\n\n")
+                if not fields and count:
+                    fields = [("Resumes", request_id)]
+                fields = [*fields[:1], ("Last-Event-Id", str(count))] if count else []
+                continue
+            self._check_complete(text, answer, received)
             return
-        self._check(kind, request_id, answer, body)
+
+    def _check_events(self, text, received):
+        """Check that a stream consists of the events of one software version."""
+        count = received.count(b"\n\n")
+        whole = [
+            b"".join([event_of(text, version, n) for n in range(1, count + 1)])
+            for version in VERSIONS
+        ]
+        if received not in whole:
+            self._record.faults.append(f"{text} got wrong events: {received[-160:]!r}")
+
+    def _check_complete(self, text, answer, received):
+        record = self._record
+        self._check_events(text, received)
+        if received.count(b"\n\n") != EVENTS:
+            record.faults.append(f"{text} got a regular end too early")
+            return
+        if answer.header("x-response-sig") != digest_of(text):
+            record.faults.append(f"{text} got the digest of another answer")
+            return
+        record.served += 1
+        record.last_served_s = asyncio.get_running_loop().time()
 
     def _check(self, kind, request_id, answer, body):
         record = self._record
@@ -124,13 +180,8 @@
             if status in (400, 401, 404):
                 record.faults.append(f"{request_id} was denied with {status}")
             return
-        if kind in ("transfer", "look-up"):
-            expected = f"{request_id} {request_id}".encode()
-            digest = digest_of(expected.decode())
-        else:
-            events = [event_of(request_id, n) for n in range(1, EVENTS + 1)]
-            expected = b"".join(events)
-            digest = digest_of(request_id)
+        expected = f"{request_id} {request_id}".encode()
+        digest = digest_of(expected.decode())
         if body != expected or answer.header("x-response-sig") != digest:
             record.faults.append(f"{request_id} got a wrong answer: {body[:80]!r}")
             return
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,9 +25,12 @@
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
 
 
-def event_of(request_id, number):
-    """Return one event of a request's stream."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+def event_of(text, version, number):
+    """Return one event of the stream that a software version writes to a request.
+
+    :param text: body of the request.
+    """
+    return f"id: {number}\ndata: {text} {version} {number}\n\n".encode()
 
 
 @dataclass
@@ -36,7 +39,10 @@
 
     :param runs: number of executions by request id, shared by all upstreams.
     :param tenants: pairs of tenant and API key that came with requests.
-    :param fault: fault to inject: ``""``, ``hang``, ``reject`` or ``cut``.
+    :param fault: fault to inject: ``""``, ``hang``, ``reject``, ``cut``, or ``end``,
+        which ends a stream regularly inside an event.
+    :param version: version of its software.
+    :param restarts: number of restarts, each of which gives it a new name.
     """
 
     name: str
@@ -45,6 +51,8 @@
     runs: Counter
     state: str = "ready"
     fault: str = ""
+    version: str = "v1"
+    restarts: int = 0
     tenants: set = field(default_factory=set)
     server: HttpServer | None = None
 
@@ -57,27 +65,34 @@
         """Reset all connections and refuse new ones."""
         await self.server.close()
 
+    @property
+    def instance(self):
+        """Return the name of its current run."""
+        return f"{self.name}.{self.restarts}"
+
     def entry(self):
         """Return the upstream's entry in the list."""
         return {
-            "Id": self.name,
+            "Id": self.instance,
             "Service": self.service,
             "Addr": f"{self.ip}:{UPSTREAM_PORT}",
             "Zone": "z1",
             "Slots": 4,
             "State": self.state,
-            "Version": "v1",
+            "Version": self.version,
         }
 
     async def _serve(self, exchange):
         request = exchange.request
         request_id = request.header("x-attempt-id")
         attempt_header = ("X-Attempt-Id", request_id)
-        if request.header("x-expect-instance") != self.name:
-            await exchange.respond(421, [attempt_header, ("X-Instance-Id", self.name)])
+        if request.header("x-expect-instance") != self.instance:
+            fields = [attempt_header, ("X-Instance-Id", self.instance)]
+            await exchange.respond(421, fields)
             return
         if self.fault == "reject":
-            await exchange.respond(503, [attempt_header, ("X-Not-Executed", "1")])
+            fields = [attempt_header, ("X-Not-Executed", "1"), ("Retry-After", "0.7")]
+            await exchange.respond(503, fields)
             return
         self.runs[request_id] += 1
         self.tenants.add((request.header("x-tenant"), request.header("api-key")))
@@ -92,26 +107,34 @@
     async def _answer(self, exchange, request_id, attempt_header):
         request = exchange.request
         if request.path.startswith(("/stream/", "/resumable/")):
-            await self._stream(exchange, request_id, attempt_header)
+            await self._stream(exchange, attempt_header)
             return
         await asyncio.sleep(CALL_S)
         if self.fault == "cut":
             exchange.abort()
             return
         body = f"{request_id} {request.body.decode()}"
-        fields = [attempt_header, ("X-Response-Sig", digest_of(body))]
+        fields = [attempt_header, ("X-Response-Sig", digest_of(body)), *self._notice()]
         await exchange.respond(200, fields, body.encode())
 
-    async def _stream(self, exchange, request_id, attempt_header):
+    def _notice(self):
+        return [("Server-Leaving", "1")] if self.state == "draining" else []
+
+    async def _stream(self, exchange, attempt_header):
+        text = exchange.request.body.decode()
         last = int(exchange.request.header("last-event-id") or 0)
         kind = ("Content-Type", "text/event-stream")
-        fields = [attempt_header, ("X-Response-Sig", digest_of(request_id)), kind]
-        await exchange.start(200, fields)
+        digest = ("X-Response-Sig", digest_of(text))
+        await exchange.start(200, [attempt_header, digest, kind, *self._notice()])
         for number in range(last + 1, EVENTS + 1):
+            event = event_of(text, self.version, number)
             if self.fault == "cut" and number > EVENTS // 2:
                 exchange.abort()
                 return
-            await exchange.write(event_of(request_id, number))
+            if self.fault == "end" and number > EVENTS // 2:
+                await exchange.write(event[: len(event) // 2])
+                break
+            await exchange.write(event)
             await asyncio.sleep(EVENT_INTERVAL_S)
         await exchange.finish()
 
