--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -11,6 +11,7 @@
 from peridotfront.core.gateway_events import SlotGranted, SlotRefused
 from peridotfront.core.gateway_role import GatewayRole
 from peridotfront.core.messages import Grant, ListedUpstream, SlotRefusal
+from peridotfront.core.retry_budgets import RetryLimits
 from peridotfront.core.routes import RouteTable
 from peridotfront.core.routing_events import RoutingChanged, UpstreamsListed
 from peridotfront.core.service_schedulers import SharedLimits
@@ -26,6 +27,8 @@
 KEY = "key-of-club"
 HOST = "h.example"
 POLL_S = 0.02
+# A host without a leader has a small share of the retries.
+AMPLE_RETRIES = 1_000_000
 
 
 def routing(**fields):
@@ -160,6 +163,10 @@
         fields = ("X-Not-Executed: 1", "Content-Length: 0", date)
         writer.write(self._head(received, "503 Service Unavailable", *fields))
 
+    async def _other_that_leaves(self, received, reader, writer):
+        fields = ("X-Instance-Id: other", "Content-Length: 0", "Server-Leaving: 1")
+        writer.write(self._head(received, "421 Misdirected Request", *fields))
+
     async def _other(self, received, reader, writer):
         fields = ("X-Instance-Id: other", "Content-Length: 0")
         writer.write(self._head(received, "421 Misdirected Request", *fields))
@@ -389,7 +396,8 @@
 
 def leaderless_server(upstreams, metrics):
     """Return the server of an entry host that schedules the upstreams by itself."""
-    role = GatewayRole("e1", 1, "dc1", (), SharedLimits())
+    limits = SharedLimits(RetryLimits(slack=AMPLE_RETRIES))
+    role = GatewayRole("e1", 1, "dc1", (), limits)
     server = GatewayServer(role, lambda *_: None, lambda *_: None, metrics)
     server.route_table = RouteTable(routing())
     server.feed(RoutingChanged(server.route_table.routing))
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -45,6 +45,13 @@
     Then the caller gets 200 with the body "whole answer of u2"
     And the host got no notice
 
+  Scenario: A notice of another upstream at the same address is not taken for its own
+    Given a gateway before upstream "u1" that will "other_that_leaves"
+    And upstream "u2" that will "answer"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 200 with the body "whole answer of u2"
+    And the host got no notice
+
   Scenario: Slots are requested only at upstreams that are not leaving
     Given a routed group of 3 control hosts and 2 entry hosts
     And upstreams "m1,m2" are listed
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -199,6 +199,15 @@
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
         upstream.fault = ""
 
+    async def break_streams(self):
+        """Make an engine break off its streams, visibly or inside an event."""
+        engines = [u for u in self.upstreams if u.service == "models"]
+        engine = self.random.choice(engines)
+        engine.fault = self.random.choice(("cut", "end"))
+        self._log(engine.fault, engine.name)
+        await asyncio.sleep(self.random.uniform(1.0, 3.0))
+        engine.fault = ""
+
     async def _restart(self, upstream):
         await upstream.stop()
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
@@ -219,7 +228,8 @@
     Soak.restart_entry,
     Soak.disturb_peer_traffic,
     Soak.disturb_upstream,
-    Soak.disturb_upstream,
+    Soak.break_streams,
+    Soak.break_streams,
     Soak.change,
 )
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -344,12 +344,13 @@
         )
         attempt.answer = answer
         self._framing = answer.framing
-        self._note(attempt.grant.upstream, self._codec.read_notice(answer))
         kind = self._codec.classify_answer(request, answer)
         if kind is AnswerKind.MISMATCHED:
             raise AnswerMalformed(
                 "the answer does not belong to this request", answer.address
             )
+        if kind is not AnswerKind.OTHER_UPSTREAM:
+            self._note(attempt.grant.upstream, self._codec.read_notice(answer))
         if kind is AnswerKind.EVENT_STREAM:
             return await self._relay_events(attempt, answer)
         body = await answer.read(MAX_ANSWER_BYTES)
@@ -360,6 +361,7 @@
         return await self._relay_complete(attempt, answer, body, kind)
 
     def _note(self, upstream: str, notice: UpstreamNotice) -> None:
+        """Pass on what an upstream says of itself."""
         if notice.is_leaving:
             self._server.feed(UpstreamLeaving(upstream))
         if notice.retry_after_ms:
