--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -48,6 +48,14 @@
     And the caller may retry within 1000 ms
     And upstream "u1" got 0 requests
 
+  Scenario: A stream that its caller does not name is refused without a wait
+    Given a gateway before upstream "u1" that will "events"
+    And a scheduler that does not know how streams began
+    When a caller resumes the stream "" after event "3"
+    Then the caller gets 503
+    And the answer took at most 250 ms
+    And upstream "u1" got 0 requests
+
   Scenario: A stream whose beginning becomes known while its caller waits goes on
     Given a gateway before upstream "u1" that will "events"
     And a scheduler that learns after 300 ms how streams began
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -39,8 +39,9 @@
     context.slot_options = {"origins_known_after_ms": delay_ms}
 
 
+@when('a caller resumes the stream "" after event "{event_id}"')
 @when('a caller resumes the stream "{stream_id}" after event "{event_id}"')
-def resume_through_gateway(context, stream_id, event_id):
+def resume_through_gateway(context, event_id, stream_id=None):
     fields = {"Last_Event_Id": event_id, "Resumes": stream_id}
     context.answer = run(context, lambda front: front.call("/resumable/x", **fields))
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -170,9 +170,11 @@
     def _may_become_known(self, refusal: SlotRefusal) -> bool:
         """Return whether to wait until the scheduler knows how a stream began.
 
-        A new leader learns it from the entry hosts within a moment.
+        A new leader learns it from the entry hosts within a moment. A stream that the
+        caller does not name never becomes known.
         """
-        if refusal.reason is not Reason.UNKNOWN_ORIGIN:
+        is_unknown = refusal.reason is Reason.UNKNOWN_ORIGIN
+        if not (is_unknown and self._admitted.stream_id):
             return False
         if self._origin_wait_end_ms is None:
             remaining_ms = int(self._remaining_ms() * MAX_RETRY_AFTER_RATIO)
