--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -5,8 +5,8 @@
 import time
 
 from behave import given, then, when
-from support.routed_upstreams import Upstream
 from support.routed_upstreams import run_front as run
+from support.scripted_upstreams import Upstream
 
 from peridotfront import logs
 from peridotfront.explain import explain
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -7,12 +7,12 @@
 from behave import given, then, when
 from support.routed_upstreams import (
     POLL_S,
-    Upstream,
     read_answer,
     request,
     routing,
 )
 from support.routed_upstreams import run_front as run
+from support.scripted_upstreams import Upstream
 
 from peridotfront.core.gateway_events import SlotReleased
 from peridotfront.core.routes import RouteTable, RoutingConfig
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 from support.routed_group import listed
-from support.routed_upstreams import Upstream
 from support.routed_upstreams import run_front as run
+from support.scripted_upstreams import Upstream
 
 from peridotfront.core.gateway_events import SlotProgress
 from peridotfront.core.messages import ReleaseCause
