--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,6 +22,7 @@
 from peridotfront.core.fleet import UpstreamKind
 from peridotfront.core.host_monitor import HostMonitor
 from peridotfront.core.messages import (
+    BegunStream,
     Claim,
     ClaimReply,
     ClaimRequest,
@@ -36,9 +37,11 @@
     OutcomeReport,
     Release,
     ReleaseCause,
+    StreamsBegun,
 )
 from peridotfront.core.requests import Request
 from peridotfront.core.scheduler_events import FleetChanged
+from peridotfront.core.stream_origins import RETENTION_MS, StreamOrigins
 from peridotfront.core.verdicts import Reason, Verdict
 from peridotfront.fleet_config import parse_fleet
 from peridotfront.transport import Transport
@@ -47,6 +50,7 @@
 UPSTREAMS = (6, 100, 1000, 4100)
 ACCOUNTS = (5, 500, 3100)
 ENGINES_A_CELL = 10
+ORIGINS = (1_500, 15_000, 150_000)
 ROUNDS = 2000
 FRAME_SIZES = (1, 8, 64)
 FRAMES = 400
@@ -142,6 +146,9 @@
     )
     sizes["OutcomeReport, no body"] = size_bytes(OutcomeReport(key, 1, DONE))
     sizes["OutcomeAck"] = size_bytes(OutcomeAck(key, 1))
+    begun = BegunStream("0123456789abcdef", "models-1", "v1.1", 50)
+    sizes["StreamsBegun, 1 stream"] = size_bytes(StreamsBegun((begun,)))
+    sizes["StreamsBegun, 25 streams"] = size_bytes(StreamsBegun((begun,) * 25))
     sizes["Heartbeat"] = size_bytes(heartbeat_received("h").message)
     for upstreams in UPSTREAMS:
         text = build_configuration(upstreams, 3100 if upstreams > 1000 else 5)
@@ -196,6 +203,32 @@
     }
 
 
+def origin_cost(streams):
+    """Return the cost of the origins of a number of streams.
+
+    Each origin is as old as the retention when the next one is recorded, so that the
+    number stays the same while it is measured.
+    """
+    interval_ms = RETENTION_MS / streams
+
+    def begun(number):
+        return BegunStream(f"{number:016x}", "models-1", f"v1.{number % 3}", 0)
+
+    tracemalloc.start()
+    origins = StreamOrigins()
+    for number in range(streams):
+        origins.record(begun(number), int(number * interval_ms))
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+    def record(number):
+        origins.record(begun(streams + number), int((streams + number) * interval_ms))
+
+    record_us = per_call_us(record)
+    assert len(origins) <= streams + 1, len(origins)
+    return {"bytes": round(memory_bytes / streams), "record_us": round(record_us, 1)}
+
+
 def configuration_cost(upstreams, accounts):
     """Return the time and memory to parse and apply a configuration."""
     text = build_configuration(
@@ -265,6 +298,7 @@
         "request_us": {b: round(request_cost(b), 1) for b in (1, 8, 80)},
         "frame_us, both ends": frames,
         "hosts": {n: heartbeat_cost(n) for n in HOSTS},
+        "origins": {n: origin_cost(n) for n in ORIGINS},
         "upstreams": {n: configuration_cost(n, 5) for n in UPSTREAMS},
         "accounts": {n: configuration_cost(100, n) for n in ACCOUNTS},
         "target": configuration_cost(4100, 3100),
