--- a/soak/callers.py
+++ b/soak/callers.py
@@ -76,6 +76,8 @@
         self._hosts = hosts
         self._record = record
         self._random = random
+        # No two runs share request ids, by which hosts remember streams.
+        self._run_id = f"{random.getrandbits(32):08x}"
         self._client = HttpClient(ClientLimits(keep_alive_ms=10_000))
         self._tasks = set()
 
@@ -91,7 +93,7 @@
 
     async def _call(self, number):
         kind = self._random.choice(list(KINDS))
-        request_id = f"{kind}-{number}"
+        request_id = f"{kind}-{self._run_id}-{number}"
         self._record.sent += 1
         if kind == "transfer":
             self._record.transfers.add(request_id)
@@ -139,7 +141,7 @@
                 async for chunk in answer.chunks():
                     received += chunk
             except PeridotfrontError:
-                received = received[: received.rfind(b"\n\n") + 2]
+                received = whole_events(received)
                 self._check_events(text, received)
                 count = received.count(b"\n\n")
                 if not fields and count:
@@ -189,6 +191,12 @@
         record.last_served_s = asyncio.get_running_loop().time()
 
 
+def whole_events(received):
+    """Return the received bytes without an incomplete event at their end."""
+    events, delimiter, _ = received.rpartition(b"\n\n")
+    return events + delimiter
+
+
 class Operator:
     """Operator client that changes and reads the configuration."""
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -55,6 +55,7 @@
         self._seeds = seeds
         self._folder = folder
         self._process = None
+        self._starting = asyncio.Lock()
 
     @property
     def pid(self):
@@ -63,7 +64,15 @@
         return process.pid if process and process.returncode is None else None
 
     async def start(self, is_first_start=False):
-        """Start the process, with its output appended to a log file."""
+        """Start the process, unless it runs, with its output appended to a log file.
+
+        Faults that overlap may both start a host that each of them has stopped.
+        """
+        async with self._starting:
+            if self.pid is None:
+                await self._start(is_first_start)
+
+    async def _start(self, is_first_start):
         settings = self._folder / f"{self.name}.ini"
         settings.write_text(self._settings(is_first_start))
         environment = {
