Log whose answer an upstream sent when it is no success

answer_unsuccessful (535) has the status, whether the answer says that the request was not executed, whose it is (request, other, nobody, ambiguous), the kind that it was taken for and the number of the call on its connection.

--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -81,6 +81,14 @@
         fields = ("X-Not-Executed: 1", "Content-Length: 0")
         writer.write(self._head(received, "503 Service Unavailable", *fields))
 
+    async def _reject_of_another(self, received, reader, writer):
+        received.headers["x-attempt-id"] = "another"
+        await self._reject(received, reader, writer)
+
+    async def _reject_of_nobody(self, received, reader, writer):
+        fields = "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        writer.write(f"HTTP/1.1 503 Service Unavailable\r\n{fields}".encode())
+
     async def _leave(self, received, reader, writer):
         body = f"whole answer of {self.name}".encode()
         fields = ("X-Response-Sig: sig", f"Content-Length: {len(body)}")
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -347,6 +347,8 @@
         attempt.answer = answer
         self._framing = answer.framing
         kind = self._codec.classify_answer(request, answer)
+        if kind not in (AnswerKind.COMPLETE, AnswerKind.EVENT_STREAM):
+            self._log_unsuccessful(attempt, answer, kind)
         if kind is AnswerKind.MISMATCHED:
             raise AnswerMalformed(
                 "the answer does not belong to this request", answer.address
@@ -503,6 +505,22 @@
             duration_ms=now_ms() - attempt.started_ms,
         )
 
+    def _log_unsuccessful(
+        self, attempt: "_Attempt", answer: UpstreamAnswer, kind: AnswerKind
+    ) -> None:
+        head = self._codec.read_head(self._admitted.request, answer)
+        self._log(
+            "answer_unsuccessful",
+            upstream=attempt.grant.upstream,
+            address=attempt.grant.address,
+            kind=kind.name.lower(),
+            status=head.status_code,
+            owner=head.owner,
+            is_marked_not_executed=head.is_marked_not_executed,
+            call_number=answer.call_number,
+            duration_ms=now_ms() - attempt.started_ms,
+        )
+
     def _log(self, event_name: str, **fields: Any) -> None:
         """Write a log line; if it is suppressed, keep it in case the request fails."""
         if not logs.write_rate_limited(event_name, **fields):
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -549,6 +549,15 @@
         "an upstream wants no requests of this host for some time",
         "Nothing to do, unless many upstreams say so: then add some.",
     ),
+    LogEvent(
+        535,
+        "answer_unsuccessful",
+        Level.INFO,
+        "an upstream answered a request, but not with success",
+        "owner is whose answer it is: request, other, nobody, or ambiguous. call_number"
+        " counts the calls on its connection: at the first, no earlier answer can be"
+        " late.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -9,7 +9,13 @@
 from ..exceptions import InvalidRequest
 from ..http_client import UpstreamAnswer
 from ..http_messages import Header, HttpRequest, find_header, is_event_stream
-from ..routed_requests import AnswerKind, RoutedRequest, UpstreamNotice
+from ..routed_requests import (
+    AnswerHead,
+    AnswerKind,
+    AnswerOwner,
+    RoutedRequest,
+    UpstreamNotice,
+)
 
 ATTEMPT_ID = "x-attempt-id"
 DEADLINE = "x-deadline-ms"
@@ -106,6 +112,14 @@
             fields.append((LAST_EVENT_ID, last_event_id))
         return fields
 
+    def read_head(self, request: RoutedRequest, answer: UpstreamAnswer) -> AnswerHead:
+        """Return what the status and header fields of an answer say."""
+        return AnswerHead(
+            status_code=answer.status_code,
+            owner=_owner(request, answer),
+            is_marked_not_executed=bool(answer.header(NOT_EXECUTED)),
+        )
+
     def classify_answer(
         self, request: RoutedRequest, answer: UpstreamAnswer
     ) -> AnswerKind:
@@ -138,6 +152,15 @@
         return Header(RETRY_AFTER, f"{retry_after_ms / 1000:.3f}")
 
 
+def _owner(request: RoutedRequest, answer: UpstreamAnswer) -> AnswerOwner:
+    ids = [field.value for field in answer.headers if field.name == ATTEMPT_ID]
+    if not ids:
+        return AnswerOwner.NOBODY
+    if len(ids) > 1:
+        return AnswerOwner.AMBIGUOUS
+    return AnswerOwner.REQUEST if ids[0] == request.request_id else AnswerOwner.OTHER
+
+
 def _parse_token_counts(http: HttpRequest) -> tuple[int, int]:
     text = http.header(TOKEN_COUNT)
     if not text:
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -1,7 +1,7 @@
 """Types of routed requests, and the interface to a platform's HTTP conventions."""
 
 from dataclasses import dataclass
-from enum import Enum, auto
+from enum import Enum, StrEnum, auto
 from typing import Protocol
 
 from .core.routes import Route, RoutedAccount, RouteKind
@@ -65,6 +65,30 @@
         return bool(self.last_event_id or self.resumed_stream_id)
 
 
+class AnswerOwner(StrEnum):
+    """Whose answer it is, by the request id that it names.
+
+    ``NOBODY`` names no id, and ``AMBIGUOUS`` more than one.
+    """
+
+    REQUEST = "request"
+    OTHER = "other"
+    NOBODY = "nobody"
+    AMBIGUOUS = "ambiguous"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What the status and header fields of an upstream's answer say.
+
+    :param is_marked_not_executed: whether it says that the request was not executed.
+    """
+
+    status_code: int
+    owner: AnswerOwner
+    is_marked_not_executed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamNotice:
     """What an upstream says of itself in the header of an answer.
@@ -109,6 +133,9 @@
             for a new stream.
         """
 
+    def read_head(self, request: RoutedRequest, answer: UpstreamAnswer) -> AnswerHead:
+        """Return what the status and header fields of an answer say."""
+
     def classify_answer(
         self, request: RoutedRequest, answer: UpstreamAnswer
     ) -> AnswerKind:
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -72,6 +72,8 @@
     Read it to its end or cancel it, so that its connection is released.
 
     :param framing: how the end of the body is marked.
+
+    ``call_number`` is the number of the call on its connection; 1 is the first.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.status_code = status_code
         self.headers = headers
         self.framing = framing
+        self.call_number = connection.call_count
         self._connection: UpstreamConnection | None = connection
 
     @property
@@ -199,6 +202,7 @@
     def __init__(self, client: ConnectionPool, address: str):
         self.address = address
         self.idle_until_s = 0.0
+        self.call_count = 0
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -207,7 +211,6 @@
         )
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
-        self._call_count = 0
         self._head: h11.Response | None = None
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
@@ -323,7 +326,7 @@
         return UpstreamDied(
             "the connection was closed before the answer",
             self.address,
-            self._call_count > 1,
+            self.call_count > 1,
         )
 
     def _fail(self, error: Exception) -> None:
@@ -349,9 +352,9 @@
 
         :param first_byte_ms: time limit until the head of the answer is complete.
         """
-        if self._call_count:
+        if self.call_count:
             self._http.start_next_cycle()
-        self._call_count += 1
+        self.call_count += 1
         self._head = None
         self._is_complete = False
         parts = [self._http.send(request)]
