--- a/src/peridotfront/core/load_shedding.py
+++ b/src/peridotfront/core/load_shedding.py
@@ -1,229 +1,198 @@
-"""Drain estimates for load shedding, and the order in which work is shed."""
+"""Load shedding: which slot requests of a cell are refused, evicted or preempted.
 
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
-from math import exp
+It answers an overload: first lower tiers are evicted, then they are preempted, and only
+when nothing lower is left is a slot request refused that cannot begin in time.
+"""
 
-from .messages import SlotRequest
+from collections.abc import Callable, Iterable, Iterator
+
+from .actions import Send
+from .drain_rate import DrainRate
+from .fleet import Policy
+from .messages import Preempt, SlotRefusal, SlotRequest
 from .placement import Upstream
-from .queues import Demand, QueuedSlotRequest, TierQueues
+from .queues import QueuedSlotRequest, TierQueues
+from .retry_schedule import RetrySchedule
+from .scheduler_dump import CellStats
 from .upstream_capacity import Slot
+from .verdicts import Reason
 
 FRESH_MAX_WAIT_RATIO = 0.6
-HOLD_GAIN = 0.02
-HIT_GAIN = 0.02
-ARRIVAL_DECAY_MS = 3000.0
-MIN_SPARE_SHARE = 0.05
-CAPACITY_TTL_MS = 50
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
+SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 
+CandidateLookup = Callable[[str], list[Upstream]]
 
-@dataclass(frozen=True, slots=True)
-class ModelCapacity:
-    """Capacity of the upstreams of a model.
 
-    :param slots: number of slots that may be in use at the same time.
-    :param prefill_tokens_per_ms: prefill rate of all upstreams together.
-    :param prompt_token_ms: mean time for a prompt token, weighted by usable slots.
-    :param output_token_ms: mean time for an output token, weighted likewise.
-    :param min_prompt_token_ms: time of the fastest upstream for a prompt token.
-    :param measured_ms: time of the estimate.
-    """
+class LoadShedder:
+    """Load shedding for the queued slot requests of one cell.
 
-    slots: int
-    prefill_tokens_per_ms: float
-    prompt_token_ms: float
-    output_token_ms: float
-    min_prompt_token_ms: float
-    measured_ms: int
-
-    def hold_ms(self, demand: Demand) -> float:
-        """Return the time for which one slot would be held to serve a demand."""
-        prompt_ms = demand.prompt_tokens * self.prompt_token_ms
-        return prompt_ms + demand.output_tokens * self.output_token_ms
-
-
-@dataclass(slots=True)
-class Arrivals:
-    """Decaying average of a tier's arriving demand per millisecond."""
-
-    slot_requests: float = 0.0
-    prompt_tokens: float = 0.0
-    output_tokens: float = 0.0
-    updated_ms: int = 0
-
-    def add(self, slot_request: SlotRequest, now_ms: int) -> None:
-        """Add a slot request that arrived."""
-        self._decay(now_ms)
-        self.slot_requests += 1 / ARRIVAL_DECAY_MS
-        self.prompt_tokens += slot_request.prompt_tokens / ARRIVAL_DECAY_MS
-        self.output_tokens += slot_request.output_tokens / ARRIVAL_DECAY_MS
-
-    def rate(self, now_ms: int) -> Demand:
-        """Return the demand per millisecond."""
-        self._decay(now_ms)
-        return Demand(self.slot_requests, self.prompt_tokens, self.output_tokens)
-
-    def _decay(self, now_ms: int) -> None:
-        decay = exp((self.updated_ms - now_ms) / ARRIVAL_DECAY_MS)
-        self.slot_requests *= decay
-        self.prompt_tokens *= decay
-        self.output_tokens *= decay
-        self.updated_ms = now_ms
-
-
-class DrainRate:
-    """Estimator of the time that a queue takes to drain.
-
-    Future slot requests of higher tiers are granted first, so their arrival rate is
-    subtracted from the capacity.
+    :param cell: name of the cell.
+    :param policy: policy of the active configuration.
+    :param queues: queued slot requests.
+    :param drain_rate: estimator of the queues' waiting times.
+    :param retry_schedule: schedule of the announced retry times.
+    :param candidates: returns the upstreams that serve a model.
+    :param stats: counters of the cell.
     """
 
-    def __init__(self, queues: TierQueues):
-        self._queues = queues
-        self._hold_ratio = 1.0
-        self._miss_share = 1.0
-        self._capacities: dict[str, ModelCapacity] = {}
-        self._arrivals: dict[tuple[int, str], Arrivals] = {}
-
-    def arrived(self, slot_request: SlotRequest, now_ms: int) -> None:
-        """Add a slot request to the arrivals of its tier."""
-        arrivals = self._arrivals.setdefault(
-            (slot_request.tier, slot_request.model), Arrivals()
-        )
-        arrivals.add(slot_request, now_ms)
-
-    def granted(self, prompt_tokens: int, predicted_prefix_tokens: int) -> None:
-        """Update the share of prompt tokens that the caches do not hold."""
-        if prompt_tokens > 0:
-            miss_share = 1 - predicted_prefix_tokens / prompt_tokens
-            self._miss_share += (miss_share - self._miss_share) * HIT_GAIN
-
-    def observe(
+    def __init__(
         self,
-        slot_request: SlotRequest,
-        hold_ms: int,
-        upstreams: Iterable[Upstream],
-        now_ms: int,
-    ) -> None:
-        """Update the ratio of actual to estimated hold times by a released slot."""
-        model_capacity = self.capacity(slot_request.model, upstreams, now_ms)
-        demand = Demand(1, slot_request.prompt_tokens, slot_request.output_tokens)
-        ratio = hold_ms / max(1.0, model_capacity.hold_ms(demand))
-        self._hold_ratio += (ratio - self._hold_ratio) * HOLD_GAIN
-
-    def capacity(
-        self, model: str, upstreams: Iterable[Upstream], now_ms: int
-    ) -> ModelCapacity:
-        """Return the capacity of a model's upstreams, cached while it is recent."""
-        estimate = self._capacities.get(model)
-        if estimate is not None and now_ms - estimate.measured_ms < CAPACITY_TTL_MS:
-            return estimate
-        slots = 0
-        prefill_tokens_per_ms = 0.0
-        prompt_token_ms = output_token_ms = max_rate = 0.0
-        for upstream in upstreams:
-            capacity = upstream.capacity
-            usable_slots = upstream.health.slots(int(capacity.limit_slots), now_ms)
-            if upstream.is_leaving or usable_slots == 0:
+        cell: str,
+        policy: Policy,
+        queues: TierQueues,
+        drain_rate: DrainRate,
+        retry_schedule: RetrySchedule,
+        candidates: CandidateLookup,
+        stats: CellStats,
+    ):
+        self.policy = policy
+        self._cell = cell
+        self._queues = queues
+        self._drain_rate = drain_rate
+        self._retry_schedule = retry_schedule
+        self._candidates = candidates
+        self._stats = stats
+
+    def shed(self, model: str, now_ms: int) -> Iterator[Send]:
+        """Refuse the slot requests of a model that cannot begin in time.
+
+        Lower tiers are evicted and preempted first.
+        """
+        for tier in reversed(self._queues.tiers()):
+            queue = self._queues.queue(tier, model)
+            if queue is not None and len(queue):
+                yield from self._shed_tier(tier, model, now_ms)
+
+    def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
+        candidates = self._candidates(model)
+        if not self.policy.evicts:
+            yield from self._shed_infeasible(tier, model, now_ms)
+            if not self._may_refuse(tier, model):
+                return
+        while (excess := self._find_excess(tier, model, now_ms)) is not None:
+            yield from self._evict_lower(tier, model, now_ms)
+            if not self._may_refuse(tier, model):
+                yield from self._preempt_lower(tier, model, now_ms)
+                return
+            wait_ms = self._drain_rate.wait_ms(tier, model, candidates, now_ms)
+            max_wait_ms = self._drain_rate.max_wait_ms(excess, candidates, now_ms)
+            yield self._shed_request(excess, wait_ms - max_wait_ms, now_ms)
+
+    def _shed_infeasible(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
+        """Refuse the slot requests that no upstream can begin in time."""
+        queue = self._queues.queue(tier, model)
+        candidates = self._candidates(model)
+        while (urgent := queue.most_urgent()) is not None:
+            if not self._drain_rate.is_infeasible(urgent, candidates, now_ms):
+                return
+            yield self._shed_request(urgent, 0, now_ms)
+
+    def _find_excess(
+        self, tier: int, model: str, now_ms: int
+    ) -> QueuedSlotRequest | None:
+        """Return a slot request of the tier that cannot begin in time."""
+        queue = self._queues.queue(tier, model)
+        candidates = self._candidates(model)
+        urgent = queue.most_urgent()
+        if urgent is None:
+            return None
+        if self._drain_rate.is_infeasible(urgent, candidates, now_ms):
+            return urgent
+        victim = queue.victim()
+        wait_ms = self._drain_rate.wait_ms(tier, model, candidates, now_ms)
+        max_wait_ms = self._drain_rate.max_wait_ms(victim, candidates, now_ms)
+        if victim.is_scheduled_retry:
+            return None
+        if self._retry_schedule.expects_retries((tier, model), now_ms):
+            max_wait_ms *= FRESH_MAX_WAIT_RATIO
+        return victim if wait_ms > max_wait_ms else None
+
+    def _may_refuse(self, tier: int, model: str) -> bool:
+        if self._queues.has_lower(tier, model):
+            return False
+        return not any(lower_tier_slots(tier, self._candidates(model)))
+
+    def _evict_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
+        """Evict the queued slot requests of lower tiers, lowest tier first.
+
+        It stops at the first tier below which requests are still running.
+        """
+        for lower in reversed(self._queues.tiers()):
+            queue = self._queues.queue(lower, model)
+            if lower <= tier or queue is None:
                 continue
-            slots += usable_slots
-            rate = capacity.prefill_tokens_per_s / 1000.0
-            prefill_tokens_per_ms += rate
-            max_rate = max(max_rate, rate)
-            prompt_token_ms += usable_slots / rate
-            output_token_ms += usable_slots * capacity.gap_ms
-        estimate = ModelCapacity(
-            slots=slots,
-            prefill_tokens_per_ms=prefill_tokens_per_ms,
-            prompt_token_ms=prompt_token_ms / max(1, slots),
-            output_token_ms=output_token_ms / max(1, slots),
-            min_prompt_token_ms=1 / max_rate if max_rate else 0.0,
-            measured_ms=now_ms,
-        )
-        self._capacities[model] = estimate
-        return estimate
-
-    def max_wait_ms(
-        self, queued: QueuedSlotRequest, upstreams: Iterable[Upstream], now_ms: int
-    ) -> float:
-        """Return the longest wait that lets a request begin in time on average."""
-        model_capacity = self.capacity(queued.slot_request.model, upstreams, now_ms)
-        prompt_tokens = queued.slot_request.prompt_tokens * self._miss_share
-        first_token_ms = (
-            prompt_tokens * model_capacity.prompt_token_ms
-            + model_capacity.output_token_ms
+            if not self._may_refuse(lower, model):
+                return
+            for queued in tuple(queue):
+                yield self._shed_request(queued, 0, now_ms)
+
+    def _preempt_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
+        policy = self.policy
+        if not policy.preempts:
+            return
+        candidates = self._candidates(model)
+        urgent = sum(
+            self._drain_rate.max_wait_ms(queued, candidates, now_ms)
+            < policy.preempt_lead_ms
+            for queued in self._queues.queue(tier, model)
         )
-        return queued.deadline_at_ms - first_token_ms - now_ms
-
-    def is_infeasible(
-        self, queued: QueuedSlotRequest, upstreams: Iterable[Upstream], now_ms: int
-    ) -> bool:
-        """Return whether even the fastest upstream cannot begin a request in time."""
-        model_capacity = self.capacity(queued.slot_request.model, upstreams, now_ms)
-        prompt_tokens = queued.slot_request.prompt_tokens * self._miss_share
-        prefill_ms = prompt_tokens * model_capacity.min_prompt_token_ms
-        return now_ms + prefill_ms > queued.deadline_at_ms
-
-    def wait_ms(
-        self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
-    ) -> float:
-        """Return the expected wait of the last slot request of a tier."""
-        ahead = self._queues.ahead(tier, model)
-        if ahead.slot_requests == 0:
-            return 0.0
-        model_capacity = self.capacity(model, upstreams, now_ms)
-        if model_capacity.slots == 0:
-            return float(MAX_RETRY_AFTER_MS)
-        higher_demand = self._higher_tier_rate(tier, model, now_ms)
-        spare_slots = self._spare_slots(model_capacity, higher_demand)
-        slots_ms = model_capacity.hold_ms(ahead) * self._hold_ratio / spare_slots
-        prefill_rate = model_capacity.prefill_tokens_per_ms
-        spare_rate = prefill_rate - higher_demand.prompt_tokens * self._miss_share
-        spare_rate = max(spare_rate, prefill_rate * MIN_SPARE_SHARE)
-        prefill_ms = ahead.prompt_tokens * self._miss_share / spare_rate
-        return max(slots_ms, prefill_ms)
-
-    def interval_ms(
-        self, slot_request: SlotRequest, upstreams: Iterable[Upstream], now_ms: int
-    ) -> float:
-        """Return the time between grants to such requests if all slots are in use."""
-        model_capacity = self.capacity(slot_request.model, upstreams, now_ms)
-        if model_capacity.slots == 0:
-            return 0.0
-        higher_demand = self._higher_tier_rate(
-            slot_request.tier, slot_request.model, now_ms
+        running = list(lower_tier_slots(tier, candidates))
+        urgent -= sum(slot.is_preempted for slot in running)
+        preemptible = [slot for slot in running if not slot.is_preempted]
+        for slot in sorted(preemptible, key=preemption_order)[: max(0, urgent)]:
+            slot.is_preempted = True
+            self._stats.preempted[slot.slot_request.tier] += 1
+            yield Send(slot.host, Preempt(slot.slot_request.request_id, self._cell))
+
+    def _shed_request(
+        self, queued: QueuedSlotRequest, excess_ms: float, now_ms: int
+    ) -> Send:
+        is_new = queued.since_ms == now_ms
+        reason = Reason.OVERLOADED if is_new else Reason.EVICTED
+        if not is_new:
+            self._stats.evicted[queued.slot_request.tier] += 1
+        return self.refuse(
+            queued, reason, self._schedule_retry(queued.slot_request, excess_ms, now_ms)
         )
-        demand = Demand(
-            1, slot_request.prompt_tokens * self._miss_share, slot_request.output_tokens
-        )
-        hold_ms = model_capacity.hold_ms(demand) * self._hold_ratio
-        return hold_ms / self._spare_slots(model_capacity, higher_demand)
-
-    def _spare_slots(
-        self, model_capacity: ModelCapacity, higher_demand: Demand
-    ) -> float:
-        spare_slots = (
-            model_capacity.slots
-            - model_capacity.hold_ms(higher_demand) * self._hold_ratio
+
+    def _schedule_retry(
+        self, slot_request: SlotRequest, excess_ms: float, now_ms: int
+    ) -> int:
+        candidates = self._candidates(slot_request.model)
+        if self._drain_rate.capacity(slot_request.model, candidates, now_ms).slots == 0:
+            probes = [upstream.health.next_probe_ms(now_ms) for upstream in candidates]
+            return max(MIN_RETRY_AFTER_MS, min(probes))
+        due_ms = self._retry_schedule.schedule_retry(
+            slot_request.request_id,
+            (slot_request.tier, slot_request.model),
+            earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
+            interval_ms=self._drain_rate.interval_ms(slot_request, candidates, now_ms),
+            latest_ms=now_ms + MAX_RETRY_AFTER_MS,
         )
-        return max(spare_slots, model_capacity.slots * MIN_SPARE_SHARE)
-
-    def invalidate_capacities(self) -> None:
-        """Drop the cached capacities after the availability of an upstream changed."""
-        self._capacities.clear()
-
-    def _higher_tier_rate(self, tier: int, model: str, now_ms: int) -> Demand:
-        rates = [
-            arrivals.rate(now_ms)
-            for (other_tier, other_model), arrivals in self._arrivals.items()
-            if other_tier < tier and other_model == model
-        ]
-        return Demand(
-            sum(rate.slot_requests for rate in rates),
-            sum(rate.prompt_tokens for rate in rates),
-            sum(rate.output_tokens for rate in rates),
+        return due_ms - now_ms
+
+    def refuse(
+        self, queued: QueuedSlotRequest, reason: Reason, retry_after_ms: int
+    ) -> Send:
+        """Remove a slot request from its queue and return its refusal."""
+        self._queues.discard(queued)
+        return self.build_refusal(queued, reason, retry_after_ms)
+
+    def build_refusal(
+        self, queued: QueuedSlotRequest, reason: Reason, retry_after_ms: int
+    ) -> Send:
+        """Count a refusal and return the message."""
+        slot_request = queued.slot_request
+        self._stats.refused[slot_request.tier, reason.value] += 1
+        if reason in SHED_REASONS and not self._may_refuse(
+            slot_request.tier, slot_request.model
+        ):
+            self._stats.inversions += 1
+        return Send(
+            queued.host,
+            SlotRefusal(slot_request.request_id, self._cell, reason, retry_after_ms),
         )
 
 
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -5,21 +5,14 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .drain_rate import DrainRate
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .health import Health
-from .load_shedding import (
-    FRESH_MAX_WAIT_RATIO,
-    MAX_RETRY_AFTER_MS,
-    MIN_RETRY_AFTER_MS,
-    DrainRate,
-    lower_tier_slots,
-    preemption_order,
-)
+from .load_shedding import LoadShedder
 from .messages import (
     CancelSlotRequest,
     Grant,
     HeldSlot,
-    Preempt,
     Release,
     ReleaseCause,
     SlotRefusal,
@@ -47,7 +40,6 @@
 OVERDUE_FACTOR = 2
 IN_PROGRESS_RETRY_MS = 500
 NO_UPSTREAM_RETRY_MS = 1000
-SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 ABSENT_CAUSES = (ReleaseCause.UNREACHABLE, ReleaseCause.OTHER_UPSTREAM)
 FAILED_CAUSES = (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED)
 WASTED_PREFILL_CAUSES = (
@@ -85,6 +77,15 @@
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
         self._drain_rate = DrainRate(self._queues)
         self._retry_schedule = RetrySchedule()
+        self._shedder = LoadShedder(
+            cell,
+            fleet.policy,
+            self._queues,
+            self._drain_rate,
+            self._retry_schedule,
+            self._candidates,
+            self.stats,
+        )
         self._settled_at_ms: int | None = None
         self._now_ms = 0
         self._slots_checked_ms = 0
@@ -116,7 +117,12 @@
         """Return a dump of the state for operators, as of the last event."""
         now_ms = self._now_ms
         queues = (
-            dump_queue(tier, model, queue, self._wait_ms(tier, model, now_ms))
+            dump_queue(
+                tier,
+                model,
+                queue,
+                self._drain_rate.wait_ms(tier, model, self._candidates(model), now_ms),
+            )
             for tier in self._queues.tiers()
             for model, queue in self._queues.models(tier)
         )
@@ -148,7 +154,8 @@
             return
         if len(self._queues):
             yield from self._grant_queued(now_ms)
-            yield from self._shed_all(now_ms)
+            for model in tuple(self._upstreams_by_model):
+                yield from self._shedder.shed(model, now_ms)
 
     @_handle_event.register
     def _(self, event: Received, now_ms: int) -> Iterator[Action]:
@@ -198,24 +205,26 @@
         if earlier is not None and earlier.host == sender:
             return
         if earlier is not None:
-            yield self._refuse(earlier, Reason.IN_PROGRESS, IN_PROGRESS_RETRY_MS)
+            yield self._shedder.refuse(
+                earlier, Reason.IN_PROGRESS, IN_PROGRESS_RETRY_MS
+            )
         queued = self._make_queued(slot_request, sender, now_ms)
         reason = self._rejection_reason(slot_request)
         if reason is not Reason.NONE:
-            yield self._build_refusal(
+            yield self._shedder.build_refusal(
                 queued, reason, self._rejection_retry_ms(slot_request, reason)
             )
             return
         if self._drain_rate.is_infeasible(
             queued, self._upstreams_by_model[slot_request.model], now_ms
         ):
-            yield self._build_refusal(queued, Reason.DEADLINE, 0)
+            yield self._shedder.build_refusal(queued, Reason.DEADLINE, 0)
             return
         self._queues.add(queued)
         self._drain_rate.arrived(slot_request, now_ms)
         if self._is_settled(now_ms):
             yield from self._grant_queued(now_ms)
-            yield from self._shed(slot_request.model, now_ms)
+            yield from self._shedder.shed(slot_request.model, now_ms)
 
     @_handle_message.register
     def _(
@@ -312,7 +321,9 @@
             if not slot_request.software_version:
                 continue
             if self._rejection_reason(slot_request) is Reason.NO_UPSTREAM:
-                yield self._refuse(queued, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+                yield self._shedder.refuse(
+                    queued, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS
+                )
 
     def _rejection_retry_ms(self, slot_request: SlotRequest, reason: Reason) -> int:
         is_configured = slot_request.model in self._upstreams_by_model
@@ -350,7 +361,7 @@
         for tier in self._queues.tiers():
             for model, queue in self._queues.models(tier):
                 queue.demote_missed_goals(now_ms)
-                candidates = self._upstreams_by_model.get(model, [])
+                candidates = self._candidates(model)
                 free = [
                     upstream for upstream in candidates if upstream.name not in blocked
                 ]
@@ -468,7 +479,7 @@
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
             upstream.capacity.record_duration(release.duration_ms)
-            candidates = self._upstreams_by_model.get(slot.slot_request.model, [])
+            candidates = self._candidates(slot.slot_request.model)
             self._drain_rate.observe(
                 slot.slot_request, release.duration_ms, candidates, now_ms
             )
@@ -567,7 +578,7 @@
             self._count_suspects(upstream)
         for queued in self._queues:
             if self._poison_detector.is_poison(queued.slot_request.fingerprint):
-                yield self._refuse(queued, Reason.POISON, 0)
+                yield self._shedder.refuse(queued, Reason.POISON, 0)
 
     def _count_suspects(self, upstream: Upstream) -> None:
         if not len(self._poison_detector):
@@ -578,161 +589,20 @@
             for slot in upstream.capacity.slots.values()
         )
 
-    # Shedding
-
-    def _shed_all(self, now_ms: int) -> Iterator[Action]:
-        for model in tuple(self._upstreams_by_model):
-            yield from self._shed(model, now_ms)
-
-    def _shed(self, model: str, now_ms: int) -> Iterator[Action]:
-        for tier in reversed(self._queues.tiers()):
-            queue = self._queues.queue(tier, model)
-            if queue is not None and len(queue):
-                yield from self._shed_tier(tier, model, now_ms)
-
-    def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        candidates = self._upstreams_by_model.get(model, [])
-        if not self._fleet.policy.evicts:
-            yield from self._shed_infeasible(tier, model, now_ms)
-            if not self._may_refuse(tier, model):
-                return
-        while (excess := self._find_excess(tier, model, now_ms)) is not None:
-            yield from self._evict_lower(tier, model, now_ms)
-            if not self._may_refuse(tier, model):
-                yield from self._preempt_lower(tier, model, now_ms)
-                return
-            wait_ms = self._drain_rate.wait_ms(tier, model, candidates, now_ms)
-            max_wait_ms = self._drain_rate.max_wait_ms(excess, candidates, now_ms)
-            yield self._shed_request(excess, wait_ms - max_wait_ms, now_ms)
-
-    def _shed_infeasible(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        """Refuse the slot requests that no upstream can begin in time."""
-        queue = self._queues.queue(tier, model)
-        candidates = self._upstreams_by_model.get(model, [])
-        while (urgent := queue.most_urgent()) is not None:
-            if not self._drain_rate.is_infeasible(urgent, candidates, now_ms):
-                return
-            yield self._shed_request(urgent, 0, now_ms)
-
-    def _find_excess(
-        self, tier: int, model: str, now_ms: int
-    ) -> QueuedSlotRequest | None:
-        """Return a slot request of the tier that cannot begin in time."""
-        queue = self._queues.queue(tier, model)
-        candidates = self._upstreams_by_model.get(model, [])
-        urgent = queue.most_urgent()
-        if urgent is None:
-            return None
-        if self._drain_rate.is_infeasible(urgent, candidates, now_ms):
-            return urgent
-        victim = queue.victim()
-        wait_ms = self._drain_rate.wait_ms(tier, model, candidates, now_ms)
-        max_wait_ms = self._drain_rate.max_wait_ms(victim, candidates, now_ms)
-        if victim.is_scheduled_retry:
-            return None
-        if self._retry_schedule.expects_retries((tier, model), now_ms):
-            max_wait_ms *= FRESH_MAX_WAIT_RATIO
-        return victim if wait_ms > max_wait_ms else None
-
-    def _wait_ms(self, tier: int, model: str, now_ms: int) -> float:
-        return self._drain_rate.wait_ms(
-            tier, model, self._upstreams_by_model.get(model, []), now_ms
-        )
-
-    def _may_refuse(self, tier: int, model: str) -> bool:
-        if self._queues.has_lower(tier, model):
-            return False
-        return not any(lower_tier_slots(tier, self._upstreams_by_model.get(model, [])))
-
-    def _evict_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        """Evict the queued slot requests of lower tiers, lowest tier first.
-
-        It stops at the first tier below which requests are still running.
-        """
-        for lower in reversed(self._queues.tiers()):
-            queue = self._queues.queue(lower, model)
-            if lower <= tier or queue is None:
-                continue
-            if not self._may_refuse(lower, model):
-                return
-            for queued in tuple(queue):
-                yield self._shed_request(queued, 0, now_ms)
-
-    def _preempt_lower(self, tier: int, model: str, now_ms: int) -> Iterator[Action]:
-        policy = self._fleet.policy
-        if not policy.preempts:
-            return
-        candidates = self._upstreams_by_model.get(model, [])
-        urgent = sum(
-            self._drain_rate.max_wait_ms(queued, candidates, now_ms)
-            < policy.preempt_lead_ms
-            for queued in self._queues.queue(tier, model)
-        )
-        running = list(lower_tier_slots(tier, candidates))
-        urgent -= sum(slot.is_preempted for slot in running)
-        preemptible = [slot for slot in running if not slot.is_preempted]
-        for slot in sorted(preemptible, key=preemption_order)[: max(0, urgent)]:
-            slot.is_preempted = True
-            self.stats.preempted[slot.slot_request.tier] += 1
-            yield Send(slot.host, Preempt(slot.slot_request.request_id, self.cell))
-
-    def _shed_request(
-        self, queued: QueuedSlotRequest, excess_ms: float, now_ms: int
-    ) -> Action:
-        is_new = queued.since_ms == now_ms
-        reason = Reason.OVERLOADED if is_new else Reason.EVICTED
-        if not is_new:
-            self.stats.evicted[queued.slot_request.tier] += 1
-        return self._refuse(
-            queued, reason, self._schedule_retry(queued.slot_request, excess_ms, now_ms)
-        )
-
-    def _schedule_retry(
-        self, slot_request: SlotRequest, excess_ms: float, now_ms: int
-    ) -> int:
-        candidates = self._upstreams_by_model.get(slot_request.model, [])
-        if self._drain_rate.capacity(slot_request.model, candidates, now_ms).slots == 0:
-            probes = [upstream.health.next_probe_ms(now_ms) for upstream in candidates]
-            return max(MIN_RETRY_AFTER_MS, min(probes))
-        due_ms = self._retry_schedule.schedule_retry(
-            slot_request.request_id,
-            (slot_request.tier, slot_request.model),
-            earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
-            interval_ms=self._drain_rate.interval_ms(slot_request, candidates, now_ms),
-            latest_ms=now_ms + MAX_RETRY_AFTER_MS,
-        )
-        return due_ms - now_ms
-
-    def _refuse(
-        self, queued: QueuedSlotRequest, reason: Reason, retry_after_ms: int
-    ) -> Action:
-        self._queues.discard(queued)
-        return self._build_refusal(queued, reason, retry_after_ms)
-
-    def _build_refusal(
-        self, queued: QueuedSlotRequest, reason: Reason, retry_after_ms: int
-    ) -> Action:
-        slot_request = queued.slot_request
-        self.stats.refused[slot_request.tier, reason.value] += 1
-        if reason in SHED_REASONS and not self._may_refuse(
-            slot_request.tier, slot_request.model
-        ):
-            self.stats.inversions += 1
-        return Send(
-            queued.host,
-            SlotRefusal(slot_request.request_id, self.cell, reason, retry_after_ms),
-        )
-
     # Configuration
 
     def _is_settled(self, now_ms: int) -> bool:
         return self._settled_at_ms is not None and now_ms >= self._settled_at_ms
 
+    def _candidates(self, model: str) -> list[Upstream]:
+        return self._upstreams_by_model.get(model, [])
+
     def _all_upstreams(self) -> Iterable[Upstream]:
         return tuple(self._upstreams.values())
 
     def _apply_fleet(self, fleet: Fleet) -> None:
         self._fleet = fleet
+        self._shedder.policy = fleet.policy
         self._weights = {account.name: account.weight for account in fleet.accounts}
         self._poison_detector.limit = fleet.policy.poison_strikes
         self._placement = Placement(fleet.policy, self._poison_detector)
