--- a/features/steps/upstream_answers_steps.py
+++ b/features/steps/upstream_answers_steps.py
@@ -1,14 +1,47 @@
 """Steps for the answers of upstreams, and whose they are."""
 
+import asyncio
 import io
+import itertools
 import json
 
-from behave import then, when
+from behave import given, then, when
+from support.answer_rules import SentRequest, count_runs, find_violations
+from support.answering_upstream import (
+    AfterInterim,
+    AnswerDescription,
+    AnsweringUpstream,
+    BeforeBody,
+    Behind,
+    InPlace,
+    LateExtra,
+    NamedIds,
+)
 from support.routed_upstreams import run_front as run
 
 from peridotfront import logs
 from peridotfront.log_settings import LogSection
 
+STATUS_CODES = (200, 301, 400, 404, 408, 421, 429, 500, 502, 503, 504)
+MARKS = {
+    "none": (),
+    "1": ("1",),
+    "0": ("0",),
+    "false": ("false",),
+    "empty": ("",),
+    "1 and 0": ("1", "0"),
+}
+PLAYS = {
+    "in place of its answer": InPlace,
+    "before its answer to the next request": LateExtra,
+    "right behind its answer": Behind,
+    "5 ms behind its answer": lambda answer: Behind(answer, 0.005),
+    "before it reads the body": BeforeBody,
+}
+LONG_BODY = b"0123456789abcdef" * 256 * 1024
+QUIET_S = 0.001
+QUIET_LIMIT_S = 3.0
+
 
 @when('a caller sends "{path}" with the body "{body}" and its lines are logged')
 def send_logged(context, path, body):
@@ -31,3 +64,188 @@
     assert seen == (owner, status, marked), first
     assert (first["upstream"], first["call_number"]) == ("u1", 1), first
     assert first["request_id"] == "a1", first
+
+
+# Upstreams that answer by a description
+
+
+@given("a gateway before an upstream that answers by description and a faithful one")
+def make_answering(context):
+    context.routes = None
+    context.upstreams = [AnsweringUpstream("u1"), AnsweringUpstream("u2")]
+    context.sent = []
+    context.expected_plays = set()
+
+
+def describe(status, marks, ids):
+    return AnswerDescription(status, MARKS[marks], NamedIds(ids))
+
+
+@given(
+    '"{name}" sends {status:d} marked "{marks}" in the name of "{ids}", {placement},'
+    ' for request "{request_id}"'
+)
+def set_play(context, name, status, marks, ids, placement, request_id):
+    play = PLAYS[placement](describe(status, marks, ids))
+    expect_play(context, name, request_id, play)
+
+
+def expect_play(context, name, request_id, play):
+    upstream = next(item for item in context.upstreams if item.name == name)
+    upstream.plays[request_id] = play
+    context.expected_plays.add((name, request_id))
+
+
+@given(
+    '"{name}" sends bytes that are no answer, {placement}, for request "{request_id}"'
+)
+def set_stray_bytes(context, name, placement, request_id):
+    expect_play(context, name, request_id, PLAYS[placement](None))
+
+
+@given(
+    '"{name}" sends an interim {interim:d} marked "{marks}" and then {status:d},'
+    ' for request "{request_id}"'
+)
+def set_interim(context, name, interim, marks, status, request_id):
+    interim_answer = describe(interim, marks, "own")
+    play = AfterInterim(interim_answer, AnswerDescription(status))
+    expect_play(context, name, request_id, play)
+
+
+async def call(context, front, kind, request_id, play="", body=b"body"):
+    """Send one request, and wait until no upstream is at work any more."""
+    headers = {"X_Attempt_Id": request_id}
+    try:
+        answer = await front.call(f"/{kind}/x", body=body, **headers)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        answer = None
+    request = SentRequest(request_id, kind, body, play, answer)
+    context.sent.append(request)
+    async with asyncio.timeout(QUIET_LIMIT_S):
+        while any(upstream.busy_count for upstream in context.upstreams):
+            await asyncio.sleep(QUIET_S)
+    return request
+
+
+def send_in_sequence(context, kind, request_ids, body):
+    async def work(front):
+        for request_id in request_ids.split(","):
+            await call(context, front, kind, request_id, body=body)
+
+    run(context, work)
+
+
+@when('a caller sends the {kind} requests "{request_ids}" in sequence')
+def send_requests(context, kind, request_ids):
+    send_in_sequence(context, kind, request_ids, b"body")
+
+
+@when('a caller sends the {kind} requests "{request_ids}" with a body of 4 MiB')
+def send_long_requests(context, kind, request_ids):
+    send_in_sequence(context, kind, request_ids, LONG_BODY)
+
+
+@when("a caller sends {kind} requests to which each answer is sent {placement}")
+def send_all(context, kind, placement):
+    make_play = PLAYS[placement]
+    first = context.upstreams[0]
+    cases = itertools.product(STATUS_CODES, MARKS, NamedIds)
+
+    async def work(front):
+        for number, (status, marks, ids) in enumerate(cases):
+            request_id = f"b{number}"
+            description = AnswerDescription(status, MARKS[marks], ids)
+            expect_play(context, first.name, request_id, make_play(description))
+            words = f"{status} marked {marks!r} in the name of {ids.value!r}"
+            if make_play is LateExtra:
+                # It opens the connection, or the one that its predecessor left.
+                await call(
+                    context, front, kind, f"a{number}", f"request before {words}"
+                )
+            await call(context, front, kind, request_id, words)
+
+    run(context, work)
+
+
+@then("no promise is broken, nothing runs twice and no answers are mixed up")
+def nothing_is_broken(context):
+    lines = find_violations(context.sent, context.upstreams)
+    lines += find_unplayed(context)
+    total = len(context.sent)
+    text = "\n".join([f"{len(lines)} faults in {total} requests:", *lines])
+    assert not lines, text
+
+
+def find_unplayed(context):
+    """Return a line for each answer that was to be sent and was not."""
+    return [
+        f"{upstream.name} had no occasion for its answer to {request_id}"
+        for upstream in context.upstreams
+        for name, request_id in sorted(context.expected_plays)
+        if name == upstream.name and request_id not in upstream.played
+    ]
+
+
+def find_request(context, request_id):
+    return next(item for item in context.sent if item.request_id == request_id)
+
+
+@then('request "{request_id}" gets one of "{status_codes}"')
+def gets_one_of(context, request_id, status_codes):
+    request = find_request(context, request_id)
+    expected = [int(text) for text in status_codes.split(",")]
+    assert request.answer is not None, request
+    assert request.answer.status in expected, request.answer
+
+
+@then('request "{request_id}" gets the complete answer of "{name}" with {status:d}')
+def gets_answer_of(context, request_id, name, status):
+    request = find_request(context, request_id)
+    assert request.answer is not None, request
+    assert request.answer.status == status, request.answer
+    assert request.answer.is_complete, request.answer
+    digests = request.values("x-response-sig")
+    assert digests == [f"{request_id}/{name}/{status}"], request.answer
+
+
+@then('request "{request_id}" gets no digest')
+def gets_no_digest(context, request_id):
+    request = find_request(context, request_id)
+    assert request.values("x-response-sig") == [], request.answer
+
+
+@then('request "{request_id}" may be sent again within {limit_ms:d} ms')
+def may_come_back(context, request_id, limit_ms):
+    values = find_request(context, request_id).values("retry-after")
+    assert len(values) == 1, values
+    assert 0 < float(values[0]) * 1000 <= limit_ms, values
+
+
+@then('request "{request_id}" ran {count:d} times')
+def ran_times(context, request_id, count):
+    runs = count_runs(context.upstreams)
+    assert runs[request_id] == count, runs
+
+
+@then("every proof of a rejection is believed")
+def proofs_are_believed(context):
+    first = context.upstreams[0]
+    disbelieved = [
+        request.summary
+        for request in context.sent
+        if is_plain_proof(first.plays.get(request.request_id))
+        and (request.answer is None or request.answer.status != 200)
+    ]
+    text = f"{len(disbelieved)} rejected requests were not served by u2:"
+    assert not disbelieved, "\n".join([text, *disbelieved])
+
+
+def is_plain_proof(play):
+    """Return whether a request is certainly to be sent to another upstream.
+
+    A status 400 may end a request, and a 421 with a strange mark contradicts itself.
+    """
+    if play is None or not play.answer.is_proof or play.answer.status == 400:
+        return False
+    return play.answer.marks in ((), ("1",))
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -119,6 +119,7 @@
     :param is_complete: whether the answer is complete.
     :param first_s: time until the first chunk in seconds.
     :param duration_s: time until the end in seconds.
+    :param fields: names in lower case and values of all header fields, in order.
     """
 
     status: int
@@ -127,6 +128,7 @@
     is_complete: bool
     first_s: float
     duration_s: float
+    fields: tuple = ()
 
 
 def leaderless_server(upstreams, metrics):
@@ -221,7 +223,8 @@
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     line, *field_lines = head.split("\r\n")
     fields = [text.partition(": ") for text in field_lines if text]
-    headers = {name.lower(): value for name, _, value in fields}
+    fields = tuple([(name.lower(), value) for name, _, value in fields])
+    headers = dict(fields)
     body = b""
     first_s = 0.0
     is_complete = False
@@ -240,7 +243,7 @@
         is_complete = False
     status = int(line.split()[1])
     duration_s = loop.time() - started_s
-    return CallerAnswer(status, headers, body, is_complete, first_s, duration_s)
+    return CallerAnswer(status, headers, body, is_complete, first_s, duration_s, fields)
 
 
 def run_front(context, work):
--- a/features/upstream_answers.feature
+++ b/features/upstream_answers.feature
@@ -13,3 +13,227 @@
       | reject_of_another  | other   | 503    | True   |
       | reject_of_nobody   | nobody  | 503    | True   |
       | fail               | request | 500    | False  |
+
+  Scenario Outline: No answer without a proof has a <kind> run again or refused as not run: <placement>
+    Given a gateway before an upstream that answers by description and a faithful one
+    When a caller sends <kind> requests to which each answer is sent <placement>
+    Then no promise is broken, nothing runs twice and no answers are mixed up
+    And every proof of a rejection is believed
+
+    Examples: Kinds and placements
+      | kind      | placement                             |
+      | transfer  | in place of its answer                |
+      | stream    | in place of its answer                |
+      | look-up   | in place of its answer                |
+      | resumable | in place of its answer                |
+      | transfer  | before its answer to the next request |
+      | stream    | before its answer to the next request |
+      | look-up   | before its answer to the next request |
+      | resumable | before its answer to the next request |
+
+  Scenario Outline: A late rejection of another request does not make a transfer run twice: <status>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "<marks>" in the name of "another", before its answer to the next request, for request "b"
+    When a caller sends the transfer requests "a,b" in sequence
+    Then request "a" gets the complete answer of "u1" with 200
+    And request "b" ran 1 times
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Rejections
+      | status | marks |
+      | 421    | none  |
+      | 429    | 1     |
+      | 503    | 1     |
+
+  Scenario Outline: A late rejection of another request is no promise for a <kind>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 503 marked "1" in the name of "another", before its answer to the next request, for request "b"
+    And "u2" sends 503 marked "1" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the <kind> requests "a,b" in sequence
+    Then request "b" gets one of "502,504"
+    And request "b" ran 1 times
+
+    Examples: Kinds that run once
+      | kind     |
+      | transfer |
+      | stream   |
+
+  Scenario Outline: A rejection that names no request is no promise: <status>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "<marks>" in the name of "none", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets one of "502,504"
+    And request "b" gets no digest
+    And request "b" ran 1 times
+
+    Examples: Rejections
+      | status | marks |
+      | 421    | none  |
+      | 421    | 1     |
+      | 429    | 1     |
+      | 503    | 1     |
+
+  Scenario Outline: A failure of the upstream that ran a transfer is not passed on as a promise: <status>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "none" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets one of "502,504"
+    And request "b" gets no digest
+    And request "b" ran 1 times
+
+    Examples: Statuses that promise
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
+  Scenario Outline: A success of the upstream that ran a transfer stays one in spite of a mark: <marks>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 200 marked "<marks>" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets one of "200,502,504"
+    And request "b" ran 1 times
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Marks
+      | marks |
+      | 1     |
+      | 0     |
+      | empty |
+
+  Scenario Outline: A mark that does not say 1 does not make a transfer run twice: <marks>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 503 marked "<marks>" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets one of "502,504"
+    And request "b" ran 1 times
+
+    Examples: Marks
+      | marks   |
+      | 0       |
+      | false   |
+      | empty   |
+      | 1 and 0 |
+
+  Scenario: An idempotent request is served elsewhere after an unmarked 503
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 503 marked "none" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the look-up requests "b" in sequence
+    Then request "b" gets the complete answer of "u2" with 200
+    And request "b" ran 2 times
+
+  Scenario Outline: A transfer that its upstream rejects in its own name is served elsewhere: <status> marked <marks>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "<marks>" in the name of "own", <placement>, for request "b"
+    When a caller sends the transfer requests "a,b" in sequence
+    Then request "b" gets the complete answer of "u2" with 200
+    And request "b" ran 1 times
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Rejections
+      | status | marks | placement              |
+      | 503    | 1     | in place of its answer |
+      | 429    | 1     | in place of its answer |
+      | 421    | none  | in place of its answer |
+      | 421    | 1     | in place of its answer |
+
+  Scenario Outline: A <kind> that all upstreams reject in its own name is refused as not run
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 503 marked "1" in the name of "own", in place of its answer, for request "b"
+    And "u2" sends 429 marked "1" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the <kind> requests "b" in sequence
+    Then request "b" gets one of "503"
+    And request "b" may be sent again within 1000 ms
+    And request "b" ran 0 times
+
+    Examples: Kinds
+      | kind      |
+      | transfer  |
+      | stream    |
+      | look-up   |
+      | resumable |
+
+  Scenario Outline: The own answer of the upstream is passed on with its digest: <status>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "none" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets the complete answer of "u1" with <status>
+    And request "b" ran 1 times
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Statuses
+      | status |
+      | 200    |
+      | 404    |
+      | 500    |
+
+  Scenario Outline: An extra answer is not taken for the next one: <status> in the name of <ids>, <placement>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "1" in the name of "<ids>", <placement>, for request "a"
+    When a caller sends the transfer requests "a,b" in sequence
+    Then request "a" gets the complete answer of "u1" with 200
+    And request "b" gets the complete answer of "u1" with 200
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Extra answers
+      | status | ids  | placement               |
+      | 503    | own  | right behind its answer |
+      | 503    | none | right behind its answer |
+      | 200    | own  | right behind its answer |
+      | 503    | own  | 5 ms behind its answer  |
+      | 503    | none | 5 ms behind its answer  |
+      | 200    | own  | 5 ms behind its answer  |
+
+  Scenario Outline: Bytes that are no answer spoil neither their answer nor the next one: <placement>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends bytes that are no answer, <placement>, for request "a"
+    When a caller sends the transfer requests "a,b" in sequence
+    Then request "a" gets the complete answer of "u1" with 200
+    And request "b" gets the complete answer of "u1" with 200
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Placements
+      | placement               |
+      | right behind its answer |
+      | 5 ms behind its answer  |
+
+  Scenario Outline: What an interim answer says is no promise: <interim>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends an interim <interim> marked "1" and then <status>, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets one of "<expected>"
+    And request "b" ran 1 times
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Interim answers
+      | interim | status | expected |
+      | 100     | 200    | 200      |
+      | 102     | 200    | 200      |
+      | 103     | 200    | 200      |
+      | 100     | 503    | 502,504  |
+      | 102     | 503    | 502,504  |
+      | 103     | 503    | 502,504  |
+
+  Scenario: A rejection before the body is read has the transfer served elsewhere, with its whole body
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 503 marked "1" in the name of "own", before it reads the body, for request "a"
+    When a caller sends the transfer requests "a,b" with a body of 4 MiB
+    Then request "a" gets the complete answer of "u2" with 200
+    And request "b" gets the complete answer of "u1" with 200
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+  Scenario Outline: An answer before the body is read is no promise without a proof: <status> in the name of <ids>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends <status> marked "<marks>" in the name of "<ids>", before it reads the body, for request "a"
+    When a caller sends the transfer requests "a,b" with a body of 4 MiB
+    Then request "a" gets one of "502,504"
+    And request "a" ran 1 times
+    And request "b" gets the complete answer of "u1" with 200
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Answers
+      | status | marks | ids     |
+      | 503    | none  | own     |
+      | 503    | 1     | another |
+      | 503    | 1     | none    |
+      | 421    | none  | another |
