Show with failing tests that rejections without a proof are believed

Callers saw requests refused with a promise (408, 421, 429, 503) that had run, and transfers and streams that ran twice.

An answer that is a proof (exactly the own id, and 421 or the mark 1 with 400, 421, 429 or 503) is played without a run: an upstream that sends it and runs the request lies, and no gateway can tell.

--- a/features/steps/upstream_answers_steps.py
+++ b/features/steps/upstream_answers_steps.py
@@ -92,6 +92,15 @@
     expect_play(context, name, request_id, play)
 
 
+@given(
+    '"{name}" sends an unsigned {status:d} in the name of "{ids}", {placement},'
+    ' for request "{request_id}"'
+)
+def set_unsigned(context, name, status, ids, placement, request_id):
+    answer = AnswerDescription(status, (), NamedIds(ids), is_signed=False)
+    expect_play(context, name, request_id, PLAYS[placement](answer))
+
+
 def expect_play(context, name, request_id, play):
     upstream = next(item for item in context.upstreams if item.name == name)
     upstream.plays[request_id] = play
--- a/features/upstream_answers.feature
+++ b/features/upstream_answers.feature
@@ -231,7 +231,24 @@
       | 503    | none | 5 ms behind its answer  |
       | 200    | own  | 5 ms behind its answer  |
 
-  Scenario Outline: Bytes that are no answer spoil neither their answer nor the next one: <placement>
+  Scenario Outline: An answer without a digest is neither a success nor a promise: <status> in the name of <ids>, <placement>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends an unsigned <status> in the name of "<ids>", <placement>, for request "b"
+    When a caller sends the transfer requests "a,b" in sequence
+    Then request "b" gets one of "<expected>"
+    And request "b" ran 1 times
+    And no promise is broken, nothing runs twice and no answers are mixed up
+
+    Examples: Answers
+      | status | ids     | placement                             | expected    |
+      | 200    | own     | in place of its answer                | 502,504     |
+      | 500    | own     | in place of its answer                | 500,502,504 |
+      | 503    | own     | in place of its answer                | 502,504     |
+      | 200    | none    | before its answer to the next request | 502,504     |
+      | 200    | another | before its answer to the next request | 502,504     |
+      | 503    | none    | before its answer to the next request | 502,504     |
+
+  Scenario Outline: Bytes that are no answer spoil neither the answer before them nor the next one: <placement>
     Given a gateway before an upstream that answers by description and a faithful one
     And "u1" sends bytes that are no answer, <placement>, for request "a"
     When a caller sends the transfer requests "a,b" in sequence
