--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -64,15 +64,26 @@
 
     :param knows_versions: whether software versions are known to it.
     :param origins_known_after_ms: time after which it knows how streams began.
+    :param refusal_reason: reason with which it refuses everything; empty if it grants.
+    :param frozen_ms: time for which the process is frozen after each grant.
     """
 
     def __init__(
-        self, upstreams, table, *, knows_versions=True, origins_known_after_ms=0
+        self,
+        upstreams,
+        table,
+        *,
+        knows_versions=True,
+        origins_known_after_ms=0,
+        refusal_reason="",
+        frozen_ms=0,
     ):
         self.upstreams = upstreams
         self.route_table = table
         self.knows_versions = knows_versions
         self.origins_known_s = time.monotonic() + origins_known_after_ms / 1000
+        self.refusal_reason = refusal_reason
+        self.frozen_ms = frozen_ms
         self.slot_requests = []
         self.events = []
 
@@ -80,6 +91,8 @@
         self.slot_requests.append(slot_request)
         if slot_request.is_resumed and time.monotonic() < self.origins_known_s:
             return self._refuse(slot_request, "unknown_origin", 300)
+        if self.refusal_reason:
+            return self._refuse(slot_request, self.refusal_reason, 500)
         free = [u for u in self.upstreams if self._suits(u, slot_request)]
         if not free:
             return self._refuse(slot_request, "overloaded", 5000)
@@ -93,6 +106,8 @@
             upstream.address,
             upstream.software_version if self.knows_versions else "",
         )
+        # It freezes the whole process, as SIGSTOP does.
+        time.sleep(self.frozen_ms / 1000)
         return SlotGranted(grant, False)
 
     def _suits(self, upstream, slot_request):
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -15,6 +15,7 @@
     headers: dict
     body: bytes
     is_closed: bool = False
+    chunks_sent: int = 0
 
 
 @dataclass
@@ -68,6 +69,10 @@
         fields = ("X-Response-Sig: sig", f"Content-Length: {len(body)}")
         writer.write(self._head(received, "200 OK", *fields) + body)
 
+    async def _late_answer(self, received, reader, writer):
+        await asyncio.sleep(0.1)
+        await self._answer(received, reader, writer)
+
     async def _unsigned(self, received, reader, writer):
         writer.write(self._head(received, "200 OK", "Content-Length: 2") + b"ok")
 
@@ -271,6 +276,19 @@
         writer.write(self._cut_body(3))
         await self._close(writer)
 
+    async def _flood_events(self, received, reader, writer):
+        """Send large events until the connection is closed."""
+        self._start_events(received, writer)
+        data = b"data: " + b"x" * 65_536 + b"\n\n"
+        chunk = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+        try:
+            while True:
+                writer.write(chunk)
+                await writer.drain()
+                received.chunks_sent += 1
+        finally:
+            received.is_closed = True
+
     async def _silent_events(self, received, reader, writer):
         self._start_events(received, writer)
         self._event(writer, 1)
