Know whose answer it is before believing what it says

Callers saw 503 for transfers and streams that had run (REFUSED), and some of these ran twice (TWICE). Cause: classify_answer looked at 421 and X-Not-Executed before it looked at X-Attempt-Id, took an answer without an id, or the first of several ids, for the request's own, believed the mark whatever its value and beside any status, and did not mind a digest. A late rejection of another request at the place of the answer so became "not run", and the request was sent to the next upstream, or refused.

The class of the fault: a statement was believed before it was known what it is about.

The codec now only reads what an answer's head says (AnswerHead), and the core decides (core/upstream_answers.py). First whose it is: an answer that does not name exactly this request proves nothing and ends as "may have run". Then what it proves: 421, or the mark beside a status of a rejection (400, 421, 429, 503), and no digest, which signs what a run wrote. What an upstream says of itself is read from an answer of the request only, as before.

--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -25,6 +25,7 @@
 from .core.messages import Grant, ReleaseCause, SlotRefusal, SlotRequest
 from .core.releases import build_release, build_unsent_release
 from .core.routes import RoutedAccount
+from .core.upstream_answers import AnswerHead, AnswerKind, classify_answer
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import (
     AnswerMalformed,
@@ -42,7 +43,6 @@
 from .problems import problem
 from .routed_requests import (
     AdmittedRequest,
-    AnswerKind,
     RequestCodec,
     RoutedRequest,
     UpstreamNotice,
@@ -346,9 +346,10 @@
         )
         attempt.answer = answer
         self._framing = answer.framing
-        kind = self._codec.classify_answer(request, answer)
+        head = self._codec.read_head(request, answer)
+        kind = classify_answer(head)
         if kind not in (AnswerKind.COMPLETE, AnswerKind.EVENT_STREAM):
-            self._log_unsuccessful(attempt, answer, kind)
+            self._log_unsuccessful(attempt, answer, head, kind)
         if kind is AnswerKind.MISMATCHED:
             raise AnswerMalformed(
                 "the answer does not belong to this request", answer.address
@@ -506,9 +507,12 @@
         )
 
     def _log_unsuccessful(
-        self, attempt: "_Attempt", answer: UpstreamAnswer, kind: AnswerKind
+        self,
+        attempt: "_Attempt",
+        answer: UpstreamAnswer,
+        head: AnswerHead,
+        kind: AnswerKind,
     ) -> None:
-        head = self._codec.read_head(self._admitted.request, answer)
         self._log(
             "answer_unsuccessful",
             upstream=attempt.grant.upstream,
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -6,16 +6,11 @@
 from math import ceil
 
 from ..core.routes import RoutedAccount
+from ..core.upstream_answers import AnswerHead, AnswerOwner
 from ..exceptions import InvalidRequest
 from ..http_client import UpstreamAnswer
 from ..http_messages import Header, HttpRequest, find_header, is_event_stream
-from ..routed_requests import (
-    AnswerHead,
-    AnswerKind,
-    AnswerOwner,
-    RoutedRequest,
-    UpstreamNotice,
-)
+from ..routed_requests import RoutedRequest, UpstreamNotice
 
 ATTEMPT_ID = "x-attempt-id"
 DEADLINE = "x-deadline-ms"
@@ -31,6 +26,7 @@
 RETRY_AFTER = "retry-after"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
+NEGATIVE_MARKS = ("", "0", "false", "no")
 # Header fields of a caller that are not forwarded: only peridotfront may set them
 # in a request to an upstream.
 SYSTEM_HEADERS = frozenset(
@@ -117,29 +113,12 @@
         return AnswerHead(
             status_code=answer.status_code,
             owner=_owner(request, answer),
-            is_marked_not_executed=bool(answer.header(NOT_EXECUTED)),
+            is_marked_not_executed=_is_marked_not_executed(answer),
+            has_digest=bool(answer.header(DIGEST)),
+            is_encoded=bool(answer.header("content-encoding")),
+            is_event_stream=is_event_stream(answer.headers),
         )
 
-    def classify_answer(
-        self, request: RoutedRequest, answer: UpstreamAnswer
-    ) -> AnswerKind:
-        """Classify an upstream's answer by its status and header fields."""
-        if answer.status_code == HTTPStatus.MISDIRECTED_REQUEST:
-            return AnswerKind.OTHER_UPSTREAM
-        if answer.header(NOT_EXECUTED):
-            return AnswerKind.REJECTED
-        if answer.header(ATTEMPT_ID, request.request_id) != request.request_id:
-            return AnswerKind.MISMATCHED
-        if answer.header("content-encoding"):
-            return AnswerKind.MISMATCHED
-        if answer.status_code >= HTTPStatus.BAD_REQUEST:
-            return AnswerKind.FAILURE
-        if not answer.header(DIGEST):
-            return AnswerKind.MISMATCHED
-        if is_event_stream(answer.headers):
-            return AnswerKind.EVENT_STREAM
-        return AnswerKind.COMPLETE
-
     def read_notice(self, answer: UpstreamAnswer) -> UpstreamNotice:
         """Return what the upstream says of itself in an answer."""
         retry_after_ms = 0
@@ -161,6 +140,11 @@
     return AnswerOwner.REQUEST if ids[0] == request.request_id else AnswerOwner.OTHER
 
 
+def _is_marked_not_executed(answer: UpstreamAnswer) -> bool:
+    marks = [field.value for field in answer.headers if field.name == NOT_EXECUTED]
+    return bool(marks) and not any(mark.lower() in NEGATIVE_MARKS for mark in marks)
+
+
 def _parse_token_counts(http: HttpRequest) -> tuple[int, int]:
     text = http.header(TOKEN_COUNT)
     if not text:
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -1,30 +1,14 @@
 """Types of routed requests, and the interface to a platform's HTTP conventions."""
 
 from dataclasses import dataclass
-from enum import Enum, StrEnum, auto
 from typing import Protocol
 
 from .core.routes import Route, RoutedAccount, RouteKind
+from .core.upstream_answers import AnswerHead
 from .http_client import UpstreamAnswer
 from .http_messages import Header, HttpRequest
 
 
-class AnswerKind(Enum):
-    """Kinds of answers of an upstream.
-
-    ``FAILURE`` has an error status; ``REJECTED`` means that the upstream did not
-    execute the request; ``OTHER_UPSTREAM`` comes from another upstream at the address;
-    ``MISMATCHED`` is not a valid answer to the request.
-    """
-
-    COMPLETE = auto()
-    EVENT_STREAM = auto()
-    FAILURE = auto()
-    REJECTED = auto()
-    OTHER_UPSTREAM = auto()
-    MISMATCHED = auto()
-
-
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
     """Decoded request of a caller to a route.
@@ -65,30 +49,6 @@
         return bool(self.last_event_id or self.resumed_stream_id)
 
 
-class AnswerOwner(StrEnum):
-    """Whose answer it is, by the request id that it names.
-
-    ``NOBODY`` names no id, and ``AMBIGUOUS`` more than one.
-    """
-
-    REQUEST = "request"
-    OTHER = "other"
-    NOBODY = "nobody"
-    AMBIGUOUS = "ambiguous"
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """What the status and header fields of an upstream's answer say.
-
-    :param is_marked_not_executed: whether it says that the request was not executed.
-    """
-
-    status_code: int
-    owner: AnswerOwner
-    is_marked_not_executed: bool
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamNotice:
     """What an upstream says of itself in the header of an answer.
@@ -136,11 +96,6 @@
     def read_head(self, request: RoutedRequest, answer: UpstreamAnswer) -> AnswerHead:
         """Return what the status and header fields of an answer say."""
 
-    def classify_answer(
-        self, request: RoutedRequest, answer: UpstreamAnswer
-    ) -> AnswerKind:
-        """Return the kind of an upstream's answer."""
-
     def read_notice(self, answer: UpstreamAnswer) -> UpstreamNotice:
         """Return what the upstream says of itself in an answer."""
 
