Pass on no failure that would be a promise of ours

Callers saw 503, 429 or 408 for requests that had run: an upstream that ran one and answered with such a status, without saying that it did not run it, had that status passed on. From an upstream it says nothing about the run; from us it is a promise. Stored failures of an idempotent request's first upstream were answered the same way later.

Such an answer is now of kind UNPROVEN: the request may have run, so that an idempotent one goes to another upstream and any other is answered 502, without the digest, which would sign another status.

--- a/src/peridotfront/core/upstream_answers.py
+++ b/src/peridotfront/core/upstream_answers.py
@@ -18,6 +18,16 @@
     )
 )
 
+# Statuses that tell a caller that its request was not and will not be executed.
+PROMISE_STATUS_CODES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
 
 class AnswerOwner(StrEnum):
     """Whose answer it is, by the request id that it names.
@@ -34,14 +44,17 @@
 class AnswerKind(Enum):
     """Kinds of answers of an upstream.
 
-    ``FAILURE`` has an error status; ``REJECTED`` means that the upstream did not
-    execute the request; ``OTHER_UPSTREAM`` comes from another upstream at the address;
-    ``MISMATCHED`` is not a valid answer to the request.
+    ``FAILURE`` has an error status; ``UNPROVEN`` has a status that would tell the
+    caller that the request was not executed, but does not say so itself; ``REJECTED``
+    means that the upstream did not execute the request; ``OTHER_UPSTREAM`` comes from
+    another upstream at the address; ``MISMATCHED`` is not a valid answer to the
+    request.
     """
 
     COMPLETE = auto()
     EVENT_STREAM = auto()
     FAILURE = auto()
+    UNPROVEN = auto()
     REJECTED = auto()
     OTHER_UPSTREAM = auto()
     MISMATCHED = auto()
@@ -74,6 +87,8 @@
         return AnswerKind.OTHER_UPSTREAM if is_other else AnswerKind.REJECTED
     if head.is_encoded:
         return AnswerKind.MISMATCHED
+    if head.status_code in PROMISE_STATUS_CODES:
+        return AnswerKind.UNPROVEN
     if head.status_code >= HTTPStatus.BAD_REQUEST:
         return AnswerKind.FAILURE
     if not head.has_digest:
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -363,6 +363,8 @@
             return ReleaseCause.REJECTED
         if kind is AnswerKind.OTHER_UPSTREAM:
             return ReleaseCause.OTHER_UPSTREAM
+        if kind is AnswerKind.UNPROVEN:
+            return ReleaseCause.UPSTREAM_ERROR
         return await self._relay_complete(attempt, answer, body, kind)
 
     def _note(self, upstream: str, notice: UpstreamNotice) -> None:
