Repeat a request only if its route's kind allows it

A route of kind non_idempotent that the configuration marks as resumable counted as repeatable: a transfer whose upstream reset the connection after it had run it was sent to the next one (TWICE). Resumable means something for streams only; for all other routes the kind decides.

Evidence: its scenario of second_sends failed with 200 instead of 502.

--- a/src/peridotfront/core/routes.py
+++ b/src/peridotfront/core/routes.py
@@ -53,7 +53,9 @@
     @property
     def is_repeatable(self) -> bool:
         """Return whether a request that may have been executed may be retried."""
-        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+        if self.kind is RouteKind.STREAMING:
+            return self.is_resumable
+        return self.kind is RouteKind.IDEMPOTENT
 
     def service_at(self, share: float) -> str:
         """Return the service at a position among the cumulative weights.
