End a request at once when its caller closes its sending side

The handler is told when the end of the caller's side is read; the transport still closes after its output.

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -142,6 +142,9 @@
             short can be refused.
         """
         if self._phase is not _Phase.READING:
+            # The transport closes only after the unsent output, which may take long.
+            if self._exchange is not None:
+                self._exchange.gone.set()
             return False
         self._has_received_eof = True
         self._http.receive_data(b"")
