Make no promise for a request that another host has in progress

A scheduler refuses a slot request as "in progress" if another host holds a slot under the same id. The caller got 503 as "not run", while the request may run through the other host. It is 502 and "may have run" now.

--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -476,8 +476,10 @@
             return
         self.outcome = "refused"
         max_retry_after_ms = int(self._remaining_ms() * MAX_RETRY_AFTER_RATIO)
+        # The request may be executed through another host.
+        is_elsewhere = reason is Reason.IN_PROGRESS
         refusal = Refusal(
-            self._attempts.verdict,
+            Verdict.MAY_HAVE_RUN if is_elsewhere else self._attempts.verdict,
             reason,
             max(0, min(retry_after_ms, max_retry_after_ms)),
         )
