Send a request to no address that has rejected it

An upstream that was restarted under a new name is listed under both for a while. A request that was rejected under the old name could be sent to the same address under the new one, on the kept connection, where a late copy of the rejection has the request's own id and was believed while the second send ran: a transfer ran twice, or was refused after it ran. Names alone were excluded.

The addresses that rejected a request are kept in its history of attempts; a slot at one of them is given back unused, and its name excluded.

--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -36,6 +36,7 @@
         self._not_executed: Counter[ReleaseCause] = Counter()
         self.executed_count = 0
         self.excluded: list[str] = []
+        self._rejecting_addresses: set[str] = set()
 
     @property
     def is_repeat(self) -> bool:
@@ -57,13 +58,27 @@
             self._route.is_repeatable and self.executed_count + 1 < self._route.attempts
         )
 
-    def allow_retry(self, upstream: str, cause: ReleaseCause) -> bool:
+    def allow_send(self, upstream: str, address: str) -> bool:
+        """Return whether the request may be sent to an upstream; exclude it if not.
+
+        A late copy of a rejection would be taken for the answer to a second send to
+        the same address, which has two names while a restart is not yet listed.
+        """
+        if address not in self._rejecting_addresses:
+            return True
+        self.excluded.append(upstream)
+        return False
+
+    def allow_retry(self, upstream: str, address: str, cause: ReleaseCause) -> bool:
         """Record how an attempt ended, and return whether a retry is allowed.
 
         :param upstream: upstream of the attempt; excluded from later attempts.
+        :param address: IP address and port that the request was sent to.
         :param cause: cause with which the slot was released.
         """
         self.excluded.append(upstream)
+        if cause in DELIVERED_NOT_EXECUTED_CAUSES:
+            self._rejecting_addresses.add(address)
         if cause in MAX_NOT_EXECUTED:
             self._not_executed[cause] += 1
             return self._not_executed[cause] <= MAX_NOT_EXECUTED[cause]
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -159,11 +159,14 @@
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
                 return
             slot_request, grant = slot
+            if not self._attempts.allow_send(grant.upstream, grant.address):
+                self._server.feed(SlotReleased(build_unsent_release(grant)))
+                continue
             cause = await self._send(slot_request, grant)
             if cause in (ReleaseCause.COMPLETED, None):
                 return
             self._is_sent = False
-            if not self._attempts.allow_retry(grant.upstream, cause):
+            if not self._attempts.allow_retry(grant.upstream, grant.address, cause):
                 await self._give_up(_refusal_reason(cause), EXHAUSTED_RETRY_MS)
                 return
 
