Send no request whose time has passed since its slot was granted

A host that was frozen between the grant and the send sent the request with a deadline in the past (X-Deadline-Ms: -531 in a trial), and its caller got 504 instead of a true "not run". The time left is looked at once more before the send; the slot is given back unused.

--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -159,7 +159,7 @@
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
                 return
             slot_request, grant = slot
-            if not self._attempts.allow_send(grant.upstream, grant.address):
+            if not self._allow_send(grant):
                 self._server.feed(SlotReleased(build_unsent_release(grant)))
                 continue
             cause = await self._send(slot_request, grant)
@@ -170,6 +170,15 @@
                 await self._give_up(_refusal_reason(cause), EXHAUSTED_RETRY_MS)
                 return
 
+    def _allow_send(self, grant: Grant) -> bool:
+        """Return whether a granted slot may still be used.
+
+        The process may have been frozen between the grant and now.
+        """
+        if self._remaining_ms() < min_service_time_ms(self._admitted.route):
+            return False
+        return self._attempts.allow_send(grant.upstream, grant.address)
+
     def _may_become_known(self, refusal: SlotRefusal) -> bool:
         """Return whether to wait until the scheduler knows how a stream began.
 
