Send no status that promises more than its verdict on the own interface

What callers saw: a request that had been sent and was then preempted, or whose holder was lost, got 503 with the verdict may_have_run; 429 was possible in the same way. A caller that reads the status takes 408, 421, 429 and 503 as "has not run and never will".

Cause: request_handler.py chose the status by the reason alone, and 503 was the default. The routed interface chose by the verdict, in a function of its own.

Change: problems.status_code_of serves both interfaces.

Evidence: own_verdicts.feature is new.

--- /dev/null
+++ b/features/steps/own_verdicts_steps.py
@@ -0,0 +1,88 @@
+"""Steps that end requests of the own interface and read what their callers get."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+from http_fixtures import parse_problem, run, send_and_receive, serve
+
+from peridotfront.answers import Answer
+from peridotfront.core.fleet import AccountSpec, UpstreamKind
+from peridotfront.core.requests import Request
+from peridotfront.core.verdicts import Reason, Refusal, Verdict
+from peridotfront.metrics import Metrics
+from peridotfront.request_handler import RequestHandler
+from peridotfront.request_validator import Admission
+
+RETRY_MS = 1200
+REQUEST = b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+REQUEST += b"Content-Length: 2\r\n\r\n{}"
+
+
+def admit(request, request_id):
+    admitted = Request(
+        request_id=request_id,
+        key="",
+        fingerprint=1,
+        client_account="a",
+        tier=1,
+        kind=UpstreamKind.ENGINE,
+        service="",
+        model="m",
+        prompt_tokens=5,
+        output_tokens=3,
+        prefix_hashes=(),
+        deadline_ms=1000,
+        is_idempotent=True,
+    )
+    account = AccountSpec("a", "0" * 64)
+    path, kind = "/v1/completions", "application/json"
+    return Admission(admitted, account, "POST", path, kind, b"{}", False)
+
+
+def new_answer(admission):
+    return Answer(admission.request.request_id, "", 1, 1000)
+
+
+def serve_requests(context, open_answer):
+    handler = RequestHandler(
+        SimpleNamespace(admit=admit),
+        SimpleNamespace(open=open_answer),
+        lambda event: None,
+        Metrics("e1", "dc"),
+        lambda: 1,
+    )
+    serve(context, handler.handle)
+
+
+@given("an entry host whose requests end as {verdict} for {reason}")
+def refusing_host(context, verdict, reason):
+    refusal = Refusal(Verdict(verdict), Reason(reason.replace("none", "")), RETRY_MS)
+
+    def open_answer(admission, refused):
+        answer = new_answer(admission)
+        answer.refuse(refusal)
+        return answer
+
+    serve_requests(context, open_answer)
+
+
+@given("a server that wrongly refuses with {status:d} and the verdict {verdict}")
+def untrue_handler(context, status, verdict):
+    async def handle(exchange):
+        refusal = Refusal(Verdict(verdict), Reason.NO_UPSTREAM, RETRY_MS, "secret")
+        await exchange.refuse(status, refusal)
+
+    serve(context, handle)
+
+
+@when("a caller sends a completion")
+def send_completion(context):
+    raw = run(context, send_and_receive(context.address, REQUEST))
+    context.reply = parse_problem(raw)
+
+
+@then("it gets status {status:d} and the verdict {verdict}")
+def check_reply(context, status, verdict):
+    reply = context.reply
+    assert (reply.status_code, reply.content["verdict"]) == (status, verdict), reply
+    assert reply.content["status"] == status and "retry-after: 2" in reply.head
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -39,7 +39,7 @@
 from .gateway_server import GatewayServer
 from .http_client import HttpClient, UpstreamAnswer, UpstreamTimeouts
 from .http_messages import Header
-from .problems import problem
+from .problems import problem, status_code_of
 from .routed_requests import (
     AdmittedRequest,
     AnswerKind,
@@ -77,15 +77,6 @@
     await exchange.respond(status_code, fields, body)
 
 
-def _status_code_for(refusal: Refusal) -> HTTPStatus:
-    """Return an HTTP status that claims no more than the verdict does."""
-    if refusal.verdict is Verdict.NOT_RUN:
-        return NOT_RUN_STATUS.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
-    if refusal.reason in (Reason.UPSTREAM_TIMEOUT, Reason.DEADLINE):
-        return HTTPStatus.GATEWAY_TIMEOUT
-    return HTTPStatus.BAD_GATEWAY
-
-
 class Forwarding:
     """Forwarding of one request to an upstream, or to several in sequence.
 
@@ -478,7 +469,7 @@
             reason,
             max(0, min(retry_after_ms, max_retry_after_ms)),
         )
-        self.status_code = int(_status_code_for(refusal))
+        self.status_code = int(status_code_of(refusal, NOT_RUN_STATUS))
         await respond_refusal(self._exchange, self._codec, self.status_code, refusal)
 
     def _release(self, attempt: "_Attempt", cause: ReleaseCause) -> None:
--- a/src/peridotfront/problems.py
+++ b/src/peridotfront/problems.py
@@ -2,12 +2,24 @@
 
 import json
 import math
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import NamedTuple
 
-from .core.verdicts import Refusal
+from .core.verdicts import Reason, Refusal, Verdict
 from .http_messages import Header
 
+# Each of these tells a caller that the request has not run and never will.
+PROMISE_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+TIMEOUT_REASONS = (Reason.UPSTREAM_TIMEOUT, Reason.DEADLINE)
+
 
 class Problem(NamedTuple):
     """Headers and body of a problem answer, as ``Exchange.respond`` takes them."""
@@ -16,6 +28,26 @@
     body: bytes
 
 
+def status_code_of(
+    refusal: Refusal, statuses: Mapping[Reason, HTTPStatus]
+) -> HTTPStatus:
+    """Return an HTTP status that claims no more than the verdict of a refusal.
+
+    :param statuses: statuses of refused requests that did not run, by reason; 503 for
+        the others. A request that may have run gets one only for ``Reason.POISON``.
+    """
+    if refusal.verdict is Verdict.NOT_RUN:
+        return statuses.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    if refusal.verdict is Verdict.COMPLETED:
+        return HTTPStatus.CONFLICT
+    if refusal.reason in TIMEOUT_REASONS:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    if refusal.reason is Reason.POISON:
+        # It tells the caller not to send it again, and nothing of whether it ran.
+        return statuses.get(refusal.reason, HTTPStatus.BAD_GATEWAY)
+    return HTTPStatus.BAD_GATEWAY
+
+
 def problem(status_code: int, refusal: Refusal, request_id: str = "") -> Problem:
     """Build a problem answer for a refusal.
 
@@ -26,7 +58,12 @@
     :param request_id: id of the request; empty if it has none.
     :return: headers and body for ``Exchange.respond``.
     :rtype: Problem
+    :raises ValueError: if the status promises that the request did not run, and the
+        verdict doesn't.
     """
+    is_promise = status_code in PROMISE_STATUSES
+    if is_promise and refusal.verdict is not Verdict.NOT_RUN:
+        raise ValueError(f"status {status_code} for a request that may have run")
     content = {
         "type": "about:blank",
         "title": HTTPStatus(status_code).phrase,
--- a/src/peridotfront/request_handler.py
+++ b/src/peridotfront/request_handler.py
@@ -13,8 +13,9 @@
 from .core.messages import Outcome
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import AnswerDiscarded, CallerGone, RequestRefused
-from .http_server import Exchange, problem
+from .http_server import Exchange
 from .metrics import Metrics
+from .problems import problem, status_code_of
 from .request_validator import Admission, RequestValidator
 from .runtime import new_request_id, now_ms
 
@@ -166,7 +167,9 @@
             await exchange.respond(answer.status_code, headers, bytes(body))
             return outcome
         refusal = answer.refusal or Refusal(outcome.verdict, outcome.reason)
-        await _refuse(exchange, _status_code(refusal), refusal, request_id)
+        await _refuse(
+            exchange, status_code_of(refusal, STATUS_BY_REASON), refusal, request_id
+        )
         return outcome
 
     def _record_refusal(self, refusal: Refusal) -> None:
@@ -182,12 +185,6 @@
     await exchange.respond(status_code, fields, body)
 
 
-def _status_code(refusal: Refusal) -> int:
-    if refusal.verdict is Verdict.COMPLETED:
-        return HTTPStatus.CONFLICT
-    return STATUS_BY_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
-
-
 def _answer_headers(answer: Answer, request_id: str) -> list[tuple[str, str]]:
     headers = [(header.name, header.value) for header in answer.headers]
     return [*headers, (REQUEST_ID_HEADER, request_id)]
