Remember that an earlier dispatch may have run when a request is refused

What callers saw: a call without a key to a method that may be repeated was sent, its upstream died, and it was queued again. If it then found no cell, was refused by every cell or as poison, waited beyond its deadline, got an expired slot, was not sent, or found every later upstream unreachable, it was refused as not_run (503, 429), although the first upstream may have executed it.

Cause: each of these refusals spoke of the last placement only; DispatchEnded with may_have_run left no trace in ActiveRequest.

Change: ActiveRequest.may_have_run is set when a dispatch ends without proof that the request was not executed, and the only two places that end a request with a refusal go through _end_with_refusal, which lowers not_run to may_have_run then. Whichever way of refusing is added later, it passes there.

Evidence: dispatch_verdicts.feature is new.

--- /dev/null
+++ b/features/dispatch_verdicts.feature
@@ -0,0 +1,28 @@
+Feature: A refusal after a dispatch does not say that the request did not run
+  A request without a key that may be repeated is dispatched again after the death of its
+  upstream, which may have executed it. Whatever ends it later, the verdict remembers that.
+
+  Scenario Outline: A request that <first> and then <end> is refused as <verdict>
+    Given a dispatcher with a request that <first>
+    When the request then <end>
+    Then the request is refused as <verdict>
+
+    Examples: The first upstream may have executed it
+      | first                   | end                                    | verdict      |
+      | was sent and died       | finds no cell                          | may_have_run |
+      | was sent and died       | is refused by every cell               | may_have_run |
+      | was sent and died       | is refused as poison                   | may_have_run |
+      | was sent and died       | waits beyond its deadline              | may_have_run |
+      | was sent and died       | gets a slot whose lease has expired    | may_have_run |
+      | was sent and died       | is not sent to its next upstream       | may_have_run |
+      | was sent and died       | finds every later upstream unreachable | may_have_run |
+
+    Examples: No upstream was sent the request
+      | first                   | end                                    | verdict      |
+      | found nobody to send to | finds no cell                          | not_run      |
+      | found nobody to send to | is refused by every cell               | not_run      |
+      | found nobody to send to | is refused as poison                   | not_run      |
+      | found nobody to send to | waits beyond its deadline              | not_run      |
+      | found nobody to send to | gets a slot whose lease has expired    | not_run      |
+      | found nobody to send to | is not sent to its next upstream       | not_run      |
+      | found nobody to send to | finds every later upstream unreachable | not_run      |
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -6,7 +6,8 @@
 
 After the death of its upstream, a request is dispatched again, up to
 ``MAX_PLACEMENTS`` times in all, if it was not executed there, or if it is repeatable
-and has no key.
+and has no key. If it may have been executed there, no later refusal says that it was
+not.
 
 A request with a key looks the key up before it is refused as not executed, and when
 it has waited ``SLOT_REQUEST_RETRY_MS`` for a slot. If another request with the key has
@@ -207,6 +208,8 @@
         yield from self._release(active, event, now_ms)
         if active.epoch:
             yield ReportOutcome(active.request.key, active.epoch, event.outcome)
+        if event.outcome.verdict is not Verdict.NOT_RUN:
+            active.may_have_run = True
         if self._allow_retry(active, event.outcome):
             active.state = RequestState.QUEUED
             active.upstream = ""
@@ -582,16 +585,21 @@
         yield Coalesce(request.request_id, leading_request.request.request_id)
 
     def _finish(self, active: ActiveRequest, outcome: Outcome) -> Iterator[Any]:
-        request_id = active.request.request_id
-        self._remove(active)
         if outcome.verdict is Verdict.COMPLETED:
-            yield RequestClosed(request_id)
+            self._remove(active)
+            yield RequestClosed(active.request.request_id)
             return
-        retry_after_ms = 0
-        if outcome.verdict is Verdict.NOT_RUN:
-            retry_after_ms = UNREACHABLE_RETRY_MS
+        is_not_run = outcome.verdict is Verdict.NOT_RUN and not active.may_have_run
+        retry_after_ms = UNREACHABLE_RETRY_MS if is_not_run else 0
         refusal = Refusal(outcome.verdict, outcome.reason, retry_after_ms)
-        yield SendRefusal(request_id, refusal)
+        yield self._end_with_refusal(active, refusal)
+
+    def _end_with_refusal(self, active: ActiveRequest, refusal: Refusal) -> SendRefusal:
+        if active.may_have_run and refusal.verdict is Verdict.NOT_RUN:
+            # The refusal is about the last placement, and an earlier one was sent.
+            refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+        self._remove(active)
+        return SendRefusal(active.request.request_id, refusal)
 
     def _refuse(self, active: ActiveRequest, refusal: Refusal) -> Iterator[Any]:
         active.state = RequestState.REFUSING
@@ -614,8 +622,7 @@
         if is_repeat and active.key_state is KeyState.UNKNOWN:
             # An earlier attempt may have been executed without this host's knowledge.
             refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
-        self._remove(active)
-        yield SendRefusal(active.request.request_id, refusal)
+        yield self._end_with_refusal(active, refusal)
 
     def _remove(self, active: ActiveRequest) -> None:
         self.active_requests.pop(active.request.request_id, None)
--- a/src/peridotfront/core/dispatcher_events.py
+++ b/src/peridotfront/core/dispatcher_events.py
@@ -168,6 +168,8 @@
 
     :param epoch: epoch of the claim under which the request runs; 0 without a claim.
     :param lease_until_ms: time until which the granted slot may be used.
+    :param may_have_run: whether an earlier dispatch ended without proof that the
+        request was not executed.
     :param refusals: refusals received, by cell.
     :param visited: cells that did not grant a slot in time.
     :param key_state: state of the lookup of the key in the control group.
@@ -190,6 +192,7 @@
     slow_tokens: int = -1
     renewed_ms: int = 0
     placements: int = 0
+    may_have_run: bool = False
     holder: Claim | None = None
     refusals: dict[str, SlotRefusal] = field(default_factory=dict)
     visited: set[str] = field(default_factory=set)
