Believe an upstream's answer only if it belongs to its request

What callers saw: on a kept connection to an engine or a service, a late or second answer of an earlier call was delivered as the complete answer of the next one; its verdict was completed, although the request may still have been running. Load reports, orders, cancellations, KV exports and imports and resumed answers were mistaken in the same way: the result of one order passed for that of another.

Cause: nothing checked whose answer it was. We sent X-Request-Id only with completions and calls of services, and the stand-in did not repeat it.

Change: EngineClient.call sends an X-Request-Id with each call and compares the answer's. Another id, or several, is malformed (may_have_run, upstream_error). No id is accepted only as the first answer of a connection, which is then closed, so that upstreams that repeat no ids are served as before, on a connection for each call. The stand-in repeats the id in all answers, also to requests that it refuses.

Not measured: the cost of a new connection for each call to upstreams that repeat no ids.

--- a/features/standin.feature
+++ b/features/standin.feature
@@ -106,3 +106,19 @@
     Given stand-in settings with 4 faults
     When the program is started
     Then it exits with 2 and names section, key, value and reason of each
+
+  Scenario Outline: The stand-in <kind> repeats the request id in its answer to <request>
+    Given a stand-in <kind>
+    When <request> with a request id is sent to it
+    Then its answer carries that request id
+
+    Examples:
+      | kind    | request          |
+      | engine  | a completion     |
+      | engine  | a stream         |
+      | engine  | an invalid body  |
+      | engine  | an unknown path  |
+      | engine  | a report         |
+      | engine  | a resume         |
+      | service | a call           |
+      | service | a report         |
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -568,3 +568,34 @@
         start = f"[{section}] {key} = {value!r}: "
         reasons = [error_line.partition(start)[2] for error_line in error_lines]
         assert any(reasons), error_lines
+
+
+IDENTIFIED_REQUESTS = {
+    "a completion": ("POST", *completion("plain", 2)),
+    "a stream": ("POST", *completion("streamed", 2)),
+    "an invalid body": ("POST", "/v1/completions", b"{"),
+    "an unknown path": ("GET", "/unknown", b""),
+    "a report": ("GET", "/report", b""),
+    "a resume": ("GET", "/resume/unknown", b""),
+    "a call": ("POST", "/transfers", b"{}"),
+}
+
+
+@when("{request} with a request id is sent to it")
+def send_with_id(context, request):
+    method, target, body = IDENTIFIED_REQUESTS[request]
+    headers = [("x-request-id", "id-7")]
+
+    async def send():
+        answer = await context.client.send(
+            context.address, method, target, headers, body
+        )
+        await answer.read()
+        return answer
+
+    context.answer = run(context, send())
+
+
+@then("its answer carries that request id")
+def carries_id(context):
+    assert context.answer.header("x-request-id") == "id-7", context.answer.headers
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -24,7 +24,7 @@
     UpstreamError,
     UpstreamTimedOut,
 )
-from .http_messages import is_event_stream
+from .http_messages import REQUEST_ID_HEADER, is_event_stream
 from .prompts import fingerprint
 from .request_validator import Admission
 
@@ -166,7 +166,7 @@
                 key=request.key,
                 timeouts=ENGINE_TIMEOUTS,
             )
-        return await self._client.send(
+        return await self._client.call(
             call.upstream.address,
             admission.method,
             admission.target,
@@ -313,9 +313,9 @@
     return tuple([Header(n, v) for n, v in headers if n in FORWARDED_HEADERS])
 
 
-def _service_headers(admission: Admission) -> list[Header]:
+def _service_headers(admission: Admission) -> list[tuple[str, str]]:
     request = admission.request
-    headers = [("x-request-id", request.request_id)]
+    headers = [(REQUEST_ID_HEADER, request.request_id)]
     if admission.body:
         headers.append(("content-type", admission.content_type))
     if request.key:
--- a/src/peridotfront/engine_client.py
+++ b/src/peridotfront/engine_client.py
@@ -1,6 +1,6 @@
 """Client for the API of model engines."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from urllib.parse import quote
 
@@ -9,7 +9,8 @@
 from .engine_messages import EngineOrder, EngineReport, OrderResult
 from .exceptions import AnswerMalformed, AnswerTruncated
 from .http_client import ClientLimits, HttpClient, UpstreamAnswer, UpstreamTimeouts
-from .http_messages import Header
+from .http_messages import REQUEST_ID_HEADER, Header, find_header
+from .runtime import new_request_id
 
 __all__ = [
     "ClientLimits",
@@ -21,7 +22,48 @@
 
 
 class EngineClient(HttpClient):
-    """Client for the API of model engines."""
+    """Client for the API of model engines, and for calls to plain services.
+
+    Each call has an ``X-Request-Id``, which the upstream repeats in its answer. An
+    answer with another id is that of another call. One without an id is accepted only
+    from the first call of a connection, which is then closed, so that a late answer of
+    an earlier call is never taken for that of a later one.
+    """
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+        *,
+        timeouts: UpstreamTimeouts | None = None,
+        before_send: Callable[[], None] | None = None,
+    ) -> UpstreamAnswer:
+        """Send one request and wait for the head of its own answer.
+
+        :param headers: as for :meth:`HttpClient.send`; a new id is added if they have
+            none.
+        :raises AnswerMalformed: if the answer belongs to another call, or may do so.
+        :raises UpstreamError: as :meth:`HttpClient.send` does.
+        """
+        headers = list(headers)
+        request_id = find_header(headers, REQUEST_ID_HEADER)
+        if not request_id:
+            request_id = new_request_id()
+            headers.append(Header(REQUEST_ID_HEADER, request_id))
+        answer = await self.send(
+            address,
+            method,
+            target,
+            headers,
+            body,
+            timeouts=timeouts,
+            before_send=before_send,
+        )
+        _check_identity(answer, request_id)
+        return answer
 
     async def complete(
         self,
@@ -37,16 +79,16 @@
 
         :param target: path and query of the completion.
         :param key: idempotency key; empty if there is none.
-        :raises UpstreamError: as :meth:`HttpClient.send` does.
+        :raises UpstreamError: as :meth:`call` does.
         """
         headers = [
             Header("content-type", "application/json"),
-            Header("x-request-id", request_id),
+            Header(REQUEST_ID_HEADER, request_id),
             Header("x-resumable", "1"),
         ]
         if key:
             headers.append(Header("idempotency-key", key))
-        return await self.send(
+        return await self.call(
             address, "POST", target, headers, body, timeouts=timeouts
         )
 
@@ -63,7 +105,7 @@
         The answer has status 404 if the engine does not have the request.
         """
         target = f"/resume/{quote(request_id, safe='')}?offset={offset_bytes}"
-        return await self.send(address, "GET", target, timeouts=timeouts)
+        return await self.call(address, "GET", target, timeouts=timeouts)
 
     async def cancel(
         self,
@@ -74,7 +116,7 @@
     ) -> bool:
         """Cancel a request; return false if the engine does not run it."""
         target = f"/cancel/{quote(request_id, safe='')}"
-        answer = await self.send(address, "POST", target, timeouts=timeouts)
+        answer = await self.call(address, "POST", target, timeouts=timeouts)
         await answer.read()
         return answer.status_code == HTTPStatus.OK
 
@@ -91,7 +133,7 @@
         :raises AnswerMalformed: if the status or the report is invalid.
         """
         target = f"/report?since={since}"
-        answer = await self.send(address, "GET", target, timeouts=timeouts)
+        answer = await self.call(address, "GET", target, timeouts=timeouts)
         return _parse_answer(EngineReport, address, answer, await answer.read())
 
     async def export_kv(
@@ -107,7 +149,7 @@
             a part of it can't be told from the whole.
         """
         target = f"/kv/export/{quote(request_id, safe='')}"
-        answer = await self.send(address, "POST", target, timeouts=timeouts)
+        answer = await self.call(address, "POST", target, timeouts=timeouts)
         if not answer.is_framed:
             answer.cancel()
             raise AnswerTruncated("the export has no length", address)
@@ -125,7 +167,7 @@
 
         The answer can then be read by :meth:`resume`.
         """
-        answer = await self.send(
+        answer = await self.call(
             address, "POST", "/kv/import", body=exported, timeouts=timeouts
         )
         await answer.read()
@@ -141,11 +183,11 @@
     ) -> OrderResult:
         """Send an order with its fencing token.
 
-        :param before_send: as for :meth:`HttpClient.send`.
+        :param before_send: as for :meth:`call`.
         :raises AnswerMalformed: if the status or the result is invalid.
         """
         body = order.model_dump_json().encode()
-        answer = await self.send(
+        answer = await self.call(
             address,
             "POST",
             "/orders",
@@ -159,6 +201,17 @@
         )
 
 
+def _check_identity(answer: UpstreamAnswer, request_id: str) -> None:
+    ids = {value for name, value in answer.headers if name == REQUEST_ID_HEADER}
+    if ids == {request_id}:
+        return
+    if ids or answer.call_number > 1:
+        address = answer.address
+        answer.cancel()
+        raise AnswerMalformed("the answer does not belong to this request", address)
+    answer.close_after()
+
+
 def _parse_answer(model, address, answer, body, expected=(HTTPStatus.OK,)):
     if answer.status_code not in expected:
         raise AnswerMalformed(f"unexpected status {answer.status_code}", address)
--- a/src/peridotfront/exchanges.py
+++ b/src/peridotfront/exchanges.py
@@ -79,7 +79,8 @@
     :param connection: the caller's connection.
     :param began_ms: arrival time of the first byte, on the monotonic clock.
 
-    ``gone`` is set when the caller has disconnected.
+    ``gone`` is set when the caller has disconnected. ``extra_headers`` are sent with
+    any answer, also with that of a handler that fails.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         self.request = request
         self.began_ms = began_ms
         self.gone = asyncio.Event()
+        self.extra_headers: tuple[tuple[str, str], ...] = ()
         self.is_started = False
         self.is_finished = False
         self._connection = connection
@@ -163,7 +165,7 @@
     def _begin(self, status_code: int, headers: Iterable[tuple[str, str]]) -> None:
         if self.is_started or self.is_finished:
             raise RuntimeError("the answer has already been started")
-        self._connection.begin_answer(status_code, headers)
+        self._connection.begin_answer(status_code, [*headers, *self.extra_headers])
         self.is_started = True
 
     def _check_open(self) -> None:
--- a/src/peridotfront/http_messages.py
+++ b/src/peridotfront/http_messages.py
@@ -9,6 +9,7 @@
 
 MAX_JSON_INTEGER_DIGITS = 19
 EVENT_STREAM = "text/event-stream"
+REQUEST_ID_HEADER = "x-request-id"
 HOP_HEADERS = frozenset(
     (
         "connection",
--- a/src/peridotfront/request_handler.py
+++ b/src/peridotfront/request_handler.py
@@ -13,13 +13,13 @@
 from .core.messages import Outcome
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import AnswerDiscarded, CallerGone, RequestRefused
+from .http_messages import REQUEST_ID_HEADER
 from .http_server import Exchange
 from .metrics import Metrics
 from .problems import problem, status_code_of
 from .request_validator import Admission, RequestValidator
 from .runtime import new_request_id, now_ms
 
-REQUEST_ID_HEADER = "x-request-id"
 STATUS_BY_REASON = {
     Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
--- a/src/peridotfront/standin.py
+++ b/src/peridotfront/standin.py
@@ -8,6 +8,7 @@
 from fire.decorators import SetParseFn
 
 from .exceptions import SettingsInvalid
+from .http_messages import REQUEST_ID_HEADER
 from .http_server import Exchange, HttpServer
 from .standin_api import StandinEngine, parse_body
 from .standin_service import Faults, RunFile, StandinService
@@ -67,6 +68,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
+        request_id = request.header(REQUEST_ID_HEADER)
+        if request_id:
+            exchange.extra_headers = ((REQUEST_ID_HEADER, request_id),)
         if request.method == "POST" and request.path == "/faults":
             self._backend.apply_faults(parse_body(Faults, request))
             await exchange.respond(204)
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -137,6 +137,11 @@
             parts.append(data)
         return b"".join(parts)
 
+    def close_after(self) -> None:
+        """Close the connection after this answer, in place of keeping it."""
+        if self._connection is not None:
+            self._connection.is_last_call = True
+
     def cancel(self) -> None:
         """Close the connection unless the answer was read completely."""
         if self._connection is not None:
@@ -203,6 +208,7 @@
         self.address = address
         self.idle_until_s = 0.0
         self.call_count = 0
+        self.is_last_call = False
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -397,6 +403,7 @@
         self._stop_timer()
         is_reusable = (
             self._is_complete
+            and not self.is_last_call
             and not self._parts
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
