Pass on no promise of an upstream of the own interface

What callers saw: an engine or a service that answered 408, 421, 429 or 503 had its answer copied to the caller as a completed one. To callers these statuses say that the request has not run and never will, but no upstream of this interface proves that: its API has no word for it, and a proxy before it may answer after it has passed the request on. A body with "verdict": "not_run" in application/problem+json looked like a refusal of ours too.

Change: such a status ends the call as may_have_run (UpstreamRefused, 502, upstream_error) and is recorded so for its key; health counts it as before. What hosts of earlier versions have recorded or hand over is withheld from callers in the same way. The type application/problem+json of an upstream is passed on as application/json.

Evidence: before the change 10 of the 14 new scenarios of calls failed with verdict=completed, status_code=408 (421, 429, 503) and with the type of our refusals; the 4 other statuses passed. Without the check at delivery the 5 new ones of own_verdicts fail (namespace(status_code=408, ...)).

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -30,3 +30,36 @@
     Given a fake engine that ends inside an event and resumes it
     When a streamed completion is dispatched to it
     Then the answer is the complete stream
+
+  Scenario Outline: The status <status> of <target> is passed on only if it promises nothing
+    Given an upstream that answers each call with <status>
+    When a call to <target> is dispatched to it
+    Then the call has ended as <verdict> and its answer has status <passed_on>
+
+    Examples: Statuses that promise that a request did not run
+      | target    | status | verdict      | passed_on |
+      | an engine | 408    | may_have_run | 0         |
+      | an engine | 421    | may_have_run | 0         |
+      | an engine | 429    | may_have_run | 0         |
+      | an engine | 503    | may_have_run | 0         |
+      | a service | 408    | may_have_run | 0         |
+      | a service | 421    | may_have_run | 0         |
+      | a service | 429    | may_have_run | 0         |
+      | a service | 503    | may_have_run | 0         |
+
+    Examples: Other statuses
+      | target    | status | verdict      | passed_on |
+      | an engine | 404    | completed    | 404       |
+      | an engine | 500    | completed    | 500       |
+      | a service | 409    | completed    | 409       |
+      | a service | 502    | completed    | 502       |
+
+  Scenario Outline: A verdict in the answer of <target> does not look like ours
+    Given an upstream that answers each call with 404
+    When a call to <target> is dispatched to it
+    Then its answer is not of the type of our refusals
+
+    Examples:
+      | target    |
+      | an engine |
+      | a service |
--- a/features/own_verdicts.feature
+++ b/features/own_verdicts.feature
@@ -58,3 +58,16 @@
       | 429    | may_have_run |
       | 503    | may_have_run |
       | 503    | completed    |
+
+  Scenario Outline: A recorded answer with the status <status> is not delivered to a caller of <manner>
+    Given an entry host whose recorded answers have status <status>
+    When a caller sends a completion for <manner>
+    Then the recorded answer is withheld as may_have_run
+
+    Examples:
+      | status | manner            |
+      | 408    | a complete answer |
+      | 421    | a complete answer |
+      | 429    | a complete answer |
+      | 503    | a complete answer |
+      | 503    | a stream          |
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -1,8 +1,10 @@
 """Steps that dispatch to a fake engine with a given fault."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
+from http_fixtures import client, run, serve
 
 from peridotfront.answers import Answer
 from peridotfront.calls import Call, CallRunner, CallStats
@@ -167,3 +169,45 @@
 @then("the answer is the complete stream")
 def is_complete_stream(context):
     assert context.answer.body() == STREAM
+
+
+@given("an upstream that answers each call with {status:d}")
+def refusing_upstream(context, status):
+    """Serve an upstream that claims in each answer that the request did not run."""
+
+    async def refuse(exchange):
+        request_id = exchange.request.header("x-request-id")
+        exchange.extra_headers = (("x-request-id", request_id),)
+        body = b'{"verdict": "not_run"}'
+        content_type = ("content-type", "application/problem+json; charset=utf-8")
+        await exchange.respond(status, [content_type], body)
+
+    serve(context, refuse)
+    context.client = client(context)
+
+
+@when("a call to {target} is dispatched to it")
+def dispatch_call(context, target):
+    kind = UpstreamKind.ENGINE if target == "an engine" else UpstreamKind.SERVICE
+    context.events = []
+    plain = admission()
+    call_admission = replace(
+        plain, request=replace(plain.request, kind=kind), timeout_ms=5000
+    )
+    context.answer = Answer("r1", "account/model/k", 1, BUFFER_BYTES)
+    upstream = UpstreamSpec("e1", kind, "dc", context.address)
+    call = Call(call_admission, context.answer, upstream, CallStats(started_ms=0))
+    runner = CallRunner(context.client, context.events.append)
+    run(context, runner.dispatch(call, Policy()))
+
+
+@then("the call has ended as {verdict} and its answer has status {status:d}")
+def ended_with_status(context, verdict, status):
+    ended(context, verdict)
+    assert context.answer.status_code == status, context.answer.status_code
+
+
+@then("its answer is not of the type of our refusals")
+def is_no_problem(context):
+    types = [field.value for field in context.answer.headers]
+    assert types == ["application/json"], types
--- a/features/steps/own_verdicts_steps.py
+++ b/features/steps/own_verdicts_steps.py
@@ -7,6 +7,7 @@
 
 from peridotfront.answers import Answer
 from peridotfront.core.fleet import AccountSpec, UpstreamKind
+from peridotfront.core.messages import Outcome
 from peridotfront.core.requests import Request
 from peridotfront.core.verdicts import Reason, Refusal, Verdict
 from peridotfront.metrics import Metrics
@@ -15,10 +16,11 @@
 
 RETRY_MS = 1200
 REQUEST = b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-REQUEST += b"Content-Length: 2\r\n\r\n{}"
+LENGTH = b"Content-Length: 2\r\n\r\n{}"
 
 
 def admit(request, request_id):
+    is_stream = request.header("x-stream") == "1"
     admitted = Request(
         request_id=request_id,
         key="",
@@ -36,7 +38,7 @@
     )
     account = AccountSpec("a", "0" * 64)
     path, kind = "/v1/completions", "application/json"
-    return Admission(admitted, account, "POST", path, kind, b"{}", False)
+    return Admission(admitted, account, "POST", path, kind, b"{}", is_stream)
 
 
 def new_answer(admission):
@@ -77,7 +79,7 @@
 
 @when("a caller sends a completion")
 def send_completion(context):
-    raw = run(context, send_and_receive(context.address, REQUEST))
+    raw = run(context, send_and_receive(context.address, REQUEST + LENGTH))
     context.reply = parse_problem(raw)
 
 
@@ -86,3 +88,29 @@
     reply = context.reply
     assert (reply.status_code, reply.content["verdict"]) == (status, verdict), reply
     assert reply.content["status"] == status and "retry-after: 2" in reply.head
+
+
+@given("an entry host whose recorded answers have status {status:d}")
+def recording_host(context, status):
+    def open_answer(admission, refused):
+        answer = new_answer(admission)
+        answer.start(status, ())
+        answer.end(Outcome(Verdict.COMPLETED, Reason.NONE, status))
+        return answer
+
+    serve_requests(context, open_answer)
+
+
+@when("a caller sends a completion for {manner}")
+def send_completion_for(context, manner):
+    wish = b"X-Stream: %d\r\n" % (manner == "a stream")
+    raw = run(context, send_and_receive(context.address, REQUEST + wish + LENGTH))
+    context.raw_answer = raw
+
+
+@then("the recorded answer is withheld as may_have_run")
+def check_withheld(context):
+    reply = parse_problem(context.raw_answer)
+    assert reply.status_code == 502, reply
+    assert reply.content["verdict"] == "may_have_run", reply
+    assert "retry-after" not in reply.head, reply
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -22,9 +22,11 @@
     InvalidRequest,
     UpstreamDied,
     UpstreamError,
+    UpstreamRefused,
     UpstreamTimedOut,
 )
 from .http_messages import REQUEST_ID_HEADER, is_event_stream
+from .problems import PROBLEM_TYPE, PROMISE_STATUSES
 from .prompts import fingerprint
 from .request_validator import Admission
 
@@ -34,6 +36,7 @@
 TAIL_BYTES = 512
 MAX_RESUMES = 3
 PROGRESS_INTERVAL_MS = 200
+JSON_TYPE = "application/json"
 FORWARDED_HEADERS = ("content-type", "cache-control", "location", "etag")
 ENGINE_TIMEOUTS = UpstreamTimeouts(
     connect_ms=1000, first_byte_ms=60_000, between_bytes_ms=10_000
@@ -135,6 +138,7 @@
     async def _run(self, call: Call, policy: Policy, connect: Any) -> None:
         try:
             answer = await connect(call)
+            _check_promise(answer, call.upstream.address)
             await self._pump(call, answer, policy)
             outcome = self._build_outcome(call, policy)
             cause = ReleaseCause.COMPLETED
@@ -144,6 +148,7 @@
         except UpstreamError as error:
             cause = _release_cause(error)
             outcome = Outcome(error.verdict, _outcome_reason(error))
+            _log_failure(call, cause, error)
         except InvalidRequest as error:
             cause = ReleaseCause.NOT_SENT
             outcome = Outcome(error.verdict, error.reason)
@@ -293,7 +298,35 @@
     return int(matches[-1]) if matches else default
 
 
+def _check_promise(answer: UpstreamAnswer, address: str) -> None:
+    """Refuse an answer whose status is a promise of ours.
+
+    Upstreams do not prove that they have not executed a request.
+
+    :raises UpstreamRefused: if callers would take the status for a promise.
+    """
+    if answer.status_code in PROMISE_STATUSES:
+        answer.cancel()
+        raise UpstreamRefused(answer.status_code, address)
+
+
+def _log_failure(call: Call, cause: ReleaseCause, error: UpstreamError) -> None:
+    logs.write_rate_limited(
+        "send_failed",
+        upstream=call.upstream.name,
+        address=call.upstream.address,
+        cause=cause,
+        detail=f"{type(error).__name__}: {error}",
+        verdict=error.verdict,
+        events=call.stats.produced_tokens,
+        duration_ms=_now_ms() - call.stats.started_ms,
+    )
+
+
 def _release_cause(error: UpstreamError) -> ReleaseCause:
+    if isinstance(error, UpstreamRefused):
+        is_failure = error.status_code >= HTTPStatus.INTERNAL_SERVER_ERROR
+        return ReleaseCause.UPSTREAM_ERROR if is_failure else ReleaseCause.COMPLETED
     if isinstance(error, ConnectFailed):
         return ReleaseCause.UNREACHABLE
     if isinstance(error, UpstreamDied | AnswerTruncated):
@@ -310,7 +343,16 @@
 
 
 def _forwarded_headers(headers: tuple) -> tuple[Header, ...]:
-    return tuple([Header(n, v) for n, v in headers if n in FORWARDED_HEADERS])
+    forwarded = [Header(n, v) for n, v in headers if n in FORWARDED_HEADERS]
+    return tuple([_without_problem_type(header) for header in forwarded])
+
+
+def _without_problem_type(header: Header) -> Header:
+    """Return a header field that does not make an answer look like our refusal."""
+    is_type = header.name == "content-type"
+    if is_type and header.value.strip().lower().startswith(PROBLEM_TYPE):
+        return Header(header.name, JSON_TYPE)
+    return header
 
 
 def _service_headers(admission: Admission) -> list[tuple[str, str]]:
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -96,6 +96,17 @@
     """Answer that is not valid HTTP, or violates the API's contract."""
 
 
+class UpstreamRefused(UpstreamError):
+    """Answer whose status promises that the request did not run, without proof.
+
+    :param status_code: HTTP status of the answer.
+    """
+
+    def __init__(self, status_code: int, address: str = ""):
+        super().__init__(f"the upstream answered {status_code}", address)
+        self.status_code = status_code
+
+
 class NotLeader(PeridotfrontError):
     """Request to a control host that cannot act as the leader.
 
--- a/src/peridotfront/problems.py
+++ b/src/peridotfront/problems.py
@@ -18,6 +18,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+PROBLEM_TYPE = "application/problem+json"
 TIMEOUT_REASONS = (Reason.UPSTREAM_TIMEOUT, Reason.DEADLINE)
 
 
@@ -74,7 +75,7 @@
         "retry_after_ms": refusal.retry_after_ms,
         "detail": refusal.detail,
     }
-    headers = [Header("content-type", "application/problem+json")]
+    headers = [Header("content-type", PROBLEM_TYPE)]
     if refusal.retry_after_ms > 0:
         retry_after_s = math.ceil(refusal.retry_after_ms / 1000)
         headers.append(Header("retry-after", str(retry_after_s)))
--- a/src/peridotfront/request_handler.py
+++ b/src/peridotfront/request_handler.py
@@ -16,7 +16,7 @@
 from .http_messages import REQUEST_ID_HEADER
 from .http_server import Exchange
 from .metrics import Metrics
-from .problems import problem, status_code_of
+from .problems import PROMISE_STATUSES, problem, status_code_of
 from .request_validator import Admission, RequestValidator
 from .runtime import new_request_id, now_ms
 
@@ -121,7 +121,9 @@
     ) -> None:
         started_ms = now_ms()
         await answer.wait_started()
-        if answer.is_started and admission.is_stream:
+        if answer.status_code in PROMISE_STATUSES:
+            outcome = await self._withhold(exchange, admission, answer)
+        elif answer.is_started and admission.is_stream:
             outcome = await self._stream(exchange, admission, answer)
         else:
             outcome = await self._respond(exchange, admission, answer)
@@ -136,6 +138,19 @@
             duration_ms=now_ms() - started_ms,
         )
 
+    async def _withhold(
+        self, exchange: Exchange, admission: Admission, answer: Answer
+    ) -> Outcome:
+        """Refuse in place of an upstream's promise, for which there is no proof.
+
+        Hosts of earlier versions record and hand over such answers.
+        """
+        refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_ERROR)
+        status_code = status_code_of(refusal, STATUS_BY_REASON)
+        request_id = admission.request.request_id
+        await _refuse(exchange, status_code, refusal, request_id)
+        return Outcome(refusal.verdict, refusal.reason)
+
     async def _stream(
         self, exchange: Exchange, admission: Admission, answer: Answer
     ) -> Outcome:
