Give each key lookup its own id

What callers saw: a request with a key that had waited could be refused as not_run although another attempt with its key was running at another host.

Cause: a request looks its key up after 250 ms in the queue and again before it is refused, both times under the request's id. A lookup is sent again until it is answered, and each copy gets a reply. A late second reply to the first lookup ("free") answered the second one, whose purpose is to learn what has run since.

Change: each lookup has its own id, as each claim of a placement has.

Evidence: "A late copy of the reply to an earlier key lookup is no proof for a refusal" failed before with SendRefusal(... not_run, overloaded) and passes now, with the rest of dispatch_verdicts, controller and claims.

--- a/features/dispatch_verdicts.feature
+++ b/features/dispatch_verdicts.feature
@@ -26,3 +26,8 @@
       | found nobody to send to | gets a slot whose lease has expired    | not_run      |
       | found nobody to send to | is not sent to its next upstream       | not_run      |
       | found nobody to send to | finds every later upstream unreachable | not_run      |
+
+  Scenario: A late copy of the reply to an earlier key lookup is no proof for a refusal
+    Given a request with a key that was looked up as free while it waited
+    When every cell refuses it and a late copy of that reply arrives
+    Then it is not refused, and its next lookup finds the request that runs
--- a/features/steps/dispatch_verdicts_steps.py
+++ b/features/steps/dispatch_verdicts_steps.py
@@ -2,16 +2,34 @@
 
 from behave import given, then, when
 
-from peridotfront.core.actions import Received, Tick
+from peridotfront.core.actions import Received, Send, Tick
+from peridotfront.core.claim_client import (
+    ClaimClient,
+    KeyLookupFailed,
+    KeyLookupResult,
+    LookUpKey,
+)
 from peridotfront.core.dispatcher import Dispatcher
 from peridotfront.core.dispatcher_events import (
     Dispatch,
     DispatchEnded,
+    FollowAnswer,
     RequestArrived,
     SendRefusal,
 )
 from peridotfront.core.fleet import UpstreamKind
-from peridotfront.core.messages import Grant, Outcome, ReleaseCause, SlotRefusal
+from peridotfront.core.messages import (
+    Claim,
+    ClaimReply,
+    ClaimStatus,
+    Grant,
+    Heartbeat,
+    KeyQuery,
+    KeyReply,
+    Outcome,
+    ReleaseCause,
+    SlotRefusal,
+)
 from peridotfront.core.requests import Request
 from peridotfront.core.verdicts import Reason, Verdict
 
@@ -26,14 +44,19 @@
 class DispatcherWorld:
     """A dispatcher with one request and the actions that it has yielded."""
 
-    def __init__(self):
+    def __init__(self, key=""):
+        self.claim_client = ClaimClient("e1", 1)
         self.cells = [CELL]
         self.actions = []
         self.now_ms = 0
         self.dispatcher = Dispatcher("e1", 1, self._choose_cell, lambda cell: "e2")
-        request = Request(
-            request_id="r1",
-            key="",
+        self.feed(RequestArrived(self.new_request("r1", key)))
+
+    @staticmethod
+    def new_request(request_id, key, attempt=1):
+        return Request(
+            request_id=request_id,
+            key=key,
             fingerprint=1,
             client_account="a",
             tier=1,
@@ -46,14 +69,35 @@
             deadline_ms=DEADLINE_MS,
             is_idempotent=True,
             is_repeatable=True,
+            attempt=attempt,
         )
-        self.feed(RequestArrived(request))
 
     def _choose_cell(self, request, excluded):
         return next((cell for cell in self.cells if cell not in excluded), "")
 
     def feed(self, event):
-        self.actions += self.dispatcher.handle(event, self.now_ms)
+        for action in self.dispatcher.handle(event, self.now_ms):
+            self.actions.append(action)
+            if isinstance(action, LookUpKey):
+                self.feed_claim_client(action)
+
+    def feed_claim_client(self, event):
+        for action in self.claim_client.handle(event, self.now_ms):
+            self.actions.append(action)
+            if isinstance(action, (KeyLookupResult, KeyLookupFailed)):
+                self.feed(action)
+
+    def know_leader(self):
+        heartbeat = Heartbeat("dc", "control", 1, 1, False, "c1", 1)
+        self.feed_claim_client(Received("c1", 1, heartbeat))
+
+    def queries(self):
+        sent = [one.message for one in self.actions if isinstance(one, Send)]
+        return [message for message in sent if isinstance(message, KeyQuery)]
+
+    def reply_to(self, query, status, claim=None):
+        reply = ClaimReply(query.request_id, query.key, status, claim)
+        self.feed_claim_client(Received("c1", 1, KeyReply(reply)))
 
     def receive(self, message):
         self.feed(Received("e2", 1, message))
@@ -127,3 +171,57 @@
     actions = context.world.actions
     refusals = [action for action in actions if isinstance(action, SendRefusal)]
     assert [one.refusal.verdict.value for one in refusals] == [verdict], refusals
+
+
+def keyed_world(*, has_leader):
+    """Return a world whose request with a key has waited until its first lookup."""
+    world = DispatcherWorld(key="k")
+    if has_leader:
+        world.know_leader()
+    else:
+        world.claim_client.has_known_leader(-10_000)
+    world.now_ms = 300
+    world.feed(Tick())
+    return world
+
+
+@given("a request with a key that was looked up as free while it waited")
+def looked_up_request(context):
+    context.world = keyed_world(has_leader=True)
+    (context.first_query,) = context.world.queries()
+    context.world.reply_to(context.first_query, ClaimStatus.FREE)
+
+
+@given("a request with a key whose lookup failed while it waited")
+def request_without_lookup(context):
+    context.world = keyed_world(has_leader=False)
+    assert not context.world.queries()
+
+
+@when("every cell refuses it and a late copy of that reply arrives")
+def refuse_with_late_reply(context):
+    context.world.refuse(Reason.OVERLOADED)
+    context.world.reply_to(context.first_query, ClaimStatus.FREE)
+
+
+@when("the control group is back and every cell refuses it")
+def refuse_with_leader(context):
+    context.world.know_leader()
+    context.world.refuse(Reason.OVERLOADED)
+
+
+@when("a second attempt with the key joins it and every cell refuses it")
+def refuse_joined(context):
+    world = context.world
+    world.feed(RequestArrived(world.new_request("r2", "k", attempt=2)))
+    world.refuse(Reason.OVERLOADED)
+
+
+@then("it is not refused, and its next lookup finds the request that runs")
+def finds_running_request(context):
+    world = context.world
+    refusals = [action for action in world.actions if isinstance(action, SendRefusal)]
+    assert not refusals, refusals
+    running = Claim("k", 1, 1, "e3", 1, "g1", False)
+    world.reply_to(world.queries()[-1], ClaimStatus.HELD, running)
+    assert world.actions[-1] == FollowAnswer("r1", "k", "e3"), world.actions[-1]
--- a/src/peridotfront/core/claim_client.py
+++ b/src/peridotfront/core/claim_client.py
@@ -85,7 +85,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LookUpKey:
-    """Event: look up the key of a new request, which may already be in use."""
+    """Event: look up the key of a new request, which may already be in use.
+
+    :param request_id: id of this lookup, new for each lookup of a request.
+    """
 
     request_id: str
     key: str
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -72,7 +72,7 @@
 UNREACHABLE_RETRY_MS = 500
 CLAIMS_FULL_RETRY_MS = 5000
 MAX_PLACEMENTS = 3
-CLAIM_ID_SEPARATOR = "."
+ID_SEPARATOR = "."
 
 CellChooser = Callable[[Request, frozenset[str]], str]
 SchedulerLookup = Callable[[str], str]
@@ -230,7 +230,7 @@
 
     @_handle.register
     def _(self, event: KeyLookupResult, now_ms: int) -> Iterator[Any]:
-        active = self.active_requests.get(event.request_id)
+        active = self.active_requests.get(_parse_request_id(event.request_id))
         if active is None:
             return
         active.key_state = KeyState.FREE
@@ -246,7 +246,7 @@
 
     @_handle.register
     def _(self, event: KeyLookupFailed, now_ms: int) -> Iterator[Any]:
-        active = self.active_requests.get(event.request_id)
+        active = self.active_requests.get(_parse_request_id(event.request_id))
         if active is None:
             return
         active.key_state = KeyState.UNKNOWN
@@ -419,7 +419,7 @@
     def _acquire_claim(active: ActiveRequest, claim: Claim) -> AcquireClaim:
         # Each placement needs its own id, or it would get the previous outcome.
         parts = (active.request.request_id, str(active.placements), str(claim.epoch))
-        return AcquireClaim(ClaimRequest(CLAIM_ID_SEPARATOR.join(parts), claim))
+        return AcquireClaim(ClaimRequest(ID_SEPARATOR.join(parts), claim))
 
     def _handle_claim_reply(
         self, active: ActiveRequest, reply: ClaimReply, now_ms: int
@@ -614,8 +614,12 @@
 
     def _look_up_key(self, active: ActiveRequest) -> LookUpKey:
         active.key_state = KeyState.ASKED
+        active.lookups += 1
         request = active.request
-        return LookUpKey(request.request_id, request.key, request.fingerprint)
+        # Each lookup needs its own id, or a late reply to an earlier one, which says
+        # nothing of what has run since, would answer it.
+        lookup_id = f"{request.request_id}{ID_SEPARATOR}{active.lookups}"
+        return LookUpKey(lookup_id, request.key, request.fingerprint)
 
     def _refuse_now(self, active: ActiveRequest, refusal: Refusal) -> Iterator[Any]:
         is_repeat = active.request.key and active.request.attempt > 1
@@ -633,8 +637,8 @@
             del self._request_ids_by_key[active.request.key]
 
 
-def _parse_request_id(claim_request_id: str) -> str:
-    return claim_request_id.partition(CLAIM_ID_SEPARATOR)[0]
+def _parse_request_id(message_id: str) -> str:
+    return message_id.partition(ID_SEPARATOR)[0]
 
 
 def _is_key_free(reply: ClaimReply) -> bool:
--- a/src/peridotfront/core/dispatcher_events.py
+++ b/src/peridotfront/core/dispatcher_events.py
@@ -197,5 +197,6 @@
     refusals: dict[str, SlotRefusal] = field(default_factory=dict)
     visited: set[str] = field(default_factory=set)
     key_state: KeyState = KeyState.UNUSED
+    lookups: int = 0
     refusal: Refusal | None = None
     retry_at_ms: int = 0
