Look a key up again before a refusal when its first lookup failed

What callers saw: a request with a key whose lookup at 250 ms got no answer, such as during an election, was refused as not_run up to its whole deadline later without another lookup, also when the control group had been back for seconds and another attempt was running.

Cause: KeyState.UNKNOWN was final for a request.

Change: only a request that has a lookup on its way is refused without a new one. After a claim without an answer it is refused at once as before, since the control group has just been asked for its whole timeout. Without a leader the lookup fails at once as before.

--- a/features/dispatch_verdicts.feature
+++ b/features/dispatch_verdicts.feature
@@ -31,3 +31,8 @@
     Given a request with a key that was looked up as free while it waited
     When every cell refuses it and a late copy of that reply arrives
     Then it is not refused, and its next lookup finds the request that runs
+
+  Scenario: A request whose key lookup failed looks its key up again before its refusal
+    Given a request with a key whose lookup failed while it waited
+    When the control group is back and every cell refuses it
+    Then it is not refused, and its next lookup finds the request that runs
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -275,7 +275,7 @@
             yield self._send_unsent_release(active)
         active.key_state = KeyState.UNKNOWN
         refusal = Refusal(verdict, Reason.NO_QUORUM, QUORUM_RETRY_MS)
-        yield from self._refuse(active, refusal)
+        yield from self._refuse_now(active, refusal)
 
     # -- placement ---------------------------------------------------------
 
@@ -604,10 +604,10 @@
     def _refuse(self, active: ActiveRequest, refusal: Refusal) -> Iterator[Any]:
         active.state = RequestState.REFUSING
         active.refusal = refusal
-        needs_key_lookup = active.key_state in (KeyState.UNASKED, KeyState.FREE)
-        if needs_key_lookup and refusal.verdict is Verdict.NOT_RUN:
-            # Another attempt may have been executed since a lookup found the key free,
-            # or before the first lookup.
+        can_look_up = active.key_state not in (KeyState.UNUSED, KeyState.ASKED)
+        if can_look_up and refusal.verdict is Verdict.NOT_RUN:
+            # Another attempt may have been executed since the last lookup, or before
+            # the first one.
             yield self._look_up_key(active)
         elif active.key_state is not KeyState.ASKED:
             yield from self._refuse_now(active, refusal)
