Refuse a repeat that joined a first attempt as a repeat

What callers saw: without a control group, a request that was marked as a repeat was refused as not_run (503), although an earlier attempt may have run through another host, if it had joined a request with the same key at its host that was marked as the first attempt.

Cause: a joined request gets the refusal of the leading one, and only the attempt of the leading one decided whether not_run may be said without a lookup.

Change: the leading request takes over the higher attempt number.

Evidence: "A repeat that joins a first attempt is not refused as not run without a lookup" failed before with SendRefusal('r1', ... not_run, overloaded) and passes now.

--- a/features/dispatch_verdicts.feature
+++ b/features/dispatch_verdicts.feature
@@ -36,3 +36,8 @@
     Given a request with a key whose lookup failed while it waited
     When the control group is back and every cell refuses it
     Then it is not refused, and its next lookup finds the request that runs
+
+  Scenario: A repeat that joins a first attempt is not refused as not run without a lookup
+    Given a request with a key whose lookup failed while it waited
+    When a second attempt with the key joins it and every cell refuses it
+    Then the request is refused as may_have_run
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -581,6 +581,9 @@
             refusal = Refusal(Verdict.NOT_RUN, Reason.KEY_REUSED)
             yield SendRefusal(request.request_id, refusal)
             return
+        # The joined request gets the same refusal, so that it must hold for a repeat.
+        attempt = max(request.attempt, leading_request.request.attempt)
+        leading_request.request = replace(leading_request.request, attempt=attempt)
         yield Log("request_joined", (("request_id", request.request_id),))
         yield Coalesce(request.request_id, leading_request.request.request_id)
 
