End a call that is cancelled before its task has begun

What callers saw: a request that was preempted, or whose caller left, in the same iteration of the loop in which it was dispatched (a Grant and a Preempt in one frame) never ended. Its slot stayed held and a caller waited until its own limit; with a key the claim stayed open.

Cause: a task that is cancelled before its first step never runs, and the handler that reports the end of the call is inside it.

Change: the cancellation itself reports the end then. No byte can have been sent, so the verdict is not_run; a resumed call was sent by another host and stays may_have_run.

--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -85,6 +85,8 @@
 class Call:
     """One dispatch of a request to an upstream.
 
+    :param is_resumed: whether another host has sent the request.
+    :param is_started: whether the task of the call has begun to run.
     :param cancel_cause: release cause if the call is cancelled, else None.
     :param events: parser of the answer if it is a stream of events, else None.
     :param body: copy of the answer's body if the request has an idempotency key.
@@ -94,6 +96,8 @@
     answer: Answer
     upstream: UpstreamSpec
     stats: CallStats
+    is_resumed: bool = False
+    is_started: bool = False
     cancel_cause: ReleaseCause | None = None
     events: ServerSentEventParser | None = None
     body: bytearray = field(default_factory=bytearray)
@@ -269,7 +273,9 @@
         ReleaseCause.CALLER_GONE: Reason.CALLER_GONE,
     }
     reason = reasons.get(cause, Reason.UPSTREAM_ERROR)
-    return _build_dispatch_ended(call, cause, Outcome(Verdict.MAY_HAVE_RUN, reason))
+    is_unsent = not (call.is_started or call.is_resumed)
+    verdict = Verdict.NOT_RUN if is_unsent else Verdict.MAY_HAVE_RUN
+    return _build_dispatch_ended(call, cause, Outcome(verdict, reason))
 
 
 def _now_ms() -> int:
--- a/src/peridotfront/entry_server.py
+++ b/src/peridotfront/entry_server.py
@@ -183,6 +183,7 @@
             return
         logs.write("claim_taken_over", request_id=action.request_id)
         call = self._new_call(admission, upstream)
+        call.is_resumed = True
         self._start_call(call, self._call_runner.resume)
 
     @_run.register
@@ -193,6 +194,11 @@
             return
         call.cancel_cause = action.cause
         task.cancel()
+        if not call.is_started:
+            # A task that is cancelled before its first step never runs, so that it
+            # can't report the end.
+            self._forget_call(call)
+            self.feed(build_early_end(call, action.cause))
 
     @_run.register
     def _(self, action: Coalesce) -> None:
@@ -248,8 +254,8 @@
         self._call_tasks[request_id] = task
 
     async def _run_call(self, call: Call, method: Callable) -> None:
-        request_id = call.admission.request.request_id
-        with logs.request_context(request_id):
+        call.is_started = True
+        with logs.request_context(call.admission.request.request_id):
             try:
                 await method(call, self.role.fleet.policy)
             except asyncio.CancelledError:
@@ -258,12 +264,16 @@
                 self.feed(build_early_end(call, call.cancel_cause))
                 await self._call_runner.cancel(call)
             finally:
-                if self._calls.get(request_id) is call:
-                    del self._calls[request_id]
-                    del self._call_tasks[request_id]
+                self._forget_call(call)
                 if call.answer.outcome is not None:
                     self._close(call.answer)
 
+    def _forget_call(self, call: Call) -> None:
+        request_id = call.admission.request.request_id
+        if self._calls.get(request_id) is call:
+            del self._calls[request_id]
+            del self._call_tasks[request_id]
+
     def _end_not_sent(self, request_id: str) -> None:
         outcome = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
         self.feed(DispatchEnded(request_id, ReleaseCause.NOT_SENT, outcome))
