Say not_run of no request that is forgotten

What callers saw: none is known to have seen it. An answer that was still open when the dispatcher forgot its request ended as not_run, whatever had happened to the request: after a hand-over of a completed answer without a status it would have been a 503.

Cause: RequestClosed ends the answer with a verdict that nobody has proved.

Change: it ends as may_have_run, which claims nothing.

Evidence: "A request that is forgotten is not said to be not run" failed before with Outcome(not_run, caller_gone) and passes now, with the rest of entry_calls and calls.

--- a/features/entry_calls.feature
+++ b/features/entry_calls.feature
@@ -14,3 +14,8 @@
       | dispatched | after it has been sent | preempted   | may_have_run | 1        |
       | dispatched | after it has been sent | caller_gone | may_have_run | 1        |
       | resumed    | at once                | preempted   | may_have_run | 0        |
+
+  Scenario: A request that is forgotten is not said to be not run
+    Given an entry server with a scripted role and a silent upstream
+    When a request is dispatched and its role forgets it
+    Then its answer has ended as may_have_run
--- a/src/peridotfront/entry_server.py
+++ b/src/peridotfront/entry_server.py
@@ -233,7 +233,8 @@
     def _(self, action: RequestClosed) -> None:
         answer = self.answers.get(action.request_id)
         if answer is not None:
-            answer.end(Outcome(Verdict.NOT_RUN, Reason.CALLER_GONE))
+            # Nothing is known here of whether the request was sent.
+            answer.end(Outcome(Verdict.MAY_HAVE_RUN, Reason.CALLER_GONE))
             self._close(answer)
 
     @_run.register
