Give each copy of an answer its own id

What callers saw: a repeat that followed its request at one host, gave up and followed it at another could be ended by a late chunk of the first copy. If that said not_run, the caller got 503 while the request ran at the second host; "not known" made it take the claim over.

Cause: a chunk was matched by the id of the caller's request alone, not by sender or copy, and messages of a stream that has been replaced arrive late.

Change: each copy has its own id, which the holder repeats in its chunks.

--- a/features/attachments.feature
+++ b/features/attachments.feature
@@ -18,3 +18,13 @@
     Given a holder without the answer
     When another host fetches it while chunks are in time
     Then the copy is abandoned
+
+  Scenario Outline: A late chunk for an earlier copy does not end a later one: it is from <sender>
+    Given a request whose copy from one host was abandoned
+    When it is copied from another host and a late chunk of <sender> says not_run
+    Then the copy ends with what the answer's holder says
+
+    Examples:
+      | sender          |
+      | the first host  |
+      | the second host |
--- a/features/steps/attachments_steps.py
+++ b/features/steps/attachments_steps.py
@@ -7,11 +7,12 @@
 
 from peridotfront.answers import Answer, AnswerStore
 from peridotfront.attachments import Attachments
-from peridotfront.core.messages import Header, Outcome
+from peridotfront.core.messages import AnswerChunk, Header, Outcome
 from peridotfront.core.verdicts import Reason, Verdict
 
 KEY = "account/model/k1"
 OUTCOME = Outcome(Verdict.COMPLETED, Reason.NONE, 200)
+NOT_RUN = Outcome(Verdict.NOT_RUN, Reason.DEADLINE)
 BUFFER_BYTES = 10_000_000
 LATE_S = 0.05
 TIMEOUT_S = 30
@@ -92,3 +93,49 @@
 def copy_is_abandoned(context):
     assert context.ended.outcome is None
     assert context.copy.outcome is None
+
+
+@given("a request whose copy from one host was abandoned")
+def abandoned_copy(context):
+    """Nothing to do: both copies are made in the next step."""
+
+
+@when("it is copied from another host and a late chunk of {sender} says not_run")
+def copy_with_late_chunk(context, sender):
+    host = {"the first host": "h1", "the second host": "h2"}[sender]
+    context.ends = asyncio.run(asyncio.wait_for(copy_twice(host), TIMEOUT_S))
+
+
+async def copy_twice(late_sender):
+    requests = asyncio.Queue()
+    ends = asyncio.Queue()
+    follower = Attachments(
+        AnswerStore(),
+        lambda host, message: requests.put_nowait(message),
+        ends.put_nowait,
+    )
+
+    def reply(sender, request, outcome, is_known=True):
+        status_code = outcome.status_code if outcome else 0
+        chunk = AnswerChunk(
+            request.request_id, KEY, 0, b"", is_known, outcome, status_code
+        )
+        follower.on_message(sender, chunk)
+
+    copy = Answer("r2", KEY, 1, BUFFER_BYTES)
+    follower.follow(copy, KEY, "h1" if late_sender == "h1" else "h2")
+    first_request = await requests.get()
+    reply(late_sender, first_request, None, is_known=False)
+    first_end = await ends.get()
+    follower.follow(copy, KEY, "h2")
+    second_request = await requests.get()
+    reply(late_sender, first_request, NOT_RUN)
+    reply("h2", second_request, OUTCOME)
+    second_end = await ends.get()
+    await follower.stop()
+    return [first_end.outcome, second_end.outcome]
+
+
+@then("the copy ends with what the answer's holder says")
+def copy_ends_as_holder_says(context):
+    assert context.ends == [None, OUTCOME], context.ends
--- a/src/peridotfront/attachments.py
+++ b/src/peridotfront/attachments.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import count
 from typing import Any
 
 from .answers import Answer, AnswerStore
@@ -37,6 +38,7 @@
         self._feed = feed
         self._tasks = BackgroundTasks()
         self._reply_queues: dict[str, asyncio.Queue[AnswerChunk]] = {}
+        self._copy_numbers = count(1)
 
     def on_message(self, sender: str, message: Any) -> None:
         """Handle a request for a chunk, or a chunk that this host has requested."""
@@ -88,21 +90,29 @@
 
     async def _follow(self, answer: Answer, key: str, holder_host: str) -> None:
         queue: asyncio.Queue[AnswerChunk] = asyncio.Queue()
-        self._reply_queues[answer.request_id] = queue
+        # A request may copy several answers in turn. Each copy needs its own id, or a
+        # late chunk for an earlier one would be taken for a chunk of this one.
+        copy_id = f"{answer.request_id}.{next(self._copy_numbers)}"
+        self._reply_queues[copy_id] = queue
         try:
-            outcome = await self._copy(answer, key, holder_host, queue)
+            outcome = await self._copy(copy_id, answer, key, holder_host, queue)
         finally:
-            del self._reply_queues[answer.request_id]
+            del self._reply_queues[copy_id]
         if outcome is not None and outcome.status_code:
             answer.end(outcome)
         self._feed(FollowedAnswerEnded(answer.request_id, outcome))
 
     async def _copy(
-        self, answer: Answer, key: str, holder_host: str, queue: asyncio.Queue
+        self,
+        copy_id: str,
+        answer: Answer,
+        key: str,
+        holder_host: str,
+        queue: asyncio.Queue,
     ) -> Outcome | None:
         missed_replies = 0
         while missed_replies < MAX_REPLY_TIMEOUTS:
-            request = AttachRequest(answer.request_id, key, answer.size_bytes)
+            request = AttachRequest(copy_id, key, answer.size_bytes)
             self._send(holder_host, request)
             chunk = await _wait_for_reply(queue)
             if chunk is None:
