Refuse no request as not run after it took a claim over

What callers saw: none is known to have seen it. A request that takes over the claim of a lost host resumes an answer that the lost host may have asked for. If the resumption ended as not_run (not sent, unreachable, preempted before its first byte), that verdict was about the resumption, but it was sent to the caller as that of the request. The claims table already corrects such an outcome; the caller's answer did not go through it.

Change: a granted takeover sets may_have_run.

--- a/features/dispatch_verdicts.feature
+++ b/features/dispatch_verdicts.feature
@@ -41,3 +41,14 @@
     Given a request with a key whose lookup failed while it waited
     When a second attempt with the key joins it and every cell refuses it
     Then the request is refused as may_have_run
+
+  Scenario Outline: A request that took a claim over is not refused as not run when its resumption <end>
+    Given a request with a key that took over the claim of a lost host
+    When its resumption <end>
+    Then the request is refused as may_have_run
+
+    Examples:
+      | end                      |
+      | is not sent              |
+      | finds its engine gone    |
+      | is preempted before send |
--- a/features/steps/dispatch_verdicts_steps.py
+++ b/features/steps/dispatch_verdicts_steps.py
@@ -1,10 +1,14 @@
 """Steps that dispatch one request, let it fail and end it in each possible way."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from peridotfront.core.actions import Received, Send, Tick
 from peridotfront.core.claim_client import (
+    AcquireClaim,
     ClaimClient,
+    ClaimResolved,
     KeyLookupFailed,
     KeyLookupResult,
     LookUpKey,
@@ -14,7 +18,9 @@
     Dispatch,
     DispatchEnded,
     FollowAnswer,
+    FollowedAnswerEnded,
     RequestArrived,
+    ResumeAnswer,
     SendRefusal,
 )
 from peridotfront.core.fleet import UpstreamKind
@@ -225,3 +231,30 @@
     running = Claim("k", 1, 1, "e3", 1, "g1", False)
     world.reply_to(world.queries()[-1], ClaimStatus.HELD, running)
     assert world.actions[-1] == FollowAnswer("r1", "k", "e3"), world.actions[-1]
+
+
+RESUMPTION_ENDS = {
+    "is not sent": (ReleaseCause.NOT_SENT, Reason.INVALID_REQUEST),
+    "finds its engine gone": (ReleaseCause.UNREACHABLE, Reason.UPSTREAM_DIED),
+    "is preempted before send": (ReleaseCause.PREEMPTED, Reason.PREEMPTED),
+}
+
+
+@given("a request with a key that took over the claim of a lost host")
+def taken_over_request(context):
+    world = context.world = keyed_world(has_leader=True)
+    held = Claim("k", 1, 1, "e3", 1, "g1", False)
+    world.reply_to(world.queries()[-1], ClaimStatus.HELD, held)
+    world.feed(FollowedAnswerEnded("r1", None))
+    (acquire,) = [one for one in world.actions if isinstance(one, AcquireClaim)]
+    resumed = replace(acquire.request.claim, is_resume_only=True)
+    request_id = acquire.request.request_id
+    reply = ClaimReply(request_id, "k", ClaimStatus.GRANTED, resumed)
+    world.feed(ClaimResolved(request_id, reply))
+    assert world.actions[-1] == ResumeAnswer("r1", "g1"), world.actions[-1]
+
+
+@when("its resumption {end}")
+def end_resumption(context, end):
+    cause, reason = RESUMPTION_ENDS[end]
+    context.world.end(cause, Outcome(Verdict.NOT_RUN, reason))
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -499,6 +499,8 @@
             yield from self._follow_existing_claim(active, reply, now_ms)
             return
         active.epoch = reply.claim.epoch
+        # The lost holder may have sent it, however its resumption ends.
+        active.may_have_run = True
         active.state = RequestState.RUNNING
         active.sent_ms = now_ms
         yield ResumeAnswer(active.request.request_id, reply.claim.upstream)
--- a/src/peridotfront/core/dispatcher_events.py
+++ b/src/peridotfront/core/dispatcher_events.py
@@ -168,8 +168,8 @@
 
     :param epoch: epoch of the claim under which the request runs; 0 without a claim.
     :param lease_until_ms: time until which the granted slot may be used.
-    :param may_have_run: whether an earlier dispatch ended without proof that the
-        request was not executed.
+    :param may_have_run: whether an earlier dispatch, here or at a lost host, ended
+        without proof that the request was not executed.
     :param refusals: refusals received, by cell.
     :param visited: cells that did not grant a slot in time.
     :param key_state: state of the lookup of the key in the control group.
