Neither send nor promise anything of an attempt that is in progress

What callers saw on the routed path: an attempt whose id arrived again while its first arrival was in progress was sent a second time, under the slot of the first, if both came to one host. If the leader knew the id from another host, the second arrival got 503 with not_run, although the first one held a slot and may have been running.

Cause: the ids of slot requests are made of the caller's X-Attempt-Id. The leader answers a slot request whose id already holds a slot with that grant (the same host) or refuses it as in_progress (another host). Nobody concluded from either that the request was in progress; two waits for one id also overwrote each other in GatewayServer.

Change: a host refuses an id that is in progress on it, and a refusal as in_progress counts as may_have_run: 502 in both cases. Ids that come back after their first arrival has ended, or at two hosts without a leader, are not recognised: there the platform's rule that each attempt has its own id is all that there is.

--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -64,20 +64,30 @@
 
     :param knows_versions: whether software versions are known to it.
     :param origins_known_after_ms: time after which it knows how streams began.
+    :param refusal_reason: reason for which it refuses all; None if it grants slots.
     """
 
     def __init__(
-        self, upstreams, table, *, knows_versions=True, origins_known_after_ms=0
+        self,
+        upstreams,
+        table,
+        *,
+        knows_versions=True,
+        origins_known_after_ms=0,
+        refusal_reason=None,
     ):
         self.upstreams = upstreams
         self.route_table = table
         self.knows_versions = knows_versions
         self.origins_known_s = time.monotonic() + origins_known_after_ms / 1000
+        self.refusal_reason = refusal_reason
         self.slot_requests = []
         self.events = []
 
     async def acquire_slot(self, slot_request):
         self.slot_requests.append(slot_request)
+        if self.refusal_reason is not None:
+            return self._refuse(slot_request, self.refusal_reason, 500)
         if slot_request.is_resumed and time.monotonic() < self.origins_known_s:
             return self._refuse(slot_request, "unknown_origin", 300)
         free = [u for u in self.upstreams if self._suits(u, slot_request)]
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -123,7 +123,7 @@
 
 
 class RequestRefused(PeridotfrontError):
-    """Request that is refused on arrival; it was not executed.
+    """Request that is refused on arrival, without being sent.
 
     :param status_code: HTTP status for the caller.
     :param refusal: refusal that the caller gets.
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -188,6 +188,8 @@
         if isinstance(answer, SlotGranted) and not _is_usable(slot_request, answer):
             answer = self._give_back(answer)
         if isinstance(answer, SlotRefused):
+            if answer.refusal.reason is Reason.IN_PROGRESS:
+                self._attempts.mark_held_elsewhere()
             self._log(
                 "slot_refused",
                 service=slot_request.cell,
