Dispatch no request again whose answer has begun

What callers saw: found by reading, not in a run of the programs. A call without a key to a method that may be repeated, whose service broke off within its answer, was sent to another one, and the second answer was written behind the part of the first: one complete answer with status 200 and the bytes of both.

Cause: the decision to dispatch again looked at the outcome only.

Change: DispatchEnded says whether a part of the answer was received; then the request ends as may_have_run (502, upstream_died).

Evidence: "A request whose answer has begun is not sent again ..." failed before with no refusal at all ([]: it was queued again), and the call's end said is_answer_begun=False after a truncated answer. Both pass now, with the rest of dispatch_verdicts and calls.

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -63,3 +63,14 @@
       | target    |
       | an engine |
       | a service |
+
+  Scenario Outline: The end of a call says whether its answer has begun: <trouble>
+    Given a fake engine that <trouble>
+    When a streamed completion is dispatched to it
+    Then its end says that the answer has begun: <has_begun>
+
+    Examples:
+      | trouble                                         | has_begun |
+      | closes before it answers                        | False     |
+      | can't be reached                                | False     |
+      | truncates its answer and can't be reached again | True      |
--- a/features/dispatch_verdicts.feature
+++ b/features/dispatch_verdicts.feature
@@ -52,3 +52,7 @@
       | is not sent              |
       | finds its engine gone    |
       | is preempted before send |
+
+  Scenario: A request whose answer has begun is not sent again, since the answers would be joined
+    Given a dispatcher with a request that was sent and died within its answer
+    Then the request is refused as may_have_run
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -10,6 +10,7 @@
 from peridotfront.calls import Call, CallRunner, CallStats
 from peridotfront.core.dispatcher_events import DispatchEnded
 from peridotfront.core.fleet import AccountSpec, Policy, UpstreamKind, UpstreamSpec
+from peridotfront.core.messages import Header as CoreHeader
 from peridotfront.core.requests import Request
 from peridotfront.exceptions import (
     AnswerTruncated,
@@ -211,3 +212,44 @@
 def is_no_problem(context):
     types = [field.value for field in context.answer.headers]
     assert types == ["application/json"], types
+
+
+@then("its end says that the answer has begun: {has_begun:w}")
+def says_begun(context, has_begun):
+    (end,) = [event for event in context.events if isinstance(event, DispatchEnded)]
+    assert str(end.is_answer_begun) == has_begun, end
+
+
+class ResumingClient:
+    """Engine client whose engine resumes the stream at any offset."""
+
+    async def resume(self, address, request_id, offset_bytes, **options):
+        return FakeAnswer(STREAM[offset_bytes:])
+
+
+@given("an engine that resumes an answer")
+def resuming_engine(context):
+    context.client = ResumingClient()
+
+
+@when("a stream of which {size:d} bytes were copied is resumed at it")
+def resume_copied(context, size):
+    context.events = []
+
+    async def resume():
+        answer = Answer("r1", "account/model/k", 1, BUFFER_BYTES)
+        if size:
+            answer.start(200, (CoreHeader("content-type", "text/event-stream"),))
+            await answer.write(STREAM[:size])
+        upstream = UpstreamSpec("e1", UpstreamKind.ENGINE, "dc", "127.0.0.1:1")
+        call = Call(admission(), answer, upstream, CallStats(started_ms=0))
+        await CallRunner(context.client, context.events.append).resume(call, Policy())
+        return answer
+
+    context.answer = asyncio.run(resume())
+
+
+@then("the outcome has the complete stream")
+def outcome_has_stream(context):
+    (end,) = [event for event in context.events if isinstance(event, DispatchEnded)]
+    assert end.outcome.body == STREAM, end.outcome
--- a/features/steps/dispatch_verdicts_steps.py
+++ b/features/steps/dispatch_verdicts_steps.py
@@ -115,8 +115,9 @@
         self.grant()
         assert isinstance(self.actions[-1], Dispatch), self.actions
 
-    def end(self, cause, outcome):
-        self.feed(DispatchEnded("r1", cause, outcome))
+    def end(self, cause, outcome, is_answer_begun=False):
+        end = DispatchEnded("r1", cause, outcome, is_answer_begun=is_answer_begun)
+        self.feed(end)
 
     def refuse(self, reason):
         self.receive(SlotRefusal("r1", CELL, reason, 0))
@@ -146,8 +147,9 @@
 
 
 FIRST = {
-    "was sent and died": (ReleaseCause.UPSTREAM_DIED, DIED),
-    "found nobody to send to": (ReleaseCause.UNREACHABLE, UNREACHABLE),
+    "was sent and died": (ReleaseCause.UPSTREAM_DIED, DIED, False),
+    "was sent and died within its answer": (ReleaseCause.UPSTREAM_DIED, DIED, True),
+    "found nobody to send to": (ReleaseCause.UNREACHABLE, UNREACHABLE, False),
 }
 ENDS = {
     "finds no cell": find_no_cell,
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -296,6 +296,7 @@
         ),
         first_token_ms=stats.first_token_ms,
         slow_tokens=stats.slow_tokens if call.admission.is_stream else -1,
+        is_answer_begun=call.answer.is_started,
     )
 
 
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -6,8 +6,8 @@
 
 After the death of its upstream, a request is dispatched again, up to
 ``MAX_PLACEMENTS`` times in all, if it was not executed there, or if it is repeatable
-and has no key. If it may have been executed there, no later refusal says that it was
-not.
+and has no key, and no part of its answer was received. If it may have been executed
+there, no later refusal says that it was not.
 
 A request with a key looks the key up before it is refused as not executed, and when
 it has waited ``SLOT_REQUEST_RETRY_MS`` for a slot. If another request with the key has
@@ -210,7 +210,7 @@
             yield ReportOutcome(active.request.key, active.epoch, event.outcome)
         if event.outcome.verdict is not Verdict.NOT_RUN:
             active.may_have_run = True
-        if self._allow_retry(active, event.outcome):
+        if not event.is_answer_begun and self._allow_retry(active, event.outcome):
             active.state = RequestState.QUEUED
             active.upstream = ""
             active.epoch = 0
--- a/src/peridotfront/core/dispatcher_events.py
+++ b/src/peridotfront/core/dispatcher_events.py
@@ -74,6 +74,7 @@
 
     :param first_token_ms: time from the dispatch to the first token; -1 if there was
         none.
+    :param is_answer_begun: whether a part of the upstream's answer was received.
     """
 
     request_id: str
@@ -83,6 +84,7 @@
     produced_tokens: int = 0
     first_token_ms: int = -1
     slow_tokens: int = -1
+    is_answer_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
