--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -1,13 +1,16 @@
 """Steps that dispatch to a fake engine with a given fault."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
+from http_fixtures import client, run, serve
 
 from peridotfront.answers import Answer
 from peridotfront.calls import Call, CallRunner, CallStats
 from peridotfront.core.dispatcher_events import DispatchEnded
 from peridotfront.core.fleet import AccountSpec, Policy, UpstreamKind, UpstreamSpec
+from peridotfront.core.messages import Header as CoreHeader
 from peridotfront.core.requests import Request
 from peridotfront.exceptions import (
     AnswerTruncated,
@@ -167,3 +170,86 @@
 @then("the answer is the complete stream")
 def is_complete_stream(context):
     assert context.answer.body() == STREAM
+
+
+@given("an upstream that answers each call with {status:d}")
+def refusing_upstream(context, status):
+    """Serve an upstream that claims in each answer that the request did not run."""
+
+    async def refuse(exchange):
+        request_id = exchange.request.header("x-request-id")
+        exchange.extra_headers = (("x-request-id", request_id),)
+        body = b'{"verdict": "not_run"}'
+        content_type = ("content-type", "application/problem+json; charset=utf-8")
+        await exchange.respond(status, [content_type], body)
+
+    serve(context, refuse)
+    context.client = client(context)
+
+
+@when("a call to {target} is dispatched to it")
+def dispatch_call(context, target):
+    kind = UpstreamKind.ENGINE if target == "an engine" else UpstreamKind.SERVICE
+    context.events = []
+    plain = admission()
+    call_admission = replace(
+        plain, request=replace(plain.request, kind=kind), timeout_ms=5000
+    )
+    context.answer = Answer("r1", "account/model/k", 1, BUFFER_BYTES)
+    upstream = UpstreamSpec("e1", kind, "dc", context.address)
+    call = Call(call_admission, context.answer, upstream, CallStats(started_ms=0))
+    runner = CallRunner(context.client, context.events.append)
+    run(context, runner.dispatch(call, Policy()))
+
+
+@then("the call has ended as {verdict} and its answer has status {status:d}")
+def ended_with_status(context, verdict, status):
+    ended(context, verdict)
+    assert context.answer.status_code == status, context.answer.status_code
+
+
+@then("its answer is not of the type of our refusals")
+def is_no_problem(context):
+    types = [field.value for field in context.answer.headers]
+    assert types == ["application/json"], types
+
+
+@then("its end says that the answer has begun: {has_begun:w}")
+def says_begun(context, has_begun):
+    (end,) = [event for event in context.events if isinstance(event, DispatchEnded)]
+    assert str(end.is_answer_begun) == has_begun, end
+
+
+class ResumingClient:
+    """Engine client whose engine resumes the stream at any offset."""
+
+    async def resume(self, address, request_id, offset_bytes, **options):
+        return FakeAnswer(STREAM[offset_bytes:])
+
+
+@given("an engine that resumes an answer")
+def resuming_engine(context):
+    context.client = ResumingClient()
+
+
+@when("a stream of which {size:d} bytes were copied is resumed at it")
+def resume_copied(context, size):
+    context.events = []
+
+    async def resume():
+        answer = Answer("r1", "account/model/k", 1, BUFFER_BYTES)
+        if size:
+            answer.start(200, (CoreHeader("content-type", "text/event-stream"),))
+            await answer.write(STREAM[:size])
+        upstream = UpstreamSpec("e1", UpstreamKind.ENGINE, "dc", "127.0.0.1:1")
+        call = Call(admission(), answer, upstream, CallStats(started_ms=0))
+        await CallRunner(context.client, context.events.append).resume(call, Policy())
+        return answer
+
+    context.answer = asyncio.run(resume())
+
+
+@then("the outcome has the complete stream")
+def outcome_has_stream(context):
+    (end,) = [event for event in context.events if isinstance(event, DispatchEnded)]
+    assert end.outcome.body == STREAM, end.outcome
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -14,6 +14,7 @@
 from .core.event_stream import ServerSentEventParser
 from .core.fleet import Policy, UpstreamKind, UpstreamSpec
 from .core.messages import Header, Outcome, ReleaseCause
+from .core.upstream_answers import PROMISE_STATUS_CODES
 from .core.verdicts import Reason, Verdict
 from .engine_client import EngineClient, UpstreamAnswer, UpstreamTimeouts
 from .exceptions import (
@@ -22,9 +23,11 @@
     InvalidRequest,
     UpstreamDied,
     UpstreamError,
+    UpstreamRefused,
     UpstreamTimedOut,
 )
-from .http_messages import is_event_stream
+from .http_messages import REQUEST_ID_HEADER, is_event_stream
+from .problems import PROBLEM_TYPE
 from .prompts import fingerprint
 from .request_validator import Admission
 
@@ -34,6 +37,7 @@
 TAIL_BYTES = 512
 MAX_RESUMES = 3
 PROGRESS_INTERVAL_MS = 200
+JSON_TYPE = "application/json"
 FORWARDED_HEADERS = ("content-type", "cache-control", "location", "etag")
 ENGINE_TIMEOUTS = UpstreamTimeouts(
     connect_ms=1000, first_byte_ms=60_000, between_bytes_ms=10_000
@@ -82,6 +86,8 @@
 class Call:
     """One dispatch of a request to an upstream.
 
+    :param is_resumed: whether another host has sent the request.
+    :param is_started: whether the task of the call has begun to run.
     :param cancel_cause: release cause if the call is cancelled, else None.
     :param events: parser of the answer if it is a stream of events, else None.
     :param body: copy of the answer's body if the request has an idempotency key.
@@ -91,6 +97,8 @@
     answer: Answer
     upstream: UpstreamSpec
     stats: CallStats
+    is_resumed: bool = False
+    is_started: bool = False
     cancel_cause: ReleaseCause | None = None
     events: ServerSentEventParser | None = None
     body: bytearray = field(default_factory=bytearray)
@@ -135,6 +143,7 @@
     async def _run(self, call: Call, policy: Policy, connect: Any) -> None:
         try:
             answer = await connect(call)
+            _check_promise(answer, call.upstream.address)
             await self._pump(call, answer, policy)
             outcome = self._build_outcome(call, policy)
             cause = ReleaseCause.COMPLETED
@@ -144,6 +153,7 @@
         except UpstreamError as error:
             cause = _release_cause(error)
             outcome = Outcome(error.verdict, _outcome_reason(error))
+            _log_failure(call, cause, error)
         except InvalidRequest as error:
             cause = ReleaseCause.NOT_SENT
             outcome = Outcome(error.verdict, error.reason)
@@ -166,7 +176,7 @@
                 key=request.key,
                 timeouts=ENGINE_TIMEOUTS,
             )
-        return await self._client.send(
+        return await self._client.call(
             call.upstream.address,
             admission.method,
             admission.target,
@@ -264,7 +274,9 @@
         ReleaseCause.CALLER_GONE: Reason.CALLER_GONE,
     }
     reason = reasons.get(cause, Reason.UPSTREAM_ERROR)
-    return _build_dispatch_ended(call, cause, Outcome(Verdict.MAY_HAVE_RUN, reason))
+    is_unsent = not (call.is_started or call.is_resumed)
+    verdict = Verdict.NOT_RUN if is_unsent else Verdict.MAY_HAVE_RUN
+    return _build_dispatch_ended(call, cause, Outcome(verdict, reason))
 
 
 def _now_ms() -> int:
@@ -285,6 +297,7 @@
         ),
         first_token_ms=stats.first_token_ms,
         slow_tokens=stats.slow_tokens if call.admission.is_stream else -1,
+        is_answer_begun=call.answer.is_started,
     )
 
 
@@ -293,7 +306,35 @@
     return int(matches[-1]) if matches else default
 
 
+def _check_promise(answer: UpstreamAnswer, address: str) -> None:
+    """Refuse an answer whose status is a promise of ours.
+
+    Upstreams do not prove that they have not executed a request.
+
+    :raises UpstreamRefused: if callers would take the status for a promise.
+    """
+    if answer.status_code in PROMISE_STATUS_CODES:
+        answer.cancel()
+        raise UpstreamRefused(answer.status_code, address)
+
+
+def _log_failure(call: Call, cause: ReleaseCause, error: UpstreamError) -> None:
+    logs.write_rate_limited(
+        "send_failed",
+        upstream=call.upstream.name,
+        address=call.upstream.address,
+        cause=cause,
+        detail=f"{type(error).__name__}: {error}",
+        verdict=error.verdict,
+        events=call.stats.produced_tokens,
+        duration_ms=_now_ms() - call.stats.started_ms,
+    )
+
+
 def _release_cause(error: UpstreamError) -> ReleaseCause:
+    if isinstance(error, UpstreamRefused):
+        is_failure = error.status_code >= HTTPStatus.INTERNAL_SERVER_ERROR
+        return ReleaseCause.UPSTREAM_ERROR if is_failure else ReleaseCause.COMPLETED
     if isinstance(error, ConnectFailed):
         return ReleaseCause.UNREACHABLE
     if isinstance(error, UpstreamDied | AnswerTruncated):
@@ -310,12 +351,21 @@
 
 
 def _forwarded_headers(headers: tuple) -> tuple[Header, ...]:
-    return tuple([Header(n, v) for n, v in headers if n in FORWARDED_HEADERS])
+    forwarded = [Header(n, v) for n, v in headers if n in FORWARDED_HEADERS]
+    return tuple([_without_problem_type(header) for header in forwarded])
+
+
+def _without_problem_type(header: Header) -> Header:
+    """Return a header field that does not make an answer look like our refusal."""
+    is_type = header.name == "content-type"
+    if is_type and header.value.strip().lower().startswith(PROBLEM_TYPE):
+        return Header(header.name, JSON_TYPE)
+    return header
 
 
-def _service_headers(admission: Admission) -> list[Header]:
+def _service_headers(admission: Admission) -> list[tuple[str, str]]:
     request = admission.request
-    headers = [("x-request-id", request.request_id)]
+    headers = [(REQUEST_ID_HEADER, request.request_id)]
     if admission.body:
         headers.append(("content-type", admission.content_type))
     if request.key:
--- a/src/peridotfront/core/dispatcher.py
+++ b/src/peridotfront/core/dispatcher.py
@@ -6,7 +6,8 @@
 
 After the death of its upstream, a request is dispatched again, up to
 ``MAX_PLACEMENTS`` times in all, if it was not executed there, or if it is repeatable
-and has no key.
+and has no key, and no part of its answer was received. If it may have been executed
+there, no later refusal says that it was not.
 
 A request with a key looks the key up before it is refused as not executed, and when
 it has waited ``SLOT_REQUEST_RETRY_MS`` for a slot. If another request with the key has
@@ -71,7 +72,7 @@
 UNREACHABLE_RETRY_MS = 500
 CLAIMS_FULL_RETRY_MS = 5000
 MAX_PLACEMENTS = 3
-CLAIM_ID_SEPARATOR = "."
+ID_SEPARATOR = "."
 
 CellChooser = Callable[[Request, frozenset[str]], str]
 SchedulerLookup = Callable[[str], str]
@@ -207,7 +208,9 @@
         yield from self._release(active, event, now_ms)
         if active.epoch:
             yield ReportOutcome(active.request.key, active.epoch, event.outcome)
-        if self._allow_retry(active, event.outcome):
+        if event.outcome.verdict is not Verdict.NOT_RUN:
+            active.may_have_run = True
+        if not event.is_answer_begun and self._allow_retry(active, event.outcome):
             active.state = RequestState.QUEUED
             active.upstream = ""
             active.epoch = 0
@@ -227,7 +230,7 @@
 
     @_handle.register
     def _(self, event: KeyLookupResult, now_ms: int) -> Iterator[Any]:
-        active = self.active_requests.get(event.request_id)
+        active = self.active_requests.get(_parse_request_id(event.request_id))
         if active is None:
             return
         active.key_state = KeyState.FREE
@@ -243,7 +246,7 @@
 
     @_handle.register
     def _(self, event: KeyLookupFailed, now_ms: int) -> Iterator[Any]:
-        active = self.active_requests.get(event.request_id)
+        active = self.active_requests.get(_parse_request_id(event.request_id))
         if active is None:
             return
         active.key_state = KeyState.UNKNOWN
@@ -272,7 +275,7 @@
             yield self._send_unsent_release(active)
         active.key_state = KeyState.UNKNOWN
         refusal = Refusal(verdict, Reason.NO_QUORUM, QUORUM_RETRY_MS)
-        yield from self._refuse(active, refusal)
+        yield from self._refuse_now(active, refusal)
 
     # -- placement ---------------------------------------------------------
 
@@ -416,7 +419,7 @@
     def _acquire_claim(active: ActiveRequest, claim: Claim) -> AcquireClaim:
         # Each placement needs its own id, or it would get the previous outcome.
         parts = (active.request.request_id, str(active.placements), str(claim.epoch))
-        return AcquireClaim(ClaimRequest(CLAIM_ID_SEPARATOR.join(parts), claim))
+        return AcquireClaim(ClaimRequest(ID_SEPARATOR.join(parts), claim))
 
     def _handle_claim_reply(
         self, active: ActiveRequest, reply: ClaimReply, now_ms: int
@@ -496,6 +499,8 @@
             yield from self._follow_existing_claim(active, reply, now_ms)
             return
         active.epoch = reply.claim.epoch
+        # The lost holder may have sent it, however its resumption ends.
+        active.may_have_run = True
         active.state = RequestState.RUNNING
         active.sent_ms = now_ms
         yield ResumeAnswer(active.request.request_id, reply.claim.upstream)
@@ -578,44 +583,55 @@
             refusal = Refusal(Verdict.NOT_RUN, Reason.KEY_REUSED)
             yield SendRefusal(request.request_id, refusal)
             return
+        # The joined request gets the same refusal, so that it must hold for a repeat.
+        attempt = max(request.attempt, leading_request.request.attempt)
+        leading_request.request = replace(leading_request.request, attempt=attempt)
         yield Log("request_joined", (("request_id", request.request_id),))
         yield Coalesce(request.request_id, leading_request.request.request_id)
 
     def _finish(self, active: ActiveRequest, outcome: Outcome) -> Iterator[Any]:
-        request_id = active.request.request_id
-        self._remove(active)
         if outcome.verdict is Verdict.COMPLETED:
-            yield RequestClosed(request_id)
+            self._remove(active)
+            yield RequestClosed(active.request.request_id)
             return
-        retry_after_ms = 0
-        if outcome.verdict is Verdict.NOT_RUN:
-            retry_after_ms = UNREACHABLE_RETRY_MS
+        is_not_run = outcome.verdict is Verdict.NOT_RUN and not active.may_have_run
+        retry_after_ms = UNREACHABLE_RETRY_MS if is_not_run else 0
         refusal = Refusal(outcome.verdict, outcome.reason, retry_after_ms)
-        yield SendRefusal(request_id, refusal)
+        yield self._end_with_refusal(active, refusal)
+
+    def _end_with_refusal(self, active: ActiveRequest, refusal: Refusal) -> SendRefusal:
+        if active.may_have_run and refusal.verdict is Verdict.NOT_RUN:
+            # The refusal is about the last placement, and an earlier one was sent.
+            refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+        self._remove(active)
+        return SendRefusal(active.request.request_id, refusal)
 
     def _refuse(self, active: ActiveRequest, refusal: Refusal) -> Iterator[Any]:
         active.state = RequestState.REFUSING
         active.refusal = refusal
-        needs_key_lookup = active.key_state in (KeyState.UNASKED, KeyState.FREE)
-        if needs_key_lookup and refusal.verdict is Verdict.NOT_RUN:
-            # Another attempt may have been executed since a lookup found the key free,
-            # or before the first lookup.
+        can_look_up = active.key_state not in (KeyState.UNUSED, KeyState.ASKED)
+        if can_look_up and refusal.verdict is Verdict.NOT_RUN:
+            # Another attempt may have been executed since the last lookup, or before
+            # the first one.
             yield self._look_up_key(active)
         elif active.key_state is not KeyState.ASKED:
             yield from self._refuse_now(active, refusal)
 
     def _look_up_key(self, active: ActiveRequest) -> LookUpKey:
         active.key_state = KeyState.ASKED
+        active.lookups += 1
         request = active.request
-        return LookUpKey(request.request_id, request.key, request.fingerprint)
+        # Each lookup needs its own id, or a late reply to an earlier one, which says
+        # nothing of what has run since, would answer it.
+        lookup_id = f"{request.request_id}{ID_SEPARATOR}{active.lookups}"
+        return LookUpKey(lookup_id, request.key, request.fingerprint)
 
     def _refuse_now(self, active: ActiveRequest, refusal: Refusal) -> Iterator[Any]:
         is_repeat = active.request.key and active.request.attempt > 1
         if is_repeat and active.key_state is KeyState.UNKNOWN:
             # An earlier attempt may have been executed without this host's knowledge.
             refusal = replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
-        self._remove(active)
-        yield SendRefusal(active.request.request_id, refusal)
+        yield self._end_with_refusal(active, refusal)
 
     def _remove(self, active: ActiveRequest) -> None:
         self.active_requests.pop(active.request.request_id, None)
@@ -626,8 +642,8 @@
             del self._request_ids_by_key[active.request.key]
 
 
-def _parse_request_id(claim_request_id: str) -> str:
-    return claim_request_id.partition(CLAIM_ID_SEPARATOR)[0]
+def _parse_request_id(message_id: str) -> str:
+    return message_id.partition(ID_SEPARATOR)[0]
 
 
 def _is_key_free(reply: ClaimReply) -> bool:
--- a/src/peridotfront/core/dispatcher_events.py
+++ b/src/peridotfront/core/dispatcher_events.py
@@ -74,6 +74,7 @@
 
     :param first_token_ms: time from the dispatch to the first token; -1 if there was
         none.
+    :param is_answer_begun: whether a part of the upstream's answer was received.
     """
 
     request_id: str
@@ -83,6 +84,7 @@
     produced_tokens: int = 0
     first_token_ms: int = -1
     slow_tokens: int = -1
+    is_answer_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +170,8 @@
 
     :param epoch: epoch of the claim under which the request runs; 0 without a claim.
     :param lease_until_ms: time until which the granted slot may be used.
+    :param may_have_run: whether an earlier dispatch, here or at a lost host, ended
+        without proof that the request was not executed.
     :param refusals: refusals received, by cell.
     :param visited: cells that did not grant a slot in time.
     :param key_state: state of the lookup of the key in the control group.
@@ -190,9 +194,11 @@
     slow_tokens: int = -1
     renewed_ms: int = 0
     placements: int = 0
+    may_have_run: bool = False
     holder: Claim | None = None
     refusals: dict[str, SlotRefusal] = field(default_factory=dict)
     visited: set[str] = field(default_factory=set)
     key_state: KeyState = KeyState.UNUSED
+    lookups: int = 0
     refusal: Refusal | None = None
     retry_at_ms: int = 0
--- a/src/peridotfront/request_handler.py
+++ b/src/peridotfront/request_handler.py
@@ -11,14 +11,16 @@
 from .core.account_limits import AccountLimiter
 from .core.dispatcher_events import CallerDisconnected
 from .core.messages import Outcome
+from .core.upstream_answers import PROMISE_STATUS_CODES
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import AnswerDiscarded, CallerGone, RequestRefused
-from .http_server import Exchange, problem
+from .http_messages import REQUEST_ID_HEADER
+from .http_server import Exchange
 from .metrics import Metrics
+from .problems import problem, status_code_of
 from .request_validator import Admission, RequestValidator
 from .runtime import new_request_id, now_ms
 
-REQUEST_ID_HEADER = "x-request-id"
 STATUS_BY_REASON = {
     Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
@@ -120,7 +122,9 @@
     ) -> None:
         started_ms = now_ms()
         await answer.wait_started()
-        if answer.is_started and admission.is_stream:
+        if answer.status_code in PROMISE_STATUS_CODES:
+            outcome = await self._withhold(exchange, admission, answer)
+        elif answer.is_started and admission.is_stream:
             outcome = await self._stream(exchange, admission, answer)
         else:
             outcome = await self._respond(exchange, admission, answer)
@@ -135,6 +139,19 @@
             duration_ms=now_ms() - started_ms,
         )
 
+    async def _withhold(
+        self, exchange: Exchange, admission: Admission, answer: Answer
+    ) -> Outcome:
+        """Refuse in place of an upstream's promise, for which there is no proof.
+
+        Hosts of earlier versions record and hand over such answers.
+        """
+        refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_ERROR)
+        status_code = status_code_of(refusal, STATUS_BY_REASON)
+        request_id = admission.request.request_id
+        await _refuse(exchange, status_code, refusal, request_id)
+        return Outcome(refusal.verdict, refusal.reason)
+
     async def _stream(
         self, exchange: Exchange, admission: Admission, answer: Answer
     ) -> Outcome:
@@ -166,7 +183,9 @@
             await exchange.respond(answer.status_code, headers, bytes(body))
             return outcome
         refusal = answer.refusal or Refusal(outcome.verdict, outcome.reason)
-        await _refuse(exchange, _status_code(refusal), refusal, request_id)
+        await _refuse(
+            exchange, status_code_of(refusal, STATUS_BY_REASON), refusal, request_id
+        )
         return outcome
 
     def _record_refusal(self, refusal: Refusal) -> None:
@@ -182,12 +201,6 @@
     await exchange.respond(status_code, fields, body)
 
 
-def _status_code(refusal: Refusal) -> int:
-    if refusal.verdict is Verdict.COMPLETED:
-        return HTTPStatus.CONFLICT
-    return STATUS_BY_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
-
-
 def _answer_headers(answer: Answer, request_id: str) -> list[tuple[str, str]]:
     headers = [(header.name, header.value) for header in answer.headers]
     return [*headers, (REQUEST_ID_HEADER, request_id)]
