Move slots and log lines of a routed request to modules of their own

Finding a slot for each send is SlotFinder (slot_finder.py), and the lines of a request, which are kept if they are suppressed and the request fails, are RequestLog (request_log.py); forwarding has 495 lines.

The list of log events counts these writers and write_rate_limited, so that events which are written are no longer marked as planned.

--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -9,7 +9,7 @@
 from peridotfront.core.messages import ReleaseCause
 from peridotfront.core.routing_events import UpstreamsListed
 from peridotfront.core.verdicts import Reason
-from peridotfront.forwarding import ORIGIN_WAIT_MS
+from peridotfront.slot_finder import ORIGIN_WAIT_MS
 
 EVENT_TOKENS = 6
 STEP_MS = 100
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -1,30 +1,24 @@
 """Forwarding of one routed request to an upstream, and of its answer back."""
 
 import asyncio
-import hashlib
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
 
-from . import logs
 from .core.attempts import (
     AttemptHistory,
     failover_timeout_ms,
-    first_byte_timeout_ms,
     min_service_time_ms,
 )
 from .core.event_stream import ServerSentEvent, ServerSentEventParser
 from .core.gateway_events import (
-    SlotGranted,
     SlotProgress,
     SlotRefused,
     SlotReleased,
     UpstreamBusy,
     UpstreamLeaving,
 )
-from .core.messages import Grant, ReleaseCause, SlotRefusal, SlotRequest
+from .core.messages import Grant, ReleaseCause, SlotRequest
 from .core.releases import build_release, build_unsent_release
-from .core.routes import RoutedAccount
 from .core.upstream_answers import AnswerHead, AnswerKind, classify_answer
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import (
@@ -41,21 +35,22 @@
 from .http_client import HttpClient, UpstreamAnswer, UpstreamTimeouts
 from .http_messages import Header
 from .problems import problem, status_code_of
+from .request_log import RequestLog
 from .routed_requests import (
     AdmittedRequest,
     RequestCodec,
-    RoutedRequest,
     UpstreamNotice,
 )
 from .runtime import now_ms
+from .slot_finder import (
+    EXHAUSTED_RETRY_MS,
+    MAX_RETRY_AFTER_RATIO,
+    ORIGIN_RETRY_MS,
+    SlotFinder,
+)
 
 CONNECT_MS = 300
-END_MARGIN_MS = 30
 PROGRESS_INTERVAL_MS = 500
-EXHAUSTED_RETRY_MS = 300
-ORIGIN_WAIT_MS = 1500
-ORIGIN_RETRY_MS = 100
-MAX_RETRY_AFTER_RATIO = 1 / 3
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 NOT_RUN_STATUS = {
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
@@ -86,8 +81,8 @@
     :param exchange: exchange with the caller.
     :param admitted: the request with its route, service and account.
 
-    ``waited_ms`` is the time spent waiting for slots, and ``first_ms`` the time from
-    the arrival of the request to the first part of the answer; -1 if there is none.
+    ``first_ms`` is the time from the arrival of the request to the first part of the
+    answer; -1 if there is none.
     """
 
     def __init__(
@@ -105,21 +100,24 @@
         self._admitted = admitted
         self._attempts = AttemptHistory(admitted.route)
         self._last_event_id = admitted.request.last_event_id
-        self._software_version = ""
-        self._origin_wait_end_ms: int | None = None
         self._is_sent = False
-        self._suppressed_lines: list[tuple[str, dict[str, Any]]] = []
+        self._log = RequestLog()
+        self._slot_finder = SlotFinder(server, admitted, self._attempts, self._log)
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
         self.outcome = "unfinished"
         self.reason = Reason.NONE
         self.status_code = 0
         self.sends = 0
-        self.waited_ms = 0
         self.first_ms = -1
         self._framing = ""
         self._event_count = 0
         self._unfinished_bytes = 0
 
+    @property
+    def waited_ms(self) -> int:
+        """Return the time spent waiting for slots."""
+        return self._slot_finder.waited_ms
+
     @property
     def verdict(self) -> Verdict:
         """Return whether the request was, may have been or was not executed."""
@@ -138,13 +136,15 @@
             if self._remaining_ms() < min_service_time_ms(self._admitted.route):
                 await self._give_up(Reason.DEADLINE, 0)
                 return
-            slot = await self._acquire_slot()
+            slot = await self._slot_finder.acquire(
+                self.sends, self._exchange.is_started
+            )
             if slot is None:
                 await self._give_up(Reason.DEADLINE, EXHAUSTED_RETRY_MS)
                 return
             if isinstance(slot, SlotRefused):
                 refusal = slot.refusal
-                if self._may_become_known(refusal):
+                if self._slot_finder.may_become_known(refusal):
                     await asyncio.sleep(ORIGIN_RETRY_MS / 1000)
                     continue
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
@@ -170,109 +170,6 @@
             return False
         return self._attempts.allow_send(grant.upstream, grant.address)
 
-    def _may_become_known(self, refusal: SlotRefusal) -> bool:
-        """Return whether to wait until the scheduler knows how a stream began.
-
-        A new leader learns it from the entry hosts within a moment. A stream that the
-        caller does not name never becomes known.
-        """
-        is_unknown = refusal.reason is Reason.UNKNOWN_ORIGIN
-        if not (is_unknown and self._admitted.stream_id):
-            return False
-        if self._origin_wait_end_ms is None:
-            remaining_ms = int(self._remaining_ms() * MAX_RETRY_AFTER_RATIO)
-            wait_ms = min(ORIGIN_WAIT_MS, remaining_ms)
-            self._origin_wait_end_ms = now_ms() + wait_ms
-        return now_ms() + ORIGIN_RETRY_MS <= self._origin_wait_end_ms
-
-    # Finding a slot
-
-    async def _acquire_slot(self) -> tuple[SlotRequest, Grant] | SlotRefused | None:
-        slot_request = self._build_slot_request()
-        started_ms = now_ms()
-        try:
-            async with asyncio.timeout(slot_request.deadline_ms / 1000):
-                answer = await self._server.acquire_slot(slot_request)
-        except TimeoutError:
-            return None
-        finally:
-            self.waited_ms += now_ms() - started_ms
-        if isinstance(answer, SlotGranted) and not _is_usable(slot_request, answer):
-            answer = self._give_back(answer)
-        if isinstance(answer, SlotRefused):
-            if answer.refusal.reason is Reason.IN_PROGRESS:
-                self._attempts.mark_held_elsewhere()
-            self._log(
-                "slot_refused",
-                service=slot_request.cell,
-                account=slot_request.client_account,
-                units=slot_request.allowance_units,
-                tier=slot_request.tier,
-                reason=answer.refusal.reason,
-                retry_after_ms=answer.refusal.retry_after_ms,
-                stream_id=slot_request.stream_id,
-                software_version=slot_request.software_version,
-                waited_ms=self.waited_ms,
-                is_own=answer.is_own,
-            )
-            return answer
-        if slot_request.is_resumed:
-            self._software_version = answer.grant.software_version
-        self._log(
-            "slot_granted",
-            service=slot_request.cell,
-            tier=slot_request.tier,
-            upstream=answer.grant.upstream,
-            address=answer.grant.address,
-            software_version=answer.grant.software_version,
-            stream_id=slot_request.stream_id,
-            is_resumed=slot_request.is_resumed,
-            waited_ms=self.waited_ms,
-            cached_tokens=answer.grant.predicted_prefix_tokens,
-            is_own=answer.is_own,
-        )
-        return slot_request, answer.grant
-
-    def _give_back(self, granted: SlotGranted) -> SlotRefused:
-        """Release a slot that can't be used, and return a refusal in its place."""
-        grant = granted.grant
-        self._server.feed(SlotReleased(build_unsent_release(grant)))
-        refusal = SlotRefusal(
-            grant.request_id, grant.cell, Reason.UNKNOWN_ORIGIN, EXHAUSTED_RETRY_MS
-        )
-        return SlotRefused(refusal, granted.is_own)
-
-    def _build_slot_request(self) -> SlotRequest:
-        admitted = self._admitted
-        request = admitted.request
-        route = admitted.route
-        account = admitted.account
-        waited_ms = now_ms() - admitted.began_ms
-        first_byte_remaining_ms = first_byte_timeout_ms(route) - waited_ms
-        deadline_ms = min(
-            first_byte_remaining_ms, self._remaining_ms() - min_service_time_ms(route)
-        )
-        return SlotRequest(
-            request_id=f"{request.request_id}.{self.sends}.{len(self._attempts.excluded)}",
-            cell=admitted.service,
-            model="",
-            tier=admitted.tier,
-            client_account=account.name if account else "",
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
-            prefix_hashes=request.prefix_hashes,
-            fingerprint=_fingerprint(request),
-            deadline_ms=max(1, deadline_ms),
-            goal_ms=max(0, route.goal_ms - waited_ms),
-            prefix_tokens=request.prefix_tokens,
-            excluded=tuple(self._attempts.excluded),
-            is_repeat=self._attempts.is_repeat,
-            allowance_units=_allowance_units(request, account),
-            stream_id=admitted.stream_id,
-            is_resumed=admitted.is_resumed or self._exchange.is_started,
-            software_version=self._software_version,
-        )
-
     # Sending
 
     async def _send(
@@ -427,7 +324,7 @@
                 self._check_resumed(events[0], answer)
             await self._start_stream(attempt, answer)
             self._last_event_id = events[-1].event_id or self._last_event_id
-            self._software_version = attempt.grant.software_version
+            self._slot_finder.software_version = attempt.grant.software_version
             # The scheduler has to know how a stream began before its caller does.
             self._report_progress(attempt, len(events))
             await exchange.write(b"".join([event.data for event in events]))
@@ -503,7 +400,7 @@
     def _log_failure(
         self, attempt: "_Attempt", cause: ReleaseCause, error: Exception
     ) -> None:
-        self._log(
+        self._log.write(
             "send_failed",
             upstream=attempt.grant.upstream,
             address=attempt.grant.address,
@@ -520,7 +417,7 @@
         head: AnswerHead,
         kind: AnswerKind,
     ) -> None:
-        self._log(
+        self._log.write(
             "answer_unsuccessful",
             upstream=attempt.grant.upstream,
             address=attempt.grant.address,
@@ -532,11 +429,6 @@
             duration_ms=now_ms() - attempt.started_ms,
         )
 
-    def _log(self, event_name: str, **fields: Any) -> None:
-        """Write a log line; if it is suppressed, keep it in case the request fails."""
-        if not logs.write_rate_limited(event_name, **fields):
-            self._suppressed_lines.append((event_name, fields))
-
     def write_end(self) -> None:
         """Log the end of the request; if it failed, also log its suppressed lines."""
         admitted = self._admitted
@@ -557,15 +449,10 @@
             "events": self._event_count,
             "unfinished_bytes": self._unfinished_bytes,
         }
-        if self.is_complete:
-            logs.write_rate_limited("forwarding_ended", **fields)
-            return
-        for event_name, line_fields in self._suppressed_lines:
-            logs.write(event_name, is_late=True, **line_fields)
-        logs.write("forwarding_ended", **fields)
+        self._log.write_end("forwarding_ended", self.is_complete, **fields)
 
     def _remaining_ms(self) -> int:
-        return self._admitted.end_ms - END_MARGIN_MS - now_ms()
+        return self._admitted.remaining_ms(now_ms())
 
 
 @dataclass(slots=True)
@@ -595,17 +482,6 @@
             self.answer.cancel()
 
 
-def _is_usable(slot_request: SlotRequest, granted: SlotGranted) -> bool:
-    """Return whether a stream may go on at the granted upstream.
-
-    A scheduler of an older release grants without regard to software versions.
-    """
-    if not slot_request.is_resumed:
-        return True
-    version = granted.grant.software_version
-    return bool(version) and slot_request.software_version in ("", version)
-
-
 def _refusal_reason(cause: ReleaseCause) -> Reason:
     reasons = {
         ReleaseCause.UNREACHABLE: Reason.NO_UPSTREAM,
@@ -617,22 +493,3 @@
         ReleaseCause.NOT_SENT: Reason.INVALID_REQUEST,
     }
     return reasons.get(cause, Reason.UPSTREAM_DIED)
-
-
-def _allowance_units(request: RoutedRequest, account: RoutedAccount | None) -> int:
-    if account is None:
-        return 0
-    if not account.is_metered_in_tokens:
-        return 1
-    if request.allowance_tokens is None:
-        return account.plain_tokens
-    return request.allowance_tokens
-
-
-def _fingerprint(request: RoutedRequest) -> int:
-    http = request.http
-    digest = hashlib.blake2b(digest_size=7)
-    for part in (http.target.encode(), request.key.encode(), http.body):
-        digest.update(part)
-        digest.update(b"\0")
-    return int.from_bytes(digest.digest(), "big")
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -8,6 +8,8 @@
 from .http_client import UpstreamAnswer
 from .http_messages import Header, HttpRequest
 
+END_MARGIN_MS = 30
+
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
@@ -123,6 +125,13 @@
     tier: int
     tokens_per_event: int
 
+    def remaining_ms(self, at_ms: int) -> int:
+        """Return the time left for the answer, less a margin for passing it on.
+
+        :param at_ms: time on the monotonic clock.
+        """
+        return self.end_ms - END_MARGIN_MS - at_ms
+
     @property
     def is_resumed(self) -> bool:
         """Return whether the caller has events of the requested stream already."""
--- /dev/null
+++ b/src/peridotfront/slot_finder.py
@@ -0,0 +1,190 @@
+"""Slots for the sends of one routed request."""
+
+import asyncio
+import hashlib
+
+from .core.attempts import AttemptHistory, first_byte_timeout_ms, min_service_time_ms
+from .core.gateway_events import SlotGranted, SlotRefused, SlotReleased
+from .core.messages import Grant, SlotRefusal, SlotRequest
+from .core.releases import build_unsent_release
+from .core.routes import RoutedAccount
+from .core.verdicts import Reason
+from .gateway_server import GatewayServer
+from .request_log import RequestLog
+from .routed_requests import AdmittedRequest, RoutedRequest
+from .runtime import now_ms
+
+EXHAUSTED_RETRY_MS = 300
+ORIGIN_WAIT_MS = 1500
+ORIGIN_RETRY_MS = 100
+MAX_RETRY_AFTER_RATIO = 1 / 3
+
+
+class SlotFinder:
+    """Finder of a slot for each send of one request.
+
+    :param server: server that grants slots.
+    :param admitted: the request with its route, service and account.
+    :param attempts: sends of the request so far.
+    :param log: log lines of the request.
+
+    ``waited_ms`` is the time spent waiting for slots, and ``software_version`` the
+    version at which a stream must go on; empty for any.
+    """
+
+    def __init__(
+        self,
+        server: GatewayServer,
+        admitted: AdmittedRequest,
+        attempts: AttemptHistory,
+        log: RequestLog,
+    ):
+        self.waited_ms = 0
+        self.software_version = ""
+        self._server = server
+        self._admitted = admitted
+        self._attempts = attempts
+        self._log = log
+        self._origin_wait_end_ms: int | None = None
+
+    async def acquire(
+        self, sends: int, is_started: bool
+    ) -> tuple[SlotRequest, Grant] | SlotRefused | None:
+        """Request a slot and wait for the reply.
+
+        :param sends: number of sends of the request so far.
+        :param is_started: whether the caller has a part of the answer.
+        :return: the slot request with its grant, or the refusal; None if neither
+            came in time.
+        """
+        slot_request = self._build_slot_request(sends, is_started)
+        started_ms = now_ms()
+        try:
+            async with asyncio.timeout(slot_request.deadline_ms / 1000):
+                answer = await self._server.acquire_slot(slot_request)
+        except TimeoutError:
+            return None
+        finally:
+            self.waited_ms += now_ms() - started_ms
+        if isinstance(answer, SlotGranted) and not _is_usable(slot_request, answer):
+            answer = self._give_back(answer)
+        if isinstance(answer, SlotRefused):
+            if answer.refusal.reason is Reason.IN_PROGRESS:
+                self._attempts.mark_held_elsewhere()
+            self._log.write(
+                "slot_refused",
+                service=slot_request.cell,
+                account=slot_request.client_account,
+                units=slot_request.allowance_units,
+                tier=slot_request.tier,
+                reason=answer.refusal.reason,
+                retry_after_ms=answer.refusal.retry_after_ms,
+                stream_id=slot_request.stream_id,
+                software_version=slot_request.software_version,
+                waited_ms=self.waited_ms,
+                is_own=answer.is_own,
+            )
+            return answer
+        if slot_request.is_resumed:
+            self.software_version = answer.grant.software_version
+        self._log.write(
+            "slot_granted",
+            service=slot_request.cell,
+            tier=slot_request.tier,
+            upstream=answer.grant.upstream,
+            address=answer.grant.address,
+            software_version=answer.grant.software_version,
+            stream_id=slot_request.stream_id,
+            is_resumed=slot_request.is_resumed,
+            waited_ms=self.waited_ms,
+            cached_tokens=answer.grant.predicted_prefix_tokens,
+            is_own=answer.is_own,
+        )
+        return slot_request, answer.grant
+
+    def _give_back(self, granted: SlotGranted) -> SlotRefused:
+        """Release a slot that can't be used, and return a refusal in its place."""
+        grant = granted.grant
+        self._server.feed(SlotReleased(build_unsent_release(grant)))
+        refusal = SlotRefusal(
+            grant.request_id, grant.cell, Reason.UNKNOWN_ORIGIN, EXHAUSTED_RETRY_MS
+        )
+        return SlotRefused(refusal, granted.is_own)
+
+    def _build_slot_request(self, sends: int, is_started: bool) -> SlotRequest:
+        admitted = self._admitted
+        request = admitted.request
+        route = admitted.route
+        account = admitted.account
+        excluded = tuple(self._attempts.excluded)
+        waited_ms = now_ms() - admitted.began_ms
+        first_byte_remaining_ms = first_byte_timeout_ms(route) - waited_ms
+        deadline_ms = min(
+            first_byte_remaining_ms,
+            admitted.remaining_ms(now_ms()) - min_service_time_ms(route),
+        )
+        return SlotRequest(
+            request_id=f"{request.request_id}.{sends}.{len(excluded)}",
+            cell=admitted.service,
+            model="",
+            tier=admitted.tier,
+            client_account=account.name if account else "",
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            prefix_hashes=request.prefix_hashes,
+            fingerprint=_fingerprint(request),
+            deadline_ms=max(1, deadline_ms),
+            goal_ms=max(0, route.goal_ms - waited_ms),
+            prefix_tokens=request.prefix_tokens,
+            excluded=excluded,
+            is_repeat=self._attempts.is_repeat,
+            allowance_units=_allowance_units(request, account),
+            stream_id=admitted.stream_id,
+            is_resumed=admitted.is_resumed or is_started,
+            software_version=self.software_version,
+        )
+
+    def may_become_known(self, refusal: SlotRefusal) -> bool:
+        """Return whether to wait until the scheduler knows how a stream began.
+
+        A new leader learns it from the entry hosts within a moment. A stream that the
+        caller does not name never becomes known.
+        """
+        is_unknown = refusal.reason is Reason.UNKNOWN_ORIGIN
+        if not (is_unknown and self._admitted.stream_id):
+            return False
+        if self._origin_wait_end_ms is None:
+            remaining_ms = self._admitted.remaining_ms(now_ms())
+            wait_ms = min(ORIGIN_WAIT_MS, int(remaining_ms * MAX_RETRY_AFTER_RATIO))
+            self._origin_wait_end_ms = now_ms() + wait_ms
+        return now_ms() + ORIGIN_RETRY_MS <= self._origin_wait_end_ms
+
+
+def _is_usable(slot_request: SlotRequest, granted: SlotGranted) -> bool:
+    """Return whether a stream may go on at the granted upstream.
+
+    A scheduler of an older release grants without regard to software versions.
+    """
+    if not slot_request.is_resumed:
+        return True
+    version = granted.grant.software_version
+    return bool(version) and slot_request.software_version in ("", version)
+
+
+def _allowance_units(request: RoutedRequest, account: RoutedAccount | None) -> int:
+    if account is None:
+        return 0
+    if not account.is_metered_in_tokens:
+        return 1
+    if request.allowance_tokens is None:
+        return account.plain_tokens
+    return request.allowance_tokens
+
+
+def _fingerprint(request: RoutedRequest) -> int:
+    http = request.http
+    digest = hashlib.blake2b(digest_size=7)
+    for part in (http.target.encode(), request.key.encode(), http.body):
+        digest.update(part)
+        digest.update(b"\0")
+    return int.from_bytes(digest.digest(), "big")
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -24,7 +24,14 @@
 SOURCES = ROOT / "src" / "peridotfront"
 LOGS_FILE = ROOT / "docs" / "LOGS.md"
 SETTINGS_FILE = ROOT / "docs" / "SETTINGS.md"
-WRITERS = {"write", "logs.write", "Log"}
+WRITERS = {
+    "write",
+    "logs.write",
+    "logs.write_rate_limited",
+    "self._log.write",
+    "self._log.write_end",
+    "Log",
+}
 NOTICE = "<!-- Made by tools/generate_docs.py; edit the code instead. -->"
 RANGES = (
     (1, "Process"),
