Let the soak's upstreams answer untruly, too much and without end

Its upstreams echoed the right id always, sent one answer for each request and marked what they refused truthfully; only transfers were checked for REFUSED and TWICE.

Change: soak/untrue_answers.py serves the upstreams on raw connections. A run counts as soon as the upstream begins to work, whatever it answers.

Checks, none narrowed: REFUSED and TWICE for transfers and for streams that can't be resumed, with what was played to the request, and refused requests that ran counted for all kinds; runs of ids that nobody sent, and bytes that are no request (UNASKED); any 2xx but 200; a failure whose digest isn't the one of its status (MIXED); the peak memory (VmHWM) of each entry host against 64 MB (65,536 KB).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,11 +17,16 @@
 
 from .callers import VERSIONS, Callers, Operator, Record
 from .deployment import Deployment
-from .world import NETWORK, Upstream, UpstreamList
+from .untrue_answers import UNTRUE_ANSWERS, UntrueUpstream
+from .world import NETWORK, UpstreamList
 
 START_TIMEOUT_S = 15.0
 RECOVERY_S = 8.0
+MIN_PAUSE_S = 0.3
+MAX_PAUSE_S = 2.0
+MAX_UNTRUE_PAUSE_S = 0.8
 MIN_SERVED_SHARE = 0.25
+MAX_ENTRY_KB = 64 * 1024
 
 RUN_FOLDER = Path("run")
 
@@ -48,25 +53,28 @@
         shutil.rmtree(self.folder, ignore_errors=True)
         self.folder.mkdir(parents=True)
         self.runs = Counter()
+        self.plays = {}
         self.record = Record()
         self.deployment = Deployment(
             self.folder.resolve(), sizes.controls, sizes.entries
         )
         self.upstreams = [
-            Upstream(
-                f"m{n}",
-                "models",
-                f"{NETWORK}.8.{n}",
-                self.runs,
-                version=VERSIONS[n % len(VERSIONS)],
-            )
+            self._upstream(f"m{n}", "models", n, version=VERSIONS[n % len(VERSIONS)])
             for n in range(1, sizes.engines + 1)
         ] + [
-            Upstream(f"l{n}", "ledger", f"{NETWORK}.8.{100 + n}", self.runs)
+            self._upstream(f"l{n}", "ledger", 100 + n)
             for n in range(1, sizes.services + 1)
         ]
         self.operator = Operator(self.deployment.controls, self.record, self.random)
         self.events = []
+        self._untrue_answers = []
+
+    def _upstream(self, name, service, number, **options):
+        draws = random.Random(self.random.random())
+        ip = f"{NETWORK}.8.{number}"
+        return UntrueUpstream(
+            name, service, ip, self.runs, draws=draws, plays=self.plays, **options
+        )
 
     async def run(self):
         """Run the seed and return the violated guarantees."""
@@ -86,6 +94,7 @@
                 await upstream.stop()
             await upstream_list.stop()
         self._check_runs()
+        self._check_surroundings()
         return self.record.faults
 
     async def _inject_faults(self):
@@ -95,19 +104,26 @@
             callers.run(self.seconds + RECOVERY_S, self.sizes.requests_per_s)
         )
         end_s = loop.time() + self.seconds
+        await asyncio.gather(
+            self._inject(FAULTS, MAX_PAUSE_S, end_s),
+            self._inject((Soak.answer_untruly,), MAX_UNTRUE_PAUSE_S, end_s),
+        )
+        served = self.record.served
+        await traffic
+        if self.record.served == served:
+            self.record.faults.append("no request was served after the last fault")
+        await self._check_read()
+
+    async def _inject(self, faults, max_pause_s, end_s):
+        loop = asyncio.get_running_loop()
         fault_tasks = set()
         while loop.time() < end_s:
-            fault = self.random.choice(FAULTS)
+            fault = self.random.choice(faults)
             fault_tasks.add(asyncio.create_task(fault(self)))
             if self.random.random() < 0.5:
                 await self.operator.read()
-            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+            await asyncio.sleep(self.random.uniform(MIN_PAUSE_S, max_pause_s))
         await asyncio.gather(*fault_tasks)
-        served = self.record.served
-        await traffic
-        if self.record.served == served:
-            self.record.faults.append("no request was served after the last fault")
-        await self._check_read()
 
     async def _check_read(self):
         for _ in range(50):
@@ -120,12 +136,47 @@
 
     def _check_runs(self):
         record = self.record
-        for request_id, count in self.runs.items():
-            if request_id in record.transfers and count > 1:
-                record.faults.append(f"{request_id} was executed {count} times")
-            if request_id in record.transfers and request_id in record.refused:
-                record.faults.append(f"{request_id} was executed though it was refused")
+        for request_id in record.non_repeatable & self.runs.keys():
+            count = self.runs[request_id]
+            if count > 1:
+                self._report("TWICE", request_id, f"was executed {count} times")
+            if status := record.refused.get(request_id):
+                text = f"was answered {status} and executed {count} times"
+                self._report("REFUSED", request_id, text)
+        for request_id in self.runs.keys() - record.ids:
+            self._report("UNASKED", request_id, "was executed and never sent")
+
+    def _report(self, rule, request_id, text):
+        plays = "; ".join(self.plays.get(request_id, ["no untrue answer"]))
+        self.record.faults.append(f"{rule} {request_id} {text} ({plays})")
+
+    @property
+    def refused_but_ran(self):
+        """Return the numbers of refused requests that were executed, by kind."""
+        ids = self.record.refused.keys() & self.runs.keys()
+        return dict(Counter(request_id.rsplit("-", 2)[0] for request_id in ids))
+
+    @property
+    def played(self):
+        """Return the numbers of untrue answers, by kind."""
+        notes = [note for notes in self.plays.values() for note in notes]
+        kinds = [note.partition(" ")[0] for note in notes]
+        return {kind: kinds.count(kind) for kind in UNTRUE_ANSWERS}
+
+    @property
+    def peak_kb(self):
+        """Return the peak memory of each entry host."""
+        return {host.name: host.peak_kb for host in self.deployment.entries}
+
+    def _check_surroundings(self):
+        record = self.record
+        for name, peak_kb in self.peak_kb.items():
+            if peak_kb > MAX_ENTRY_KB:
+                text = f"{name} used {peak_kb} KB of memory, over {MAX_ENTRY_KB}"
+                record.faults.append(text)
         for upstream in self.upstreams:
+            for stray in upstream.strays:
+                record.faults.append(f"{upstream.name} got no request: {stray[:80]!r}")
             if upstream.tenants - {("club", "")}:
                 record.faults.append(
                     f"{upstream.name} got tenants and keys {upstream.tenants}"
@@ -208,6 +259,23 @@
         await asyncio.sleep(self.random.uniform(1.0, 3.0))
         engine.fault = ""
 
+    async def answer_untruly(self):
+        """Make an upstream answer untruly, too much, too early or without end."""
+        if not self._untrue_answers:
+            self._untrue_answers = self.random.sample(
+                UNTRUE_ANSWERS, len(UNTRUE_ANSWERS)
+            )
+        untrue = self._untrue_answers.pop()
+        # Only requests to the ledger have long bodies.
+        upstreams = [u for u in self.upstreams if u.service == "ledger"]
+        if untrue != "early":
+            upstreams = self.upstreams
+        upstream = self.random.choice(upstreams)
+        upstream.untrue = untrue
+        self._log(untrue, upstream.name)
+        await asyncio.sleep(self.random.uniform(1.0, 3.0))
+        upstream.untrue = ""
+
     async def _restart(self, upstream):
         await upstream.stop()
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
@@ -252,7 +320,9 @@
         record = soak.record
         print(
             f"seed {seed}: sent {record.sent}, served {record.served}, "
-            f"refused {len(record.refused)}, faults {len(faults)}",
+            f"refused {len(record.refused)}, faults {len(faults)}; untrue answers "
+            f"{soak.played}, refused but executed {soak.refused_but_ran}, "
+            f"peak memory in KB {soak.peak_kb}",
             flush=True,
         )
         if faults:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 from peridotfront.http_client import ClientLimits, HttpClient, UpstreamTimeouts
 
 from .deployment import CALLERS_PORT, OPERATORS_PORT
+from .untrue_answers import LONG_BODY_BYTES
 from .world import EVENTS, digest_of, event_of
 
 KEY = "key-of-club"
@@ -18,6 +19,8 @@
     "stream": ("streaming", {"GapTargetMs": 500}),
     "resumable": ("streaming", {"Resumable": True, "Attempts": 2}),
 }
+NON_REPEATABLE_KINDS = ("transfer", "stream")
+LONG_SHARE = 0.25
 VERSIONS = ("v1", "v2")
 MAX_STREAM_ATTEMPTS = 3
 DEADLINE_MS = 4000
@@ -56,14 +59,17 @@
 class Record:
     """Results that the callers and the operator observed.
 
-    :param refused: ids of requests answered as not executed.
+    :param ids: ids of all requests.
+    :param non_repeatable: ids of the requests that may be executed at most once.
+    :param refused: status by id of the requests answered as not executed.
     :param faults: descriptions of violated guarantees.
     """
 
     sent: int = 0
     served: int = 0
-    refused: set = field(default_factory=set)
-    transfers: set = field(default_factory=set)
+    ids: set = field(default_factory=set)
+    non_repeatable: set = field(default_factory=set)
+    refused: dict = field(default_factory=dict)
     acknowledged: int = 0
     faults: list = field(default_factory=list)
     last_served_s: float = 0.0
@@ -95,19 +101,23 @@
         kind = self._random.choice(list(KINDS))
         request_id = f"{kind}-{self._run_id}-{number}"
         self._record.sent += 1
-        if kind == "transfer":
-            self._record.transfers.add(request_id)
         if kind in ("stream", "resumable"):
             await self._read_stream(kind, request_id)
             return
+        text = request_id
+        if self._random.random() < LONG_SHARE:
+            text = request_id.ljust(LONG_BODY_BYTES, ".")
         try:
-            answer = await self._send(kind, request_id, request_id)
+            answer = await self._send(kind, text, request_id)
             body = await answer.read()
         except PeridotfrontError:
             return
-        self._check(kind, request_id, answer, body)
+        self._check(request_id, text, answer, body)
 
     async def _send(self, kind, text, request_id, *fields):
+        self._record.ids.add(request_id)
+        if kind in NON_REPEATABLE_KINDS:
+            self._record.non_repeatable.add(request_id)
         host = self._random.choice(self._hosts)
         headers = [
             ("X-Attempt-Id", request_id),
@@ -136,7 +146,7 @@
                 answer = await self._send(kind, text, request_id, *fields)
                 if answer.status_code != 200:
                     answer.cancel()
-                    self._check(kind, request_id, answer, b"")
+                    self._check(request_id, text, answer, b"")
                     break
                 async for chunk in answer.chunks():
                     received += chunk
@@ -173,18 +183,20 @@
         record.served += 1
         record.last_served_s = asyncio.get_running_loop().time()
 
-    def _check(self, kind, request_id, answer, body):
+    def _check(self, request_id, text, answer, body):
         record = self._record
         status = answer.status_code
+        digest = answer.header("x-response-sig")
         if status in NOT_EXECUTED_CODES:
-            record.refused.add(request_id)
+            record.refused[request_id] = status
         if status != 200:
-            if status in (400, 401, 404):
-                record.faults.append(f"{request_id} was denied with {status}")
+            if status in (400, 401, 404) or 200 < status < 300:
+                record.faults.append(f"{request_id} was answered with {status}")
+            if digest not in ("", digest_of(f"{request_id} {status}")):
+                record.faults.append(f"{request_id} got {status} with a wrong digest")
             return
-        expected = f"{request_id} {request_id}".encode()
-        digest = digest_of(expected.decode())
-        if body != expected or answer.header("x-response-sig") != digest:
+        expected = f"{request_id} {text}"
+        if body != expected.encode() or digest != digest_of(expected):
             record.faults.append(f"{request_id} got a wrong answer: {body[:80]!r}")
             return
         record.served += 1
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import signal
 import sys
 from pathlib import Path
@@ -16,6 +17,7 @@
 READY_PORT = 8224
 METRICS_PORT = 9464
 GRACE_S = 8
+PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS_TEMPLATE = """\
 [host]
@@ -52,6 +54,7 @@
         self.name = f"{role}-{number}"
         self.ip = f"{NETWORK}.{0 if role == 'control' else 1}.{number}"
         self.proxy = Proxy(self.ip, PEER_PORT, REAL_PEER_PORT)
+        self.peak_kb = 0
         self._seeds = seeds
         self._folder = folder
         self._process = None
@@ -92,10 +95,18 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(signal_number)
 
+    def measure_memory(self):
+        """Keep the peak memory of the process if it is the highest of the run."""
+        with contextlib.suppress(OSError):
+            status = Path(f"/proc/{self.pid}/status").read_text()
+            if match := PEAK_MEMORY.search(status):
+                self.peak_kb = max(self.peak_kb, int(match[1]))
+
     async def stop(self, signal_number=signal.SIGTERM, timeout_s=GRACE_S):
         """Stop the process by a signal and kill it after the time limit."""
         if self._process is None:
             return
+        self.measure_memory()
         self.send_signal(signal_number)
         try:
             await asyncio.wait_for(self._process.wait(), timeout_s)
