Test upstreams that send bytes without end

Bounds: 64 MB for a host is the target. The peak (VmHWM) without the libraries' pages (RssFile) has to stay under it, and its growth after the start under 18 MB (64 MB less the 46 MB that a process takes by itself). The peak alone is no measure here: without compiled files the host starts with 60.4 MB of it, 26.5 MB of which are pages of libraries. Other callers have the route's goal of 300 ms; processor time may grow by 4 times as many bytes, and 75% for the margin.

--- /dev/null
+++ b/features/endless_answers.feature
@@ -0,0 +1,66 @@
+Feature: Bytes without end cost a bounded amount of memory and time
+  Bytes that are no answer may come without end, in a head, an interim answer, a body or
+  an event, fast or byte by byte, from several upstreams at once.
+
+  Scenario Outline: Upstreams that send bytes without end harm only their own callers: <place>
+    Given an entry host in a process of its own before upstreams with endless "<place>"
+    When each of these upstreams gets a request, and a sound one gets others meanwhile
+    Then each caller of these upstreams got a truthful end within its time limit
+    And the host closed the connection to each of these upstreams
+    And each of these upstreams serves the next request
+    And the other callers' answers came within their route's goal
+    And the host's memory stayed within its bound
+
+    Examples: Places
+      | place           |
+      | heads           |
+      | interim answers |
+      | bodies          |
+      | large bodies    |
+      | streams         |
+
+  Scenario Outline: Processor time grows no steeper than the bytes that arrive: <input>
+    When "<input>" of <size> and of 4 times as many bytes is read
+    Then the processor time grew at most in proportion, within a margin of 75%
+
+    Examples: Inputs
+      | input                              | size   |
+      | an event in pieces of 16 bytes     | 8192   |
+      | a comment in pieces of 16 bytes    | 8192   |
+      | lines of an event in small pieces  | 8192   |
+      | small events in one piece          | 131072 |
+      | blank lines in one piece           | 8192   |
+      | a head in pieces of a byte         | 3500   |
+      | a body in chunks of a byte         | 65536  |
+
+  Scenario Outline: A reader gives up on an answer that arrives byte by byte without end: <reader>
+    Given an upstream whose answer arrives byte by byte without end
+    When the "<reader>" reads from it
+    Then it ends with UpstreamTimedOut within 3000 ms
+    And the connection to the upstream is closed
+
+    Examples: Readers
+      | reader            |
+      | list of upstreams |
+      | engine report     |
+      | engine order      |
+
+  Scenario Outline: A reader gives up on an answer without end: <reader>
+    Given an upstream whose answer arrives fast and without end
+    When the "<reader>" reads from it
+    Then it ends with AnswerTooLarge within 3000 ms
+    And the connection to the upstream is closed
+
+    Examples: Readers
+      | reader            |
+      | list of upstreams |
+      | engine report     |
+      | engine order      |
+      | engine export     |
+
+  Scenario: A call with a key keeps no more of an answer without end than its limit
+    Given an upstream whose answer arrives fast and without end
+    When a call for a request with a key copies it
+    Then the call ended as "upstream_error" and "may_have_run" within 3000 ms
+    And the call kept less than 18 MB of the answer
+    And the connection to the upstream is closed
