--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -412,7 +412,7 @@
         async for chunk in answer.chunks():
             events = list(parser.feed(chunk))
             self._event_count += len(events)
-            self._unfinished_bytes = len(parser.buffered)
+            self._unfinished_bytes = parser.buffered_bytes
             if not events:
                 continue
             if self._exchange.is_started and attempt.produced_tokens == 0:
