Parse upstreams' bytes in turns, and bound interim answers

What callers would see: while one upstream floods its connection with interim answers or with chunks of a byte, callers of all other upstreams wait for as long as the flood lasts; its own caller gets 504 only after its time limit.

Cause: all events of a read of 256 KB were parsed at once (some 40,000 chunks, or 10,000 interim answers), of each connection in each iteration of the loop, and interim answers had no limit on their number. What arrived together was handed to the relay of a stream at once as well.

- An answer may be preceded by 100 interim answers, that arrive within 256 KB (max_interim_answers, max_interim_bytes); more is AnswerMalformed.
- A connection parses 64 events, then waits for its turn (turns.Turns), in which one connection goes on in each iteration of the loop; meanwhile it reads nothing.
Streams are handed on in pieces of 8 KB, by the same turns.
- Reads take at most 64 KB, by a buffer that all connections of a client share.
- A change of protocol (after CONNECT) is AnswerMalformed; h11 would have kept all further bytes.

The test now takes 504 besides 502 for a body and an event in chunks of a byte: their time limit is reached before their size limit.

--- a/features/support/endless_upstreams.py
+++ b/features/support/endless_upstreams.py
@@ -63,7 +63,7 @@
         "body of a huge length": Endless(),
         "body in chunks": Endless(),
         "body in one huge chunk": Endless(),
-        "body in chunks of a byte": Endless(),
+        "body in chunks of a byte": Endless(ends=(502, 504)),
         "chunk extension without end": Endless(),
         "chunks with extensions": Endless(),
         "trailers without end": Endless(),
@@ -82,7 +82,9 @@
     "streams": {
         "event without end": STREAM,
         "event without end to the end of the connection": STREAM,
-        "event without end in chunks of a byte": STREAM,
+        "event without end in chunks of a byte": Endless(
+            is_stream=True, ends=(502, 504)
+        ),
         "event of lines without end": STREAM,
         "event byte by byte": SLOW_STREAM,
         "second event without end": Endless(is_stream=True, ends=(200, 502)),
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -11,7 +11,9 @@
 
 from .exceptions import ConnectFailed, InvalidRequest
 from .http_messages import decode_headers, encode_headers, without_hop_headers
+from .turns import Turns
 from .upstream_connections import (
+    READ_BYTES,
     ClientLimits,
     UpstreamAnswer,
     UpstreamConnection,
@@ -54,6 +56,8 @@
         ssl_context: ssl.SSLContext | None = None,
     ):
         self.limits = limits or ClientLimits()
+        self.turns = Turns()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._ssl_context = ssl_context
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
         self._open: set[UpstreamConnection] = set()
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -23,6 +23,7 @@
     UpstreamTimedOut,
 )
 from .http_messages import Header, find_header
+from .turns import Turns
 
 PROBE_AFTER_S = 1
 PROBE_INTERVAL_S = 1
@@ -31,6 +32,9 @@
 KEEP_ALIVE_MARGIN_MS = 1000
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 DEFAULT_READ_BYTES = 16 * 1024 * 1024
+READ_BYTES = 64 * 1024
+EVENTS_PER_TURN = 64
+PIECE_BYTES = 8 * 1024
 BODILESS_STATUS_CODES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -45,9 +49,13 @@
     :param max_keep_alive_ms: time limit for an idle connection if the upstream sends
         a longer Keep-Alive timeout.
     :param read_buffer_bytes: unread bytes of an answer above which reading pauses.
+    :param max_interim_answers: limit on the interim answers before one answer.
+    :param max_interim_bytes: limit on the bytes that arrive up to the last of them.
     """
 
     max_header_bytes: int = 16 * 1024
+    max_interim_answers: int = 100
+    max_interim_bytes: int = 256 * 1024
     max_idle_connections: int = 64
     keep_alive_ms: int = 30_000
     max_keep_alive_ms: int = 30_000
@@ -88,6 +96,7 @@
         self.framing = framing
         self.call_number = connection.call_count
         self._connection: UpstreamConnection | None = connection
+        self._turns = connection.turns
 
     @property
     def is_framed(self) -> bool:
@@ -104,7 +113,9 @@
         return find_header(self.headers, name, default)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives, until the answer is complete.
+        """Yield the body as it arrives, in small pieces, until the answer is complete.
+
+        Between two pieces that arrived together, other answers get a turn.
 
         :raises AnswerTruncated: if the connection ended before the answer.
         :raises UpstreamTimedOut: if the upstream was silent for too long.
@@ -115,7 +126,10 @@
                 data = await self._connection.receive()
                 if not data:
                     break
-                yield data
+                yield data[:PIECE_BYTES]
+                for start in range(PIECE_BYTES, len(data), PIECE_BYTES):
+                    await self._turns.wait()
+                    yield data[start : start + PIECE_BYTES]
         finally:
             self._release()
 
@@ -184,6 +198,8 @@
     """Interface of the client as its connections use it."""
 
     limits: ClientLimits
+    turns: Turns
+    read_buffer: memoryview
 
     def add_idle(self, connection: "UpstreamConnection") -> None:
         """Add an idle connection to the pool, or close it if the pool is full."""
@@ -192,9 +208,12 @@
         """Remove a closed connection from the pool."""
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """Protocol that makes calls to one address in sequence.
 
+    Bytes are parsed in turns with other connections, a limited number of events at a
+    time: an upstream that sends many small ones must not hold up the others.
+
     :param client: client that owns the connection.
     :param address: IP address and port of the upstream.
     """
@@ -203,6 +222,7 @@
         self.address = address
         self.idle_until_s = 0.0
         self.call_count = 0
+        self.turns = client.turns
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -214,6 +234,10 @@
         self._head: h11.Response | None = None
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
+        self._interim_answers = 0
+        self._head_bytes = 0
+        self._is_waiting_for_turn = False
+        self._is_paused = False
         self._is_complete = True
         self._error: Exception | None = None
         self._waiter: asyncio.Future | None = None
@@ -248,18 +272,34 @@
         _enable_keepalive_probes(transport.get_extra_info("socket"))
         self._poll.register(transport.get_extra_info("socket"), select.POLLIN)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return self._client.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes of the answer."""
         if self._is_complete:
             self._fail(AnswerMalformed("data after the answer", self.address))
             return
+        if self._head is None:
+            self._head_bytes += nbytes
+        self._http.receive_data(self._client.read_buffer[:nbytes])
+        self._take_turn()
+
+    def _take_turn(self) -> None:
+        """Parse a limited number of events; the rest waits for the next turn."""
+        self._is_waiting_for_turn = False
+        if self._error is not None:
+            return
         try:
-            self._http.receive_data(data)
-            self._process_events()
+            self._is_waiting_for_turn = not self._process_events(EVENTS_PER_TURN)
         except h11.RemoteProtocolError as error:
             self._fail(AnswerMalformed(str(error), self.address))
+        if self._is_waiting_for_turn:
+            self.turns.add(self._take_turn)
         if self._head is not None:
             self._extend_deadline()
+        self._update_reading()
         self._notify()
 
     def eof_received(self) -> bool:
@@ -286,6 +326,9 @@
 
     def connection_lost(self, exc) -> None:
         """Fail the call unless its answer is complete."""
+        if self._is_waiting_for_turn:
+            with contextlib.suppress(h11.RemoteProtocolError):
+                self._process_events()
         if not self._is_complete:
             self._fail(self._closed_early_error())
         self._stop_timer()
@@ -294,14 +337,21 @@
 
     # Reading.
 
-    def _process_events(self) -> None:
+    def _process_events(self, max_events: float = math.inf) -> bool:
+        """Process the events of the received bytes.
+
+        :return: whether all were processed.
+        """
+        count = 0
         while not self._is_complete:
+            if count == max_events:
+                return False
             event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is h11.NEED_DATA:
                 break
             self._handle_event(event)
-        if self._is_buffer_full:
-            self._transport.pause_reading()
+            count += 1
+        return True
 
     def _handle_event(self, event) -> None:
         if isinstance(event, h11.Data):
@@ -311,13 +361,36 @@
             self._head = event
         elif isinstance(event, h11.EndOfMessage):
             self._is_complete = True
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_interim_answer()
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("the connection was closed")
+        else:
+            # h11 would keep all further bytes.
+            raise h11.RemoteProtocolError("the protocol was changed")
+
+    def _count_interim_answer(self) -> None:
+        self._interim_answers += 1
+        if self._interim_answers > self._limits.max_interim_answers:
+            raise h11.RemoteProtocolError("too many interim answers")
+        if self._head_bytes > self._limits.max_interim_bytes:
+            raise h11.RemoteProtocolError("the interim answers are too long")
 
     @property
     def _is_buffer_full(self) -> bool:
         return self._buffered_bytes > self._limits.read_buffer_bytes
 
+    def _update_reading(self) -> None:
+        """Pause or resume reading, by what is still to be parsed or read."""
+        is_paused = self._is_buffer_full or self._is_waiting_for_turn
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _closed_early_error(self) -> Exception:
         if self._head is not None:
             return AnswerTruncated(
@@ -356,6 +429,8 @@
             self._http.start_next_cycle()
         self.call_count += 1
         self._head = None
+        self._head_bytes = 0
+        self._interim_answers = 0
         self._is_complete = False
         parts = [self._http.send(request)]
         if body:
@@ -388,8 +463,8 @@
         self._parts = []
         if self._is_buffer_full:
             self._extend_deadline()
-            self._transport.resume_reading()
         self._buffered_bytes = 0
+        self._update_reading()
         return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
     def release(self) -> None:
@@ -430,8 +505,8 @@
         self._timer = None
         if self._is_complete:
             return
-        if self._is_buffer_full:
-            # Reading is paused because the reader is slow, not the upstream.
+        if self._is_paused:
+            # Reading is paused because this host is slow, not the upstream.
             self._extend_deadline()
         if self._loop.time() < self._deadline_s:
             self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
