Limit the answer bytes that all readers together keep

What operators would see: eight upstreams that send bodies without end take an entry host to 206 MB, where the target for a host is 64 MB.

Cause: each answer had a limit of 16 MB, all together had none; the error of a connection kept the frames of its reader, with all that was read, until the next run of the garbage collector; unread bytes had a limit for each connection only.

- AnswerBudget: the bytes that readers keep of all answers of one client, bodies until their caller has them and unfinished events.
Beyond 8 MB on an entry host (32 MB by default) the largest answer in progress is given up with AnswerTooLarge, since an answer without end outgrows all others.
- One answer may have 4 MB (16 before), an unfinished event 512 KB.
- A connection reads ahead 64 KB (256 before), and all together 4 MB: beyond it each connection that has unread bytes pauses.
- A reader gets a copy of the error, so that its frames end with it.

8 MB kept, 4 MB unread and a copy of one answer as it is joined are 16 MB, within the 18 MB that 64 MB leave beside the process itself.

The test's sound upstream now also answers with 1 MB, by turns, and these answers too have to be complete and within 300 ms.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -84,8 +84,12 @@
 def sound_in_time(context):
     ends = context.endless_run.sound_ends
     assert ends
-    late = [end for end in ends if end.status != 200 or end.duration_ms > GOAL_MS]
-    assert not late, late
+    bad = [
+        end
+        for end in ends
+        if end.status != 200 or not end.is_complete or end.duration_ms > GOAL_MS
+    ]
+    assert not bad, bad
 
 
 @then("the host's memory stayed within its bound")
--- a/features/support/endless_run.py
+++ b/features/support/endless_run.py
@@ -19,6 +19,7 @@
 READ_BYTES = 256 * 1024
 PROBE_PAUSE_S = 0.025
 LIMIT_S = 6
+LARGE_ANSWER_BYTES = 1_000_000
 LAST_CHUNK = b"\r\n0\r\n\r\n"
 SETTINGS = """
 [host]
@@ -73,6 +74,17 @@
     return status, tail == LAST_CHUNK
 
 
+class SoundUpstream(Upstream):
+    """Upstream that answers completely, with 1 MB if the path asks for it."""
+
+    async def _answer(self, received, reader, writer):
+        is_large = received.line.split()[1].endswith("/large")
+        body = b"a" * (LARGE_ANSWER_BYTES if is_large else 10)
+        fields = ("X-Response-Sig: sig", f"Content-Length: {len(body)}")
+        writer.write(self._head(received, "200 OK", *fields) + body)
+        await writer.drain()
+
+
 class EndlessRun:
     """Asynchronous context manager of the processes, whose callers it plays.
 
@@ -93,7 +105,7 @@
         self.processor_s = 0.0
         self.host = None
         self.upstreams = None
-        self.sound = Upstream(SOUND, ["answer"])
+        self.sound = SoundUpstream(SOUND, ["answer"])
 
     async def __aenter__(self):
         await self.sound.start()
@@ -194,7 +206,8 @@
 
     async def _probe(self):
         while self.is_probing:
-            self.sound_ends.append(await self.call(SOUND))
+            for size in ("small", "large"):
+                self.sound_ends.append(await self.call(SOUND, size))
             await asyncio.sleep(PROBE_PAUSE_S)
 
     async def _await_closed(self, names):
--- a/src/peridotfront/core/event_stream.py
+++ b/src/peridotfront/core/event_stream.py
@@ -11,7 +11,7 @@
 MAX_EVENT_END_BYTES = 4
 FIELD = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 512 * 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -56,7 +56,7 @@
 ORIGIN_WAIT_MS = 1500
 ORIGIN_RETRY_MS = 100
 MAX_RETRY_AFTER_RATIO = 1 / 3
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 NOT_RUN_STATUS = {
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
@@ -358,6 +358,7 @@
         if kind is AnswerKind.EVENT_STREAM:
             return await self._relay_events(attempt, answer)
         body = await answer.read(MAX_ANSWER_BYTES)
+        answer.hold(len(body))
         if kind is AnswerKind.REJECTED:
             return ReleaseCause.REJECTED
         if kind is AnswerKind.OTHER_UPSTREAM:
@@ -413,6 +414,7 @@
             events = list(parser.feed(chunk))
             self._event_count += len(events)
             self._unfinished_bytes = parser.buffered_bytes
+            answer.hold(parser.buffered_bytes)
             if not events:
                 continue
             if self._exchange.is_started and attempt.produced_tokens == 0:
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from .answer_budget import AnswerBudget
 from .exceptions import ConnectFailed, InvalidRequest
 from .http_messages import decode_headers, encode_headers, without_hop_headers
 from .turns import Turns
@@ -57,6 +58,8 @@
     ):
         self.limits = limits or ClientLimits()
         self.turns = Turns()
+        self.budget = AnswerBudget(self.limits.max_kept_bytes)
+        self.buffered_bytes = 0
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._ssl_context = ssl_context
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -41,6 +41,7 @@
 MAX_IDLE_CONNECTIONS = 8
 MIN_REQUEST_TIMEOUT_MS = 15_000
 MAX_CONNECTIONS = 3000
+MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_TOTAL_BODY_BYTES = 48 * 1024 * 1024
 
 
@@ -93,7 +94,9 @@
         )
         self.server.on_routing_changed = self._apply_routing
         limits = ClientLimits(
-            max_idle_connections=MAX_IDLE_CONNECTIONS, keep_alive_ms=KEEP_ALIVE_MS
+            max_idle_connections=MAX_IDLE_CONNECTIONS,
+            keep_alive_ms=KEEP_ALIVE_MS,
+            max_kept_bytes=MAX_KEPT_ANSWER_BYTES,
         )
         self.client = HttpClient(limits)
         self.gateway = Gateway(self.server, self.client, adapter.codec, metrics)
--- a/src/peridotfront/turns.py
+++ b/src/peridotfront/turns.py
@@ -4,6 +4,8 @@
 from collections import deque
 from collections.abc import Callable
 
+TURN_S = 0.001
+
 
 class Turns:
     """Queue of long work, of which each iteration of the event loop does one piece.
@@ -38,3 +40,21 @@
         if self._waiting:
             self._schedule()
         work()
+
+
+class Turn:
+    """Work in pieces that waits for the next turn once it has taken ``TURN_S``.
+
+    :param turns: queue that it shares with other work.
+    """
+
+    def __init__(self, turns: Turns):
+        self._turns = turns
+        self._loop = asyncio.get_running_loop()
+        self._end_s = self._loop.time() + TURN_S
+
+    async def go_on(self) -> None:
+        """Wait until the next piece may be done."""
+        if self._loop.time() >= self._end_s:
+            await self._turns.wait()
+            self._end_s = self._loop.time() + TURN_S
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 from collections.abc import AsyncIterator
+from copy import copy
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
@@ -15,6 +16,7 @@
 
 import h11
 
+from .answer_budget import AnswerBudget
 from .exceptions import (
     AnswerMalformed,
     AnswerTooLarge,
@@ -23,7 +25,7 @@
     UpstreamTimedOut,
 )
 from .http_messages import Header, find_header
-from .turns import Turns
+from .turns import Turn, Turns
 
 PROBE_AFTER_S = 1
 PROBE_INTERVAL_S = 1
@@ -31,10 +33,10 @@
 UNACKNOWLEDGED_MS = 3000
 KEEP_ALIVE_MARGIN_MS = 1000
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
-DEFAULT_READ_BYTES = 16 * 1024 * 1024
+DEFAULT_READ_BYTES = 4 * 1024 * 1024
 READ_BYTES = 64 * 1024
-EVENTS_PER_TURN = 64
-PIECE_BYTES = 8 * 1024
+EVENTS_PER_TURN = 32
+PIECE_BYTES = 4 * 1024
 BODILESS_STATUS_CODES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -49,6 +51,10 @@
     :param max_keep_alive_ms: time limit for an idle connection if the upstream sends
         a longer Keep-Alive timeout.
     :param read_buffer_bytes: unread bytes of an answer above which reading pauses.
+    :param max_buffered_bytes: unread bytes of all answers above which reading pauses
+        for each answer that has any.
+    :param max_kept_bytes: limit on the bytes of all answers that readers keep until
+        they are complete.
     :param max_interim_answers: limit on the interim answers before one answer.
     :param max_interim_bytes: limit on the bytes that arrive up to the last of them.
     """
@@ -59,7 +65,9 @@
     max_idle_connections: int = 64
     keep_alive_ms: int = 30_000
     max_keep_alive_ms: int = 30_000
-    read_buffer_bytes: int = 256 * 1024
+    read_buffer_bytes: int = 64 * 1024
+    max_buffered_bytes: int = 4 * 1024 * 1024
+    max_kept_bytes: int = 32 * 1024 * 1024
 
 
 class BodyFraming(StrEnum):
@@ -97,12 +105,18 @@
         self.call_number = connection.call_count
         self._connection: UpstreamConnection | None = connection
         self._turns = connection.turns
+        self._budget = connection.budget
 
     @property
     def is_framed(self) -> bool:
         """Return whether more than the connection's end marks the body's end."""
         return self.framing is not BodyFraming.CLOSE
 
+    @property
+    def is_in_progress(self) -> bool:
+        """Return whether the body has not been read to its end."""
+        return self._connection is not None
+
     @property
     def address(self) -> str:
         """Return the upstream's IP address and port; empty after the call has ended."""
@@ -121,14 +135,15 @@
         :raises UpstreamTimedOut: if the upstream was silent for too long.
         :raises AnswerMalformed: if the answer is not valid HTTP.
         """
+        turn = Turn(self._turns)
         try:
             while self._connection is not None:
                 data = await self._connection.receive()
                 if not data:
                     break
-                yield data[:PIECE_BYTES]
-                for start in range(PIECE_BYTES, len(data), PIECE_BYTES):
-                    await self._turns.wait()
+                for start in range(0, len(data), PIECE_BYTES):
+                    if len(data) > PIECE_BYTES:
+                        await turn.go_on()
                     yield data[start : start + PIECE_BYTES]
         finally:
             self._release()
@@ -141,18 +156,43 @@
         :raises AnswerTruncated: if the connection ended before the answer.
         :raises UpstreamTimedOut: if the upstream was silent for too long.
         """
-        parts = []
+        parts = [bytearray()]
         size_bytes = 0
-        async for data in self.chunks():
-            size_bytes += len(data)
-            if size_bytes > max_bytes:
-                self.cancel()
-                raise AnswerTooLarge(f"the answer is longer than {max_bytes} bytes")
-            parts.append(data)
-        return b"".join(parts)
+        try:
+            while self._connection is not None:
+                data = await self._connection.receive()
+                if not data:
+                    break
+                size_bytes += len(data)
+                if size_bytes > max_bytes:
+                    raise AnswerTooLarge(f"the answer is longer than {max_bytes} bytes")
+                self.hold(size_bytes)
+                # Many small parts would take several times their size.
+                if len(parts[-1]) + len(data) > READ_BYTES:
+                    parts.append(bytearray())
+                parts[-1] += data
+            return b"".join(parts)
+        finally:
+            # The traceback of an error keeps this frame.
+            parts.clear()
+            self._release()
+            self.hold(0)
+
+    def hold(self, size_bytes: int) -> None:
+        """Set how many bytes the reader keeps of the answer, for the client's limit.
+
+        :param size_bytes: number of bytes; 0 if none are kept any more.
+        """
+        self._budget.hold(self, size_bytes)
+
+    def give_up(self) -> None:
+        """Fail the call, since all answers together keep too many bytes."""
+        if self._connection is not None:
+            self._connection.give_up()
 
     def cancel(self) -> None:
         """Close the connection unless the answer was read completely."""
+        self.hold(0)
         if self._connection is not None:
             self._connection.close()
             self._connection = None
@@ -199,6 +239,8 @@
 
     limits: ClientLimits
     turns: Turns
+    budget: AnswerBudget
+    buffered_bytes: int
     read_buffer: memoryview
 
     def add_idle(self, connection: "UpstreamConnection") -> None:
@@ -223,6 +265,7 @@
         self.idle_until_s = 0.0
         self.call_count = 0
         self.turns = client.turns
+        self.budget = client.budget
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -238,6 +281,7 @@
         self._head_bytes = 0
         self._is_waiting_for_turn = False
         self._is_paused = False
+        self._is_lost = False
         self._is_complete = True
         self._error: Exception | None = None
         self._waiter: asyncio.Future | None = None
@@ -297,6 +341,8 @@
             self._fail(AnswerMalformed(str(error), self.address))
         if self._is_waiting_for_turn:
             self.turns.add(self._take_turn)
+        elif self._is_lost:
+            self._end_lost_call()
         if self._head is not None:
             self._extend_deadline()
         self._update_reading()
@@ -325,14 +371,16 @@
             return False
 
     def connection_lost(self, exc) -> None:
-        """Fail the call unless its answer is complete."""
-        if self._is_waiting_for_turn:
-            with contextlib.suppress(h11.RemoteProtocolError):
-                self._process_events()
+        """Fail the call unless its answer is complete, or may be once it is parsed."""
+        self._is_lost = True
+        self._client.remove(self)
+        if not self._is_waiting_for_turn:
+            self._end_lost_call()
+
+    def _end_lost_call(self) -> None:
         if not self._is_complete:
             self._fail(self._closed_early_error())
         self._stop_timer()
-        self._client.remove(self)
         self._notify()
 
     # Reading.
@@ -356,7 +404,7 @@
     def _handle_event(self, event) -> None:
         if isinstance(event, h11.Data):
             self._parts.append(event.data)
-            self._buffered_bytes += len(event.data)
+            self._set_buffered(self._buffered_bytes + len(event.data))
         elif isinstance(event, h11.Response):
             self._head = event
         elif isinstance(event, h11.EndOfMessage):
@@ -376,8 +424,14 @@
         if self._head_bytes > self._limits.max_interim_bytes:
             raise h11.RemoteProtocolError("the interim answers are too long")
 
+    def _set_buffered(self, size_bytes: int) -> None:
+        self._client.buffered_bytes += size_bytes - self._buffered_bytes
+        self._buffered_bytes = size_bytes
+
     @property
     def _is_buffer_full(self) -> bool:
+        if self._client.buffered_bytes > self._limits.max_buffered_bytes:
+            return self._buffered_bytes > 0
         return self._buffered_bytes > self._limits.read_buffer_bytes
 
     def _update_reading(self) -> None:
@@ -407,6 +461,12 @@
             self._error = error
         self._transport.abort()
 
+    def _check_error(self) -> None:
+        if self._error is not None:
+            # The traceback of the error itself would keep the reader's frames, with
+            # all that was read, for as long as the connection.
+            raise copy(self._error)
+
     def _notify(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -445,8 +505,7 @@
         :param between_bytes_ms: time limit for silence within the answer's body.
         """
         while self._head is None:
-            if self._error is not None:
-                raise self._error
+            self._check_error()
             await self._wait()
         self._start_timer(between_bytes_ms)
         return self._head
@@ -456,14 +515,13 @@
         while not self._parts:
             if self._is_complete:
                 return b""
-            if self._error is not None:
-                raise self._error
+            self._check_error()
             await self._wait()
         parts = self._parts
         self._parts = []
-        if self._is_buffer_full:
+        if self._is_paused:
             self._extend_deadline()
-        self._buffered_bytes = 0
+        self._set_buffered(0)
         self._update_reading()
         return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
@@ -486,10 +544,21 @@
         """Close immediately; a call in progress fails."""
         if self._error is None and not self._is_complete:
             self._error = AnswerTruncated("the call was cancelled", self.address)
+        self._drop_parts()
         self._stop_timer()
         self._transport.abort()
         self._notify()
 
+    def give_up(self) -> None:
+        """Fail the call as too large, and drop the bytes that were not read."""
+        self._drop_parts()
+        self._fail(AnswerTooLarge("all answers together are too large", self.address))
+        self._notify()
+
+    def _drop_parts(self) -> None:
+        self._parts = []
+        self._set_buffered(0)
+
     # Timeouts: a call has one timer; received bytes move its deadline, not the timer.
 
     def _extend_deadline(self) -> None:
