Bound all readers of answers in bytes and time

What operators would see: an engine, or the platform's list of upstreams, whose answer arrives byte by byte without end is never given up, so that its poller never asks again; a call with a key whose answer has no end keeps all of it.

Cause: received bytes move the deadline of an answer, and nothing bounded the whole; all readers shared one size limit of 16 MB; the copies of an answer for repeats with its key, and for replays, had none.

- UpstreamTimeouts.total_ms limits the time from the request to the end of the answer: 2 s for polls, cancels and pages of the list, the order's own limit for orders, 30 min for calls of the own interface.
- Sizes: 1 MB for reports and pages of the list, 64 KB for results of orders, cancels and imports, 16 MB for exports as before; 20,000 upstreams in the list.
- An answer that is kept for its key may have 4 MB and counts in the budget, as does the unfinished event of a stream; the copy for replays ends with what may be replayed.
Calls close the connection of an answer that they give up.

The test's readers now use the time limits of their callers: with those of the client, 30 s, no limit of the caller was tested. For an order, whose limit is 10 s, it takes a fifth of it and checks that the limit is the sender's. Two more readers are tested (report for orders, engine cancel). The fake answer of calls has the new method.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -38,12 +38,15 @@
     When the "<reader>" reads from it
     Then it ends with UpstreamTimedOut within 3000 ms
     And the connection to the upstream is closed
+    And the limit of an order is that of its sender
 
     Examples: Readers
       | reader            |
       | list of upstreams |
       | engine report     |
+      | report for orders |
       | engine order      |
+      | engine cancel     |
 
   Scenario Outline: A reader gives up on an answer without end: <reader>
     Given an upstream whose answer arrives fast and without end
@@ -55,7 +58,9 @@
       | reader            |
       | list of upstreams |
       | engine report     |
+      | report for orders |
       | engine order      |
+      | engine cancel     |
       | engine export     |
 
   Scenario: A call with a key keeps no more of an answer without end than its limit
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -41,6 +41,9 @@
     def cancel(self):
         pass
 
+    def hold(self, size_bytes):
+        pass
+
 
 def complete_answer():
     return FakeAnswer(STREAM)
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import tempfile
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -12,13 +13,15 @@
 from support.endless_run import EndlessRun
 from support.endless_upstreams import ALL_WAYS
 
-from peridotfront import exceptions
+from peridotfront import exceptions, order_sender, polling
 from peridotfront.answers import Answer
-from peridotfront.calls import Call, CallRunner, CallStats
+from peridotfront.calls import CANCEL_TIMEOUTS, Call, CallRunner, CallStats
 from peridotfront.core.dispatcher_events import DispatchEnded
 from peridotfront.core.event_stream import ServerSentEventParser
 from peridotfront.core.fleet import Policy, UpstreamKind, UpstreamSpec
+from peridotfront.core.orders import ORDER_TIMEOUT_MS
 from peridotfront.engine_messages import EngineOrder
+from peridotfront.order_sender import ORDER_TIMEOUTS
 from peridotfront.platform.upstream_list import UpstreamListClient
 
 # The target for a host is 64 MB, of which a process takes up to 46 MB by itself.
@@ -206,17 +209,32 @@
     context.address = serve_script(context, script)
 
 
+ORDER = EngineOrder(order_id="o", kind="load_model", name="m", term=1, sequence=1)
+# An order may take its whole time limit; a fifth of it is enough for the test.
+SHORT_ORDER_TIMEOUTS = replace(ORDER_TIMEOUTS, total_ms=ORDER_TIMEOUT_MS // 5)
 READERS = {
     "list of upstreams": lambda http, address: UpstreamListClient(http, address).read(),
-    "engine report": lambda http, address: http.report(address),
+    "engine report": lambda http, address: http.report(
+        address, timeouts=polling.POLL_TIMEOUTS
+    ),
+    "report for orders": lambda http, address: http.report(
+        address, timeouts=order_sender.POLL_TIMEOUTS
+    ),
     "engine order": lambda http, address: http.order(
-        address,
-        EngineOrder(order_id="o", kind="load_model", name="m", term=1, sequence=1),
+        address, ORDER, timeouts=SHORT_ORDER_TIMEOUTS
+    ),
+    "engine cancel": lambda http, address: http.cancel(
+        address, "r1", timeouts=CANCEL_TIMEOUTS
     ),
     "engine export": lambda http, address: http.export_kv(address, "r1"),
 }
 
 
+@then("the limit of an order is that of its sender")
+def order_limit(context):
+    assert ORDER_TIMEOUTS.total_ms == ORDER_TIMEOUT_MS
+
+
 @when('the "{reader}" reads from it')
 def read_endless(context, reader):
     context.client = client(context)
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -17,6 +17,7 @@
 from .core.verdicts import Reason, Verdict
 from .engine_client import EngineClient, UpstreamAnswer, UpstreamTimeouts
 from .exceptions import (
+    AnswerTooLarge,
     AnswerTruncated,
     ConnectFailed,
     InvalidRequest,
@@ -33,13 +34,18 @@
 COMPLETION_TOKENS = re.compile(rb'"completion_tokens": ?(\d{1,9})')
 TAIL_BYTES = 512
 MAX_RESUMES = 3
+MAX_KEPT_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_CALL_MS = 30 * 60_000
 PROGRESS_INTERVAL_MS = 200
 FORWARDED_HEADERS = ("content-type", "cache-control", "location", "etag")
 ENGINE_TIMEOUTS = UpstreamTimeouts(
-    connect_ms=1000, first_byte_ms=60_000, between_bytes_ms=10_000
+    connect_ms=1000,
+    first_byte_ms=60_000,
+    between_bytes_ms=10_000,
+    total_ms=MAX_CALL_MS,
 )
 CANCEL_TIMEOUTS = UpstreamTimeouts(
-    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000
+    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000, total_ms=2000
 )
 
 
@@ -84,7 +90,8 @@
 
     :param cancel_cause: release cause if the call is cancelled, else None.
     :param events: parser of the answer if it is a stream of events, else None.
-    :param body: copy of the answer's body if the request has an idempotency key.
+    :param body: copy of the answer's body if the request has an idempotency key, up
+        to a little more than may be replayed.
     """
 
     admission: Admission
@@ -216,13 +223,17 @@
                 answer = await self._resume_at(call, call.answer.size_bytes)
 
     async def _copy(self, call: Call, answer: UpstreamAnswer, policy: Policy) -> None:
-        async for chunk in answer.chunks():
-            self._update_stats(call, chunk, policy.slow_token_ms)
-            if call.answer.key:
-                call.body += chunk
-            await call.answer.write(chunk)
-            if call.events is not None:
-                deque(call.events.feed(chunk), maxlen=0)
+        try:
+            async for chunk in answer.chunks():
+                self._update_stats(call, chunk, policy.slow_token_ms)
+                if call.answer.key:
+                    _copy_for_replay(call, chunk, policy.replay_body_bytes)
+                await call.answer.write(chunk)
+                if call.events is not None:
+                    deque(call.events.feed(chunk), maxlen=0)
+                answer.hold(_kept_bytes(call))
+        finally:
+            answer.cancel()
         if call.events is not None and call.events.is_truncated(answer.is_framed):
             raise AnswerTruncated("the stream broke off", call.upstream.address)
 
@@ -293,6 +304,28 @@
     return int(matches[-1]) if matches else default
 
 
+def _copy_for_replay(call: Call, chunk: bytes, max_replay_bytes: int) -> None:
+    """Copy a part of an answer that is kept whole, unless it is too large to replay.
+
+    :raises AnswerTooLarge: if the answer is too large to be kept.
+    """
+    if call.answer.size_bytes + len(chunk) > MAX_KEPT_ANSWER_BYTES:
+        raise AnswerTooLarge(
+            f"the answer is longer than {MAX_KEPT_ANSWER_BYTES} bytes",
+            call.upstream.address,
+        )
+    if len(call.body) <= max_replay_bytes:
+        call.body += chunk
+
+
+def _kept_bytes(call: Call) -> int:
+    """Return how many bytes of an answer in progress are kept."""
+    kept_bytes = call.answer.size_bytes if call.answer.key else 0
+    if call.events is not None:
+        kept_bytes += call.events.buffered_bytes
+    return kept_bytes
+
+
 def _release_cause(error: UpstreamError) -> ReleaseCause:
     if isinstance(error, ConnectFailed):
         return ReleaseCause.UNREACHABLE
@@ -328,4 +361,5 @@
         connect_ms=1000,
         first_byte_ms=admission.timeout_ms,
         between_bytes_ms=admission.timeout_ms,
+        total_ms=MAX_CALL_MS,
     )
--- a/src/peridotfront/engine_client.py
+++ b/src/peridotfront/engine_client.py
@@ -19,6 +19,10 @@
     "UpstreamTimeouts",
 ]
 
+MAX_REPORT_BYTES = 1024 * 1024
+MAX_RESULT_BYTES = 64 * 1024
+MAX_EXPORT_BYTES = 16 * 1024 * 1024
+
 
 class EngineClient(HttpClient):
     """Client for the API of model engines."""
@@ -75,7 +79,7 @@
         """Cancel a request; return false if the engine does not run it."""
         target = f"/cancel/{quote(request_id, safe='')}"
         answer = await self.send(address, "POST", target, timeouts=timeouts)
-        await answer.read()
+        await answer.read(MAX_RESULT_BYTES)
         return answer.status_code == HTTPStatus.OK
 
     async def report(
@@ -92,7 +96,8 @@
         """
         target = f"/report?since={since}"
         answer = await self.send(address, "GET", target, timeouts=timeouts)
-        return _parse_answer(EngineReport, address, answer, await answer.read())
+        body = await answer.read(MAX_REPORT_BYTES)
+        return _parse_answer(EngineReport, address, answer, body)
 
     async def export_kv(
         self,
@@ -111,7 +116,7 @@
         if not answer.is_framed:
             answer.cancel()
             raise AnswerTruncated("the export has no length", address)
-        body = await answer.read()
+        body = await answer.read(MAX_EXPORT_BYTES)
         return body if answer.status_code == HTTPStatus.OK else None
 
     async def import_kv(
@@ -128,7 +133,7 @@
         answer = await self.send(
             address, "POST", "/kv/import", body=exported, timeouts=timeouts
         )
-        await answer.read()
+        await answer.read(MAX_RESULT_BYTES)
         return answer.status_code == HTTPStatus.OK
 
     async def order(
@@ -154,9 +159,8 @@
             before_send=before_send,
         )
         expected = (HTTPStatus.OK, HTTPStatus.CONFLICT)
-        return _parse_answer(
-            OrderResult, address, answer, await answer.read(), expected
-        )
+        result = await answer.read(MAX_RESULT_BYTES)
+        return _parse_answer(OrderResult, address, answer, result, expected)
 
 
 def _parse_answer(model, address, answer, body, expected=(HTTPStatus.OK,)):
--- a/src/peridotfront/entry.py
+++ b/src/peridotfront/entry.py
@@ -13,7 +13,7 @@
 from .core.entry_role import BeginLeaving, EntryRole
 from .core.fleet import Fleet
 from .core.host_monitor import HostMonitor
-from .engine_client import EngineClient
+from .engine_client import ClientLimits, EngineClient
 from .entry_server import EntryServer
 from .http_server import HttpLimits, HttpServer
 from .metrics import Metrics
@@ -40,6 +40,7 @@
 
 DRAIN_POLL_MS = 20
 MAX_DRAIN_MS = 600_000
+MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 class EntryProgram:
@@ -53,7 +54,8 @@
         host = settings.host
         incarnation = new_incarnation()
         self.metrics = Metrics(host.name, host.data_centre)
-        self.client = EngineClient()
+        limits = ClientLimits(max_kept_bytes=MAX_KEPT_ANSWER_BYTES)
+        self.client = EngineClient(limits)
         validator = RequestValidator(Fleet(), settings.callers.request_deadline_ms)
         self.transport = Transport(
             host.name,
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -35,11 +35,14 @@
     :param first_byte_ms: time limit from sending the request to the headers of the
         answer.
     :param between_bytes_ms: time limit for silence within the answer.
+    :param total_ms: time limit from sending the request to the end of the answer; 0
+        if the caller of the client sets one.
     """
 
     connect_ms: int = 1_000
     first_byte_ms: int = 30_000
     between_bytes_ms: int = 30_000
+    total_ms: int = 0
 
 
 class HttpClient:
@@ -110,7 +113,7 @@
         try:
             if before_send is not None:
                 before_send()
-            connection.send(request, body, timeouts.first_byte_ms)
+            connection.send(request, body, timeouts.first_byte_ms, timeouts.total_ms)
             head = await connection.receive_head(timeouts.between_bytes_ms)
         except BaseException:
             connection.close()
--- a/src/peridotfront/order_sender.py
+++ b/src/peridotfront/order_sender.py
@@ -31,10 +31,13 @@
 POLL_INTERVAL_MS = 1000
 MAX_CONCURRENT_POLLS = 8
 POLL_TIMEOUTS = UpstreamTimeouts(
-    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000
+    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000, total_ms=2000
 )
 ORDER_TIMEOUTS = UpstreamTimeouts(
-    connect_ms=500, first_byte_ms=ORDER_TIMEOUT_MS, between_bytes_ms=1000
+    connect_ms=500,
+    first_byte_ms=ORDER_TIMEOUT_MS,
+    between_bytes_ms=1000,
+    total_ms=ORDER_TIMEOUT_MS,
 )
 
 
--- a/src/peridotfront/platform/upstream_list.py
+++ b/src/peridotfront/platform/upstream_list.py
@@ -14,8 +14,12 @@
 from ..http_client import HttpClient, UpstreamTimeouts
 from .configuration import WireModel
 
-TIMEOUTS = UpstreamTimeouts(connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000)
+TIMEOUTS = UpstreamTimeouts(
+    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000, total_ms=2000
+)
 MAX_PAGES = 100
+MAX_PAGE_BYTES = 1024 * 1024
+MAX_UPSTREAMS = 20_000
 LEAVING_STATES = {"ready": False, "draining": True}
 
 
@@ -57,6 +61,8 @@
             entries, token = await self._read_page(token)
             for entry in _decode_entries(entries):
                 listed[entry.name] = entry
+            if len(listed) > MAX_UPSTREAMS:
+                raise AnswerMalformed("the list has too many upstreams", self._address)
             if not token:
                 return tuple(listed.values())
         raise AnswerMalformed("the list has too many pages", self._address)
@@ -68,7 +74,7 @@
         answer = await self._client.send(
             self._address, "GET", target, timeouts=TIMEOUTS
         )
-        body = await answer.read()
+        body = await answer.read(MAX_PAGE_BYTES)
         if answer.status_code != HTTPStatus.OK:
             raise AnswerMalformed(
                 f"unexpected status {answer.status_code}", self._address
--- a/src/peridotfront/polling.py
+++ b/src/peridotfront/polling.py
@@ -12,7 +12,7 @@
 
 POLL_INTERVAL_MS = 500
 POLL_TIMEOUTS = UpstreamTimeouts(
-    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000
+    connect_ms=500, first_byte_ms=1000, between_bytes_ms=1000, total_ms=2000
 )
 
 
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -287,6 +287,7 @@
         self._waiter: asyncio.Future | None = None
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
+        self._end_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -480,10 +481,13 @@
 
     # Calls.
 
-    def send(self, request: h11.Request, body: bytes, first_byte_ms: int) -> None:
+    def send(
+        self, request: h11.Request, body: bytes, first_byte_ms: int, total_ms: int
+    ) -> None:
         """Write one complete request.
 
         :param first_byte_ms: time limit until the head of the answer is complete.
+        :param total_ms: time limit until the answer is complete; 0 for none.
         """
         if self.call_count:
             self._http.start_next_cycle()
@@ -496,6 +500,7 @@
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
+        self._end_s = self._loop.time() + total_ms / 1000 if total_ms else math.inf
         self._start_timer(first_byte_ms)
         self._transport.write(b"".join(parts))
 
@@ -562,7 +567,8 @@
     # Timeouts: a call has one timer; received bytes move its deadline, not the timer.
 
     def _extend_deadline(self) -> None:
-        self._deadline_s = self._loop.time() + self._silence_timeout_ms / 1000
+        silence_end_s = self._loop.time() + self._silence_timeout_ms / 1000
+        self._deadline_s = min(silence_end_s, self._end_s)
 
     def _start_timer(self, silence_timeout_ms: int) -> None:
         self._stop_timer()
@@ -580,9 +586,10 @@
         if self._loop.time() < self._deadline_s:
             self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
             return
-        self._fail(
-            UpstreamTimedOut("the upstream was silent for too long", self.address)
-        )
+        detail = "the upstream was silent for too long"
+        if self._deadline_s == self._end_s:
+            detail = "the answer took too long"
+        self._fail(UpstreamTimedOut(detail, self.address))
         self._notify()
 
     def _stop_timer(self) -> None:
