--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -51,7 +51,7 @@
 
 CONNECT_MS = 300
 PROGRESS_INTERVAL_MS = 500
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 NOT_RUN_STATUS = {
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
@@ -261,6 +261,7 @@
         if kind is AnswerKind.EVENT_STREAM:
             return await self._relay_events(attempt, answer)
         body = await answer.read(MAX_ANSWER_BYTES)
+        answer.hold(len(body))
         if kind is AnswerKind.REJECTED:
             return ReleaseCause.REJECTED
         if kind is AnswerKind.OTHER_UPSTREAM:
@@ -317,7 +318,8 @@
         async for chunk in answer.chunks():
             events = list(parser.feed(chunk))
             self._event_count += len(events)
-            self._unfinished_bytes = len(parser.buffered)
+            self._unfinished_bytes = parser.buffered_bytes
+            answer.hold(parser.buffered_bytes)
             if not events:
                 continue
             if self._exchange.is_started and attempt.produced_tokens == 0:
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -9,9 +9,12 @@
 
 import h11
 
+from .answer_budget import AnswerBudget
 from .exceptions import ConnectFailed, InvalidRequest
 from .http_messages import decode_headers, encode_headers, without_hop_headers
+from .turns import Turns
 from .upstream_connections import (
+    READ_BYTES,
     ClientLimits,
     UpstreamAnswer,
     UpstreamConnection,
@@ -32,11 +35,14 @@
     :param first_byte_ms: time limit from sending the request to the headers of the
         answer.
     :param between_bytes_ms: time limit for silence within the answer.
+    :param total_ms: time limit from sending the request to the end of the answer; 0
+        if the caller of the client sets one.
     """
 
     connect_ms: int = 1_000
     first_byte_ms: int = 30_000
     between_bytes_ms: int = 30_000
+    total_ms: int = 0
 
 
 class HttpClient:
@@ -54,6 +60,10 @@
         ssl_context: ssl.SSLContext | None = None,
     ):
         self.limits = limits or ClientLimits()
+        self.turns = Turns()
+        self.budget = AnswerBudget(self.limits.max_kept_bytes)
+        self.buffered_bytes = 0
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._ssl_context = ssl_context
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
         self._open: set[UpstreamConnection] = set()
@@ -103,7 +113,7 @@
         try:
             if before_send is not None:
                 before_send()
-            connection.send(request, body, timeouts.first_byte_ms)
+            connection.send(request, body, timeouts.first_byte_ms, timeouts.total_ms)
             head = await connection.receive_head(timeouts.between_bytes_ms)
         except BaseException:
             connection.close()
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 from collections.abc import AsyncIterator
+from copy import copy
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
@@ -15,6 +16,7 @@
 
 import h11
 
+from .answer_budget import AnswerBudget
 from .exceptions import (
     AnswerMalformed,
     AnswerTooLarge,
@@ -23,6 +25,7 @@
     UpstreamTimedOut,
 )
 from .http_messages import Header, find_header
+from .turns import Turn, Turns
 
 PROBE_AFTER_S = 1
 PROBE_INTERVAL_S = 1
@@ -30,7 +33,10 @@
 UNACKNOWLEDGED_MS = 3000
 KEEP_ALIVE_MARGIN_MS = 1000
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
-DEFAULT_READ_BYTES = 16 * 1024 * 1024
+DEFAULT_READ_BYTES = 4 * 1024 * 1024
+READ_BYTES = 64 * 1024
+EVENTS_PER_TURN = 32
+PIECE_BYTES = 4 * 1024
 BODILESS_STATUS_CODES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -45,13 +51,23 @@
     :param max_keep_alive_ms: time limit for an idle connection if the upstream sends
         a longer Keep-Alive timeout.
     :param read_buffer_bytes: unread bytes of an answer above which reading pauses.
+    :param max_buffered_bytes: unread bytes of all answers above which reading pauses
+        for each answer that has any.
+    :param max_kept_bytes: limit on the bytes of all answers that readers keep until
+        they are complete.
+    :param max_interim_answers: limit on the interim answers before one answer.
+    :param max_interim_bytes: limit on the bytes that arrive up to the last of them.
     """
 
     max_header_bytes: int = 16 * 1024
+    max_interim_answers: int = 100
+    max_interim_bytes: int = 256 * 1024
     max_idle_connections: int = 64
     keep_alive_ms: int = 30_000
     max_keep_alive_ms: int = 30_000
-    read_buffer_bytes: int = 256 * 1024
+    read_buffer_bytes: int = 64 * 1024
+    max_buffered_bytes: int = 4 * 1024 * 1024
+    max_kept_bytes: int = 32 * 1024 * 1024
 
 
 class BodyFraming(StrEnum):
@@ -88,12 +104,19 @@
         self.framing = framing
         self.call_number = connection.call_count
         self._connection: UpstreamConnection | None = connection
+        self._turns = connection.turns
+        self._budget = connection.budget
 
     @property
     def is_framed(self) -> bool:
         """Return whether more than the connection's end marks the body's end."""
         return self.framing is not BodyFraming.CLOSE
 
+    @property
+    def is_in_progress(self) -> bool:
+        """Return whether the body has not been read to its end."""
+        return self._connection is not None
+
     @property
     def address(self) -> str:
         """Return the upstream's IP address and port; empty after the call has ended."""
@@ -104,18 +127,24 @@
         return find_header(self.headers, name, default)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives, until the answer is complete.
+        """Yield the body as it arrives, in small pieces, until the answer is complete.
+
+        Between two pieces that arrived together, other answers get a turn.
 
         :raises AnswerTruncated: if the connection ended before the answer.
         :raises UpstreamTimedOut: if the upstream was silent for too long.
         :raises AnswerMalformed: if the answer is not valid HTTP.
         """
+        turn = Turn(self._turns)
         try:
             while self._connection is not None:
                 data = await self._connection.receive()
                 if not data:
                     break
-                yield data
+                for start in range(0, len(data), PIECE_BYTES):
+                    if len(data) > PIECE_BYTES:
+                        await turn.go_on()
+                    yield data[start : start + PIECE_BYTES]
         finally:
             self._release()
 
@@ -127,15 +156,39 @@
         :raises AnswerTruncated: if the connection ended before the answer.
         :raises UpstreamTimedOut: if the upstream was silent for too long.
         """
-        parts = []
+        parts = [bytearray()]
         size_bytes = 0
-        async for data in self.chunks():
-            size_bytes += len(data)
-            if size_bytes > max_bytes:
-                self.cancel()
-                raise AnswerTooLarge(f"the answer is longer than {max_bytes} bytes")
-            parts.append(data)
-        return b"".join(parts)
+        try:
+            while self._connection is not None:
+                data = await self._connection.receive()
+                if not data:
+                    break
+                size_bytes += len(data)
+                if size_bytes > max_bytes:
+                    raise AnswerTooLarge(f"the answer is longer than {max_bytes} bytes")
+                self.hold(size_bytes)
+                # Many small parts would take several times their size.
+                if len(parts[-1]) + len(data) > READ_BYTES:
+                    parts.append(bytearray())
+                parts[-1] += data
+            return b"".join(parts)
+        finally:
+            # The traceback of an error keeps this frame.
+            parts.clear()
+            self._release()
+            self.hold(0)
+
+    def hold(self, size_bytes: int) -> None:
+        """Set how many bytes the reader keeps of the answer, for the client's limit.
+
+        :param size_bytes: number of bytes; 0 if none are kept any more.
+        """
+        self._budget.hold(self, size_bytes)
+
+    def give_up(self) -> None:
+        """Fail the call, since all answers together keep too many bytes."""
+        if self._connection is not None:
+            self._connection.give_up()
 
     def close_after(self) -> None:
         """Close the connection after this answer, in place of keeping it."""
@@ -144,6 +197,7 @@
 
     def cancel(self) -> None:
         """Close the connection unless the answer was read completely."""
+        self.hold(0)
         if self._connection is not None:
             self._connection.close()
             self._connection = None
@@ -189,6 +243,10 @@
     """Interface of the client as its connections use it."""
 
     limits: ClientLimits
+    turns: Turns
+    budget: AnswerBudget
+    buffered_bytes: int
+    read_buffer: memoryview
 
     def add_idle(self, connection: "UpstreamConnection") -> None:
         """Add an idle connection to the pool, or close it if the pool is full."""
@@ -197,9 +255,12 @@
         """Remove a closed connection from the pool."""
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """Protocol that makes calls to one address in sequence.
 
+    Bytes are parsed in turns with other connections, a limited number of events at a
+    time: an upstream that sends many small ones must not hold up the others.
+
     :param client: client that owns the connection.
     :param address: IP address and port of the upstream.
     """
@@ -209,6 +270,8 @@
         self.idle_until_s = 0.0
         self.call_count = 0
         self.is_last_call = False
+        self.turns = client.turns
+        self.budget = client.budget
         self._client = client
         self._limits = client.limits
         self._loop = asyncio.get_running_loop()
@@ -220,11 +283,17 @@
         self._head: h11.Response | None = None
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
+        self._interim_answers = 0
+        self._head_bytes = 0
+        self._is_waiting_for_turn = False
+        self._is_paused = False
+        self._is_lost = False
         self._is_complete = True
         self._error: Exception | None = None
         self._waiter: asyncio.Future | None = None
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
+        self._end_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -254,18 +323,36 @@
         _enable_keepalive_probes(transport.get_extra_info("socket"))
         self._poll.register(transport.get_extra_info("socket"), select.POLLIN)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return self._client.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes of the answer."""
         if self._is_complete:
             self._fail(AnswerMalformed("data after the answer", self.address))
             return
+        if self._head is None:
+            self._head_bytes += nbytes
+        self._http.receive_data(self._client.read_buffer[:nbytes])
+        self._take_turn()
+
+    def _take_turn(self) -> None:
+        """Parse a limited number of events; the rest waits for the next turn."""
+        self._is_waiting_for_turn = False
+        if self._error is not None:
+            return
         try:
-            self._http.receive_data(data)
-            self._process_events()
+            self._is_waiting_for_turn = not self._process_events(EVENTS_PER_TURN)
         except h11.RemoteProtocolError as error:
             self._fail(AnswerMalformed(str(error), self.address))
+        if self._is_waiting_for_turn:
+            self.turns.add(self._take_turn)
+        elif self._is_lost:
+            self._end_lost_call()
         if self._head is not None:
             self._extend_deadline()
+        self._update_reading()
         self._notify()
 
     def eof_received(self) -> bool:
@@ -291,39 +378,80 @@
             return False
 
     def connection_lost(self, exc) -> None:
-        """Fail the call unless its answer is complete."""
+        """Fail the call unless its answer is complete, or may be once it is parsed."""
+        self._is_lost = True
+        self._client.remove(self)
+        if not self._is_waiting_for_turn:
+            self._end_lost_call()
+
+    def _end_lost_call(self) -> None:
         if not self._is_complete:
             self._fail(self._closed_early_error())
         self._stop_timer()
-        self._client.remove(self)
         self._notify()
 
     # Reading.
 
-    def _process_events(self) -> None:
+    def _process_events(self, max_events: float = math.inf) -> bool:
+        """Process the events of the received bytes.
+
+        :return: whether all were processed.
+        """
+        count = 0
         while not self._is_complete:
+            if count == max_events:
+                return False
             event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is h11.NEED_DATA:
                 break
             self._handle_event(event)
-        if self._is_buffer_full:
-            self._transport.pause_reading()
+            count += 1
+        return True
 
     def _handle_event(self, event) -> None:
         if isinstance(event, h11.Data):
             self._parts.append(event.data)
-            self._buffered_bytes += len(event.data)
+            self._set_buffered(self._buffered_bytes + len(event.data))
         elif isinstance(event, h11.Response):
             self._head = event
         elif isinstance(event, h11.EndOfMessage):
             self._is_complete = True
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_interim_answer()
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("the connection was closed")
+        else:
+            # h11 would keep all further bytes.
+            raise h11.RemoteProtocolError("the protocol was changed")
+
+    def _count_interim_answer(self) -> None:
+        self._interim_answers += 1
+        if self._interim_answers > self._limits.max_interim_answers:
+            raise h11.RemoteProtocolError("too many interim answers")
+        if self._head_bytes > self._limits.max_interim_bytes:
+            raise h11.RemoteProtocolError("the interim answers are too long")
+
+    def _set_buffered(self, size_bytes: int) -> None:
+        self._client.buffered_bytes += size_bytes - self._buffered_bytes
+        self._buffered_bytes = size_bytes
 
     @property
     def _is_buffer_full(self) -> bool:
+        if self._client.buffered_bytes > self._limits.max_buffered_bytes:
+            return self._buffered_bytes > 0
         return self._buffered_bytes > self._limits.read_buffer_bytes
 
+    def _update_reading(self) -> None:
+        """Pause or resume reading, by what is still to be parsed or read."""
+        is_paused = self._is_buffer_full or self._is_waiting_for_turn
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _closed_early_error(self) -> Exception:
         if self._head is not None:
             return AnswerTruncated(
@@ -340,6 +468,12 @@
             self._error = error
         self._transport.abort()
 
+    def _check_error(self) -> None:
+        if self._error is not None:
+            # The traceback of the error itself would keep the reader's frames, with
+            # all that was read, for as long as the connection.
+            raise copy(self._error)
+
     def _notify(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -353,20 +487,26 @@
 
     # Calls.
 
-    def send(self, request: h11.Request, body: bytes, first_byte_ms: int) -> None:
+    def send(
+        self, request: h11.Request, body: bytes, first_byte_ms: int, total_ms: int
+    ) -> None:
         """Write one complete request.
 
         :param first_byte_ms: time limit until the head of the answer is complete.
+        :param total_ms: time limit until the answer is complete; 0 for none.
         """
         if self.call_count:
             self._http.start_next_cycle()
         self.call_count += 1
         self._head = None
+        self._head_bytes = 0
+        self._interim_answers = 0
         self._is_complete = False
         parts = [self._http.send(request)]
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
+        self._end_s = self._loop.time() + total_ms / 1000 if total_ms else math.inf
         self._start_timer(first_byte_ms)
         self._transport.write(b"".join(parts))
 
@@ -376,8 +516,7 @@
         :param between_bytes_ms: time limit for silence within the answer's body.
         """
         while self._head is None:
-            if self._error is not None:
-                raise self._error
+            self._check_error()
             await self._wait()
         self._start_timer(between_bytes_ms)
         return self._head
@@ -387,15 +526,14 @@
         while not self._parts:
             if self._is_complete:
                 return b""
-            if self._error is not None:
-                raise self._error
+            self._check_error()
             await self._wait()
         parts = self._parts
         self._parts = []
-        if self._is_buffer_full:
+        if self._is_paused:
             self._extend_deadline()
-            self._transport.resume_reading()
-        self._buffered_bytes = 0
+        self._set_buffered(0)
+        self._update_reading()
         return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
 
     def release(self) -> None:
@@ -418,14 +556,26 @@
         """Close immediately; a call in progress fails."""
         if self._error is None and not self._is_complete:
             self._error = AnswerTruncated("the call was cancelled", self.address)
+        self._drop_parts()
         self._stop_timer()
         self._transport.abort()
         self._notify()
 
+    def give_up(self) -> None:
+        """Fail the call as too large, and drop the bytes that were not read."""
+        self._drop_parts()
+        self._fail(AnswerTooLarge("all answers together are too large", self.address))
+        self._notify()
+
+    def _drop_parts(self) -> None:
+        self._parts = []
+        self._set_buffered(0)
+
     # Timeouts: a call has one timer; received bytes move its deadline, not the timer.
 
     def _extend_deadline(self) -> None:
-        self._deadline_s = self._loop.time() + self._silence_timeout_ms / 1000
+        silence_end_s = self._loop.time() + self._silence_timeout_ms / 1000
+        self._deadline_s = min(silence_end_s, self._end_s)
 
     def _start_timer(self, silence_timeout_ms: int) -> None:
         self._stop_timer()
@@ -437,15 +587,16 @@
         self._timer = None
         if self._is_complete:
             return
-        if self._is_buffer_full:
-            # Reading is paused because the reader is slow, not the upstream.
+        if self._is_paused:
+            # Reading is paused because this host is slow, not the upstream.
             self._extend_deadline()
         if self._loop.time() < self._deadline_s:
             self._timer = self._loop.call_at(self._deadline_s, self._check_deadline)
             return
-        self._fail(
-            UpstreamTimedOut("the upstream was silent for too long", self.address)
-        )
+        detail = "the upstream was silent for too long"
+        if self._deadline_s == self._end_s:
+            detail = "the answer took too long"
+        self._fail(UpstreamTimedOut(detail, self.address))
         self._notify()
 
     def _stop_timer(self) -> None:
