Continue a copied answer where its copy ended when its claim is taken over

What callers saw: found by reading, not in a run of the programs. A repeat that had copied a part of its answer from a holder that then died took the claim over, and the answer was read again from its first byte and written behind that part: a complete stream with some bytes twice. The copy also went on beside the resumption, so that a late chunk could be written between its bytes, and its end could end the request.

Change: the resumption begins at the length of the copy, which it treats as received, and the copy is given up first.

--- a/features/attachments.feature
+++ b/features/attachments.feature
@@ -28,3 +28,8 @@
       | sender          |
       | the first host  |
       | the second host |
+
+  Scenario: A copy that is given up writes nothing more into its answer
+    Given a request that copies an answer from a host
+    When its copy is given up and a late chunk arrives
+    Then the answer is still empty and no end was reported
--- a/features/calls.feature
+++ b/features/calls.feature
@@ -74,3 +74,15 @@
       | closes before it answers                        | False     |
       | can't be reached                                | False     |
       | truncates its answer and can't be reached again | True      |
+
+  Scenario Outline: An answer that was copied in part is resumed where its copy ended: <size> bytes
+    Given an engine that resumes an answer
+    When a stream of which <size> bytes were copied is resumed at it
+    Then the answer is the complete stream
+    And the outcome has the complete stream
+
+    Examples:
+      | size |
+      | 0    |
+      | 5    |
+      | 14   |
--- a/features/steps/attachments_steps.py
+++ b/features/steps/attachments_steps.py
@@ -139,3 +139,37 @@
 @then("the copy ends with what the answer's holder says")
 def copy_ends_as_holder_says(context):
     assert context.ends == [None, OUTCOME], context.ends
+
+
+@given("a request that copies an answer from a host")
+def copying_request(context):
+    """Nothing to do: the copy is made in the next step."""
+
+
+@when("its copy is given up and a late chunk arrives")
+def give_up_copy(context):
+    context.copy, context.ends = asyncio.run(asyncio.wait_for(give_up(), TIMEOUT_S))
+
+
+async def give_up():
+    requests = asyncio.Queue()
+    ends = []
+    follower = Attachments(
+        AnswerStore(), lambda host, message: requests.put_nowait(message), ends.append
+    )
+    copy = Answer("r2", KEY, 1, BUFFER_BYTES)
+    follower.follow(copy, KEY, "h1")
+    request = await requests.get()
+    chunk = AnswerChunk(request.request_id, KEY, 0, b"late", True, OUTCOME, 200)
+    follower.on_message("h1", chunk)
+    follower.give_up("r2")
+    await asyncio.sleep(LATE_S)
+    follower.give_up("unknown")
+    await follower.stop()
+    return copy, ends
+
+
+@then("the answer is still empty and no end was reported")
+def nothing_written(context):
+    assert context.copy.body() == b"" and context.copy.outcome is None
+    assert context.ends == [], context.ends
--- a/src/peridotfront/attachments.py
+++ b/src/peridotfront/attachments.py
@@ -39,6 +39,7 @@
         self._tasks = BackgroundTasks()
         self._reply_queues: dict[str, asyncio.Queue[AnswerChunk]] = {}
         self._copy_numbers = count(1)
+        self._copy_ids: dict[str, str] = {}
 
     def on_message(self, sender: str, message: Any) -> None:
         """Handle a request for a chunk, or a chunk that this host has requested."""
@@ -58,6 +59,10 @@
         """
         self._tasks.start(self._follow(answer, key, holder_host))
 
+    def give_up(self, request_id: str) -> None:
+        """Give up the copy for a request: no more is written, and no end reported."""
+        self._copy_ids.pop(request_id, None)
+
     async def stop(self) -> None:
         """Cancel all transfers."""
         await self._tasks.cancel()
@@ -94,10 +99,14 @@
         # late chunk for an earlier one would be taken for a chunk of this one.
         copy_id = f"{answer.request_id}.{next(self._copy_numbers)}"
         self._reply_queues[copy_id] = queue
+        self._copy_ids[answer.request_id] = copy_id
         try:
             outcome = await self._copy(copy_id, answer, key, holder_host, queue)
         finally:
             del self._reply_queues[copy_id]
+        if self._copy_ids.get(answer.request_id) != copy_id:
+            return
+        del self._copy_ids[answer.request_id]
         if outcome is not None and outcome.status_code:
             answer.end(outcome)
         self._feed(FollowedAnswerEnded(answer.request_id, outcome))
@@ -115,6 +124,8 @@
             request = AttachRequest(copy_id, key, answer.size_bytes)
             self._send(holder_host, request)
             chunk = await _wait_for_reply(queue)
+            if self._copy_ids.get(answer.request_id) != copy_id:
+                return None
             if chunk is None:
                 missed_replies += 1
                 continue
--- a/src/peridotfront/calls.py
+++ b/src/peridotfront/calls.py
@@ -125,7 +125,10 @@
         await self._run(call, policy, self._send)
 
     async def resume(self, call: Call, policy: Policy) -> None:
-        """Read the stream of a request that another host sent, from its first byte."""
+        """Read the answer to a request that another host sent.
+
+        It goes on where the copy from that host ended.
+        """
         await self._run(call, policy, self._take_over)
 
     async def cancel(self, call: Call) -> None:
@@ -187,7 +190,9 @@
     async def _take_over(self, call: Call) -> UpstreamAnswer:
         if call.upstream.kind is not UpstreamKind.ENGINE:
             raise UpstreamDied("a plain service can't resume an answer")
-        return await self._resume_at(call, 0)
+        if call.answer.is_started:
+            _adopt_copy(call)
+        return await self._resume_at(call, call.answer.size_bytes)
 
     async def _resume_at(self, call: Call, offset_bytes: int) -> UpstreamAnswer:
         try:
@@ -305,6 +310,15 @@
     return int(matches[-1]) if matches else default
 
 
+def _adopt_copy(call: Call) -> None:
+    """Treat the part of the answer that was copied as if the call had received it."""
+    copied = call.answer.body()
+    call.body += copied
+    if is_event_stream([(header.name, header.value) for header in call.answer.headers]):
+        call.events = ServerSentEventParser()
+        deque(call.events.feed(copied), maxlen=0)
+
+
 def _check_promise(answer: UpstreamAnswer, address: str) -> None:
     """Refuse an answer whose status is a promise of ours.
 
--- a/src/peridotfront/entry_server.py
+++ b/src/peridotfront/entry_server.py
@@ -182,6 +182,7 @@
             self.feed(DispatchEnded(action.request_id, cause, outcome))
             return
         logs.write("claim_taken_over", request_id=action.request_id)
+        self._attachments.give_up(action.request_id)
         call = self._new_call(admission, upstream)
         call.is_resumed = True
         self._start_call(call, self._call_runner.resume)
