Refuse no marked repeat as not run when it is invalid by now

What callers saw: a repeat with its key, marked by Peridotfront-Attempt, was refused on arrival as not_run (401, 404, 400, 422) after its account, model or service had left the configuration, although an earlier attempt may have run. The dispatcher keeps the rule that not_run holds for all attempts with a key; the validator didn't know it.

Change: the validator refuses a request with a key that isn't marked as a first attempt as may_have_run, with the same status. First attempts, unmarked requests and requests without a key get not_run as before.

--- a/features/own_verdicts.feature
+++ b/features/own_verdicts.feature
@@ -71,3 +71,19 @@
       | 429    | a complete answer |
       | 503    | a complete answer |
       | 503    | a stream          |
+
+  Scenario Outline: A repeat of a request with a key that <fault> is refused as <verdict>
+    Given an entry host that knows the model "m" and an account
+    When a caller sends attempt "<attempt>" with <key> that <fault>
+    Then it is refused with <status> and the verdict <verdict>
+
+    Examples:
+      | fault                        | attempt | key    | status | verdict      |
+      | names a model that has left  | 2       | a key  | 404    | may_have_run |
+      | is of an account that left   | 2       | a key  | 401    | may_have_run |
+      | is not valid JSON            | 2       | a key  | 400    | may_have_run |
+      | names a service that left    | 3       | a key  | 404    | may_have_run |
+      | names a model that has left  | many    | a key  | 404    | may_have_run |
+      | names a model that has left  | 1       | a key  | 404    | not_run      |
+      | names a model that has left  |         | a key  | 404    | not_run      |
+      | names a model that has left  | 2       | no key | 404    | not_run      |
--- a/features/steps/own_verdicts_steps.py
+++ b/features/steps/own_verdicts_steps.py
@@ -1,18 +1,21 @@
 """Steps that end requests of the own interface and read what their callers get."""
 
+import hashlib
 from types import SimpleNamespace
 
 from behave import given, then, when
 from http_fixtures import parse_problem, run, send_and_receive, serve
 
 from peridotfront.answers import Answer
-from peridotfront.core.fleet import AccountSpec, UpstreamKind
+from peridotfront.core.fleet import AccountSpec, Fleet, UpstreamKind, UpstreamSpec
 from peridotfront.core.messages import Outcome
 from peridotfront.core.requests import Request
 from peridotfront.core.verdicts import Reason, Refusal, Verdict
+from peridotfront.exceptions import RequestRefused
+from peridotfront.http_messages import Header, HttpRequest
 from peridotfront.metrics import Metrics
 from peridotfront.request_handler import RequestHandler
-from peridotfront.request_validator import Admission
+from peridotfront.request_validator import Admission, RequestValidator
 
 RETRY_MS = 1200
 REQUEST = b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
@@ -114,3 +117,42 @@
     assert reply.status_code == 502, reply
     assert reply.content["verdict"] == "may_have_run", reply
     assert "retry-after" not in reply.head, reply
+
+
+FAULTS = {
+    "names a model that has left": ("/v1/completions", "a", b'{"model": "gone"}'),
+    "is of an account that left": ("/v1/completions", "gone", b'{"model": "m"}'),
+    "is not valid JSON": ("/v1/completions", "a", b"{"),
+    "names a service that left": ("/services/gone/x", "a", b"{}"),
+}
+
+
+@given('an entry host that knows the model "m" and an account')
+def validating_host(context):
+    account = AccountSpec("a", hashlib.sha256(b"a").hexdigest())
+    upstream = UpstreamSpec("e1", UpstreamKind.ENGINE, "dc", "1:1", models=("m",))
+    fleet = Fleet(version=1, upstreams=(upstream,), accounts=(account,))
+    context.validator = RequestValidator(fleet, 1000)
+
+
+@when('a caller sends attempt "{attempt}" with {key} that {fault}')
+@when('a caller sends attempt "" with {key} that {fault}')
+def send_attempt(context, key, fault, attempt=""):
+    path, account, body = FAULTS[fault]
+    headers = [Header("authorization", f"Bearer {account}")]
+    if attempt:
+        headers.append(Header("peridotfront-attempt", attempt))
+    if key == "a key":
+        headers.append(Header("idempotency-key", "k"))
+    request = HttpRequest("POST", path, path, "", tuple(headers), body)
+    try:
+        context.validator.admit(request, "r1")
+    except RequestRefused as error:
+        context.refused = error
+
+
+@then("it is refused with {status:d} and the verdict {verdict}")
+def check_refused(context, status, verdict):
+    refused = context.refused
+    assert refused.status_code == status, refused
+    assert refused.refusal.verdict.value == verdict, refused.refusal
--- a/src/peridotfront/request_validator.py
+++ b/src/peridotfront/request_validator.py
@@ -3,7 +3,7 @@
 import hashlib
 import hmac
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any
 
@@ -103,6 +103,16 @@
         :raises RequestRefused: if the request is invalid, with the HTTP status and
             the refusal for the caller.
         """
+        try:
+            return self._admit(http, request_id)
+        except RequestRefused as error:
+            if not _is_marked_repeat(http):
+                raise
+            # An earlier attempt may have run, such as before the configuration changed.
+            refusal = replace(error.refusal, verdict=Verdict.MAY_HAVE_RUN)
+            raise RequestRefused(error.status_code, refusal) from error
+
+    def _admit(self, http: HttpRequest, request_id: str) -> Admission:
         account = self._authenticate(http)
         if http.path in COMPLETION_PATHS:
             if http.method != "POST":
@@ -267,6 +277,12 @@
     return tier
 
 
+def _is_marked_repeat(http: HttpRequest) -> bool:
+    """Return whether a request has a key and is not marked as a first attempt."""
+    has_key = bool(http.header(KEY_HEADER))
+    return has_key and http.header(ATTEMPT_HEADER, "1") != "1"
+
+
 def _attempt_number(http: HttpRequest) -> int:
     return _read_positive_integer(http, ATTEMPT_HEADER, 1)
 
