--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -64,7 +64,8 @@
 
     :param knows_versions: whether software versions are known to it.
     :param origins_known_after_ms: time after which it knows how streams began.
-    :param refusal_reason: reason for which it refuses all; None if it grants slots.
+    :param refusal_reason: reason with which it refuses everything; empty if it grants.
+    :param frozen_ms: time for which the process is frozen after each grant.
     """
 
     def __init__(
@@ -74,22 +75,24 @@
         *,
         knows_versions=True,
         origins_known_after_ms=0,
-        refusal_reason=None,
+        refusal_reason="",
+        frozen_ms=0,
     ):
         self.upstreams = upstreams
         self.route_table = table
         self.knows_versions = knows_versions
         self.origins_known_s = time.monotonic() + origins_known_after_ms / 1000
         self.refusal_reason = refusal_reason
+        self.frozen_ms = frozen_ms
         self.slot_requests = []
         self.events = []
 
     async def acquire_slot(self, slot_request):
         self.slot_requests.append(slot_request)
-        if self.refusal_reason is not None:
-            return self._refuse(slot_request, self.refusal_reason, 500)
         if slot_request.is_resumed and time.monotonic() < self.origins_known_s:
             return self._refuse(slot_request, "unknown_origin", 300)
+        if self.refusal_reason:
+            return self._refuse(slot_request, self.refusal_reason, 500)
         free = [u for u in self.upstreams if self._suits(u, slot_request)]
         if not free:
             return self._refuse(slot_request, "overloaded", 5000)
@@ -103,6 +106,8 @@
             upstream.address,
             upstream.software_version if self.knows_versions else "",
         )
+        # It freezes the whole process, as SIGSTOP does.
+        time.sleep(self.frozen_ms / 1000)
         return SlotGranted(grant, False)
 
     def _suits(self, upstream, slot_request):
@@ -129,6 +134,7 @@
     :param is_complete: whether the answer is complete.
     :param first_s: time until the first chunk in seconds.
     :param duration_s: time until the end in seconds.
+    :param fields: names in lower case and values of all header fields, in order.
     """
 
     status: int
@@ -137,6 +143,7 @@
     is_complete: bool
     first_s: float
     duration_s: float
+    fields: tuple = ()
 
 
 def leaderless_server(upstreams, metrics):
@@ -231,7 +238,8 @@
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     line, *field_lines = head.split("\r\n")
     fields = [text.partition(": ") for text in field_lines if text]
-    headers = {name.lower(): value for name, _, value in fields}
+    fields = tuple([(name.lower(), value) for name, _, value in fields])
+    headers = dict(fields)
     body = b""
     first_s = 0.0
     is_complete = False
@@ -250,7 +258,7 @@
         is_complete = False
     status = int(line.split()[1])
     duration_s = loop.time() - started_s
-    return CallerAnswer(status, headers, body, is_complete, first_s, duration_s)
+    return CallerAnswer(status, headers, body, is_complete, first_s, duration_s, fields)
 
 
 def run_front(context, work):
--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -34,7 +34,6 @@
     def __init__(self, route: Route):
         self._route = route
         self._not_executed: Counter[ReleaseCause] = Counter()
-        self._is_held_elsewhere = False
         self.executed_count = 0
         self.excluded: list[str] = []
 
@@ -49,8 +48,7 @@
     @property
     def verdict(self) -> Verdict:
         """Return whether the request may have been executed."""
-        may_have_run = self.executed_count or self._is_held_elsewhere
-        return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN if self.executed_count else Verdict.NOT_RUN
 
     @property
     def allow_retry_after_execution(self) -> bool:
@@ -59,10 +57,6 @@
             self._route.is_repeatable and self.executed_count + 1 < self._route.attempts
         )
 
-    def mark_held_elsewhere(self) -> None:
-        """Record that another host holds the request, and may have sent it."""
-        self._is_held_elsewhere = True
-
     def allow_retry(self, upstream: str, cause: ReleaseCause) -> bool:
         """Record how an attempt ended, and return whether a retry is allowed.
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -188,8 +188,6 @@
         if isinstance(answer, SlotGranted) and not _is_usable(slot_request, answer):
             answer = self._give_back(answer)
         if isinstance(answer, SlotRefused):
-            if answer.refusal.reason is Reason.IN_PROGRESS:
-                self._attempts.mark_held_elsewhere()
             self._log(
                 "slot_refused",
                 service=slot_request.cell,
@@ -466,8 +464,10 @@
             return
         self.outcome = "refused"
         max_retry_after_ms = int(self._remaining_ms() * MAX_RETRY_AFTER_RATIO)
+        # The request may be executed through another host.
+        is_elsewhere = reason is Reason.IN_PROGRESS
         refusal = Refusal(
-            self._attempts.verdict,
+            Verdict.MAY_HAVE_RUN if is_elsewhere else self._attempts.verdict,
             reason,
             max(0, min(retry_after_ms, max_retry_after_ms)),
         )
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -38,7 +38,7 @@
         self._codec = codec
         self._metrics = metrics
         self.requests_in_progress = 0
-        self._ids_in_progress: set[str] = set()
+        self._unrepeatable_ids: set[str] = set()
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request, as the handler of the callers' HTTP server.
@@ -47,18 +47,31 @@
         """
         try:
             admitted = self._admit(exchange)
+            self._begin(admitted)
         except RequestRefused as error:
             await self._refuse(exchange, error)
             return
-        request_id = admitted.request.request_id
-        self.requests_in_progress += 1
-        self._ids_in_progress.add(request_id)
         try:
-            with logs.request_context(request_id):
+            with logs.request_context(admitted.request.request_id):
                 await self._serve(exchange, admitted)
         finally:
-            self.requests_in_progress -= 1
-            self._ids_in_progress.discard(request_id)
+            self._end(admitted)
+
+    def _begin(self, admitted: AdmittedRequest) -> None:
+        """Count a request; refuse it if its id is that of one that must run once."""
+        request_id = admitted.request.request_id
+        if request_id in self._unrepeatable_ids:
+            detail = "a request with this id is in progress"
+            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.IN_PROGRESS, detail=detail)
+            raise RequestRefused(HTTPStatus.BAD_GATEWAY, refusal)
+        self.requests_in_progress += 1
+        if not admitted.route.is_repeatable:
+            self._unrepeatable_ids.add(request_id)
+
+    def _end(self, admitted: AdmittedRequest) -> None:
+        self.requests_in_progress -= 1
+        if not admitted.route.is_repeatable:
+            self._unrepeatable_ids.discard(admitted.request.request_id)
 
     def _admit(self, exchange: Exchange) -> AdmittedRequest:
         table = self._server.route_table
@@ -80,12 +93,6 @@
             raise _refusal_error(
                 HTTPStatus.BAD_REQUEST, Reason.INVALID_REQUEST, str(error)
             ) from error
-        if request.request_id in self._ids_in_progress:
-            # The first arrival may run, so that this one can neither be sent nor be
-            # said not to run.
-            detail = "the attempt is in progress"
-            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.IN_PROGRESS, detail=detail)
-            raise RequestRefused(HTTPStatus.BAD_GATEWAY, refusal)
         account = None
         if table.needs_account(route):
             account = table.find_account(request.key)
