Keep a slot's first waiter when another one with its id comes

What callers saw: found by reading, not in a run of the programs. Of two requests that may be repeated and came with one id to one host while no slot was free, the second took the place of the first, which then waited in vain until its time was over. By reading, its end then raises KeyError (500), and a cancelled wait cancels the other's slot request.

Cause: GatewayServer keeps the waits by the id of the slot request and overwrote the first.

Change: a second wait for an id is refused at once as in progress, which is 502 with may_have_run. The line request_refused no longer says "not executed", since such a refusal and that of a marked repeat do not know it.

Evidence: "A second wait for the same slot does not take the place of the first" failed before with TimeoutError and passes now, with logs, explain and gateway.

--- a/features/attempt_ids.feature
+++ b/features/attempt_ids.feature
@@ -20,3 +20,8 @@
     When a caller sends "/transfer/x" with the body "pay 5"
     Then the caller gets 502
     And upstream "u1" got 0 requests
+
+  Scenario: A second wait for the same slot does not take the place of the first
+    Given an entry host that asks a leader for slots
+    When two requests with the same id wait for a slot and it is granted
+    Then the first gets the slot and the second is refused as in progress
--- a/features/steps/attempt_ids_steps.py
+++ b/features/steps/attempt_ids_steps.py
@@ -6,7 +6,15 @@
 from behave import given, then, when
 from support.routed_upstreams import POLL_S, read_answer, request, run_front
 
+from peridotfront.core.actions import Received
+from peridotfront.core.gateway_events import SlotGranted, SlotRefused
+from peridotfront.core.messages import Grant, SlotRequest
+from peridotfront.core.verdicts import Reason
+
 BODY = b"pay 5"
+LEADER = "c1"
+SLOT_REQUEST = SlotRequest("r1", "models", "", 1, "club", 10, 10, (), 1, 5000)
+GRANT = Grant("r1", "models", "m1", 3000, 0, "127.0.0.1:1")
 SHORT = {"X-Deadline-Ms": "800"}
 
 
@@ -66,3 +74,26 @@
 @then("the upstreams got {count:d} request together")
 def requests_together(context, count):
     assert count_requests(context) == count, context.upstreams
+
+
+@when("two requests with the same id wait for a slot and it is granted")
+def wait_twice(context):
+    async def wait():
+        server = context.server
+        first = asyncio.create_task(server.acquire_slot(SLOT_REQUEST))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(server.acquire_slot(SLOT_REQUEST))
+        await asyncio.sleep(0)
+        server.feed(Received(LEADER, 1, GRANT))
+        async with asyncio.timeout(2):
+            return await asyncio.gather(first, second, return_exceptions=True)
+
+    context.answers = asyncio.run(wait())
+
+
+@then("the first gets the slot and the second is refused as in progress")
+def first_gets_slot(context):
+    first, second = context.answers
+    assert isinstance(first, SlotGranted), first
+    assert isinstance(second, SlotRefused), second
+    assert second.refusal.reason is Reason.IN_PROGRESS, second
--- a/src/peridotfront/gateway_server.py
+++ b/src/peridotfront/gateway_server.py
@@ -16,10 +16,12 @@
     SlotRequested,
 )
 from .core.gateway_role import GatewayRole
-from .core.messages import Frame, SlotRequest
+from .core.messages import Frame, SlotRefusal, SlotRequest
 from .core.releases import build_unsent_release
 from .core.routes import RouteTable, RoutingConfig
 from .core.routing_events import RoutingChanged
+from .core.scheduler import IN_PROGRESS_RETRY_MS
+from .core.verdicts import Reason
 from .exceptions import SettingsInvalid
 from .metrics import Metrics
 from .runtime import now_ms
@@ -73,8 +75,11 @@
     ) -> SlotGranted | SlotRefused:
         """Request a slot and wait for the reply; a cancelled wait cancels the request.
 
-        :return: the grant or the refusal.
+        :return: the grant or the refusal; a refusal as in progress if a request with
+            the same id waits.
         """
+        if slot_request.request_id in self._waiting:
+            return _build_refusal(slot_request)
         future = asyncio.get_running_loop().create_future()
         self._waiting[slot_request.request_id] = future
         try:
@@ -137,3 +142,13 @@
         if isinstance(answer, SlotGranted):
             # The waiting task was cancelled but has not yet run to cancel its request.
             self.feed(SlotReleased(build_unsent_release(answer.grant)))
+
+
+def _build_refusal(slot_request: SlotRequest) -> SlotRefused:
+    refusal = SlotRefusal(
+        slot_request.request_id,
+        slot_request.cell,
+        Reason.IN_PROGRESS,
+        IN_PROGRESS_RETRY_MS,
+    )
+    return SlotRefused(refusal, is_own=True)
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -362,7 +362,7 @@
         502,
         "request_refused",
         Level.INFO,
-        "a request was refused and not executed",
+        "a request was refused on arrival, without being sent",
         "The reason is in the line. Frequent 'overloaded' means too little capacity.",
     ),
     LogEvent(
