Test the budget of answers, read-ahead and idle connections by themselves

Each mechanism gets a test that fails without it.

New: bytes on an idle connection; after each reader the client keeps no bytes.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -38,6 +38,7 @@
     When the "<reader>" reads from it
     Then it ends with UpstreamTimedOut within 3000 ms
     And the connection to the upstream is closed
+    And the client keeps no bytes of any answer
     And the limit of an order is that of its sender
 
     Examples: Readers
@@ -53,6 +54,7 @@
     When the "<reader>" reads from it
     Then it ends with AnswerTooLarge within 3000 ms
     And the connection to the upstream is closed
+    And the client keeps no bytes of any answer
 
     Examples: Readers
       | reader            |
@@ -69,3 +71,30 @@
     Then the call ended as "upstream_error" and "may_have_run" within 3000 ms
     And the call kept less than 18 MB of the answer
     And the connection to the upstream is closed
+    And the client keeps no bytes of any answer
+
+  Scenario: The largest answer is given up when all together are too large
+    Given an upstream whose answer arrives fast and without end
+    And another upstream with an answer of 1 MB
+    When a client that may keep 2 MB reads from both
+    Then the answer without end is too large and the other one is complete
+    And the client keeps no bytes of any answer
+
+  Scenario: An answer that was given up is freed without the garbage collector
+    Given an upstream whose answer arrives fast and without end
+    When its answer is given up while the garbage collector is off
+    Then nothing keeps the answer
+    And the client keeps no bytes of any answer
+
+  Scenario: Answers that nobody reads take no more memory together than their limit
+    Given an upstream whose answer arrives fast and without end
+    When 8 answers are not read by a client that may read 128 KB ahead
+    Then it has read at most 128 KB and one read of each answer ahead
+    And each of the answers goes on when it is read
+    And the client keeps no bytes of any answer
+
+  Scenario: An upstream that changes the protocol is not read any further
+    Given an upstream whose answer arrives fast and without end
+    When a request with the method CONNECT reads from it
+    Then it ends with AnswerMalformed within 3000 ms
+    And the connection to the upstream is closed
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import gc
 import tempfile
 import time
+import weakref
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -23,6 +25,7 @@
 from peridotfront.engine_messages import EngineOrder
 from peridotfront.order_sender import ORDER_TIMEOUTS
 from peridotfront.platform.upstream_list import UpstreamListClient
+from peridotfront.upstream_connections import READ_BYTES, ClientLimits
 
 # The target for a host is 64 MB, of which a process takes up to 46 MB by itself.
 MEMORY_KB = 64 * 1024
@@ -31,6 +34,7 @@
 REPEATS = 3
 GROWTH = 4
 MARGIN = 1.75
+READ_AHEAD_BYTES = 128 * 1024
 FAST_PIECE = b"a" * 65536
 
 
@@ -212,6 +216,13 @@
 ORDER = EngineOrder(order_id="o", kind="load_model", name="m", term=1, sequence=1)
 # An order may take its whole time limit; a fifth of it is enough for the test.
 SHORT_ORDER_TIMEOUTS = replace(ORDER_TIMEOUTS, total_ms=ORDER_TIMEOUT_MS // 5)
+
+
+async def connect_through(http_client, address):
+    answer = await http_client.send(address, "CONNECT", "/")
+    return await answer.read()
+
+
 READERS = {
     "list of upstreams": lambda http, address: UpstreamListClient(http, address).read(),
     "engine report": lambda http, address: http.report(
@@ -227,6 +238,7 @@
         address, "r1", timeouts=CANCEL_TIMEOUTS
     ),
     "engine export": lambda http, address: http.export_kv(address, "r1"),
+    "change of protocol": connect_through,
 }
 
 
@@ -252,6 +264,11 @@
     run(context, read())
 
 
+@when("a request with the method CONNECT reads from it")
+def read_connect(context):
+    context.execute_steps('When the "change of protocol" reads from it')
+
+
 @then("it ends with {name} within {limit:d} ms")
 def ends_in_time(context, name, limit):
     assert type(context.error) is getattr(exceptions, name), repr(context.error)
@@ -307,3 +324,116 @@
 @then("the connection to the upstream is closed")
 def is_closed(context):
     run(context, until(lambda: context.client.connections == 0))
+
+
+# Memory of one client.
+
+
+@given("another upstream with an answer of 1 MB")
+def serve_large(context):
+    async def script(reader, writer, number):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+        for _ in range(10):
+            writer.write(b"a" * 100_000)
+            await writer.drain()
+            # The answer without end is to grow meanwhile.
+            await asyncio.sleep(0.01)
+        await reader.read()
+
+    context.endless_address = context.address
+    context.address = serve_script(context, script)
+
+
+@when("a client that may keep 2 MB reads from both")
+def read_both(context):
+    limits = ClientLimits(max_kept_bytes=2_000_000)
+    context.client = client(context, limits)
+
+    async def read(address):
+        answer = await context.client.send(address, "GET", "/")
+        return await answer.read(1 << 62)
+
+    async def read_all():
+        addresses = (context.endless_address, context.address)
+        reading = [read(address) for address in addresses]
+        return await asyncio.gather(*reading, return_exceptions=True)
+
+    context.results = run(context, read_all())
+
+
+@then("the answer without end is too large and the other one is complete")
+def one_given_up(context):
+    endless, large = context.results
+    assert isinstance(endless, exceptions.AnswerTooLarge), endless
+    assert large == b"a" * 1_000_000
+
+
+@then("the client keeps no bytes of any answer")
+def keeps_nothing(context):
+    assert context.client.budget.held_bytes == 0
+    assert context.client.buffered_bytes == 0
+
+
+@when("its answer is given up while the garbage collector is off")
+def give_up(context):
+    context.client = client(context)
+
+    async def read():
+        answer = await context.client.send(context.address, "GET", "/")
+        context.kept_answer = weakref.ref(answer)
+        with contextlib.suppress(exceptions.AnswerTooLarge):
+            async for _ in answer.chunks():
+                answer.hold(1 << 62)
+
+    async def read_and_close():
+        await read()
+        await until(lambda: context.client.connections == 0)
+        context.is_freed = context.kept_answer() is None
+
+    gc.disable()
+    try:
+        run(context, read_and_close())
+    finally:
+        gc.enable()
+
+
+@then("nothing keeps the answer")
+def nothing_kept(context):
+    assert context.is_freed
+
+
+@when("8 answers are not read by a client that may read 128 KB ahead")
+def read_nothing(context):
+    context.client = client(context, ClientLimits(max_buffered_bytes=READ_AHEAD_BYTES))
+
+    async def call():
+        sending = [context.client.send(context.address, "GET", "/") for _ in range(8)]
+        answers = await asyncio.gather(*sending)
+        await until(lambda: all(a._connection._is_paused for a in answers))
+        return answers
+
+    context.answers = run(context, call())
+
+
+@then("it has read at most 128 KB and one read of each answer ahead")
+def read_little(context):
+    limit_bytes = READ_AHEAD_BYTES + len(context.answers) * READ_BYTES
+    assert 0 < context.client.buffered_bytes <= limit_bytes
+
+
+@then("each of the answers goes on when it is read")
+def go_on(context):
+    async def read(answer):
+        size_bytes = 0
+        async for data in answer.chunks():
+            size_bytes += len(data)
+            if size_bytes > GROWTH * READ_AHEAD_BYTES:
+                break
+        answer.cancel()
+        return size_bytes
+
+    async def read_all():
+        return await asyncio.gather(*[read(answer) for answer in context.answers])
+
+    assert min(run(context, read_all())) > GROWTH * READ_AHEAD_BYTES
--- a/features/support/endless_upstreams.py
+++ b/features/support/endless_upstreams.py
@@ -14,6 +14,7 @@
 
 PIECE_BYTES = 64 * 1024
 SLOW_PAUSE_S = 0.005
+IDLE_S = 0.2
 FILL = b"a" * PIECE_BYTES
 EVENT = b"id: 1\ndata: piece\n\n"
 
@@ -71,6 +72,7 @@
         "body of a rejection": Endless(ends=(502, 503)),
         "body of another upstream": Endless(ends=(502, 503)),
         "bytes behind an answer": Endless(ends=(200,)),
+        "bytes on an idle connection": Endless(ends=(200,)),
         "body byte by byte": SLOW,
         "body in chunks byte by byte": SLOW,
     },
@@ -176,6 +178,7 @@
         "body of a rejection": chain([rejected], repeat(chunk(FILL))),
         "body of another upstream": chain([other], repeat(chunk(FILL))),
         "bytes behind an answer": chain([whole], repeat(FILL)),
+        "bytes on an idle connection": chain([whole], repeat(FILL)),
         "body byte by byte": chain([head(request_id, huge)], repeat(FILL)),
         "body in chunks byte by byte": chain([start], pieces(chunk(b"a"))),
     }[name]
@@ -255,6 +258,13 @@
         await asyncio.sleep(0)
 
 
+async def send_when_idle(writer, parts: Iterable[bytes]):
+    """Send a whole answer, and bytes without end once the connection is idle."""
+    writer.write(next(parts))
+    await asyncio.sleep(IDLE_S)
+    await send_fast(writer, parts)
+
+
 async def serve(name, reader, writer):
     """Answer ``.../sound`` completely, and all else by bytes without end."""
     try:
@@ -267,6 +277,8 @@
         writer.close()
         return
     send = send_slowly if ALL_WAYS[name].is_slow else send_fast
+    if name == "bytes on an idle connection":
+        send = send_when_idle
     parts = play(name, request_id)
     if name in ("interim answers byte by byte", "fields byte by byte"):
         parts = chain([b""], parts)
