Give up no small answer, and let no dropped answer look complete

- Bodies whose caller is slow count in the budget but can't be given up.
With the limit used up by them, the next answer of any size would have been given up.
Answers under 256 KB are spared now; the limit may be exceeded by as much for each of them.
- Unread bytes are dropped when a connection is closed or given up.
If its answer had arrived completely, the rest of it would have passed for the whole.
Such an answer now ends with the error.

Two scenarios; without the changes the first ends with AnswerTooLarge, the second with no error.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -98,3 +98,14 @@
     When a request with the method CONNECT reads from it
     Then it ends with AnswerMalformed within 3000 ms
     And the connection to the upstream is closed
+
+  Scenario: A small answer passes while slow callers keep more than the limit
+    Given an upstream whose answer arrives fast and without end
+    And another upstream with an answer of 1 MB
+    When a client that may keep 1.05 MB keeps one of them and reads 100 KB of the other
+    Then the answer is not given up
+
+  Scenario: An answer whose unread rest is dropped does not look complete
+    Given another upstream with an answer of 1 MB
+    When its client is closed once a whole answer has arrived, and the answer is read
+    Then it ends with AnswerTruncated within 3000 ms
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -341,7 +341,7 @@
             await asyncio.sleep(0.01)
         await reader.read()
 
-    context.endless_address = context.address
+    context.endless_address = getattr(context, "address", "")
     context.address = serve_script(context, script)
 
 
@@ -437,3 +437,49 @@
         return await asyncio.gather(*[read(answer) for answer in context.answers])
 
     assert min(run(context, read_all())) > GROWTH * READ_AHEAD_BYTES
+
+
+@when("a client that may keep 1.05 MB keeps one of them and reads 100 KB of the other")
+def keep_and_read(context):
+    context.client = client(context, ClientLimits(max_kept_bytes=1_050_000))
+
+    async def read():
+        kept = await context.client.send(context.address, "GET", "/")
+        kept.hold(len(await kept.read()))
+        answer = await context.client.send(context.endless_address, "GET", "/")
+        context.size_bytes = 0
+        async for data in answer.chunks():
+            context.size_bytes += len(data)
+            answer.hold(context.size_bytes)
+            if context.size_bytes >= 100_000:
+                break
+        answer.cancel()
+        kept.cancel()
+
+    run(context, read())
+
+
+@then("the answer is not given up")
+def not_given_up(context):
+    assert context.size_bytes >= 100_000
+    assert context.client.budget.held_bytes == 0
+
+
+@when("its client is closed once a whole answer has arrived, and the answer is read")
+def close_before_reading(context):
+    limits = ClientLimits(read_buffer_bytes=MEMORY_KB * 1024)
+    context.client = client(context, limits)
+    context.error = None
+
+    async def read():
+        answer = await context.client.send(context.address, "GET", "/")
+        await until(lambda: not answer.is_in_progress)
+        await context.client.close()
+        started_s = time.monotonic()
+        try:
+            await answer.read()
+        except exceptions.UpstreamError as error:
+            context.error = error
+        context.duration_ms = (time.monotonic() - started_s) * 1000
+
+    run(context, read())
--- a/src/peridotfront/answer_budget.py
+++ b/src/peridotfront/answer_budget.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+MIN_GIVEN_UP_BYTES = 256 * 1024
+
 
 class HeldAnswer(Protocol):
     """Interface of an answer as its budget uses it."""
@@ -18,7 +20,8 @@
     """Limit on the bytes of all answers together that readers keep in memory.
 
     Beyond the limit the largest answer in progress is given up: an answer without end
-    outgrows all others.
+    outgrows all others. Smaller ones go on, even if slow callers of complete answers
+    alone exceed the limit.
 
     :param max_bytes: limit on the bytes of all answers.
     """
@@ -37,7 +40,11 @@
             self._give_up_largest()
 
     def _give_up_largest(self) -> None:
-        candidates = [answer for answer in self._sizes if answer.is_in_progress]
+        candidates = [
+            answer
+            for answer, size_bytes in self._sizes.items()
+            if size_bytes >= MIN_GIVEN_UP_BYTES and answer.is_in_progress
+        ]
         if not candidates:
             return
         largest = max(candidates, key=self._sizes.__getitem__)
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -60,14 +60,14 @@
     """
 
     max_header_bytes: int = 16 * 1024
-    max_interim_answers: int = 100
-    max_interim_bytes: int = 256 * 1024
     max_idle_connections: int = 64
     keep_alive_ms: int = 30_000
     max_keep_alive_ms: int = 30_000
     read_buffer_bytes: int = 64 * 1024
     max_buffered_bytes: int = 4 * 1024 * 1024
     max_kept_bytes: int = 32 * 1024 * 1024
+    max_interim_answers: int = 100
+    max_interim_bytes: int = 256 * 1024
 
 
 class BodyFraming(StrEnum):
@@ -114,8 +114,8 @@
 
     @property
     def is_in_progress(self) -> bool:
-        """Return whether the body has not been read to its end."""
-        return self._connection is not None
+        """Return whether a part of the body has not arrived."""
+        return self._connection is not None and not self._connection.is_complete
 
     @property
     def address(self) -> str:
@@ -299,6 +299,11 @@
         usable_ms = max(0, keep_alive_s * 1000 - KEEP_ALIVE_MARGIN_MS)
         return min(self._limits.max_keep_alive_ms, usable_ms)
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether no call is in progress, or all of its answer has arrived."""
+        return self._is_complete
+
     @property
     def is_usable(self) -> bool:
         """Return whether a new call may be sent."""
@@ -547,9 +552,9 @@
 
     def close(self) -> None:
         """Close immediately; a call in progress fails."""
+        self._drop_parts()
         if self._error is None and not self._is_complete:
             self._error = AnswerTruncated("the call was cancelled", self.address)
-        self._drop_parts()
         self._stop_timer()
         self._transport.abort()
         self._notify()
@@ -561,6 +566,9 @@
         self._notify()
 
     def _drop_parts(self) -> None:
+        """Drop the bytes that were not read; the answer can't be complete any more."""
+        if self._parts:
+            self._is_complete = False
         self._parts = []
         self._set_buffered(0)
 
