Play the rejections of upstream_answers unsigned, as they come

A rejection is unsigned now unless the case is about a digest, and each answer of the cross product comes signed and unsigned (660 cases for each kind and place, 330 before).

--- a/features/steps/upstream_answers_steps.py
+++ b/features/steps/upstream_answers_steps.py
@@ -4,10 +4,12 @@
 import io
 import itertools
 import json
+from http import HTTPStatus
 
 from behave import given, then, when
 from support.answer_rules import SentRequest, count_runs, find_violations
 from support.answering_upstream import (
+    REJECTION_STATUS_CODES,
     AfterInterim,
     AnswerDescription,
     AnsweringUpstream,
@@ -80,7 +82,11 @@
 
 
 def describe(status, marks, ids):
-    return AnswerDescription(status, MARKS[marks], NamedIds(ids))
+    """Return an answer that is signed unless it has the form of a rejection."""
+    is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+    is_rejection = status in REJECTION_STATUS_CODES and marks != "none"
+    is_signed = not (is_misdirected or is_rejection)
+    return AnswerDescription(status, MARKS[marks], NamedIds(ids), is_signed)
 
 
 @given(
@@ -173,14 +179,15 @@
 def send_all(context, kind, placement):
     make_play = PLAYS[placement]
     first = context.upstreams[0]
-    cases = itertools.product(STATUS_CODES, MARKS, NamedIds)
+    cases = itertools.product(STATUS_CODES, MARKS, NamedIds, (True, False))
 
     async def work(front):
-        for number, (status, marks, ids) in enumerate(cases):
+        for number, (status, marks, ids, is_signed) in enumerate(cases):
             request_id = f"b{number}"
-            description = AnswerDescription(status, MARKS[marks], ids)
+            description = AnswerDescription(status, MARKS[marks], ids, is_signed)
             expect_play(context, first.name, request_id, make_play(description))
-            words = f"{status} marked {marks!r} in the name of {ids.value!r}"
+            signed = "signed" if is_signed else "unsigned"
+            words = f"{signed} {status} marked {marks!r} in the name of {ids.value!r}"
             if make_play is LateExtra:
                 await leave_connection(context, front, kind, request_id)
             await call(context, front, kind, request_id, words)
--- a/features/support/answering_upstream.py
+++ b/features/support/answering_upstream.py
@@ -44,7 +44,8 @@
         """Return whether it proves that the request was not run."""
         is_rejection = self.marks == ("1",) and self.status in REJECTION_STATUS_CODES
         is_misdirected = self.status == HTTPStatus.MISDIRECTED_REQUEST
-        return self.ids is NamedIds.OWN and (is_rejection or is_misdirected)
+        is_own = self.ids is NamedIds.OWN and not self.is_signed
+        return is_own and (is_rejection or is_misdirected)
 
 
 OWN_ANSWER = AnswerDescription(200)
@@ -254,7 +255,7 @@
             body = own_body(head.path, owner)
             if head.path.startswith(STREAM_PREFIXES):
                 fields.append("Content-Type: text/event-stream")
-        if answer.is_signed and not answer.is_proof:
+        if answer.is_signed:
             fields.append(f"X-Response-Sig: {owner}/{self.name}/{answer.status}")
         fields.append(f"Content-Length: {len(body)}")
         return self._encode_head(answer, head, fields) + body
