Read all fields of an answer that decide what it proves

Of repeated X-Response-Sig and Content-Encoding fields the first counted, so that an empty one hid the next; and a mark such as "1, 0" or "off" was believed, although two fields "1" and "0" were not (review; reproduced there).

--- a/src/peridotfront/core/upstream_answers.py
+++ b/src/peridotfront/core/upstream_answers.py
@@ -41,6 +41,17 @@
     AMBIGUOUS = "ambiguous"
 
 
+class ExecutionMark(StrEnum):
+    """What an answer says of the execution of its request.
+
+    ``UNCLEAR`` is a mark of non-execution that denies or contradicts itself.
+    """
+
+    NONE = "none"
+    NOT_EXECUTED = "not_executed"
+    UNCLEAR = "unclear"
+
+
 class AnswerKind(Enum):
     """Kinds of answers of an upstream.
 
@@ -64,7 +75,7 @@
 class AnswerHead:
     """What the status and header fields of an upstream's answer say.
 
-    :param is_marked_not_executed: whether it says that the request was not executed.
+    :param mark: what it says of the execution of the request.
     :param has_digest: whether the upstream has signed the body.
     :param is_encoded: whether the body is encoded, which no caller asks for.
     :param is_event_stream: whether the body is a stream of server-sent events.
@@ -72,7 +83,7 @@
 
     status_code: int
     owner: AnswerOwner
-    is_marked_not_executed: bool = False
+    mark: ExecutionMark = ExecutionMark.NONE
     has_digest: bool = False
     is_encoded: bool = False
     is_event_stream: bool = False
@@ -104,8 +115,9 @@
     A digest signs what an execution wrote, and another status than that of a rejection
     contradicts the mark.
     """
-    if head.has_digest:
+    if head.has_digest or head.mark is ExecutionMark.UNCLEAR:
         return False
     if head.status_code == HTTPStatus.MISDIRECTED_REQUEST:
         return True
-    return head.is_marked_not_executed and head.status_code in REJECTION_STATUS_CODES
+    is_marked = head.mark is ExecutionMark.NOT_EXECUTED
+    return is_marked and head.status_code in REJECTION_STATUS_CODES
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -19,7 +19,12 @@
 )
 from .core.messages import Grant, ReleaseCause, SlotRequest
 from .core.releases import build_release, build_unsent_release
-from .core.upstream_answers import AnswerHead, AnswerKind, classify_answer
+from .core.upstream_answers import (
+    AnswerHead,
+    AnswerKind,
+    ExecutionMark,
+    classify_answer,
+)
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import (
     AnswerMalformed,
@@ -428,7 +433,8 @@
             kind=kind.name.lower(),
             status=head.status_code,
             owner=head.owner,
-            is_marked_not_executed=head.is_marked_not_executed,
+            is_marked_not_executed=head.mark is ExecutionMark.NOT_EXECUTED,
+            has_digest=head.has_digest,
             call_number=answer.call_number,
             duration_ms=now_ms() - attempt.started_ms,
         )
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -6,7 +6,7 @@
 from math import ceil
 
 from ..core.routes import RoutedAccount
-from ..core.upstream_answers import AnswerHead, AnswerOwner
+from ..core.upstream_answers import AnswerHead, AnswerOwner, ExecutionMark
 from ..exceptions import InvalidRequest
 from ..http_client import UpstreamAnswer
 from ..http_messages import Header, HttpRequest, find_header, is_event_stream
@@ -26,7 +26,7 @@
 RETRY_AFTER = "retry-after"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
-NEGATIVE_MARKS = ("", "0", "false", "no")
+POSITIVE_MARKS = frozenset(("1", "true"))
 # Header fields of a caller that are not forwarded: only peridotfront may set them
 # in a request to an upstream.
 SYSTEM_HEADERS = frozenset(
@@ -113,9 +113,9 @@
         return AnswerHead(
             status_code=answer.status_code,
             owner=_owner(request, answer),
-            is_marked_not_executed=_is_marked_not_executed(answer),
-            has_digest=bool(answer.header(DIGEST)),
-            is_encoded=bool(answer.header("content-encoding")),
+            mark=_read_mark(answer),
+            has_digest=any(_values(answer, DIGEST)),
+            is_encoded=any(_values(answer, "content-encoding")),
             is_event_stream=is_event_stream(answer.headers),
         )
 
@@ -132,7 +132,7 @@
 
 
 def _owner(request: RoutedRequest, answer: UpstreamAnswer) -> AnswerOwner:
-    ids = [field.value for field in answer.headers if field.name == ATTEMPT_ID]
+    ids = _values(answer, ATTEMPT_ID)
     if not ids:
         return AnswerOwner.NOBODY
     if len(ids) > 1:
@@ -140,9 +140,18 @@
     return AnswerOwner.REQUEST if ids[0] == request.request_id else AnswerOwner.OTHER
 
 
-def _is_marked_not_executed(answer: UpstreamAnswer) -> bool:
-    marks = [field.value for field in answer.headers if field.name == NOT_EXECUTED]
-    return bool(marks) and not any(mark.lower() in NEGATIVE_MARKS for mark in marks)
+def _read_mark(answer: UpstreamAnswer) -> ExecutionMark:
+    fields = _values(answer, NOT_EXECUTED)
+    if not fields:
+        return ExecutionMark.NONE
+    marks = {mark.strip().lower() for field in fields for mark in field.split(",")}
+    is_clear = marks <= POSITIVE_MARKS
+    return ExecutionMark.NOT_EXECUTED if is_clear else ExecutionMark.UNCLEAR
+
+
+def _values(answer: UpstreamAnswer, name: str) -> list[str]:
+    """Return the values of all header fields with a name in lower case."""
+    return [field.value for field in answer.headers if field.name == name]
 
 
 def _parse_token_counts(http: HttpRequest) -> tuple[int, int]:
