Believe a rejection by its head, and join no two runs in one answer

- A transfer whose rejection had a body that was cut, never ended or dribbled got 502, or 504 after its whole time, although the head proves that it was not run.
The body of a rejection is read for 50 ms and 64 KB at most; whatever it does, the request goes to the next upstream (200 within 300 ms in the tests).
Addresses are excluded after a rejection only; after a 421 the connection is closed instead, since a late copy can come on that one alone.
The scenario of second_sends for 421 expected the third upstream; it is replaced by one in which the copy comes on its connection and the transfer runs once, at the new name.
That of 503 is as it was.
- A stream whose events have no ids was begun anew at another upstream within one answer, on resumable and idempotent routes: the caller got the events of two runs as one complete answer.
Once the caller has a part of the answer, only a resumable route with the id of the last event goes on; else the stream breaks off.

--- a/features/second_sends.feature
+++ b/features/second_sends.feature
@@ -2,17 +2,19 @@
   An upstream may have run each request that reached it. A second send, and an answer that
   the request has not run, need a proof that nobody ran it and nobody will.
 
-  Scenario Outline: A late copy of a rejection does not make a transfer run twice where two names have one address: <rejection>
+  Scenario: A late copy of a rejection does not make a transfer run twice where two names have one address
     Given an upstream that was restarted as "u-new" while "u-old" is still listed, before "u3"
-    And it rejects the first send with <rejection>, and sends that again before it runs a second one
+    And it rejects the first send with 503, and sends that again before it runs a second one
     When a caller sends "/transfer/x" with the body "pay 5"
     Then the transfer ran 1 times
     And the caller gets 200 with the body "whole answer of u3"
 
-    Examples: Rejections
-      | rejection |
-      | 421       |
-      | 503       |
+  Scenario: A restarted upstream serves under its new name what it got under the old one
+    Given an upstream that was restarted as "u-new" while "u-old" is still listed, before "u3"
+    And it rejects the first send with 421, and sends that again on its connection before it runs a second one
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the transfer ran 1 times
+    And the caller gets 200 with the body "whole answer of u-old"
 
   Scenario: A resumable route that is no stream is not sent again after it may have run
     Given a gateway whose transfers are marked as resumable before upstream "u1" that will "reset"
@@ -48,3 +50,28 @@
     Given a gateway before upstream "u1" that will "flood_events"
     When a caller sends "/resumable/x", reads nothing and closes its sending side once the stream is blocked
     Then upstream "u1" is closed within 500 ms
+
+  Scenario Outline: A rejection is believed by its head, however its body ends: <rejection>
+    Given a gateway before upstream "u1" that will "<rejection>"
+    And upstream "u2" that will "answer"
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 200 with the body "whole answer of u2"
+    And the answer took at most 300 ms
+
+    Examples: Bodies
+      | rejection           |
+      | reject_with_cut     |
+      | reject_without_end  |
+      | reject_and_dribble  |
+
+  Scenario Outline: A stream whose events have no ids is not begun anew within an answer: <kind>
+    Given a gateway before upstream "u1" that will "cut_unnumbered_events"
+    And upstream "u2" that will "unnumbered_events"
+    When a caller sends "/<kind>/x" with the body "prompt"
+    Then the caller gets a stream that broke off
+    And upstream "u2" got 0 requests
+
+    Examples: Kinds that may be repeated
+      | kind      |
+      | resumable |
+      | look-up   |
--- a/features/steps/second_sends_steps.py
+++ b/features/steps/second_sends_steps.py
@@ -24,17 +24,24 @@
     """Upstream that rejects a request, and sends that again before it runs the next.
 
     :param rejection: status line and fields of the rejection.
-    :param runs: number of requests that it ran.
+    :param keeps_to_connection: whether it sends that again on its connection only.
+    :param runs: requests that it ran.
     """
 
     rejection: tuple = ()
+    keeps_to_connection: bool = False
     runs: list = field(default_factory=list)
+    rejected_writer: asyncio.StreamWriter = None
 
     async def _reject_then_run(self, received, reader, writer):
         status, fields = self.rejection
         rejection = self._head(received, status, *fields, "Content-Length: 0")
-        writer.write(rejection)
-        if len(self.requests) > 1:
+        is_first = len(self.requests) == 1
+        if is_first:
+            self.rejected_writer = writer
+        if writer is self.rejected_writer or not self.keeps_to_connection:
+            writer.write(rejection)
+        if not is_first:
             self.runs.append(received)
             await self._answer(received, reader, writer)
 
@@ -68,6 +75,15 @@
     context.upstreams[0].rejection = REJECTIONS[rejection]
 
 
+@given(
+    "it rejects the first send with {rejection}, and sends that again on its"
+    " connection before it runs a second one"
+)
+def set_rejection_of_connection(context, rejection):
+    set_rejection(context, rejection)
+    context.upstreams[0].keeps_to_connection = True
+
+
 @then("the transfer ran {count:d} times")
 def transfer_ran(context, count):
     restarted, _, third = context.upstreams
@@ -147,3 +163,9 @@
 @then('upstream "{name}" is closed within {limit_ms:d} ms')
 def closed_within(context, name, limit_ms):
     assert context.closed_after_s * 1000 <= limit_ms, context.closed_after_s
+
+
+@then("the caller gets a stream that broke off")
+def broke_off(context):
+    assert context.answer.status == 200, context.answer
+    assert not context.answer.is_complete, context.answer
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -94,6 +94,28 @@
         fields = "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         writer.write(f"HTTP/1.1 503 Service Unavailable\r\n{fields}".encode())
 
+    def _begin_rejection(self, received, writer, framing):
+        fields = ("X-Not-Executed: 1", framing)
+        writer.write(self._head(received, "503 Service Unavailable", *fields))
+
+    async def _reject_with_cut(self, received, reader, writer):
+        self._begin_rejection(received, writer, "Content-Length: 100")
+        writer.write(b"cut")
+        await self._close(writer)
+
+    async def _reject_without_end(self, received, reader, writer):
+        self._begin_rejection(received, writer, "Transfer-Encoding: chunked")
+        while True:
+            writer.write(b"1000\r\n" + b"x" * 0x1000 + b"\r\n")
+            await writer.drain()
+
+    async def _reject_and_dribble(self, received, reader, writer):
+        self._begin_rejection(received, writer, "Transfer-Encoding: chunked")
+        while True:
+            writer.write(b"1\r\nx\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
     async def _leave(self, received, reader, writer):
         body = f"whole answer of {self.name}".encode()
         fields = ("X-Response-Sig: sig", f"Content-Length: {len(body)}")
@@ -289,6 +311,24 @@
         finally:
             received.is_closed = True
 
+    def _write_unnumbered(self, writer):
+        data = b"data: piece\n\n"
+        writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    async def _unnumbered_events(self, received, reader, writer):
+        self._start_events(received, writer)
+        for _ in range(6):
+            self._write_unnumbered(writer)
+        writer.write(b"0\r\n\r\n")
+
+    async def _cut_unnumbered_events(self, received, reader, writer):
+        self._start_events(received, writer)
+        for _ in range(3):
+            self._write_unnumbered(writer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        await self._reset(received, reader, writer)
+
     async def _silent_events(self, received, reader, writer):
         self._start_events(received, writer)
         self._event(writer, 1)
--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -58,16 +58,18 @@
             self._route.is_repeatable and self.executed_count + 1 < self._route.attempts
         )
 
-    def allow_send(self, upstream: str, address: str) -> bool:
-        """Return whether the request may be sent to an upstream; exclude it if not.
+    def has_rejected(self, address: str) -> bool:
+        """Return whether the upstream at an address has rejected the request.
 
-        A late copy of a rejection would be taken for the answer to a second send to
-        the same address, which has two names while a restart is not yet listed.
+        It must not get the request again: a late copy of the rejection would be taken
+        for the answer to the second send. After a restart an upstream can be listed
+        under two names with the same address.
         """
-        if address not in self._rejecting_addresses:
-            return True
+        return address in self._rejecting_addresses
+
+    def exclude(self, upstream: str) -> None:
+        """Exclude an upstream from later attempts."""
         self.excluded.append(upstream)
-        return False
 
     def allow_retry(self, upstream: str, address: str, cause: ReleaseCause) -> bool:
         """Record how an attempt ended, and return whether a retry is allowed.
@@ -76,8 +78,8 @@
         :param address: IP address and port that the request was sent to.
         :param cause: cause with which the slot was released.
         """
-        self.excluded.append(upstream)
-        if cause in DELIVERED_NOT_EXECUTED_CAUSES:
+        self.exclude(upstream)
+        if cause is ReleaseCause.REJECTED:
             self._rejecting_addresses.add(address)
         if cause in MAX_NOT_EXECUTED:
             self._not_executed[cause] += 1
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -56,6 +56,12 @@
 
 CONNECT_MS = 300
 PROGRESS_INTERVAL_MS = 500
+REJECTION_BODY_MS = 50
+MAX_REJECTION_BYTES = 64 * 1024
+REJECTION_CAUSES = {
+    AnswerKind.REJECTED: ReleaseCause.REJECTED,
+    AnswerKind.OTHER_UPSTREAM: ReleaseCause.OTHER_UPSTREAM,
+}
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 NOT_RUN_STATUS = {
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
@@ -155,25 +161,38 @@
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
                 return
             slot_request, grant = slot
-            if not self._allow_send(grant):
+            if not self._is_usable(grant):
                 self._server.feed(SlotReleased(build_unsent_release(grant)))
+                self._attempts.exclude(grant.upstream)
                 continue
             cause = await self._send(slot_request, grant)
             if cause in (ReleaseCause.COMPLETED, None):
                 return
             self._is_sent = False
-            if not self._attempts.allow_retry(grant.upstream, grant.address, cause):
+            allow_retry = self._attempts.allow_retry(
+                grant.upstream, grant.address, cause
+            )
+            if not (allow_retry and self._may_continue):
                 await self._give_up(_refusal_reason(cause), EXHAUSTED_RETRY_MS)
                 return
 
-    def _allow_send(self, grant: Grant) -> bool:
+    def _is_usable(self, grant: Grant) -> bool:
         """Return whether a granted slot may still be used.
 
         The process may have been frozen between the grant and now.
         """
-        if self._remaining_ms() < min_service_time_ms(self._admitted.route):
-            return False
-        return self._attempts.allow_send(grant.upstream, grant.address)
+        is_late = self._remaining_ms() < min_service_time_ms(self._admitted.route)
+        return not is_late and not self._attempts.has_rejected(grant.address)
+
+    @property
+    def _may_continue(self) -> bool:
+        """Return whether another upstream can go on with what the caller has.
+
+        Without the id of its last event a stream would begin anew within the answer.
+        """
+        if not self._exchange.is_started:
+            return True
+        return self._admitted.route.is_resumable and bool(self._last_event_id)
 
     # Sending
 
@@ -265,16 +284,30 @@
             self._note(attempt.grant.upstream, self._codec.read_notice(answer))
         if kind is AnswerKind.EVENT_STREAM:
             return await self._relay_events(attempt, answer)
+        if kind in REJECTION_CAUSES:
+            cause = REJECTION_CAUSES[kind]
+            await self._discard_body(attempt, answer, cause)
+            return cause
         body = await answer.read(MAX_ANSWER_BYTES)
         answer.hold(len(body))
-        if kind is AnswerKind.REJECTED:
-            return ReleaseCause.REJECTED
-        if kind is AnswerKind.OTHER_UPSTREAM:
-            return ReleaseCause.OTHER_UPSTREAM
         if kind is AnswerKind.UNPROVEN:
             return ReleaseCause.UPSTREAM_ERROR
         return await self._relay_complete(attempt, answer, body, kind)
 
+    async def _discard_body(
+        self, attempt: "_Attempt", answer: UpstreamAnswer, cause: ReleaseCause
+    ) -> None:
+        """Read the body of a rejection; its head is the proof, however it ends."""
+        if cause is ReleaseCause.OTHER_UPSTREAM:
+            # The next send may go to this address, under its new name.
+            answer.close_after()
+        try:
+            async with asyncio.timeout(REJECTION_BODY_MS / 1000):
+                await answer.read(MAX_REJECTION_BYTES)
+        except (UpstreamError, TimeoutError) as error:
+            answer.cancel()
+            self._log_failure(attempt, cause, error)
+
     def _note(self, upstream: str, notice: UpstreamNotice) -> None:
         """Pass on what an upstream says of itself."""
         if notice.is_leaving:
