Check the kind of an answer by a table of heads

The review's mutations of classify_answer that survived: encoding not checked, encoding before the proof, 421 as a rejection of the upstream itself, 400 no rejection.

--- a/features/steps/upstream_answers_steps.py
+++ b/features/steps/upstream_answers_steps.py
@@ -22,6 +22,12 @@
 from support.routed_upstreams import run_front as run
 
 from peridotfront import logs
+from peridotfront.core.upstream_answers import (
+    AnswerHead,
+    AnswerOwner,
+    ExecutionMark,
+    classify_answer,
+)
 from peridotfront.log_settings import LogSection
 
 STATUS_CODES = (200, 301, 400, 404, 408, 421, 429, 500, 502, 503, 504)
@@ -276,3 +282,26 @@
     if play is None or not play.answer.is_proof or play.answer.status == 400:
         return False
     return play.answer.marks in ((), ("1",))
+
+
+# Kinds of answers
+
+
+@when(
+    "an answer with status {status:d} of {owner}, marked {mark}, {digest}, {encoding}"
+    " is classified"
+)
+def classify(context, status, owner, mark, digest, encoding):
+    head = AnswerHead(
+        status_code=status,
+        owner=AnswerOwner(owner),
+        mark=ExecutionMark(mark),
+        has_digest=digest == "signed",
+        is_encoded=encoding == "encoded",
+    )
+    context.kind = classify_answer(head)
+
+
+@then("it is of kind {kind}")
+def is_of_kind(context, kind):
+    assert context.kind.name.lower() == kind, context.kind
--- a/features/upstream_answers.feature
+++ b/features/upstream_answers.feature
@@ -301,3 +301,44 @@
       | 503    | 1     | another |
       | 503    | 1     | none    |
       | 421    | none  | another |
+
+  Scenario Outline: The kind of an answer follows from its head: <status> of <owner>, marked <mark>, <digest>, <encoding>
+    When an answer with status <status> of <owner>, marked <mark>, <digest>, <encoding> is classified
+    Then it is of kind <kind>
+
+    Examples: Heads
+      | status | owner     | mark         | digest   | encoding | kind           |
+      | 200    | request   | none         | signed   | plain    | complete       |
+      | 200    | request   | none         | signed   | encoded  | mismatched     |
+      | 200    | request   | none         | unsigned | plain    | mismatched     |
+      | 200    | request   | not_executed | signed   | plain    | complete       |
+      | 200    | other     | none         | signed   | plain    | mismatched     |
+      | 200    | nobody    | none         | signed   | plain    | mismatched     |
+      | 200    | ambiguous | none         | signed   | plain    | mismatched     |
+      | 500    | request   | not_executed | unsigned | plain    | failure        |
+      | 500    | request   | none         | signed   | encoded  | mismatched     |
+      | 503    | request   | not_executed | unsigned | plain    | rejected       |
+      | 503    | request   | not_executed | unsigned | encoded  | rejected       |
+      | 503    | request   | not_executed | signed   | plain    | unproven       |
+      | 503    | request   | unclear      | unsigned | plain    | unproven       |
+      | 503    | request   | none         | unsigned | plain    | unproven       |
+      | 503    | other     | not_executed | unsigned | plain    | mismatched     |
+      | 503    | nobody    | not_executed | unsigned | plain    | mismatched     |
+      | 503    | ambiguous | not_executed | unsigned | plain    | mismatched     |
+      | 408    | request   | not_executed | unsigned | plain    | unproven       |
+      | 429    | request   | not_executed | unsigned | plain    | rejected       |
+      | 400    | request   | not_executed | unsigned | plain    | rejected       |
+      | 400    | request   | none         | signed   | plain    | failure        |
+      | 421    | request   | none         | unsigned | plain    | other_upstream |
+      | 421    | request   | not_executed | unsigned | plain    | other_upstream |
+      | 421    | request   | unclear      | unsigned | plain    | unproven       |
+      | 421    | request   | none         | signed   | plain    | unproven       |
+      | 421    | other     | none         | unsigned | plain    | mismatched     |
+      | 421    | nobody    | not_executed | unsigned | plain    | mismatched     |
+
+  Scenario: A transfer that its upstream rejects as invalid is served elsewhere
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 400 marked "1" in the name of "own", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets the complete answer of "u2" with 200
+    And request "b" ran 1 times
