--- a/features/upstream_answers.feature
+++ b/features/upstream_answers.feature
@@ -73,6 +73,18 @@
       | 429    | 1     |
       | 503    | 1     |
 
+  Scenario Outline: A rejection that names two requests is no promise: <ids>
+    Given a gateway before an upstream that answers by description and a faithful one
+    And "u1" sends 503 marked "1" in the name of "<ids>", in place of its answer, for request "b"
+    When a caller sends the transfer requests "b" in sequence
+    Then request "b" gets one of "502,504"
+    And request "b" ran 1 times
+
+    Examples: Ids
+      | ids             |
+      | own and another |
+      | own twice       |
+
   Scenario Outline: A failure of the upstream that ran a transfer is not passed on as a promise: <status>
     Given a gateway before an upstream that answers by description and a faithful one
     And "u1" sends <status> marked "none" in the name of "own", in place of its answer, for request "b"
