Give a slot back to the host's own scheduler before asking for another one

Cause: a slot at an upstream that has asked for a pause meanwhile is released and another one requested. Without a leader the release went as a message to the host itself, whose role takes no releases ("message_unexpected"), and the new request reached the scheduler first: it was granted the slot that it still held, again and again, within one event. A grant that nobody waited for was lost in the same way.

The release is passed to the own scheduler at once, as slot requests are.

--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -3,6 +3,7 @@
 import time
 
 from behave import given, then, when
+from support.leaderless_host import LeaderlessHost
 from support.routed_group import listed
 from support.routed_upstreams import run_front as run
 
@@ -91,3 +92,21 @@
 def is_refused(context, request_id, reason):
     refused = context.group.hosts["e1"].refused[request_id]
     assert refused.refusal.reason.value == reason, refused
+
+
+@when(
+    "hosts without a leader get {events:d} random events with each of {seeds:d} seeds"
+)
+def play_random_events(context, events, seeds):
+    context.endless = []
+    for seed in range(seeds):
+        try:
+            LeaderlessHost(seed).play(events)
+        except AssertionError as error:
+            context.endless.append(f"seed {seed}: {error}")
+
+
+@then("none of them had actions without end")
+def had_no_endless_actions(context):
+    endless = context.endless
+    assert not endless, f"{len(endless)} of them, first {endless[0]}"
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -101,3 +101,9 @@
     And only upstream "m1" is listed
     And "e1" requests a slot for "late"
     Then "late" is granted within 50 ms
+
+  Scenario: Notices of upstreams never keep a host without a leader busy for ever
+    A slot at an upstream that has asked for a pause meanwhile is given back, and another
+    one requested; the request must not be granted the slot that it gives back.
+    When hosts without a leader get 400 random events with each of 60 seeds
+    Then none of them had actions without end
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -273,11 +273,11 @@
         pending = self._pending.pop(message.request_id, None)
         if pending is None:
             if not self._holds_slot(message):
-                yield Send(event.sender, build_unsent_release(message))
+                yield from self._give_back(message, event.sender, now_ms)
             return
         self._update_avoided(now_ms)
         if message.upstream in self._avoided:
-            yield Send(event.sender, build_unsent_release(message))
+            yield from self._give_back(message, event.sender, now_ms)
             yield from self._request_slot(pending, now_ms)
             return
         is_from_leader = event.sender == self.leader
@@ -300,6 +300,18 @@
         if self._pending.pop(message.request_id, None) is not None:
             yield SlotRefused(message, event.sender == self.host)
 
+    def _give_back(self, grant: Grant, scheduler: str, now_ms: int) -> Iterator[Any]:
+        """Release a slot that is not used, before anything else reaches its scheduler.
+
+        A slot request that came first would be granted the slot that it still holds.
+        """
+        release = build_unsent_release(grant)
+        if scheduler != self.host:
+            yield Send(scheduler, release)
+            return
+        event = Received(self.host, self.incarnation, release)
+        yield from self._local_schedulers.handle(event, now_ms)
+
     def _request_slot(self, pending: _PendingRequest, now_ms: int) -> Iterator[Any]:
         """Request a slot at an upstream that is not avoided now."""
         self._update_avoided(now_ms)
