--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -258,7 +258,7 @@
             return
         self._learn_from_release(slot, release, now_ms)
         self._vacate(slot)
-        self._update_health(slot, release.cause, now_ms)
+        yield from self._update_health(slot, release.cause, now_ms)
         if release.cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._apply_strikes(now_ms)
         yield from self._grant_queued(now_ms)
@@ -496,7 +496,9 @@
             slot, release.produced_tokens, release.slow_tokens, now_ms
         )
 
-    def _update_health(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> None:
+    def _update_health(
+        self, slot: Slot, cause: ReleaseCause, now_ms: int
+    ) -> Iterator[Action]:
         upstream = self._upstreams.get(slot.upstream)
         if upstream is None:
             return
@@ -507,7 +509,7 @@
             health.completed()
             self._poison_detector.completed(slot.slot_request.fingerprint)
         elif cause is ReleaseCause.UPSTREAM_DIED:
-            self._upstream_died(upstream, slot, now_ms)
+            yield from self._upstream_died(upstream, slot, now_ms)
         elif cause in ABSENT_CAUSES:
             # The request was not executed there, so it gets no strike.
             health.unreachable(now_ms)
@@ -517,16 +519,16 @@
         elif cause in FAILED_CAUSES:
             health.failed(False, now_ms)
 
-    def _upstream_died(self, upstream: Upstream, slot: Slot, now_ms: int) -> None:
+    def _upstream_died(
+        self, upstream: Upstream, slot: Slot, now_ms: int
+    ) -> Iterator[Action]:
         if not upstream.health.died(slot.granted_ms, now_ms):
             return
-        running_fingerprints = [
-            active.slot_request.fingerprint
-            for active in upstream.capacity.slots.values()
-        ]
-        self._poison_detector.upstream_died(
-            [slot.slot_request.fingerprint, *running_fingerprints]
-        )
+        executed = [slot, *upstream.capacity.slots.values()]
+        fingerprints = [active.slot_request.fingerprint for active in executed]
+        self._poison_detector.upstream_died(fingerprints)
+        strikes = [self._poison_detector.strikes(f) for f in fingerprints]
+        yield _build_crash_log(upstream.name, executed, strikes)
         upstream.prefixes.clear()
         self._drain_rate.invalidate_capacities()
 
@@ -655,6 +657,16 @@
     return UpstreamKind.ENGINE if is_engine else UpstreamKind.SERVICE
 
 
+def _build_crash_log(upstream: str, executed: list[Slot], strikes: list[int]) -> Log:
+    ids = [slot.slot_request.request_id for slot in executed]
+    fields = (
+        ("upstream", upstream),
+        ("requests", ",".join(ids)),
+        ("strikes", ",".join(map(str, strikes))),
+    )
+    return Log("upstream_crashed", fields)
+
+
 def _without_model(slot_request: SlotRequest) -> SlotRequest:
     return replace(
         slot_request, model="", prompt_tokens=0, output_tokens=0, prefix_hashes=()
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -558,6 +558,14 @@
         " counts the calls on its connection: at the first, no earlier answer can be"
         " late.",
     ),
+    LogEvent(
+        536,
+        "upstream_crashed",
+        Level.WARNING,
+        "an upstream broke off the requests that it executed",
+        "requests names those that it had, and strikes how often each was struck. A"
+        " request that stands in several of these lines may be the cause.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
