--- a/features/environment.py
+++ b/features/environment.py
@@ -9,7 +9,7 @@
 
 FEATURES = Path(__file__).resolve().parent
 KNOWN_RED_FILE = FEATURES.parent / "KNOWN-RED.txt"
-sys.path.insert(0, str(FEATURES))
+sys.path[:0] = [str(FEATURES), str(FEATURES.parent)]
 settings.register_profile(
     "ci",
     derandomize=True,
