Find the part of a prompt that crashes upstreams, and refuse it on all hosts

Cause: the unit of suspicion was the whole request. The part itself wasn't even known: a prompt's parts were kept as chained hashes only, which differ with all that stands before them. The count was kept by one scheduler, for its own time. Class: a shared fault counted by a key that is finer than its cause.

Change: a slot request carries a hash of each part that others may share, by itself. A crash is recorded against the parts of all requests that the upstream executed, but for those that completed in the last 3 s or that three other upstreams are answering. A completion clears its parts. The parts that explain the most crashes, three or more, are convicted; what stands beside them is explained by them, and parts that can't be told apart are refused only together. The record is a command of the replicated log, so it outlives leaders, restarts and the loss of power of all; entry hosts get the verdicts, and report what they saw without a leader. Every conviction is tested by one request after 30 s, then after eight times as long. A request that is refused was not sent: 503, or 502 if an earlier send of it may have run.

The checks now count from the fifth crash or the last one, if there are fewer, as the rule does: that is earlier than before.

--- a/features/support/prompt_processes.py
+++ b/features/support/prompt_processes.py
@@ -177,15 +177,13 @@
             self.answers[status == 200] += 1
 
     def _is_settled(self):
-        """Return whether it is long after the fifth crash."""
+        """Return whether it is long after the fifth crash, or the last before it."""
+        if not self.crashes_s:
+            return False
         now_s = asyncio.get_running_loop().time()
-        pause_s = 2 * CONTACT_MS / 1000
-        return (
-            len(self.crashes_s) >= FIRST_CRASHES
-            and now_s > self.crashes_s[FIRST_CRASHES - 1] + pause_s
-        )
+        return now_s > self.crashes_s[:FIRST_CRASHES][-1] + 2 * CONTACT_MS / 1000
 
     def later_sends(self):
         """Return how many crashing requests were sent too late."""
-        limit_s = self.crashes_s[FIRST_CRASHES - 1] + CONTACT_MS / 1000
+        limit_s = self.crashes_s[:FIRST_CRASHES][-1] + CONTACT_MS / 1000
         return sum(sent_s > limit_s for sent_s in self.guilty_sends_s)
--- a/src/peridotfront/core/control_state.py
+++ b/src/peridotfront/core/control_state.py
@@ -5,11 +5,13 @@
 
 from .claims import Claims
 from .configuration import Configuration
+from .crash_history import CrashHistory
 from .messages import (
     ClaimBatch,
     Command,
     ConfigChange,
     ControlSnapshot,
+    CrashBatch,
     OrderIssued,
     StrikeBatch,
 )
@@ -22,13 +24,14 @@
 
 
 class ControlState:
-    """State machine composed of configuration, claims, strikes and orders."""
+    """State machine composed of configuration, claims, strikes, orders and crashes."""
 
     def __init__(self):
         self.configuration = Configuration()
         self.claims = Claims()
         self.strikes = Strikes()
         self.orders = OrderTable()
+        self.crashes = CrashHistory()
 
     @dispatchmethod
     def apply(self, command: Command) -> Any:
@@ -54,6 +57,10 @@
     def _(self, command: OrderIssued):
         return self.orders.apply(command)
 
+    @apply.register
+    def _(self, command: CrashBatch):
+        return self.crashes.apply(command)
+
     def snapshot(self) -> ControlSnapshot:
         """Return the whole state as one record."""
         return ControlSnapshot(
@@ -61,6 +68,7 @@
             claims=self.claims.snapshot(),
             strikes=self.strikes.snapshot(),
             orders=self.orders.orders,
+            crashes=self.crashes.snapshot(),
         )
 
     def restore(self, snapshot: ControlSnapshot) -> None:
@@ -69,3 +77,4 @@
         self.claims.restore(snapshot.claims)
         self.strikes.restore(snapshot.strikes)
         self.orders.restore(snapshot.orders)
+        self.crashes.restore(snapshot.crashes)
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -29,6 +29,7 @@
     OperatorStateResult,
     OperatorUnavailable,
 )
+from .crash_history import digest_of
 from .host_table import HostState, HostTable
 from .messages import (
     ChangeStatus,
@@ -40,12 +41,16 @@
     ConfigProposal,
     ConfigQuery,
     ConfigResult,
+    CrashBatch,
+    CrashingParts,
+    CrashReport,
     Heartbeat,
     KeyQuery,
     KeyReply,
     LogEntry,
     OrderIssued,
     OutcomeReport,
+    PartsCleared,
     Replica,
     StrikeBatch,
     StrikeReport,
@@ -70,6 +75,8 @@
 CLAIM_PART_BYTES = 200
 UNCHANGED_LIMITS = ClaimLimits(retention_ms=0, idempotent_retention_ms=0, max_bytes=0)
 COMMAND_BYTES = 64
+MAX_CRASH_REPORTS = 1000
+PARTS_RESEND_MS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +165,7 @@
         self._bytes_since_snapshot = 0
         self._snapshot_due_bytes = self._timing.snapshot_bytes
         self._builder: SnapshotBuilder | None = None
+        self._crash_reports: list[CrashReport | PartsCleared] = []
 
     @property
     def state(self) -> ControlState:
@@ -280,6 +288,7 @@
         if self._is_leader and message.role != CONTROL_ROLE:
             yield from self._send_update(host, now_ms)
             yield from self._send_active_strikes(host)
+            yield from self._send_crashing_parts(host, now_ms)
 
     @_on_message.register
     def _(self, message: ConfigQuery, event: Received, now_ms: int) -> Iterator[Any]:
@@ -311,6 +320,13 @@
             self._batcher.add_strikes(message, now_ms)
         yield from ()
 
+    @_on_message.register(CrashReport)
+    @_on_message.register(PartsCleared)
+    def _(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
+        if self._is_leader and len(self._crash_reports) < MAX_CRASH_REPORTS:
+            self._crash_reports.append(message)
+        yield from ()
+
     @_on_message.register
     def _(self, message: ConfigProposal, event: Received, now_ms: int) -> Iterator[Any]:
         yield from self._propose_config(message, None, event.sender, now_ms)
@@ -374,7 +390,9 @@
         is_leader = self._raft.is_leader
         if is_leader and not self._is_leader:
             self._leader_since_ms = now_ms
-            self._claims_clock_base_ms = self._state.claims.time_ms
+            self._claims_clock_base_ms = max(
+                self._state.claims.time_ms, self._state.crashes.time_ms
+            )
             for host in self._hosts.hosts():
                 host.strikes_sent = False
             self._announced_version = 0
@@ -396,6 +414,7 @@
     def _step_down(self) -> Iterator[Any]:
         for request in self._batcher.reset():
             yield _build_unavailable_reply(request)
+        self._crash_reports.clear()
         yield from self._refuse_proposals(None)
         for pending in self._pending_reads.values():
             yield self._read_unavailable(pending)
@@ -432,6 +451,12 @@
             for host in self._hosts.live_entry_hosts(now_ms):
                 yield from self._send_strikes(host, result)
 
+    @_answer_command.register
+    def _(self, command: CrashBatch, result: Any, now_ms: int) -> Iterator[Any]:
+        if self._is_leader:
+            for host in self._hosts.live_entry_hosts(now_ms):
+                yield from self._send_crashing_parts(host, now_ms)
+
     @_answer_command.register
     def _(self, command: OrderIssued, result: Any, now_ms: int) -> Iterator[Any]:
         if self._is_leader and command.term == self._raft.term:
@@ -461,6 +486,20 @@
             host.strikes_sent = True
             yield from self._send_strikes(host, self._state.strikes.active())
 
+    def _send_crashing_parts(self, host: HostState, now_ms: int) -> Iterator[Any]:
+        """Send the parts that crash upstreams to a host that knows others."""
+        groups = self._state.crashes.groups
+        digest = digest_of(groups)
+        is_known = host.heartbeat.crashing_parts_digest == digest
+        if is_known or not self._raft.is_settled:
+            return
+        was_sent = host.parts_digest == digest
+        if was_sent and now_ms - host.parts_sent_ms < PARTS_RESEND_MS:
+            return
+        host.parts_digest = digest
+        host.parts_sent_ms = now_ms
+        yield Send(host.host, CrashingParts(groups))
+
     # Configuration
 
     def _propose_config(
@@ -550,6 +589,18 @@
         if strikes:
             batch = StrikeBatch(self._claims_time_ms(now_ms), strikes)
             yield from self._run_raft(Propose(batch), now_ms)
+        if self._crash_reports:
+            yield from self._propose_crashes(now_ms)
+
+    def _propose_crashes(self, now_ms: int) -> Iterator[Any]:
+        reports = self._crash_reports
+        self._crash_reports = []
+        batch = CrashBatch(
+            self._claims_time_ms(now_ms),
+            tuple([report for report in reports if isinstance(report, CrashReport)]),
+            tuple([report for report in reports if isinstance(report, PartsCleared)]),
+        )
+        yield from self._run_raft(Propose(batch), now_ms)
 
     def _claims_time_ms(self, now_ms: int) -> int:
         """Return the time for the next batch, on the replicated clock of the claims.
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -11,8 +11,10 @@
 from .actions import Log, Received, Send, Tick
 from .allowance_shares import MIN_REPORTED_SHARE, leader_share
 from .controller import Controller
+from .crash_guard import CrashGuard
 from .messages import (
     CancelSlotRequest,
+    CrashingGroup,
     Heartbeat,
     HeldSlot,
     ListedUpstream,
@@ -28,7 +30,7 @@
 from .retry_budgets import LEADERLESS_RETRY_SHARE
 from .routes import RoutingConfig
 from .routing_events import RoutingChanged, UpstreamsListed
-from .scheduler_events import HostLost
+from .scheduler_events import CrashesChanged, HostLost
 from .service_schedulers import ServiceSchedulers, SharedLimits
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
@@ -88,6 +90,8 @@
         self._origins_sent_ms = 0
         self._spent: tuple[SpentShare, ...] = ()
         self._shares_updated_ms = 0
+        self._crash_guard = CrashGuard(controller.state.crashes, allows_tests=True)
+        self._crashing_groups: tuple[CrashingGroup, ...] = ()
 
     @property
     def is_leading(self) -> bool:
@@ -103,6 +107,7 @@
         :return: actions to run in order.
         """
         yield from self._handle(event, now_ms)
+        yield from self._propagate_crashes(now_ms)
 
     @dispatchmethod
     def _handle(self, event: Any, now_ms: int) -> Iterator[Any]:
@@ -206,6 +211,19 @@
                 yield from self._on_role_changed(action, now_ms)
             yield action
 
+    def _propagate_crashes(self, now_ms: int) -> Iterator[Any]:
+        """Replicate what the schedulers observed, and act on what has changed."""
+        for report in self._crash_guard.take_reports():
+            received = Received(self._host, 0, report)
+            yield from self._run_controller(received, now_ms)
+        groups = self.controller.state.crashes.groups
+        if groups == self._crashing_groups:
+            return
+        self._crashing_groups = groups
+        yield from _build_group_logs(groups)
+        if self.service_schedulers is not None:
+            yield from self.service_schedulers.handle(CrashesChanged(), now_ms)
+
     def _on_role_changed(self, action: RoleChanged, now_ms: int) -> Iterator[Any]:
         if action.role is not Role.LEADER:
             self.service_schedulers = None
@@ -214,7 +232,9 @@
         self._leader_since_ms = now_ms
         self._lost_ms.clear()
         self._list_sent_ms = now_ms
-        self.service_schedulers = ServiceSchedulers(self._shared_limits, self._origins)
+        self.service_schedulers = ServiceSchedulers(
+            self._shared_limits, self._origins, self._crash_guard
+        )
         self.service_schedulers.retries.share = NEW_TERM_RETRY_SHARE
         upstreams = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
@@ -318,5 +338,15 @@
     return Log("upstreams_listed", fields)
 
 
+def _build_group_logs(groups: tuple[CrashingGroup, ...]) -> Iterator[Log]:
+    if not groups:
+        yield Log("crashing_parts_changed", (("service", ""), ("parts", "")))
+    for group in groups:
+        parts = ",".join([f"{part:x}" for part in group.parts])
+        yield Log(
+            "crashing_parts_changed", (("service", group.service), ("parts", parts))
+        )
+
+
 def _state_name(upstream: ListedUpstream) -> str:
     return "leaving" if upstream.is_leaving else "ready"
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -13,6 +13,8 @@
 from .allowance_shares import leaderless_share
 from .avoided_upstreams import AvoidedUpstreams
 from .config_follower import ConfigActivated, ConfigFollower, ConfigFollowerTiming
+from .crash_guard import CrashGuard
+from .crash_history import CRASHES_KEPT, CrashHistory
 from .fallback import leaderless_upstreams
 from .gateway_events import (
     SeedsChanged,
@@ -29,10 +31,15 @@
 from .messages import (
     CancelSlotRequest,
     ConfigUpdate,
+    CrashBatch,
+    CrashesSnapshot,
+    CrashingParts,
+    CrashReport,
     Grant,
     Heartbeat,
     HeldSlot,
     ListedUpstream,
+    PartsCleared,
     SlotRefusal,
     SlotRequest,
     SpentShare,
@@ -43,7 +50,7 @@
 from .releases import build_unsent_release
 from .retry_budgets import LEADERLESS_RETRY_SHARE
 from .routing_events import RoutingChanged, UpstreamsListed
-from .scheduler_events import HostLost
+from .scheduler_events import CrashesChanged, HostLost
 from .service_schedulers import ServiceSchedulers, SharedLimits
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
@@ -114,7 +121,13 @@
         self._leader_seen_ms: dict[str, int] = {}
         self._avoided = AvoidedUpstreams()
         self._origins = StreamOrigins()
-        self._local_schedulers = ServiceSchedulers(shared_limits, self._origins)
+        self._crash_guard = CrashGuard(CrashHistory())
+        self._unreported_crashes: deque[tuple[int, CrashReport]] = deque(
+            maxlen=CRASHES_KEPT
+        )
+        self._local_schedulers = ServiceSchedulers(
+            shared_limits, self._origins, self._crash_guard
+        )
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
         self._heartbeat_sent_ms = -HEARTBEAT_MS
@@ -132,7 +145,12 @@
 
         :param now_ms: monotonic clock of this process.
         """
-        pending = deque(self._handle(event, now_ms))
+        yield from self._deliver_local(self._handle(event, now_ms), now_ms)
+        yield from self._deliver_local(self._record_crashes(now_ms), now_ms)
+
+    def _deliver_local(self, actions: Iterator[Any], now_ms: int) -> Iterator[Any]:
+        """Yield actions; handle the messages to this host instead of sending them."""
+        pending = deque(actions)
         while pending:
             action = pending.popleft()
             if isinstance(action, Send) and action.to_host == self.host:
@@ -268,6 +286,12 @@
         self.directory.apply(message)
         yield from ()
 
+    @_receive.register
+    def _(self, message: CrashingParts, event: Received, now_ms: int) -> Iterator:
+        if event.sender == self.leader:
+            self._crash_guard.announce(message.groups)
+        yield from ()
+
     @_receive.register
     def _(self, message: Grant, event: Received, now_ms: int) -> Iterator[Any]:
         pending = self._pending.pop(message.request_id, None)
@@ -300,6 +324,24 @@
         if self._pending.pop(message.request_id, None) is not None:
             yield SlotRefused(message, event.sender == self.host)
 
+    def _record_crashes(self, now_ms: int) -> Iterator[Any]:
+        """Record the crashes that the local schedulers observed."""
+        reports = self._crash_guard.take_reports()
+        if not reports:
+            return
+        crashes = tuple([r for r in reports if isinstance(r, CrashReport)])
+        cleared = tuple([r for r in reports if isinstance(r, PartsCleared)])
+        self._unreported_crashes.extend([(now_ms, report) for report in crashes])
+        self._crash_guard.history.apply(CrashBatch(now_ms, crashes, cleared))
+        yield from self._local_schedulers.handle(CrashesChanged(), now_ms)
+
+    def _report_crashes(self, now_ms: int) -> Iterator[Any]:
+        """Report the crashes of the time without a leader, for all hosts."""
+        for crashed_ms, report in self._unreported_crashes:
+            yield Send(self.leader, replace(report, age_ms=now_ms - crashed_ms))
+        self._unreported_crashes.clear()
+        self._crash_guard.history.restore(CrashesSnapshot())
+
     def _give_back(self, grant: Grant, scheduler: str, now_ms: int) -> Iterator[Any]:
         """Release a slot that is not used, before anything else reaches its scheduler.
 
@@ -378,6 +420,7 @@
         streams = tuple(self._origins.recorded_since(0, now_ms))
         if streams:
             yield Send(self.leader, StreamsBegun(streams))
+        yield from self._report_crashes(now_ms)
         for held in self._held.values():
             held.reported_ms = now_ms
             yield Send(self.leader, held.slot)
@@ -428,6 +471,7 @@
             is_leaving=False,
             leader=self.leader,
             upstreams_version=self.directory.version,
+            crashing_parts_digest=self._crash_guard.announced_digest,
         )
         if self.leader:
             yield Send(self.leader, heartbeat)
--- a/src/peridotfront/core/host_table.py
+++ b/src/peridotfront/core/host_table.py
@@ -22,6 +22,8 @@
     :param update_sent_ms: time at which a configuration was last sent to it.
     :param update_version: version of that configuration.
     :param strikes_sent: whether the active strikes were sent to it.
+    :param parts_digest: hash of the crashing parts that were last sent to it.
+    :param parts_sent_ms: time at which they were sent.
     """
 
     host: str
@@ -33,6 +35,8 @@
     update_sent_ms: int = NEVER_SENT_MS
     update_version: int = 0
     strikes_sent: bool = False
+    parts_digest: int = 0
+    parts_sent_ms: int = NEVER_SENT_MS
 
 
 class HostTable:
--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -65,6 +65,16 @@
     StrikesSnapshot,
     StrikeUpdate,
 )
+from .crashes import (
+    CRASH_MESSAGES,
+    CrashBatch,
+    CrashesSnapshot,
+    CrashingGroup,
+    CrashingParts,
+    CrashRecord,
+    CrashReport,
+    PartsCleared,
+)
 from .raft import (
     RAFT_MESSAGES,
     AppendReply,
@@ -80,7 +90,9 @@
 )
 from .records import HardState, LogStart, Snapshot, StorageRecord, Truncation
 
-MESSAGE_TYPES = RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES
+MESSAGE_TYPES = (
+    RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES + CRASH_MESSAGES
+)
 Message = Union[MESSAGE_TYPES]  # noqa: UP007
 
 
@@ -130,6 +142,12 @@
     "ConfigUpdate",
     "ConfigurationSnapshot",
     "ControlSnapshot",
+    "CrashBatch",
+    "CrashRecord",
+    "CrashReport",
+    "CrashesSnapshot",
+    "CrashingGroup",
+    "CrashingParts",
     "Frame",
     "Grant",
     "HardState",
@@ -149,6 +167,7 @@
     "Outcome",
     "OutcomeAck",
     "OutcomeReport",
+    "PartsCleared",
     "Preempt",
     "Release",
     "ReleaseCause",
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -53,6 +53,8 @@
     :param software_version: version that the upstream's software must have; empty for
         any, or for the version at which a resumed stream began if the sender does not
         know it.
+    :param shared_parts: hashes of the parts of the prompt that other requests may
+        have too, each by itself.
     """
 
     proto_name: ClassVar[str] = "Want"
@@ -75,6 +77,7 @@
     stream_id: str = ""
     is_resumed: bool = False
     software_version: str = ""
+    shared_parts: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -1,10 +1,11 @@
 """Messages to and from the control group, and commands of its replicated log."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Union
 
 from ..verdicts import Reason, Verdict
+from .crashes import CrashBatch, CrashesSnapshot
 
 
 class ClaimStatus(StrEnum):
@@ -217,6 +218,8 @@
         is not the leader, or has not led for long enough to know.
     :param upstreams_version: version of the list of upstreams held by the sender.
     :param spent: accounts that used much of their allowance; set only by a leader.
+    :param crashing_parts_digest: hash of the parts known to the sender that crash
+        upstreams; 0 if there are none, or if it is not an entry host.
     """
 
     data_centre: str
@@ -230,6 +233,7 @@
     entry_hosts: int = 0
     upstreams_version: int = 0
     spent: tuple[SpentShare, ...] = ()
+    crashing_parts_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -439,10 +443,17 @@
     claims: ClaimsSnapshot
     strikes: StrikesSnapshot
     orders: tuple[OrderIssued, ...] = ()
+    crashes: CrashesSnapshot = field(default_factory=CrashesSnapshot)
 
 
 Command = Union[  # noqa: UP007
-    NoOp, MembershipChange, ClaimBatch, ConfigChange, StrikeBatch, OrderIssued
+    NoOp,
+    MembershipChange,
+    ClaimBatch,
+    ConfigChange,
+    StrikeBatch,
+    OrderIssued,
+    CrashBatch,
 ]
 
 CONTROL_MESSAGES = (
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .crash_guard import CrashGuard
+from .crash_history import CrashHistory
 from .drain_rate import DrainRate
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .health import Health
@@ -25,7 +27,12 @@
 from .queues import FairQueue, QueuedSlotRequest, TierQueues
 from .retry_schedule import RetrySchedule
 from .scheduler_dump import CellDump, CellStats, dump_queue, dump_upstream
-from .scheduler_events import FleetChanged, HostLost, StrikesChanged
+from .scheduler_events import (
+    CrashesChanged,
+    FleetChanged,
+    HostLost,
+    StrikesChanged,
+)
 from .single_dispatch import dispatchmethod
 from .upstream_capacity import Slot, UpstreamCapacity
 from .verdicts import Reason
@@ -61,9 +68,16 @@
     :param cell: name of the cell.
     :param fleet: active configuration.
     :param kind: kind of the cell's upstreams; derived from the cell's name by default.
+    :param crash_guard: filter of requests that crash upstreams.
     """
 
-    def __init__(self, cell: str, fleet: Fleet, kind: UpstreamKind | None = None):
+    def __init__(
+        self,
+        cell: str,
+        fleet: Fleet,
+        kind: UpstreamKind | None = None,
+        crash_guard: CrashGuard | None = None,
+    ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
         self.stats = CellStats()
@@ -75,6 +89,7 @@
         self._leaving_until_ms: dict[str, int] = {}
         self._queues = TierQueues(lambda account: self._weights.get(account, 1))
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
+        self._crash_guard = crash_guard or CrashGuard(CrashHistory())
         self._drain_rate = DrainRate(self._queues)
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
@@ -150,6 +165,7 @@
         if now_ms - self._slots_checked_ms >= CHECK_SLOTS_EVERY_MS:
             self._slots_checked_ms = now_ms
             yield from self._check_slots(now_ms)
+            yield from self._refuse_crashing(now_ms)
         if not self._is_settled(now_ms):
             return
         if len(self._queues):
@@ -172,6 +188,10 @@
         self._poison_detector.set_reported_strikes(event.fingerprint, event.strikes)
         yield from self._apply_strikes(now_ms)
 
+    @_handle_event.register
+    def _(self, event: CrashesChanged, now_ms: int) -> Iterator[Action]:
+        yield from self._refuse_crashing(now_ms)
+
     @_handle_event.register
     def _(self, event: HostLost, now_ms: int) -> Iterator[Action]:
         for queued in self._queues:
@@ -210,6 +230,8 @@
             )
         queued = self._make_queued(slot_request, sender, now_ms)
         reason = self._rejection_reason(slot_request)
+        if reason is Reason.NONE and self._would_crash(slot_request, now_ms):
+            reason = Reason.POISON
         if reason is not Reason.NONE:
             yield self._shedder.build_refusal(
                 queued, reason, self._rejection_retry_ms(slot_request, reason)
@@ -508,6 +530,7 @@
             health.progressed(slot.granted_ms, limit, now_ms)
             health.completed()
             self._poison_detector.completed(slot.slot_request.fingerprint)
+            self._crash_guard.record_completed(slot.slot_request, now_ms)
         elif cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._upstream_died(upstream, slot, now_ms)
         elif cause in ABSENT_CAUSES:
@@ -528,6 +551,17 @@
         fingerprints = [active.slot_request.fingerprint for active in executed]
         self._poison_detector.upstream_died(fingerprints)
         strikes = [self._poison_detector.strikes(f) for f in fingerprints]
+        elsewhere = [
+            active
+            for active in self._slots.values()
+            if active.upstream != slot.upstream
+        ]
+        self._crash_guard.record_crash(
+            upstream.name,
+            [active.slot_request for active in executed],
+            _begun(elsewhere),
+            now_ms,
+        )
         yield _build_crash_log(upstream.name, executed, strikes)
         upstream.prefixes.clear()
         self._drain_rate.invalidate_capacities()
@@ -582,6 +616,18 @@
             if self._poison_detector.is_poison(queued.slot_request.fingerprint):
                 yield self._shedder.refuse(queued, Reason.POISON, 0)
 
+    def _would_crash(self, slot_request: SlotRequest, now_ms: int) -> bool:
+        """Return whether a request would crash the upstream that answers it."""
+        begun = _begun(self._slots.values())
+        return self._crash_guard.refuses(slot_request, begun, now_ms)
+
+    def _refuse_crashing(self, now_ms: int) -> Iterator[Action]:
+        if self._crash_guard.is_idle:
+            return
+        for queued in tuple(self._queues):
+            if self._would_crash(queued.slot_request, now_ms):
+                yield self._shedder.refuse(queued, Reason.POISON, 0)
+
     def _count_suspects(self, upstream: Upstream) -> None:
         if not len(self._poison_detector):
             upstream.suspects = 0
@@ -657,6 +703,13 @@
     return UpstreamKind.ENGINE if is_engine else UpstreamKind.SERVICE
 
 
+def _begun(slots: Iterable[Slot]) -> Iterator[SlotRequest]:
+    """Yield the slot requests that upstreams have begun to answer."""
+    for slot in slots:
+        if slot.produced_tokens > 0:
+            yield slot.slot_request
+
+
 def _build_crash_log(upstream: str, executed: list[Slot], strikes: list[int]) -> Log:
     ids = [slot.slot_request.request_id for slot in executed]
     fields = (
--- a/src/peridotfront/core/scheduler_events.py
+++ b/src/peridotfront/core/scheduler_events.py
@@ -20,6 +20,11 @@
     strikes: int
 
 
+@dataclass(frozen=True, slots=True)
+class CrashesChanged:
+    """Event: other parts of requests than before are known to crash upstreams."""
+
+
 @dataclass(frozen=True, slots=True)
 class HostLost:
     """Event: an entry host is considered dead.
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -10,6 +10,7 @@
 
 from .actions import Received, Send, Tick
 from .allowances import AllowanceLimits, Allowances
+from .crash_guard import CrashGuard
 from .fleet import AccountSpec, Fleet, Policy, UpstreamKind, UpstreamSpec
 from .messages import (
     CancelSlotRequest,
@@ -26,7 +27,7 @@
 from .retry_budgets import RetryBudgets, RetryLimits
 from .routes import RoutedService, RoutingConfig
 from .scheduler import CellScheduler
-from .scheduler_events import FleetChanged, HostLost
+from .scheduler_events import CrashesChanged, FleetChanged, HostLost
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
 from .verdicts import Reason
@@ -83,10 +84,17 @@
 
     :param shared_limits: limits on what all hosts together may use.
     :param origins: versions at which the streams began that callers may resume.
+    :param crash_guard: filter of requests that crash upstreams.
     """
 
-    def __init__(self, shared_limits: SharedLimits, origins: StreamOrigins):
+    def __init__(
+        self,
+        shared_limits: SharedLimits,
+        origins: StreamOrigins,
+        crash_guard: CrashGuard,
+    ):
         self._origins = origins
+        self._crash_guard = crash_guard
         self.allowances = Allowances(shared_limits.allowances)
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
@@ -124,7 +132,8 @@
                 specs.setdefault(service.name, []).append(_build_spec(service, listed))
         for name in specs.keys() - self.schedulers.keys():
             blank = Fleet(policy=SERVICE_POLICY)
-            self.schedulers[name] = CellScheduler(name, blank, _kind_of(services[name]))
+            kind = _kind_of(services[name])
+            self.schedulers[name] = CellScheduler(name, blank, kind, self._crash_guard)
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
             fleet = Fleet(
@@ -149,8 +158,9 @@
         if now_ms - self._purged_ms >= CHARGE_RETENTION_MS:
             self._purge_charges(now_ms)
 
-    @_handle_event.register
-    def _(self, event: HostLost, now_ms: int) -> Iterator[Send]:
+    @_handle_event.register(HostLost)
+    @_handle_event.register(CrashesChanged)
+    def _(self, event: Any, now_ms: int) -> Iterator[Send]:
         for scheduler in tuple(self.schedulers.values()):
             yield from self._track_charges(scheduler.handle(event, now_ms), now_ms)
 
--- a/src/peridotfront/core/snapshot_builder.py
+++ b/src/peridotfront/core/snapshot_builder.py
@@ -7,6 +7,7 @@
     ClaimsSnapshot,
     ConfigurationSnapshot,
     ControlSnapshot,
+    CrashesSnapshot,
     StrikesSnapshot,
 )
 
@@ -62,6 +63,7 @@
             records=(),
         ),
         strikes=StrikesSnapshot(strikes.time_ms, ()),
+        crashes=CrashesSnapshot(snapshot.crashes.time_ms),
     )
     for records in _chunks(configuration.history, size):
         part = ConfigurationSnapshot(records, ())
@@ -77,6 +79,9 @@
         yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, part)
     for records in _chunks(snapshot.orders, size):
         yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, NO_STRIKES, records)
+    for records in _chunks(snapshot.crashes.records, size):
+        crashes = CrashesSnapshot(0, records)
+        yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, NO_STRIKES, crashes=crashes)
 
 
 def _chunks(records: tuple, size: int) -> Iterator[tuple]:
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -566,6 +566,14 @@
         "requests names those that it had, and strikes how often each was struck. A"
         " request that stands in several of these lines may be the cause.",
     ),
+    LogEvent(
+        537,
+        "crashing_parts_changed",
+        Level.WARNING,
+        "other parts of requests than before crash upstreams",
+        "Requests of the service with all these parts are refused as poison. Empty if"
+        " there are none any more.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -82,6 +82,7 @@
             last_event_id=http.header(LAST_EVENT_ID),
             resumed_stream_id=http.header(RESUMES),
             http=http,
+            shared_parts=_parse_shared_parts(http.header(PREFIX)),
         )
 
     def upstream_headers(
@@ -177,6 +178,16 @@
     return segments
 
 
+def _parse_shared_parts(text: str) -> tuple[int, ...]:
+    """Return a hash of each part's ID, but of the last part, which is not shared."""
+    ids = [entry.strip().partition(":")[0].lower() for entry in text.split(",")]
+    digests = [
+        hashlib.blake2b(part_id.encode(), digest_size=HASH_BYTES).digest()
+        for part_id in dict.fromkeys(ids[:-1])
+    ]
+    return tuple([int.from_bytes(digest, "big") for digest in digests])
+
+
 def _parse_seconds(text: str) -> int:
     """Return a number of seconds in milliseconds; 0 if it is none, such as a date."""
     match = SECONDS.fullmatch(text.strip())
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -30,6 +30,8 @@
     :param resumed_stream_id: id of the caller's attempt that began the stream to
         resume; empty for a new stream, or if the caller did not name it.
     :param http: the HTTP request.
+    :param shared_parts: hashes of the parts of the prompt that other requests may
+        have too, each by itself.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     last_event_id: str
     resumed_stream_id: str
     http: HttpRequest
+    shared_parts: tuple[int, ...] = ()
 
     @property
     def is_resumed(self) -> bool:
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -140,6 +140,7 @@
             stream_id=admitted.stream_id,
             is_resumed=admitted.is_resumed or is_started,
             software_version=self.software_version,
+            shared_parts=request.shared_parts,
         )
 
     def may_become_known(self, refusal: SlotRefusal) -> bool:
