--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -80,6 +80,31 @@
     Then upstreams got at most 3 crashing requests in the last 15000 ms
     And no sound request was ever refused as "poison"
 
+  Scenario: A crashing part is found among answers that end with their connection
+    Given prompts at 3 control hosts, 6 entry hosts and 8 upstreams
+    And answers have neither a length nor chunks
+    And the part "bad" crashes upstreams after 2 events of an answer
+    And requests with the parts "base,bad,*,*" come every 300 ms, sound ones every 60 ms
+    When 30000 ms pass under that load
+    Then upstreams got at most 3 crashing requests later than 3000 ms after the fifth crash
+    And sound requests began from 6000 ms after the fifth crash on
+
+  Scenario: A sound request that often ran beside crashes is not refused
+    When the same sound request runs beside 3 crashes
+    And another crash has only the crashing request
+    Then it is granted a slot
+    And a request with the crashing part is refused as poison
+
+  Scenario: A plain request that crashes upstreams is known after all hosts lost power
+    Given prompts at 3 control hosts, 6 entry hosts and 8 upstreams
+    And the request "bad" crashes upstreams and comes every 300 ms, sound ones every 60 ms
+    When the load goes on until crash 3
+    And 4000 ms pass under that load
+    And all hosts lose power under that load, and start again after 1000 ms
+    And 20000 ms pass under that load
+    Then upstreams got at most 3 crashing requests later than 3000 ms after the fifth crash
+    And no sound request was ever refused as "poison"
+
   Scenario Outline: Crashes of another cause accuse no part of a prompt
     Given prompts at 3 control hosts, 6 entry hosts and 8 upstreams
     And requests with the parts "base,rare,*" come every 300 ms, sound ones every 60 ms
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -11,7 +11,25 @@
     MIN_BEGUN_SHARE,
     PromptWorld,
 )
-from support.routed_group import names_of
+from support.routed_group import listed, names_of
+from support.routed_upstreams import AMPLE_RETRIES, routing
+
+from peridotfront.core.actions import Received
+from peridotfront.core.crash_guard import CrashGuard
+from peridotfront.core.crash_history import CrashHistory
+from peridotfront.core.messages import (
+    CrashBatch,
+    Grant,
+    ReleaseCause,
+    SlotRefusal,
+    SlotRequest,
+)
+from peridotfront.core.releases import build_release
+from peridotfront.core.retry_budgets import RetryLimits
+from peridotfront.core.routes import RouteTable
+from peridotfront.core.service_schedulers import ServiceSchedulers, SharedLimits
+from peridotfront.core.stream_origins import StreamOrigins
+from peridotfront.core.verdicts import Reason
 
 SOUND_PARTS = (("base", "class", "*"), ("base", "*", "*"), ("base", "class", "*", "*"))
 NUMBERS = count(1)
@@ -32,6 +50,101 @@
     context.world.guilty_parts[part] = events
 
 
+@given("answers have neither a length nor chunks")
+def unframe(context):
+    context.world.is_framed = False
+
+
+@given(
+    'the request "{body}" crashes upstreams and comes every {gap:d} ms, sound ones'
+    " every {sound_gap:d} ms"
+)
+def add_guilty_request(context, body, gap, sound_gap):
+    context.world.guilty_parts[body] = 0
+    context.loads.append((gap, lambda: context.world.send((), body=body)))
+    context.loads.append((sound_gap, lambda: context.world.send(())))
+
+
+class CrashedSchedulers:
+    """Schedulers of a host whose upstreams crash one after the other."""
+
+    def __init__(self):
+        self.now_ms = 10_000
+        self.names = [f"u{number}" for number in range(8)]
+        self.guard = CrashGuard(CrashHistory())
+        limits = SharedLimits(RetryLimits(slack=AMPLE_RETRIES))
+        self.schedulers = ServiceSchedulers(limits, StreamOrigins(), self.guard)
+        upstreams = tuple([listed(name, "s") for name in self.names])
+        table = RouteTable(routing())
+        tuple(self.schedulers.apply_routing(table.routing, 0))
+        tuple(self.schedulers.apply_upstreams(upstreams, 0))
+
+    def feed(self, message):
+        self.now_ms += 10
+        received = Received("e1", 1, message)
+        return tuple(self.schedulers.handle(received, self.now_ms))
+
+    def ask(self, fingerprint, parts, upstream=""):
+        """Request a slot, at an upstream or at any, and return the reply."""
+        number = next(NUMBERS)
+        slot_request = SlotRequest(
+            request_id=f"r{number}",
+            cell="s",
+            model="",
+            tier=1,
+            client_account="club",
+            prompt_tokens=0,
+            output_tokens=0,
+            prefix_hashes=(),
+            fingerprint=fingerprint,
+            deadline_ms=3000,
+            excluded=tuple([name for name in self.names if name != upstream])
+            if upstream
+            else (),
+            shared_parts=parts,
+        )
+        (sent,) = self.feed(slot_request)
+        return slot_request, sent.message
+
+    def crash(self, upstream, *asked):
+        """Execute requests at an upstream, which crashes."""
+        granted = [(self.ask(*request, upstream)) for request in asked]
+        for slot_request, grant in granted:
+            assert isinstance(grant, Grant), grant
+            cause = ReleaseCause.UPSTREAM_DIED
+            self.feed(build_release(slot_request, grant.upstream, cause))
+        reports = self.guard.take_reports()
+        self.guard.history.apply(CrashBatch(self.now_ms, reports))
+        self.now_ms += 5000
+
+
+@when("the same sound request runs beside {crashes:d} crashes")
+def run_beside(context, crashes):
+    context.crashed = crashed = CrashedSchedulers()
+    for upstream in crashed.names[:crashes]:
+        own = next(NUMBERS)
+        crashed.crash(upstream, (1_000_000, (1, own)), (2_000_000 + own, (1, 99)))
+
+
+@when("another crash has only the crashing request")
+def crash_alone(context):
+    crashed = context.crashed
+    crashed.crash(crashed.names[-1], (next(NUMBERS), (1, 99)))
+
+
+@then("it is granted a slot")
+def is_granted(context):
+    _, reply = context.crashed.ask(1_000_000, (1, next(NUMBERS)))
+    assert isinstance(reply, Grant), reply
+
+
+@then("a request with the crashing part is refused as poison")
+def is_refused(context):
+    _, reply = context.crashed.ask(next(NUMBERS), (1, 99))
+    assert isinstance(reply, SlotRefusal), reply
+    assert reply.reason is Reason.POISON, reply
+
+
 @given('requests with the parts "{parts}" come every {gap:d} ms')
 def add_load(context, parts, gap):
     def send():
--- a/features/support/prompt_world.py
+++ b/features/support/prompt_world.py
@@ -32,7 +32,7 @@
 ROUTE = RouteTable(routing()).find_route(HOST, "/resumable/x")
 
 
-def http_request(request_id, parts):
+def http_request(request_id, parts, body):
     """Return a request with the parts of its prompt, as a caller sends it."""
     headers = {
         "host": HOST,
@@ -41,8 +41,9 @@
         "x-token-count": f"{100 * len(parts)},{EVENTS * TOKENS_PER_EVENT}",
         "x-prefix-hash": ",".join(f"{part}:100" for part in parts),
     }
+    if not parts:
+        del headers["x-prefix-hash"]
     fields = tuple([Header(name, value) for name, value in headers.items()])
-    body = request_id.encode()
     return HttpRequest("POST", "/resumable/x", "/resumable/x", "", fields, body)
 
 
@@ -98,7 +99,8 @@
     """Callers and upstreams around a routed group.
 
     ``guilty_parts`` are the parts that crash an upstream which begins to answer, with
-    the number of events that such an answer has before the crash.
+    the number of events that such an answer has before the crash. If ``is_framed`` is
+    not set, answers end with their connection, a crash between two events too.
     """
 
     def __init__(self, controls, entries, upstreams):
@@ -107,6 +109,7 @@
         self.group = RoutedGroup(names, data_centres)
         self.upstreams = [PromptUpstream(f"m{n}") for n in range(1, upstreams + 1)]
         self.guilty_parts = {}
+        self.is_framed = True
         self.random = self.group.random
         self.requests = {}
         self.crashes_ms = []
@@ -134,18 +137,24 @@
 
     # Callers
 
-    def send(self, parts, host=""):
-        """Send a request with the parts of its prompt to a host, or to any."""
+    def send(self, parts, host="", body=""):
+        """Send a request with the parts of its prompt to a host, or to any.
+
+        :param body: its body, which is also a part that may crash upstreams.
+        """
         running = [e for e in self.group.entries if e.name not in self.group.down]
         host = host or self.random.choice(running).name
         request_id = f"a{len(self.requests) + 1}"
-        request = CODEC.parse_request(http_request(request_id, parts), DEADLINE_MS)
+        body = body or request_id
+        http = http_request(request_id, parts, body.encode())
+        request = CODEC.parse_request(http, DEADLINE_MS)
         attempts = AttemptHistory(ROUTE)
         admitted = AdmittedRequest(
             request, ROUTE, SERVICE, None, 0, 2**60, 1, TOKENS_PER_EVENT
         )
         finder = SlotFinder(None, admitted, attempts, RequestLog())
-        prompt = PromptRequest(tuple(parts), host, self.now_ms, finder, attempts)
+        parts = (*parts, body)
+        prompt = PromptRequest(parts, host, self.now_ms, finder, attempts)
         self.requests[request_id] = prompt
         self._request_slot(prompt)
         return prompt
@@ -168,7 +177,8 @@
 
     def _crash_events(self, prompt):
         """Return how many events an answer has before its crash; None for no crash."""
-        events = [self.guilty_parts.get(part) for part in prompt.parts[:-1]]
+        *shared, _, body = ("", *prompt.parts)
+        events = [self.guilty_parts.get(part) for part in (*shared, body)]
         return min([number for number in events if number is not None], default=None)
 
     # Upstreams
@@ -210,7 +220,12 @@
         entry = self.group.hosts[prompt.host]
         request_id = prompt.slot_request.request_id
         grant = entry.granted[request_id].grant
-        release = build_release(prompt.slot_request, grant.upstream, cause)
+        release = build_release(
+            prompt.slot_request,
+            grant.upstream,
+            cause,
+            is_end_certain=self.is_framed,
+        )
         self.group.feed(prompt.host, SlotReleased(release))
         if cause is ReleaseCause.COMPLETED:
             prompt.is_done = True
@@ -238,6 +253,10 @@
                 progress = SlotProgress(request_id, events * TOKENS_PER_EVENT)
                 self.group.feed(prompt.host, progress)
             if events == crash_events:
+                if events and not self.is_framed:
+                    # What its caller has ends between two events.
+                    upstream.runs.remove(run)
+                    self._end(prompt, ReleaseCause.COMPLETED)
                 self.crash(upstream, is_by_part=True)
                 return
             if events >= EVENTS:
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -157,6 +157,8 @@
     :param duration_ms: time from the dispatch to the end.
     :param cached_tokens: prompt tokens that the upstream had in its cache.
     :param slow_tokens: as in :class:`HeldSlot`.
+    :param is_end_certain: whether the end of the answer was marked, by its length or
+        in its body; else it is only the end of its connection.
     """
 
     request_id: str
@@ -169,6 +171,7 @@
     first_token_ms: int
     duration_ms: int
     slow_tokens: int = -1
+    is_end_certain: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/releases.py
+++ b/src/peridotfront/core/releases.py
@@ -15,10 +15,12 @@
     produced_tokens: int = 0,
     first_token_ms: int = -1,
     duration_ms: int = 0,
+    is_end_certain: bool = True,
 ) -> Release:
     """Return the message that releases the slot of a slot request.
 
     :param first_token_ms: time from the send to the first event; -1 if there was none.
+    :param is_end_certain: whether the answer's end was more than its connection's end.
     """
     return Release(
         request_id=slot_request.request_id,
@@ -30,6 +32,7 @@
         produced_tokens=produced_tokens,
         first_token_ms=first_token_ms,
         duration_ms=duration_ms,
+        is_end_certain=is_end_certain,
     )
 
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -436,6 +436,7 @@
             produced_tokens=attempt.produced_tokens,
             first_token_ms=attempt.first_ms,
             duration_ms=now_ms() - attempt.started_ms,
+            is_end_certain=attempt.answer is None or attempt.answer.is_framed,
         )
         self._server.feed(SlotReleased(release))
 
