Judge whole requests by what explains the crashes, not by their number

A caller whose sound request ran beside three crashes was refused for it. Cause: the count by fingerprint blames each request that an upstream executed, and one that is suspected before takes all the blame. The fingerprint stands among the parts of a request since the last change, where a cause that explains more crashes explains those beside it; routed services now go by that alone.

--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -32,6 +32,8 @@
 from .stream_origins import StreamOrigins
 from .verdicts import Reason
 
+# The crash guard judges whole requests together with the parts of prompts.
+NO_STRIKE_LIMIT = 2**31
 SERVICE_POLICY = Policy(
     slot_lease_ms=3000,
     suspect_after_ms=1500,
@@ -43,7 +45,7 @@
     learns_slots=False,
     max_backoff_ms=4000,
     died_backoff_ms=150,
-    poison_strikes=3,
+    poison_strikes=NO_STRIKE_LIMIT,
     affinity_ms=0,
 )
 INITIAL_PREFILL_TOKENS_PER_S = 30_000
