Take no end of a connection for proof that an upstream survived a request

An answer without length or chunks whose upstream crashed between two events was released as completed, and cleared the part that had crashed it: 60 crashing requests later than 3 s after the fifth crash. Cause: only the framing tells a complete answer from one that ended with its upstream, and it was dropped before the release. Such an end now clears nothing until the upstream shows life 100 ms later, by progress or another completion; a crash or a refused connection before that is counted against its request too.

--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -34,6 +34,7 @@
     StrikesChanged,
 )
 from .single_dispatch import dispatchmethod
+from .uncertain_ends import UncertainEnds
 from .upstream_capacity import Slot, UpstreamCapacity
 from .verdicts import Reason
 
@@ -90,6 +91,7 @@
         self._queues = TierQueues(lambda account: self._weights.get(account, 1))
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
         self._crash_guard = crash_guard or CrashGuard(CrashHistory())
+        self._uncertain_ends = UncertainEnds()
         self._drain_rate = DrainRate(self._queues)
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
@@ -280,7 +282,7 @@
             return
         self._learn_from_release(slot, release, now_ms)
         self._vacate(slot)
-        yield from self._update_health(slot, release.cause, now_ms)
+        yield from self._update_health(slot, release, now_ms)
         if release.cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._apply_strikes(now_ms)
         yield from self._grant_queued(now_ms)
@@ -482,6 +484,7 @@
         slot.lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
         upstream = self._upstreams[slot.upstream]
         if held.produced_tokens > slot.produced_tokens:
+            self._record_life(slot.upstream, now_ms)
             limit = int(upstream.capacity.limit_slots)
             upstream.health.progressed(slot.granted_ms, limit, now_ms)
         upstream.capacity.record_progress(
@@ -519,23 +522,25 @@
         )
 
     def _update_health(
-        self, slot: Slot, cause: ReleaseCause, now_ms: int
+        self, slot: Slot, release: Release, now_ms: int
     ) -> Iterator[Action]:
         upstream = self._upstreams.get(slot.upstream)
         if upstream is None:
             return
+        cause = release.cause
         health = upstream.health
         if cause is ReleaseCause.COMPLETED:
             limit = int(upstream.capacity.limit_slots)
             health.progressed(slot.granted_ms, limit, now_ms)
             health.completed()
             self._poison_detector.completed(slot.slot_request.fingerprint)
-            self._crash_guard.record_completed(slot.slot_request, now_ms)
+            self._record_end(slot, release.is_end_certain, now_ms)
         elif cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._upstream_died(upstream, slot, now_ms)
         elif cause in ABSENT_CAUSES:
             # The request was not executed there, so it gets no strike.
             health.unreachable(now_ms)
+            self._record_crash(upstream.name, [], now_ms)
             self._drain_rate.invalidate_capacities()
         elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
             health.failed(True, now_ms)
@@ -551,21 +556,36 @@
         fingerprints = [active.slot_request.fingerprint for active in executed]
         self._poison_detector.upstream_died(fingerprints)
         strikes = [self._poison_detector.strikes(f) for f in fingerprints]
-        elsewhere = [
-            active
-            for active in self._slots.values()
-            if active.upstream != slot.upstream
-        ]
-        self._crash_guard.record_crash(
-            upstream.name,
-            [active.slot_request for active in executed],
-            _begun(elsewhere),
-            now_ms,
+        self._record_crash(
+            upstream.name, [active.slot_request for active in executed], now_ms
         )
         yield _build_crash_log(upstream.name, executed, strikes)
         upstream.prefixes.clear()
         self._drain_rate.invalidate_capacities()
 
+    def _record_crash(
+        self, upstream: str, executed: list[SlotRequest], now_ms: int
+    ) -> None:
+        elsewhere = [
+            active for active in self._slots.values() if active.upstream != upstream
+        ]
+        ended = self._uncertain_ends.take_broken(upstream, now_ms)
+        self._crash_guard.record_crash(
+            upstream, [*executed, *ended], _begun(elsewhere), now_ms
+        )
+
+    def _record_end(self, slot: Slot, is_certain: bool, now_ms: int) -> None:
+        if is_certain:
+            self._crash_guard.record_completed(slot.slot_request, now_ms)
+        else:
+            self._uncertain_ends.add(slot.upstream, slot.slot_request, now_ms)
+        self._record_life(slot.upstream, now_ms)
+
+    def _record_life(self, upstream: str, now_ms: int) -> None:
+        """Record that an upstream lives, so that its last answers were complete."""
+        for slot_request in self._uncertain_ends.take_confirmed(upstream, now_ms):
+            self._crash_guard.record_completed(slot_request, now_ms)
+
     def _check_slots(self, now_ms: int) -> Iterator[Action]:
         for slot in tuple(self._slots.values()):
             if slot.lease_until_ms <= now_ms:
