--- a/features/support/prompt_processes.py
+++ b/features/support/prompt_processes.py
@@ -103,17 +103,7 @@
 
     async def _play(self, folder, duration_s):
         deployment = Deployment(folder, self.controls, self.entries)
-        upstreams = [
-            CrashingUpstream(
-                f"m{n}",
-                "models",
-                f"{NETWORK}.8.{n}",
-                Counter(),
-                world=self,
-                crash_after_events=self.crash_after_events,
-            )
-            for n in range(1, self.engines + 1)
-        ]
+        self.upstreams = upstreams = self._build_upstreams()
         upstream_list = UpstreamList(upstreams)
         operator = Operator(deployment.controls, Record(), self._random)
         await upstream_list.start()
@@ -132,6 +122,19 @@
                 await upstream.stop()
             await upstream_list.stop()
 
+    def _build_upstreams(self):
+        return [
+            CrashingUpstream(
+                f"m{n}",
+                "models",
+                f"{NETWORK}.8.{n}",
+                Counter(),
+                world=self,
+                crash_after_events=self.crash_after_events,
+            )
+            for n in range(1, self.engines + 1)
+        ]
+
     async def _load(self, deployment, duration_s):
         client = HttpClient(ClientLimits(keep_alive_ms=10_000))
         tasks = set()
