Keep the requests to an upstream within the limit that it names

Cause: nothing read Server-Limit; what an upstream says of its own load was known for Retry-After and Server-Leaving only, and by each host for itself. Class: a bound on the sum over all hosts without anybody who holds the sum.

Change: the host that reads a limit, or that it is gone, reports it to the leader, whose grants all sends need. The leader keeps a token bucket for each limited upstream and sends all limits to the replicas and entry hosts, so that the next leader and a host without one know them. A new leader begins with empty buckets; a host without a leader uses its part of four tenths of a limit. An answer to a request that was sent before the limit was known takes no limit back. The placement passes by an upstream that has no request left, and waiting times count what limits allow. 0 is kept as one request in 10 s, since only an answer can tell that a limit is gone.

--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -29,6 +29,7 @@
 from peridotfront.core.routes import RouteTable
 from peridotfront.core.service_schedulers import ServiceSchedulers, SharedLimits
 from peridotfront.core.stream_origins import StreamOrigins
+from peridotfront.core.upstream_limits import UpstreamLimits
 from peridotfront.core.verdicts import Reason
 
 SOUND_PARTS = (("base", "class", "*"), ("base", "*", "*"), ("base", "class", "*", "*"))
@@ -73,7 +74,9 @@
         self.names = [f"u{number}" for number in range(8)]
         self.guard = CrashGuard(CrashHistory())
         limits = SharedLimits(RetryLimits(slack=AMPLE_RETRIES))
-        self.schedulers = ServiceSchedulers(limits, StreamOrigins(), self.guard)
+        self.schedulers = ServiceSchedulers(
+            limits, StreamOrigins(), self.guard, UpstreamLimits()
+        )
         upstreams = tuple([listed(name, "s") for name in self.names])
         table = RouteTable(routing())
         tuple(self.schedulers.apply_routing(table.routing, 0))
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -18,6 +18,8 @@
     Heartbeat,
     HeldSlot,
     ListedUpstream,
+    NamedLimit,
+    NamedLimits,
     Release,
     SentRepeats,
     SlotRequest,
@@ -35,12 +37,14 @@
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
 from .upstream_directory import UpstreamDirectory
+from .upstream_limits import UpstreamLimits
 
 ENTRY_ROLE = "entry"
 ENTRY_TIMEOUT_MS = 1500
 RESEND_LIST_MS = 300
 LIST_INTERVAL_MS = 2000
 ORIGINS_INTERVAL_MS = 100
+LIMITS_INTERVAL_MS = 100
 # Versions of the list of upstreams that one term may use.
 EPOCH_VERSIONS = 2**24
 # Entry hosts without a leader use the rest of the retry budget.
@@ -90,6 +94,9 @@
         self._origins_sent_ms = 0
         self._spent: tuple[SpentShare, ...] = ()
         self._shares_updated_ms = 0
+        self._limits = UpstreamLimits()
+        self._limits_sent_ms = 0
+        self._has_new_limits = False
         self._crash_guard = CrashGuard(controller.state.crashes, allows_tests=True)
         self._crashing_groups: tuple[CrashingGroup, ...] = ()
 
@@ -127,6 +134,7 @@
             yield from self._send_list_to_replicas(now_ms)
         if now_ms - self._origins_sent_ms >= ORIGINS_INTERVAL_MS:
             yield from self._send_origins_to_replicas(now_ms)
+        yield from self._send_limits(now_ms)
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -146,6 +154,7 @@
         if update is None:
             return
         yield _build_list_log(update)
+        self._limits.retain(self.directory.names)
         yield from self.service_schedulers.apply_upstreams(
             self.directory.upstreams, now_ms
         )
@@ -196,6 +205,18 @@
         if self.service_schedulers is not None:
             yield from self.service_schedulers.handle(event, now_ms)
 
+    @_on_message.register
+    def _(self, message: NamedLimit, event: Received, now_ms: int) -> Iterator[Any]:
+        if self._limits.set(message, now_ms):
+            self._has_new_limits = True
+        yield from ()
+
+    @_on_message.register
+    def _(self, message: NamedLimits, event: Received, now_ms: int) -> Iterator[Any]:
+        if not self.is_leading:
+            self._limits.replace(message.limits, now_ms)
+        yield from ()
+
     @_on_message.register(SlotRequest)
     @_on_message.register(CancelSlotRequest)
     @_on_message.register(Release)
@@ -233,8 +254,9 @@
         self._lost_ms.clear()
         self._list_sent_ms = now_ms
         self.service_schedulers = ServiceSchedulers(
-            self._shared_limits, self._origins, self._crash_guard
+            self._shared_limits, self._origins, self._crash_guard, self._limits
         )
+        self._limits.restart(now_ms)
         self.service_schedulers.retries.share = NEW_TERM_RETRY_SHARE
         upstreams = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
@@ -283,6 +305,7 @@
             entry = EntryHost(event.incarnation, now_ms)
             self._entry_hosts[event.sender] = entry
             self._lost_ms.pop(event.sender, None)
+            self._has_new_limits = len(self._limits) > 0
             yield Log("entry_host_joined", (("peer", event.sender),))
         entry.last_seen_ms = now_ms
         entry.upstreams_version = message.upstreams_version
@@ -319,6 +342,20 @@
         if streams:
             yield from self._send_to_replicas(StreamsBegun(streams))
 
+    def _send_limits(self, now_ms: int) -> Iterator[Send]:
+        """Send all limits to all hosts, after changes and again from time to time."""
+        waited_ms = now_ms - self._limits_sent_ms
+        is_due = self._has_new_limits and waited_ms >= LIMITS_INTERVAL_MS
+        is_repeat = len(self._limits) and waited_ms >= LIST_INTERVAL_MS
+        if not (is_due or is_repeat):
+            return
+        self._has_new_limits = False
+        self._limits_sent_ms = now_ms
+        limits = NamedLimits(tuple(self._limits.all()))
+        yield from self._send_to_replicas(limits)
+        for host in self._entry_hosts:
+            yield Send(host, limits)
+
     def _send_to_replicas(self, message: Any) -> Iterator[Send]:
         for host in self.controller.control_hosts:
             if host != self._host:
--- a/src/peridotfront/core/drain_rate.py
+++ b/src/peridotfront/core/drain_rate.py
@@ -7,6 +7,7 @@
 from .messages import SlotRequest
 from .placement import Upstream
 from .queues import Demand, QueuedSlotRequest, TierQueues
+from .upstream_limits import UpstreamLimits
 
 HOLD_GAIN = 0.02
 HIT_GAIN = 0.02
@@ -20,7 +21,7 @@
 class ModelCapacity:
     """Capacity of the upstreams of a model.
 
-    :param slots: number of slots that may be in use at the same time.
+    :param slots: number of slots that may be in use at the same time, on average.
     :param prefill_tokens_per_ms: prefill rate of all upstreams together.
     :param prompt_token_ms: mean time for a prompt token, weighted by usable slots.
     :param output_token_ms: mean time for an output token, weighted likewise.
@@ -28,7 +29,7 @@
     :param measured_ms: time of the estimate.
     """
 
-    slots: int
+    slots: float
     prefill_tokens_per_ms: float
     prompt_token_ms: float
     output_token_ms: float
@@ -75,10 +76,14 @@
 
     Future slot requests of higher tiers are granted first, so their arrival rate is
     subtracted from the capacity.
+
+    :param queues: queues of all tiers.
+    :param limits: limits that upstreams have named.
     """
 
-    def __init__(self, queues: TierQueues):
+    def __init__(self, queues: TierQueues, limits: UpstreamLimits):
         self._queues = queues
+        self._limits = limits
         self._hold_ratio = 1.0
         self._miss_share = 1.0
         self._capacities: dict[str, ModelCapacity] = {}
@@ -117,7 +122,7 @@
         estimate = self._capacities.get(model)
         if estimate is not None and now_ms - estimate.measured_ms < CAPACITY_TTL_MS:
             return estimate
-        slots = 0
+        slots = 0.0
         prefill_tokens_per_ms = 0.0
         prompt_token_ms = output_token_ms = max_rate = 0.0
         for upstream in upstreams:
@@ -125,6 +130,9 @@
             usable_slots = upstream.health.slots(int(capacity.limit_slots), now_ms)
             if upstream.is_leaving or usable_slots == 0:
                 continue
+            usable_slots = self._limits.usable_slots(
+                upstream.name, usable_slots, capacity.hold_ms
+            )
             slots += usable_slots
             rate = capacity.prefill_tokens_per_s / 1000.0
             prefill_tokens_per_ms += rate
@@ -134,8 +142,8 @@
         estimate = ModelCapacity(
             slots=slots,
             prefill_tokens_per_ms=prefill_tokens_per_ms,
-            prompt_token_ms=prompt_token_ms / max(1, slots),
-            output_token_ms=output_token_ms / max(1, slots),
+            prompt_token_ms=prompt_token_ms / (slots or 1.0),
+            output_token_ms=output_token_ms / (slots or 1.0),
             min_prompt_token_ms=1 / max_rate if max_rate else 0.0,
             measured_ms=now_ms,
         )
--- a/src/peridotfront/core/gateway_events.py
+++ b/src/peridotfront/core/gateway_events.py
@@ -48,6 +48,20 @@
     retry_after_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLimitRead:
+    """Event: an answer told the limit of its upstream, or that it has none.
+
+    :param requests_per_s: requests a second that it takes from all hosts together;
+        negative if it has no limit.
+    :param sent_ms: time at which the request was sent that it answered.
+    """
+
+    upstream: str
+    requests_per_s: float
+    sent_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SlotReleased:
     """Event: a request releases its slot."""
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -26,6 +26,7 @@
     SlotRequested,
     UpstreamBusy,
     UpstreamLeaving,
+    UpstreamLimitRead,
 )
 from .leader_hints import LeaderHints
 from .messages import (
@@ -39,6 +40,8 @@
     Heartbeat,
     HeldSlot,
     ListedUpstream,
+    NamedLimit,
+    NamedLimits,
     PartsCleared,
     SlotRefusal,
     SlotRequest,
@@ -55,6 +58,7 @@
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
 from .upstream_directory import UpstreamDirectory
+from .upstream_limits import LEADERLESS_LIMIT_SHARE, UpstreamLimits
 from .usage_history import UsageHistory
 
 HEARTBEAT_MS = 200
@@ -65,6 +69,7 @@
 SLOT_RENEWAL_MS = 1000
 HOST_COUNT_LIFETIME_MS = 10_000
 ASSUMED_HOST_COUNT = 1000
+LIMIT_REPORT_MS = 1000
 
 
 @dataclass(slots=True)
@@ -121,12 +126,14 @@
         self._leader_seen_ms: dict[str, int] = {}
         self._avoided = AvoidedUpstreams()
         self._origins = StreamOrigins()
+        self._limits = UpstreamLimits()
+        self._limits_reported_ms: dict[str, int] = {}
         self._crash_guard = CrashGuard(CrashHistory())
         self._unreported_crashes: deque[tuple[int, CrashReport]] = deque(
             maxlen=CRASHES_KEPT
         )
         self._local_schedulers = ServiceSchedulers(
-            shared_limits, self._origins, self._crash_guard
+            shared_limits, self._origins, self._crash_guard, self._limits
         )
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
@@ -250,6 +257,22 @@
         fields = (("upstream", event.upstream), ("for_ms", event.retry_after_ms))
         yield Log("busy_notice", fields)
 
+    @_handle.register
+    def _(self, event: UpstreamLimitRead, now_ms: int) -> Iterator[Any]:
+        upstream = event.upstream
+        named = NamedLimit(upstream, event.requests_per_s)
+        is_known = self._limits.is_known_since(upstream, event.sent_ms)
+        if event.requests_per_s < 0 and not is_known:
+            # It may have named its limit since it answered.
+            return
+        if self._limits.set(named, now_ms):
+            yield _build_limit_log(named)
+        elif not self._is_report_due(upstream, now_ms):
+            return
+        self._limits_reported_ms[upstream] = now_ms
+        if self.leader:
+            yield Send(self.leader, named)
+
     @_handle.register
     def _(self, event: SlotReleased, now_ms: int) -> Iterator[Any]:
         self._held.pop(event.release.request_id, None)
@@ -292,6 +315,12 @@
             self._crash_guard.announce(message.groups)
         yield from ()
 
+    @_receive.register
+    def _(self, message: NamedLimits, event: Received, now_ms: int) -> Iterator:
+        if event.sender == self.leader:
+            self._limits.replace(message.limits, now_ms)
+        yield from ()
+
     @_receive.register
     def _(self, message: Grant, event: Received, now_ms: int) -> Iterator[Any]:
         pending = self._pending.pop(message.request_id, None)
@@ -342,6 +371,10 @@
         self._unreported_crashes.clear()
         self._crash_guard.history.restore(CrashesSnapshot())
 
+    def _is_report_due(self, upstream: str, now_ms: int) -> bool:
+        reported_ms = self._limits_reported_ms.get(upstream, -LIMIT_REPORT_MS)
+        return now_ms - reported_ms >= LIMIT_REPORT_MS
+
     def _give_back(self, grant: Grant, scheduler: str, now_ms: int) -> Iterator[Any]:
         """Release a slot that is not used, before anything else reaches its scheduler.
 
@@ -421,6 +454,8 @@
         if streams:
             yield Send(self.leader, StreamsBegun(streams))
         yield from self._report_crashes(now_ms)
+        for named in self._limits.all():
+            yield Send(self.leader, named)
         for held in self._held.values():
             held.reported_ms = now_ms
             yield Send(self.leader, held.slot)
@@ -438,6 +473,7 @@
             for spent in self._spent_shares
         }
         self._local_schedulers.allowances.set_account_shares(shares, now_ms)
+        self._limits.restart(now_ms)
         # Remove the slots and slot requests of an earlier time without a leader.
         yield from self._local_schedulers.handle(HostLost(self.host, True), now_ms)
         yield from self._apply_local_upstreams(now_ms)
@@ -455,6 +491,7 @@
         self._local_schedulers.retries.share = (
             LEADERLESS_RETRY_SHARE / self._sharing_host_count
         )
+        self._limits.share = LEADERLESS_LIMIT_SHARE / self._sharing_host_count
         upstreams = leaderless_upstreams(
             self._local_upstreams, self.host, self.data_centre, self.entry_hosts
         )
@@ -492,6 +529,11 @@
                 yield from self._pass_to_scheduler(held.slot, now_ms)
 
 
+def _build_limit_log(named: NamedLimit) -> Log:
+    fields = (("upstream", named.upstream), ("requests_per_s", named.requests_per_s))
+    return Log("limit_read", fields)
+
+
 def _with_remaining_times(pending: _PendingRequest, now_ms: int) -> SlotRequest:
     """Return the slot request with its remaining deadline and goal time."""
     waited_ms = now_ms - pending.since_ms
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -285,6 +285,25 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Limit that an upstream named, reported to the leader by the host that read it.
+
+    :param requests_per_s: requests a second that it takes from all hosts together;
+        negative if it names no limit any more.
+    """
+
+    upstream: str
+    requests_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimits:
+    """All limits that upstreams have named, from the leader to all other hosts."""
+
+    limits: tuple[NamedLimit, ...]
+
+
 CELL_MESSAGES = (
     SlotRequest,
     Grant,
@@ -298,4 +317,6 @@
     Spending,
     SentRepeats,
     StreamsBegun,
+    NamedLimit,
+    NamedLimits,
 )
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -10,6 +10,7 @@
 from .prefix_cache import PrefixCacheModel
 from .queues import QueuedSlotRequest
 from .upstream_capacity import Slot, UpstreamCapacity
+from .upstream_limits import UpstreamLimits
 
 FILL_COST_MS = 20.0
 FAILURE_COST_MS = 2000.0
@@ -118,10 +119,14 @@
 
     :param policy: active parameters of the policy.
     :param poison_detector: detector of suspects; two of them never share an upstream.
+    :param limits: limits that upstreams have named.
     """
 
-    def __init__(self, policy: Policy, poison_detector: PoisonDetector):
+    def __init__(
+        self, policy: Policy, poison_detector: PoisonDetector, limits: UpstreamLimits
+    ):
         self._policy = policy
+        self._limits = limits
         self._poison_detector = poison_detector
 
     def choose(
@@ -203,6 +208,8 @@
         limit = upstream.limit(self._policy, is_urgent, now_ms)
         if limit == 0 or not upstream.fits_when_empty(slot_request):
             return Availability.UNAVAILABLE
+        if not self._limits.allows(upstream.name, now_ms):
+            return Availability.UNAVAILABLE
         if len(capacity.slots) >= limit:
             return Availability.FULL
         if not upstream.suits(slot_request):
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -25,6 +25,7 @@
 from .poison_detection import PoisonDetector
 from .prefix_cache import PrefixCacheModel
 from .queues import FairQueue, QueuedSlotRequest, TierQueues
+from .releases import UNSENT_CAUSES
 from .retry_schedule import RetrySchedule
 from .scheduler_dump import CellDump, CellStats, dump_queue, dump_upstream
 from .scheduler_events import (
@@ -36,6 +37,7 @@
 from .single_dispatch import dispatchmethod
 from .uncertain_ends import UncertainEnds
 from .upstream_capacity import Slot, UpstreamCapacity
+from .upstream_limits import UpstreamLimits
 from .verdicts import Reason
 
 Action = Send | Log
@@ -70,6 +72,7 @@
     :param fleet: active configuration.
     :param kind: kind of the cell's upstreams; derived from the cell's name by default.
     :param crash_guard: filter of requests that crash upstreams.
+    :param limits: limits that upstreams have named.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         fleet: Fleet,
         kind: UpstreamKind | None = None,
         crash_guard: CrashGuard | None = None,
+        limits: UpstreamLimits | None = None,
     ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
@@ -92,7 +96,8 @@
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
         self._crash_guard = crash_guard or CrashGuard(CrashHistory())
         self._uncertain_ends = UncertainEnds()
-        self._drain_rate = DrainRate(self._queues)
+        self._limits = UpstreamLimits() if limits is None else limits
+        self._drain_rate = DrainRate(self._queues, self._limits)
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
             cell,
@@ -281,6 +286,8 @@
         if slot is None or slot.host != sender:
             return
         self._learn_from_release(slot, release, now_ms)
+        if release.cause in UNSENT_CAUSES:
+            self._limits.refund(slot.upstream)
         self._vacate(slot)
         yield from self._update_health(slot, release, now_ms)
         if release.cause is ReleaseCause.UPSTREAM_DIED:
@@ -433,6 +440,7 @@
         lease_ms = self._fleet.policy.slot_lease_ms
         slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
         self._occupy(slot, now_ms)
+        self._limits.take(slot.upstream, now_ms)
         self._drain_rate.granted(
             slot_request.prompt_tokens, choice.predicted_prefix_tokens
         )
@@ -673,7 +681,7 @@
         self._shedder.policy = fleet.policy
         self._weights = {account.name: account.weight for account in fleet.accounts}
         self._poison_detector.limit = fleet.policy.poison_strikes
-        self._placement = Placement(fleet.policy, self._poison_detector)
+        self._placement = Placement(fleet.policy, self._poison_detector, self._limits)
         specs = {spec.name: spec for spec in fleet.upstreams if spec.cell == self.cell}
         self._configured = frozenset(specs)
         for name, upstream in tuple(self._upstreams.items()):
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -30,6 +30,7 @@
 from .scheduler_events import CrashesChanged, FleetChanged, HostLost
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
+from .upstream_limits import UpstreamLimits
 from .verdicts import Reason
 
 # The crash guard judges whole requests together with the parts of prompts.
@@ -87,6 +88,7 @@
     :param shared_limits: limits on what all hosts together may use.
     :param origins: versions at which the streams began that callers may resume.
     :param crash_guard: filter of requests that crash upstreams.
+    :param limits: limits that upstreams have named.
     """
 
     def __init__(
@@ -94,9 +96,11 @@
         shared_limits: SharedLimits,
         origins: StreamOrigins,
         crash_guard: CrashGuard,
+        limits: UpstreamLimits,
     ):
         self._origins = origins
         self._crash_guard = crash_guard
+        self._limits = limits
         self.allowances = Allowances(shared_limits.allowances)
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
@@ -135,7 +139,9 @@
         for name in specs.keys() - self.schedulers.keys():
             blank = Fleet(policy=SERVICE_POLICY)
             kind = _kind_of(services[name])
-            self.schedulers[name] = CellScheduler(name, blank, kind, self._crash_guard)
+            self.schedulers[name] = CellScheduler(
+                name, blank, kind, self._crash_guard, self._limits
+            )
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
             fleet = Fleet(
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -16,6 +16,7 @@
     SlotReleased,
     UpstreamBusy,
     UpstreamLeaving,
+    UpstreamLimitRead,
 )
 from .core.messages import Grant, ReleaseCause, SlotRequest
 from .core.releases import build_release, build_unsent_release
@@ -281,7 +282,7 @@
                 "the answer does not belong to this request", answer.address
             )
         if kind is not AnswerKind.OTHER_UPSTREAM:
-            self._note(attempt.grant.upstream, self._codec.read_notice(answer))
+            self._note(attempt, self._codec.read_notice(answer))
         if kind is AnswerKind.EVENT_STREAM:
             return await self._relay_events(attempt, answer)
         if kind in REJECTION_CAUSES:
@@ -308,12 +309,18 @@
             answer.cancel()
             self._log_failure(attempt, cause, error)
 
-    def _note(self, upstream: str, notice: UpstreamNotice) -> None:
+    def _note(self, attempt: "_Attempt", notice: UpstreamNotice) -> None:
         """Pass on what an upstream says of itself."""
+        upstream = attempt.grant.upstream
         if notice.is_leaving:
             self._server.feed(UpstreamLeaving(upstream))
         if notice.retry_after_ms:
             self._server.feed(UpstreamBusy(upstream, notice.retry_after_ms))
+        if notice.requests_per_s is not None:
+            limit = UpstreamLimitRead(
+                upstream, notice.requests_per_s, attempt.started_ms
+            )
+            self._server.feed(limit)
 
     async def _relay_complete(
         self, attempt: "_Attempt", answer: UpstreamAnswer, body: bytes, kind: AnswerKind
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -574,6 +574,14 @@
         "Requests of the service with all these parts are refused as poison. Empty if"
         " there are none any more.",
     ),
+    LogEvent(
+        538,
+        "limit_read",
+        Level.INFO,
+        "an upstream named another limit on its requests than before",
+        "requests_per_s is for all hosts together; negative if it has no limit any"
+        " more. The others get its load. Find out why it is in need.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -7,6 +7,7 @@
 
 from ..core.routes import RoutedAccount
 from ..core.upstream_answers import AnswerHead, AnswerOwner, ExecutionMark
+from ..core.upstream_limits import NO_LIMIT
 from ..exceptions import InvalidRequest
 from ..http_client import UpstreamAnswer
 from ..http_messages import Header, HttpRequest, find_header, is_event_stream
@@ -23,6 +24,7 @@
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
@@ -45,6 +47,7 @@
 )
 HASH_BYTES = 7
 SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]*)?")
+DECIMAL = re.compile(r"(?:[0-9]{1,9}(?:\.[0-9]*)?|\.[0-9]+)")
 NUMBER = re.compile(r"([0-9]{1,15})(?:\.[0-9]*)?")
 
 
@@ -125,7 +128,8 @@
         retry_after_ms = 0
         if answer.status_code == HTTPStatus.SERVICE_UNAVAILABLE:
             retry_after_ms = _parse_seconds(answer.header(RETRY_AFTER))
-        return UpstreamNotice(answer.header(LEAVING) == "1", retry_after_ms)
+        is_leaving = answer.header(LEAVING) == "1"
+        return UpstreamNotice(is_leaving, retry_after_ms, _parse_limit(answer))
 
     def retry_after_header(self, retry_after_ms: int) -> Header:
         """Build the header field with the time to wait before a retry, in seconds."""
@@ -188,6 +192,17 @@
     return tuple([int.from_bytes(digest, "big") for digest in digests])
 
 
+def _parse_limit(answer: UpstreamAnswer) -> float | None:
+    """Return the lowest limit that an answer names, in requests a second.
+
+    :return: ``NO_LIMIT`` if it names none; None if one can't be read.
+    """
+    texts = [text.strip() for text in _values(answer, LIMIT)]
+    if not all(DECIMAL.fullmatch(text) for text in texts):
+        return None
+    return min([float(text) for text in texts], default=NO_LIMIT)
+
+
 def _parse_seconds(text: str) -> int:
     """Return a number of seconds in milliseconds; 0 if it is none, such as a date."""
     match = SECONDS.fullmatch(text.strip())
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -61,10 +61,13 @@
     :param is_leaving: whether it is leaving.
     :param retry_after_ms: time for which it wants no requests of this host; 0 if it
         doesn't say so.
+    :param requests_per_s: requests a second that it takes from all hosts together;
+        negative if it names no limit, None if what it names can't be read.
     """
 
     is_leaving: bool = False
     retry_after_ms: int = 0
+    requests_per_s: float | None = None
 
 
 class RequestCodec(Protocol):
