Let the blame for failures fade with time

An upstream of a plain service that rejected one request got none any more while others served: its share of failures fell by its completions only, and a penalty of 300 ms kept it from having any. Cause and class: a state that only its own use can end. The share now halves every 5 s too. The new scenario failed before (four requests at once all went to the other upstream, 30 s after the rejection) and passes; an upstream that fails half of its requests is still chosen after others.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -93,3 +93,9 @@
     When one of two requests there loses its connection and the other continues
     And host "a" requests a slot for "r1" at tier 1
     Then "r1" is granted
+
+  Scenario: One rejection does not keep an upstream from its share for good
+    Given a cell of a plain service with 2 upstreams of 4 slot
+    When one request is rejected at the upstream that was chosen first
+    And requests complete at the other upstream for 30000 ms
+    Then 4 requests at once are shared by both upstreams
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -327,3 +327,30 @@
     cell.release("broken", ReleaseCause.UPSTREAM_DIED)
     cell.pass_time(200)
     cell.hold("going", "h", upstream, 50)
+
+
+@when("one request is rejected at the upstream that was chosen first")
+def reject_one(context):
+    context.cell.request_slot("first")
+    context.rejecting = granted_at(context.cell, "first")
+    context.cell.release("first", ReleaseCause.REJECTED, duration_ms=5)
+
+
+@when("requests complete at the other upstream for {duration:d} ms")
+def complete_elsewhere(context, duration):
+    cell = context.cell
+    for number in range(duration // 500):
+        cell.request_slot(f"next{number}")
+        cell.pass_time(20)
+        cell.release(f"next{number}", duration_ms=20)
+        cell.pass_time(480)
+
+
+@then("{count:d} requests at once are shared by both upstreams")
+def share(context, count):
+    cell = context.cell
+    for number in range(count):
+        cell.request_slot(f"at-once{number}")
+    chosen = [granted_at(cell, f"at-once{number}") for number in range(count)]
+    assert context.rejecting in chosen, chosen
+    assert len(set(chosen)) == 2, chosen
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -8,6 +8,7 @@
 TIMEOUTS_TO_OPEN = 2
 INITIAL_RAMP_SLOTS = 2
 FAILURE_GAIN = 0.15
+FAILURE_HALF_LIFE_MS = 5000
 LATE_PROGRESS_MS = 100
 
 
@@ -24,9 +25,6 @@
 class Health:
     """Circuit breaker that limits the slots of an upstream by its recent failures.
 
-    ``failure_share`` is the recent share of requests that failed at the upstream,
-    whatever it reports about its own health.
-
     :param max_backoff_ms: longest time until a failed upstream is probed.
     :param died_backoff_ms: time until an upstream is probed that was healthy when a
         connection to it broke; a broken connection does not prove that it died.
@@ -42,7 +40,8 @@
         self.state = HealthState.HEALTHY
         self.down_ms = -1
         self.ramp_slots = INITIAL_RAMP_SLOTS
-        self.failure_share = 0.0
+        self._failure_share = 0.0
+        self._failure_share_ms = 0
         self._backoff_ms = INITIAL_BACKOFF_MS
         self._probe_at_ms = 0
         self._errors = 0
@@ -71,7 +70,7 @@
 
         :param granted_ms: time at which the request that failed was granted.
         """
-        self._count_failure()
+        self._count_failure(now_ms)
         if granted_ms <= self.down_ms:
             return False
         self.down_ms = now_ms
@@ -92,7 +91,7 @@
         A failed probe, or several failures without progress between them, open the
         circuit.
         """
-        self._count_failure()
+        self._count_failure(now_ms)
         if is_timeout:
             self._timeouts += 1
         else:
@@ -104,7 +103,7 @@
 
     def completed(self) -> None:
         """Record that a request got its complete answer."""
-        self.failure_share -= self.failure_share * FAILURE_GAIN
+        self._failure_share -= self._failure_share * FAILURE_GAIN
 
     def progressed(self, granted_ms: int, limit: int, now_ms: int) -> None:
         """Record that a request got tokens or completed, and ramp up a recovery.
@@ -131,8 +130,18 @@
         if self.state is HealthState.RAMPING and self.ramp_slots >= limit:
             self._recover()
 
-    def _count_failure(self) -> None:
-        self.failure_share += (1 - self.failure_share) * FAILURE_GAIN
+    def failure_share(self, now_ms: int) -> float:
+        """Return the recent share of requests that failed at the upstream.
+
+        It falls with time too: an upstream that is passed by completes no request.
+        """
+        elapsed_ms = now_ms - self._failure_share_ms
+        return self._failure_share * 0.5 ** (elapsed_ms / FAILURE_HALF_LIFE_MS)
+
+    def _count_failure(self, now_ms: int) -> None:
+        share = self.failure_share(now_ms)
+        self._failure_share = share + (1 - share) * FAILURE_GAIN
+        self._failure_share_ms = now_ms
 
     def _recover(self) -> None:
         self.state = HealthState.HEALTHY
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -246,7 +246,7 @@
         slot_request = queued.slot_request
         capacity = upstream.capacity
         fill_ms = FILL_COST_MS * len(capacity.slots) / max(1.0, capacity.limit_slots)
-        failure_cost_ms = upstream.health.failure_share * FAILURE_COST_MS
+        failure_cost_ms = upstream.health.failure_share(now_ms) * FAILURE_COST_MS
         if upstream.spec.kind is UpstreamKind.SERVICE:
             return Choice(upstream, 0, fill_ms + capacity.gap_ms + failure_cost_ms)
         prefixes = upstream.prefixes
