Keep what the crash guard and the limits remember small

Completed parts are kept for the 3 s in which they count instead of up to 20,000 of them, report times of limits only for upstreams that have one, and a refused connection without an uncertain end scans no slots.

--- a/src/peridotfront/core/crash_guard.py
+++ b/src/peridotfront/core/crash_guard.py
@@ -10,7 +10,6 @@
 RECENT_MS = 3000
 # One may be a crash that is about to come, several are not.
 SURVIVORS_TO_CLEAR = 3
-COMPLETED_PARTS_KEPT = 20_000
 # Requests that are being answered may clear a group for so long after its conviction.
 DOUBT_MS = 1000
 REPORTS_KEPT = 1000
@@ -67,6 +66,8 @@
 
         :param begun: slot requests that upstreams are answering.
         """
+        if self.is_idle:
+            return False
         parts = frozenset(parts_of(slot_request))
         service = slot_request.cell
         if any(_has_all(parts, service, group) for group in self._announced):
@@ -139,8 +140,7 @@
         for part in parts:
             self._completed_ms[service, part] = now_ms
             self._completed_ms.move_to_end((service, part))
-        while len(self._completed_ms) > COMPLETED_PARTS_KEPT:
-            self._completed_ms.popitem(last=False)
+        self._purge_completed(now_ms)
         cleared = self.history.suspected(service).intersection(parts)
         if cleared:
             self._reports.append(PartsCleared(service, tuple(sorted(cleared))))
@@ -151,6 +151,13 @@
         self._reports.clear()
         return reports
 
+    def _purge_completed(self, now_ms: int) -> None:
+        while self._completed_ms:
+            oldest = next(iter(self._completed_ms))
+            if now_ms - self._completed_ms[oldest] <= RECENT_MS:
+                return
+            del self._completed_ms[oldest]
+
     def _has_completed(self, service: str, part: int, now_ms: int) -> bool:
         completed_ms = self._completed_ms.get((service, part))
         return completed_ms is not None and now_ms - completed_ms <= RECENT_MS
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -319,6 +319,12 @@
     def _(self, message: NamedLimits, event: Received, now_ms: int) -> Iterator:
         if event.sender == self.leader:
             self._limits.replace(message.limits, now_ms)
+            self._limits_reported_ms = {
+                limit.upstream: self._limits_reported_ms.get(
+                    limit.upstream, -LIMIT_REPORT_MS
+                )
+                for limit in message.limits
+            }
         yield from ()
 
     @_receive.register
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -574,13 +574,13 @@
     def _record_crash(
         self, upstream: str, executed: list[SlotRequest], now_ms: int
     ) -> None:
+        executed = [*executed, *self._uncertain_ends.take_broken(upstream, now_ms)]
+        if not executed:
+            return
         elsewhere = [
             active for active in self._slots.values() if active.upstream != upstream
         ]
-        ended = self._uncertain_ends.take_broken(upstream, now_ms)
-        self._crash_guard.record_crash(
-            upstream, [*executed, *ended], _begun(elsewhere), now_ms
-        )
+        self._crash_guard.record_crash(upstream, executed, _begun(elsewhere), now_ms)
 
     def _record_end(self, slot: Slot, is_certain: bool, now_ms: int) -> None:
         if is_certain:
