Test limits over disturbed hosts, changes of leader, new hosts, and all answers

In virtual time, 6 entry hosts ask without a pause before upstreams with limits from 0 to 12.5 a second, while the leader is killed, hosts are cut off, restarted or lose power, and limits are changed and taken back: no window over the bound, and the limits are used.

--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -4,6 +4,10 @@
 
 from behave import given, then, when
 from support.limit_processes import OVER_REQUESTS, WINDOW_S, LimitProcesses
+from support.limit_world import WINDOW_MS, LimitWorld
+from support.routed_group import names_of
+
+from peridotfront.core.gateway_events import UpstreamLimitRead
 
 MIN_ANSWERED_SHARE = 0.9
 MIN_USED_SHARE = 0.5
@@ -80,3 +84,93 @@
         for upstream in upstreams
     ]
     assert got[number - 1] >= least, got
+
+
+@given(
+    "{controls:d} control hosts and {entries:d} entry hosts in virtual time before"
+    " {upstreams:d} upstreams"
+)
+def make_limit_world(context, controls, entries, upstreams):
+    context.limits = LimitWorld(controls, entries, upstreams)
+
+
+@when('"{first}" names the limit {limit:g} and "{second}" the limit {other:g}')
+def name_limits(context, first, limit, second, other):
+    context.limits.name_limit(first, limit)
+    context.limits.name_limit(second, other)
+
+
+@when('"{first}" and "{second}" take their limits back')
+def take_back(context, first, second):
+    context.limits.name_limit(first, None)
+    context.limits.name_limit(second, None)
+
+
+@when("{duration:d} ms of requests pass")
+def pass_requests(context, duration):
+    context.limits.run(duration)
+
+
+@when("the leader is killed for {duration:d} ms while requests come")
+def kill_leader(context, duration):
+    kill_for(context, duration, context.limits.group.leader().name)
+
+
+@when('the entry hosts "{names}" are killed for {duration:d} ms while requests come')
+def kill_entries(context, names, duration):
+    kill_for(context, duration, *names_of(names))
+
+
+@when("all hosts lose power for {duration:d} ms while requests come")
+def kill_all(context, duration):
+    kill_for(context, duration, *context.limits.group.hosts)
+
+
+def kill_for(context, duration, *names):
+    group = context.limits.group
+    group.down.update(names)
+    context.limits.run(duration)
+    for name in names:
+        group.restart(name)
+
+
+@when('the entry hosts "{names}" are cut off for {duration:d} ms while requests come')
+def cut_entries(context, names, duration):
+    group = context.limits.group
+    for name in names_of(names):
+        for control in group.controls:
+            group.cut(name, control.name)
+    context.limits.run(duration)
+    group.heal()
+
+
+@then("no upstream got more than its limit allows in any {window:d} ms")
+def limits_hold(context, window):
+    assert window == WINDOW_MS
+    world = context.limits
+    excesses = {name: world.excess(name) for name in world.names}
+    assert max(excesses.values()) <= 0, excesses
+
+
+@then('"{name}" got at least {least:g} requests a second in the last {span:d} ms')
+def limit_used(context, name, least, span):
+    rate = context.limits.rate(name, span)
+    assert rate >= least, rate
+
+
+@given('its answers name the limit "{text}"')
+def name_in_answers(context, text):
+    context.upstreams[0].notices = (f"Server-Limit: {text}",)
+
+
+@given('its answers name the limit ""')
+def name_none_in_answers(context):
+    context.upstreams[0].notices = ()
+
+
+@then("the host has read the limit {limit}")
+def has_read(context, limit):
+    events = context.front.slot_server.events
+    read = [e.requests_per_s for e in events if isinstance(e, UpstreamLimitRead)]
+    expected = set() if limit == "none" else {float(limit)}
+    assert set(read) == expected, read
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -23,6 +23,8 @@
     """Upstream that answers each request by the next step of its script.
 
     The last step is repeated.
+
+    :param notices: further header fields of each answer.
     """
 
     name: str
@@ -30,6 +32,7 @@
     software_version: str = "v1"
     requests: list = field(default_factory=list)
     server: asyncio.Server = None
+    notices: tuple = ()
 
     @property
     def address(self):
@@ -62,6 +65,7 @@
     def _head(self, received, status, *fields):
         request_id = received.headers.get("x-attempt-id", "")
         lines = [f"HTTP/1.1 {status}", f"X-Attempt-Id: {request_id}", *fields]
+        lines += self.notices
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     async def _answer(self, received, reader, writer):
