Play crashing parts of prompts and named limits in the soak

Prompts of the soak have parts now, one of which crashes the upstream that begins to answer it, and up to two upstreams name limits for the rest of a run. What reaches the upstreams is checked from 3 s after the last fault on, when all hosts are in touch.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 
 import fire
 
+from .burdens import LIMITS, Burdens
 from .callers import VERSIONS, Callers, Operator, Record
 from .deployment import Deployment
 from .untrue_answers import UNTRUE_ANSWERS, UntrueUpstream
@@ -27,6 +28,7 @@
 MAX_UNTRUE_PAUSE_S = 0.8
 MIN_SERVED_SHARE = 0.25
 MAX_ENTRY_KB = 64 * 1024
+MAX_LIMITED = 2
 
 RUN_FOLDER = Path("run")
 
@@ -54,6 +56,8 @@
         self.folder.mkdir(parents=True)
         self.runs = Counter()
         self.plays = {}
+        self.burdens = Burdens()
+        self.quiet_s = 0.0
         self.record = Record()
         self.deployment = Deployment(
             self.folder.resolve(), sizes.controls, sizes.entries
@@ -73,7 +77,14 @@
         draws = random.Random(self.random.random())
         ip = f"{NETWORK}.8.{number}"
         return UntrueUpstream(
-            name, service, ip, self.runs, draws=draws, plays=self.plays, **options
+            name,
+            service,
+            ip,
+            self.runs,
+            draws=draws,
+            plays=self.plays,
+            burdens=self.burdens,
+            **options,
         )
 
     async def run(self):
@@ -90,11 +101,13 @@
         finally:
             await self.operator.close()
             await self.deployment.stop()
+            await asyncio.gather(*self.burdens.tasks)
             for upstream in self.upstreams:
                 await upstream.stop()
             await upstream_list.stop()
         self._check_runs()
         self._check_surroundings()
+        self.record.faults.extend(self.burdens.faults(self.quiet_s))
         return self.record.faults
 
     async def _inject_faults(self):
@@ -108,6 +121,7 @@
             self._inject(FAULTS, MAX_PAUSE_S, end_s),
             self._inject((Soak.answer_untruly,), MAX_UNTRUE_PAUSE_S, end_s),
         )
+        self.quiet_s = loop.time()
         served = self.record.served
         await traffic
         if self.record.served == served:
@@ -244,7 +258,7 @@
             upstream.state = "draining"
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
         if fault in ("leave", "restart"):
-            await self._restart(upstream)
+            await upstream.restart(self.random.uniform(0.1, 1.0))
             return
         upstream.fault = fault
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
@@ -276,12 +290,13 @@
         await asyncio.sleep(self.random.uniform(1.0, 3.0))
         upstream.untrue = ""
 
-    async def _restart(self, upstream):
-        await upstream.stop()
-        await asyncio.sleep(self.random.uniform(0.1, 1.0))
-        upstream.restarts += 1
-        upstream.state = "ready"
-        await upstream.start()
+    async def name_limit(self):
+        """Let an upstream name a limit from now on; no more than two do so."""
+        upstream = self.random.choice(self.upstreams)
+        if len(self.burdens.limits) < MAX_LIMITED:
+            limit = self.random.choice(LIMITS)
+            self._log("limit", limit, upstream.name)
+            self.burdens.name_limit(upstream.name, limit)
 
     async def change(self):
         """Change the configuration."""
@@ -299,6 +314,7 @@
     Soak.break_streams,
     Soak.break_streams,
     Soak.change,
+    Soak.name_limit,
 )
 
 
@@ -322,7 +338,8 @@
             f"seed {seed}: sent {record.sent}, served {record.served}, "
             f"refused {len(record.refused)}, faults {len(faults)}; untrue answers "
             f"{soak.played}, refused but executed {soak.refused_but_ran}, "
-            f"peak memory in KB {soak.peak_kb}",
+            f"peak memory in KB {soak.peak_kb}, crashes by a part "
+            f"{len(soak.burdens.crashes_s)}, limits {soak.burdens.limits}",
             flush=True,
         )
         if faults:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 from peridotfront.exceptions import PeridotfrontError
 from peridotfront.http_client import ClientLimits, HttpClient, UpstreamTimeouts
 
+from .burdens import CRASHING_SHARE, prefix_of
 from .deployment import CALLERS_PORT, OPERATORS_PORT
 from .untrue_answers import LONG_BODY_BYTES
 from .world import EVENTS, digest_of, event_of
@@ -140,10 +141,11 @@
         """Read a stream; if it may be resumed, also from where it broke off."""
         received = b""
         fields = []
+        prefix = prefix_of(text, self._random.random() < CRASHING_SHARE)
         for attempt in range(MAX_STREAM_ATTEMPTS if kind == "resumable" else 1):
             request_id = f"{text}.{attempt}" if attempt else text
             try:
-                answer = await self._send(kind, text, request_id, *fields)
+                answer = await self._send(kind, text, request_id, prefix, *fields)
                 if answer.status_code != 200:
                     answer.cancel()
                     self._check(request_id, text, answer, b"")
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,6 +10,8 @@
 from peridotfront.exceptions import CallerGone
 from peridotfront.http_server import HttpServer
 
+from .burdens import Burdens, is_crashing
+
 EVENTS = 12
 EVENT_INTERVAL_S = 0.02
 CALL_S = 0.02
@@ -43,6 +45,7 @@
         which ends a stream regularly inside an event.
     :param version: version of its software.
     :param restarts: number of restarts, each of which gives it a new name.
+    :param burdens: record of what burdens the upstreams of the run.
     """
 
     name: str
@@ -55,6 +58,8 @@
     restarts: int = 0
     tenants: set = field(default_factory=set)
     server: HttpServer | None = None
+    burdens: Burdens = field(default_factory=Burdens)
+    is_restarting: bool = False
 
     async def start(self):
         """Start serving."""
@@ -65,6 +70,18 @@
         """Reset all connections and refuse new ones."""
         await self.server.close()
 
+    async def restart(self, pause_s):
+        """Crash, and start under a new name after a pause; once at a time."""
+        if self.is_restarting:
+            return
+        self.is_restarting = True
+        await self.stop()
+        await asyncio.sleep(pause_s)
+        self.restarts += 1
+        self.state = "ready"
+        await self.start()
+        self.is_restarting = False
+
     @property
     def instance(self):
         """Return the name of its current run."""
@@ -86,13 +103,14 @@
         request = exchange.request
         request_id = request.header("x-attempt-id")
         attempt_header = ("X-Attempt-Id", request_id)
+        self.burdens.record_arrival(self.name, request.header("x-prefix-hash"))
         if request.header("x-expect-instance") != self.instance:
             fields = [attempt_header, ("X-Instance-Id", self.instance)]
             await exchange.respond(421, fields)
             return
         if self.fault == "reject":
             fields = [attempt_header, ("X-Not-Executed", "1"), ("Retry-After", "0.7")]
-            await exchange.respond(503, fields)
+            await exchange.respond(503, [*fields, *self._notice()])
             return
         self.runs[request_id] += 1
         self.tenants.add((request.header("x-tenant"), request.header("api-key")))
@@ -118,7 +136,9 @@
         await exchange.respond(200, fields, body.encode())
 
     def _notice(self):
-        return [("Server-Leaving", "1")] if self.state == "draining" else []
+        fields = [("Server-Leaving", "1")] if self.state == "draining" else []
+        limit = self.burdens.limits.get(self.name)
+        return [*fields, ("Server-Limit", limit)] if limit else fields
 
     async def _stream(self, exchange, attempt_header):
         text = exchange.request.body.decode()
@@ -126,6 +146,10 @@
         kind = ("Content-Type", "text/event-stream")
         digest = ("X-Response-Sig", digest_of(text))
         await exchange.start(200, [attempt_header, digest, kind, *self._notice()])
+        if is_crashing(exchange.request.header("x-prefix-hash")):
+            self.burdens.crash(self)
+            await exchange.gone.wait()
+            return
         for number in range(last + 1, EVENTS + 1):
             event = event_of(text, self.version, number)
             if self.fault == "cut" and number > EVENTS // 2:
