--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -105,6 +105,22 @@
     Then upstreams got at most 3 crashing requests later than 3000 ms after the fifth crash
     And no sound request was ever refused as "poison"
 
+  Scenario: A part that no longer crashes upstreams is set free by a test
+    Given prompts at 3 control hosts, 6 entry hosts and 8 upstreams
+    And the part "bad" crashes upstreams after 0 events of an answer
+    And requests with the parts "base,bad,*,*" come every 300 ms, sound ones every 60 ms
+    When the load goes on until crash 3
+    And 2000 ms pass under that load
+    And the part "bad" crashes upstreams no more
+    And 35000 ms pass under that load
+    Then requests with the part "bad" began in the last 2000 ms
+
+  Scenario: A crash history is the same after a snapshot, and knows a crash once
+    When a history gets crashes, repeated reports of them, and a cleared part
+    Then it has 3 crashes, and its verdict names the only part of all
+    And a history restored from its snapshot has the same verdict
+    And a request without all parts of a verdict is not refused
+
   Scenario Outline: Crashes of another cause accuse no part of a prompt
     Given prompts at 3 control hosts, 6 entry hosts and 8 upstreams
     And requests with the parts "base,rare,*" come every 300 ms, sound ones every 60 ms
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -99,3 +99,9 @@
     When one request is rejected at the upstream that was chosen first
     And requests complete at the other upstream for 30000 ms
     Then 4 requests at once are shared by both upstreams
+
+  Scenario: Prompts of the own interface with one crashing part are refused
+    Given a cell with 5 engines of 4 slots
+    When 4 prompts with the same first blocks, and no other like it, each crash an engine
+    And a prompt with the same first blocks arrives
+    Then it is refused as poison
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -19,7 +19,9 @@
 from peridotfront.core.crash_history import CrashHistory
 from peridotfront.core.messages import (
     CrashBatch,
+    CrashReport,
     Grant,
+    PartsCleared,
     ReleaseCause,
     SlotRefusal,
     SlotRequest,
@@ -335,3 +337,57 @@
     answers = context.programs.answers
     assert answers.total() >= 20, answers
     assert answers[True] >= MIN_BEGUN_SHARE * answers.total(), answers
+
+
+@when('the part "{part}" crashes upstreams no more')
+def mend(context, part):
+    del context.world.guilty_parts[part]
+
+
+@then('requests with the part "{part}" began in the last {span:d} ms')
+def began_again(context, part, span):
+    world = context.world
+    since_ms = world.now_ms - span
+    late = [
+        prompt
+        for prompt in world.requests.values()
+        if part in prompt.parts and since_ms <= prompt.sent_ms < world.now_ms - 500
+    ]
+    assert late
+    assert all(prompt.has_begun for prompt in late), [p.refusal for p in late]
+
+
+@when("a history gets crashes, repeated reports of them, and a cleared part")
+def fill_history(context):
+    context.history = history = CrashHistory()
+    for number, parts in enumerate(((1, 2, 9), (1, 3, 9), (1, 2, 9))):
+        report = CrashReport("s", f"u{number}", parts)
+        history.apply(CrashBatch(number * 5000, (report,)))
+        late = CrashReport("s", f"u{number}", (9, 50 + number), age_ms=300)
+        history.apply(CrashBatch(number * 5000 + 300, (late,)))
+    history.apply(CrashBatch(11_000, (), (PartsCleared("s", (1,)),)))
+
+
+@then("it has {count:d} crashes, and its verdict names the only part of all")
+def has_crashes(context, count):
+    assert len(context.history) == count
+    assert [group.parts for group in context.history.groups] == [(9,)]
+
+
+@then("a history restored from its snapshot has the same verdict")
+def restores(context):
+    restored = CrashHistory()
+    restored.restore(context.history.snapshot())
+    assert restored.convictions == context.history.convictions
+    assert restored.snapshot() == context.history.snapshot()
+
+
+@then("a request without all parts of a verdict is not refused")
+def needs_all_parts(context):
+    crashed = CrashedSchedulers()
+    for name in crashed.names[:3]:
+        crashed.crash(name, (next(NUMBERS) + 10**6, (7, 8)))
+    assert [group.parts for group in crashed.guard.history.groups] == [(7, 8)]
+    for parts, kind in (((7,), Grant), ((8,), Grant), ((7, 8), SlotRefusal)):
+        _, reply = crashed.ask(next(NUMBERS) + 10**6, parts)
+        assert isinstance(reply, kind), (parts, reply)
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -354,3 +354,31 @@
     chosen = [granted_at(cell, f"at-once{number}") for number in range(count)]
     assert context.rejecting in chosen, chosen
     assert len(set(chosen)) == 2, chosen
+
+
+@when(
+    "{count:d} prompts with the same first blocks, and no other like it, each crash an"
+    " engine"
+)
+def crash_by_prefix(context, count):
+    cell = context.cell
+    for number in range(count):
+        request_id = f"crash{number}"
+        prefix = (*PREFIX[:8], 5000 + number)
+        cell.request_slot(request_id, prompt_tokens=700, prefix_hashes=prefix)
+        cell.pass_time(50)
+        cell.release(request_id, ReleaseCause.UPSTREAM_DIED, first_token_ms=-1)
+        cell.pass_time(500)
+
+
+@when("a prompt with the same first blocks arrives")
+def ask_with_prefix(context):
+    prefix = (*PREFIX[:8], 6000)
+    context.cell.request_slot("next", prompt_tokens=700, prefix_hashes=prefix)
+
+
+@then("it is refused as poison")
+def refused_as_poison(context):
+    refused = context.cell.answers("next", SlotRefusal)
+    assert refused, "it was granted"
+    assert refused[0].message.reason is Reason.POISON, refused
