Let each new verdict see the requests that are being answered

A request that met two new verdicts was refused although another one with all parts was being answered: the first check used up the generator of answered requests. The new scenario failed before and passes; so do those on the loss of power and two parts.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -121,6 +121,11 @@
     And a history restored from its snapshot has the same verdict
     And a request without all parts of a verdict is not refused
 
+  Scenario: New verdicts on several parts wait for requests that are being answered
+    Given two parts that were convicted just now
+    Then a request with both is admitted while one with both is being answered
+    And it is refused when none is being answered
+
   Scenario Outline: Crashes of another cause accuse no part of a prompt
     Given prompts at 3 control hosts, 6 entry hosts and 8 upstreams
     And requests with the parts "base,rare,*" come every 300 ms, sound ones every 60 ms
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -1,6 +1,7 @@
 """Steps for parts of prompts that crash the upstreams that answer them."""
 
 import asyncio
+from dataclasses import replace
 from itertools import count
 
 from behave import given, then, when
@@ -391,3 +392,26 @@
     for parts, kind in (((7,), Grant), ((8,), Grant), ((7, 8), SlotRefusal)):
         _, reply = crashed.ask(next(NUMBERS) + 10**6, parts)
         assert isinstance(reply, kind), (parts, reply)
+
+
+@given("two parts that were convicted just now")
+def convict_two(context):
+    context.crashed = crashed = CrashedSchedulers()
+    crashes = [CrashReport("s", f"u{number}", (7 + number % 2,)) for number in range(6)]
+    crashed.guard.history.apply(CrashBatch(crashed.now_ms, tuple(crashes)))
+    assert len(crashed.guard.history.groups) == 2
+
+
+@then("a request with both is admitted while one with both is being answered")
+def is_admitted(context):
+    crashed = context.crashed
+    slot_request, _ = crashed.ask(1, ())
+    context.both = both = replace(slot_request, shared_parts=(7, 8))
+    begun = (request for request in (both,))
+    assert not crashed.guard.refuses(both, begun, crashed.now_ms)
+
+
+@then("it is refused when none is being answered")
+def is_refused_alone(context):
+    crashed = context.crashed
+    assert crashed.guard.refuses(context.both, (), crashed.now_ms)
--- a/src/peridotfront/core/crash_guard.py
+++ b/src/peridotfront/core/crash_guard.py
@@ -70,20 +70,21 @@
             return False
         parts = frozenset(parts_of(slot_request))
         service = slot_request.cell
+        answered = tuple(begun)
         if any(_has_all(parts, service, group) for group in self._announced):
             return True
         convictions = [
             conviction
             for conviction in self.history.convictions
             if _has_all(parts, service, conviction.group)
-            and not self._is_doubtful(conviction, begun, now_ms)
+            and not self._is_doubtful(conviction, answered, now_ms)
         ]
         if not convictions:
             return False
         return not all(self._may_test(found, now_ms) for found in convictions)
 
     def _is_doubtful(
-        self, conviction: Conviction, begun: Iterable[SlotRequest], now_ms: int
+        self, conviction: Conviction, begun: tuple[SlotRequest, ...], now_ms: int
     ) -> bool:
         """Return whether requests being answered may soon clear a new conviction."""
         known = {found.group for found in self.history.convictions}
