Use the limit that an upstream names in rejections

Reproduced without load: 1 request in 13 s of 19.5 allowed, each time.

Cause: a rejection counted as a failure of the upstream, although its limit explained it, and the penalty for failures kept all requests from it while others had free slots. Ruled out: the circuit breaker (it needs five errors) and Retry-After (none was sent). Beside it, a success without a limit took the limit back, so that one that names it in rejections only was flooded after each success.

Change: a rejection by a limited upstream is no failure. One that came although the limit was kept lowers the share of the limit that is used, and each answer raises it again: an upstream that rejects within its limit gets less, but never nothing. A limit is taken back 2 s after it was named last, by the leader's clock.

--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -158,6 +158,34 @@
     assert rate >= least, rate
 
 
+@given("they reject what is over their limits in any second")
+def reject_in_virtual_time(context):
+    context.limits.rejects = True
+
+
+@given("they name limits in rejections only")
+def name_in_rejections(context):
+    context.limits.names_in_rejections = True
+
+
+@given("they reject all requests once they name a limit")
+def reject_all(context):
+    context.limits.rejects = True
+    context.limits.is_full = True
+
+
+@then('"{name}" accepted at least {least:g} requests a second in the last {span:d} ms')
+def accepted_rate(context, name, least, span):
+    rate = context.limits.accepted_rate(name, span)
+    assert rate >= least, rate
+
+
+@then('"{name}" got at most {most:g} requests a second in the last {span:d} ms')
+def at_most(context, name, most, span):
+    rate = context.limits.rate(name, span)
+    assert rate <= most, rate
+
+
 @given('its answers name the limit "{text}"')
 def name_in_answers(context, text):
     context.upstreams[0].notices = (f"Server-Limit: {text}",)
--- a/features/support/limit_world.py
+++ b/features/support/limit_world.py
@@ -18,7 +18,10 @@
     """Entry hosts that send requests to upstreams without a pause.
 
     ``limits`` are the limits that upstreams name now, by name, and ``named`` all limits
-    that they named, with times.
+    that they named, with times. ``accepted`` are the times of the requests that were
+    not rejected. An upstream that ``rejects`` takes no more than its limit in any
+    second, or nothing at all if it ``is_full``, and names the limit in rejections only
+    if it ``names_in_rejections``.
     """
 
     def __init__(self, controls, entries, upstreams):
@@ -29,6 +32,10 @@
         self.limits = {}
         self.named = {name: [] for name in self.names}
         self.arrivals = {name: [] for name in self.names}
+        self.accepted = {name: [] for name in self.names}
+        self.rejects = False
+        self.is_full = False
+        self.names_in_rejections = False
         self.asked = 0
         self._answers = []
         self._seen = set()
@@ -82,13 +89,31 @@
         for due_ms, entry, incarnation, request_id, upstream in due:
             if incarnation != entry.incarnation or entry.name in self.group.down:
                 continue
-            limit = self.limits.get(upstream, -1.0)
+            cause = self._accept(upstream)
+            limit = self._named_limit(upstream, cause)
             read = UpstreamLimitRead(upstream, limit, due_ms - ANSWER_MS)
             self.group.feed(entry.name, read)
             slot_request = entry.slot_requests[request_id]
-            release = build_release(slot_request, upstream, ReleaseCause.COMPLETED)
+            release = build_release(slot_request, upstream, cause)
             self.group.feed(entry.name, SlotReleased(release))
 
+    def _accept(self, upstream):
+        """Return how an upstream ends a request: completed or rejected."""
+        now_ms = self.group.now_ms
+        limit = self.limits.get(upstream)
+        accepted = self.accepted[upstream]
+        if self.rejects and limit is not None:
+            recent = sum(at_ms > now_ms - 1000 for at_ms in accepted)
+            if self.is_full or recent + 1 > limit:
+                return ReleaseCause.REJECTED
+        accepted.append(now_ms)
+        return ReleaseCause.COMPLETED
+
+    def _named_limit(self, upstream, cause):
+        if self.names_in_rejections and cause is not ReleaseCause.REJECTED:
+            return -1.0
+        return self.limits.get(upstream, -1.0)
+
     def excess(self, upstream):
         """Return the requests over what the limits allow, in the worst window."""
         arrivals = self.arrivals[upstream]
@@ -115,6 +140,12 @@
 
     def rate(self, upstream, span_ms):
         """Return the requests a second that an upstream got at the end."""
+        return self._rate_of(self.arrivals[upstream], span_ms)
+
+    def accepted_rate(self, upstream, span_ms):
+        """Return the requests a second that an upstream accepted at the end."""
+        return self._rate_of(self.accepted[upstream], span_ms)
+
+    def _rate_of(self, times_ms, span_ms):
         since_ms = self.group.now_ms - span_ms
-        got = sum(at_ms > since_ms for at_ms in self.arrivals[upstream])
-        return got / span_ms * 1000
+        return sum(at_ms > since_ms for at_ms in times_ms) / span_ms * 1000
--- a/features/upstream_limits.feature
+++ b/features/upstream_limits.feature
@@ -16,13 +16,53 @@
       | /look-up/x   | ledger  | 1 1 2.3, 1 2 0.5     |
       | /transfer/x  | ledger  | 1 1 3, 7 1 0.75      |
 
-  Scenario: A limit that is named in rejections is kept
+  Scenario Outline: A limit that is named in rejections is kept and used
     Given programs of 3 control hosts and 6 entry hosts before 4 upstreams that name limits
     And upstreams reject what is over their limits
-    And requests "/look-up/x" to the service "ledger"
-    When the limits "1 1 1" are named within 14 s
+    And requests "<path>" to the service "<service>"
+    When the limits "<limits>" are named within 14 s
     Then no upstream got more than one and a half times its limit and 5 requests in 4 s
     And 9 in 10 requests were answered
+    And each limited upstream got at least half of what it had allowed
+
+    Examples: Upstreams of a plain service and of a model
+      | path         | service | limits         |
+      | /look-up/x   | ledger  | 1 1 1          |
+      | /look-up/x   | ledger  | 1 1 1.5        |
+      | /transfer/x  | ledger  | 1 1 1.5, 1 2 3 |
+      | /resumable/x | models  | 1 1 1.5        |
+
+  Scenario Outline: An upstream that rejects what is over its limit gets half of it
+    It takes whole requests only: a limit of 1.5 lets it take one in any second.
+
+    Given 3 control hosts and 6 entry hosts in virtual time before 4 upstreams
+    And they reject what is over their limits in any second
+    When "m1" names the limit <first> and "m2" the limit <second>
+    And 20000 ms of requests pass
+    Then no upstream got more than its limit allows in any 4000 ms
+    And "m1" accepted at least <least> requests a second in the last 12000 ms
+    And "m2" accepted at least <other> requests a second in the last 12000 ms
+
+    Examples: Limits that are whole numbers and others
+      | first | second | least | other |
+      | 1.5   | 4      | 0.5   | 2     |
+      | 1     | 12.5   | 0.5   | 6     |
+
+  Scenario: A limit that is named in rejections only is used
+    Given 3 control hosts and 6 entry hosts in virtual time before 4 upstreams
+    And they reject what is over their limits in any second
+    And they name limits in rejections only
+    When "m1" names the limit 1.5 and "m2" the limit 4
+    And 20000 ms of requests pass
+    Then "m1" accepted at least 0.5 requests a second in the last 12000 ms
+    And "m2" accepted at least 2 requests a second in the last 12000 ms
+
+  Scenario: An upstream that rejects all requests within its limit gets few
+    Given 3 control hosts and 6 entry hosts in virtual time before 4 upstreams
+    And they reject all requests once they name a limit
+    When "m1" names the limit 12.5 and "m2" the limit 4
+    And 20000 ms of requests pass
+    Then "m1" got at most 1 requests a second in the last 12000 ms
 
   Scenario: An upstream that takes its limit back gets all requests again
     Given programs of 3 control hosts and 6 entry hosts before 1 upstreams that name limits
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -267,7 +267,7 @@
             return
         if self._limits.set(named, now_ms):
             yield _build_limit_log(named)
-        elif not self._is_report_due(upstream, now_ms):
+        elif event.requests_per_s < 0 or not self._is_report_due(upstream, now_ms):
             return
         self._limits_reported_ms[upstream] = now_ms
         if self.leader:
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -537,7 +537,12 @@
             return
         cause = release.cause
         health = upstream.health
+        if cause is ReleaseCause.REJECTED and self._limits.rejected(
+            slot.upstream, slot.granted_ms, now_ms
+        ):
+            return
         if cause is ReleaseCause.COMPLETED:
+            self._limits.accepted(slot.upstream)
             limit = int(upstream.capacity.limit_slots)
             health.progressed(slot.granted_ms, limit, now_ms)
             health.completed()
--- a/src/peridotfront/core/upstream_limits.py
+++ b/src/peridotfront/core/upstream_limits.py
@@ -15,6 +15,10 @@
 # With it, all hosts together stay within one and a half times the limit in a cut.
 LEADERLESS_LIMIT_SHARE = 0.4
 NO_LIMIT = -1.0
+# An upstream that names its limit in rejections only takes it back by no success.
+LIMIT_HOLD_MS = 2000
+REJECTED_FACTOR = 0.7
+ACCEPTED_STEP = 0.15
 
 
 @dataclass(slots=True)
@@ -24,12 +28,17 @@
     :param requests_per_s: limit that the upstream named.
     :param tokens: requests that may be sent at ``updated_ms``.
     :param since_ms: time at which a limit was first known.
+    :param named_ms: time at which a limit was last named.
+    :param usable_share: share of the limit that is used; less than 1 after requests
+        within the limit were rejected.
     """
 
     requests_per_s: float
     tokens: float
     updated_ms: int
     since_ms: int
+    named_ms: int
+    usable_share: float = 1.0
 
 
 class UpstreamLimits:
@@ -56,26 +65,40 @@
         return bucket is not None and bucket.since_ms <= at_ms
 
     def set(self, named: NamedLimit, now_ms: int) -> bool:
-        """Set the limit of an upstream, or remove it, and return whether it changed."""
+        """Set the limit of an upstream, or remove it, and return whether it changed.
+
+        A limit that was named within ``LIMIT_HOLD_MS`` is not removed.
+        """
         upstream = named.upstream
-        if named.requests_per_s < 0:
-            return self._buckets.pop(upstream, None) is not None
         bucket = self._buckets.get(upstream)
+        if named.requests_per_s < 0:
+            if bucket is None or now_ms - bucket.named_ms < LIMIT_HOLD_MS:
+                return False
+            del self._buckets[upstream]
+            return True
         if bucket is None:
-            self._buckets[upstream] = _Bucket(named.requests_per_s, 0.0, now_ms, now_ms)
+            self._buckets[upstream] = _Bucket(
+                named.requests_per_s, 0.0, now_ms, now_ms, now_ms
+            )
             return True
+        bucket.named_ms = now_ms
         self._refill(bucket, now_ms)
         is_changed = bucket.requests_per_s != named.requests_per_s
         bucket.requests_per_s = named.requests_per_s
         return is_changed
 
     def replace(self, limits: Iterable[NamedLimit], now_ms: int) -> None:
-        """Replace all limits."""
-        named = {limit.upstream: limit for limit in limits}
+        """Replace all limits, as another host knows them."""
+        named = {
+            limit.upstream: limit for limit in limits if limit.requests_per_s >= 0
+        }
         for upstream in self._buckets.keys() - named.keys():
             del self._buckets[upstream]
         for limit in named.values():
+            bucket = self._buckets.get(limit.upstream)
+            named_ms = bucket.named_ms if bucket else now_ms
             self.set(limit, now_ms)
+            self._buckets[limit.upstream].named_ms = named_ms
 
     def retain(self, upstreams: Container[str]) -> None:
         """Drop the limits of other upstreams than these."""
@@ -114,6 +137,26 @@
         if bucket is not None:
             bucket.tokens += 1
 
+    def accepted(self, upstream: str) -> None:
+        """Count a request that an upstream answered."""
+        bucket = self._buckets.get(upstream)
+        if bucket is not None:
+            bucket.usable_share = min(1.0, bucket.usable_share + ACCEPTED_STEP)
+
+    def rejected(self, upstream: str, sent_ms: int, now_ms: int) -> bool:
+        """Count a request that an upstream rejected.
+
+        :param sent_ms: time at which the request was sent.
+        :return: whether the upstream has a limit, which explains the rejection.
+        """
+        bucket = self._buckets.get(upstream)
+        if bucket is None:
+            return False
+        if sent_ms > bucket.since_ms:
+            self._refill(bucket, now_ms)
+            bucket.usable_share *= REJECTED_FACTOR
+        return True
+
     def usable_slots(self, upstream: str, slots: int, hold_ms: float) -> float:
         """Return how many slots of an upstream its limit lets be in use.
 
@@ -126,7 +169,8 @@
         return min(slots, self._rate(bucket) * hold_ms / 1000)
 
     def _rate(self, bucket: _Bucket) -> float:
-        return max(bucket.requests_per_s, MIN_REQUESTS_PER_S) * self.share
+        requests_per_s = bucket.requests_per_s * bucket.usable_share
+        return max(requests_per_s, MIN_REQUESTS_PER_S) * self.share
 
     def _refill(self, bucket: _Bucket, now_ms: int) -> None:
         rate = self._rate(bucket)
