Let heartbeats, ticks and gRPC cost less in fleets of many hosts

Cause: each entry host asked the leader five times a second, whatever their number, and ticked 20 to 100 times a second although a host with a leader schedules nothing itself. Hosts that found no leader asked three to six control hosts at the same rate.

Ruled out: intervals up to 600 ms. Hosts then know too late what the leader has spent, and an account got 12,600 and 13,000 units instead of 12,000 in repeated cuts of all hosts (shared_bounds, two scenarios). At 400 ms all pass. A slower search for hosts that knew their number did the same harm and is not in it.

--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -183,6 +183,7 @@
         self.role = GatewayRole(
             self.name, self.incarnation, self.data_centre, self.group.seeds, LIMITS
         )
+        self.logs = []
         self.versions = []
         self.granted = {}
         self.refused = {}
@@ -202,6 +203,7 @@
             self.refused[action.refusal.request_id] = action
         else:
             assert isinstance(action, Log), action
+            self.logs.append(action)
 
     def request_slot(self, request_id, **fields):
         values = {
@@ -237,10 +239,14 @@
     :param controls: names of the control hosts.
     :param entries: data centre by entry host name.
     :param seed: seed of all randomness.
+    :param tick_ms: time between two ticks of each host.
     """
 
-    def __init__(self, controls=("c1", "c2", "c3"), entries=None, seed=0):
+    def __init__(
+        self, controls=("c1", "c2", "c3"), entries=None, seed=0, tick_ms=TICK_MS
+    ):
         self.random = random.Random(seed)
+        self.tick_ms = tick_ms
         self.now_ms = 0
         self.seeds = SEEDS
         self.cuts = set()
@@ -359,7 +365,7 @@
         while self.now_ms < end_ms:
             self.now_ms += 1
             self._deliver()
-            if self.now_ms % TICK_MS == 0:
+            if self.now_ms % self.tick_ms == 0:
                 for name in tuple(self.hosts):
                     self.feed(name, Tick())
             if self.now_ms % 200 == 0:
--- a/src/peridotfront/core/avoided_upstreams.py
+++ b/src/peridotfront/core/avoided_upstreams.py
@@ -37,8 +37,8 @@
             if until_ms <= now_ms:
                 del self._busy_until_ms[upstream]
 
-    def __len__(self) -> int:
-        return len(self.names())
+    def __bool__(self) -> bool:
+        return bool(self._leaving_listed_ms or self._busy_until_ms)
 
     def __contains__(self, upstream: str) -> bool:
         return upstream in self._leaving_listed_ms or upstream in self._busy_until_ms
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -28,6 +28,7 @@
     UpstreamLeaving,
     UpstreamLimitRead,
 )
+from .heartbeat_timing import MAX_INTERVAL_MS, HeartbeatTiming, heartbeat_timing
 from .leader_hints import LeaderHints
 from .messages import (
     CancelSlotRequest,
@@ -61,8 +62,6 @@
 from .upstream_limits import LEADERLESS_LIMIT_SHARE, UpstreamLimits
 from .usage_history import UsageHistory
 
-HEARTBEAT_MS = 200
-LEADER_TIMEOUT_MS = 550
 HINT_TIMEOUT_MS = 1500
 MIN_DISCOVERY_MS = 100
 SLOT_REQUEST_RESEND_MS = 300
@@ -137,7 +136,8 @@
         )
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
-        self._heartbeat_sent_ms = -HEARTBEAT_MS
+        self._heartbeat_sent_ms: int | None = None
+        self._unanswered_rounds = 0
         self._sequence = 0
         self._pending: dict[str, _PendingRequest] = {}
         self._held: dict[str, _SlotLease] = {}
@@ -191,7 +191,7 @@
     def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
         yield from self.follower.handle(event, now_ms)
         yield from self._update_leader(now_ms)
-        if now_ms - self._heartbeat_sent_ms >= HEARTBEAT_MS:
+        if self._is_heartbeat_due(now_ms):
             yield from self._send_heartbeats(now_ms)
         if self.leader:
             yield from self._resend_slot_requests(now_ms)
@@ -441,8 +441,9 @@
     def _update_leader(self, now_ms: int) -> Iterator[Any]:
         leader = self._hints.leader(now_ms)
         if leader:
-            silent_ms = now_ms - self._leader_seen_ms.get(leader, -LEADER_TIMEOUT_MS)
-            if silent_ms >= LEADER_TIMEOUT_MS:
+            seen_ms = self._leader_seen_ms.get(leader)
+            timeout_ms = self._timing.leader_timeout_ms
+            if seen_ms is None or now_ms - seen_ms >= timeout_ms:
                 leader = ""
         if leader == self.leader:
             return
@@ -454,6 +455,7 @@
             yield from self._start_leaderless(now_ms)
 
     def _start_following_leader(self, now_ms: int) -> Iterator[Any]:
+        self._unanswered_rounds = 0
         for spending in self._usage_history.take_unreported(self._term, now_ms):
             yield Send(self.leader, spending)
         streams = tuple(self._origins.recorded_since(0, now_ms))
@@ -503,8 +505,26 @@
         )
         yield from self._local_schedulers.apply_upstreams(upstreams, now_ms)
 
+    @property
+    def _timing(self) -> HeartbeatTiming:
+        return heartbeat_timing(self.entry_hosts)
+
+    def _is_heartbeat_due(self, now_ms: int) -> bool:
+        """Return whether to send heartbeats now.
+
+        While the host does not know how many hosts there are, its rounds become rarer,
+        as all hosts may ask for a leader at the same time.
+        """
+        if self._heartbeat_sent_ms is None:
+            return True
+        interval_ms = self._timing.interval_ms
+        if self._unanswered_rounds > 1 and not self._has_host_count:
+            interval_ms = min(MAX_INTERVAL_MS, interval_ms * self._unanswered_rounds)
+        return now_ms - self._heartbeat_sent_ms >= interval_ms
+
     def _send_heartbeats(self, now_ms: int) -> Iterator[Send]:
         self._heartbeat_sent_ms = now_ms
+        self._unanswered_rounds += not self.leader
         self._sequence += 1
         heartbeat = Heartbeat(
             data_centre=self.data_centre,
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -33,6 +33,8 @@
 from .transport import Transport
 from .upstream_list_poller import UpstreamListPoller, UpstreamListReader
 
+# Without a leader this host schedules its own requests, in much shorter steps.
+FOLLOWING_TICK_MS = 100
 LEADERLESS_LIST_AFTER_MS = 800
 MIN_LIST_INTERVAL_MS = 1500
 DEREGISTRATION_MS = 2500
@@ -179,6 +181,8 @@
         await exchange.respond(status if is_known else HTTPStatus.NOT_FOUND)
 
     def _tick_ms(self) -> int:
+        if self.role.leader:
+            return FOLLOWING_TICK_MS
         return BUSY_TICK_MS if self.role.is_busy else IDLE_TICK_MS
 
     def _on_frame(self, frame) -> None:
--- a/src/peridotfront/runtime.py
+++ b/src/peridotfront/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import secrets
 import signal
 import time
@@ -116,7 +117,11 @@
 
 
 def run(main: Coroutine[Any, Any, int]) -> int:
-    """Run a program's coroutine and return its exit code; 130 after an interrupt."""
+    """Run a program's coroutine and return its exit code; 130 after an interrupt.
+
+    The objects that exist by now, mostly modules, are kept from garbage collections.
+    """
+    gc.freeze()
     with contextlib.suppress(KeyboardInterrupt):
         return asyncio.run(main)
     return 130
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -133,8 +133,8 @@
                 await self._wake.wait()
                 self._check_silence()
                 frame = Frame(self.sender, self.incarnation, self._take_batch())
-                write = call.write(wire.to_proto(frame))
-                await asyncio.wait_for(write, WRITE_TIMEOUT_MS / 1000)
+                async with asyncio.timeout(WRITE_TIMEOUT_MS / 1000):
+                    await call.write(wire.to_proto(frame))
         finally:
             call.cancel()
 
--- a/src/peridotfront/upstream_list_poller.py
+++ b/src/peridotfront/upstream_list_poller.py
@@ -9,7 +9,7 @@
 from .core.routing_events import UpstreamsListed
 from .exceptions import UpstreamError
 
-IDLE_MS = 50
+IDLE_MS = 100
 
 
 class UpstreamListReader(Protocol):
