Wait only for goals that can still be met, and refuse the rest at once

Cause: slot requests waited in the order of their goals, and counted as late only once the goal had passed. Late ones then waited for their deadlines, the newest were refused in their place, and a plain service had no estimate of its waits at all (its requests cost no tokens). Load that is answered: more work than the upstreams can do, for a second or more.

Change: a goal is counted from the time that answers need once they are granted (mean and deviation, by size of the prompt). A new slot request waits for its goal only if the punctual ones before it, by shares of the accounts, leave it four fifths of that time; else it is late from the start. Late ones wait behind, while they are expected to be served within half of their remaining time beside what goes on arriving; the rest are refused at once. A time to come back is at most a third of the time left. Only services of the users' platform use it (`sheds_by_goal`); the own interface is as before.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -16,3 +16,37 @@
       | 1.2  |
       | 2.0  |
       | 3.0  |
+
+  Scenario Outline: What a service beyond its capacity serves meets the goal
+    A queue in the order of goals would grant each request just when its goal is missed.
+
+    Given a service of 4 upstreams at <load> times its capacity
+    When the load continues for 3000 ms
+    And only what is sent from now on counts
+    And the load continues for 6000 ms
+    Then answers that met the goal are at least <least> of what it can serve
+    And 0.95 of the refusals come within 40 ms
+
+    Examples: Loads that last
+      | load | least |
+      | 0.9  | 0.89  |
+      | 1.1  | 0.9   |
+      | 1.3  | 0.9   |
+      | 2.0  | 0.9   |
+      | 4.0  | 0.9   |
+
+  Scenario: The flood of one account costs the others nothing
+    Given a service of 4 upstreams at 3 times its capacity
+    And one of its accounts sends 20 times as much as each other one
+    When the load continues for 3000 ms
+    And only what is sent from now on counts
+    And the load continues for 6000 ms
+    Then the other accounts' requests that met the goal are at least 0.95 of theirs
+    And answers that met the goal are at least 0.9 of what it can serve
+
+  Scenario: Most of what comes in a short burst is served after it
+    Given a service of 4 upstreams at 2 times its capacity
+    When the load continues for 400 ms
+    And the load falls to 0.5 times its capacity
+    And the load continues for 1500 ms
+    Then at most 0.1 of the requests are refused
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,7 +1,7 @@
 """Steps for a plain service under overload."""
 
 from behave import given, then, when
-from support.service_load import ServiceLoad
+from support.service_load import ACCOUNTS, ServiceLoad
 
 
 @given("a service of {count:d} upstreams at {load:g} times its capacity")
@@ -29,3 +29,48 @@
     load = context.load
     served = load.rate_served(load.now_ms - duration) / context.possible_per_s
     assert served >= share, served
+
+
+@given("one of its accounts sends {times:d} times as much as each other one")
+def flood(context, times):
+    context.load.flood = times
+
+
+@when("the load falls to {load:g} times its capacity")
+def lower_load(context, load):
+    context.rate_per_s = load * context.load.capacity_per_s
+
+
+@when("only what is sent from now on counts")
+def reset(context):
+    context.load.reset()
+    context.counted_from_ms = context.load.now_ms
+
+
+@then("answers that met the goal are at least {share:g} of what it can serve")
+def check_punctual(context, share):
+    duration_ms = context.load.now_ms - context.counted_from_ms
+    capacity = context.load.capacity_per_s * duration_ms / 1000
+    punctual = context.load.punctual.total() / capacity
+    assert punctual >= share, punctual
+
+
+@then("{share:g} of the refusals come within {limit:d} ms")
+def check_refusals(context, share, limit):
+    held_ms = context.load.held_ms
+    early = sum(held <= limit for held in held_ms)
+    assert early >= share * len(held_ms), (early, len(held_ms))
+
+
+@then("at most {share:g} of the requests are refused")
+def check_few_refused(context, share):
+    refused = len(context.load.held_ms) / context.load.sent.total()
+    assert refused <= share, refused
+
+
+@then("the other accounts' requests that met the goal are at least {share:g} of theirs")
+def check_others(context, share):
+    load = context.load
+    others = [name for name in load.sent if name != f"a{ACCOUNTS - 1}"]
+    shares = {name: load.punctual[name] / load.sent[name] for name in others}
+    assert min(shares.values()) >= share, shares
--- a/features/support/service_load.py
+++ b/features/support/service_load.py
@@ -43,11 +43,20 @@
     """Load of one service on a scheduler, as an entry host sends it.
 
     :param upstreams: number of upstreams.
+
+    ``served`` counts answers by the time at which they were complete, and
+    ``punctual`` those of them that met the goal, by account too. ``held_ms`` are the
+    times after which requests were refused. An account of ``ACCOUNTS`` sends
+    ``flood`` times as much as each other one.
     """
 
     def __init__(self, upstreams):
         self.now_ms = 0
         self.served = Counter()
+        self.punctual = Counter()
+        self.sent = Counter()
+        self.held_ms = []
+        self.flood = 1
         self.down = set()
         self._min_service_time_ms = min_service_time_ms(ROUTE)
         self.capacity_per_s = upstreams * SLOTS * 1000 / SERVICE_TIME_MS
@@ -93,6 +102,17 @@
         served = sum(n for at_ms, n in self.served.items() if at_ms >= from_ms)
         return served * 1000 / (self.now_ms - from_ms)
 
+    def reset(self):
+        """Count from now on only."""
+        self.served.clear()
+        self.punctual.clear()
+        self.sent.clear()
+        self.held_ms.clear()
+
+    def _next_account(self):
+        number = self._count % (ACCOUNTS - 1 + self.flood)
+        return f"a{min(number, ACCOUNTS - 1)}"
+
     def _send_request(self):
         self._count += 1
         slot_request = SlotRequest(
@@ -100,7 +120,7 @@
             cell=CELL,
             model="",
             tier=1,
-            client_account=f"a{self._count % ACCOUNTS}",
+            client_account=self._next_account(),
             prompt_tokens=0,
             output_tokens=0,
             prefix_hashes=(),
@@ -108,6 +128,7 @@
             deadline_ms=TIMEOUT_MS - self._min_service_time_ms,
             goal_ms=GOAL_MS,
         )
+        self.sent[slot_request.client_account] += 1
         self._waiting[slot_request.request_id] = (slot_request, self.now_ms)
         self._step(Received(HOST, 1, slot_request))
 
@@ -131,7 +152,8 @@
             if isinstance(message, Grant):
                 self._start(message)
             elif isinstance(message, SlotRefusal):
-                self._waiting.pop(message.request_id, None)
+                _, since_ms = self._waiting.pop(message.request_id)
+                self.held_ms.append(self.now_ms - since_ms)
 
     def _start(self, grant):
         slot_request, since_ms = self._waiting.pop(grant.request_id)
@@ -145,14 +167,17 @@
             cause = ReleaseCause.OUT_OF_TIME
             duration_ms = remaining_ms
         end_ms = self.now_ms + duration_ms
-        self._active.append((end_ms, slot_request, grant.upstream, cause))
+        is_punctual = end_ms - since_ms <= GOAL_MS
+        active = (end_ms, slot_request, grant.upstream, cause, is_punctual)
+        self._active.append(active)
 
     def _finish_requests(self):
         ended = [request for request in self._active if request[0] <= self.now_ms]
         self._active = [request for request in self._active if request[0] > self.now_ms]
-        for _, slot_request, upstream, cause in ended:
+        for _, slot_request, upstream, cause, is_punctual in ended:
             if cause is ReleaseCause.COMPLETED:
                 self.served[self.now_ms] += 1
+                self.punctual[slot_request.client_account] += is_punctual
             release = Release(
                 request_id=slot_request.request_id,
                 cell=CELL,
--- a/src/peridotfront/core/drain_rate.py
+++ b/src/peridotfront/core/drain_rate.py
@@ -13,6 +13,8 @@
 HIT_GAIN = 0.02
 ARRIVAL_DECAY_MS = 3000.0
 MIN_SPARE_SHARE = 0.05
+# Behind requests that take all capacity, hardly any late one is worth its wait.
+MIN_LATE_SPARE_SHARE = 0.01
 CAPACITY_TTL_MS = 50
 NO_CAPACITY_WAIT_MS = 60_000
 
@@ -176,17 +178,50 @@
     ) -> float:
         """Return the expected wait of the last slot request of a tier."""
         ahead = self._queues.ahead(tier, model)
+        higher_demand = self._arrival_rate(tier - 1, model, now_ms)
+        return self._drain_ms(ahead, higher_demand, model, upstreams, now_ms)
+
+    def punctual_wait_ms(
+        self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
+    ) -> float:
+        """Return the expected wait behind those of a tier that can meet their goals."""
+        ahead = self._queues.punctual_ahead(tier, model)
+        higher_demand = self._arrival_rate(tier - 1, model, now_ms)
+        return self._drain_ms(ahead, higher_demand, model, upstreams, now_ms)
+
+    def late_wait_ms(
+        self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
+    ) -> float:
+        """Return the expected wait of the last one of a tier that missed its goal.
+
+        Those of its own tier that arrive later and can meet their goals go before it.
+        """
+        ahead = self._queues.ahead(tier, model)
+        other_demand = self._arrival_rate(tier, model, now_ms)
+        return self._drain_ms(
+            ahead, other_demand, model, upstreams, now_ms, MIN_LATE_SPARE_SHARE
+        )
+
+    def _drain_ms(
+        self,
+        ahead: Demand,
+        other_demand: Demand,
+        model: str,
+        upstreams: Iterable[Upstream],
+        now_ms: int,
+        min_spare_share: float = MIN_SPARE_SHARE,
+    ) -> float:
+        """Return the time to serve a demand beside another one that keeps arriving."""
         if ahead.slot_requests == 0:
             return 0.0
         model_capacity = self.capacity(model, upstreams, now_ms)
         if model_capacity.slots == 0:
             return float(NO_CAPACITY_WAIT_MS)
-        higher_demand = self._higher_tier_rate(tier, model, now_ms)
-        spare_slots = self._spare_slots(model_capacity, higher_demand)
+        spare_slots = self._spare_slots(model_capacity, other_demand, min_spare_share)
         slots_ms = model_capacity.hold_ms(ahead) * self._hold_ratio / spare_slots
         prefill_rate = model_capacity.prefill_tokens_per_ms
-        spare_rate = prefill_rate - higher_demand.prompt_tokens * self._miss_share
-        spare_rate = max(spare_rate, prefill_rate * MIN_SPARE_SHARE)
+        spare_rate = prefill_rate - other_demand.prompt_tokens * self._miss_share
+        spare_rate = max(spare_rate, prefill_rate * min_spare_share)
         prefill_ms = ahead.prompt_tokens * self._miss_share / spare_rate
         return max(slots_ms, prefill_ms)
 
@@ -197,8 +232,8 @@
         model_capacity = self.capacity(slot_request.model, upstreams, now_ms)
         if model_capacity.slots == 0:
             return 0.0
-        higher_demand = self._higher_tier_rate(
-            slot_request.tier, slot_request.model, now_ms
+        higher_demand = self._arrival_rate(
+            slot_request.tier - 1, slot_request.model, now_ms
         )
         demand = Demand(
             1, slot_request.prompt_tokens * self._miss_share, slot_request.output_tokens
@@ -207,23 +242,27 @@
         return hold_ms / self._spare_slots(model_capacity, higher_demand)
 
     def _spare_slots(
-        self, model_capacity: ModelCapacity, higher_demand: Demand
+        self,
+        model_capacity: ModelCapacity,
+        higher_demand: Demand,
+        min_share: float = MIN_SPARE_SHARE,
     ) -> float:
         spare_slots = (
             model_capacity.slots
             - model_capacity.hold_ms(higher_demand) * self._hold_ratio
         )
-        return max(spare_slots, model_capacity.slots * MIN_SPARE_SHARE)
+        return max(spare_slots, model_capacity.slots * min_share)
 
     def invalidate_capacities(self) -> None:
         """Drop the cached capacities after the availability of an upstream changed."""
         self._capacities.clear()
 
-    def _higher_tier_rate(self, tier: int, model: str, now_ms: int) -> Demand:
+    def _arrival_rate(self, tier: int, model: str, now_ms: int) -> Demand:
+        """Return the demand per millisecond of a tier and all higher ones."""
         rates = [
             arrivals.rate(now_ms)
             for (other_tier, other_model), arrivals in self._arrivals.items()
-            if other_tier < tier and other_model == model
+            if other_tier <= tier and other_model == model
         ]
         return Demand(
             sum(rate.slot_requests for rate in rates),
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -118,6 +118,8 @@
     :param evicts: whether lower slot requests are evicted from the queue when a
         higher one is not expected to begin in time; else the higher one waits
         before them.
+    :param sheds_by_goal: whether slot requests are refused as soon as they can't meet
+        their goals and would wait long; else only once they would miss deadlines.
     :param learns_rates: whether estimated rates, and slot limits with them, follow an
         engine's progress.
     :param learns_slots: whether slot limits follow an engine's progress; else all of
@@ -156,6 +158,7 @@
     evicts: bool = True
     preempt_lead_ms: int = 100
     affinity_ms: int = 1000
+    sheds_by_goal: bool = False
     learns_rates: bool = True
     learns_slots: bool = True
     max_backoff_ms: int = 30_000
--- a/src/peridotfront/core/load_shedding.py
+++ b/src/peridotfront/core/load_shedding.py
@@ -9,6 +9,7 @@
 from .actions import Send
 from .drain_rate import DrainRate
 from .fleet import Policy
+from .goal_admission import GoalAdmission
 from .messages import Preempt, SlotRefusal, SlotRequest
 from .placement import Upstream
 from .queues import QueuedSlotRequest, TierQueues
@@ -20,6 +21,8 @@
 FRESH_MAX_WAIT_RATIO = 0.6
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
+# Who has to come back in time for a whole answer can't wait longer.
+MAX_RETRY_AFTER_SHARE = 1 / 3
 SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 
 CandidateLookup = Callable[[str], list[Upstream]]
@@ -54,6 +57,14 @@
         self._retry_schedule = retry_schedule
         self._candidates = candidates
         self._stats = stats
+        self._admission = GoalAdmission(queues, drain_rate, candidates)
+
+    def prepare(self, queued: QueuedSlotRequest, now_ms: int) -> None:
+        """Mark a new slot request as late if it can't meet its goal."""
+        if self.policy.sheds_by_goal and not self._admission.can_meet_goal(
+            queued, now_ms
+        ):
+            queued.goal_at_ms = None
 
     def shed(self, model: str, now_ms: int) -> Iterator[Send]:
         """Refuse the slot requests of a model that cannot begin in time.
@@ -66,6 +77,9 @@
                 yield from self._shed_tier(tier, model, now_ms)
 
     def _shed_tier(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
+        if self.policy.sheds_by_goal:
+            yield from self._shed_late(tier, model, now_ms)
+            return
         candidates = self._candidates(model)
         if not self.policy.evicts:
             yield from self._shed_infeasible(tier, model, now_ms)
@@ -80,6 +94,13 @@
             max_wait_ms = self._drain_rate.max_wait_ms(excess, candidates, now_ms)
             yield self._shed_request(excess, wait_ms - max_wait_ms, now_ms)
 
+    def _shed_late(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
+        """Refuse the late slot requests that would wait too long."""
+        yield from self._shed_infeasible(tier, model, now_ms)
+        while (found := self._admission.find_excess(tier, model, now_ms)) is not None:
+            late, excess_ms = found
+            yield self._shed_request(late, excess_ms, now_ms)
+
     def _shed_infeasible(self, tier: int, model: str, now_ms: int) -> Iterator[Send]:
         """Refuse the slot requests that no upstream can begin in time."""
         queue = self._queues.queue(tier, model)
@@ -169,10 +190,15 @@
             (slot_request.tier, slot_request.model),
             earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
             interval_ms=self._drain_rate.interval_ms(slot_request, candidates, now_ms),
-            latest_ms=now_ms + MAX_RETRY_AFTER_MS,
+            latest_ms=now_ms + self._max_retry_after_ms(slot_request),
         )
         return due_ms - now_ms
 
+    def _max_retry_after_ms(self, slot_request: SlotRequest) -> float:
+        if not self.policy.sheds_by_goal:
+            return MAX_RETRY_AFTER_MS
+        return slot_request.deadline_ms * MAX_RETRY_AFTER_SHARE
+
     def refuse(
         self, queued: QueuedSlotRequest, reason: Reason, retry_after_ms: int
     ) -> Send:
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -32,8 +32,8 @@
     :param since_ms: time at which it was received.
     :param deadline_at_ms: time by which its answer must begin.
     :param is_scheduled_retry: whether it is a retry that arrived at its announced time.
-    :param goal_at_ms: time by which its answer should begin; None if that has passed
-        or was not given.
+    :param goal_at_ms: time by which it should be granted to meet its goal; None if it
+        is late, or has no goal.
     """
 
     slot_request: SlotRequest
@@ -67,7 +67,9 @@
     weight: int
     deficit_tokens: float = 0.0
     queued_tokens: int = 0
+    late_tokens: int = 0
     members: dict[str, QueuedSlotRequest] = field(default_factory=dict)
+    late: dict[str, QueuedSlotRequest] = field(default_factory=dict)
     order_heap: list[tuple[int, int, str]] = field(default_factory=list)
 
     @property
@@ -80,10 +82,14 @@
         request_id = queued.slot_request.request_id
         self.members[request_id] = queued
         self.queued_tokens += queued.cost_tokens
+        if queued.goal_at_ms is None:
+            self._add_late(queued)
         heappush(self.order_heap, (queued.order_ms, sequence, request_id))
 
-    def requeue(self, queued: QueuedSlotRequest, sequence: int) -> None:
-        """Reorder a slot request after its goal has changed."""
+    def requeue_late(self, queued: QueuedSlotRequest, sequence: int) -> None:
+        """Reorder a slot request that can't meet its goal any more."""
+        queued.goal_at_ms = None
+        self._add_late(queued)
         heappush(
             self.order_heap, (queued.order_ms, sequence, queued.slot_request.request_id)
         )
@@ -92,6 +98,12 @@
         """Remove a slot request."""
         queued = self.members.pop(request_id)
         self.queued_tokens -= queued.cost_tokens
+        if self.late.pop(request_id, None) is not None:
+            self.late_tokens -= queued.cost_tokens
+
+    def _add_late(self, queued: QueuedSlotRequest) -> None:
+        self.late[queued.slot_request.request_id] = queued
+        self.late_tokens += queued.cost_tokens
 
     def head(self) -> QueuedSlotRequest:
         """Return the slot request with the earliest ``order_ms``; it stays queued."""
@@ -129,6 +141,9 @@
         self._sequence = 0
         self.prefill_tokens = 0
         self.output_tokens = 0
+        self._late_count = 0
+        self._late_prefill_tokens = 0
+        self._late_output_tokens = 0
 
     def __len__(self) -> int:
         return len(self._account_names)
@@ -157,6 +172,8 @@
         self._quantum_tokens += excess_tokens * QUANTUM_GAIN
         self.prefill_tokens += slot_request.prompt_tokens
         self.output_tokens += slot_request.output_tokens
+        if queued.goal_at_ms is None:
+            self._count_late(slot_request, 1)
         heappush(self._load_heap, (-account.load, slot_request.client_account))
         entry = (queued.deadline_at_ms, self._sequence, slot_request.request_id)
         heappush(self._deadline_heap, entry)
@@ -172,21 +189,67 @@
                 continue
             account = self._accounts[name]
             queued = account.members[request_id]
-            queued.goal_at_ms = None
+            if queued.goal_at_ms is None:
+                continue
             self._sequence += 1
-            account.requeue(queued, self._sequence)
+            account.requeue_late(queued, self._sequence)
+            self._count_late(queued.slot_request, 1)
 
     def discard(self, request_id: str) -> None:
         """Remove a slot request without a charge to its account."""
         name = self._account_names.pop(request_id)
         account = self._accounts[name]
         slot_request = account.members[request_id].slot_request
+        if request_id in account.late:
+            self._count_late(slot_request, -1)
         self.prefill_tokens -= slot_request.prompt_tokens
         self.output_tokens -= slot_request.output_tokens
         account.discard(request_id)
         if not account.members:
             del self._accounts[name]
 
+    @property
+    def demand(self) -> Demand:
+        """Return the demand of all slot requests."""
+        return Demand(len(self), self.prefill_tokens, self.output_tokens)
+
+    @property
+    def punctual_demand(self) -> Demand:
+        """Return the demand of the slot requests that can meet their goals."""
+        return Demand(
+            len(self) - self._late_count,
+            self.prefill_tokens - self._late_prefill_tokens,
+            self.output_tokens - self._late_output_tokens,
+        )
+
+    def share_ahead(self, name: str) -> float:
+        """Return the share of the punctual demand that is granted before an account's.
+
+        All accounts get their turns, so one with little queued does not wait for all.
+        """
+        tokens = {
+            other: (account.queued_tokens - account.late_tokens) / account.weight
+            for other, account in self._accounts.items()
+        }
+        total_tokens = sum(tokens.values())
+        if total_tokens <= 0:
+            return 1.0
+        own_tokens = tokens.get(name, 0.0)
+        return sum(min(own_tokens, other) for other in tokens.values()) / total_tokens
+
+    def newest_late(self) -> QueuedSlotRequest | None:
+        """Return the newest late slot request of the account with the highest load."""
+        if self._late_count == 0:
+            return None
+        accounts = [account for account in self._accounts.values() if account.late]
+        account = max(accounts, key=lambda account: account.load)
+        return account.late[next(reversed(account.late))]
+
+    def _count_late(self, slot_request: SlotRequest, count: int) -> None:
+        self._late_count += count
+        self._late_prefill_tokens += count * slot_request.prompt_tokens
+        self._late_output_tokens += count * slot_request.output_tokens
+
     def head(self) -> QueuedSlotRequest | None:
         """Return the slot request whose turn it is; it stays queued."""
         while self._accounts:
@@ -303,14 +366,19 @@
 
     def ahead(self, tier: int, model: str) -> Demand:
         """Return the demand of the slot requests of a tier and all higher ones."""
-        slot_requests = prompt_tokens = output_tokens = 0
-        for other_tier, models in self._queues.items():
-            if other_tier <= tier and model in models:
-                queue = models[model]
-                slot_requests += len(queue)
-                prompt_tokens += queue.prefill_tokens
-                output_tokens += queue.output_tokens
-        return Demand(slot_requests, prompt_tokens, output_tokens)
+        return _total(
+            models[model].demand
+            for other_tier, models in self._queues.items()
+            if other_tier <= tier and model in models
+        )
+
+    def punctual_ahead(self, tier: int, model: str) -> Demand:
+        """Return the demand of higher tiers, and of a tier's that can meet goals."""
+        return _total(
+            models[model].demand if other_tier < tier else models[model].punctual_demand
+            for other_tier, models in self._queues.items()
+            if other_tier <= tier and model in models
+        )
 
     def has_lower(self, tier: int, model: str) -> bool:
         """Return whether a slot request of a lower tier waits for a model."""
@@ -324,3 +392,12 @@
         if model not in models:
             models[model] = FairQueue(self._get_weight)
         return models[model]
+
+
+def _total(demands: Iterator[Demand]) -> Demand:
+    slot_requests = prompt_tokens = output_tokens = 0.0
+    for demand in demands:
+        slot_requests += demand.slot_requests
+        prompt_tokens += demand.prompt_tokens
+        output_tokens += demand.output_tokens
+    return Demand(slot_requests, prompt_tokens, output_tokens)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .answer_times import AnswerTimes
 from .crash_guard import CrashGuard
 from .crash_history import CrashHistory
 from .drain_rate import DrainRate
@@ -51,6 +52,8 @@
 IN_PROGRESS_RETRY_MS = 500
 NO_UPSTREAM_RETRY_MS = 1000
 ABSENT_CAUSES = (ReleaseCause.UNREACHABLE, ReleaseCause.OTHER_UPSTREAM)
+# A goal that answers rarely meet must not make all requests late.
+MAX_ANSWER_SHARE_OF_GOAL = 0.6
 FAILED_CAUSES = (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED)
 WASTED_PREFILL_CAUSES = (
     ReleaseCause.CALLER_GONE,
@@ -96,6 +99,7 @@
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
         self._crash_guard = crash_guard or CrashGuard(CrashHistory())
         self._uncertain_ends = UncertainEnds()
+        self._answer_times = AnswerTimes()
         self._limits = UpstreamLimits() if limits is None else limits
         self._drain_rate = DrainRate(self._queues, self._limits)
         self._retry_schedule = RetrySchedule()
@@ -249,6 +253,7 @@
         ):
             yield self._shedder.build_refusal(queued, Reason.DEADLINE, 0)
             return
+        self._shedder.prepare(queued, now_ms)
         self._queues.add(queued)
         self._drain_rate.arrived(slot_request, now_ms)
         if self._is_settled(now_ms):
@@ -321,14 +326,23 @@
         is_scheduled_retry = self._retry_schedule.take_due(
             slot_request.request_id, now_ms
         )
-        goal_at_ms = now_ms + slot_request.goal_ms if slot_request.goal_ms > 0 else None
         return QueuedSlotRequest(
             slot_request,
             sender,
             now_ms,
             now_ms + max_wait_ms,
             is_scheduled_retry,
-            goal_at_ms,
+            self._goal_at_ms(slot_request, now_ms),
+        )
+
+    def _goal_at_ms(self, slot_request: SlotRequest, now_ms: int) -> int | None:
+        """Return the time by which a grant lets most such requests meet their goal."""
+        goal_ms = slot_request.goal_ms
+        if goal_ms <= 0:
+            return None
+        answer_ms = self._answer_times.expected_ms(slot_request)
+        return int(
+            now_ms + goal_ms - min(answer_ms, goal_ms * MAX_ANSWER_SHARE_OF_GOAL)
         )
 
     def _rejection_reason(self, slot_request: SlotRequest) -> Reason:
@@ -491,6 +505,9 @@
     def _renew(self, slot: Slot, held: HeldSlot, now_ms: int) -> None:
         slot.lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
         upstream = self._upstreams[slot.upstream]
+        is_first = held.produced_tokens > 0 and slot.produced_tokens == 0
+        if is_first and slot.granted_ms < now_ms:
+            self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
         if held.produced_tokens > slot.produced_tokens:
             self._record_life(slot.upstream, now_ms)
             limit = int(upstream.capacity.limit_slots)
@@ -512,6 +529,8 @@
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
             upstream.capacity.record_duration(release.duration_ms)
+            if self._is_service:
+                self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
             candidates = self._candidates(slot.slot_request.model)
             self._drain_rate.observe(
                 slot.slot_request, release.duration_ms, candidates, now_ms
@@ -754,6 +773,7 @@
 
 
 def _without_model(slot_request: SlotRequest) -> SlotRequest:
+    """Return the slot request as one of a plain service, of which all cost the same."""
     return replace(
-        slot_request, model="", prompt_tokens=0, output_tokens=0, prefix_hashes=()
+        slot_request, model="", prompt_tokens=0, output_tokens=1, prefix_hashes=()
     )
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -43,6 +43,7 @@
     settle_ms=100,
     preempts=False,
     evicts=False,
+    sheds_by_goal=True,
     learns_slots=False,
     max_backoff_ms=4000,
     died_backoff_ms=150,
--- a/src/peridotfront/core/upstream_limits.py
+++ b/src/peridotfront/core/upstream_limits.py
@@ -89,9 +89,7 @@
 
     def replace(self, limits: Iterable[NamedLimit], now_ms: int) -> None:
         """Replace all limits, as another host knows them."""
-        named = {
-            limit.upstream: limit for limit in limits if limit.requests_per_s >= 0
-        }
+        named = {limit.upstream: limit for limit in limits if limit.requests_per_s >= 0}
         for upstream in self._buckets.keys() - named.keys():
             del self._buckets[upstream]
         for limit in named.values():
