Send requests to upstreams in their host's data centre while those are free

Cause: the placement did not know where a request's host is, so with four data centres three of four requests, answers and streams went to another one.

Change: the leader remembers the data centre that a host's heartbeat names; an upstream elsewhere costs 15 ms more than one there. A backlog, a full upstream or failures weigh more, so that nothing waits for it.

Measured: data_centres.feature; the two scenarios where all upstreams were chosen by how full they are failed before.

--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -14,6 +14,8 @@
 
 FILL_COST_MS = 20.0
 FAILURE_COST_MS = 2000.0
+# Data centres are some ms apart, and each byte between them has its price.
+REMOTE_COST_MS = 15.0
 LATE_WEIGHT = 5.0
 DEFER_COST_RATIO = 0.9
 MIN_DEFER_HIT_TOKENS = 256
@@ -114,8 +116,8 @@
 class Placement:
     """Choice of the upstream with the least expected time to the first token.
 
-    Costs for lateness, decoding, used slots and recent failures are added to that
-    time.
+    Costs for lateness, decoding, used slots, recent failures and another data centre
+    are added to that time.
 
     :param policy: active parameters of the policy.
     :param poison_detector: detector of suspects; two of them never share an upstream.
@@ -247,8 +249,10 @@
         capacity = upstream.capacity
         fill_ms = FILL_COST_MS * len(capacity.slots) / max(1.0, capacity.limit_slots)
         failure_cost_ms = upstream.health.failure_share(now_ms) * FAILURE_COST_MS
+        remote_cost_ms = REMOTE_COST_MS * _is_remote(upstream, queued)
+        fixed_cost_ms = fill_ms + failure_cost_ms + remote_cost_ms
         if upstream.spec.kind is UpstreamKind.SERVICE:
-            return Choice(upstream, 0, fill_ms + capacity.gap_ms + failure_cost_ms)
+            return Choice(upstream, 0, capacity.gap_ms + fixed_cost_ms)
         prefixes = upstream.prefixes
         hit_tokens = upstream.hit_tokens(slot_request)
         prefill_ms = capacity.prefill_ms(
@@ -260,9 +264,8 @@
             backlog_ms
             + prefill_ms * self._policy.prefill_weight
             + slot_request.output_tokens * capacity.gap_ms * DECODE_COST_RATIO
-            + fill_ms
             + max(0.0, late_ms) * LATE_WEIGHT
-            + failure_cost_ms
+            + fixed_cost_ms
         )
         return Choice(upstream, hit_tokens, cost_ms)
 
@@ -294,6 +297,12 @@
         )
 
 
+def _is_remote(upstream: Upstream, queued: QueuedSlotRequest) -> bool:
+    """Return whether an upstream is known to be in another data centre."""
+    data_centre = queued.data_centre
+    return data_centre not in ("", upstream.spec.data_centre)
+
+
 def _has_prefix_hit(upstream: Upstream, slot_request: SlotRequest) -> bool:
     return upstream.hit_tokens(slot_request) >= MIN_DEFER_HIT_TOKENS
 
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -32,6 +32,7 @@
     :param since_ms: time at which it was received.
     :param deadline_at_ms: time by which its answer must begin.
     :param is_scheduled_retry: whether it is a retry that arrived at its announced time.
+    :param data_centre: data centre of the host; empty if it is not known.
     :param goal_at_ms: time by which it should be granted to meet its goal; None if it
         is late, or has no goal.
     """
@@ -42,6 +43,7 @@
     deadline_at_ms: int
     is_scheduled_retry: bool = False
     goal_at_ms: int | None = None
+    data_centre: str = ""
 
     @property
     def order_ms(self) -> int:
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler of a cell, which grants slots at upstreams to slot requests."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -76,6 +76,7 @@
     :param kind: kind of the cell's upstreams; derived from the cell's name by default.
     :param crash_guard: filter of requests that crash upstreams.
     :param limits: limits that upstreams have named.
+    :param data_centres: data centres of the entry hosts, by name.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         kind: UpstreamKind | None = None,
         crash_guard: CrashGuard | None = None,
         limits: UpstreamLimits | None = None,
+        data_centres: Mapping[str, str] | None = None,
     ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
@@ -101,6 +103,7 @@
         self._uncertain_ends = UncertainEnds()
         self._answer_times = AnswerTimes()
         self._limits = UpstreamLimits() if limits is None else limits
+        self._data_centres = {} if data_centres is None else data_centres
         self._drain_rate = DrainRate(self._queues, self._limits)
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
@@ -333,6 +336,7 @@
             now_ms + max_wait_ms,
             is_scheduled_retry,
             self._goal_at_ms(slot_request, now_ms),
+            self._data_centres.get(sender, ""),
         )
 
     def _goal_at_ms(self, slot_request: SlotRequest, now_ms: int) -> int | None:
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -105,6 +105,7 @@
         self.allowances = Allowances(shared_limits.allowances)
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
+        self._data_centres: dict[str, str] = {}
         self._routing = RoutingConfig()
         self._upstreams: tuple[ListedUpstream, ...] = ()
         self._charges: dict[str, Charge] = {}
@@ -114,6 +115,10 @@
         """Handle a tick, a received message or the loss of an entry host."""
         yield from self._handle_event(event, now_ms)
 
+    def set_data_centre(self, host: str, data_centre: str) -> None:
+        """Set the data centre of an entry host."""
+        self._data_centres[host] = data_centre
+
     def apply_routing(self, routing: RoutingConfig, now_ms: int) -> Iterator[Send]:
         """Apply a new configuration."""
         self._routing = routing
@@ -141,7 +146,12 @@
             blank = Fleet(policy=SERVICE_POLICY)
             kind = _kind_of(services[name])
             self.schedulers[name] = CellScheduler(
-                name, blank, kind, self._crash_guard, self._limits
+                name,
+                blank,
+                kind,
+                self._crash_guard,
+                self._limits,
+                self._data_centres,
             )
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
