--- a/features/overload.feature
+++ b/features/overload.feature
@@ -50,3 +50,28 @@
     And the load falls to 0.5 times its capacity
     And the load continues for 1500 ms
     Then at most 0.1 of the requests are refused
+
+  Scenario Outline: Engines beyond their capacity earn more than by the order of goals
+    The least share is what an order by goals alone earned, and a tenth of it.
+
+    Given 6 engines with <load> times the work that they can do
+    When the engines run for 6000 ms
+    And only what is sent to engines from now on counts
+    And the engines run for 15000 ms
+    Then the answers are worth at least <least> of what was asked
+    And at least 0.5 of the answers meet the goal
+    And half of the refusals come within 40 ms
+
+    Examples: Loads that last
+      | load | least |
+      | 0.7  | 0.95  |
+      | 2.0  | 0.585 |
+      | 3.0  | 0.333 |
+
+  Scenario: A burst costs engines no punctual answers of the highest tier
+    Given 6 engines with 0.6 times the work that they can do
+    When the engines run for 5000 ms
+    And only what is sent to engines from now on counts
+    And the load of the engines rises to 2.5 for 3000 ms
+    And the load of the engines rises to 0.6 for 15000 ms
+    Then the answers of "draft" are worth at least 0.9 of what was asked
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,6 +1,7 @@
-"""Steps for a plain service under overload."""
+"""Steps for a plain service and for engines under overload."""
 
 from behave import given, then, when
+from support.engine_load import EngineLoad
 from support.service_load import ACCOUNTS, ServiceLoad
 
 
@@ -74,3 +75,49 @@
     others = [name for name in load.sent if name != f"a{ACCOUNTS - 1}"]
     shares = {name: load.punctual[name] / load.sent[name] for name in others}
     assert min(shares.values()) >= share, shares
+
+
+@given("{count:d} engines with {load:g} times the work that they can do")
+def make_engines(context, count, load):
+    context.engines = EngineLoad(count, load)
+    context.full_rate_per_s = context.engines.rate_per_s / load
+
+
+@when("the engines run for {duration:d} ms")
+def run_engines(context, duration):
+    context.engines.run(duration)
+
+
+@when("the load of the engines rises to {load:g} for {duration:d} ms")
+def change_load(context, load, duration):
+    context.engines.rate_per_s = load * context.full_rate_per_s
+    context.engines.run(duration)
+
+
+@when("only what is sent to engines from now on counts")
+def reset_engines(context):
+    context.engines.reset()
+
+
+@then("the answers are worth at least {least:g} of what was asked")
+def check_worth(context, least):
+    share = context.engines.earned.total() / context.engines.owed.total()
+    assert share >= least, (share, context.engines.counts)
+
+
+@then('the answers of "{kind}" are worth at least {least:g} of what was asked')
+def check_worth_of_kind(context, kind, least):
+    share = context.engines.earned[kind] / context.engines.owed[kind]
+    assert share >= least, share
+
+
+@then("at least {share:g} of the answers meet the goal")
+def check_goals(context, share):
+    counts = context.engines.counts
+    assert counts["punctual"] >= share * (counts["punctual"] + counts["late"]), counts
+
+
+@then("half of the refusals come within {limit:d} ms")
+def check_early_refusals(context, limit):
+    held_ms = sorted(context.engines.held_ms)
+    assert not held_ms or held_ms[len(held_ms) // 2] <= limit, held_ms
--- a/features/support/engine_load.py
+++ b/features/support/engine_load.py
@@ -157,10 +157,6 @@
         self.counts.clear()
         self.held_ms.clear()
 
-    def earned_share(self):
-        """Return the earned share of what a full use of the engines could earn."""
-        return self.earned.total() / self.owed.total()
-
     def _send_new(self):
         kind = self._random.choices(KINDS, [kind.share for kind in KINDS])[0]
         self.owed[kind.name] += kind.worth
