Move what a scheduler records of crashes into a module of its own

No change of behaviour: CrashRecorder holds the uncertain ends, passes crashes, ends and signs of life to the guard, and asks it. The guard lists the requests that are being answered only once a conviction matches, and UpstreamLimits.limit_of, which nobody used, is gone.

--- a/src/peridotfront/core/crash_guard.py
+++ b/src/peridotfront/core/crash_guard.py
@@ -70,17 +70,21 @@
             return False
         parts = frozenset(parts_of(slot_request))
         service = slot_request.cell
-        answered = tuple(begun)
         if any(_has_all(parts, service, group) for group in self._announced):
             return True
-        convictions = [
+        matching = [
             conviction
             for conviction in self.history.convictions
             if _has_all(parts, service, conviction.group)
-            and not self._is_doubtful(conviction, answered, now_ms)
         ]
-        if not convictions:
+        if not matching:
             return False
+        answered = tuple(begun)
+        convictions = [
+            conviction
+            for conviction in matching
+            if not self._is_doubtful(conviction, answered, now_ms)
+        ]
         return not all(self._may_test(found, now_ms) for found in convictions)
 
     def _is_doubtful(
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -8,6 +8,7 @@
 from .answer_times import AnswerTimes
 from .crash_guard import CrashGuard
 from .crash_history import CrashHistory
+from .crash_recorder import CrashRecorder
 from .drain_rate import DrainRate
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .health import Health
@@ -36,7 +37,6 @@
     StrikesChanged,
 )
 from .single_dispatch import dispatchmethod
-from .uncertain_ends import UncertainEnds
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
 from .verdicts import Reason
@@ -99,8 +99,8 @@
         self._leaving_until_ms: dict[str, int] = {}
         self._queues = TierQueues(lambda account: self._weights.get(account, 1))
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
-        self._crash_guard = crash_guard or CrashGuard(CrashHistory())
-        self._uncertain_ends = UncertainEnds()
+        guard = crash_guard or CrashGuard(CrashHistory())
+        self._crashes = CrashRecorder(guard, self._slots)
         self._answer_times = AnswerTimes()
         self._limits = UpstreamLimits() if limits is None else limits
         self._data_centres = {} if data_centres is None else data_centres
@@ -244,7 +244,7 @@
             )
         queued = self._make_queued(slot_request, sender, now_ms)
         reason = self._rejection_reason(slot_request)
-        if reason is Reason.NONE and self._would_crash(slot_request, now_ms):
+        if reason is Reason.NONE and self._crashes.would_crash(slot_request, now_ms):
             reason = Reason.POISON
         if reason is not Reason.NONE:
             yield self._shedder.build_refusal(
@@ -513,7 +513,7 @@
         if is_first and slot.granted_ms < now_ms:
             self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
         if held.produced_tokens > slot.produced_tokens:
-            self._record_life(slot.upstream, now_ms)
+            self._crashes.record_life(slot.upstream, now_ms)
             limit = int(upstream.capacity.limit_slots)
             upstream.health.progressed(slot.granted_ms, limit, now_ms)
         upstream.capacity.record_progress(
@@ -570,13 +570,13 @@
             health.progressed(slot.granted_ms, limit, now_ms)
             health.completed()
             self._poison_detector.completed(slot.slot_request.fingerprint)
-            self._record_end(slot, release.is_end_certain, now_ms)
+            self._crashes.record_end(slot, release.is_end_certain, now_ms)
         elif cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._upstream_died(upstream, slot, now_ms)
         elif cause in ABSENT_CAUSES:
             # The request was not executed there, so it gets no strike.
             health.unreachable(now_ms)
-            self._record_crash(upstream.name, [], now_ms)
+            self._crashes.record_crash(upstream.name, [], now_ms)
             self._drain_rate.invalidate_capacities()
         elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
             health.failed(True, now_ms)
@@ -592,36 +592,13 @@
         fingerprints = [active.slot_request.fingerprint for active in executed]
         self._poison_detector.upstream_died(fingerprints)
         strikes = [self._poison_detector.strikes(f) for f in fingerprints]
-        self._record_crash(
+        self._crashes.record_crash(
             upstream.name, [active.slot_request for active in executed], now_ms
         )
         yield _build_crash_log(upstream.name, executed, strikes)
         upstream.prefixes.clear()
         self._drain_rate.invalidate_capacities()
 
-    def _record_crash(
-        self, upstream: str, executed: list[SlotRequest], now_ms: int
-    ) -> None:
-        executed = [*executed, *self._uncertain_ends.take_broken(upstream, now_ms)]
-        if not executed:
-            return
-        elsewhere = [
-            active for active in self._slots.values() if active.upstream != upstream
-        ]
-        self._crash_guard.record_crash(upstream, executed, _begun(elsewhere), now_ms)
-
-    def _record_end(self, slot: Slot, is_certain: bool, now_ms: int) -> None:
-        if is_certain:
-            self._crash_guard.record_completed(slot.slot_request, now_ms)
-        else:
-            self._uncertain_ends.add(slot.upstream, slot.slot_request, now_ms)
-        self._record_life(slot.upstream, now_ms)
-
-    def _record_life(self, upstream: str, now_ms: int) -> None:
-        """Record that an upstream lives, so that its last answers were complete."""
-        for slot_request in self._uncertain_ends.take_confirmed(upstream, now_ms):
-            self._crash_guard.record_completed(slot_request, now_ms)
-
     def _check_slots(self, now_ms: int) -> Iterator[Action]:
         for slot in tuple(self._slots.values()):
             if slot.lease_until_ms <= now_ms:
@@ -672,16 +649,11 @@
             if self._poison_detector.is_poison(queued.slot_request.fingerprint):
                 yield self._shedder.refuse(queued, Reason.POISON, 0)
 
-    def _would_crash(self, slot_request: SlotRequest, now_ms: int) -> bool:
-        """Return whether a request would crash the upstream that answers it."""
-        begun = _begun(self._slots.values())
-        return self._crash_guard.refuses(slot_request, begun, now_ms)
-
     def _refuse_crashing(self, now_ms: int) -> Iterator[Action]:
-        if self._crash_guard.is_idle:
+        if self._crashes.is_idle:
             return
         for queued in tuple(self._queues):
-            if self._would_crash(queued.slot_request, now_ms):
+            if self._crashes.would_crash(queued.slot_request, now_ms):
                 yield self._shedder.refuse(queued, Reason.POISON, 0)
 
     def _count_suspects(self, upstream: Upstream) -> None:
@@ -759,13 +731,6 @@
     return UpstreamKind.ENGINE if is_engine else UpstreamKind.SERVICE
 
 
-def _begun(slots: Iterable[Slot]) -> Iterator[SlotRequest]:
-    """Yield the slot requests that upstreams have begun to answer."""
-    for slot in slots:
-        if slot.produced_tokens > 0:
-            yield slot.slot_request
-
-
 def _build_crash_log(upstream: str, executed: list[Slot], strikes: list[int]) -> Log:
     ids = [slot.slot_request.request_id for slot in executed]
     fields = (
--- a/src/peridotfront/core/upstream_limits.py
+++ b/src/peridotfront/core/upstream_limits.py
@@ -54,11 +54,6 @@
     def __len__(self) -> int:
         return len(self._buckets)
 
-    def limit_of(self, upstream: str) -> float:
-        """Return the requests a second that an upstream takes, or ``NO_LIMIT``."""
-        bucket = self._buckets.get(upstream)
-        return bucket.requests_per_s if bucket else NO_LIMIT
-
     def is_known_since(self, upstream: str, at_ms: int) -> bool:
         """Return whether an upstream was known at a time to have a limit."""
         bucket = self._buckets.get(upstream)
