Spend beyond a ceiling only once all entry hosts know it

Cause: a host that loses its leader goes by the leader's last report of what an account has spent.

Change: the leader announces a ceiling for each account that uses much, a tenth above what it spends, with a version that hosts echo in their heartbeats; it spends more than 0.37 of a limit, the rest of what leaderless hosts may use, only up to a ceiling that all hosts that reach it have echoed. Hosts without a leader go by the ceiling in place of what was spent. A host of an older release echoes none and is not waited for. In the first 10 s of a term it is as before.

Ruled out: margins of 0.15 and 0.12 (an account at four tenths of its limit is refused one request in a cut) and of 0.08 (an account within its rate and burst is refused five).

--- a/src/peridotfront/core/allowance_shares.py
+++ b/src/peridotfront/core/allowance_shares.py
@@ -11,6 +11,8 @@
 # Hosts that another leader served may not have reported their usage yet.
 NEW_TERM_SHARE = 0.65
 LEADERLESS_SHARE = 0.6
+# The leader may spend this share without telling the hosts.
+BASE_CEILING = TOTAL_SHARE - LEADERLESS_SHARE
 MIN_REPORTED_SHARE = 0.2
 
 
@@ -27,10 +29,10 @@
     return min(LEADER_SHARE, TOTAL_SHARE - LEADERLESS_SHARE * lost_share)
 
 
-def leaderless_share(spent_share: float, entry_hosts: int) -> float:
+def leaderless_share(ceiling: float, entry_hosts: int) -> float:
     """Return the share that one leaderless host may spend.
 
-    :param spent_share: share that was spent by the leader's last report.
+    :param ceiling: share that the leader may have spent, by its last report.
     """
-    remaining_share = max(0.0, TOTAL_SHARE - spent_share)
+    remaining_share = max(0.0, TOTAL_SHARE - ceiling)
     return min(LEADERLESS_SHARE, remaining_share) / max(1, entry_hosts)
--- a/src/peridotfront/core/allowances.py
+++ b/src/peridotfront/core/allowances.py
@@ -9,11 +9,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from .allowance_ceilings import AllowanceCeilings
 from .allowance_shares import NEW_TERM_SHARE
 from .messages import SpentShare
 from .routes import RoutedAccount
 
 BUCKET_MS = 100
+CEILING_RETRY_MS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,10 +96,13 @@
 
     :param limits: how far an allowance may be exceeded.
     :param share: share of each allowance that may be spent here, from 0 to 1.
+
+    ``ceilings`` limit the shares further, at a leader.
     """
 
     def __init__(self, limits: AllowanceLimits, share: float = NEW_TERM_SHARE):
         self.share = share
+        self.ceilings: AllowanceCeilings | None = None
         self._limits = limits
         self._account_shares: dict[str, float] = {}
         self._account_shares_until_ms = 0
@@ -124,9 +129,17 @@
         if window.total + units > limit and window.total > 0:
             missing = window.total + units - limit
             return window.wait_ms(missing, now_ms - self._limits.window_ms)
+        if window.total > 0 and self._exceeds_ceiling(account, window.total + units):
+            return CEILING_RETRY_MS
         window.add(units, now_ms)
         return 0
 
+    def _exceeds_ceiling(self, account: RoutedAccount, units: float) -> bool:
+        """Return whether so much may not be spent before all hosts know of it."""
+        if self.ceilings is None:
+            return False
+        return units > self._limits.limit(account) * self.ceilings.usable(account.name)
+
     def set_account_shares(self, shares: dict[str, float], now_ms: int) -> None:
         """Override the shares of some accounts for the length of a window."""
         self._account_shares = shares
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .allowance_ceilings import AllowanceCeilings
 from .allowance_shares import MIN_REPORTED_SHARE, leader_share
 from .controller import Controller
 from .crash_guard import CrashGuard
@@ -24,7 +25,6 @@
     SentRepeats,
     SlotRequest,
     Spending,
-    SpentShare,
     StreamsBegun,
     UpstreamsUpdate,
 )
@@ -45,7 +45,7 @@
 LIST_INTERVAL_MS = 2000
 ORIGINS_INTERVAL_MS = 100
 LIMITS_INTERVAL_MS = 100
-# Versions of the list of upstreams that one term may use.
+# Versions of the list of upstreams, or of shares, that one term may use.
 EPOCH_VERSIONS = 2**24
 # Entry hosts without a leader use the rest of the retry budget.
 LEADER_RETRY_SHARE = 1 - LEADERLESS_RETRY_SHARE
@@ -62,12 +62,14 @@
     :param last_seen_ms: arrival time of its last heartbeat.
     :param upstreams_version: version of the upstream list that it has.
     :param list_sent_ms: time at which the list was last sent to it.
+    :param shares_version: version of the shares that it knows; 0 for none.
     """
 
     incarnation: int
     last_seen_ms: int
     upstreams_version: int = 0
     list_sent_ms: int = -RESEND_LIST_MS
+    shares_version: int = 0
 
 
 class Coordinator:
@@ -92,7 +94,7 @@
         self._lost_ms: dict[str, int] = {}
         self._origins = StreamOrigins()
         self._origins_sent_ms = 0
-        self._spent: tuple[SpentShare, ...] = ()
+        self._ceilings = AllowanceCeilings(0)
         self._shares_updated_ms = 0
         self._limits = UpstreamLimits()
         self._limits_sent_ms = 0
@@ -183,7 +185,8 @@
                 reply,
                 entry_hosts=self._entry_host_count(now_ms),
                 upstreams_version=self.directory.version,
-                spent=self._spent if self.is_leading else (),
+                spent=tuple(self._ceilings.announced()) if self.is_leading else (),
+                shares_version=self._ceilings.version if self.is_leading else 0,
             ),
         )
 
@@ -257,6 +260,7 @@
             self._shared_limits, self._origins, self._crash_guard, self._limits
         )
         self._limits.restart(now_ms)
+        self._ceilings = AllowanceCeilings(action.term * EPOCH_VERSIONS)
         self.service_schedulers.retries.share = NEW_TERM_RETRY_SHARE
         upstreams = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
@@ -292,7 +296,21 @@
         allowances.share = leader_share(
             len(self._entry_hosts), len(self._lost_ms), is_new_term=is_new_term
         )
-        self._spent = tuple(allowances.spent_shares(MIN_REPORTED_SHARE, now_ms))
+        self._ceilings.update(
+            allowances.spent_shares(MIN_REPORTED_SHARE, now_ms), self._known_version()
+        )
+        # Hosts that join a new leader may still know those of the one before.
+        allowances.ceilings = None if is_new_term else self._ceilings
+
+    def _known_version(self) -> int:
+        """Return the version of the shares that all entry hosts know.
+
+        A host that was told none can't spend much without a leader.
+        """
+        versions = [entry.shares_version for entry in self._entry_hosts.values()]
+        return min(
+            (known for known in versions if known), default=self._ceilings.version
+        )
 
     def _record_heartbeat(
         self, message: Heartbeat, event: Received, now_ms: int
@@ -310,6 +328,7 @@
             self.service_schedulers.set_data_centre(event.sender, message.data_centre)
         entry.last_seen_ms = now_ms
         entry.upstreams_version = message.upstreams_version
+        entry.shares_version = message.shares_version
         is_outdated = message.upstreams_version != self.directory.version
         if is_outdated and now_ms - entry.list_sent_ms >= RESEND_LIST_MS:
             entry.list_sent_ms = now_ms
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -145,7 +145,8 @@
             max(shared_limits.allowances.window_ms, shared_limits.retries.window_ms)
         )
         self._term = 0
-        self._spent_shares: tuple[SpentShare, ...] = ()
+        self._ceilings: tuple[SpentShare, ...] = ()
+        self._shares_version = 0
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Handle an event and yield the actions for the program.
@@ -293,7 +294,8 @@
         self._leader_seen_ms[event.sender] = now_ms
         self._term = message.term
         self._update_host_count(message.entry_hosts, now_ms)
-        self._spent_shares = message.spent
+        self._ceilings = message.spent
+        self._shares_version = message.shares_version
         yield from self._update_leader(now_ms)
 
     @_receive.register
@@ -475,10 +477,10 @@
         self._leaderless_since_ms = now_ms
         self._local_upstreams = self.directory.upstreams
         shares = {
-            spent.client_account: leaderless_share(
-                spent.share, self._sharing_host_count
+            ceiling.client_account: leaderless_share(
+                ceiling.share, self._sharing_host_count
             )
-            for spent in self._spent_shares
+            for ceiling in self._ceilings
         }
         self._local_schedulers.allowances.set_account_shares(shares, now_ms)
         self._limits.restart(now_ms)
@@ -535,6 +537,7 @@
             leader=self.leader,
             upstreams_version=self.directory.version,
             crashing_parts_digest=self._crash_guard.announced_digest,
+            shares_version=self._shares_version,
         )
         if self.leader:
             yield Send(self.leader, heartbeat)
--- a/src/peridotfront/core/load_shedding.py
+++ b/src/peridotfront/core/load_shedding.py
@@ -21,8 +21,6 @@
 FRESH_MAX_WAIT_RATIO = 0.6
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
-# Who has to come back in time for a whole answer can't wait longer.
-MAX_RETRY_AFTER_SHARE = 1 / 3
 SHED_REASONS = (Reason.OVERLOADED, Reason.EVICTED)
 
 CandidateLookup = Callable[[str], list[Upstream]]
@@ -190,15 +188,10 @@
             (slot_request.tier, slot_request.model),
             earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
             interval_ms=self._drain_rate.interval_ms(slot_request, candidates, now_ms),
-            latest_ms=now_ms + self._max_retry_after_ms(slot_request),
+            latest_ms=now_ms + MAX_RETRY_AFTER_MS,
         )
         return due_ms - now_ms
 
-    def _max_retry_after_ms(self, slot_request: SlotRequest) -> float:
-        if not self.policy.sheds_by_goal:
-            return MAX_RETRY_AFTER_MS
-        return slot_request.deadline_ms * MAX_RETRY_AFTER_SHARE
-
     def refuse(
         self, queued: QueuedSlotRequest, reason: Reason, retry_after_ms: int
     ) -> Send:
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -195,9 +195,9 @@
 
 @dataclass(frozen=True, slots=True)
 class SpentShare:
-    """Used share of an account's allowance in the last window.
+    """Share of an account's allowance that is spent, or that may be spent.
 
-    :param share: used share of the limit; 1 for all of it.
+    :param share: share of the limit; 1 for all of it.
     """
 
     client_account: str
@@ -217,9 +217,11 @@
     :param entry_hosts: number of entry hosts that the sender counts as alive; 0 if it
         is not the leader, or has not led for long enough to know.
     :param upstreams_version: version of the list of upstreams held by the sender.
-    :param spent: accounts that used much of their allowance; set only by a leader.
+    :param spent: shares that the leader may spend of the allowances of accounts that
+        use much of them; set only by a leader.
     :param crashing_parts_digest: hash of the parts known to the sender that crash
         upstreams; 0 if there are none, or if it is not an entry host.
+    :param shares_version: version of ``spent`` that the sender knows; 0 for none.
     """
 
     data_centre: str
@@ -234,6 +236,7 @@
     upstreams_version: int = 0
     spent: tuple[SpentShare, ...] = ()
     crashing_parts_digest: int = 0
+    shares_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
