Let one slow answer keep no requests from an upstream for good

Cause: how long a call to a plain service takes was learned from an upstream's own calls only. One slow answer made it dearer than the others, which had free slots, so it had no call that could show better.

Change: the expected duration halves every 5 s without a call. The new scenario failed before (4 of 4 requests at the other upstream 30 s later).

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -100,6 +100,12 @@
     And requests complete at the other upstream for 30000 ms
     Then 4 requests at once are shared by both upstreams
 
+  Scenario: One slow answer does not keep an upstream from its share for good
+    Given a cell of a plain service with 2 upstreams of 4 slot
+    When one request takes 1400 ms at the upstream that was chosen first
+    And requests complete at the other upstream for 30000 ms
+    Then 4 requests at once are shared by both upstreams
+
   Scenario: Prompts of the own interface with one crashing part are refused
     Given a cell with 5 engines of 4 slots
     When 4 prompts with the same first blocks, and no other like it, each crash an engine
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -336,6 +336,14 @@
     context.cell.release("first", ReleaseCause.REJECTED, duration_ms=5)
 
 
+@when("one request takes {duration:d} ms at the upstream that was chosen first")
+def be_slow_once(context, duration):
+    context.cell.request_slot("first")
+    context.rejecting = granted_at(context.cell, "first")
+    context.cell.pass_time(duration)
+    context.cell.release("first", duration_ms=duration)
+
+
 @when("requests complete at the other upstream for {duration:d} ms")
 def complete_elsewhere(context, duration):
     cell = context.cell
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -252,7 +252,7 @@
         remote_cost_ms = REMOTE_COST_MS * _is_remote(upstream, queued)
         fixed_cost_ms = fill_ms + failure_cost_ms + remote_cost_ms
         if upstream.spec.kind is UpstreamKind.SERVICE:
-            return Choice(upstream, 0, capacity.gap_ms + fixed_cost_ms)
+            return Choice(upstream, 0, capacity.call_ms(now_ms) + fixed_cost_ms)
         prefixes = upstream.prefixes
         hit_tokens = upstream.hit_tokens(slot_request)
         prefill_ms = capacity.prefill_ms(
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -546,7 +546,7 @@
     ) -> None:
         capacity = upstream.capacity
         if self._is_service:
-            capacity.gap_ms += (release.duration_ms - capacity.gap_ms) / 10
+            capacity.record_call(release.duration_ms, now_ms)
             return
         capacity.record_progress(
             slot, release.produced_tokens, release.slow_tokens, now_ms
--- a/src/peridotfront/core/upstream_capacity.py
+++ b/src/peridotfront/core/upstream_capacity.py
@@ -12,6 +12,8 @@
 SLOW_SHARE_GAIN = 0.1
 SLOW_DECAY_MS = 15_000.0
 HOLD_GAIN = 0.1
+CALL_GAIN = 0.1
+CALL_HALF_LIFE_MS = 5000
 INITIAL_HOLD_MS = 2000.0
 WINDOW_MS = 1000
 INITIAL_LIMIT_RATIO = 0.67
@@ -94,6 +96,7 @@
         self.slots: dict[str, Slot] = {}
         self.kv_tokens = 0
         self.hold_ms = INITIAL_HOLD_MS
+        self._call_measured_ms = 0
         self._pending_prefill_ms: dict[str, float] = {}
         self._pending_total_ms = 0.0
         self._prefill_start_ms = 0
@@ -121,6 +124,19 @@
         """Return the recent share of slow tokens, which decays without new tokens."""
         return self._slow_share * exp((self._slow_share_ms - now_ms) / SLOW_DECAY_MS)
 
+    def call_ms(self, now_ms: int) -> float:
+        """Return the expected duration of a call to a plain service.
+
+        It falls with time: an upstream that is passed by shows no better duration.
+        """
+        elapsed_ms = now_ms - self._call_measured_ms
+        return self.gap_ms * 0.5 ** (elapsed_ms / CALL_HALF_LIFE_MS)
+
+    def record_call(self, duration_ms: int, now_ms: int) -> None:
+        """Update the expected duration of a call by that of one that has ended."""
+        self.gap_ms += (duration_ms - self.gap_ms) * CALL_GAIN
+        self._call_measured_ms = now_ms
+
     @property
     def slot_wait_ms(self) -> float:
         """Return the expected time until a slot is released when all are in use."""
