--- a/src/peridotfront/fleet_config.py
+++ b/src/peridotfront/fleet_config.py
@@ -114,6 +114,7 @@
     urgent_ms: int = Field(default=DEFAULT_POLICY.urgent_ms, ge=0)
     preempts: bool = DEFAULT_POLICY.preempts
     affinity_ms: int = Field(default=DEFAULT_POLICY.affinity_ms, ge=0)
+    sheds_by_goal: bool = DEFAULT_POLICY.sheds_by_goal
     learns_rates: bool = DEFAULT_POLICY.learns_rates
     learns_slots: bool = DEFAULT_POLICY.learns_slots
     evicts: bool = DEFAULT_POLICY.evicts
