--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -28,8 +28,7 @@
     UpstreamLeaving,
     UpstreamLimitRead,
 )
-from .heartbeat_timing import MAX_INTERVAL_MS, HeartbeatTiming, heartbeat_timing
-from .leader_hints import LeaderHints
+from .leader_follower import LeaderFollower
 from .messages import (
     CancelSlotRequest,
     ConfigUpdate,
@@ -46,7 +45,6 @@
     PartsCleared,
     SlotRefusal,
     SlotRequest,
-    SpentShare,
     StreamsBegun,
     UpstreamsUpdate,
     proto_name_of,
@@ -62,12 +60,9 @@
 from .upstream_limits import LEADERLESS_LIMIT_SHARE, UpstreamLimits
 from .usage_history import UsageHistory
 
-HINT_TIMEOUT_MS = 1500
 MIN_DISCOVERY_MS = 100
 SLOT_REQUEST_RESEND_MS = 300
 SLOT_RENEWAL_MS = 1000
-HOST_COUNT_LIFETIME_MS = 10_000
-ASSUMED_HOST_COUNT = 1000
 LIMIT_REPORT_MS = 1000
 
 
@@ -115,14 +110,7 @@
             ConfigFollowerTiming(min_discovery_ms=MIN_DISCOVERY_MS)
         )
         self.directory = UpstreamDirectory()
-        self.leader = ""
-        self.entry_hosts = 1
-        self._has_host_count = False
-        self._host_count_ms = 0
-        self._seeds = seeds
-        self._control_hosts: tuple[str, ...] = ()
-        self._hints = LeaderHints(HINT_TIMEOUT_MS)
-        self._leader_seen_ms: dict[str, int] = {}
+        self._control = LeaderFollower(seeds)
         self._avoided = AvoidedUpstreams()
         self._origins = StreamOrigins()
         self._limits = UpstreamLimits()
@@ -136,17 +124,12 @@
         )
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
-        self._heartbeat_sent_ms: int | None = None
-        self._unanswered_rounds = 0
         self._sequence = 0
         self._pending: dict[str, _PendingRequest] = {}
         self._held: dict[str, _SlotLease] = {}
         self._usage_history = UsageHistory(
             max(shared_limits.allowances.window_ms, shared_limits.retries.window_ms)
         )
-        self._term = 0
-        self._ceilings: tuple[SpentShare, ...] = ()
-        self._shares_version = 0
 
     def handle(self, event: Any, now_ms: int) -> Iterator[Any]:
         """Handle an event and yield the actions for the program.
@@ -167,17 +150,19 @@
             else:
                 yield action
 
-    def leaderless_ms(self, now_ms: int) -> int:
-        """Return for how long the host has had no leader; 0 while it has one."""
-        return 0 if self.leader else now_ms - self._leaderless_since_ms
+    @property
+    def leader(self) -> str:
+        """Return the leader's host name; empty if there is none."""
+        return self._control.leader
 
     @property
-    def _sharing_host_count(self) -> int:
-        """Return the number of hosts that share the allowances and retry budgets.
+    def entry_hosts(self) -> int:
+        """Return the number of entry hosts, as a leader last told it."""
+        return self._control.entry_hosts
 
-        It is ``ASSUMED_HOST_COUNT`` until a leader has reported the number.
-        """
-        return self.entry_hosts if self._has_host_count else ASSUMED_HOST_COUNT
+    def leaderless_ms(self, now_ms: int) -> int:
+        """Return for how long the host has had no leader; 0 while it has one."""
+        return 0 if self.leader else now_ms - self._leaderless_since_ms
 
     @property
     def is_busy(self) -> bool:
@@ -192,7 +177,7 @@
     def _(self, event: Tick, now_ms: int) -> Iterator[Any]:
         yield from self.follower.handle(event, now_ms)
         yield from self._update_leader(now_ms)
-        if self._is_heartbeat_due(now_ms):
+        if self._control.is_heartbeat_due(now_ms):
             yield from self._send_heartbeats(now_ms)
         if self.leader:
             yield from self._resend_slot_requests(now_ms)
@@ -217,7 +202,7 @@
 
     @_handle.register
     def _(self, event: SeedsChanged, now_ms: int) -> Iterator[Any]:
-        self._seeds = event.control_hosts
+        self._control.seeds = event.control_hosts
         yield from ()
 
     @_handle.register
@@ -285,18 +270,10 @@
 
     @_receive.register
     def _(self, message: Heartbeat, event: Received, now_ms: int) -> Iterator[Any]:
-        self._hints.record(event.sender, message, now_ms)
+        is_of_leader = self._control.record(event.sender, message, now_ms)
         yield from self.follower.handle(event, now_ms)
-        if message.control_hosts:
-            self._control_hosts = message.control_hosts
-        if message.leader != event.sender:
-            return
-        self._leader_seen_ms[event.sender] = now_ms
-        self._term = message.term
-        self._update_host_count(message.entry_hosts, now_ms)
-        self._ceilings = message.spent
-        self._shares_version = message.shares_version
-        yield from self._update_leader(now_ms)
+        if is_of_leader:
+            yield from self._update_leader(now_ms)
 
     @_receive.register
     def _(self, message: ConfigUpdate, event: Received, now_ms: int) -> Iterator[Any]:
@@ -343,7 +320,7 @@
             return
         is_from_leader = event.sender == self.leader
         self._usage_history.record(
-            pending.slot_request, self._term if is_from_leader else 0, now_ms
+            pending.slot_request, self._control.term if is_from_leader else 0, now_ms
         )
         slot = HeldSlot(
             pending.slot_request,
@@ -413,19 +390,6 @@
         listed = {upstream.name for upstream in self._local_upstreams}
         self._avoided.update(listed | self.directory.names, now_ms)
 
-    def _update_host_count(self, entry_hosts: int, now_ms: int) -> None:
-        """Update the host count to the largest recent value.
-
-        Hosts may join a new leader with a delay, so that its first counts are low.
-        """
-        if entry_hosts == 0:
-            return
-        is_outdated = now_ms - self._host_count_ms >= HOST_COUNT_LIFETIME_MS
-        if entry_hosts >= self.entry_hosts or is_outdated or not self._has_host_count:
-            self.entry_hosts = entry_hosts
-            self._host_count_ms = now_ms
-        self._has_host_count = True
-
     def _holds_slot(self, grant: Grant) -> bool:
         held = self._held.get(grant.request_id)
         return held is not None and held.slot.upstream == grant.upstream
@@ -441,24 +405,16 @@
     # Leader
 
     def _update_leader(self, now_ms: int) -> Iterator[Any]:
-        leader = self._hints.leader(now_ms)
-        if leader:
-            seen_ms = self._leader_seen_ms.get(leader)
-            timeout_ms = self._timing.leader_timeout_ms
-            if seen_ms is None or now_ms - seen_ms >= timeout_ms:
-                leader = ""
-        if leader == self.leader:
+        if not self._control.update_leader(now_ms):
             return
-        self.leader = leader
-        yield Log("scheduler_changed", (("leader", leader),))
-        if leader:
+        yield Log("scheduler_changed", (("leader", self.leader),))
+        if self.leader:
             yield from self._start_following_leader(now_ms)
         else:
             yield from self._start_leaderless(now_ms)
 
     def _start_following_leader(self, now_ms: int) -> Iterator[Any]:
-        self._unanswered_rounds = 0
-        for spending in self._usage_history.take_unreported(self._term, now_ms):
+        for spending in self._usage_history.take_unreported(self._control.term, now_ms):
             yield Send(self.leader, spending)
         streams = tuple(self._origins.recorded_since(0, now_ms))
         if streams:
@@ -478,9 +434,9 @@
         self._local_upstreams = self.directory.upstreams
         shares = {
             ceiling.client_account: leaderless_share(
-                ceiling.share, self._sharing_host_count
+                ceiling.share, self._control.sharing_host_count
             )
-            for ceiling in self._ceilings
+            for ceiling in self._control.ceilings
         }
         self._local_schedulers.allowances.set_account_shares(shares, now_ms)
         self._limits.restart(now_ms)
@@ -496,37 +452,18 @@
 
     def _apply_local_upstreams(self, now_ms: int) -> Iterator[Any]:
         self._local_schedulers.allowances.share = leaderless_share(
-            0.0, self._sharing_host_count
+            0.0, self._control.sharing_host_count
         )
         self._local_schedulers.retries.share = (
-            LEADERLESS_RETRY_SHARE / self._sharing_host_count
+            LEADERLESS_RETRY_SHARE / self._control.sharing_host_count
         )
-        self._limits.share = LEADERLESS_LIMIT_SHARE / self._sharing_host_count
+        self._limits.share = LEADERLESS_LIMIT_SHARE / self._control.sharing_host_count
         upstreams = leaderless_upstreams(
             self._local_upstreams, self.host, self.data_centre, self.entry_hosts
         )
         yield from self._local_schedulers.apply_upstreams(upstreams, now_ms)
 
-    @property
-    def _timing(self) -> HeartbeatTiming:
-        return heartbeat_timing(self.entry_hosts)
-
-    def _is_heartbeat_due(self, now_ms: int) -> bool:
-        """Return whether to send heartbeats now.
-
-        While the host does not know how many hosts there are, its rounds become rarer,
-        as all hosts may ask for a leader at the same time.
-        """
-        if self._heartbeat_sent_ms is None:
-            return True
-        interval_ms = self._timing.interval_ms
-        if self._unanswered_rounds > 1 and not self._has_host_count:
-            interval_ms = min(MAX_INTERVAL_MS, interval_ms * self._unanswered_rounds)
-        return now_ms - self._heartbeat_sent_ms >= interval_ms
-
     def _send_heartbeats(self, now_ms: int) -> Iterator[Send]:
-        self._heartbeat_sent_ms = now_ms
-        self._unanswered_rounds += not self.leader
         self._sequence += 1
         heartbeat = Heartbeat(
             data_centre=self.data_centre,
@@ -537,12 +474,9 @@
             leader=self.leader,
             upstreams_version=self.directory.version,
             crashing_parts_digest=self._crash_guard.announced_digest,
-            shares_version=self._shares_version,
+            shares_version=self._control.shares_version,
         )
-        if self.leader:
-            yield Send(self.leader, heartbeat)
-            return
-        for host in dict.fromkeys((*self._seeds, *self._control_hosts)):
+        for host in self._control.begin_round(now_ms):
             yield Send(host, heartbeat)
 
     def _resend_slot_requests(self, now_ms: int) -> Iterator[Send]:
