Name the ceilings of allowances as what they are

The heartbeat's field and its class still had the names of spent shares; on the wire they keep them. No change of behaviour; the generated code is the same.

--- a/src/peridotfront/core/allowance_ceilings.py
+++ b/src/peridotfront/core/allowance_ceilings.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from .allowance_shares import BASE_CEILING, LEADER_SHARE
-from .messages import SpentShare
+from .messages import AllowanceShare
 
 # A ceiling is raised this early, so that an account at its rate never waits for it.
 MARGIN_SHARE = 0.1
@@ -44,12 +44,12 @@
         ceiling = self._ceilings.get(account)
         return ceiling.usable if ceiling else BASE_CEILING
 
-    def announced(self) -> Iterator[SpentShare]:
+    def announced(self) -> Iterator[AllowanceShare]:
         """Yield the ceilings above the one of an idle account."""
         for account, ceiling in self._ceilings.items():
-            yield SpentShare(account, ceiling.announced)
+            yield AllowanceShare(account, ceiling.announced)
 
-    def update(self, spent: Iterable[SpentShare], known_version: int) -> None:
+    def update(self, spent: Iterable[AllowanceShare], known_version: int) -> None:
         """Announce ceilings a margin above what is spent, and use those that are known.
 
         :param spent: spent shares of the accounts that have spent much.
--- a/src/peridotfront/core/allowances.py
+++ b/src/peridotfront/core/allowances.py
@@ -11,7 +11,7 @@
 
 from .allowance_ceilings import AllowanceCeilings
 from .allowance_shares import NEW_TERM_SHARE
-from .messages import SpentShare
+from .messages import AllowanceShare
 from .routes import RoutedAccount
 
 BUCKET_MS = 100
@@ -145,7 +145,7 @@
         self._account_shares = shares
         self._account_shares_until_ms = now_ms + self._limits.window_ms
 
-    def spent_shares(self, min_share: float, now_ms: int) -> Iterator[SpentShare]:
+    def spent_shares(self, min_share: float, now_ms: int) -> Iterator[AllowanceShare]:
         """Yield the accounts that have spent at least a share of their limit.
 
         :param min_share: smallest share to report, from 0 to 1.
@@ -155,7 +155,7 @@
                 continue
             share = self._window(name, now_ms).total / self._limits.limit(account)
             if share >= min_share:
-                yield SpentShare(name, share)
+                yield AllowanceShare(name, share)
 
     def refund(self, name: str, units: float, at_ms: int, now_ms: int) -> None:
         """Refund the charge of a request that was not executed.
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -45,7 +45,7 @@
 LIST_INTERVAL_MS = 2000
 ORIGINS_INTERVAL_MS = 100
 LIMITS_INTERVAL_MS = 100
-# Versions of the list of upstreams, or of shares, that one term may use.
+# Versions of the list of upstreams, or of ceilings, that one term may use.
 EPOCH_VERSIONS = 2**24
 # Entry hosts without a leader use the rest of the retry budget.
 LEADER_RETRY_SHARE = 1 - LEADERLESS_RETRY_SHARE
@@ -62,7 +62,7 @@
     :param last_seen_ms: arrival time of its last heartbeat.
     :param upstreams_version: version of the upstream list that it has.
     :param list_sent_ms: time at which the list was last sent to it.
-    :param shares_version: version of the shares that it knows; 0 for none.
+    :param shares_version: version of the ceilings that it knows; 0 for none.
     """
 
     incarnation: int
@@ -185,7 +185,7 @@
                 reply,
                 entry_hosts=self._entry_host_count(now_ms),
                 upstreams_version=self.directory.version,
-                spent=tuple(self._ceilings.announced()) if self.is_leading else (),
+                ceilings=tuple(self._ceilings.announced()) if self.is_leading else (),
                 shares_version=self._ceilings.version if self.is_leading else 0,
             ),
         )
@@ -303,7 +303,7 @@
         allowances.ceilings = None if is_new_term else self._ceilings
 
     def _known_version(self) -> int:
-        """Return the version of the shares that all entry hosts know.
+        """Return the version of the ceilings that all entry hosts know.
 
         A host that was told none can't spend much without a leader.
         """
--- a/src/peridotfront/core/leader_follower.py
+++ b/src/peridotfront/core/leader_follower.py
@@ -4,7 +4,7 @@
 
 from .heartbeat_timing import MAX_INTERVAL_MS, HeartbeatTiming, heartbeat_timing
 from .leader_hints import LeaderHints
-from .messages import Heartbeat, SpentShare
+from .messages import AllowanceShare, Heartbeat
 
 HINT_TIMEOUT_MS = 1500
 HOST_COUNT_LIFETIME_MS = 10_000
@@ -27,7 +27,7 @@
         self.leader = ""
         self.term = 0
         self.entry_hosts = 1
-        self.ceilings: tuple[SpentShare, ...] = ()
+        self.ceilings: tuple[AllowanceShare, ...] = ()
         self.shares_version = 0
         self._has_host_count = False
         self._host_count_ms = 0
@@ -55,7 +55,7 @@
         self._leader_seen_ms[sender] = now_ms
         self.term = heartbeat.term
         self._update_host_count(heartbeat.entry_hosts, now_ms)
-        self.ceilings = heartbeat.spent
+        self.ceilings = heartbeat.ceilings
         self.shares_version = heartbeat.shares_version
         return True
 
--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -31,6 +31,7 @@
 )
 from .control import (
     CONTROL_MESSAGES,
+    AllowanceShare,
     ChangeRecord,
     ChangeStatus,
     Claim,
@@ -60,7 +61,6 @@
     OutcomeAck,
     OutcomeReport,
     Replica,
-    SpentShare,
     StrikeBatch,
     StrikeRecord,
     StrikeReport,
@@ -118,6 +118,7 @@
 
 __all__ = [
     "MESSAGE_TYPES",
+    "AllowanceShare",
     "AnswerChunk",
     "AppendReply",
     "AppendRequest",
@@ -183,7 +184,6 @@
     "SnapshotChunk",
     "SnapshotReply",
     "Spending",
-    "SpentShare",
     "StorageRecord",
     "StreamsBegun",
     "StrikeBatch",
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Union
+from typing import ClassVar, Union
 
 from ..verdicts import Reason, Verdict
 from .crashes import CrashBatch, CrashesSnapshot
@@ -194,12 +194,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SpentShare:
+class AllowanceShare:
     """Share of an account's allowance that is spent, or that may be spent.
 
     :param share: share of the limit; 1 for all of it.
     """
 
+    proto_name: ClassVar[str] = "SpentShare"
+
     client_account: str
     share: float
 
@@ -217,11 +219,11 @@
     :param entry_hosts: number of entry hosts that the sender counts as alive; 0 if it
         is not the leader, or has not led for long enough to know.
     :param upstreams_version: version of the list of upstreams held by the sender.
-    :param spent: shares that the leader may spend of the allowances of accounts that
+    :param ceilings: shares that the leader may spend of the allowances of accounts that
         use much of them; set only by a leader.
     :param crashing_parts_digest: hash of the parts known to the sender that crash
         upstreams; 0 if there are none, or if it is not an entry host.
-    :param shares_version: version of ``spent`` that the sender knows; 0 for none.
+    :param shares_version: version of the ceilings that the sender knows; 0 for none.
     """
 
     data_centre: str
@@ -234,7 +236,9 @@
     control_hosts: tuple[str, ...] = ()
     entry_hosts: int = 0
     upstreams_version: int = 0
-    spent: tuple[SpentShare, ...] = ()
+    ceilings: tuple[AllowanceShare, ...] = field(
+        default=(), metadata={"proto_name": "spent"}
+    )
     crashing_parts_digest: int = 0
     shares_version: int = 0
 
--- a/src/peridotfront/core/upstream_limits.py
+++ b/src/peridotfront/core/upstream_limits.py
@@ -15,7 +15,7 @@
 # With it, all hosts together stay within one and a half times the limit in a cut.
 LEADERLESS_LIMIT_SHARE = 0.4
 NO_LIMIT = -1.0
-# An upstream that names its limit in rejections only takes it back by no success.
+# An upstream may name its limit in rejections only; then successes don't take it back.
 LIMIT_HOLD_MS = 2000
 REJECTED_FACTOR = 0.7
 ACCEPTED_STEP = 0.15
