Compute less for each event where nothing waits or changes

The rate of arrivals was computed before a wait knew whether anything waits; the ceilings of allowances were listed for each heartbeat reply, 500 a second at 200 hosts, though they change every 100 ms; each tick of an entry host built an object of two times. Now the three waits share one path, which asks for the rate only if something waits; the list is made with each update; the interval is a function. What it saves was not measured.

--- a/src/peridotfront/core/allowance_ceilings.py
+++ b/src/peridotfront/core/allowance_ceilings.py
@@ -4,7 +4,7 @@
 the leader goes beyond a ceiling only once all hosts that reach it know the next one.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .allowance_shares import BASE_CEILING, LEADER_SHARE
@@ -33,10 +33,13 @@
     """Ceilings of all accounts, as shares of their limits.
 
     :param version: number of the first announcement, above those of earlier terms.
+
+    ``announced`` are the ceilings above the one of an idle account, as hosts are told.
     """
 
     def __init__(self, version: int):
         self.version = version
+        self.announced: tuple[AllowanceShare, ...] = ()
         self._ceilings: dict[str, _Ceiling] = {}
 
     def usable(self, account: str) -> float:
@@ -44,11 +47,6 @@
         ceiling = self._ceilings.get(account)
         return ceiling.usable if ceiling else BASE_CEILING
 
-    def announced(self) -> Iterator[AllowanceShare]:
-        """Yield the ceilings above the one of an idle account."""
-        for account, ceiling in self._ceilings.items():
-            yield AllowanceShare(account, ceiling.announced)
-
     def update(self, spent: Iterable[AllowanceShare], known_version: int) -> None:
         """Announce ceilings a margin above what is spent, and use those that are known.
 
@@ -68,6 +66,12 @@
         for ceiling in self._ceilings.values():
             if ceiling.version <= known_version:
                 ceiling.usable = ceiling.announced
+        self.announced = tuple(
+            [
+                AllowanceShare(account, ceiling.announced)
+                for account, ceiling in self._ceilings.items()
+            ]
+        )
 
     def _announce(self, account: str, share: float) -> None:
         ceiling = self._ceilings.get(account)
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -185,7 +185,7 @@
                 reply,
                 entry_hosts=self._entry_host_count(now_ms),
                 upstreams_version=self.directory.version,
-                ceilings=tuple(self._ceilings.announced()) if self.is_leading else (),
+                ceilings=self._ceilings.announced if self.is_leading else (),
                 shares_version=self._ceilings.version if self.is_leading else 0,
             ),
         )
--- a/src/peridotfront/core/drain_rate.py
+++ b/src/peridotfront/core/drain_rate.py
@@ -178,16 +178,14 @@
     ) -> float:
         """Return the expected wait of the last slot request of a tier."""
         ahead = self._queues.ahead(tier, model)
-        higher_demand = self._arrival_rate(tier - 1, model, now_ms)
-        return self._drain_ms(ahead, higher_demand, model, upstreams, now_ms)
+        return self._drain_ms(ahead, tier - 1, model, upstreams, now_ms)
 
     def punctual_wait_ms(
         self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
     ) -> float:
         """Return the expected wait behind those of a tier that can meet their goals."""
         ahead = self._queues.punctual_ahead(tier, model)
-        higher_demand = self._arrival_rate(tier - 1, model, now_ms)
-        return self._drain_ms(ahead, higher_demand, model, upstreams, now_ms)
+        return self._drain_ms(ahead, tier - 1, model, upstreams, now_ms)
 
     def late_wait_ms(
         self, tier: int, model: str, upstreams: Iterable[Upstream], now_ms: int
@@ -197,26 +195,29 @@
         Those of its own tier that arrive later and can meet their goals go before it.
         """
         ahead = self._queues.ahead(tier, model)
-        other_demand = self._arrival_rate(tier, model, now_ms)
         return self._drain_ms(
-            ahead, other_demand, model, upstreams, now_ms, MIN_LATE_SPARE_SHARE
+            ahead, tier, model, upstreams, now_ms, MIN_LATE_SPARE_SHARE
         )
 
     def _drain_ms(
         self,
         ahead: Demand,
-        other_demand: Demand,
+        lowest_tier: int,
         model: str,
         upstreams: Iterable[Upstream],
         now_ms: int,
         min_spare_share: float = MIN_SPARE_SHARE,
     ) -> float:
-        """Return the time to serve a demand beside another one that keeps arriving."""
+        """Return the time to serve a demand beside what goes on arriving.
+
+        :param lowest_tier: lowest tier whose arrivals go before the demand.
+        """
         if ahead.slot_requests == 0:
             return 0.0
         model_capacity = self.capacity(model, upstreams, now_ms)
         if model_capacity.slots == 0:
             return float(NO_CAPACITY_WAIT_MS)
+        other_demand = self._arrival_rate(lowest_tier, model, now_ms)
         spare_slots = self._spare_slots(model_capacity, other_demand, min_spare_share)
         slots_ms = model_capacity.hold_ms(ahead) * self._hold_ratio / spare_slots
         prefill_rate = model_capacity.prefill_tokens_per_ms
--- a/src/peridotfront/core/leader_follower.py
+++ b/src/peridotfront/core/leader_follower.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterator
 
-from .heartbeat_timing import MAX_INTERVAL_MS, HeartbeatTiming, heartbeat_timing
+from .heartbeat_timing import MAX_INTERVAL_MS, heartbeat_interval_ms
 from .leader_hints import LeaderHints
 from .messages import AllowanceShare, Heartbeat
 
 HINT_TIMEOUT_MS = 1500
+LEADER_TIMEOUT_INTERVALS = 2.75
 HOST_COUNT_LIFETIME_MS = 10_000
 ASSUMED_HOST_COUNT = 1000
 
@@ -79,7 +80,7 @@
         """
         if self._heartbeat_sent_ms is None:
             return True
-        interval_ms = self._timing.interval_ms
+        interval_ms = heartbeat_interval_ms(self.entry_hosts)
         if self._unanswered_rounds > 1 and not self._has_host_count:
             interval_ms = min(MAX_INTERVAL_MS, interval_ms * self._unanswered_rounds)
         return now_ms - self._heartbeat_sent_ms >= interval_ms
@@ -93,13 +94,12 @@
         self._unanswered_rounds += 1
         yield from dict.fromkeys((*self.seeds, *self._control_hosts))
 
-    @property
-    def _timing(self) -> HeartbeatTiming:
-        return heartbeat_timing(self.entry_hosts)
-
     def _is_silent(self, leader: str, now_ms: int) -> bool:
         seen_ms = self._leader_seen_ms.get(leader)
-        return seen_ms is None or now_ms - seen_ms >= self._timing.leader_timeout_ms
+        if seen_ms is None:
+            return True
+        interval_ms = heartbeat_interval_ms(self.entry_hosts)
+        return now_ms - seen_ms >= int(interval_ms * LEADER_TIMEOUT_INTERVALS)
 
     def _update_host_count(self, entry_hosts: int, now_ms: int) -> None:
         """Update the host count to the largest recent value.
