Say once what limits, calls and answer times had said twice

UpstreamLimits.replace undid what set had done to a time; both now set the rate through one method. A call to a plain service moves the same mean with the same gain as a token's gap, so it uses that method. The scheduler tells answer times of plain services where it already tells services from engines. Mean and deviation of answer times stand in one record in place of two tables.

--- a/src/peridotfront/core/answer_times.py
+++ b/src/peridotfront/core/answer_times.py
@@ -1,11 +1,24 @@
 """Times that answers take to begin once a slot is granted."""
 
+from dataclasses import dataclass
+
 from .messages import SlotRequest
 
 GAIN = 0.1
 DEVIATIONS = 1.0
 
 
+@dataclass(slots=True)
+class _Estimate:
+    mean_ms: float
+    deviation_ms: float = 0.0
+
+    def observe(self, answer_ms: float) -> None:
+        error_ms = answer_ms - self.mean_ms
+        self.mean_ms += error_ms * GAIN
+        self.deviation_ms += (abs(error_ms) - self.deviation_ms) * GAIN
+
+
 class AnswerTimes:
     """Expected times from a grant to the begin of the answer, by size of the prompt.
 
@@ -14,25 +27,17 @@
     """
 
     def __init__(self) -> None:
-        self._means_ms: dict[int, float] = {}
-        self._deviations_ms: dict[int, float] = {}
+        self._estimates: dict[int, _Estimate] = {}
 
     def record(self, slot_request: SlotRequest, answer_ms: float) -> None:
         """Record the time that an answer took to begin."""
         size = slot_request.prompt_tokens.bit_length()
-        mean_ms = self._means_ms.get(size)
-        if mean_ms is None:
-            self._means_ms[size] = answer_ms
-            self._deviations_ms[size] = 0.0
-            return
-        error_ms = answer_ms - mean_ms
-        self._means_ms[size] = mean_ms + error_ms * GAIN
-        deviation_ms = self._deviations_ms[size]
-        self._deviations_ms[size] += (abs(error_ms) - deviation_ms) * GAIN
+        estimate = self._estimates.setdefault(size, _Estimate(answer_ms))
+        estimate.observe(answer_ms)
 
     def expected_ms(self, slot_request: SlotRequest) -> float:
         """Return the expected time; 0 if no answer of that size is known."""
-        size = slot_request.prompt_tokens.bit_length()
-        if size not in self._means_ms:
+        estimate = self._estimates.get(slot_request.prompt_tokens.bit_length())
+        if estimate is None:
             return 0.0
-        return self._means_ms[size] + DEVIATIONS * self._deviations_ms[size]
+        return estimate.mean_ms + DEVIATIONS * estimate.deviation_ms
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -533,8 +533,6 @@
             wasted[release.cause.value] += release.prompt_tokens - release.cached_tokens
         if release.cause is ReleaseCause.COMPLETED:
             upstream.capacity.record_duration(release.duration_ms)
-            if self._is_service:
-                self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
             candidates = self._candidates(slot.slot_request.model)
             self._drain_rate.observe(
                 slot.slot_request, release.duration_ms, candidates, now_ms
@@ -547,6 +545,7 @@
         capacity = upstream.capacity
         if self._is_service:
             capacity.record_call(release.duration_ms, now_ms)
+            self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
             return
         capacity.record_progress(
             slot, release.produced_tokens, release.slow_tokens, now_ms
--- a/src/peridotfront/core/upstream_capacity.py
+++ b/src/peridotfront/core/upstream_capacity.py
@@ -12,7 +12,6 @@
 SLOW_SHARE_GAIN = 0.1
 SLOW_DECAY_MS = 15_000.0
 HOLD_GAIN = 0.1
-CALL_GAIN = 0.1
 CALL_HALF_LIFE_MS = 5000
 INITIAL_HOLD_MS = 2000.0
 WINDOW_MS = 1000
@@ -134,7 +133,7 @@
 
     def record_call(self, duration_ms: int, now_ms: int) -> None:
         """Update the expected duration of a call by that of one that has ended."""
-        self.gap_ms += (duration_ms - self.gap_ms) * CALL_GAIN
+        self._observe_gap(duration_ms)
         self._call_measured_ms = now_ms
 
     @property
--- a/src/peridotfront/core/upstream_limits.py
+++ b/src/peridotfront/core/upstream_limits.py
@@ -71,12 +71,18 @@
                 return False
             del self._buckets[upstream]
             return True
+        is_changed = self._set_rate(named, now_ms)
+        self._buckets[upstream].named_ms = now_ms
+        return is_changed
+
+    def _set_rate(self, named: NamedLimit, now_ms: int) -> bool:
+        """Set the rate of an upstream and return whether it changed."""
+        bucket = self._buckets.get(named.upstream)
         if bucket is None:
-            self._buckets[upstream] = _Bucket(
+            self._buckets[named.upstream] = _Bucket(
                 named.requests_per_s, 0.0, now_ms, now_ms, now_ms
             )
             return True
-        bucket.named_ms = now_ms
         self._refill(bucket, now_ms)
         is_changed = bucket.requests_per_s != named.requests_per_s
         bucket.requests_per_s = named.requests_per_s
@@ -88,10 +94,7 @@
         for upstream in self._buckets.keys() - named.keys():
             del self._buckets[upstream]
         for limit in named.values():
-            bucket = self._buckets.get(limit.upstream)
-            named_ms = bucket.named_ms if bucket else now_ms
-            self.set(limit, now_ms)
-            self._buckets[limit.upstream].named_ms = named_ms
+            self._set_rate(limit, now_ms)
 
     def retain(self, upstreams: Container[str]) -> None:
         """Drop the limits of other upstreams than these."""
