Build the services of both simulated loads with one function

The loads of a plain service and of engines each built the same configuration. Their assertions, seeds and loads stay.

--- a/features/support/engine_load.py
+++ b/features/support/engine_load.py
@@ -7,7 +7,7 @@
 from benchmarks.engine import Engine, EngineKind
 from benchmarks.requests import Job
 from peridotfront.core.actions import Received, Send, Tick
-from peridotfront.core.fleet import AccountSpec, Fleet, UpstreamKind, UpstreamSpec
+from peridotfront.core.fleet import UpstreamKind
 from peridotfront.core.messages import (
     CancelSlotRequest,
     Grant,
@@ -19,7 +19,8 @@
 )
 from peridotfront.core.scheduler import CellScheduler
 from peridotfront.core.scheduler_events import FleetChanged
-from peridotfront.core.service_schedulers import SERVICE_POLICY
+
+from .service_fleet import build_fleet
 
 CELL = "models"
 HOST = "e1"
@@ -101,24 +102,16 @@
         self.engines = {f"g{n}": Engine(f"g{n}", ENGINE) for n in range(engines)}
         self._step_end_ms = dict.fromkeys(self.engines, 0.0)
         self._step_ms = {}
-        specs = [
-            UpstreamSpec(
-                name=name,
-                kind=UpstreamKind.ENGINE,
-                data_centre="dc",
-                address="",
-                service=CELL,
-                models=("",),
-                max_slots=SLOTS,
-                pool=CELL,
-                prefill_tokens_per_s=30_000,
-                decode_tokens_per_s=200,
-                kv_capacity_tokens=ENGINE.kv_tokens,
-            )
-            for name in self.engines
-        ]
-        accounts = tuple([AccountSpec(f"a{n}", "") for n in range(ACCOUNTS)])
-        fleet = Fleet(1, tuple(specs), accounts, policy=SERVICE_POLICY)
+        fleet = build_fleet(
+            CELL,
+            UpstreamKind.ENGINE,
+            self.engines,
+            SLOTS,
+            ACCOUNTS,
+            prefill_tokens_per_s=30_000,
+            decode_tokens_per_s=200,
+            kv_capacity_tokens=ENGINE.kv_tokens,
+        )
         self.scheduler = CellScheduler(CELL, fleet, UpstreamKind.ENGINE)
         self._step(FleetChanged(fleet))
 
--- a/features/support/service_load.py
+++ b/features/support/service_load.py
@@ -4,7 +4,7 @@
 
 from peridotfront.core.actions import Received, Send, Tick
 from peridotfront.core.attempts import min_service_time_ms
-from peridotfront.core.fleet import AccountSpec, Fleet, UpstreamKind, UpstreamSpec
+from peridotfront.core.fleet import UpstreamKind
 from peridotfront.core.messages import (
     CancelSlotRequest,
     Grant,
@@ -16,7 +16,8 @@
 from peridotfront.core.routes import Route, RouteKind, WeightedService
 from peridotfront.core.scheduler import CellScheduler
 from peridotfront.core.scheduler_events import FleetChanged
-from peridotfront.core.service_schedulers import SERVICE_POLICY
+
+from .service_fleet import build_fleet
 
 CELL = "ledger"
 HOST = "e1"
@@ -64,23 +65,8 @@
         self._due_requests = 0.0
         self._waiting = {}
         self._active = []
-        names = [f"l{number}" for number in range(upstreams)]
-        specs = [
-            UpstreamSpec(
-                name=name,
-                kind=UpstreamKind.SERVICE,
-                data_centre="dc",
-                address="",
-                service=CELL,
-                models=("",),
-                max_slots=SLOTS,
-                pool=CELL,
-            )
-            for name in names
-        ]
-        accounts = tuple([AccountSpec(f"a{n}", "") for n in range(ACCOUNTS)])
-        fleet = Fleet(1, tuple(specs), accounts, policy=SERVICE_POLICY)
-        self.upstreams = names
+        self.upstreams = [f"l{number}" for number in range(upstreams)]
+        fleet = build_fleet(CELL, UpstreamKind.SERVICE, self.upstreams, SLOTS, ACCOUNTS)
         self.scheduler = CellScheduler(CELL, fleet, UpstreamKind.SERVICE)
         self._step(FleetChanged(fleet))
 
