Log when the end of a request changes the circuit of an upstream, and whose it was

The logs of the incident couldn't tell whether one host's reports or held slots keep an upstream from all others: the leader wrote nothing. circuit_changed names the reporter, the cause and the slots that are held.

--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -297,7 +297,7 @@
         if release.cause in UNSENT_CAUSES:
             self._limits.refund(slot.upstream)
         self._vacate(slot)
-        yield from self._update_health(slot, release, now_ms)
+        yield from self._update_circuit(slot, release, now_ms)
         if release.cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._apply_strikes(now_ms)
         yield from self._grant_queued(now_ms)
@@ -551,12 +551,21 @@
             slot, release.produced_tokens, release.slow_tokens, now_ms
         )
 
-    def _update_health(
+    def _update_circuit(
         self, slot: Slot, release: Release, now_ms: int
     ) -> Iterator[Action]:
         upstream = self._upstreams.get(slot.upstream)
         if upstream is None:
             return
+        earlier_state = upstream.health.state
+        yield from self._update_health(slot, release, now_ms)
+        if upstream.health.state is not earlier_state:
+            yield _build_circuit_log(upstream, slot.host, release.cause)
+
+    def _update_health(
+        self, slot: Slot, release: Release, now_ms: int
+    ) -> Iterator[Action]:
+        upstream = self._upstreams[slot.upstream]
         cause = release.cause
         health = upstream.health
         if cause is ReleaseCause.REJECTED and self._limits.rejected(
@@ -740,6 +749,18 @@
     return Log("upstream_crashed", fields)
 
 
+def _build_circuit_log(upstream: Upstream, reporter: str, cause: ReleaseCause) -> Log:
+    fields = (
+        ("upstream", upstream.name),
+        ("state", upstream.health.state),
+        ("cause", cause),
+        ("reporter", reporter),
+        ("used_slots", len(upstream.capacity.slots)),
+        ("max_slots", upstream.capacity.max_slots),
+    )
+    return Log("circuit_changed", fields)
+
+
 def _without_model(slot_request: SlotRequest) -> SlotRequest:
     """Return the slot request as one of a plain service, of which all cost the same."""
     return replace(
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -582,6 +582,15 @@
         "requests_per_s is for all hosts together; negative if it has no limit any"
         " more. The others get its load. Find out why it is in need.",
     ),
+    LogEvent(
+        539,
+        "circuit_changed",
+        Level.INFO,
+        "the end of a request changed whether an upstream gets more",
+        "state is that of its circuit breaker, cause how the request ended, reporter"
+        " the host that sent it. used_slots of max_slots are still held. If one host"
+        " reports many upstreams, its links to them may be lost.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
