--- a/features/support/prompt_processes.py
+++ b/features/support/prompt_processes.py
@@ -102,7 +102,7 @@
             await self._play(Path(folder), duration_s)
 
     async def _play(self, folder, duration_s):
-        deployment = Deployment(folder, self.controls, self.entries)
+        deployment = self._build_deployment(folder)
         self.upstreams = upstreams = self._build_upstreams()
         upstream_list = UpstreamList(upstreams)
         operator = Operator(deployment.controls, Record(), self._random)
@@ -122,6 +122,9 @@
                 await upstream.stop()
             await upstream_list.stop()
 
+    def _build_deployment(self, folder):
+        return Deployment(folder, self.controls, self.entries)
+
     def _build_upstreams(self):
         return [
             CrashingUpstream(
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -47,7 +47,11 @@
 
 
 class Host:
-    """Host process with its settings and the proxy for its peer address."""
+    """Host process with its settings and the proxy for its peer address.
+
+    ``module`` is the program, and ``variables`` are its environment variables beside
+    the inherited ones.
+    """
 
     def __init__(self, role, number, seeds, folder):
         self.role = role
@@ -55,6 +59,8 @@
         self.ip = f"{NETWORK}.{0 if role == 'control' else 1}.{number}"
         self.proxy = Proxy(self.ip, PEER_PORT, REAL_PEER_PORT)
         self.peak_kb = 0
+        self.module = f"peridotfront.platform.{role}"
+        self.variables = {"PYTHONPATH": str(ROOT / "src")}
         self._seeds = seeds
         self._folder = folder
         self._process = None
@@ -80,13 +86,17 @@
         settings.write_text(self._settings(is_first_start))
         environment = {
             **os.environ,
+            **self.variables,
             "PERIDOTFRONT_SETTINGS": str(settings),
-            "PYTHONPATH": str(ROOT / "src"),
         }
-        module = f"peridotfront.platform.{self.role}"
         with open(self._folder / f"{self.name}.log", "ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", module, stdout=log, stderr=log, env=environment
+                sys.executable,
+                "-m",
+                self.module,
+                stdout=log,
+                stderr=log,
+                env=environment,
             )
 
     def send_signal(self, signal_number):
