Let the reports of a host without links take no upstream from the others

Callers of all hosts got 503 while two of six hosts had lost their links to upstreams.

Change: the leader weighs reports by host (core/host_reach). An upstream to which no connection opens is out of service once two hosts say so. A host that fails at two upstreams in a row, or gets no answer for 1 s, while others are served has lost its links: its reports are withdrawn, and upstreams that only such hosts reported are used again. A host that has not failed at an upstream may test it at once.

--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -325,7 +325,7 @@
             self._lost_ms.pop(event.sender, None)
             self._has_new_limits = len(self._limits) > 0
             yield Log("entry_host_joined", (("peer", event.sender),))
-            self.service_schedulers.set_data_centre(event.sender, message.data_centre)
+            self.service_schedulers.reach.join(event.sender, message.data_centre)
         entry.last_seen_ms = now_ms
         entry.upstreams_version = message.upstreams_version
         entry.shares_version = message.shares_version
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -47,6 +47,7 @@
         self._errors = 0
         self._timeouts = 0
         self._progress_ms = -1
+        self._is_early_probe = False
 
     def slots(self, limit: int, now_ms: int) -> int:
         """Return how many of the upstream's slots may be used.
@@ -61,6 +62,11 @@
             self.state = HealthState.PROBING
         return 1 if self.state is HealthState.PROBING else 0
 
+    def probe_early(self) -> None:
+        """Start a probe before the backoff has ended; its failure prolongs nothing."""
+        self.state = HealthState.PROBING
+        self._is_early_probe = True
+
     def next_probe_ms(self, now_ms: int) -> int:
         """Return the time until the upstream is probed."""
         return max(0, self._probe_at_ms - now_ms)
@@ -143,6 +149,13 @@
         self._failure_share = share + (1 - share) * FAILURE_GAIN
         self._failure_share_ms = now_ms
 
+    def reinstate(self) -> None:
+        """Close the circuit and forget recent failures, which had other causes."""
+        self._recover()
+        self._errors = 0
+        self._timeouts = 0
+        self._failure_share = 0.0
+
     def _recover(self) -> None:
         self.state = HealthState.HEALTHY
         self._backoff_ms = INITIAL_BACKOFF_MS
@@ -169,8 +182,12 @@
             self._open_circuit(now_ms)
 
     def _open_circuit(self, now_ms: int) -> None:
+        self._errors = 0
+        self._timeouts = 0
+        is_early_probe = self._is_early_probe and self.state is HealthState.PROBING
         self.state = HealthState.DOWN
+        self._is_early_probe = False
+        if is_early_probe:
+            return
         self._probe_at_ms = now_ms + self._backoff_ms
         self._backoff_ms = min(self.max_backoff_ms, self._backoff_ms * 2)
-        self._errors = 0
-        self._timeouts = 0
--- /dev/null
+++ b/src/peridotfront/core/host_reach.py
@@ -0,0 +1,237 @@
+"""Which entry hosts reach which upstreams, by how their requests ended.
+
+A failed connection doesn't tell whether the upstream or the host's links are at fault.
+The reports of several hosts do: a host that fails at several upstreams while others are
+served has lost its links, and its reports say nothing about the upstreams.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .actions import Log
+
+# A host with failures at so many upstreams in a row may have lost its links.
+MIN_FAILED_UPSTREAMS = 2
+# An upstream that one host can't reach may be reached by others.
+REPORTS_OF_OUTAGE = 2
+# Hosts that have not failed at an upstream out of service may test it, until so many
+# have reported it, one at a time and so long after each other.
+MAX_REPORTERS = 5
+TEST_INTERVAL_MS = 100
+# A slow upstream alone keeps a host without any answer for less.
+MIN_SILENCE_MS = 1000
+
+
+@dataclass(slots=True)
+class _HostLinks:
+    """Evidence on the links of one entry host.
+
+    :param failing: upstreams at which it failed since it was last served anywhere.
+    :param unconnected: those of them to which no connection held.
+    :param failing_since_ms: time of the first of these failures.
+    :param served_ms: time at which an upstream last answered it.
+    :param is_cut_off: whether it has lost its links to most upstreams.
+    """
+
+    data_centre: str
+    failing: set[str] = field(default_factory=set)
+    unconnected: set[str] = field(default_factory=set)
+    failing_since_ms: int = 0
+    served_ms: int = -1
+    is_cut_off: bool = False
+
+
+class HostReach:
+    """Evidence on the links between entry hosts and upstreams.
+
+    Hosts that have not joined are taken at their word, and reach all upstreams.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: dict[str, _HostLinks] = {}
+        self._reporters: dict[str, dict[str, bool]] = {}
+        self._tested_ms: dict[str, int] = {}
+        self._doubtful: set[str] = set()
+        self._reinstated: set[str] = set()
+        self._logs: list[Log] = []
+
+    def join(self, host: str, data_centre: str) -> None:
+        """Add an entry host."""
+        self._hosts[host] = _HostLinks(data_centre)
+
+    def leave(self, host: str) -> None:
+        """Remove an entry host and its reports."""
+        self._hosts.pop(host, None)
+        self._doubtful.discard(host)
+        self._withdraw_reports(host)
+
+    def data_centre(self, host: str) -> str:
+        """Return the data centre of an entry host; empty if it is unknown."""
+        links = self._hosts.get(host)
+        return links.data_centre if links is not None else ""
+
+    def is_cut_off(self, host: str) -> bool:
+        """Return whether a host has lost its links while other hosts are served."""
+        links = self._hosts.get(host)
+        return links is not None and links.is_cut_off
+
+    # Evidence
+
+    def record_answer(self, host: str, upstream: str, now_ms: int) -> None:
+        """Record that an upstream answered a host, in whatever way."""
+        self._reporters.pop(upstream, None)
+        links = self._hosts.get(host)
+        if links is None:
+            return
+        links.served_ms = now_ms
+        if links.failing:
+            links.failing.clear()
+            links.unconnected.clear()
+            self._doubtful.discard(host)
+            self._set_cut_off(host, links, False)
+        for name in tuple(self._doubtful):
+            self._judge(name, now_ms)
+
+    def record_unreachable(self, host: str, upstream: str, now_ms: int) -> bool:
+        """Record that a host could not open a connection to an upstream.
+
+        :return: whether it is an outage of the upstream, and not of the link.
+        """
+        links = self._hosts.get(host)
+        if links is None:
+            return True
+        links.unconnected.add(upstream)
+        self._record_failure(host, links, upstream, now_ms, is_hard=True)
+        if self._sound_hosts(REPORTS_OF_OUTAGE) < REPORTS_OF_OUTAGE:
+            return not links.is_cut_off
+        # A host that was found cut off just now has withdrawn its reports.
+        reporters = self._reporters.get(upstream, {})
+        sound = [
+            name
+            for name, is_hard in reporters.items()
+            if is_hard and not self.is_cut_off(name)
+        ]
+        return len(sound) >= REPORTS_OF_OUTAGE
+
+    def record_broken(self, host: str, upstream: str, now_ms: int) -> bool:
+        """Record that a connection to an upstream broke.
+
+        :return: whether it may be the upstream's fault.
+        """
+        links = self._hosts.get(host)
+        if links is None:
+            return True
+        links.unconnected.add(upstream)
+        self._record_failure(host, links, upstream, now_ms, is_hard=True)
+        return not links.is_cut_off
+
+    def record_silence(self, host: str, upstream: str, now_ms: int) -> bool:
+        """Record that an upstream did not answer a host in time.
+
+        :return: whether it may be the upstream's fault.
+        """
+        links = self._hosts.get(host)
+        if links is None:
+            return True
+        self._record_failure(host, links, upstream, now_ms)
+        return not links.is_cut_off
+
+    def take_reinstated(self) -> set[str]:
+        """Return the upstreams that only hosts without links had reported, once."""
+        reinstated = self._reinstated
+        if reinstated:
+            self._reinstated = set()
+        return reinstated
+
+    def take_logs(self) -> Iterator[Log]:
+        """Yield the log lines on hosts that lost or regained their links, once."""
+        logs = self._logs
+        if logs:
+            self._logs = []
+        yield from logs
+
+    def retain(self, upstreams: set[str]) -> None:
+        """Forget all upstreams but some."""
+        for known in (self._reporters, self._tested_ms):
+            for name in known.keys() - upstreams:
+                del known[name]
+
+    # Use
+
+    def may_test(self, host: str, upstream: str, now_ms: int) -> bool:
+        """Return whether a host may test an upstream that is out of service.
+
+        The reports of hosts that lost their links must not keep it from the others.
+        """
+        reporters = self._reporters.get(upstream)
+        if not reporters or host in reporters or len(reporters) >= MAX_REPORTERS:
+            return False
+        if host not in self._hosts or not any(reporters.values()):
+            return False
+        tested_ms = self._tested_ms.get(upstream, -TEST_INTERVAL_MS)
+        return now_ms - tested_ms >= TEST_INTERVAL_MS
+
+    def record_test(self, upstream: str, now_ms: int) -> None:
+        """Record that a host tests an upstream that is out of service."""
+        self._tested_ms[upstream] = now_ms
+
+    def _sound_hosts(self, limit: int) -> int:
+        """Return the number of hosts with links, counted up to a limit."""
+        count = 0
+        for links in self._hosts.values():
+            count += not links.is_cut_off
+            if count == limit:
+                break
+        return count
+
+    def _record_failure(
+        self,
+        host: str,
+        links: _HostLinks,
+        upstream: str,
+        now_ms: int,
+        is_hard: bool = False,
+    ) -> None:
+        self._reporters.setdefault(upstream, {})[host] = is_hard
+        if not links.failing:
+            links.failing_since_ms = now_ms
+        links.failing.add(upstream)
+        if not links.is_cut_off and len(links.failing) >= MIN_FAILED_UPSTREAMS:
+            self._doubtful.add(host)
+            self._judge(host, now_ms)
+
+    def _judge(self, host: str, now_ms: int) -> None:
+        """Find a host cut off if others are served while it fails everywhere."""
+        links = self._hosts[host]
+        is_silent = now_ms - links.served_ms >= MIN_SILENCE_MS
+        if not is_silent and len(links.unconnected) < MIN_FAILED_UPSTREAMS:
+            return
+        served_ms = max(
+            [other.served_ms for name, other in self._hosts.items() if name != host],
+            default=-1,
+        )
+        if served_ms > links.failing_since_ms:
+            self._set_cut_off(host, links, True)
+
+    def _set_cut_off(self, host: str, links: _HostLinks, is_cut_off: bool) -> None:
+        if links.is_cut_off == is_cut_off:
+            return
+        links.is_cut_off = is_cut_off
+        self._doubtful.discard(host)
+        fields = (
+            ("peer", host),
+            ("is_cut_off", is_cut_off),
+            ("upstreams", ",".join(sorted(links.failing))),
+        )
+        self._logs.append(Log("host_reach_changed", fields))
+        if is_cut_off:
+            self._withdraw_reports(host)
+
+    def _withdraw_reports(self, host: str) -> None:
+        """Reinstate the upstreams that no other host has reported."""
+        for upstream, reporters in tuple(self._reporters.items()):
+            if host in reporters:
+                del reporters[host]
+                if all(self.is_cut_off(name) for name in reporters):
+                    del self._reporters[upstream]
+                    self._reinstated.add(upstream)
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -5,6 +5,7 @@
 
 from .fleet import Policy, UpstreamKind, UpstreamSpec
 from .health import Health, HealthState
+from .host_reach import HostReach
 from .messages import SlotRequest
 from .poison_detection import PoisonDetector
 from .prefix_cache import PrefixCacheModel
@@ -122,13 +123,19 @@
     :param policy: active parameters of the policy.
     :param poison_detector: detector of suspects; two of them never share an upstream.
     :param limits: limits that upstreams have named.
+    :param reach: evidence on the links between entry hosts and upstreams.
     """
 
     def __init__(
-        self, policy: Policy, poison_detector: PoisonDetector, limits: UpstreamLimits
+        self,
+        policy: Policy,
+        poison_detector: PoisonDetector,
+        limits: UpstreamLimits,
+        reach: HostReach,
     ):
         self._policy = policy
         self._limits = limits
+        self._reach = reach
         self._poison_detector = poison_detector
 
     def choose(
@@ -207,7 +214,7 @@
         slot_request = queued.slot_request
         if upstream.is_leaving:
             return Availability.UNAVAILABLE
-        limit = upstream.limit(self._policy, is_urgent, now_ms)
+        limit = self._limit(upstream, queued, is_urgent, now_ms)
         if limit == 0 or not upstream.fits_when_empty(slot_request):
             return Availability.UNAVAILABLE
         if not self._limits.allows(upstream.name, now_ms):
@@ -229,6 +236,18 @@
         has_short_queue = capacity.backlog_ms(now_ms) <= self._policy.engine_queue_ms
         return Availability.AVAILABLE if has_short_queue else Availability.FULL
 
+    def _limit(
+        self,
+        upstream: Upstream,
+        queued: QueuedSlotRequest,
+        is_urgent: bool,
+        now_ms: int,
+    ) -> int:
+        limit = upstream.limit(self._policy, is_urgent, now_ms)
+        if limit == 0 and self._reach.may_test(queued.host, upstream.name, now_ms):
+            return int(upstream.capacity.limit_slots)
+        return limit
+
     def _fits_memory(self, upstream: Upstream, slot_request: SlotRequest) -> bool:
         if upstream.capacity.fits_memory(slot_request, 0):
             return True
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler of a cell, which grants slots at upstreams to slot requests."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -11,7 +11,8 @@
 from .crash_recorder import CrashRecorder
 from .drain_rate import DrainRate
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
-from .health import Health
+from .health import Health, HealthState
+from .host_reach import HostReach
 from .load_shedding import LoadShedder
 from .messages import (
     CancelSlotRequest,
@@ -54,6 +55,12 @@
 ABSENT_CAUSES = (ReleaseCause.UNREACHABLE, ReleaseCause.OTHER_UPSTREAM)
 # A goal that answers rarely meet must not make all requests late.
 MAX_ANSWER_SHARE_OF_GOAL = 0.6
+ANSWERED_CAUSES = (
+    ReleaseCause.COMPLETED,
+    ReleaseCause.OTHER_UPSTREAM,
+    ReleaseCause.UPSTREAM_ERROR,
+    ReleaseCause.REJECTED,
+)
 FAILED_CAUSES = (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED)
 WASTED_PREFILL_CAUSES = (
     ReleaseCause.CALLER_GONE,
@@ -76,7 +83,7 @@
     :param kind: kind of the cell's upstreams; derived from the cell's name by default.
     :param crash_guard: filter of requests that crash upstreams.
     :param limits: limits that upstreams have named.
-    :param data_centres: data centres of the entry hosts, by name.
+    :param reach: evidence on the links between entry hosts and upstreams.
     """
 
     def __init__(
@@ -86,7 +93,7 @@
         kind: UpstreamKind | None = None,
         crash_guard: CrashGuard | None = None,
         limits: UpstreamLimits | None = None,
-        data_centres: Mapping[str, str] | None = None,
+        reach: HostReach | None = None,
     ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
@@ -103,7 +110,7 @@
         self._crashes = CrashRecorder(guard, self._slots)
         self._answer_times = AnswerTimes()
         self._limits = UpstreamLimits() if limits is None else limits
-        self._data_centres = {} if data_centres is None else data_centres
+        self._reach = HostReach() if reach is None else reach
         self._drain_rate = DrainRate(self._queues, self._limits)
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
@@ -336,7 +343,7 @@
             now_ms + max_wait_ms,
             is_scheduled_retry,
             self._goal_at_ms(slot_request, now_ms),
-            self._data_centres.get(sender, ""),
+            self._reach.data_centre(sender),
         )
 
     def _goal_at_ms(self, slot_request: SlotRequest, now_ms: int) -> int | None:
@@ -459,6 +466,9 @@
         slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
         self._occupy(slot, now_ms)
         self._limits.take(slot.upstream, now_ms)
+        if choice.upstream.health.state is HealthState.DOWN:
+            self._reach.record_test(slot.upstream, now_ms)
+            choice.upstream.health.probe_early()
         self._drain_rate.granted(
             slot_request.prompt_tokens, choice.predicted_prefix_tokens
         )
@@ -513,6 +523,7 @@
         if is_first and slot.granted_ms < now_ms:
             self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
         if held.produced_tokens > slot.produced_tokens:
+            self._reach.record_answer(slot.host, slot.upstream, now_ms)
             self._crashes.record_life(slot.upstream, now_ms)
             limit = int(upstream.capacity.limit_slots)
             upstream.health.progressed(slot.granted_ms, limit, now_ms)
@@ -568,6 +579,8 @@
         upstream = self._upstreams[slot.upstream]
         cause = release.cause
         health = upstream.health
+        if not self._record_reach(slot, cause, now_ms):
+            return
         if cause is ReleaseCause.REJECTED and self._limits.rejected(
             slot.upstream, slot.granted_ms, now_ms
         ):
@@ -591,6 +604,35 @@
         elif cause in FAILED_CAUSES:
             health.failed(False, now_ms)
 
+    def _record_reach(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> bool:
+        """Record what an end says of the link that the request took.
+
+        :return: whether it says something of the upstream.
+        """
+        link = (slot.host, slot.upstream)
+        if cause in ANSWERED_CAUSES:
+            self._reach.record_answer(*link, now_ms)
+            return True
+        if cause is ReleaseCause.UNREACHABLE:
+            is_outage = self._reach.record_unreachable(*link, now_ms)
+            self._drain_rate.invalidate_capacities()
+            return is_outage
+        if cause is ReleaseCause.UPSTREAM_DIED:
+            return self._reach.record_broken(*link, now_ms)
+        if cause is ReleaseCause.UPSTREAM_TIMEOUT:
+            return self._reach.record_silence(*link, now_ms)
+        return True
+
+    def reinstate(self, upstream: str, now_ms: int) -> Iterator[Action]:
+        """Use an upstream again that only hosts without links to it had reported."""
+        known = self._upstreams.get(upstream)
+        if known is None or known.health.state is HealthState.HEALTHY:
+            return
+        known.health.reinstate()
+        self._drain_rate.invalidate_capacities()
+        yield _build_circuit_log(known, "", None)
+        yield from self._grant_queued(now_ms)
+
     def _upstream_died(
         self, upstream: Upstream, slot: Slot, now_ms: int
     ) -> Iterator[Action]:
@@ -689,7 +731,9 @@
         self._shedder.policy = fleet.policy
         self._weights = {account.name: account.weight for account in fleet.accounts}
         self._poison_detector.limit = fleet.policy.poison_strikes
-        self._placement = Placement(fleet.policy, self._poison_detector, self._limits)
+        self._placement = Placement(
+            fleet.policy, self._poison_detector, self._limits, self._reach
+        )
         specs = {spec.name: spec for spec in fleet.upstreams if spec.cell == self.cell}
         self._configured = frozenset(specs)
         for name, upstream in tuple(self._upstreams.items()):
@@ -749,11 +793,13 @@
     return Log("upstream_crashed", fields)
 
 
-def _build_circuit_log(upstream: Upstream, reporter: str, cause: ReleaseCause) -> Log:
+def _build_circuit_log(
+    upstream: Upstream, reporter: str, cause: ReleaseCause | None
+) -> Log:
     fields = (
         ("upstream", upstream.name),
         ("state", upstream.health.state),
-        ("cause", cause),
+        ("cause", cause or "reinstated"),
         ("reporter", reporter),
         ("used_slots", len(upstream.capacity.slots)),
         ("max_slots", upstream.capacity.max_slots),
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -12,6 +12,7 @@
 from .allowances import AllowanceLimits, Allowances
 from .crash_guard import CrashGuard
 from .fleet import AccountSpec, Fleet, Policy, UpstreamKind, UpstreamSpec
+from .host_reach import HostReach
 from .messages import (
     CancelSlotRequest,
     Grant,
@@ -105,7 +106,7 @@
         self.allowances = Allowances(shared_limits.allowances)
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
-        self._data_centres: dict[str, str] = {}
+        self.reach = HostReach()
         self._routing = RoutingConfig()
         self._upstreams: tuple[ListedUpstream, ...] = ()
         self._charges: dict[str, Charge] = {}
@@ -114,10 +115,7 @@
     def handle(self, event: Any, now_ms: int) -> Iterator[Send]:
         """Handle a tick, a received message or the loss of an entry host."""
         yield from self._handle_event(event, now_ms)
-
-    def set_data_centre(self, host: str, data_centre: str) -> None:
-        """Set the data centre of an entry host."""
-        self._data_centres[host] = data_centre
+        yield from self._apply_reach(now_ms)
 
     def apply_routing(self, routing: RoutingConfig, now_ms: int) -> Iterator[Send]:
         """Apply a new configuration."""
@@ -130,6 +128,7 @@
     ) -> Iterator[Send]:
         """Apply a new list of upstreams."""
         self._upstreams = upstreams
+        self.reach.retain({upstream.name for upstream in upstreams})
         yield from self._update_schedulers(now_ms)
 
     def _update_schedulers(self, now_ms: int) -> Iterator[Send]:
@@ -151,7 +150,7 @@
                 kind,
                 self._crash_guard,
                 self._limits,
-                self._data_centres,
+                self.reach,
             )
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
@@ -166,27 +165,41 @@
             changed = FleetChanged(fleet)
             yield from self._track_charges(scheduler.handle(changed, now_ms), now_ms)
 
+    def _apply_reach(self, now_ms: int) -> Iterator[Any]:
+        """Use the upstreams again that hosts without links had reported."""
+        yield from self.reach.take_logs()
+        for upstream in self.reach.take_reinstated():
+            for scheduler in self.schedulers.values():
+                actions = scheduler.reinstate(upstream, now_ms)
+                yield from self._track_charges(actions, now_ms)
+
     @dispatchmethod
     def _handle_event(self, event: Any, now_ms: int) -> Iterator[Send]:
         raise TypeError(f"unexpected event for the service schedulers: {event!r}")
 
     @_handle_event.register
     def _(self, event: Tick, now_ms: int) -> Iterator[Send]:
-        for scheduler in tuple(self.schedulers.values()):
-            yield from self._track_charges(scheduler.handle(event, now_ms), now_ms)
+        yield from self._pass_to_all(event, now_ms)
         if now_ms - self._purged_ms >= CHARGE_RETENTION_MS:
             self._purge_charges(now_ms)
 
-    @_handle_event.register(HostLost)
-    @_handle_event.register(CrashesChanged)
-    def _(self, event: Any, now_ms: int) -> Iterator[Send]:
-        for scheduler in tuple(self.schedulers.values()):
-            yield from self._track_charges(scheduler.handle(event, now_ms), now_ms)
+    @_handle_event.register
+    def _(self, event: HostLost, now_ms: int) -> Iterator[Send]:
+        self.reach.leave(event.host)
+        yield from self._pass_to_all(event, now_ms)
+
+    @_handle_event.register
+    def _(self, event: CrashesChanged, now_ms: int) -> Iterator[Send]:
+        yield from self._pass_to_all(event, now_ms)
 
     @_handle_event.register
     def _(self, event: Received, now_ms: int) -> Iterator[Send]:
         yield from self._handle_message(event.message, event, now_ms)
 
+    def _pass_to_all(self, event: Any, now_ms: int) -> Iterator[Send]:
+        for scheduler in tuple(self.schedulers.values()):
+            yield from self._track_charges(scheduler.handle(event, now_ms), now_ms)
+
     @dispatchmethod
     def _handle_message(
         self, message: Any, event: Received, now_ms: int
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -591,6 +591,14 @@
         " the host that sent it. used_slots of max_slots are still held. If one host"
         " reports many upstreams, its links to them may be lost.",
     ),
+    LogEvent(
+        540,
+        "host_reach_changed",
+        Level.WARNING,
+        "an entry host lost or regained its links to upstreams",
+        "upstreams are those that it did not reach while others were served. While it"
+        " is cut off, its reports count against no upstream. Check its network.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
