--- /dev/null
+++ b/features/host_reach.feature
@@ -0,0 +1,68 @@
+Feature: What a host without links reports takes no upstream from the others
+  A failed connection doesn't tell whether the upstream or the host's link is at fault.
+
+  Scenario Outline: Hosts that lost their links don't keep others from being served
+    Given 6 entry hosts in virtual time before 4 upstreams
+    When the links of "<lost>" to all upstreams are lost, so that requests end as <cause>
+    And 4000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "<others>" were served
+    And the leader takes "<lost>" as cut off from upstreams
+    When 2000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "<lost>" were served
+
+    Examples: Ways in which links fail as "lost host"
+      | lost           | others      | cause            |
+      | e1             | e2,e3,e4    | unreachable      |
+      | e1,e2          | e3,e4,e5,e6 | unreachable      |
+      | e1,e2          | e3,e4,e5,e6 | upstream_died    |
+      | e1,e2          | e3,e4,e5,e6 | upstream_timeout |
+
+  Scenario: Hosts that lost different upstreams take none of them from the others
+    Given 6 entry hosts in virtual time before 4 upstreams
+    When the links of "e1" to "m1,m2" are lost
+    And the links of "e2" to "m3,m4" are lost
+    And 4000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "e1,e2,e3,e4,e5,e6" were served
+    And the leader takes no host as cut off from upstreams
+
+  Scenario: The only host with links serves the callers of all others
+    Given 6 entry hosts in virtual time before 4 upstreams
+    When the links of "e1,e2,e3,e4,e5" to all upstreams are lost, so that requests end as unreachable
+    And 3000 ms of requests pass at all hosts
+    And 2000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "e1,e2,e3,e4,e5,e6" were served
+
+  Scenario: A host that gets all requests is served through an idle one
+    Given 6 entry hosts in virtual time before 4 upstreams
+    And only "e1" get requests
+    When the links of "e1" to all upstreams are lost, so that requests end as unreachable
+    And 3000 ms of requests pass at all hosts
+    And 2000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "e1" were served
+
+  Scenario: Upstreams that no host reaches are out of service after two reports
+    Given 6 entry hosts in virtual time before 4 upstreams
+    When the upstreams "m1,m2" accept no connections
+    And 4000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "e1,e2,e3,e4,e5,e6" were served
+    And the leader takes no host as cut off from upstreams
+
+  Scenario: When all upstreams end, no host is taken as cut off
+    Given 6 entry hosts in virtual time before 4 upstreams
+    When the upstreams "m1,m2,m3,m4" accept no connections
+    And 3000 ms of requests pass at all hosts
+    Then the leader takes no host as cut off from upstreams
+    When all links and upstreams work again
+    And 5000 ms of requests pass at all hosts
+    And 1000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "e1,e2,e3,e4,e5,e6" were served
+
+  Scenario: A host whose links are back is served as before
+    Given 6 entry hosts in virtual time before 4 upstreams
+    When the links of "e1,e2" to all upstreams are lost, so that requests end as unreachable
+    And 3000 ms of requests pass at all hosts
+    And all links and upstreams work again
+    And 1000 ms of requests pass at all hosts
+    And 1000 ms of requests pass at all hosts
+    Then 97 in 100 requests at "e1,e2,e3,e4,e5,e6" were served
+    And the leader takes no host as cut off from upstreams
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -15,11 +15,13 @@
 from peridotfront.core.verdicts import Reason
 from peridotfront.gateway import Gateway
 from peridotfront.gateway_server import GatewayServer
-from peridotfront.http_client import HttpClient
+from peridotfront.http_client import ClientLimits
 from peridotfront.http_server import HttpServer
+from peridotfront.link_checker import LinkChecker
 from peridotfront.metrics import Metrics
 from peridotfront.platform.configuration import parse_configuration
 from peridotfront.platform.requests import PlatformRequestCodec
+from peridotfront.relay_client import UpstreamClients
 
 KEY = "key-of-club"
 HOST = "h.example"
@@ -177,13 +179,17 @@
     async def __aenter__(self):
         for upstream in self.upstreams:
             await upstream.start()
-        self.client = HttpClient()
+        self.clients = UpstreamClients(ClientLimits())
         self.metrics = Metrics("e1", "dc1")
         if self.is_scheduling:
             self.slot_server = leaderless_server(self.upstreams, self.metrics)
             self.ticks = asyncio.ensure_future(self._tick())
         gateway = Gateway(
-            self.slot_server, self.client, PlatformRequestCodec(), self.metrics
+            self.slot_server,
+            self.clients,
+            LinkChecker(self.clients.direct, self.slot_server.feed),
+            PlatformRequestCodec(),
+            self.metrics,
         )
         self.http = HttpServer(gateway.handle)
         await self.http.start("127.0.0.1")
@@ -198,7 +204,7 @@
         if self.is_scheduling:
             self.ticks.cancel()
         await self.http.close()
-        await self.client.close()
+        await self.clients.close()
         for upstream in self.upstreams:
             upstream.server.close()
 
--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -12,6 +12,7 @@
 MAX_NOT_EXECUTED = {
     ReleaseCause.NOT_SENT: 0,
     ReleaseCause.UNREACHABLE: 3,
+    ReleaseCause.RELAY_UNREACHABLE: 3,
     ReleaseCause.OTHER_UPSTREAM: 2,
     ReleaseCause.REJECTED: 2,
 }
@@ -74,11 +75,13 @@
     def allow_retry(self, upstream: str, address: str, cause: ReleaseCause) -> bool:
         """Record how an attempt ended, and return whether a retry is allowed.
 
-        :param upstream: upstream of the attempt; excluded from later attempts.
+        :param upstream: upstream of the attempt; excluded from later attempts, unless
+            a relay was at fault.
         :param address: IP address and port that the request was sent to.
         :param cause: cause with which the slot was released.
         """
-        self.exclude(upstream)
+        if cause is not ReleaseCause.RELAY_UNREACHABLE:
+            self.exclude(upstream)
         if cause is ReleaseCause.REJECTED:
             self._rejecting_addresses.add(address)
         if cause in MAX_NOT_EXECUTED:
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -18,6 +18,7 @@
     CrashingGroup,
     Heartbeat,
     HeldSlot,
+    LinkReport,
     ListedUpstream,
     NamedLimit,
     NamedLimits,
@@ -225,6 +226,7 @@
     @_on_message.register(Release)
     @_on_message.register(SentRepeats)
     @_on_message.register(Spending)
+    @_on_message.register(LinkReport)
     def _(self, message: Any, event: Received, now_ms: int) -> Iterator[Any]:
         if self.service_schedulers is not None:
             yield from self.service_schedulers.handle(event, now_ms)
@@ -329,6 +331,7 @@
         entry.last_seen_ms = now_ms
         entry.upstreams_version = message.upstreams_version
         entry.shares_version = message.shares_version
+        self.service_schedulers.reach.set_leaving(event.sender, message.is_leaving)
         is_outdated = message.upstreams_version != self.directory.version
         if is_outdated and now_ms - entry.list_sent_ms >= RESEND_LIST_MS:
             entry.list_sent_ms = now_ms
--- a/src/peridotfront/core/gateway_events.py
+++ b/src/peridotfront/core/gateway_events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .messages import Grant, Release, SlotRefusal, SlotRequest
+from .messages import Grant, LinkState, Release, SlotRefusal, SlotRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,19 @@
     sent_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class LinkChecked:
+    """Event: this host found out about its own link to an upstream."""
+
+    upstream: str
+    state: LinkState
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """Event: this host is about to stop."""
+
+
 @dataclass(frozen=True, slots=True)
 class SlotReleased:
     """Event: a request releases its slot."""
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -17,6 +17,8 @@
 from .crash_history import CRASHES_KEPT, CrashHistory
 from .fallback import leaderless_upstreams
 from .gateway_events import (
+    DrainStarted,
+    LinkChecked,
     SeedsChanged,
     SlotGranted,
     SlotProgress,
@@ -39,6 +41,7 @@
     Grant,
     Heartbeat,
     HeldSlot,
+    LinkReport,
     ListedUpstream,
     NamedLimit,
     NamedLimits,
@@ -125,6 +128,7 @@
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
         self._sequence = 0
+        self._is_leaving = False
         self._pending: dict[str, _PendingRequest] = {}
         self._held: dict[str, _SlotLease] = {}
         self._usage_history = UsageHistory(
@@ -259,6 +263,16 @@
         if self.leader:
             yield Send(self.leader, named)
 
+    @_handle.register
+    def _(self, event: LinkChecked, now_ms: int) -> Iterator[Any]:
+        if self.leader:
+            yield Send(self.leader, LinkReport(event.upstream, event.state))
+
+    @_handle.register
+    def _(self, event: DrainStarted, now_ms: int) -> Iterator[Any]:
+        self._is_leaving = True
+        yield from self._send_heartbeats(now_ms)
+
     @_handle.register
     def _(self, event: SlotReleased, now_ms: int) -> Iterator[Any]:
         self._held.pop(event.release.request_id, None)
@@ -327,6 +341,7 @@
             message.upstream,
             0,
             software_version=message.software_version,
+            relay=message.relay,
         )
         self._held[message.request_id] = _SlotLease(slot, now_ms)
         yield SlotGranted(message, event.sender == self.host)
@@ -470,7 +485,7 @@
             role="entry",
             sequence=self._sequence,
             config_version=self.follower.version,
-            is_leaving=False,
+            is_leaving=self._is_leaving,
             leader=self.leader,
             upstreams_version=self.directory.version,
             crashing_parts_digest=self._crash_guard.announced_digest,
--- a/src/peridotfront/core/host_reach.py
+++ b/src/peridotfront/core/host_reach.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from .actions import Log
+from .messages import LinkReport, LinkState
 
 # A host with failures at so many upstreams in a row may have lost its links.
 MIN_FAILED_UPSTREAMS = 2
@@ -18,27 +19,42 @@
 # have reported it, one at a time and so long after each other.
 MAX_REPORTERS = 5
 TEST_INTERVAL_MS = 100
+# A host tells when a link is back; this is for the loss of that message.
+LOST_LINK_RETRY_MS = 10_000
 # A slow upstream alone keeps a host without any answer for less.
 MIN_SILENCE_MS = 1000
+# An upstream that answers others so soon after a failure was not restarted between, and
+# so late after it that their answers are no older than the failure.
+MAX_PROOF_MS = 2000
+MIN_PROOF_MS = 100
+REFUSED_RELAY_MS = 2000
 
 
 @dataclass(slots=True)
 class _HostLinks:
     """Evidence on the links of one entry host.
 
+    :param broken_ms: time by upstream at which a connection last broke.
+    :param lost_ms: time by upstream at which the link was found to be lost.
     :param failing: upstreams at which it failed since it was last served anywhere.
     :param unconnected: those of them to which no connection held.
     :param failing_since_ms: time of the first of these failures.
     :param served_ms: time at which an upstream last answered it.
     :param is_cut_off: whether it has lost its links to most upstreams.
+    :param is_leaving: whether it is about to stop.
+    :param relays_refused_ms: time by entry host at which it was not reached as relay.
     """
 
     data_centre: str
+    broken_ms: dict[str, int] = field(default_factory=dict)
+    lost_ms: dict[str, int] = field(default_factory=dict)
     failing: set[str] = field(default_factory=set)
     unconnected: set[str] = field(default_factory=set)
     failing_since_ms: int = 0
     served_ms: int = -1
     is_cut_off: bool = False
+    is_leaving: bool = False
+    relays_refused_ms: dict[str, int] = field(default_factory=dict)
 
 
 class HostReach:
@@ -54,11 +70,16 @@
         self._doubtful: set[str] = set()
         self._reinstated: set[str] = set()
         self._logs: list[Log] = []
+        self._turn = 0
 
     def join(self, host: str, data_centre: str) -> None:
-        """Add an entry host."""
+        """Add an entry host, which may relay the requests of others."""
         self._hosts[host] = _HostLinks(data_centre)
 
+    def set_leaving(self, host: str, is_leaving: bool) -> None:
+        """Set whether an entry host is about to stop; it relays nothing then."""
+        self._hosts[host].is_leaving = is_leaving
+
     def leave(self, host: str) -> None:
         """Remove an entry host and its reports."""
         self._hosts.pop(host, None)
@@ -79,11 +100,16 @@
 
     def record_answer(self, host: str, upstream: str, now_ms: int) -> None:
         """Record that an upstream answered a host, in whatever way."""
-        self._reporters.pop(upstream, None)
+        reporters = self._reporters.pop(upstream, ())
+        for name in reporters:
+            if name != host:
+                self._attribute_to_link(name, upstream, now_ms)
         links = self._hosts.get(host)
         if links is None:
             return
         links.served_ms = now_ms
+        links.broken_ms.pop(upstream, None)
+        links.lost_ms.pop(upstream, None)
         if links.failing:
             links.failing.clear()
             links.unconnected.clear()
@@ -104,6 +130,7 @@
         self._record_failure(host, links, upstream, now_ms, is_hard=True)
         if self._sound_hosts(REPORTS_OF_OUTAGE) < REPORTS_OF_OUTAGE:
             return not links.is_cut_off
+        links.lost_ms[upstream] = now_ms
         # A host that was found cut off just now has withdrawn its reports.
         reporters = self._reporters.get(upstream, {})
         sound = [
@@ -122,6 +149,7 @@
         if links is None:
             return True
         links.unconnected.add(upstream)
+        links.broken_ms[upstream] = now_ms
         self._record_failure(host, links, upstream, now_ms, is_hard=True)
         return not links.is_cut_off
 
@@ -136,6 +164,21 @@
         self._record_failure(host, links, upstream, now_ms)
         return not links.is_cut_off
 
+    def record_report(self, host: str, report: LinkReport, now_ms: int) -> None:
+        """Record what a host found out about one of its links."""
+        if report.state is LinkState.OPEN:
+            self.record_answer(host, report.upstream, now_ms)
+        elif report.state is LinkState.LOST:
+            self.record_unreachable(host, report.upstream, now_ms)
+        else:
+            self.record_silence(host, report.upstream, now_ms)
+
+    def record_refused_relay(self, host: str, relay: str, now_ms: int) -> None:
+        """Record that a host could not relay a request through another one."""
+        links = self._hosts.get(host)
+        if links is not None:
+            links.relays_refused_ms[relay] = now_ms
+
     def take_reinstated(self) -> set[str]:
         """Return the upstreams that only hosts without links had reported, once."""
         reinstated = self._reinstated
@@ -155,9 +198,23 @@
         for known in (self._reporters, self._tested_ms):
             for name in known.keys() - upstreams:
                 del known[name]
+        for links in self._hosts.values():
+            for known in (links.broken_ms, links.lost_ms):
+                for name in known.keys() - upstreams:
+                    del known[name]
 
     # Use
 
+    def has_lost_link(self, host: str, upstream: str, now_ms: int) -> bool:
+        """Return whether a host should not connect to an upstream by itself."""
+        links = self._hosts.get(host)
+        if links is None:
+            return False
+        if links.is_cut_off:
+            return True
+        lost_ms = links.lost_ms.get(upstream)
+        return lost_ms is not None and now_ms - lost_ms < LOST_LINK_RETRY_MS
+
     def may_test(self, host: str, upstream: str, now_ms: int) -> bool:
         """Return whether a host may test an upstream that is out of service.
 
@@ -175,6 +232,36 @@
         """Record that a host tests an upstream that is out of service."""
         self._tested_ms[upstream] = now_ms
 
+    def relay_for(self, host: str, upstream: str, data_centre: str, now_ms: int) -> str:
+        """Return the entry host through which a host reaches an upstream.
+
+        :param data_centre: data centre of the upstream.
+        :return: its name; empty if the host should connect by itself.
+        """
+        if not self.has_lost_link(host, upstream, now_ms):
+            return ""
+        relays = [
+            name
+            for name in self._hosts
+            if self._may_relay(host, name, upstream, now_ms)
+        ]
+        if not relays:
+            return ""
+        self._turn += 1
+        for near in (self.data_centre(host), data_centre):
+            nearby = [name for name in relays if self.data_centre(name) == near]
+            if nearby:
+                return nearby[self._turn % len(nearby)]
+        return relays[self._turn % len(relays)]
+
+    def _may_relay(self, host: str, relay: str, upstream: str, now_ms: int) -> bool:
+        if relay == host or self._hosts[relay].is_leaving:
+            return False
+        if self.has_lost_link(relay, upstream, now_ms):
+            return False
+        refused_ms = self._hosts[host].relays_refused_ms.get(relay)
+        return refused_ms is None or now_ms - refused_ms >= REFUSED_RELAY_MS
+
     def _sound_hosts(self, limit: int) -> int:
         """Return the number of hosts with links, counted up to a limit."""
         count = 0
@@ -213,6 +300,15 @@
         if served_ms > links.failing_since_ms:
             self._set_cut_off(host, links, True)
 
+    def _attribute_to_link(self, host: str, upstream: str, now_ms: int) -> None:
+        """Attribute a broken connection to the host's link, as the upstream lives."""
+        links = self._hosts.get(host)
+        if links is None or upstream not in links.broken_ms:
+            return
+        elapsed_ms = now_ms - links.broken_ms.pop(upstream)
+        if MIN_PROOF_MS <= elapsed_ms <= MAX_PROOF_MS:
+            links.lost_ms[upstream] = now_ms
+
     def _set_cut_off(self, host: str, links: _HostLinks, is_cut_off: bool) -> None:
         if links.is_cut_off == is_cut_off:
             return
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -15,8 +15,9 @@
     """Reason why a slot was released.
 
     The request was not executed if the cause is one of these: ``NOT_SENT``;
-    ``UNREACHABLE``, no connection to the upstream was opened; ``OTHER_UPSTREAM``, a
-    different upstream answered at the address; ``REJECTED``, the upstream refused it.
+    ``UNREACHABLE``, no connection to the upstream was opened; ``RELAY_UNREACHABLE``,
+    none to the entry host that should relay it; ``OTHER_UPSTREAM``, a different
+    upstream answered at the address; ``REJECTED``, the upstream refused it.
     """
 
     COMPLETED = "completed"
@@ -30,6 +31,19 @@
     OUT_OF_TIME = "out_of_time"
     REJECTED = "rejected"
     PREEMPTED = "preempted"
+    RELAY_UNREACHABLE = "relay_unreachable"
+    RELAY_LOST = "relay_lost"
+
+
+class LinkState(StrEnum):
+    """What a host found out about its link to an upstream.
+
+    ``SILENT`` is a link on which no answer comes in time, although a connection opens.
+    """
+
+    OPEN = "open"
+    LOST = "lost"
+    SILENT = "silent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +102,8 @@
     :param predicted_prefix_tokens: prompt tokens expected in the upstream's cache.
     :param address: address of the upstream, as IP address and port.
     :param software_version: version of the upstream's software; empty if unknown.
+    :param relay: entry host through which the request has to be sent; empty if its
+        host connects to the upstream by itself.
     """
 
     request_id: str
@@ -97,6 +113,7 @@
     predicted_prefix_tokens: int
     address: str = ""
     software_version: str = ""
+    relay: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +156,7 @@
     :param slow_tokens: tokens so far whose gap to the previous one exceeded the
         policy's ``slow_token_ms``; -1 if that was not measured.
     :param software_version: version of the upstream's software; empty if unknown.
+    :param relay: entry host through which the request was sent; empty for none.
     """
 
     slot_request: SlotRequest = field(metadata={"proto_name": "want"})
@@ -146,6 +164,7 @@
     produced_tokens: int
     slow_tokens: int = -1
     software_version: str = ""
+    relay: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,6 +323,14 @@
     limits: tuple[NamedLimit, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LinkReport:
+    """Report of an entry host to the leader on its link to an upstream."""
+
+    upstream: str
+    state: LinkState
+
+
 CELL_MESSAGES = (
     SlotRequest,
     Grant,
@@ -319,4 +346,5 @@
     StreamsBegun,
     NamedLimit,
     NamedLimits,
+    LinkReport,
 )
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -17,6 +17,7 @@
 FAILURE_COST_MS = 2000.0
 # Data centres are some ms apart, and each byte between them has its price.
 REMOTE_COST_MS = 15.0
+RELAY_COST_MS = 15.0
 LATE_WEIGHT = 5.0
 DEFER_COST_RATIO = 0.9
 MIN_DEFER_HIT_TOKENS = 256
@@ -269,6 +270,8 @@
         fill_ms = FILL_COST_MS * len(capacity.slots) / max(1.0, capacity.limit_slots)
         failure_cost_ms = upstream.health.failure_share(now_ms) * FAILURE_COST_MS
         remote_cost_ms = REMOTE_COST_MS * _is_remote(upstream, queued)
+        if self._reach.has_lost_link(queued.host, upstream.name, now_ms):
+            remote_cost_ms += RELAY_COST_MS
         fixed_cost_ms = fill_ms + failure_cost_ms + remote_cost_ms
         if upstream.spec.kind is UpstreamKind.SERVICE:
             return Choice(upstream, 0, capacity.call_ms(now_ms) + fixed_cost_ms)
--- a/src/peridotfront/core/releases.py
+++ b/src/peridotfront/core/releases.py
@@ -2,7 +2,11 @@
 
 from .messages import Grant, Release, ReleaseCause, SlotRequest
 
-UNSENT_CAUSES = (ReleaseCause.NOT_SENT, ReleaseCause.UNREACHABLE)
+UNSENT_CAUSES = (
+    ReleaseCause.NOT_SENT,
+    ReleaseCause.UNREACHABLE,
+    ReleaseCause.RELAY_UNREACHABLE,
+)
 DELIVERED_NOT_EXECUTED_CAUSES = (ReleaseCause.OTHER_UPSTREAM, ReleaseCause.REJECTED)
 NOT_EXECUTED_CAUSES = (*UNSENT_CAUSES, *DELIVERED_NOT_EXECUTED_CAUSES)
 
--- a/src/peridotfront/core/routes.py
+++ b/src/peridotfront/core/routes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+DEFAULT_HEALTH_PATH = "/healthz"
+
 
 class RouteKind(StrEnum):
     """Kind of a route; it determines which of its requests may be retried."""
@@ -90,10 +92,12 @@
     """Service that routes refer to.
 
     :param engine: properties of its engines; None for a plain service.
+    :param health_path: path at which its upstreams answer health checks.
     """
 
     name: str
     engine: EngineProperties | None = None
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +161,10 @@
             if service.engine
         }
 
+        self._health_paths = {
+            service.name: service.health_path for service in routing.services
+        }
+
     @property
     def version(self) -> int:
         """Return the version of the configuration; 0 if there is none yet."""
@@ -190,6 +198,10 @@
         """
         return self._tiers[service][_tier_pair(route, account)]
 
+    def health_path(self, service: str) -> str:
+        """Return the path at which a service's upstreams answer health checks."""
+        return self._health_paths.get(service, DEFAULT_HEALTH_PATH)
+
     def tokens_per_event(self, service: str) -> int:
         """Return the number of tokens in one event of a service's streams."""
         return self._tokens_per_event.get(service, 1)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -61,6 +61,12 @@
     ReleaseCause.UPSTREAM_ERROR,
     ReleaseCause.REJECTED,
 )
+# The relay itself may be frozen or out of reach.
+RELAY_CAUSES = (
+    ReleaseCause.RELAY_UNREACHABLE,
+    ReleaseCause.RELAY_LOST,
+    ReleaseCause.UPSTREAM_TIMEOUT,
+)
 FAILED_CAUSES = (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED)
 WASTED_PREFILL_CAUSES = (
     ReleaseCause.CALLER_GONE,
@@ -69,6 +75,7 @@
     ReleaseCause.UPSTREAM_TIMEOUT,
     ReleaseCause.OUT_OF_TIME,
     ReleaseCause.PREEMPTED,
+    ReleaseCause.RELAY_LOST,
 )
 
 
@@ -406,6 +413,7 @@
             predicted_prefix_tokens=slot.predicted_prefix_tokens,
             address=spec.address,
             software_version=spec.software_version,
+            relay=slot.relay,
         )
 
     # Placement
@@ -464,6 +472,9 @@
         self._queues.take(queued)
         lease_ms = self._fleet.policy.slot_lease_ms
         slot = new_slot(queued, choice, lease_ms, queued.host, now_ms)
+        slot.relay = self._reach.relay_for(
+            queued.host, slot.upstream, choice.upstream.spec.data_centre, now_ms
+        )
         self._occupy(slot, now_ms)
         self._limits.take(slot.upstream, now_ms)
         if choice.upstream.health.state is HealthState.DOWN:
@@ -509,6 +520,7 @@
         )
         lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
         slot = Slot(slot_request, sender, held.upstream, now_ms, lease_until_ms)
+        slot.relay = held.relay
         if held.produced_tokens == 0 and not self._is_service:
             slot.prefill_tokens = slot_request.prompt_tokens
         self._occupy(slot, now_ms)
@@ -523,7 +535,7 @@
         if is_first and slot.granted_ms < now_ms:
             self._answer_times.record(slot.slot_request, now_ms - slot.granted_ms)
         if held.produced_tokens > slot.produced_tokens:
-            self._reach.record_answer(slot.host, slot.upstream, now_ms)
+            self._reach.record_answer(slot.sender, slot.upstream, now_ms)
             self._crashes.record_life(slot.upstream, now_ms)
             limit = int(upstream.capacity.limit_slots)
             upstream.health.progressed(slot.granted_ms, limit, now_ms)
@@ -571,7 +583,7 @@
         earlier_state = upstream.health.state
         yield from self._update_health(slot, release, now_ms)
         if upstream.health.state is not earlier_state:
-            yield _build_circuit_log(upstream, slot.host, release.cause)
+            yield _build_circuit_log(upstream, slot.sender, release.cause)
 
     def _update_health(
         self, slot: Slot, release: Release, now_ms: int
@@ -609,7 +621,7 @@
 
         :return: whether it says something of the upstream.
         """
-        link = (slot.host, slot.upstream)
+        link = (slot.sender, slot.upstream)
         if cause in ANSWERED_CAUSES:
             self._reach.record_answer(*link, now_ms)
             return True
@@ -619,8 +631,11 @@
             return is_outage
         if cause is ReleaseCause.UPSTREAM_DIED:
             return self._reach.record_broken(*link, now_ms)
-        if cause is ReleaseCause.UPSTREAM_TIMEOUT:
+        if cause is ReleaseCause.UPSTREAM_TIMEOUT and not slot.relay:
             return self._reach.record_silence(*link, now_ms)
+        if cause in RELAY_CAUSES and slot.relay:
+            self._reach.record_refused_relay(slot.host, slot.relay, now_ms)
+            return False
         return True
 
     def reinstate(self, upstream: str, now_ms: int) -> Iterator[Action]:
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -17,6 +17,7 @@
     CancelSlotRequest,
     Grant,
     HeldSlot,
+    LinkReport,
     ListedUpstream,
     Release,
     SentRepeats,
@@ -247,6 +248,11 @@
         self.retries.record(message.service, message.count, at_ms, now_ms)
         yield from ()
 
+    @_handle_message.register
+    def _(self, message: LinkReport, event: Received, now_ms: int) -> Iterator[Send]:
+        self.reach.record_report(event.sender, message, now_ms)
+        yield from ()
+
     @_handle_message.register
     def _(self, message: HeldSlot, event: Received, now_ms: int) -> Iterator[Send]:
         yield from self._forward_to_scheduler(message.slot_request.cell, event, now_ms)
--- a/src/peridotfront/core/upstream_capacity.py
+++ b/src/peridotfront/core/upstream_capacity.py
@@ -32,6 +32,7 @@
     """Slot of one request that runs, or may run, at an upstream.
 
     :param host: entry host that holds the slot.
+    :param relay: entry host through which it reaches the upstream; empty for none.
     :param predicted_prefix_tokens: prompt tokens expected in the upstream's cache.
     :param prefill_tokens: prompt tokens not expected in the cache.
     :param first_due_ms: time at which the first token is expected.
@@ -51,6 +52,12 @@
     slow_tokens: int = 0
     progress_ms: int = 0
     is_preempted: bool = False
+    relay: str = ""
+
+    @property
+    def sender(self) -> str:
+        """Return the entry host that connects to the upstream."""
+        return self.relay or self.host
 
     @property
     def kv_tokens(self) -> int:
--- a/src/peridotfront/core/upstream_directory.py
+++ b/src/peridotfront/core/upstream_directory.py
@@ -29,6 +29,10 @@
         """Return the names of all upstreams."""
         return self._upstreams.keys()
 
+    def has_address(self, address: str) -> bool:
+        """Return whether an upstream is listed with an address."""
+        return any(upstream.address == address for upstream in self._upstreams.values())
+
     def replace(self, listed: Iterable[ListedUpstream]) -> UpstreamsUpdate | None:
         """Replace the whole list.
 
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -61,6 +61,16 @@
     reason = Reason.NO_UPSTREAM
 
 
+class RelayUnreachable(ConnectFailed):
+    """Entry host that could not be reached to relay a request to an upstream."""
+
+
+class RelayLost(UpstreamError):
+    """Connection through another entry host that broke between the two hosts."""
+
+    reason = Reason.UPSTREAM_DIED
+
+
 class UpstreamDied(UpstreamError):
     """Connection closed by the upstream after bytes of the request were sent.
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -33,14 +33,18 @@
     CallerGone,
     ConnectFailed,
     InvalidRequest,
+    RelayLost,
+    RelayUnreachable,
     UpstreamError,
     UpstreamTimedOut,
 )
 from .exchanges import Exchange
 from .gateway_server import GatewayServer
-from .http_client import HttpClient, UpstreamAnswer, UpstreamTimeouts
+from .http_client import UpstreamAnswer, UpstreamTimeouts
 from .http_messages import Header
+from .link_checker import LinkChecker
 from .problems import problem, status_code_of
+from .relay_client import UpstreamClients
 from .request_log import RequestLog
 from .routed_requests import (
     AdmittedRequest,
@@ -56,6 +60,8 @@
 )
 
 CONNECT_MS = 300
+MIN_LATE_CHECK_MS = 400
+MAX_LATE_CHECK_MS = 1000
 PROGRESS_INTERVAL_MS = 500
 REJECTION_BODY_MS = 50
 MAX_REJECTION_BYTES = 64 * 1024
@@ -88,7 +94,8 @@
     """Forwarding of one request to an upstream, or to several in sequence.
 
     :param server: server that grants slots.
-    :param client: client for the upstreams.
+    :param clients: clients for the upstreams.
+    :param links: checker of this host's links to the upstreams.
     :param codec: codec for the headers and answers of the upstreams.
     :param exchange: exchange with the caller.
     :param admitted: the request with its route, service and account.
@@ -100,13 +107,15 @@
     def __init__(
         self,
         server: GatewayServer,
-        client: HttpClient,
+        clients: UpstreamClients,
+        links: LinkChecker,
         codec: RequestCodec,
         exchange: Exchange,
         admitted: AdmittedRequest,
     ):
         self._server = server
-        self._client = client
+        self._clients = clients
+        self._links = links
         self._codec = codec
         self._exchange = exchange
         self._admitted = admitted
@@ -210,6 +219,12 @@
         try:
             async with asyncio.timeout(self._remaining_ms() / 1000):
                 cause = await self._forward(attempt)
+        except RelayUnreachable as error:
+            cause = ReleaseCause.RELAY_UNREACHABLE
+            self._log_failure(attempt, cause, error)
+        except RelayLost as error:
+            cause = ReleaseCause.RELAY_LOST
+            self._log_failure(attempt, cause, error)
         except ConnectFailed as error:
             cause = ReleaseCause.UNREACHABLE
             self._log_failure(attempt, cause, error)
@@ -252,25 +267,32 @@
         attempt.silence_timeout_ms = failover_ms
         self.sends += 1
         self._is_sent = True
-        answer = await self._client.send(
-            attempt.grant.address,
-            http.method,
-            http.target,
-            self._codec.upstream_headers(
-                request,
-                admitted.account,
-                attempt.grant.upstream,
-                remaining_ms,
-                self._last_event_id,
-            ),
-            http.body,
-            host=request.host,
-            timeouts=UpstreamTimeouts(
-                connect_ms=min(CONNECT_MS, remaining_ms),
-                first_byte_ms=failover_ms,
-                between_bytes_ms=failover_ms,
-            ),
-        )
+        grant = attempt.grant
+        late_check = self._watch_link(grant)
+        try:
+            answer = await self._clients.through(grant.relay).send(
+                grant.address,
+                http.method,
+                http.target,
+                self._codec.upstream_headers(
+                    request,
+                    admitted.account,
+                    grant.upstream,
+                    remaining_ms,
+                    self._last_event_id,
+                ),
+                http.body,
+                host=request.host,
+                timeouts=UpstreamTimeouts(
+                    connect_ms=min(CONNECT_MS, remaining_ms),
+                    first_byte_ms=failover_ms,
+                    between_bytes_ms=failover_ms,
+                ),
+            )
+        finally:
+            late_check.cancel()
+        if not grant.relay:
+            self._links.record_answer(grant.upstream)
         attempt.answer = answer
         self._framing = answer.framing
         head = self._codec.read_head(request, answer)
@@ -295,6 +317,22 @@
             return ReleaseCause.UPSTREAM_ERROR
         return await self._relay_complete(attempt, answer, body, kind)
 
+    def _watch_link(self, grant: Grant) -> asyncio.TimerHandle:
+        """Check this host's own link if the answer is late, or if it is not used."""
+        if grant.relay:
+            health_path = self._server.route_table.health_path(self._admitted.service)
+            self._links.check_return(grant.upstream, grant.address, health_path)
+        late_ms = min(
+            MAX_LATE_CHECK_MS, max(MIN_LATE_CHECK_MS, self._admitted.route.goal_ms)
+        )
+        return asyncio.get_running_loop().call_later(
+            late_ms / 1000, self._check_late_link, grant
+        )
+
+    def _check_late_link(self, grant: Grant) -> None:
+        if not grant.relay:
+            self._links.check_late(grant.upstream, grant.address)
+
     async def _discard_body(
         self, attempt: "_Attempt", answer: UpstreamAnswer, cause: ReleaseCause
     ) -> None:
@@ -454,6 +492,7 @@
             "send_failed",
             upstream=attempt.grant.upstream,
             address=attempt.grant.address,
+            relay=attempt.grant.relay,
             cause=cause,
             detail=f"{type(error).__name__}: {error}",
             events=attempt.produced_tokens,
@@ -536,6 +575,7 @@
 def _refusal_reason(cause: ReleaseCause) -> Reason:
     reasons = {
         ReleaseCause.UNREACHABLE: Reason.NO_UPSTREAM,
+        ReleaseCause.RELAY_UNREACHABLE: Reason.NO_UPSTREAM,
         ReleaseCause.OTHER_UPSTREAM: Reason.NO_UPSTREAM,
         ReleaseCause.REJECTED: Reason.OVERLOADED,
         ReleaseCause.UPSTREAM_TIMEOUT: Reason.UPSTREAM_TIMEOUT,
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -10,8 +10,9 @@
 from .exchanges import Exchange
 from .forwarding import Forwarding, respond_refusal
 from .gateway_server import GatewayServer
-from .http_client import HttpClient
+from .link_checker import LinkChecker
 from .metrics import Metrics
+from .relay_client import UpstreamClients
 from .routed_requests import AdmittedRequest, RequestCodec
 
 NO_CONFIG_RETRY_MS = 300
@@ -21,7 +22,8 @@
     """Handler that forwards callers' requests by the routes of the configuration.
 
     :param server: server that grants slots and holds the route table.
-    :param client: client for the upstreams.
+    :param clients: clients for the upstreams.
+    :param links: checker of this host's links to the upstreams.
     :param codec: codec for the platform's HTTP headers.
     :param metrics: metrics of this host.
     """
@@ -29,12 +31,14 @@
     def __init__(
         self,
         server: GatewayServer,
-        client: HttpClient,
+        clients: UpstreamClients,
+        links: LinkChecker,
         codec: RequestCodec,
         metrics: Metrics,
     ):
         self._server = server
-        self._client = client
+        self._clients = clients
+        self._links = links
         self._codec = codec
         self._metrics = metrics
         self.requests_in_progress = 0
@@ -117,7 +121,7 @@
 
     async def _serve(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
         forwarding = Forwarding(
-            self._server, self._client, self._codec, exchange, admitted
+            self._server, self._clients, self._links, self._codec, exchange, admitted
         )
         forwarding_task = asyncio.ensure_future(forwarding.run())
         gone = asyncio.ensure_future(exchange.gone.wait())
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from ipaddress import ip_address
+from typing import Protocol
 
 import h11
 
@@ -45,6 +46,51 @@
     total_ms: int = 0
 
 
+class Connector(Protocol):
+    """Interface of what opens the connections of a client."""
+
+    async def connect(
+        self, factory: Callable[[], UpstreamConnection], address: str, connect_ms: int
+    ) -> UpstreamConnection:
+        """Open a connection.
+
+        :param factory: function that creates the protocol of the connection.
+        :param address: IP address and port of the upstream.
+        :param connect_ms: time limit.
+        :raises ConnectFailed: if it can't be opened in time.
+        """
+
+
+class SocketConnector:
+    """Connector that opens sockets.
+
+    :param ssl_context: TLS context; None uses plain TCP.
+    """
+
+    def __init__(self, ssl_context: ssl.SSLContext | None = None):
+        self._ssl_context = ssl_context
+
+    async def connect(
+        self, factory: Callable[[], UpstreamConnection], address: str, connect_ms: int
+    ) -> UpstreamConnection:
+        """Open a connection from this host.
+
+        :raises ConnectFailed: if it can't be opened in time.
+        """
+        host_ip, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            # Only IP addresses: a host name would be resolved in another thread.
+            host_ip = str(ip_address(host_ip.strip("[]")))
+            async with asyncio.timeout(connect_ms / 1000):
+                _, connection = await loop.create_connection(
+                    factory, host_ip, int(port), ssl=self._ssl_context
+                )
+        except (OSError, OverflowError, ValueError) as error:
+            raise ConnectFailed(f"cannot connect: {error}", address) from error
+        return connection
+
+
 class HttpClient:
     """HTTP/1.1 client for upstreams.
 
@@ -52,19 +98,21 @@
 
     :param limits: limits on idle connections and buffers.
     :param ssl_context: TLS context; None uses plain TCP.
+    :param connector: opens the connections; from this host by default.
     """
 
     def __init__(
         self,
         limits: ClientLimits | None = None,
         ssl_context: ssl.SSLContext | None = None,
+        connector: Connector | None = None,
     ):
         self.limits = limits or ClientLimits()
         self.turns = Turns()
         self.budget = AnswerBudget(self.limits.max_kept_bytes)
         self.buffered_bytes = 0
         self.read_buffer = memoryview(bytearray(READ_BYTES))
-        self._ssl_context = ssl_context
+        self._connector = connector or SocketConnector(ssl_context)
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
         self._open: set[UpstreamConnection] = set()
         self._sweeper: asyncio.TimerHandle | None = None
@@ -122,6 +170,18 @@
         framing = body_framing(method, head.status_code, answer_headers)
         return UpstreamAnswer(head.status_code, answer_headers, connection, framing)
 
+    async def connect(self, address: str, connect_ms: int) -> None:
+        """Open a connection for a later request.
+
+        :raises ConnectFailed: if it can't be opened in time.
+        """
+        self.add_idle(await self._connect(address, connect_ms))
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an upstream."""
+        for connection in tuple(self._idle.get(address, ())):
+            connection.close()
+
     async def close(self) -> None:
         """Close every connection."""
         if self._sweeper is not None:
@@ -182,20 +242,9 @@
         return None
 
     async def _connect(self, address: str, connect_ms: int) -> UpstreamConnection:
-        host_ip, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            # Only IP addresses: a host name would be resolved in another thread.
-            host_ip = str(ip_address(host_ip.strip("[]")))
-            async with asyncio.timeout(connect_ms / 1000):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self, address),
-                    host_ip,
-                    int(port),
-                    ssl=self._ssl_context,
-                )
-        except (OSError, OverflowError, ValueError) as error:
-            raise ConnectFailed(f"cannot connect: {error}", address) from error
+        connection = await self._connector.connect(
+            lambda: UpstreamConnection(self, address), address, connect_ms
+        )
         self._open.add(connection)
         if not connection.is_usable:
             connection.close()
--- /dev/null
+++ b/src/peridotfront/link_checker.py
@@ -0,0 +1,110 @@
+"""Checks of this host's own links to upstreams, without requests of callers."""
+
+from collections.abc import Callable
+from typing import Any
+
+from . import logs
+from .core.gateway_events import LinkChecked
+from .core.messages import LinkState
+from .exceptions import ConnectFailed, InvalidRequest, UpstreamError
+from .http_client import HttpClient, UpstreamTimeouts
+from .runtime import BackgroundTasks, now_ms
+
+CONNECT_MS = 300
+ANSWER_MS = 1000
+RECHECK_MS = 1000
+MIN_INTERVAL_MS = 200
+TIMEOUTS = UpstreamTimeouts(
+    connect_ms=CONNECT_MS,
+    first_byte_ms=ANSWER_MS,
+    between_bytes_ms=ANSWER_MS,
+    total_ms=ANSWER_MS,
+)
+
+
+class LinkChecker:
+    """Checker of the links between this host and the upstreams.
+
+    It tells the leader of a lost link before requests fail on it, and when it is back.
+
+    :param client: client that connects directly.
+    :param feed: function that passes an event to the role of this host.
+    """
+
+    def __init__(self, client: HttpClient, feed: Callable[[Any], None]):
+        self._client = client
+        self._feed = feed
+        self._answered_ms: dict[str, int] = {}
+        self._checked_ms: dict[str, int] = {}
+        self._last_check_ms = 0
+        self._tasks = BackgroundTasks()
+
+    def record_answer(self, upstream: str) -> None:
+        """Record that an upstream answers this host."""
+        self._answered_ms[upstream] = now_ms()
+
+    def check_late(self, upstream: str, address: str) -> None:
+        """Check the link to an upstream whose answer is late."""
+        answered_ms = self._answered_ms.get(upstream, -RECHECK_MS)
+        if now_ms() - answered_ms >= RECHECK_MS and self._begin(upstream):
+            self._tasks.start(self._check_late(upstream, address))
+
+    def check_return(self, upstream: str, address: str, health_path: str) -> None:
+        """Check whether a lost link is back, by the upstream's own health check.
+
+        A connection alone doesn't show that bytes pass in both directions.
+        """
+        if now_ms() - self._last_check_ms >= MIN_INTERVAL_MS and self._begin(upstream):
+            self._tasks.start(self._check_return(upstream, address, health_path))
+
+    def _begin(self, upstream: str) -> bool:
+        """Return whether a check is due, and record that it begins."""
+        at_ms = now_ms()
+        if at_ms - self._checked_ms.get(upstream, -RECHECK_MS) < RECHECK_MS:
+            return False
+        self._checked_ms = {
+            name: checked_ms
+            for name, checked_ms in self._checked_ms.items()
+            if at_ms - checked_ms < RECHECK_MS
+        }
+        self._answered_ms = {
+            name: answered_ms
+            for name, answered_ms in self._answered_ms.items()
+            if at_ms - answered_ms < RECHECK_MS
+        }
+        self._checked_ms[upstream] = at_ms
+        self._last_check_ms = at_ms
+        return True
+
+    async def _check_late(self, upstream: str, address: str) -> None:
+        state = LinkState.SILENT
+        detail = ""
+        try:
+            await self._client.connect(address, CONNECT_MS)
+        except ConnectFailed as error:
+            state = LinkState.LOST
+            detail = str(error)
+            self._client.close_idle(address)
+        self._report(upstream, state, detail)
+
+    async def _check_return(
+        self, upstream: str, address: str, health_path: str
+    ) -> None:
+        self._client.close_idle(address)
+        try:
+            answer = await self._client.send(
+                address, "GET", health_path, timeouts=TIMEOUTS
+            )
+            await answer.read()
+        except (UpstreamError, InvalidRequest) as error:
+            logs.write_rate_limited(
+                "link_checked", upstream=upstream, state="lost", detail=str(error)
+            )
+            return
+        self._report(upstream, LinkState.OPEN, "")
+
+    def _report(self, upstream: str, state: LinkState, detail: str) -> None:
+        logs.write_rate_limited(
+            "link_checked", upstream=upstream, state=state, detail=detail
+        )
+        self._feed(LinkChecked(upstream, state))
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -599,6 +599,21 @@
         "upstreams are those that it did not reach while others were served. While it"
         " is cut off, its reports count against no upstream. Check its network.",
     ),
+    LogEvent(
+        541,
+        "link_checked",
+        Level.INFO,
+        "this host checked its link to an upstream",
+        "It does so when an answer is late, and while other hosts relay its requests."
+        " state is open, lost, or silent: a connection opens, but no answer comes.",
+    ),
+    LogEvent(
+        542,
+        "relay_broken",
+        Level.INFO,
+        "a connection that this host relays for another one broke",
+        "address is the upstream's; empty if the other host's end broke.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/platform/configuration.py
+++ b/src/peridotfront/platform/configuration.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..core.routes import (
+    DEFAULT_HEALTH_PATH,
     CallerLimits,
     EngineProperties,
     Route,
@@ -79,6 +80,7 @@
 
     name: str = Field(min_length=1)
     engine: WireEngine | None = None
+    health_path: str | None = None
 
 
 class WireAccount(WireModel):
@@ -218,10 +220,11 @@
 
 def _build_service(service: WireService) -> RoutedService:
     engine = service.engine
+    health_path = service.health_path or DEFAULT_HEALTH_PATH
     if engine is None:
-        return RoutedService(service.name)
+        return RoutedService(service.name, health_path=health_path)
     properties = EngineProperties(engine.slots, engine.kv_capacity, engine.stride)
-    return RoutedService(service.name, properties)
+    return RoutedService(service.name, properties, health_path)
 
 
 def _build_account(account: WireAccount) -> RoutedAccount:
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -8,16 +8,19 @@
 
 from . import logs
 from .addresses import split_address
-from .core.gateway_events import SeedsChanged
+from .core.gateway_events import DrainStarted, SeedsChanged
 from .core.gateway_role import GatewayRole
 from .core.routes import CallerLimits, RoutingConfig
 from .exchanges import Exchange
 from .gateway import Gateway
 from .gateway_server import GatewayServer, RoutingParser
-from .http_client import ClientLimits, HttpClient
+from .http_client import ClientLimits
 from .http_server import HttpLimits, HttpServer
+from .link_checker import LinkChecker
 from .metrics import Metrics
 from .metrics_endpoint import build_metrics_handler
+from .relay_client import UpstreamClients
+from .relay_server import RelayServer
 from .routed_requests import RequestCodec
 from .routed_settings import RoutedSettings
 from .runtime import (
@@ -39,6 +42,7 @@
 MIN_LIST_INTERVAL_MS = 1500
 DEREGISTRATION_MS = 2500
 EXIT_MARGIN_MS = 1000
+RELAY_POLL_MS = 50
 KEEP_ALIVE_MS = 4000
 MAX_IDLE_CONNECTIONS = 8
 MIN_REQUEST_TIMEOUT_MS = 15_000
@@ -81,8 +85,14 @@
         incarnation = new_incarnation()
         metrics = Metrics(host.name, host.data_centre)
         self.is_leaving = False
+        self.relay_server = RelayServer(self._may_relay_to)
         self.transport = Transport(
-            settings.name, incarnation, (), self._on_frame, allow_unlisted_peers=True
+            settings.name,
+            incarnation,
+            (),
+            self._on_frame,
+            allow_unlisted_peers=True,
+            relay=self.relay_server.relay,
         )
         self.role = GatewayRole(
             settings.name,
@@ -100,8 +110,11 @@
             keep_alive_ms=KEEP_ALIVE_MS,
             max_kept_bytes=MAX_KEPT_ANSWER_BYTES,
         )
-        self.client = HttpClient(limits)
-        self.gateway = Gateway(self.server, self.client, adapter.codec, metrics)
+        self.clients = UpstreamClients(limits)
+        self.link_checker = LinkChecker(self.clients.direct, self.server.feed)
+        self.gateway = Gateway(
+            self.server, self.clients, self.link_checker, adapter.codec, metrics
+        )
         self.caller_server = HttpServer(
             self.gateway.handle, _build_http_limits(CallerLimits())
         )
@@ -148,12 +161,20 @@
     async def _drain(self) -> None:
         logs.write("drain_started", in_progress=self.gateway.requests_in_progress)
         self.is_leaving = True
+        self.server.feed(DrainStarted())
         grace_ms = self.settings.grace_ms
         await asyncio.sleep(DEREGISTRATION_MS / 1000)
         self.caller_server.close_listener()
         self.caller_server.is_draining = True
         self.caller_server.close_idle()
-        await self.caller_server.drain(grace_ms - DEREGISTRATION_MS - EXIT_MARGIN_MS)
+        drain_ms = grace_ms - DEREGISTRATION_MS - EXIT_MARGIN_MS
+        end_ms = now_ms() + drain_ms
+        await self.caller_server.drain(drain_ms)
+        while self.relay_server.connections and now_ms() < end_ms:
+            await asyncio.sleep(RELAY_POLL_MS / 1000)
+
+    def _may_relay_to(self, address: str) -> bool:
+        return not self.is_leaving and self.role.directory.has_address(address)
 
     def _apply_routing(self, routing: RoutingConfig) -> None:
         self.caller_server.limits = _build_http_limits(routing.caller_limits)
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -91,6 +91,7 @@
             tier=slot_request.tier,
             upstream=answer.grant.upstream,
             address=answer.grant.address,
+            relay=answer.grant.relay,
             software_version=answer.grant.software_version,
             stream_id=slot_request.stream_id,
             is_resumed=slot_request.is_resumed,
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 
 import grpc
@@ -45,6 +45,7 @@
 )
 
 FrameHandler = Callable[[Frame], None]
+RelayHandler = Callable[[AsyncIterator, grpc.aio.ServicerContext], AsyncIterator]
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +166,7 @@
     :param senders: names of the accepted hosts; None accepts all.
     :param requires_certificate: whether the peer's certificate must contain the
         sender's name.
+    :param relay: handler of connections to upstreams for other hosts, if any.
     """
 
     def __init__(
@@ -172,7 +174,9 @@
         on_frame: FrameHandler,
         senders: frozenset[str] | None,
         requires_certificate: bool,
+        relay: RelayHandler | None,
     ):
+        self._relay = relay
         self._on_frame = on_frame
         self._senders = senders
         self._requires_certificate = requires_certificate
@@ -187,6 +191,15 @@
                 self._on_frame(wire.from_proto(Frame, proto))
         return peridotfront_pb2.Received()
 
+    async def Relay(self, request_iterator, context):  # noqa: N802
+        """Pass on the bytes of another host's connection to an upstream."""
+        if self._relay is None or self._requires_certificate:
+            await context.abort(grpc.StatusCode.UNIMPLEMENTED, "no relay here")
+        relayed = self._relay(request_iterator, context)
+        async with contextlib.aclosing(relayed):
+            async for message in relayed:
+                yield message
+
     def _is_authenticated(self, sender: str, context: grpc.aio.ServicerContext) -> bool:
         if self._senders is not None and sender not in self._senders:
             return False
@@ -205,6 +218,7 @@
     :param tls: credentials; without them the streams are not encrypted.
     :param allow_unlisted_peers: whether to exchange frames with hosts that are not
         in ``peers``; their names are the addresses at which they listen.
+    :param relay: handler of connections to upstreams for other hosts, if any.
 
     Usage::
 
@@ -221,7 +235,9 @@
         on_frame: FrameHandler,
         tls: Credentials | None = None,
         allow_unlisted_peers: bool = False,
+        relay: RelayHandler | None = None,
     ):
+        self._relay = relay
         self.name = name
         self._incarnation = incarnation
         self._allow_unlisted_peers = allow_unlisted_peers
@@ -245,7 +261,7 @@
         self._server = grpc.aio.server(options=CHANNEL_OPTIONS)
         requires_certificate = self._tls.server is not None
         senders = None if self._allow_unlisted_peers else frozenset(self.links)
-        servicer = _Servicer(self._receive, senders, requires_certificate)
+        servicer = _Servicer(self._receive, senders, requires_certificate, self._relay)
         peridotfront_pb2_grpc.add_PeerServicer_to_server(servicer, self._server)
         if self._tls.server is None:
             port = self._server.add_insecure_port(listen_address)
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -21,6 +21,7 @@
     AnswerMalformed,
     AnswerTooLarge,
     AnswerTruncated,
+    RelayLost,
     UpstreamDied,
     UpstreamTimedOut,
 )
@@ -230,7 +231,7 @@
     return int(match[1]) if match else None
 
 
-def _enable_keepalive_probes(sock: socket.socket) -> None:
+def enable_keepalive_probes(sock: socket.socket) -> None:
     """Enable TCP keep-alive so that a dead peer is detected within seconds."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
@@ -290,6 +291,7 @@
         self._is_lost = False
         self._is_complete = True
         self._error: Exception | None = None
+        self._relay_error: RelayLost | None = None
         self._waiter: asyncio.Future | None = None
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
@@ -323,10 +325,12 @@
     # Callbacks of the transport.
 
     def connection_made(self, transport) -> None:
-        """Set up the socket for the first call."""
+        """Set up the socket for the first call, unless another host has it."""
         self._transport = transport
-        _enable_keepalive_probes(transport.get_extra_info("socket"))
-        self._poll.register(transport.get_extra_info("socket"), select.POLLIN)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            enable_keepalive_probes(sock)
+            self._poll.register(sock, select.POLLIN)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which all connections share."""
@@ -385,6 +389,8 @@
     def connection_lost(self, exc) -> None:
         """Fail the call unless its answer is complete, or may be once it is parsed."""
         self._is_lost = True
+        if isinstance(exc, RelayLost):
+            self._relay_error = exc
         self._client.remove(self)
         if not self._is_waiting_for_turn:
             self._end_lost_call()
@@ -458,6 +464,8 @@
             self._transport.resume_reading()
 
     def _closed_early_error(self) -> Exception:
+        if self._relay_error is not None:
+            return self._relay_error
         if self._head is not None:
             return AnswerTruncated(
                 "the connection was closed within the answer", self.address
--- a/tools/generate_proto.py
+++ b/tools/generate_proto.py
@@ -33,10 +33,19 @@
 // One stream a direction lies between any two hosts that talk to each other.
 service Peer {
   rpc Exchange (stream Frame) returns (Received);
+  rpc Relay (stream RelayedBytes) returns (stream RelayedBytes);
 }
 
 message Received {
 }
+
+// Bytes of one connection to an upstream that another host opens. The first message of
+// the caller has only its address, and the first one of the host is empty.
+message RelayedBytes {
+  string address = 1;
+  bytes data = 2;
+  bool is_end = 3;
+}
 """
 
 
