Show that streams go on at their version when all entry hosts are killed at once

The users report of a similar system that joined streams from two software versions after such a kill. It can't happen here: the leader and the replicas remember the version at which a stream began, and who doesn't know it refuses.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -77,6 +77,7 @@
       | no host changes                                          | e2   |
       | entry host "e1" restarts and follows the leader          | e1   |
       | entry host "e1" is down                                  | e2   |
+      | all entry hosts are killed at once and start again       | e2   |
       | the leader freezes                                       | e1   |
       | the leader freezes and another one leads                 | e2   |
       | entry host "e1" is down and then the leader is replaced  | e2   |
@@ -100,6 +101,7 @@
       | all hosts lose power and start again               | e2   | unknown_origin |
       | all hosts start again with version "v1" alone      | e2   | unknown_origin |
       | all upstreams are replaced by ones of version "v3" | e2   | no_upstream    |
+      | all entry hosts are killed at once while version "v3" replaces all others | e2 | no_upstream |
       | the streams are of another service                 | e2   | unknown_origin |
 
   Scenario: Streams that begin while their host is cut off are known once it is back
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -112,6 +112,35 @@
     )
 
 
+@when("all entry hosts are killed at once and start again")
+def restart_all_entry_hosts(context):
+    _kill_entry_hosts(context.group)
+    _start_entry_hosts(context.group)
+
+
+@when(
+    'all entry hosts are killed at once while version "{version}" replaces all others'
+)
+def restart_all_beside_release(context, version):
+    _kill_entry_hosts(context.group)
+    list_versions(context, {version: 12})
+    context.group.run(500)
+    _start_entry_hosts(context.group)
+
+
+def _kill_entry_hosts(group):
+    group.down.update(host.name for host in group.entries)
+    group.run(500)
+
+
+def _start_entry_hosts(group):
+    for host in group.entries:
+        group.restart(host.name)
+    group.run_until(
+        lambda: all(host.role.leader and host.versions for host in group.entries)
+    )
+
+
 @when('entry host "{name}" is down')
 def entry_host_down(context, name):
     context.group.down.add(name)
