Let brittle upstreams reject few requests

Upstreams may say that they fall over if they reject more than some requests in a second (Server-Brittle), and let fewer wait than the list says. Nothing read it: in virtual time, 4 upstreams that bear 3 to 12 rejections and have room for 1 to 3 requests fell over 4 to 12 times in 10 s in 3 of 5 cases, and in the other 2 less than half of their room was used, since rejections opened their circuits.

Each release tells the scheduler the number that the answer named. For such upstreams it lets no more slots be in use than the last rejection left, tries one more from time to time, and pauses when a quarter of the number is used up (core/brittle_upstreams). Hosts without a leader share it. A rejection there is no failure.

--- a/features/support/reach_world.py
+++ b/features/support/reach_world.py
@@ -55,6 +55,7 @@
         self.down = set()
         self.idle = set()
         self.cause = ReleaseCause.UNREACHABLE
+        self.answer_ms = ANSWER_MS
         self.served = Counter()
         self.failed = Counter()
         self.relayed = Counter()
@@ -126,11 +127,19 @@
             checked = LinkChecked(grant.upstream, LinkState.OPEN)
             self.group.feed(request.host, checked)
         link = (relay or request.host, grant.upstream)
-        is_lost = grant.upstream in self.down or link in self.lost
-        cause = self.cause if is_lost else ReleaseCause.COMPLETED
-        end_ms = self.group.now_ms + (FAILURE_MS[cause] if is_lost else ANSWER_MS)
+        cause, duration_ms = self._play(link, grant.upstream)
+        end_ms = self.group.now_ms + duration_ms
         self._ends.append((end_ms, request, grant, cause))
 
+    def _play(self, link, upstream):
+        """Return how a request ends at an upstream, and after which time."""
+        if upstream in self.down or link in self.lost:
+            return self.cause, FAILURE_MS[self.cause]
+        return ReleaseCause.COMPLETED, self.answer_ms
+
+    def _build_release(self, slot_request, upstream, cause):
+        return build_release(slot_request, upstream, cause)
+
     def _end_requests(self):
         now_ms = self.group.now_ms
         due = [end for end in self._ends if end[0] <= now_ms]
@@ -138,7 +147,7 @@
         for _, request, grant, cause in due:
             entry = self.group.hosts[request.host]
             slot_request = entry.slot_requests[request.slot_id]
-            release = build_release(slot_request, grant.upstream, cause)
+            release = self._build_release(slot_request, grant.upstream, cause)
             self.group.feed(entry.name, SlotReleased(release))
             if cause is ReleaseCause.COMPLETED:
                 self.served[request.host] += 1
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -473,6 +473,7 @@
             LEADERLESS_RETRY_SHARE / self._control.sharing_host_count
         )
         self._limits.share = LEADERLESS_LIMIT_SHARE / self._control.sharing_host_count
+        self._local_schedulers.brittle.share = 1 / self._control.sharing_host_count
         upstreams = leaderless_upstreams(
             self._local_upstreams, self.host, self.data_centre, self.entry_hosts
         )
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from .brittle_upstreams import BrittleUpstreams
 from .fleet import Policy, UpstreamKind, UpstreamSpec
 from .health import Health, HealthState
 from .host_reach import HostReach
@@ -125,6 +126,7 @@
     :param poison_detector: detector of suspects; two of them never share an upstream.
     :param limits: limits that upstreams have named.
     :param reach: evidence on the links between entry hosts and upstreams.
+    :param brittle: upstreams that must not reject many requests.
     """
 
     def __init__(
@@ -133,10 +135,12 @@
         poison_detector: PoisonDetector,
         limits: UpstreamLimits,
         reach: HostReach,
+        brittle: BrittleUpstreams,
     ):
         self._policy = policy
         self._limits = limits
         self._reach = reach
+        self._brittle = brittle
         self._poison_detector = poison_detector
 
     def choose(
@@ -246,8 +250,8 @@
     ) -> int:
         limit = upstream.limit(self._policy, is_urgent, now_ms)
         if limit == 0 and self._reach.may_test(queued.host, upstream.name, now_ms):
-            return int(upstream.capacity.limit_slots)
-        return limit
+            limit = int(upstream.capacity.limit_slots)
+        return self._brittle.usable_slots(upstream.name, limit, now_ms)
 
     def _fits_memory(self, upstream: Upstream, slot_request: SlotRequest) -> bool:
         if upstream.capacity.fits_memory(slot_request, 0):
--- a/src/peridotfront/core/releases.py
+++ b/src/peridotfront/core/releases.py
@@ -20,11 +20,14 @@
     first_token_ms: int = -1,
     duration_ms: int = 0,
     is_end_certain: bool = True,
+    rejections_per_s: float = -1.0,
 ) -> Release:
     """Return the message that releases the slot of a slot request.
 
     :param first_token_ms: time from the send to the first event; -1 if there was none.
     :param is_end_certain: whether the answer's end was more than its connection's end.
+    :param rejections_per_s: rejections that the upstream bears in a second; negative if
+        it names no number.
     """
     return Release(
         request_id=slot_request.request_id,
@@ -37,6 +40,7 @@
         first_token_ms=first_token_ms,
         duration_ms=duration_ms,
         is_end_certain=is_end_certain,
+        rejections_per_s=rejections_per_s,
     )
 
 
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -6,6 +6,7 @@
 
 from .actions import Log, Received, Send, Tick
 from .answer_times import AnswerTimes
+from .brittle_upstreams import BrittleUpstreams
 from .crash_guard import CrashGuard
 from .crash_history import CrashHistory
 from .crash_recorder import CrashRecorder
@@ -55,12 +56,12 @@
 ABSENT_CAUSES = (ReleaseCause.UNREACHABLE, ReleaseCause.OTHER_UPSTREAM)
 # A goal that answers rarely meet must not make all requests late.
 MAX_ANSWER_SHARE_OF_GOAL = 0.6
-ANSWERED_CAUSES = (
+OWN_ANSWER_CAUSES = (
     ReleaseCause.COMPLETED,
-    ReleaseCause.OTHER_UPSTREAM,
     ReleaseCause.UPSTREAM_ERROR,
     ReleaseCause.REJECTED,
 )
+ANSWERED_CAUSES = (*OWN_ANSWER_CAUSES, ReleaseCause.OTHER_UPSTREAM)
 # The relay itself may be frozen or out of reach.
 RELAY_CAUSES = (
     ReleaseCause.RELAY_UNREACHABLE,
@@ -91,6 +92,7 @@
     :param crash_guard: filter of requests that crash upstreams.
     :param limits: limits that upstreams have named.
     :param reach: evidence on the links between entry hosts and upstreams.
+    :param brittle: upstreams that must not reject many requests.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         crash_guard: CrashGuard | None = None,
         limits: UpstreamLimits | None = None,
         reach: HostReach | None = None,
+        brittle: BrittleUpstreams | None = None,
     ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
@@ -118,6 +121,7 @@
         self._answer_times = AnswerTimes()
         self._limits = UpstreamLimits() if limits is None else limits
         self._reach = HostReach() if reach is None else reach
+        self._brittle = BrittleUpstreams() if brittle is None else brittle
         self._drain_rate = DrainRate(self._queues, self._limits)
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
@@ -593,8 +597,10 @@
         health = upstream.health
         if not self._record_reach(slot, cause, now_ms):
             return
-        if cause is ReleaseCause.REJECTED and self._limits.rejected(
-            slot.upstream, slot.granted_ms, now_ms
+        if cause in ANSWERED_CAUSES:
+            self._brittle.record_answer(slot.upstream, release.rejections_per_s, now_ms)
+        if cause is ReleaseCause.REJECTED and self._is_expected_rejection(
+            upstream, slot, now_ms
         ):
             return
         if cause is ReleaseCause.COMPLETED:
@@ -616,6 +622,16 @@
         elif cause in FAILED_CAUSES:
             health.failed(False, now_ms)
 
+    def _is_expected_rejection(
+        self, upstream: Upstream, slot: Slot, now_ms: int
+    ) -> bool:
+        """Record a rejection, and return whether the upstream's limits explain it."""
+        is_limited = self._limits.rejected(slot.upstream, slot.granted_ms, now_ms)
+        is_brittle = self._brittle.record_rejection(
+            slot.upstream, len(upstream.capacity.slots), now_ms
+        )
+        return is_limited or is_brittle
+
     def _record_reach(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> bool:
         """Record what an end says of the link that the request took.
 
@@ -747,7 +763,11 @@
         self._weights = {account.name: account.weight for account in fleet.accounts}
         self._poison_detector.limit = fleet.policy.poison_strikes
         self._placement = Placement(
-            fleet.policy, self._poison_detector, self._limits, self._reach
+            fleet.policy,
+            self._poison_detector,
+            self._limits,
+            self._reach,
+            self._brittle,
         )
         specs = {spec.name: spec for spec in fleet.upstreams if spec.cell == self.cell}
         self._configured = frozenset(specs)
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -10,6 +10,7 @@
 
 from .actions import Received, Send, Tick
 from .allowances import AllowanceLimits, Allowances
+from .brittle_upstreams import BrittleUpstreams
 from .crash_guard import CrashGuard
 from .fleet import AccountSpec, Fleet, Policy, UpstreamKind, UpstreamSpec
 from .host_reach import HostReach
@@ -108,6 +109,7 @@
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
         self.reach = HostReach()
+        self.brittle = BrittleUpstreams()
         self._routing = RoutingConfig()
         self._upstreams: tuple[ListedUpstream, ...] = ()
         self._charges: dict[str, Charge] = {}
@@ -129,7 +131,9 @@
     ) -> Iterator[Send]:
         """Apply a new list of upstreams."""
         self._upstreams = upstreams
-        self.reach.retain({upstream.name for upstream in upstreams})
+        names = {upstream.name for upstream in upstreams}
+        self.reach.retain(names)
+        self.brittle.retain(names)
         yield from self._update_schedulers(now_ms)
 
     def _update_schedulers(self, now_ms: int) -> Iterator[Send]:
@@ -152,6 +156,7 @@
                 self._crash_guard,
                 self._limits,
                 self.reach,
+                self.brittle,
             )
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -350,6 +350,7 @@
     def _note(self, attempt: "_Attempt", notice: UpstreamNotice) -> None:
         """Pass on what an upstream says of itself."""
         upstream = attempt.grant.upstream
+        attempt.rejections_per_s = notice.rejections_per_s
         if notice.is_leaving:
             self._server.feed(UpstreamLeaving(upstream))
         if notice.retry_after_ms:
@@ -482,6 +483,7 @@
             first_token_ms=attempt.first_ms,
             duration_ms=now_ms() - attempt.started_ms,
             is_end_certain=attempt.answer is None or attempt.answer.is_framed,
+            rejections_per_s=attempt.rejections_per_s,
         )
         self._server.feed(SlotReleased(release))
 
@@ -554,6 +556,8 @@
     :param reported_ms: time of the last progress report, on the monotonic clock.
     :param silence_timeout_ms: time limit for silence of the upstream.
     :param is_answered: whether the caller has its final answer.
+    :param rejections_per_s: rejections that the upstream says it bears in a second;
+        negative if it names no number.
     """
 
     slot_request: SlotRequest
@@ -565,6 +569,7 @@
     reported_ms: int = 0
     silence_timeout_ms: int = 0
     is_answered: bool = False
+    rejections_per_s: float = -1.0
 
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
--- a/src/peridotfront/platform/requests.py
+++ b/src/peridotfront/platform/requests.py
@@ -25,6 +25,7 @@
 RESUMES = "resumes"
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
+BRITTLE = "server-brittle"
 RETRY_AFTER = "retry-after"
 NOT_EXECUTED = "x-not-executed"
 DIGEST = "x-response-sig"
@@ -129,7 +130,13 @@
         if answer.status_code == HTTPStatus.SERVICE_UNAVAILABLE:
             retry_after_ms = _parse_seconds(answer.header(RETRY_AFTER))
         is_leaving = answer.header(LEAVING) == "1"
-        return UpstreamNotice(is_leaving, retry_after_ms, _parse_limit(answer))
+        rejections_per_s = _parse_lowest(answer, BRITTLE)
+        return UpstreamNotice(
+            is_leaving,
+            retry_after_ms,
+            _parse_lowest(answer, LIMIT),
+            NO_LIMIT if rejections_per_s is None else rejections_per_s,
+        )
 
     def retry_after_header(self, retry_after_ms: int) -> Header:
         """Build the header field with the time to wait before a retry, in seconds."""
@@ -192,12 +199,12 @@
     return tuple([int.from_bytes(digest, "big") for digest in digests])
 
 
-def _parse_limit(answer: UpstreamAnswer) -> float | None:
-    """Return the lowest limit that an answer names, in requests a second.
+def _parse_lowest(answer: UpstreamAnswer, name: str) -> float | None:
+    """Return the lowest number of a second that a header field of an answer names.
 
     :return: ``NO_LIMIT`` if it names none; None if one can't be read.
     """
-    texts = [text.strip() for text in _values(answer, LIMIT)]
+    texts = [text.strip() for text in _values(answer, name)]
     if not all(DECIMAL.fullmatch(text) for text in texts):
         return None
     return min([float(text) for text in texts], default=NO_LIMIT)
--- a/src/peridotfront/routed_requests.py
+++ b/src/peridotfront/routed_requests.py
@@ -63,11 +63,14 @@
         doesn't say so.
     :param requests_per_s: requests a second that it takes from all hosts together;
         negative if it names no limit, None if what it names can't be read.
+    :param rejections_per_s: rejections in a second at which it falls over if there are
+        more; negative if it doesn't say so.
     """
 
     is_leaving: bool = False
     retry_after_ms: int = 0
     requests_per_s: float | None = None
+    rejections_per_s: float = -1.0
 
 
 class RequestCodec(Protocol):
