Test what a relay proves, any order of reports, and what upstreams say of rejections

Any sequence of reports leaves core/host_reach usable; a first version raised KeyError when a host was found cut off by its second report, which ended the connections of all hosts to the leader, and this fuzzing finds it.

--- a/features/brittle_upstreams.feature
+++ b/features/brittle_upstreams.feature
@@ -27,3 +27,17 @@
     And 10000 ms of requests pass, one each 60 ms at each host
     Then the upstreams fell over at most 2 times
     And half of the room was used
+
+  Scenario Outline: The number that an upstream names is told to the scheduler: <text>
+    Given a gateway before upstream "u1" that will "answer"
+    And its answers say that it falls over at "<text>" rejections
+    When a caller sends "/transfer/x" with the body "pay 5"
+    Then the caller gets 200 with the body "whole answer of u1"
+    And the released slot tells <number> rejections a second
+
+    Examples: Texts
+      | text | number |
+      | 6    | 6      |
+      | 2.5  | 2.5    |
+      | 0    | 0      |
+      | many | -1     |
--- a/features/host_reach.feature
+++ b/features/host_reach.feature
@@ -66,3 +66,7 @@
     And 1000 ms of requests pass at all hosts
     Then 97 in 100 requests at "e1,e2,e3,e4,e5,e6" were served
     And the leader takes no host as cut off from upstreams
+
+  Scenario: Any sequence of reports leaves the evidence usable
+    When hosts join, leave and report in any order
+    Then no report fails, and a relay always has the link that it is chosen for
--- a/features/steps/brittle_upstreams_steps.py
+++ b/features/steps/brittle_upstreams_steps.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 from support.brittle_world import BrittleWorld
 
+from peridotfront.core.gateway_events import SlotReleased
+
 MIN_USED_SHARE = 0.5
 
 
@@ -51,3 +53,15 @@
     context.gap_ms = gap
     context.world.reset()
     context.world.run(duration, gap)
+
+
+@given('its answers say that it falls over at "{text}" rejections')
+def name_in_answers(context, text):
+    context.upstreams[0].notices = (f"Server-Brittle: {text}",)
+
+
+@then("the released slot tells {number:g} rejections a second")
+def has_told(context, number):
+    events = context.front.slot_server.events
+    released = [e.release for e in events if isinstance(e, SlotReleased)]
+    assert [release.rejections_per_s for release in released] == [number], released
--- a/features/steps/host_reach_steps.py
+++ b/features/steps/host_reach_steps.py
@@ -1,9 +1,13 @@
 """Steps for the evidence on the links between entry hosts and upstreams."""
 
 from behave import given, then, when
+from hypothesis import given as given_random
+from hypothesis import settings
+from hypothesis import strategies as st
 from support.reach_world import ReachWorld
 from support.routed_group import names_of
 
+from peridotfront.core.host_reach import HostReach
 from peridotfront.core.messages import ReleaseCause
 
 
@@ -72,3 +76,75 @@
 def check_none_cut_off(context):
     reach = context.world.group.leader().role.service_schedulers.reach
     assert not [host for host in context.world.hosts if reach.is_cut_off(host)]
+
+
+HOSTS = ("e1", "e2", "e3", "e4")
+UPSTREAMS = ("m1", "m2", "m3")
+SEQUENCES = 500
+REPORTS = ("answer", "unreachable", "broken", "silence")
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from((*REPORTS, "join", "leave", "leaving", "refused", "retain")),
+        st.sampled_from(HOSTS),
+        st.sampled_from(UPSTREAMS),
+        st.integers(0, 2500),
+    ),
+    min_size=10,
+    max_size=60,
+)
+
+
+@when("hosts join, leave and report in any order")
+def fuzz_reports(context):
+    context.sequences = 0
+
+    @settings(max_examples=SEQUENCES)
+    @given_random(EVENTS)
+    def play(events):
+        context.sequences += 1
+        reach = HostReach()
+        joined = set(HOSTS)
+        for host in HOSTS:
+            reach.join(host, "dc1")
+        now_ms = 0
+        for kind, host, upstream, elapsed_ms in events:
+            now_ms += elapsed_ms
+            play_event(reach, joined, kind, host, upstream, now_ms)
+            list(reach.take_logs())
+            reach.take_reinstated()
+            check_relays(reach, joined, now_ms)
+
+    play()
+
+
+def play_event(reach, joined, kind, host, upstream, now_ms):
+    if kind in REPORTS:
+        getattr(reach, f"record_{kind}")(host, upstream, now_ms)
+    elif kind == "join":
+        joined.add(host)
+        reach.join(host, "dc1")
+    elif kind == "leave":
+        joined.discard(host)
+        reach.leave(host)
+    elif kind == "leaving" and host in joined:
+        reach.set_leaving(host, True)
+    elif kind == "refused":
+        reach.record_refused_relay(host, HOSTS[0], now_ms)
+    elif kind == "retain":
+        reach.retain({upstream})
+
+
+def check_relays(reach, joined, now_ms):
+    for host in HOSTS:
+        for upstream in UPSTREAMS:
+            relay = reach.relay_for(host, upstream, "dc1", now_ms)
+            if relay:
+                assert relay in joined and relay != host
+                assert not reach.has_lost_link(relay, upstream, now_ms)
+            if reach.may_test(host, upstream, now_ms):
+                reach.record_test(upstream, now_ms)
+
+
+@then("no report fails, and a relay always has the link that it is chosen for")
+def fuzz_has_run(context):
+    assert context.sequences > 0
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -22,6 +22,8 @@
 from peridotfront.platform.configuration import parse_configuration
 from peridotfront.platform.requests import PlatformRequestCodec
 from peridotfront.relay_client import UpstreamClients
+from peridotfront.relay_server import RelayServer
+from peridotfront.transport import Transport
 
 KEY = "key-of-club"
 HOST = "h.example"
@@ -68,6 +70,8 @@
     :param origins_known_after_ms: time after which it knows how streams began.
     :param refusal_reason: reason with which it refuses everything; empty if it grants.
     :param frozen_ms: time for which the process is frozen after each grant.
+
+    ``relay`` is the host through which it lets requests be sent; empty for none.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         self.origins_known_s = time.monotonic() + origins_known_after_ms / 1000
         self.refusal_reason = refusal_reason
         self.frozen_ms = frozen_ms
+        self.relay = ""
         self.slot_requests = []
         self.events = []
 
@@ -107,6 +112,7 @@
             0,
             upstream.address,
             upstream.software_version if self.knows_versions else "",
+            self.relay,
         )
         # It freezes the whole process, as SIGSTOP does.
         time.sleep(self.frozen_ms / 1000)
@@ -163,13 +169,56 @@
     return server
 
 
+class RelayHost:
+    """Entry host that relays connections to upstreams.
+
+    :param upstreams: upstreams that it knows.
+
+    ``opened`` counts the connections that it was asked for.
+    """
+
+    def __init__(self, upstreams):
+        self.opened = 0
+        self._upstreams = upstreams
+        self.server = RelayServer(self._is_known)
+        self._transport = Transport(
+            "relay", 1, (), lambda frame: None, relay=self.server.relay
+        )
+
+    def _is_known(self, address):
+        is_known = address in [upstream.address for upstream in self._upstreams]
+        self.opened += is_known
+        return is_known
+
+    async def start(self):
+        """Start to listen, and return the address."""
+        return f"127.0.0.1:{await self._transport.start('127.0.0.1:0')}"
+
+    def end(self):
+        """Begin to stop."""
+        self._stopping = asyncio.ensure_future(self._transport.stop())
+
+    async def stop(self):
+        """Break off all that it relays."""
+        await self._transport.stop()
+
+
 class GatewayRunner:
     """Asynchronous context manager that runs a gateway and scripted upstreams.
 
     :param is_scheduling: whether the entry host schedules the upstreams by itself.
+    :param relayed: upstreams that another host relays to; None for no such host.
     """
 
-    def __init__(self, upstreams, table=None, slot_options=None, is_scheduling=False):
+    def __init__(
+        self,
+        upstreams,
+        table=None,
+        slot_options=None,
+        is_scheduling=False,
+        relayed=None,
+    ):
+        self.relay = None if relayed is None else RelayHost(relayed)
         self.upstreams = upstreams
         self.is_scheduling = is_scheduling
         self.slot_server = FakeSlotServer(
@@ -179,6 +228,8 @@
     async def __aenter__(self):
         for upstream in self.upstreams:
             await upstream.start()
+        if self.relay is not None:
+            self.slot_server.relay = await self.relay.start()
         self.clients = UpstreamClients(ClientLimits())
         self.metrics = Metrics("e1", "dc1")
         if self.is_scheduling:
@@ -205,6 +256,8 @@
             self.ticks.cancel()
         await self.http.close()
         await self.clients.close()
+        if self.relay is not None:
+            await self.relay.stop()
         for upstream in self.upstreams:
             upstream.server.close()
 
@@ -274,9 +327,18 @@
         slot_options = getattr(context, "slot_options", None)
         is_scheduling = getattr(context, "is_scheduling", False)
         async with GatewayRunner(
-            context.upstreams, context.routes, slot_options, is_scheduling
+            context.upstreams,
+            context.routes,
+            slot_options,
+            is_scheduling,
+            getattr(context, "relayed", None),
         ) as front:
             context.front = front
+            relay_ends_ms = getattr(context, "relay_ends_ms", None)
+            if relay_ends_ms is not None:
+                asyncio.get_running_loop().call_later(
+                    relay_ends_ms / 1000, front.relay.end
+                )
             answer = await work(front)
             await asyncio.sleep(POLL_S)
             return answer
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -22,9 +22,10 @@
 class Upstream:
     """Upstream that answers each request by the next step of its script.
 
-    The last step is repeated.
+    The last step is repeated. Health checks are answered beside it.
 
     :param notices: further header fields of each answer.
+    :param accepts: whether it accepts connections.
     """
 
     name: str
@@ -33,19 +34,23 @@
     requests: list = field(default_factory=list)
     server: asyncio.Server = None
     notices: tuple = ()
-
-    @property
-    def address(self):
-        host, port = self.server.sockets[0].getsockname()
-        return f"{host}:{port}"
+    accepts: bool = True
+    address: str = ""
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        if not self.accepts:
+            self.server.close()
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 received = await self._read(reader)
+                if received.line.startswith("GET /healthz "):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    continue
                 self.requests.append(received)
                 step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 await getattr(self, f"_{step}")(received, reader, writer)
