Play lost links of entry hosts in the soak, and links that open and stay silent

Half of the seeds give each entry host links of its own to the upstreams, and let them fail in six ways beside the other faults; draws of the other seeds stay.

--- a/features/steps/upstream_links_steps.py
+++ b/features/steps/upstream_links_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 from support.link_processes import LinkProcesses
-from support.links import LinkFault
+
+from soak.links import LinkFault
 
 MIN_ANSWERED_SHARE = 0.9
 DURATION_S = 10.0
--- a/features/support/link_processes.py
+++ b/features/support/link_processes.py
@@ -1,17 +1,16 @@
 """Real programs whose entry hosts have links of their own to the upstreams."""
 
 import asyncio
-import os
 from collections import Counter
 from dataclasses import dataclass, field
 
 from peridotfront.exceptions import PeridotfrontError
 from peridotfront.http_client import ClientLimits, HttpClient
 from soak.callers import HOST, KEY, NOT_EXECUTED_CODES
-from soak.deployment import CALLERS_PORT, ROOT
-from soak.world import NETWORK, UPSTREAM_PORT, Upstream
+from soak.deployment import CALLERS_PORT
+from soak.links import LinkFault, Links
+from soak.world import NETWORK, Upstream
 
-from .links import Link, LinkFault
 from .prompt_processes import DEADLINE_MS, TIMEOUTS, PromptProcesses
 
 CONTACT_S = 3.0
@@ -48,30 +47,15 @@
     runs: Counter = field(default_factory=Counter)
 
     async def _play(self, folder, duration_s):
-        self.links = {}
         try:
             await super()._play(folder, duration_s)
         finally:
-            for link in self.links.values():
-                await link.stop()
+            await self.links.stop()
 
     def _build_deployment(self, folder):
         deployment = super()._build_deployment(folder)
-        for number, host in enumerate(deployment.entries):
-            prefix = f"{NETWORK}.{20 + number}."
-            host.module = "support.linked_entry"
-            host.variables = {
-                "LINKED_UPSTREAMS": UPSTREAMS,
-                "LINKS_OF_HOST": prefix,
-                "PYTHONPATH": os.pathsep.join(
-                    [str(ROOT / "src"), str(ROOT / "features"), str(ROOT)]
-                ),
-            }
-            for upstream in range(1, self.engines + 1):
-                self.links[number, upstream] = Link(
-                    (f"{prefix}{upstream}", UPSTREAM_PORT),
-                    (f"{UPSTREAMS}{upstream}", UPSTREAM_PORT),
-                )
+        ips = [f"{UPSTREAMS}{number}" for number in range(1, self.engines + 1)]
+        self.links = Links(deployment, ips)
         return deployment
 
     def _build_upstreams(self):
@@ -81,23 +65,25 @@
         ]
 
     async def _load(self, deployment, duration_s):
-        for link in self.links.values():
-            await link.start()
+        await self.links.start()
         client = HttpClient(ClientLimits(keep_alive_ms=10_000))
         calls = asyncio.create_task(self._call_all(client, deployment, duration_s))
         await asyncio.sleep(WARM_UP_S)
-        await self._set_faults(self.fault)
+        await self._set_faults(deployment, self.fault)
         await asyncio.sleep(FAULT_S)
-        await self._set_faults(LinkFault.NONE)
+        await self._set_faults(deployment, LinkFault.NONE)
         await calls
         await client.close()
 
-    async def _set_faults(self, fault):
-        for (host, upstream), link in self.links.items():
-            # Upstreams of both services are in each half.
-            is_in_half = (upstream // 2 + host) % 2 == 0
-            if host < self.cut_hosts and (is_in_half or not self.is_split):
-                await link.set_fault(fault)
+    async def _set_faults(self, deployment, fault):
+        for number, host in enumerate(deployment.entries[: self.cut_hosts]):
+            lost = [
+                f"{UPSTREAMS}{upstream}"
+                for upstream in range(1, self.engines + 1)
+                # Upstreams of both services are in each half.
+                if not self.is_split or (upstream // 2 + number) % 2 == 0
+            ]
+            await self.links.set_fault(host, lost, fault)
 
     async def _call_all(self, client, deployment, duration_s):
         tasks = set()
--- a/features/upstream_links.feature
+++ b/features/upstream_links.feature
@@ -20,3 +20,5 @@
       | /look-up/x   | 2     | refuse |
       | /look-up/x   | 3     | silent to other halves of the upstreams |
       | /transfer/x  | 3     | reset to other halves of the upstreams  |
+      | /transfer/x  | 2     | hold   |
+      | /resumable/x | 2     | hold   |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from .burdens import LIMITS, Burdens
 from .callers import VERSIONS, Callers, Operator, Record
 from .deployment import Deployment
+from .links import LinkFault, Links
 from .untrue_answers import UNTRUE_ANSWERS, UntrueUpstream
 from .world import NETWORK, UpstreamList
 
@@ -29,6 +30,7 @@
 MIN_SERVED_SHARE = 0.25
 MAX_ENTRY_KB = 64 * 1024
 MAX_LIMITED = 2
+LINKED_SHARE = 0.5
 
 RUN_FOLDER = Path("run")
 
@@ -72,6 +74,12 @@
         self.operator = Operator(self.deployment.controls, self.record, self.random)
         self.events = []
         self._untrue_answers = []
+        self.faults = FAULTS
+        self.links = None
+        # Other draws of a seed don't depend on this one.
+        if random.Random(f"links {seed}").random() < LINKED_SHARE:
+            self.links = Links(self.deployment, [u.ip for u in self.upstreams])
+            self.faults = (*FAULTS, Soak.lose_links, Soak.lose_links)
 
     def _upstream(self, name, service, number, **options):
         draws = random.Random(self.random.random())
@@ -93,6 +101,8 @@
         await upstream_list.start()
         for upstream in self.upstreams:
             await upstream.start()
+        if self.links is not None:
+            await self.links.start()
         await self.deployment.start()
         try:
             await self.operator.change(START_TIMEOUT_S)
@@ -101,6 +111,8 @@
         finally:
             await self.operator.close()
             await self.deployment.stop()
+            if self.links is not None:
+                await self.links.stop()
             await asyncio.gather(*self.burdens.tasks)
             for upstream in self.upstreams:
                 await upstream.stop()
@@ -118,7 +130,7 @@
         )
         end_s = loop.time() + self.seconds
         await asyncio.gather(
-            self._inject(FAULTS, MAX_PAUSE_S, end_s),
+            self._inject(self.faults, MAX_PAUSE_S, end_s),
             self._inject((Soak.answer_untruly,), MAX_UNTRUE_PAUSE_S, end_s),
         )
         self.quiet_s = loop.time()
@@ -298,6 +310,17 @@
             self._log("limit", limit, upstream.name)
             self.burdens.name_limit(upstream.name, limit)
 
+    async def lose_links(self):
+        """Let the links of an entry host to some or all upstreams fail for a time."""
+        host = self.random.choice(self.deployment.entries)
+        fault = self.random.choice(list(LinkFault)[1:])
+        count = self.random.choice((len(self.upstreams), len(self.upstreams) // 2))
+        ips = [upstream.ip for upstream in self.random.sample(self.upstreams, count)]
+        self._log("links", fault, host.name, count)
+        await self.links.set_fault(host, ips, fault)
+        await asyncio.sleep(self.random.uniform(1.0, 5.0))
+        await self.links.set_fault(host, ips, LinkFault.NONE)
+
     async def change(self):
         """Change the configuration."""
         self._log("change")
--- a/features/support/links.py
+++ b/soak/links.py
@@ -1,11 +1,16 @@
 """Links between one host and one upstream, which can fail in several ways."""
 
 import asyncio
+import os
 import socket
 from enum import StrEnum
 
+from .deployment import ROOT
+from .world import NETWORK, UPSTREAM_PORT
+
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
+FIRST_LINK_NETWORK = 20
 # Connections that fill the queue of a listener that accepts none.
 FILLING_CONNECTIONS = 4
 
@@ -16,7 +21,8 @@
     ``SILENT``: nothing arrives, and new connections hang. ``MUTE``: requests arrive on
     open connections, but no answers; new ones hang. ``RESET``: open connections are
     reset and new ones refused. ``ABORT``: new ones are reset once they are open.
-    ``REFUSE``: open connections live on, and new ones are refused.
+    ``REFUSE``: open connections live on, and new ones are refused. ``HOLD``: new ones
+    open, but no bytes pass on any.
     """
 
     NONE = "none"
@@ -25,10 +31,13 @@
     RESET = "reset"
     ABORT = "abort"
     REFUSE = "refuse"
+    HOLD = "hold"
 
 
 HANGING_FAULTS = (LinkFault.SILENT, LinkFault.MUTE)
 REFUSING_FAULTS = (LinkFault.RESET, LinkFault.REFUSE)
+SILENT_FAULTS = (LinkFault.SILENT, LinkFault.HOLD)
+MUTE_FAULTS = (*SILENT_FAULTS, LinkFault.MUTE)
 RESETTING_FAULTS = (LinkFault.RESET, LinkFault.ABORT)
 
 
@@ -105,8 +114,8 @@
             return
         self._writers.update((writer, up_writer))
         await asyncio.gather(
-            self._pump(reader, up_writer, (LinkFault.SILENT,)),
-            self._pump(up_reader, writer, HANGING_FAULTS),
+            self._pump(reader, up_writer, SILENT_FAULTS),
+            self._pump(up_reader, writer, MUTE_FAULTS),
         )
         self._writers.difference_update((writer, up_writer))
 
@@ -124,3 +133,43 @@
             writer.transport.abort()
         finally:
             writer.close()
+
+
+class Links:
+    """Links of all entry hosts of a deployment, each with an address of its own.
+
+    The entry hosts must not have been started yet.
+
+    :param deployment: deployment whose entry hosts connect through the links.
+    :param upstream_ips: IP addresses of the upstreams, all in one network.
+    """
+
+    def __init__(self, deployment, upstream_ips):
+        self._links = {}
+        for number, host in enumerate(deployment.entries):
+            prefix = f"{NETWORK}.{FIRST_LINK_NETWORK + number}."
+            host.module = "soak.linked_entry"
+            host.variables = {
+                "LINKED_UPSTREAMS": f"{NETWORK}.8.",
+                "LINKS_OF_HOST": prefix,
+                "PYTHONPATH": os.pathsep.join([str(ROOT / "src"), str(ROOT)]),
+            }
+            for ip in upstream_ips:
+                address = prefix + ip.rpartition(".")[2]
+                link = Link((address, UPSTREAM_PORT), (ip, UPSTREAM_PORT))
+                self._links[host.name, ip] = link
+
+    async def start(self):
+        """Start to accept connections."""
+        for link in self._links.values():
+            await link.start()
+
+    async def stop(self):
+        """Close all links."""
+        for link in self._links.values():
+            await link.stop()
+
+    async def set_fault(self, host, upstream_ips, fault):
+        """Let the links of a host to some upstreams fail, or work again."""
+        for ip in upstream_ips:
+            await self._links[host.name, ip].set_fault(fault)
