--- a/src/peridotfront/core/host_reach.py
+++ b/src/peridotfront/core/host_reach.py
@@ -5,7 +5,7 @@
 served has lost its links, and its reports say nothing about the upstreams.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from .actions import Log
@@ -84,7 +84,8 @@
         """Remove an entry host and its reports."""
         self._hosts.pop(host, None)
         self._doubtful.discard(host)
-        self._withdraw_reports(host)
+        reported = [name for name, hosts in self._reporters.items() if host in hosts]
+        self._withdraw_reports(host, reported)
 
     def data_centre(self, host: str) -> str:
         """Return the data centre of an entry host; empty if it is unknown."""
@@ -321,16 +322,13 @@
         )
         self._logs.append(Log("host_reach_changed", fields))
         if is_cut_off:
-            self._withdraw_reports(host)
-            self._reinstated.update(
-                [name for name in links.failing if name not in self._reporters]
-            )
-
-    def _withdraw_reports(self, host: str) -> None:
-        """Reinstate the upstreams that no other host has reported."""
-        for upstream, reporters in tuple(self._reporters.items()):
-            if host in reporters:
-                del reporters[host]
-                if all(self.is_cut_off(name) for name in reporters):
-                    del self._reporters[upstream]
-                    self._reinstated.add(upstream)
+            self._withdraw_reports(host, links.failing)
+
+    def _withdraw_reports(self, host: str, upstreams: Iterable[str]) -> None:
+        """Reinstate those of some upstreams that no host with links has reported."""
+        for upstream in upstreams:
+            reporters = self._reporters.get(upstream, {})
+            reporters.pop(host, None)
+            if all(self.is_cut_off(name) for name in reporters):
+                self._reporters.pop(upstream, None)
+                self._reinstated.add(upstream)
