--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -11,6 +11,7 @@
 from .crash_history import CrashHistory
 from .crash_recorder import CrashRecorder
 from .drain_rate import DrainRate
+from .end_recorder import EndRecorder
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .health import Health, HealthState
 from .host_reach import HostReach
@@ -53,22 +54,8 @@
 OVERDUE_FACTOR = 2
 IN_PROGRESS_RETRY_MS = 500
 NO_UPSTREAM_RETRY_MS = 1000
-ABSENT_CAUSES = (ReleaseCause.UNREACHABLE, ReleaseCause.OTHER_UPSTREAM)
 # A goal that answers rarely meet must not make all requests late.
 MAX_ANSWER_SHARE_OF_GOAL = 0.6
-OWN_ANSWER_CAUSES = (
-    ReleaseCause.COMPLETED,
-    ReleaseCause.UPSTREAM_ERROR,
-    ReleaseCause.REJECTED,
-)
-ANSWERED_CAUSES = (*OWN_ANSWER_CAUSES, ReleaseCause.OTHER_UPSTREAM)
-# The relay itself may be frozen or out of reach.
-RELAY_CAUSES = (
-    ReleaseCause.RELAY_UNREACHABLE,
-    ReleaseCause.RELAY_LOST,
-    ReleaseCause.UPSTREAM_TIMEOUT,
-)
-FAILED_CAUSES = (ReleaseCause.UPSTREAM_ERROR, ReleaseCause.REJECTED)
 WASTED_PREFILL_CAUSES = (
     ReleaseCause.CALLER_GONE,
     ReleaseCause.UPSTREAM_DIED,
@@ -123,6 +110,14 @@
         self._reach = HostReach() if reach is None else reach
         self._brittle = BrittleUpstreams() if brittle is None else brittle
         self._drain_rate = DrainRate(self._queues, self._limits)
+        self._ends = EndRecorder(
+            self._reach,
+            self._limits,
+            self._brittle,
+            self._poison_detector,
+            self._crashes,
+            self._drain_rate,
+        )
         self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
             cell,
@@ -315,7 +310,9 @@
         if release.cause in UNSENT_CAUSES:
             self._limits.refund(slot.upstream)
         self._vacate(slot)
-        yield from self._update_circuit(slot, release, now_ms)
+        upstream = self._upstreams.get(slot.upstream)
+        if upstream is not None:
+            yield from self._ends.record(upstream, slot, release, now_ms)
         if release.cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._apply_strikes(now_ms)
         yield from self._grant_queued(now_ms)
@@ -578,107 +575,12 @@
             slot, release.produced_tokens, release.slow_tokens, now_ms
         )
 
-    def _update_circuit(
-        self, slot: Slot, release: Release, now_ms: int
-    ) -> Iterator[Action]:
-        upstream = self._upstreams.get(slot.upstream)
-        if upstream is None:
-            return
-        earlier_state = upstream.health.state
-        yield from self._update_health(slot, release, now_ms)
-        if upstream.health.state is not earlier_state:
-            yield _build_circuit_log(upstream, slot.sender, release.cause)
-
-    def _update_health(
-        self, slot: Slot, release: Release, now_ms: int
-    ) -> Iterator[Action]:
-        upstream = self._upstreams[slot.upstream]
-        cause = release.cause
-        health = upstream.health
-        if not self._record_reach(slot, cause, now_ms):
-            return
-        if cause in ANSWERED_CAUSES:
-            self._brittle.record_answer(slot.upstream, release.rejections_per_s, now_ms)
-        if cause is ReleaseCause.REJECTED and self._is_expected_rejection(
-            upstream, slot, now_ms
-        ):
-            return
-        if cause is ReleaseCause.COMPLETED:
-            self._limits.accepted(slot.upstream)
-            limit = int(upstream.capacity.limit_slots)
-            health.progressed(slot.granted_ms, limit, now_ms)
-            health.completed()
-            self._poison_detector.completed(slot.slot_request.fingerprint)
-            self._crashes.record_end(slot, release.is_end_certain, now_ms)
-        elif cause is ReleaseCause.UPSTREAM_DIED:
-            yield from self._upstream_died(upstream, slot, now_ms)
-        elif cause in ABSENT_CAUSES:
-            # The request was not executed there, so it gets no strike.
-            health.unreachable(now_ms)
-            self._crashes.record_crash(upstream.name, [], now_ms)
-            self._drain_rate.invalidate_capacities()
-        elif cause is ReleaseCause.UPSTREAM_TIMEOUT:
-            health.failed(True, now_ms)
-        elif cause in FAILED_CAUSES:
-            health.failed(False, now_ms)
-
-    def _is_expected_rejection(
-        self, upstream: Upstream, slot: Slot, now_ms: int
-    ) -> bool:
-        """Record a rejection, and return whether the upstream's limits explain it."""
-        is_limited = self._limits.rejected(slot.upstream, slot.granted_ms, now_ms)
-        is_brittle = self._brittle.record_rejection(
-            slot.upstream, len(upstream.capacity.slots), now_ms
-        )
-        return is_limited or is_brittle
-
-    def _record_reach(self, slot: Slot, cause: ReleaseCause, now_ms: int) -> bool:
-        """Record what an end says of the link that the request took.
-
-        :return: whether it says something of the upstream.
-        """
-        link = (slot.sender, slot.upstream)
-        if cause in ANSWERED_CAUSES:
-            self._reach.record_answer(*link, now_ms)
-            return True
-        if cause is ReleaseCause.UNREACHABLE:
-            is_outage = self._reach.record_unreachable(*link, now_ms)
-            self._drain_rate.invalidate_capacities()
-            return is_outage
-        if cause is ReleaseCause.UPSTREAM_DIED:
-            return self._reach.record_broken(*link, now_ms)
-        if cause is ReleaseCause.UPSTREAM_TIMEOUT and not slot.relay:
-            return self._reach.record_silence(*link, now_ms)
-        if cause in RELAY_CAUSES and slot.relay:
-            self._reach.record_refused_relay(slot.host, slot.relay, now_ms)
-            return False
-        return True
-
     def reinstate(self, upstream: str, now_ms: int) -> Iterator[Action]:
         """Use an upstream again that only hosts without links to it had reported."""
         known = self._upstreams.get(upstream)
-        if known is None or known.health.state is HealthState.HEALTHY:
-            return
-        known.health.reinstate()
-        self._drain_rate.invalidate_capacities()
-        yield _build_circuit_log(known, "", None)
-        yield from self._grant_queued(now_ms)
-
-    def _upstream_died(
-        self, upstream: Upstream, slot: Slot, now_ms: int
-    ) -> Iterator[Action]:
-        if not upstream.health.died(slot.granted_ms, now_ms):
-            return
-        executed = [slot, *upstream.capacity.slots.values()]
-        fingerprints = [active.slot_request.fingerprint for active in executed]
-        self._poison_detector.upstream_died(fingerprints)
-        strikes = [self._poison_detector.strikes(f) for f in fingerprints]
-        self._crashes.record_crash(
-            upstream.name, [active.slot_request for active in executed], now_ms
-        )
-        yield _build_crash_log(upstream.name, executed, strikes)
-        upstream.prefixes.clear()
-        self._drain_rate.invalidate_capacities()
+        if known is not None and known.health.state is not HealthState.HEALTHY:
+            yield from self._ends.reinstate(known)
+            yield from self._grant_queued(now_ms)
 
     def _check_slots(self, now_ms: int) -> Iterator[Action]:
         for slot in tuple(self._slots.values()):
@@ -818,30 +720,6 @@
     return UpstreamKind.ENGINE if is_engine else UpstreamKind.SERVICE
 
 
-def _build_crash_log(upstream: str, executed: list[Slot], strikes: list[int]) -> Log:
-    ids = [slot.slot_request.request_id for slot in executed]
-    fields = (
-        ("upstream", upstream),
-        ("requests", ",".join(ids)),
-        ("strikes", ",".join(map(str, strikes))),
-    )
-    return Log("upstream_crashed", fields)
-
-
-def _build_circuit_log(
-    upstream: Upstream, reporter: str, cause: ReleaseCause | None
-) -> Log:
-    fields = (
-        ("upstream", upstream.name),
-        ("state", upstream.health.state),
-        ("cause", cause or "reinstated"),
-        ("reporter", reporter),
-        ("used_slots", len(upstream.capacity.slots)),
-        ("max_slots", upstream.capacity.max_slots),
-    )
-    return Log("circuit_changed", fields)
-
-
 def _without_model(slot_request: SlotRequest) -> SlotRequest:
     """Return the slot request as one of a plain service, of which all cost the same."""
     return replace(
