Weigh the reports of hosts on the own interface too, and take no crash for a lost link

The scheduler of a cell on an entry host opened the circuit of an upstream for all hosts on one host's failed connection, as the leader did (own_reach.feature: one scenario failed before). It now weighs them by the same core/host_reach, without relays.

With it, process_faults found the opposite fault, on both interfaces: a host whose requests crash upstreams in a row looked like one without links, and its third crash was not recorded ('A request that crashes each engine takes down two of three at most'). A connection that broke counts against the link only if the upstream answers another host 100 to 1000 ms later. Then all 17 scenarios of process_faults pass, and with connections that open and are reset all of 74 and 126, and split all of 111 and 89, are served.

--- a/features/host_reach.feature
+++ b/features/host_reach.feature
@@ -71,3 +71,14 @@
   Scenario: Any sequence of reports leaves the evidence usable
     When hosts join, leave and report in any order
     Then no report fails, and a relay always has the link that it is chosen for
+
+  Scenario: A host whose requests crash upstreams is not taken as one without links
+    Given hosts "e1" and "e2" that reach all upstreams
+    When connections of "e1" to "m1,m2,m3" break, while "e2" is answered by "m4"
+    Then each break may be the fault of its upstream
+    And no host is taken as cut off
+
+  Scenario: A host whose connections break at upstreams that answer others has lost its links
+    Given hosts "e1" and "e2" that reach all upstreams
+    When connections of "e1" to "m1,m2,m3" break, while "e2" is answered by "m1,m2,m3"
+    Then "e1" is taken as cut off
--- a/features/steps/host_reach_steps.py
+++ b/features/steps/host_reach_steps.py
@@ -154,3 +154,40 @@
 @then("no report fails, and a relay always has the link that it is chosen for")
 def fuzz_has_run(context):
     assert context.sequences > 0
+
+
+@given('hosts "{first}" and "{second}" that reach all upstreams')
+def make_reach(context, first, second):
+    context.reach = HostReach()
+    for host in (first, second):
+        context.reach.join(host, "dc1")
+
+
+@when(
+    'connections of "{host}" to "{upstreams}" break, while "{other}" is answered by'
+    ' "{answering}"'
+)
+def break_connections(context, host, upstreams, other, answering):
+    now_ms = 0
+    context.may_be_upstreams = []
+    for upstream in names_of(upstreams):
+        now_ms += 500
+        may_be_upstream = context.reach.record_broken(host, upstream, now_ms)
+        context.may_be_upstreams.append(may_be_upstream)
+        for name in names_of(answering):
+            context.reach.record_answer(other, name, now_ms + 200)
+
+
+@then("each break may be the fault of its upstream")
+def may_be_upstream(context):
+    assert all(context.may_be_upstreams), context.may_be_upstreams
+
+
+@then("no host is taken as cut off")
+def none_cut_off(context):
+    assert not [host for host in HOSTS if context.reach.is_cut_off(host)]
+
+
+@then('"{host}" is taken as cut off')
+def cut_off(context, host):
+    assert context.reach.is_cut_off(host)
--- a/src/peridotfront/core/entry_role.py
+++ b/src/peridotfront/core/entry_role.py
@@ -33,6 +33,7 @@
 )
 from .fleet import Fleet, UpstreamKind, UpstreamSpec
 from .host_monitor import HostMonitor, LiveHostsChanged
+from .host_reach import HostReach
 from .messages import (
     AnswerChunk,
     AttachRequest,
@@ -143,6 +144,7 @@
         self.claim_client = claim_client
         self.fleet = Fleet()
         self.schedulers: dict[str, CellScheduler] = {}
+        self._reach = HostReach(has_relays=False)
         self.dispatcher = Dispatcher(
             self.host, incarnation, self.choose_cell, self.scheduler_of
         )
@@ -354,10 +356,13 @@
     def _update_schedulers(self, now_ms: int) -> Iterator[Any]:
         self._scheduler_of.clear()
         self._entry_hosts.clear()
+        self._update_reach()
         for cell in self._cells:
             is_scheduled_here = self.scheduler_of(cell) == self.host
             if is_scheduled_here and cell not in self.schedulers:
-                self.schedulers[cell] = CellScheduler(cell, self.fleet)
+                self.schedulers[cell] = CellScheduler(
+                    cell, self.fleet, reach=self._reach
+                )
                 yield Log("scheduler_started", (("cell", cell),))
             elif not is_scheduled_here and cell in self.schedulers:
                 del self.schedulers[cell]
@@ -374,6 +379,23 @@
         scheduler = self.schedulers.get(cell)
         if scheduler is not None:
             yield from scheduler.handle(event, now_ms)
+            yield from self._apply_reach(now_ms)
+
+    def _update_reach(self) -> None:
+        """Let the hosts that send requests be those whose reports are weighed."""
+        live = self.host_monitor.entry_hosts()
+        for host in self._reach.hosts - set(live):
+            self._reach.leave(host)
+        for host in live:
+            if host not in self._reach.hosts:
+                self._reach.join(host, "")
+
+    def _apply_reach(self, now_ms: int) -> Iterator[Any]:
+        """Use the upstreams again that only hosts without links had reported."""
+        yield from self._reach.take_logs()
+        for upstream in self._reach.take_reinstated():
+            for scheduler in list(self.schedulers.values()):
+                yield from scheduler.reinstate(upstream, now_ms)
 
     def _pass_to_all_schedulers(self, event: Any, now_ms: int) -> Iterator[Any]:
         for scheduler in list(self.schedulers.values()):
--- a/src/peridotfront/core/host_reach.py
+++ b/src/peridotfront/core/host_reach.py
@@ -5,7 +5,7 @@
 served has lost its links, and its reports say nothing about the upstreams.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass, field
 
 from .actions import Log
@@ -25,7 +25,7 @@
 MIN_SILENCE_MS = 1000
 # An upstream that answers others so soon after a failure was not restarted between, and
 # so late after it that their answers are no older than the failure.
-MAX_PROOF_MS = 2000
+MAX_PROOF_MS = 1000
 MIN_PROOF_MS = 100
 REFUSED_RELAY_MS = 2000
 
@@ -34,7 +34,6 @@
 class _HostLinks:
     """Evidence on the links of one entry host.
 
-    :param broken_ms: time by upstream at which a connection last broke.
     :param lost_ms: time by upstream at which the link was found to be lost.
     :param failing: upstreams at which it failed since it was last served anywhere.
     :param unconnected: those of them to which no connection held.
@@ -46,7 +45,6 @@
     """
 
     data_centre: str
-    broken_ms: dict[str, int] = field(default_factory=dict)
     lost_ms: dict[str, int] = field(default_factory=dict)
     failing: set[str] = field(default_factory=set)
     unconnected: set[str] = field(default_factory=set)
@@ -61,17 +59,26 @@
     """Evidence on the links between entry hosts and upstreams.
 
     Hosts that have not joined are taken at their word, and reach all upstreams.
+
+    :param has_relays: whether entry hosts can relay the requests of others.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, has_relays: bool = True):
+        self._has_relays = has_relays
         self._hosts: dict[str, _HostLinks] = {}
         self._reporters: dict[str, dict[str, bool]] = {}
+        self._broken_ms: dict[str, dict[str, int]] = {}
         self._tested_ms: dict[str, int] = {}
         self._doubtful: set[str] = set()
         self._reinstated: set[str] = set()
         self._logs: list[Log] = []
         self._turn = 0
 
+    @property
+    def hosts(self) -> Set[str]:
+        """Return the entry hosts that have joined."""
+        return self._hosts.keys()
+
     def join(self, host: str, data_centre: str) -> None:
         """Add an entry host, which may relay the requests of others."""
         self._hosts[host] = _HostLinks(data_centre)
@@ -86,6 +93,8 @@
         self._doubtful.discard(host)
         reported = [name for name, hosts in self._reporters.items() if host in hosts]
         self._withdraw_reports(host, reported)
+        for broken_ms in self._broken_ms.values():
+            broken_ms.pop(host, None)
 
     def data_centre(self, host: str) -> str:
         """Return the data centre of an entry host; empty if it is unknown."""
@@ -101,15 +110,12 @@
 
     def record_answer(self, host: str, upstream: str, now_ms: int) -> None:
         """Record that an upstream answered a host, in whatever way."""
-        reporters = self._reporters.pop(upstream, ())
-        for name in reporters:
-            if name != host:
-                self._attribute_to_link(name, upstream, now_ms)
+        self._reporters.pop(upstream, None)
+        self._attribute_to_links(host, upstream, now_ms)
         links = self._hosts.get(host)
         if links is None:
             return
         links.served_ms = now_ms
-        links.broken_ms.pop(upstream, None)
         links.lost_ms.pop(upstream, None)
         if links.failing:
             links.failing.clear()
@@ -144,15 +150,16 @@
     def record_broken(self, host: str, upstream: str, now_ms: int) -> bool:
         """Record that a connection to an upstream broke.
 
+        A request may have crashed the upstream, so it says nothing of the link until
+        the upstream has answered another host.
+
         :return: whether it may be the upstream's fault.
         """
-        links = self._hosts.get(host)
-        if links is None:
+        if host not in self._hosts:
             return True
-        links.unconnected.add(upstream)
-        links.broken_ms[upstream] = now_ms
-        self._record_failure(host, links, upstream, now_ms, is_hard=True)
-        return not links.is_cut_off
+        self._reporters.setdefault(upstream, {})[host] = True
+        self._broken_ms.setdefault(upstream, {})[host] = now_ms
+        return not self.is_cut_off(host)
 
     def record_silence(self, host: str, upstream: str, now_ms: int) -> bool:
         """Record that an upstream did not answer a host in time.
@@ -196,13 +203,12 @@
 
     def retain(self, upstreams: set[str]) -> None:
         """Forget all upstreams but some."""
-        for known in (self._reporters, self._tested_ms):
+        for known in (self._reporters, self._broken_ms, self._tested_ms):
             for name in known.keys() - upstreams:
                 del known[name]
         for links in self._hosts.values():
-            for known in (links.broken_ms, links.lost_ms):
-                for name in known.keys() - upstreams:
-                    del known[name]
+            for name in links.lost_ms.keys() - upstreams:
+                del links.lost_ms[name]
 
     # Use
 
@@ -239,7 +245,7 @@
         :param data_centre: data centre of the upstream.
         :return: its name; empty if the host should connect by itself.
         """
-        if not self.has_lost_link(host, upstream, now_ms):
+        if not (self._has_relays and self.has_lost_link(host, upstream, now_ms)):
             return ""
         relays = [
             name
@@ -281,6 +287,12 @@
         is_hard: bool = False,
     ) -> None:
         self._reporters.setdefault(upstream, {})[host] = is_hard
+        self._add_failure(host, links, upstream, now_ms)
+
+    def _add_failure(
+        self, host: str, links: _HostLinks, upstream: str, now_ms: int
+    ) -> None:
+        """Count an upstream as one that the host does not reach now."""
         if not links.failing:
             links.failing_since_ms = now_ms
         links.failing.add(upstream)
@@ -301,14 +313,24 @@
         if served_ms > links.failing_since_ms:
             self._set_cut_off(host, links, True)
 
-    def _attribute_to_link(self, host: str, upstream: str, now_ms: int) -> None:
-        """Attribute a broken connection to the host's link, as the upstream lives."""
-        links = self._hosts.get(host)
-        if links is None or upstream not in links.broken_ms:
+    def _attribute_to_links(self, host: str, upstream: str, now_ms: int) -> None:
+        """Attribute connections that broke to their hosts' links.
+
+        :param host: host that the upstream has answered, so that it lives.
+        """
+        broken_ms = self._broken_ms.get(upstream)
+        if not broken_ms:
             return
-        elapsed_ms = now_ms - links.broken_ms.pop(upstream)
-        if MIN_PROOF_MS <= elapsed_ms <= MAX_PROOF_MS:
-            links.lost_ms[upstream] = now_ms
+        broken_ms.pop(host, None)
+        for name, at_ms in tuple(broken_ms.items()):
+            if now_ms - at_ms < MIN_PROOF_MS:
+                continue
+            del broken_ms[name]
+            links = self._hosts.get(name)
+            if links is not None and now_ms - at_ms <= MAX_PROOF_MS:
+                links.lost_ms[upstream] = now_ms
+                links.unconnected.add(upstream)
+                self._add_failure(name, links, upstream, now_ms)
 
     def _set_cut_off(self, host: str, links: _HostLinks, is_cut_off: bool) -> None:
         if links.is_cut_off == is_cut_off:
@@ -322,7 +344,8 @@
         )
         self._logs.append(Log("host_reach_changed", fields))
         if is_cut_off:
-            self._withdraw_reports(host, links.failing)
+            broken = [name for name, hosts in self._broken_ms.items() if host in hosts]
+            self._withdraw_reports(host, (*links.failing, *broken))
 
     def _withdraw_reports(self, host: str, upstreams: Iterable[str]) -> None:
         """Reinstate those of some upstreams that no host with links has reported."""
