--- a/soak/links.py
+++ b/soak/links.py
@@ -53,6 +53,7 @@
         self._address = address
         self._target = target
         self._server = None
+        self._changing = asyncio.Lock()
         self._blocked = []
         self._writers = set()
         self._tasks = set()
@@ -67,7 +68,14 @@
         self._abort()
 
     async def set_fault(self, fault):
-        """Fail in a way from now on, or work again."""
+        """Fail in a way from now on, or work again.
+
+        Faults may overlap; the last one counts.
+        """
+        async with self._changing:
+            await self._set_fault(fault)
+
+    async def _set_fault(self, fault):
         self.fault = fault
         self._close_listeners()
         if fault in RESETTING_FAULTS:
