--- a/features/steps/second_sends_steps.py
+++ b/features/steps/second_sends_steps.py
@@ -54,6 +54,7 @@
 
     async def start(self):
         self.server = self.other.server
+        self.address = self.other.address
 
 
 @given(
