Log what tells the causes of lost answers apart

New: caller_bytes_dropped (514) with the cause of the close, drain_ended (109), silent_ms in send_failed, remaining_ms and admitted_version in forwarding_ended. A handler that ends by an exception already shows as outcome unfinished. No behaviour changes: callers, gateway and logs pass (100 scenarios).

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -7,12 +7,13 @@
 import socket
 import struct
 from collections import Counter
-from enum import Enum, auto
+from enum import Enum, StrEnum, auto
 from http import HTTPStatus
 from typing import Protocol
 
 import h11
 
+from . import logs
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import CallerGone
 from .exchanges import Exchange, HttpLimits
@@ -62,6 +63,18 @@
     CLOSING = auto()
 
 
+class CloseCause(StrEnum):
+    """Reasons for which this host closes a caller's connection."""
+
+    NONE = "none"
+    IDLE = "idle"
+    DRAINING = "draining"
+    LAST_ANSWER = "last_answer"
+    TRUNCATED = "truncated"
+    REFUSED = "refused"
+    PROTOCOL = "protocol"
+
+
 class CallerConnection(asyncio.Protocol):
     """Protocol that serves the requests of one connection in sequence.
 
@@ -94,6 +107,9 @@
         self._has_received_eof = False
         self._is_paused = False
         self._pending_output: list[bytes] = []
+        self._request_count = 0
+        self._close_cause = CloseCause.NONE
+        self._closing_since_ms = 0
 
     @property
     def slice_bytes(self) -> int:
@@ -123,6 +139,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; stop reading if too many arrive during a request."""
         if self._phase is _Phase.CLOSING:
+            self._log_dropped(data)
             return
         self._http.receive_data(data)
         self._wire_bytes += len(data)
@@ -135,6 +152,15 @@
             self._begin_reading()
         self._process_events()
 
+    def _log_dropped(self, data: bytes) -> None:
+        logs.write_rate_limited(
+            "caller_bytes_dropped",
+            size_bytes=len(data),
+            cause=self._close_cause,
+            closing_ms=now_ms() - self._closing_since_ms,
+            requests=self._request_count,
+        )
+
     def eof_received(self) -> bool:
         """Handle the end of the caller's sending side.
 
@@ -204,7 +230,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
         else:
-            self._close()
+            self._close(CloseCause.PROTOCOL)
 
     def _handle_head(self, head: h11.Request) -> None:
         self._head = head
@@ -265,6 +291,7 @@
         self._wire_bytes = len(self._http.trailing_data[0])
         self._phase = _Phase.RUNNING
         self._phase_deadline_s = math.inf
+        self._request_count += 1
         self._exchange = Exchange(request, self, self._began_ms)
         self._server.run(self._exchange)
 
@@ -344,8 +371,11 @@
         self.flush()
         self._exchange = None
         self._release_body()
-        if self._server.is_draining or self._http.our_state is not h11.DONE:
-            self._half_close()
+        if self._server.is_draining:
+            self._half_close(CloseCause.DRAINING)
+            return
+        if self._http.our_state is not h11.DONE:
+            self._half_close(CloseCause.LAST_ANSWER)
             return
         self._http.start_next_cycle()
         self._head = None
@@ -357,13 +387,13 @@
             return
         self.flush()
         if self._http.their_http_version == b"1.1":
-            self._close()
+            self._close(CloseCause.TRUNCATED)
             return
         # An HTTP/1.0 caller can detect a truncated answer only by a reset.
         sock = self._transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         if self._transport.get_extra_info("ssl_object") is None:
-            self._close()
+            self._close(CloseCause.TRUNCATED)
             return
         # A regular close would end TLS, which ends such an answer.
         self._transport.abort()
@@ -417,7 +447,7 @@
     def close_if_idle(self) -> None:
         """Close unless a request is being read or answered."""
         if self.is_idle:
-            self._half_close()
+            self._half_close(CloseCause.DRAINING)
 
     def abort(self) -> None:
         """Close immediately and discard unsent data."""
@@ -430,7 +460,7 @@
                 status_code, Reason.DEADLINE, "the request was not received in time"
             )
         else:
-            self._close()
+            self._close(CloseCause.IDLE)
 
     def _start_write_timeout(self) -> None:
         self._unsent_bytes = self._transport.get_write_buffer_size()
@@ -444,22 +474,22 @@
             return
         self._transport.abort()
 
-    def _half_close(self) -> None:
+    def _half_close(self, cause: CloseCause) -> None:
         # A close with unread bytes would reset the connection and lose the answer.
         if not self._transport.can_write_eof():
-            self._close()
+            self._close(cause)
             return
-        self._phase = _Phase.CLOSING
+        self._begin_closing(cause)
         self._write_eof()
         self._linger()
 
     def _close_after_linger(self) -> None:
         if self._has_received_eof:
-            self._close()
+            self._close(CloseCause.REFUSED)
             return
         if self._transport.can_write_eof():
             self._write_eof()
-        self._phase = _Phase.CLOSING
+        self._begin_closing(CloseCause.REFUSED)
         self._linger()
 
     def _write_eof(self) -> None:
@@ -471,8 +501,15 @@
         self._resume_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
 
-    def _close(self) -> None:
+    def _begin_closing(self, cause: CloseCause) -> None:
+        if self._phase is _Phase.CLOSING:
+            return
         self._phase = _Phase.CLOSING
+        self._close_cause = cause
+        self._closing_since_ms = now_ms()
+
+    def _close(self, cause: CloseCause) -> None:
+        self._begin_closing(cause)
         self._phase_deadline_s = math.inf
         if self._transport.get_write_buffer_size():
             self._start_write_timeout()
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -122,6 +122,7 @@
         self._attempts = AttemptHistory(admitted.route)
         self._last_event_id = admitted.request.last_event_id
         self._is_sent = False
+        self._admitted_version = server.route_table.version
         self._log = RequestLog()
         self._slot_finder = SlotFinder(server, admitted, self._attempts, self._log)
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
@@ -498,6 +499,7 @@
             cause=cause,
             detail=f"{type(error).__name__}: {error}",
             events=attempt.produced_tokens,
+            silent_ms=attempt.silent_ms,
             duration_ms=now_ms() - attempt.started_ms,
         )
 
@@ -528,6 +530,7 @@
             "route": admitted.route.name,
             "kind": admitted.route.kind,
             "service": admitted.service,
+            "admitted_version": self._admitted_version,
             "config_version": self._server.route_table.version,
             "outcome": self.outcome,
             "status": self.status_code,
@@ -537,6 +540,7 @@
             "waited_ms": self.waited_ms,
             "first_ms": self.first_ms,
             "duration_ms": now_ms() - admitted.began_ms,
+            "remaining_ms": self._remaining_ms(),
             "framing": self._framing,
             "events": self._event_count,
             "unfinished_bytes": self._unfinished_bytes,
@@ -571,6 +575,16 @@
     is_answered: bool = False
     rejections_per_s: float = -1.0
 
+    @property
+    def silent_ms(self) -> int:
+        """Return the time since the upstream last sent bytes of the answer.
+
+        Interim answers don't count.
+        """
+        if self.answer is None:
+            return now_ms() - self.started_ms
+        return self.answer.silent_ms
+
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
         if self.answer is not None:
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -107,6 +107,14 @@
         "a library logged a message",
         "The message and its source are in the line. Report it if it is frequent.",
     ),
+    LogEvent(
+        109,
+        "drain_ended",
+        Level.INFO,
+        "no request is in progress any more, or the time for them is over",
+        "in_progress is the number of requests that are cut off now, and relayed that"
+        " of other hosts' connections. Both should be 0.",
+    ),
 )
 
 OUTPUT_EVENTS = (
@@ -435,6 +443,14 @@
         "the control group has recorded the outcome of a request",
         "Nothing to do.",
     ),
+    LogEvent(
+        514,
+        "caller_bytes_dropped",
+        Level.INFO,
+        "bytes arrived on a connection that is being closed",
+        "They may begin a request that crossed the close; nothing was sent on. cause"
+        " says why the connection was closed, closing_ms for how long it had been.",
+    ),
 )
 
 FORWARDING_EVENTS = (
@@ -459,7 +475,8 @@
         "send_failed",
         Level.INFO,
         "a request sent to an upstream got no complete answer",
-        "The cause is in the line. Look for other lines that name the upstream.",
+        "The cause is in the line. Look for other lines that name the upstream."
+        " silent_ms is the time since its last bytes.",
     ),
     LogEvent(
         523,
@@ -469,7 +486,8 @@
         "Outcome, sends and times are in the line; the earlier lines of the request"
         " have the same request id. framing is how the last answer's body was framed,"
         " events the events of all answers, unfinished_bytes what followed the last"
-        " whole event.",
+        " whole event. remaining_ms is the time that was left. config_version was in"
+        " force at the end, admitted_version at the beginning.",
     ),
     LogEvent(
         524,
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -172,6 +172,11 @@
         await self.caller_server.drain(drain_ms)
         while self.relay_server.connections and now_ms() < end_ms:
             await asyncio.sleep(RELAY_POLL_MS / 1000)
+        logs.write(
+            "drain_ended",
+            in_progress=self.gateway.requests_in_progress,
+            relayed=self.relay_server.connections,
+        )
 
     def _may_relay_to(self, address: str) -> bool:
         return not self.is_leaving and self.role.directory.has_address(address)
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -104,6 +104,7 @@
         self.headers = headers
         self.framing = framing
         self.call_number = connection.call_count
+        self._silent_ms = 0
         self._connection: UpstreamConnection | None = connection
         self._turns = connection.turns
         self._budget = connection.budget
@@ -118,6 +119,16 @@
         """Return whether a part of the body has not arrived."""
         return self._connection is not None and not self._connection.is_complete
 
+    @property
+    def silent_ms(self) -> int:
+        """Return the time since the last bytes; 0 if they wait to be read.
+
+        After the call has ended it is the time until then.
+        """
+        if self._connection is not None:
+            self._silent_ms = self._connection.silent_ms
+        return self._silent_ms
+
     @property
     def address(self) -> str:
         """Return the upstream's IP address and port; empty after the call has ended."""
@@ -200,11 +211,13 @@
         """Close the connection unless the answer was read completely."""
         self.hold(0)
         if self._connection is not None:
+            self._silent_ms = self._connection.silent_ms
             self._connection.close()
             self._connection = None
 
     def _release(self) -> None:
         if self._connection is not None:
+            self._silent_ms = self._connection.silent_ms
             self._connection.release()
             self._connection = None
 
@@ -293,6 +306,7 @@
         self._error: Exception | None = None
         self._relay_error: RelayLost | None = None
         self._waiter: asyncio.Future | None = None
+        self._received_s = 0.0
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
         self._end_s = math.inf
@@ -312,6 +326,13 @@
         """Return whether no call is in progress, or all of its answer has arrived."""
         return self._is_complete
 
+    @property
+    def silent_ms(self) -> int:
+        """Return the time since the last bytes; 0 while reading is paused."""
+        if self._is_paused:
+            return 0
+        return int((self._loop.time() - self._received_s) * 1000)
+
     @property
     def is_usable(self) -> bool:
         """Return whether a new call may be sent."""
@@ -341,6 +362,7 @@
         if self._is_complete:
             self._fail(AnswerMalformed("data after the answer", self.address))
             return
+        self._received_s = self._loop.time()
         if self._head is None:
             self._head_bytes += nbytes
         self._http.receive_data(self._client.read_buffer[:nbytes])
@@ -544,6 +566,7 @@
         parts = self._parts
         self._parts = []
         if self._is_paused:
+            self._received_s = self._loop.time()
             self._extend_deadline()
         self._set_buffered(0)
         self._update_reading()
