--- /dev/null
+++ b/features/steps/silent_upstreams_steps.py
@@ -0,0 +1,50 @@
+"""Steps for sound upstreams that are silent for a moment."""
+
+import asyncio
+
+from behave import given, then, when
+from support.silent_processes import SilentProcesses
+
+DURATION_S = 12.0
+
+
+@given(
+    "programs of {controls:d} control hosts and {entries:d} entry hosts before"
+    " {upstreams:d} upstreams"
+)
+def make_programs(context, controls, entries, upstreams):
+    context.programs = SilentProcesses(controls, entries, upstreams)
+
+
+@when(
+    'requests "{path}" are sent while the upstreams fall silent for {silence:d} ms'
+    " each in turn"
+)
+def play_silences(context, path, silence):
+    programs = context.programs
+    programs.path = path
+    programs.silence_s = silence / 1000
+    asyncio.run(programs.play(DURATION_S))
+
+
+@then("no request is left without an answer")
+def none_lost(context):
+    assert context.programs.whole, "no request was served"
+    assert not context.programs.lost, context.programs.lost
+
+
+@then("no request that was sent is given up")
+def none_given_up(context):
+    assert not context.programs.given_up, context.programs.given_up
+
+
+@then("each answer is whole, with all its events in order")
+def none_wrong(context):
+    assert not context.programs.wrong, context.programs.wrong
+
+
+@then("no request runs at two upstreams for over {limit:d} ms")
+def no_long_overlap(context, limit):
+    overlaps_s = context.programs.overlaps_s
+    long = {name: s for name, s in overlaps_s.items() if s * 1000 > limit}
+    assert not long, long
--- a/features/support/prompt_processes.py
+++ b/features/support/prompt_processes.py
@@ -106,6 +106,7 @@
         self.upstreams = upstreams = self._build_upstreams()
         upstream_list = UpstreamList(upstreams)
         operator = Operator(deployment.controls, Record(), self._random)
+        self.operator = operator
         await upstream_list.start()
         for upstream in upstreams:
             await upstream.start()
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from socket import SO_LINGER, SOL_SOCKET
 
+SILENCE_S = 1.9
+
 
 @dataclass
 class ReceivedRequest:
@@ -226,6 +228,23 @@
             await asyncio.sleep(0.1)
         writer.write(b"0\r\n\r\n")
 
+    async def _pause_events(self, received, reader, writer):
+        self._start_events(received, writer)
+        for number in (1, 2, 3):
+            self._event(writer, number)
+        await asyncio.sleep(SILENCE_S)
+        for number in (4, 5, 6):
+            self._event(writer, number)
+        writer.write(b"0\r\n\r\n")
+
+    async def _pause_before_events(self, received, reader, writer):
+        await asyncio.sleep(SILENCE_S)
+        await self._events(received, reader, writer)
+
+    async def _pause_answer(self, received, reader, writer):
+        await asyncio.sleep(SILENCE_S)
+        await self._answer(received, reader, writer)
+
     async def _cut_events(self, received, reader, writer):
         self._start_events(received, writer)
         for number in (1, 2, 3):
--- /dev/null
+++ b/features/support/silent_processes.py
@@ -0,0 +1,164 @@
+"""Real programs before sound upstreams that fall silent for a moment and go on."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from peridotfront.exceptions import PeridotfrontError
+from peridotfront.http_client import ClientLimits, HttpClient
+from soak.callers import HOST, KEY
+from soak.deployment import CALLERS_PORT
+from soak.world import EVENTS, NETWORK, Upstream, event_of
+
+from .prompt_processes import DEADLINE_MS, TIMEOUTS, PromptProcesses
+
+CHANGE_INTERVAL_S = 0.7
+SILENCE_INTERVALS_S = (1.5, 3.0)
+SLOTS = 4
+EVENT_INTERVAL_S = 0.03
+CALL_INTERVAL_S = 0.03
+STREAM_PATHS = ("/stream/x", "/resumable/x")
+NOT_RUN_STATUSES = (429, 503)
+
+
+@dataclass
+class RunningUpstream(Upstream):
+    """Upstream that counts, for each request, the runs that go on at a time.
+
+    :param running: requests that run at any upstream now.
+    :param overlaps_s: time for which more than one run of a request went on.
+    """
+
+    running: Counter = field(default_factory=Counter)
+    overlaps_s: Counter = field(default_factory=Counter)
+
+    async def _answer(self, exchange, request_id, attempt_header):
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        is_second = self.running[request_id] > 0
+        self.running[request_id] += 1
+        try:
+            await super()._answer(exchange, request_id, attempt_header)
+        finally:
+            self.running[request_id] -= 1
+            if is_second and self.running[request_id]:
+                self.overlaps_s[request_id] = loop.time() - began_s
+
+
+@dataclass
+class SilentProcesses(PromptProcesses):
+    """Control and entry host processes before upstreams that fall silent at times.
+
+    :param path: path of all requests.
+    :param silence_s: time for which one upstream at a time passes no bytes.
+    :param load: requests sent, as a share of what the upstreams serve.
+    :param whole: number of requests that got their whole answer.
+    :param refused: number of requests that were refused as not run.
+    :param given_up: ids of the requests that got another answer.
+    :param lost: ids of the requests whose connection ended without a whole answer.
+    :param wrong: ids of the requests that got another one's answer, or events twice,
+        out of order or not at all.
+    """
+
+    path: str = "/resumable/x"
+    silence_s: float = 1.9
+    load: float = 0.9
+    whole: int = 0
+    refused: int = 0
+    given_up: list = field(default_factory=list)
+    lost: list = field(default_factory=list)
+    wrong: list = field(default_factory=list)
+    overlaps_s: Counter = field(default_factory=Counter)
+
+    def _build_upstreams(self):
+        runs = Counter()
+        running = Counter()
+        service = "models" if self.path in STREAM_PATHS else "ledger"
+        return [
+            RunningUpstream(
+                f"u{number}",
+                service,
+                f"{NETWORK}.8.{number}",
+                runs,
+                event_interval_s=EVENT_INTERVAL_S,
+                running=running,
+                overlaps_s=self.overlaps_s,
+            )
+            for number in range(1, self.engines + 1)
+        ]
+
+    @property
+    def _step_s(self):
+        """Return the time between two requests."""
+        is_stream = self.path in STREAM_PATHS
+        run_s = EVENTS * EVENT_INTERVAL_S if is_stream else CALL_INTERVAL_S
+        return run_s / (self.engines * SLOTS * self.load)
+
+    async def _load(self, deployment, duration_s):
+        client = HttpClient(ClientLimits(keep_alive_ms=10_000))
+        helpers = [
+            asyncio.create_task(self._change_forever(deployment)),
+            asyncio.create_task(self._silence_forever()),
+        ]
+        calls = set()
+        for number in range(int(duration_s / self._step_s)):
+            calls.add(asyncio.create_task(self._request(client, deployment, number)))
+            await asyncio.sleep(self._step_s)
+        await asyncio.gather(*calls)
+        for helper in helpers:
+            helper.cancel()
+        await asyncio.wait(helpers)
+        await client.close()
+
+    async def _change_forever(self, deployment):
+        while True:
+            await self.operator.change()
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+
+    async def _silence_forever(self):
+        while True:
+            await asyncio.sleep(self._random.uniform(*SILENCE_INTERVALS_S))
+            upstream = self._random.choice(self.upstreams)
+            upstream.fault = "silent"
+            await asyncio.sleep(self.silence_s)
+            upstream.fault = ""
+
+    async def _request(self, client, deployment, number):
+        request_id = f"q-{number}"
+        host = self._random.choice(deployment.entries)
+        headers = [
+            ("X-Attempt-Id", request_id),
+            ("X-Deadline-Ms", str(DEADLINE_MS)),
+            ("Api-Key", KEY),
+        ]
+        try:
+            answer = await client.send(
+                f"{host.ip}:{CALLERS_PORT}",
+                "POST",
+                self.path,
+                headers,
+                request_id.encode(),
+                host=HOST,
+                timeouts=TIMEOUTS,
+            )
+            body = await answer.read()
+        except PeridotfrontError:
+            self.lost.append(request_id)
+            return
+        self._record(request_id, answer.status_code, body)
+
+    def _record(self, request_id, status, body):
+        if status in NOT_RUN_STATUSES:
+            self.refused += 1
+        elif status != 200:
+            self.given_up.append((request_id, status))
+        elif body != self._expected(request_id):
+            self.wrong.append(request_id)
+        else:
+            self.whole += 1
+
+    def _expected(self, request_id):
+        if self.path not in STREAM_PATHS:
+            return f"{request_id} {request_id}".encode()
+        events = [event_of(request_id, "v1", n) for n in range(1, EVENTS + 1)]
+        return b"".join(events)
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,7 @@
 EVENTS = 12
 EVENT_INTERVAL_S = 0.02
 CALL_S = 0.02
+SILENCE_STEP_S = 0.01
 # Concurrent runs on one machine must not share an address.
 NETWORK = f"127.{10 + os.getpid() % 200}"
 LIST_ADDRESS = (f"{NETWORK}.9.1", 8225)
@@ -42,7 +43,8 @@
     :param runs: number of executions by request id, shared by all upstreams.
     :param tenants: pairs of tenant and API key that came with requests.
     :param fault: fault to inject: ``""``, ``hang``, ``reject``, ``cut``, or ``end``,
-        which ends a stream regularly inside an event.
+        which ends a stream regularly inside an event; or ``silent``, which is none:
+        nothing is sent until it ends, then all goes on where it stood.
     :param version: version of its software.
     :param restarts: number of restarts, each of which gives it a new name.
     :param burdens: record of what burdens the upstreams of the run.
@@ -60,6 +62,7 @@
     server: HttpServer | None = None
     burdens: Burdens = field(default_factory=Burdens)
     is_restarting: bool = False
+    event_interval_s: float = EVENT_INTERVAL_S
 
     async def start(self):
         """Start serving."""
@@ -128,6 +131,7 @@
             await self._stream(exchange, attempt_header)
             return
         await asyncio.sleep(CALL_S)
+        await self._wait_while_silent(exchange)
         if self.fault == "cut":
             exchange.abort()
             return
@@ -135,6 +139,10 @@
         fields = [attempt_header, ("X-Response-Sig", digest_of(body)), *self._notice()]
         await exchange.respond(200, fields, body.encode())
 
+    async def _wait_while_silent(self, exchange):
+        while self.fault == "silent" and not exchange.gone.is_set():
+            await asyncio.sleep(SILENCE_STEP_S)
+
     def _notice(self):
         fields = [("Server-Leaving", "1")] if self.state == "draining" else []
         limit = self.burdens.limits.get(self.name)
@@ -152,6 +160,7 @@
             return
         for number in range(last + 1, EVENTS + 1):
             event = event_of(text, self.version, number)
+            await self._wait_while_silent(exchange)
             if self.fault == "cut" and number > EVENTS // 2:
                 exchange.abort()
                 return
@@ -159,7 +168,7 @@
                 await exchange.write(event[: len(event) // 2])
                 break
             await exchange.write(event)
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
         await exchange.finish()
 
 
