Keep a silent send until another upstream has a free slot

Callers saw streams end without their end, or 502, while their upstream was sound and only silent: a bound on silence ended the send of a request that may be repeated, and only then was another slot asked for.

Silence now only starts a search. The send goes on meanwhile; it is given up once another upstream's slot is granted and it is still silent, so that no request runs at two upstreams, nothing is joined from two sends, and the retry budget is charged for granted slots only. A slot that is granted as the send goes on is given back. A wait for a slow caller is no silence.

Weighed: to wait for another upstream's first event would let two runs go on at once; a second send only while places are free is what is done, without a second run.

--- a/src/peridotfront/core/attempts.py
+++ b/src/peridotfront/core/attempts.py
@@ -92,24 +92,13 @@
         return allow_retry
 
 
-def failover_timeout_ms(
-    route: Route, attempts: AttemptHistory, remaining_ms: int
-) -> int:
-    """Return how long an upstream may be silent before a failover, in ms.
-
-    If no retry is allowed after an execution, it is the remaining time of the request.
-
-    :param remaining_ms: time until the deadline of the request.
-    """
-    if not attempts.allow_retry_after_execution:
-        return remaining_ms
+def failover_timeout_ms(route: Route) -> int:
+    """Return the silence of an upstream after which another one is sought, in ms."""
     if route.kind is RouteKind.STREAMING:
-        failover_ms = max(
+        return max(
             MIN_STREAM_FAILOVER_TIMEOUT_MS, route.goal_ms + FIRST_EVENT_MARGIN_MS
         )
-    else:
-        failover_ms = max(MIN_FAILOVER_TIMEOUT_MS, 2 * route.goal_ms)
-    return min(remaining_ms, failover_ms)
+    return max(MIN_FAILOVER_TIMEOUT_MS, 2 * route.goal_ms)
 
 
 def min_service_time_ms(route: Route) -> int:
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -1,14 +1,9 @@
 """Forwarding of one routed request to an upstream, and of its answer back."""
 
 import asyncio
-from dataclasses import dataclass
 from http import HTTPStatus
 
-from .core.attempts import (
-    AttemptHistory,
-    failover_timeout_ms,
-    min_service_time_ms,
-)
+from .core.attempts import AttemptHistory, min_service_time_ms
 from .core.event_stream import ServerSentEvent, ServerSentEventParser
 from .core.gateway_events import (
     SlotProgress,
@@ -18,8 +13,8 @@
     UpstreamLeaving,
     UpstreamLimitRead,
 )
-from .core.messages import Grant, ReleaseCause, SlotRequest
-from .core.releases import build_release, build_unsent_release
+from .core.messages import Grant, ReleaseCause
+from .core.releases import build_release
 from .core.upstream_answers import (
     AnswerHead,
     AnswerKind,
@@ -39,6 +34,7 @@
     UpstreamTimedOut,
 )
 from .exchanges import Exchange
+from .failover import Failover
 from .gateway_server import GatewayServer
 from .http_client import UpstreamAnswer, UpstreamTimeouts
 from .http_messages import Header
@@ -52,10 +48,12 @@
     UpstreamNotice,
 )
 from .runtime import now_ms
+from .send_attempt import SendAttempt
 from .slot_finder import (
     EXHAUSTED_RETRY_MS,
     MAX_RETRY_AFTER_RATIO,
     ORIGIN_RETRY_MS,
+    GrantedSlot,
     SlotFinder,
 )
 
@@ -125,6 +123,10 @@
         self._admitted_version = server.route_table.version
         self._log = RequestLog()
         self._slot_finder = SlotFinder(server, admitted, self._attempts, self._log)
+        self._failover = Failover(
+            self._slot_finder, admitted, exchange, self._may_continue, self._log
+        )
+        self._next_slot: GrantedSlot | None = None
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
         self.outcome = "unfinished"
         self.reason = Reason.NONE
@@ -154,13 +156,19 @@
 
     async def run(self) -> None:
         """Forward the request, with retries, until the caller has an answer."""
+        try:
+            await self._run()
+        finally:
+            if self._next_slot is not None:
+                self._slot_finder.give_back(self._next_slot)
+
+    async def _run(self) -> None:
         while True:
-            if self._remaining_ms() < min_service_time_ms(self._admitted.route):
+            is_late = self._remaining_ms() < min_service_time_ms(self._admitted.route)
+            if is_late and self._next_slot is None:
                 await self._give_up(Reason.DEADLINE, 0)
                 return
-            slot = await self._slot_finder.acquire(
-                self.sends, self._exchange.is_started
-            )
+            slot = await self._take_slot()
             if slot is None:
                 await self._give_up(Reason.DEADLINE, EXHAUSTED_RETRY_MS)
                 return
@@ -171,22 +179,30 @@
                     continue
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
                 return
-            slot_request, grant = slot
+            grant = slot.grant
             if not self._is_usable(grant):
-                self._server.feed(SlotReleased(build_unsent_release(grant)))
+                self._slot_finder.give_back(slot)
                 self._attempts.exclude(grant.upstream)
                 continue
-            cause = await self._send(slot_request, grant)
+            cause = await self._send(slot)
             if cause in (ReleaseCause.COMPLETED, None):
                 return
             self._is_sent = False
             allow_retry = self._attempts.allow_retry(
                 grant.upstream, grant.address, cause
             )
-            if not (allow_retry and self._may_continue):
+            if not (allow_retry and self._may_continue()):
                 await self._give_up(_refusal_reason(cause), EXHAUSTED_RETRY_MS)
                 return
 
+    async def _take_slot(self) -> GrantedSlot | SlotRefused | None:
+        """Return the slot that was found during the last send, or request one."""
+        slot = self._next_slot
+        self._next_slot = None
+        if slot is not None:
+            return slot
+        return await self._slot_finder.acquire(self.sends, self._exchange.is_started)
+
     def _is_usable(self, grant: Grant) -> bool:
         """Return whether a granted slot may still be used.
 
@@ -195,7 +211,6 @@
         is_late = self._remaining_ms() < min_service_time_ms(self._admitted.route)
         return not is_late and not self._attempts.has_rejected(grant.address)
 
-    @property
     def _may_continue(self) -> bool:
         """Return whether another upstream can go on with what the caller has.
 
@@ -207,19 +222,17 @@
 
     # Sending
 
-    async def _send(
-        self, slot_request: SlotRequest, grant: Grant
-    ) -> ReleaseCause | None:
+    async def _send(self, slot: GrantedSlot) -> ReleaseCause | None:
         """Send the request once.
 
         :return: the release cause of the slot, or None if the caller has its final
             answer.
         """
-        attempt = _Attempt(slot_request, grant, now_ms())
+        attempt = SendAttempt(slot.slot_request, slot.grant, now_ms())
         cause = ReleaseCause.UPSTREAM_DIED
         try:
             async with asyncio.timeout(self._remaining_ms() / 1000):
-                cause = await self._forward(attempt)
+                cause = await self._forward_or_fail_over(attempt)
         except RelayUnreachable as error:
             cause = ReleaseCause.RELAY_UNREACHABLE
             self._log_failure(attempt, cause, error)
@@ -230,7 +243,7 @@
             cause = ReleaseCause.UNREACHABLE
             self._log_failure(attempt, cause, error)
         except (UpstreamTimedOut, TimeoutError) as error:
-            cause = self._classify_timeout(attempt, error)
+            cause = self._classify_timeout(attempt)
             self._log_failure(attempt, cause, error)
         except InvalidRequest as error:
             cause = ReleaseCause.NOT_SENT
@@ -245,27 +258,41 @@
             self._release(attempt, cause)
         return None if attempt.is_answered else cause
 
-    def _classify_timeout(self, attempt: "_Attempt", error: Exception) -> ReleaseCause:
+    def _classify_timeout(self, attempt: SendAttempt) -> ReleaseCause:
         """Return the release cause for a timeout.
 
         The upstream is blamed only if it was silent for at least the route's goal.
         """
-        silent_ms = 0
-        if isinstance(error, UpstreamTimedOut):
-            silent_ms = attempt.silence_timeout_ms
-        elif attempt.first_ms < 0:
-            silent_ms = now_ms() - attempt.started_ms
-        if silent_ms >= self._admitted.route.goal_ms:
+        if attempt.silent_ms >= self._admitted.route.goal_ms:
             return ReleaseCause.UPSTREAM_TIMEOUT
         return ReleaseCause.OUT_OF_TIME
 
-    async def _forward(self, attempt: "_Attempt") -> ReleaseCause:
+    async def _forward_or_fail_over(self, attempt: SendAttempt) -> ReleaseCause:
+        """Forward the request, until another upstream is to have it.
+
+        :raises UpstreamTimedOut: if the upstream is silent and another one is to have
+            the request.
+        """
+        if not self._attempts.allow_retry_after_execution:
+            return await self._forward(attempt)
+        sending = asyncio.ensure_future(self._forward(attempt))
+        try:
+            self._next_slot = await self._failover.watch(sending, attempt, self.sends)
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+        if self._next_slot is None:
+            return sending.result()
+        raise UpstreamTimedOut(
+            "the upstream was silent, and another one has a free slot",
+            attempt.grant.address,
+        )
+
+    async def _forward(self, attempt: SendAttempt) -> ReleaseCause:
         admitted = self._admitted
         request = admitted.request
         http = request.http
         remaining_ms = self._remaining_ms()
-        failover_ms = failover_timeout_ms(admitted.route, self._attempts, remaining_ms)
-        attempt.silence_timeout_ms = failover_ms
         self.sends += 1
         self._is_sent = True
         grant = attempt.grant
@@ -286,8 +313,8 @@
                 host=request.host,
                 timeouts=UpstreamTimeouts(
                     connect_ms=min(CONNECT_MS, remaining_ms),
-                    first_byte_ms=failover_ms,
-                    between_bytes_ms=failover_ms,
+                    first_byte_ms=remaining_ms,
+                    between_bytes_ms=remaining_ms,
                 ),
             )
         finally:
@@ -335,7 +362,7 @@
             self._links.check_late(grant.upstream, grant.address)
 
     async def _discard_body(
-        self, attempt: "_Attempt", answer: UpstreamAnswer, cause: ReleaseCause
+        self, attempt: SendAttempt, answer: UpstreamAnswer, cause: ReleaseCause
     ) -> None:
         """Read the body of a rejection; its head is the proof, however it ends."""
         if cause is ReleaseCause.OTHER_UPSTREAM:
@@ -348,7 +375,7 @@
             answer.cancel()
             self._log_failure(attempt, cause, error)
 
-    def _note(self, attempt: "_Attempt", notice: UpstreamNotice) -> None:
+    def _note(self, attempt: SendAttempt, notice: UpstreamNotice) -> None:
         """Pass on what an upstream says of itself."""
         upstream = attempt.grant.upstream
         attempt.rejections_per_s = notice.rejections_per_s
@@ -363,7 +390,11 @@
             self._server.feed(limit)
 
     async def _relay_complete(
-        self, attempt: "_Attempt", answer: UpstreamAnswer, body: bytes, kind: AnswerKind
+        self,
+        attempt: SendAttempt,
+        answer: UpstreamAnswer,
+        body: bytes,
+        kind: AnswerKind,
     ) -> ReleaseCause:
         attempt.first_ms = now_ms() - attempt.started_ms
         self.first_ms = now_ms() - self._admitted.began_ms
@@ -396,7 +427,7 @@
         await self._exchange.respond(status_code, headers, body)
 
     async def _relay_events(
-        self, attempt: "_Attempt", answer: UpstreamAnswer
+        self, attempt: SendAttempt, answer: UpstreamAnswer
     ) -> ReleaseCause:
         parser = ServerSentEventParser()
         exchange = self._exchange
@@ -432,7 +463,7 @@
             detail = f"event {event.event_id} does not follow {self._last_event_id}"
             raise AnswerMalformed(detail, answer.address)
 
-    async def _start_stream(self, attempt: "_Attempt", answer: UpstreamAnswer) -> None:
+    async def _start_stream(self, attempt: SendAttempt, answer: UpstreamAnswer) -> None:
         if attempt.first_ms < 0:
             attempt.first_ms = now_ms() - attempt.started_ms
         if self._exchange.is_started:
@@ -442,7 +473,7 @@
         headers = [h for h in answer.headers if h.name != "content-length"]
         await self._exchange.start(answer.status_code, headers)
 
-    def _report_progress(self, attempt: "_Attempt", events: int) -> None:
+    def _report_progress(self, attempt: SendAttempt, events: int) -> None:
         is_first = attempt.produced_tokens == 0
         attempt.produced_tokens += events * self._admitted.tokens_per_event
         if is_first or now_ms() - attempt.reported_ms >= PROGRESS_INTERVAL_MS:
@@ -475,7 +506,7 @@
         self.status_code = int(status_code_of(refusal, NOT_RUN_STATUS))
         await respond_refusal(self._exchange, self._codec, self.status_code, refusal)
 
-    def _release(self, attempt: "_Attempt", cause: ReleaseCause) -> None:
+    def _release(self, attempt: SendAttempt, cause: ReleaseCause) -> None:
         release = build_release(
             attempt.slot_request,
             attempt.grant.upstream,
@@ -489,7 +520,7 @@
         self._server.feed(SlotReleased(release))
 
     def _log_failure(
-        self, attempt: "_Attempt", cause: ReleaseCause, error: Exception
+        self, attempt: SendAttempt, cause: ReleaseCause, error: Exception
     ) -> None:
         self._log.write(
             "send_failed",
@@ -505,7 +536,7 @@
 
     def _log_unsuccessful(
         self,
-        attempt: "_Attempt",
+        attempt: SendAttempt,
         answer: UpstreamAnswer,
         head: AnswerHead,
         kind: AnswerKind,
@@ -551,46 +582,6 @@
         return self._admitted.remaining_ms(now_ms())
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """One attempt to send a request to an upstream.
-
-    :param started_ms: start time, on the monotonic clock.
-    :param first_ms: time until the first part of the answer; -1 if there is none.
-    :param reported_ms: time of the last progress report, on the monotonic clock.
-    :param silence_timeout_ms: time limit for silence of the upstream.
-    :param is_answered: whether the caller has its final answer.
-    :param rejections_per_s: rejections that the upstream says it bears in a second;
-        negative if it names no number.
-    """
-
-    slot_request: SlotRequest
-    grant: Grant
-    started_ms: int
-    answer: UpstreamAnswer | None = None
-    first_ms: int = -1
-    produced_tokens: int = 0
-    reported_ms: int = 0
-    silence_timeout_ms: int = 0
-    is_answered: bool = False
-    rejections_per_s: float = -1.0
-
-    @property
-    def silent_ms(self) -> int:
-        """Return the time since the upstream last sent bytes of the answer.
-
-        Interim answers don't count.
-        """
-        if self.answer is None:
-            return now_ms() - self.started_ms
-        return self.answer.silent_ms
-
-    def close(self) -> None:
-        """Close the connection unless the answer was read completely."""
-        if self.answer is not None:
-            self.answer.cancel()
-
-
 def _refusal_reason(cause: ReleaseCause) -> Reason:
     reasons = {
         ReleaseCause.UNREACHABLE: Reason.NO_UPSTREAM,
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -632,6 +632,14 @@
         "a connection that this host relays for another one broke",
         "address is the upstream's; empty if the other host's end broke.",
     ),
+    LogEvent(
+        543,
+        "send_silent",
+        Level.INFO,
+        "an upstream is silent during a request, and another one is sought",
+        "The send goes on until another upstream has a free slot; slot_granted or"
+        " slot_refused lines of the request say whether it has.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+from dataclasses import dataclass, replace
 
 from .core.attempts import AttemptHistory, first_byte_timeout_ms, min_service_time_ms
 from .core.gateway_events import SlotGranted, SlotRefused, SlotReleased
@@ -20,6 +21,14 @@
 MAX_RETRY_AFTER_RATIO = 1 / 3
 
 
+@dataclass(frozen=True, slots=True)
+class GrantedSlot:
+    """Slot at an upstream that was granted to a slot request."""
+
+    slot_request: SlotRequest
+    grant: Grant
+
+
 class SlotFinder:
     """Finder of a slot for each send of one request.
 
@@ -46,28 +55,62 @@
         self._attempts = attempts
         self._log = log
         self._origin_wait_end_ms: int | None = None
+        self._searches = 0
 
     async def acquire(
         self, sends: int, is_started: bool
-    ) -> tuple[SlotRequest, Grant] | SlotRefused | None:
+    ) -> GrantedSlot | SlotRefused | None:
         """Request a slot and wait for the reply.
 
         :param sends: number of sends of the request so far.
         :param is_started: whether the caller has a part of the answer.
-        :return: the slot request with its grant, or the refusal; None if neither
-            came in time.
+        :return: the slot or the refusal; None if neither came in time.
         """
         slot_request = self._build_slot_request(sends, is_started)
         started_ms = now_ms()
+        try:
+            return await self._request(slot_request)
+        finally:
+            self.waited_ms += now_ms() - started_ms
+
+    async def acquire_beside(
+        self, upstream: str, sends: int, is_started: bool
+    ) -> GrantedSlot | SlotRefused | None:
+        """Request another slot for a request that an upstream still has.
+
+        :param upstream: upstream that has the request; the slot is at another one.
+        :param sends: number of sends of the request so far.
+        :param is_started: whether the caller has a part of the answer.
+        :return: the slot or the refusal; None if neither came in time.
+        """
+        slot_request = self._build_slot_request(sends, is_started)
+        # A late grant to a cancelled search must not be taken for that of the next.
+        self._searches += 1
+        remaining_ms = self._admitted.remaining_ms(now_ms())
+        deadline_ms = remaining_ms - min_service_time_ms(self._admitted.route)
+        beside = replace(
+            slot_request,
+            request_id=f"{slot_request.request_id}.{self._searches}",
+            excluded=(*slot_request.excluded, upstream),
+            is_repeat=True,
+            deadline_ms=max(1, deadline_ms),
+        )
+        return await self._request(beside)
+
+    def give_back(self, slot: GrantedSlot) -> None:
+        """Release a slot for which no request was sent."""
+        self._server.feed(SlotReleased(build_unsent_release(slot.grant)))
+
+    async def _request(
+        self, slot_request: SlotRequest
+    ) -> GrantedSlot | SlotRefused | None:
         try:
             async with asyncio.timeout(slot_request.deadline_ms / 1000):
                 answer = await self._server.acquire_slot(slot_request)
         except TimeoutError:
             return None
-        finally:
-            self.waited_ms += now_ms() - started_ms
         if isinstance(answer, SlotGranted) and not _is_usable(slot_request, answer):
-            answer = self._give_back(answer)
+            answer = self._refuse(answer)
         if isinstance(answer, SlotRefused):
             self._log.write(
                 "slot_refused",
@@ -99,9 +142,9 @@
             cached_tokens=answer.grant.predicted_prefix_tokens,
             is_own=answer.is_own,
         )
-        return slot_request, answer.grant
+        return GrantedSlot(slot_request, answer.grant)
 
-    def _give_back(self, granted: SlotGranted) -> SlotRefused:
+    def _refuse(self, granted: SlotGranted) -> SlotRefused:
         """Release a slot that can't be used, and return a refusal in its place."""
         grant = granted.grant
         self._server.feed(SlotReleased(build_unsent_release(grant)))
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -121,14 +121,16 @@
 
     @property
     def silent_ms(self) -> int:
-        """Return the time since the last bytes; 0 if they wait to be read.
-
-        After the call has ended it is the time until then.
-        """
+        """Return for how long the next bytes are, or were last, awaited."""
         if self._connection is not None:
             self._silent_ms = self._connection.silent_ms
         return self._silent_ms
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether a reader waits for the next bytes."""
+        return self._connection is not None and self._connection.is_awaited
+
     @property
     def address(self) -> str:
         """Return the upstream's IP address and port; empty after the call has ended."""
@@ -306,7 +308,8 @@
         self._error: Exception | None = None
         self._relay_error: RelayLost | None = None
         self._waiter: asyncio.Future | None = None
-        self._received_s = 0.0
+        self._wait_start_s = 0.0
+        self._wait_end_s = 0.0
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
         self._end_s = math.inf
@@ -328,10 +331,14 @@
 
     @property
     def silent_ms(self) -> int:
-        """Return the time since the last bytes; 0 while reading is paused."""
-        if self._is_paused:
-            return 0
-        return int((self._loop.time() - self._received_s) * 1000)
+        """Return for how long the next bytes are, or were last, awaited."""
+        end_s = self._loop.time() if self.is_awaited else self._wait_end_s
+        return int((end_s - self._wait_start_s) * 1000)
+
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether a reader waits for the next bytes."""
+        return self._waiter is not None
 
     @property
     def is_usable(self) -> bool:
@@ -362,7 +369,6 @@
         if self._is_complete:
             self._fail(AnswerMalformed("data after the answer", self.address))
             return
-        self._received_s = self._loop.time()
         if self._head is None:
             self._head_bytes += nbytes
         self._http.receive_data(self._client.read_buffer[:nbytes])
@@ -515,10 +521,12 @@
 
     async def _wait(self) -> None:
         self._waiter = self._loop.create_future()
+        self._wait_start_s = self._loop.time()
         try:
             await self._waiter
         finally:
             self._waiter = None
+            self._wait_end_s = self._loop.time()
 
     # Calls.
 
@@ -566,7 +574,6 @@
         parts = self._parts
         self._parts = []
         if self._is_paused:
-            self._received_s = self._loop.time()
             self._extend_deadline()
         self._set_buffered(0)
         self._update_reading()
