Let a broken stream ask for a slot as long as its caller waits for an event

The wait for a slot was bounded by the time to a first event, counted from the request's arrival, also for streams that had begun: one that ran for longer than that when its upstream was lost asked for a slot with a limit of 1 ms, was refused, and broke off. And its goal counted as missed, so that it stood behind all requests that could meet theirs.

Both now count from the last event: callers leave after such a gap, and the next event is on time within the route's gap target. The test failed with a limit of 1 ms.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -13,6 +13,52 @@
       | /resumable/x | pause_before_events | events "1,2,3,4,5,6" and the end      |
       | /look-up/x   | pause_answer        | 200 with the body "whole answer of u1" |
 
+  Scenario Outline: A request whose upstream stays silent goes to another one once that has a free slot
+    Given a gateway before upstream "u1" that will "<step>"
+    And upstream "u2" that will "<other>"
+    And every repeat is refused as overloaded for <busy> ms
+    When a caller sends "<path>" with the body "prompt"
+    Then the caller gets <answer>
+    And upstream "u1" had its connection closed
+    And the first slot ended as "upstream_timeout"
+
+    Examples: Silences without an end as "endless silence"
+      | path         | step          | other  | busy | answer                                 |
+      | /resumable/x | silent_events | events | 0    | events "1,2,3,4,5,6" and the end       |
+      | /resumable/x | silent_events | events | 600  | events "1,2,3,4,5,6" and the end       |
+      | /look-up/x   | hang          | answer | 0    | 200 with the body "whole answer of u2" |
+      | /look-up/x   | hang          | answer | 600  | 200 with the body "whole answer of u2" |
+
+  Scenario: A stream without event ids is not cut off while its upstream is silent
+    Given a gateway before upstream "u1" that will "pause_unnumbered_events"
+    And upstream "u2" that will "events"
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the answer has its end
+    And upstream "u2" got 0 requests
+
+  Scenario: The search for another slot ends when a silent upstream goes on
+    Given a gateway before upstream "u1" that will "pause_events"
+    And upstream "u2" that will "events"
+    And every repeat is granted after 600 ms
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+    And upstream "u2" got 0 requests
+    And each granted slot is released once
+
+  Scenario: A stream that broke off waits for a slot at another upstream
+    Given a gateway before upstream "u1" that will "cut_events"
+    And upstream "u2" that will "events"
+    And every repeat is refused as overloaded for 700 ms
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+
+  Scenario: A stream that broke off late may wait for a slot as long as its caller for an event
+    Given a gateway before upstream "u1" that will "cut_long_events"
+    And upstream "u2" that will "events"
+    When a caller sends "/resumable/x" with the deadline "4000"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+    And the second slot request can wait between 1000 and 1600 ms
+
   Scenario Outline: The real programs answer whole while upstreams fall silent beside changes
     Given programs of 3 control hosts and 6 entry hosts before 6 upstreams
     When requests "<path>" are sent while the upstreams fall silent for <silence> ms each in turn
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -5,9 +5,40 @@
 from behave import given, then, when
 from support.silent_processes import SilentProcesses
 
+from peridotfront.core.gateway_events import SlotReleased
+
 DURATION_S = 12.0
 
 
+@given("every repeat is refused as overloaded for {busy:d} ms")
+def refuse_repeats(context, busy):
+    context.slot_options = {"busy_ms": busy}
+
+
+@given("every repeat is granted after {delay:d} ms")
+def delay_repeats(context, delay):
+    context.slot_options = {"repeat_delay_ms": delay}
+
+
+@then("the answer has its end")
+def has_end(context):
+    assert context.answer.is_complete, context.answer
+
+
+@then("each granted slot is released once")
+def released_once(context):
+    slot_server = context.front.slot_server
+    releases = [e.release for e in slot_server.events if isinstance(e, SlotReleased)]
+    released = sorted([release.request_id for release in releases])
+    assert released == sorted(slot_server.granted), (released, slot_server.granted)
+
+
+@then("the second slot request can wait between {least:d} and {most:d} ms")
+def second_can_wait(context, least, most):
+    second = context.front.slot_server.slot_requests[1]
+    assert least <= second.deadline_ms <= most, second.deadline_ms
+
+
 @given(
     "programs of {controls:d} control hosts and {entries:d} entry hosts before"
     " {upstreams:d} upstreams"
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -70,6 +70,8 @@
     :param origins_known_after_ms: time after which it knows how streams began.
     :param refusal_reason: reason with which it refuses everything; empty if it grants.
     :param frozen_ms: time for which the process is frozen after each grant.
+    :param busy_ms: time from the first repeat for which it refuses repeats.
+    :param repeat_delay_ms: time after which it grants a repeat.
 
     ``relay`` is the host through which it lets requests be sent; empty for none.
     """
@@ -83,6 +85,8 @@
         origins_known_after_ms=0,
         refusal_reason="",
         frozen_ms=0,
+        busy_ms=0,
+        repeat_delay_ms=0,
     ):
         self.upstreams = upstreams
         self.route_table = table
@@ -90,6 +94,10 @@
         self.origins_known_s = time.monotonic() + origins_known_after_ms / 1000
         self.refusal_reason = refusal_reason
         self.frozen_ms = frozen_ms
+        self.busy_ms = busy_ms
+        self.repeat_delay_ms = repeat_delay_ms
+        self.granted = []
+        self.busy_until_s = None
         self.relay = ""
         self.slot_requests = []
         self.events = []
@@ -100,6 +108,8 @@
             return self._refuse(slot_request, "unknown_origin", 300)
         if self.refusal_reason:
             return self._refuse(slot_request, self.refusal_reason, 500)
+        if slot_request.is_repeat and self._is_busy():
+            return self._refuse(slot_request, "overloaded", 100)
         free = [u for u in self.upstreams if self._suits(u, slot_request)]
         if not free:
             return self._refuse(slot_request, "overloaded", 5000)
@@ -116,8 +126,17 @@
         )
         # It freezes the whole process, as SIGSTOP does.
         time.sleep(self.frozen_ms / 1000)
+        if slot_request.is_repeat:
+            await asyncio.sleep(self.repeat_delay_ms / 1000)
+        self.granted.append(grant.request_id)
         return SlotGranted(grant, False)
 
+    def _is_busy(self):
+        now_s = time.monotonic()
+        if self.busy_until_s is None:
+            self.busy_until_s = now_s + self.busy_ms / 1000
+        return now_s < self.busy_until_s
+
     def _suits(self, upstream, slot_request):
         version = getattr(slot_request, "software_version", "")
         is_of_version = not version or upstream.software_version == version
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -7,6 +7,7 @@
 from socket import SO_LINGER, SOL_SOCKET
 
 SILENCE_S = 1.9
+LONG_INTERVAL_S = 0.8
 
 
 @dataclass
@@ -237,6 +238,20 @@
             self._event(writer, number)
         writer.write(b"0\r\n\r\n")
 
+    async def _pause_unnumbered_events(self, received, reader, writer):
+        self._start_events(received, writer)
+        self._write_unnumbered(writer)
+        await asyncio.sleep(SILENCE_S)
+        self._write_unnumbered(writer)
+        writer.write(b"0\r\n\r\n")
+
+    async def _cut_long_events(self, received, reader, writer):
+        self._start_events(received, writer)
+        for number in (1, 2, 3):
+            self._event(writer, number)
+            await asyncio.sleep(LONG_INTERVAL_S)
+        await self._reset(received, reader, writer)
+
     async def _pause_before_events(self, received, reader, writer):
         await asyncio.sleep(SILENCE_S)
         await self._events(received, reader, writer)
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -443,6 +443,7 @@
             await self._start_stream(attempt, answer)
             self._last_event_id = events[-1].event_id or self._last_event_id
             self._slot_finder.software_version = attempt.grant.software_version
+            self._slot_finder.last_event_ms = now_ms()
             # The scheduler has to know how a stream began before its caller does.
             self._report_progress(attempt, len(events))
             await exchange.write(b"".join([event.data for event in events]))
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -38,7 +38,8 @@
     :param log: log lines of the request.
 
     ``waited_ms`` is the time spent waiting for slots, and ``software_version`` the
-    version at which a stream must go on; empty for any.
+    version at which a stream must go on; empty for any. ``last_event_ms`` is the time
+    at which the caller last got events of a stream; None if it has none.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
     ):
         self.waited_ms = 0
         self.software_version = ""
+        self.last_event_ms: int | None = None
         self._server = server
         self._admitted = admitted
         self._attempts = attempts
@@ -159,10 +161,8 @@
         route = admitted.route
         account = admitted.account
         excluded = tuple(self._attempts.excluded)
-        waited_ms = now_ms() - admitted.began_ms
-        first_byte_remaining_ms = first_byte_timeout_ms(route) - waited_ms
         deadline_ms = min(
-            first_byte_remaining_ms,
+            self._patience_ms,
             admitted.remaining_ms(now_ms()) - min_service_time_ms(route),
         )
         return SlotRequest(
@@ -176,7 +176,7 @@
             prefix_hashes=request.prefix_hashes,
             fingerprint=_fingerprint(request),
             deadline_ms=max(1, deadline_ms),
-            goal_ms=max(0, route.goal_ms - waited_ms),
+            goal_ms=max(0, self._goal_ms),
             prefix_tokens=request.prefix_tokens,
             excluded=excluded,
             is_repeat=self._attempts.is_repeat,
@@ -187,6 +187,20 @@
             shared_parts=request.shared_parts,
         )
 
+    @property
+    def _patience_ms(self) -> int:
+        """Return for how long the caller waits for the next part of its answer."""
+        waits_since_ms = self.last_event_ms or self._admitted.began_ms
+        return first_byte_timeout_ms(self._admitted.route) + waits_since_ms - now_ms()
+
+    @property
+    def _goal_ms(self) -> int:
+        """Return the time until the next part of the answer is late."""
+        route = self._admitted.route
+        if self.last_event_ms is None:
+            return self._admitted.began_ms + route.goal_ms - now_ms()
+        return self.last_event_ms + route.gap_target_ms - now_ms()
+
     def may_become_known(self, refusal: SlotRefusal) -> bool:
         """Return whether to wait until the scheduler knows how a stream began.
 
