Let a begun stream wait for a slot in place of breaking it off at the first refusal

Callers saw a stream end in the middle when its upstream was lost, or rejected it, at a moment without a free slot, with seconds left. A request that has not begun is refused at once, which is true and lets its caller come back; a begun stream has no such answer, and its caller could only ask the same full upstreams again.

It now asks again every 0.2 to 1 s while its caller waits for the next event, where the reason may pass (overloaded, evicted, retry budget, allowance); other reasons end it at once as before.

--- a/src/peridotfront/failover.py
+++ b/src/peridotfront/failover.py
@@ -4,17 +4,14 @@
 from collections.abc import Callable
 
 from .core.attempts import failover_timeout_ms, min_service_time_ms
-from .core.gateway_events import SlotRefused
 from .exchanges import Exchange
 from .request_log import RequestLog
 from .routed_requests import AdmittedRequest
 from .runtime import now_ms
 from .send_attempt import SendAttempt
-from .slot_finder import GrantedSlot, SlotFinder
+from .slot_finder import GrantedSlot, SlotFinder, search_interval_ms
 
 POLL_MS = 50
-MIN_SEARCH_INTERVAL_MS = 200
-MAX_SEARCH_INTERVAL_MS = 1000
 
 
 class Failover:
@@ -108,7 +105,8 @@
                 self._abandon(search)
         if isinstance(slot, GrantedSlot):
             return slot
-        await _wait(sending, _search_interval_ms(slot))
+        refusal = slot.refusal if slot is not None else None
+        await _wait(sending, search_interval_ms(refusal))
         return None
 
     def _abandon(self, search: asyncio.Task) -> None:
@@ -138,9 +136,3 @@
 
 async def _wait(sending: asyncio.Task, timeout_ms: int) -> None:
     await asyncio.wait((sending,), timeout=timeout_ms / 1000)
-
-
-def _search_interval_ms(refused: SlotRefused | None) -> int:
-    """Return the time until the next search after one that found no slot."""
-    retry_after_ms = refused.refusal.retry_after_ms if refused is not None else 0
-    return min(MAX_SEARCH_INTERVAL_MS, max(MIN_SEARCH_INTERVAL_MS, retry_after_ms))
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -52,7 +52,6 @@
 from .slot_finder import (
     EXHAUSTED_RETRY_MS,
     MAX_RETRY_AFTER_RATIO,
-    ORIGIN_RETRY_MS,
     GrantedSlot,
     SlotFinder,
 )
@@ -174,8 +173,9 @@
                 return
             if isinstance(slot, SlotRefused):
                 refusal = slot.refusal
-                if self._slot_finder.may_become_known(refusal):
-                    await asyncio.sleep(ORIGIN_RETRY_MS / 1000)
+                wait_ms = self._slot_finder.retry_wait_ms(refusal)
+                if wait_ms is not None:
+                    await asyncio.sleep(wait_ms / 1000)
                     continue
                 await self._give_up(refusal.reason, refusal.retry_after_ms)
                 return
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -19,6 +19,15 @@
 ORIGIN_WAIT_MS = 1500
 ORIGIN_RETRY_MS = 100
 MAX_RETRY_AFTER_RATIO = 1 / 3
+MIN_SEARCH_INTERVAL_MS = 200
+MAX_SEARCH_INTERVAL_MS = 1000
+# Reasons for which a later slot request may be granted.
+PASSING_REASONS = (
+    Reason.OVERLOADED,
+    Reason.EVICTED,
+    Reason.RETRY_BUDGET,
+    Reason.RATE_LIMITED,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,7 +210,17 @@
             return self._admitted.began_ms + route.goal_ms - now_ms()
         return self.last_event_ms + route.gap_target_ms - now_ms()
 
-    def may_become_known(self, refusal: SlotRefusal) -> bool:
+    def retry_wait_ms(self, refusal: SlotRefusal) -> int | None:
+        """Return the time until a refused slot is requested again; None for never."""
+        if self._may_become_known(refusal):
+            return ORIGIN_RETRY_MS
+        if self.last_event_ms is None or refusal.reason not in PASSING_REASONS:
+            return None
+        # A begun stream ends in the middle if it gets no slot.
+        wait_ms = search_interval_ms(refusal)
+        return wait_ms if wait_ms < self._patience_ms else None
+
+    def _may_become_known(self, refusal: SlotRefusal) -> bool:
         """Return whether to wait until the scheduler knows how a stream began.
 
         A new leader learns it from the entry hosts within a moment. A stream that the
@@ -217,6 +236,15 @@
         return now_ms() + ORIGIN_RETRY_MS <= self._origin_wait_end_ms
 
 
+def search_interval_ms(refusal: SlotRefusal | None) -> int:
+    """Return the time until a slot is requested again.
+
+    :param refusal: the last refusal; None if there was no reply.
+    """
+    retry_after_ms = refusal.retry_after_ms if refusal is not None else 0
+    return min(MAX_SEARCH_INTERVAL_MS, max(MIN_SEARCH_INTERVAL_MS, retry_after_ms))
+
+
 def _is_usable(slot_request: SlotRequest, granted: SlotGranted) -> bool:
     """Return whether a stream may go on at the granted upstream.
 
