--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import struct
 from dataclasses import dataclass, field
 from socket import SO_LINGER, SOL_SOCKET
@@ -10,6 +11,17 @@
 LONG_INTERVAL_S = 0.8
 
 
+class ReservedPort:
+    """Port at which connections are refused, and that no other process gets."""
+
+    def __init__(self):
+        self.sockets = (socket.socket(),)
+        self.sockets[0].bind(("127.0.0.1", 0))
+
+    def close(self):
+        self.sockets[0].close()
+
+
 @dataclass
 class ReceivedRequest:
     """Request as an upstream received it."""
@@ -41,11 +53,12 @@
     address: str = ""
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        if self.accepts:
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        else:
+            self.server = ReservedPort()
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
-        if not self.accepts:
-            self.server.close()
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
