--- a/features/support/silent_processes.py
+++ b/features/support/silent_processes.py
@@ -119,9 +119,9 @@
         while True:
             await asyncio.sleep(self._random.uniform(*SILENCE_INTERVALS_S))
             upstream = self._random.choice(self.upstreams)
-            upstream.fault = "silent"
+            upstream.is_silent = True
             await asyncio.sleep(self.silence_s)
-            upstream.fault = ""
+            upstream.is_silent = False
 
     async def _request(self, client, deployment, number):
         request_id = f"q-{number}"
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,7 @@
 MIN_PAUSE_S = 0.3
 MAX_PAUSE_S = 2.0
 MAX_UNTRUE_PAUSE_S = 0.8
+SILENCE_S = (0.8, 2.2)
 MIN_SERVED_SHARE = 0.25
 MAX_ENTRY_KB = 64 * 1024
 MAX_LIMITED = 2
@@ -50,6 +51,7 @@
     """Run of a seed."""
 
     def __init__(self, seed, seconds, sizes):
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.sizes = sizes
@@ -132,6 +134,7 @@
         await asyncio.gather(
             self._inject(self.faults, MAX_PAUSE_S, end_s),
             self._inject((Soak.answer_untruly,), MAX_UNTRUE_PAUSE_S, end_s),
+            self._fall_silent(end_s),
         )
         self.quiet_s = loop.time()
         served = self.record.served
@@ -140,6 +143,19 @@
             self.record.faults.append("no request was served after the last fault")
         await self._check_read()
 
+    async def _fall_silent(self, end_s):
+        """Let sound upstreams send nothing for a moment, one after the other."""
+        # Other draws of a seed don't depend on these.
+        draws = random.Random(f"silence {self.seed}")
+        loop = asyncio.get_running_loop()
+        while loop.time() < end_s:
+            await asyncio.sleep(draws.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+            upstream = draws.choice(self.upstreams)
+            self._log("silent", upstream.name)
+            upstream.is_silent = True
+            await asyncio.sleep(draws.uniform(*SILENCE_S))
+            upstream.is_silent = False
+
     async def _inject(self, faults, max_pause_s, end_s):
         loop = asyncio.get_running_loop()
         fault_tasks = set()
--- a/soak/world.py
+++ b/soak/world.py
@@ -43,8 +43,9 @@
     :param runs: number of executions by request id, shared by all upstreams.
     :param tenants: pairs of tenant and API key that came with requests.
     :param fault: fault to inject: ``""``, ``hang``, ``reject``, ``cut``, or ``end``,
-        which ends a stream regularly inside an event; or ``silent``, which is none:
-        nothing is sent until it ends, then all goes on where it stood.
+        which ends a stream regularly inside an event.
+    :param is_silent: whether it sends nothing for now, and later goes on where it
+        stood; that is no fault.
     :param version: version of its software.
     :param restarts: number of restarts, each of which gives it a new name.
     :param burdens: record of what burdens the upstreams of the run.
@@ -62,6 +63,7 @@
     server: HttpServer | None = None
     burdens: Burdens = field(default_factory=Burdens)
     is_restarting: bool = False
+    is_silent: bool = False
     event_interval_s: float = EVENT_INTERVAL_S
 
     async def start(self):
@@ -140,7 +142,7 @@
         await exchange.respond(200, fields, body.encode())
 
     async def _wait_while_silent(self, exchange):
-        while self.fault == "silent" and not exchange.gone.is_set():
+        while self.is_silent and not exchange.gone.is_set():
             await asyncio.sleep(SILENCE_STEP_S)
 
     def _notice(self):
