Move what reads an answer's body out of the upstream connections

The answer is in upstream_answer.py now; nothing else changes. 178 scenarios of upstreams, endless_answers, upstream_answers and http_fuzz pass.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -25,7 +25,8 @@
 from peridotfront.engine_messages import EngineOrder
 from peridotfront.order_sender import ORDER_TIMEOUTS
 from peridotfront.platform.upstream_list import UpstreamListClient
-from peridotfront.upstream_connections import READ_BYTES, ClientLimits
+from peridotfront.upstream_answer import READ_BYTES
+from peridotfront.upstream_connections import ClientLimits
 
 # The target for a host is 64 MB, of which a process takes up to 46 MB by itself.
 MEMORY_KB = 64 * 1024
--- a/src/peridotfront/http_client.py
+++ b/src/peridotfront/http_client.py
@@ -14,13 +14,8 @@
 from .exceptions import ConnectFailed, InvalidRequest
 from .http_messages import decode_headers, encode_headers, without_hop_headers
 from .turns import Turns
-from .upstream_connections import (
-    READ_BYTES,
-    ClientLimits,
-    UpstreamAnswer,
-    UpstreamConnection,
-    body_framing,
-)
+from .upstream_answer import READ_BYTES, UpstreamAnswer, body_framing
+from .upstream_connections import ClientLimits, UpstreamConnection
 
 __all__ = ["ClientLimits", "HttpClient", "UpstreamAnswer", "UpstreamTimeouts"]
 
