Move the relay of events out of forwarding

forwarding.py did two jobs: sending a request until it is answered, and passing on the events of a stream from one or several upstreams. The second is EventRelay now.

--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -4,9 +4,7 @@
 from http import HTTPStatus
 
 from .core.attempts import AttemptHistory, min_service_time_ms
-from .core.event_stream import ServerSentEvent, ServerSentEventParser
 from .core.gateway_events import (
-    SlotProgress,
     SlotRefused,
     SlotReleased,
     UpstreamBusy,
@@ -22,9 +20,9 @@
     classify_answer,
 )
 from .core.verdicts import Reason, Refusal, Verdict
+from .event_relay import EventRelay
 from .exceptions import (
     AnswerMalformed,
-    AnswerTruncated,
     CallerGone,
     ConnectFailed,
     InvalidRequest,
@@ -59,7 +57,6 @@
 CONNECT_MS = 300
 MIN_LATE_CHECK_MS = 400
 MAX_LATE_CHECK_MS = 1000
-PROGRESS_INTERVAL_MS = 500
 REJECTION_BODY_MS = 50
 MAX_REJECTION_BYTES = 64 * 1024
 REJECTION_CAUSES = {
@@ -117,7 +114,6 @@
         self._exchange = exchange
         self._admitted = admitted
         self._attempts = AttemptHistory(admitted.route)
-        self._last_event_id = admitted.request.last_event_id
         self._is_sent = False
         self._admitted_version = server.route_table.version
         self._log = RequestLog()
@@ -125,6 +121,9 @@
         self._failover = Failover(
             self._slot_finder, admitted, exchange, self._may_continue, self._log
         )
+        self._events = EventRelay(
+            server, admitted, exchange, self._slot_finder, self._on_stream_started
+        )
         self._next_slot: GrantedSlot | None = None
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
         self.outcome = "unfinished"
@@ -133,8 +132,6 @@
         self.sends = 0
         self.first_ms = -1
         self._framing = ""
-        self._event_count = 0
-        self._unfinished_bytes = 0
 
     @property
     def waited_ms(self) -> int:
@@ -218,7 +215,7 @@
         """
         if not self._exchange.is_started:
             return True
-        return self._admitted.route.is_resumable and bool(self._last_event_id)
+        return self._admitted.route.is_resumable and bool(self._events.last_event_id)
 
     # Sending
 
@@ -307,7 +304,7 @@
                     admitted.account,
                     grant.upstream,
                     remaining_ms,
-                    self._last_event_id,
+                    self._events.last_event_id,
                 ),
                 http.body,
                 host=request.host,
@@ -334,7 +331,11 @@
         if kind is not AnswerKind.OTHER_UPSTREAM:
             self._note(attempt, self._codec.read_notice(answer))
         if kind is AnswerKind.EVENT_STREAM:
-            return await self._relay_events(attempt, answer)
+            await self._events.relay(attempt, answer)
+            self.outcome = "answered"
+            attempt.is_answered = True
+            await self._exchange.finish()
+            return ReleaseCause.COMPLETED
         if kind in REJECTION_CAUSES:
             cause = REJECTION_CAUSES[kind]
             await self._discard_body(attempt, answer, cause)
@@ -426,63 +427,9 @@
         self.status_code = status_code
         await self._exchange.respond(status_code, headers, body)
 
-    async def _relay_events(
-        self, attempt: SendAttempt, answer: UpstreamAnswer
-    ) -> ReleaseCause:
-        parser = ServerSentEventParser()
-        exchange = self._exchange
-        async for chunk in answer.chunks():
-            events = list(parser.feed(chunk))
-            self._event_count += len(events)
-            self._unfinished_bytes = parser.buffered_bytes
-            answer.hold(parser.buffered_bytes)
-            if not events:
-                continue
-            if self._exchange.is_started and attempt.produced_tokens == 0:
-                self._check_resumed(events[0], answer)
-            await self._start_stream(attempt, answer)
-            self._last_event_id = events[-1].event_id or self._last_event_id
-            self._slot_finder.software_version = attempt.grant.software_version
-            self._slot_finder.last_event_ms = now_ms()
-            # The scheduler has to know how a stream began before its caller does.
-            self._report_progress(attempt, len(events))
-            await exchange.write(b"".join([event.data for event in events]))
-        if parser.is_truncated(answer.is_framed):
-            raise AnswerTruncated("the stream broke off", attempt.grant.address)
-        if parser.buffered:
-            await self._start_stream(attempt, answer)
-            await exchange.write(parser.buffered)
-        elif not exchange.is_started:
-            await self._start_stream(attempt, answer)
-        self.outcome = "answered"
-        attempt.is_answered = True
-        await exchange.finish()
-        return ReleaseCause.COMPLETED
-
-    def _check_resumed(self, event: ServerSentEvent, answer: UpstreamAnswer) -> None:
-        if not event.is_after(self._last_event_id):
-            detail = f"event {event.event_id} does not follow {self._last_event_id}"
-            raise AnswerMalformed(detail, answer.address)
-
-    async def _start_stream(self, attempt: SendAttempt, answer: UpstreamAnswer) -> None:
-        if attempt.first_ms < 0:
-            attempt.first_ms = now_ms() - attempt.started_ms
-        if self._exchange.is_started:
-            return
+    def _on_stream_started(self, answer: UpstreamAnswer) -> None:
         self.first_ms = now_ms() - self._admitted.began_ms
         self.status_code = answer.status_code
-        headers = [h for h in answer.headers if h.name != "content-length"]
-        await self._exchange.start(answer.status_code, headers)
-
-    def _report_progress(self, attempt: SendAttempt, events: int) -> None:
-        is_first = attempt.produced_tokens == 0
-        attempt.produced_tokens += events * self._admitted.tokens_per_event
-        if is_first or now_ms() - attempt.reported_ms >= PROGRESS_INTERVAL_MS:
-            attempt.reported_ms = now_ms()
-            progress = SlotProgress(
-                attempt.slot_request.request_id, attempt.produced_tokens
-            )
-            self._server.feed(progress)
 
     # Ending
 
@@ -574,8 +521,8 @@
             "duration_ms": now_ms() - admitted.began_ms,
             "remaining_ms": self._remaining_ms(),
             "framing": self._framing,
-            "events": self._event_count,
-            "unfinished_bytes": self._unfinished_bytes,
+            "events": self._events.event_count,
+            "unfinished_bytes": self._events.unfinished_bytes,
         }
         self._log.write_end("forwarding_ended", self.is_complete, **fields)
 
