Use the search for another slot when the silent upstream is lost during it

A search that is under way when the send ends now goes on, and its slot is the next send's. It ends when the send goes on or has answered, or if a stream has begun since, for which the search did not know the software version. Both scenarios failed first, the second with that check taken out.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -45,6 +45,21 @@
     And upstream "u2" got 0 requests
     And each granted slot is released once
 
+  Scenario: A request keeps its place in the queue if its silent upstream is lost meanwhile
+    Given a gateway before upstream "u1" that will "reset_after_silence"
+    And upstream "u2" that will "answer"
+    And the first repeat is granted after 700 ms and each later one is refused
+    When a caller sends "/look-up/x" with the body "prompt"
+    Then the caller gets 200 with the body "whole answer of u2"
+
+  Scenario: A stream that began during a search is not resumed at another software version
+    Given a gateway before upstream "u1" that will "begin_after_silence"
+    And an upstream "u2" of version "v2" that will "events"
+    And every repeat is granted after 700 ms
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3" and no end
+    And upstream "u2" got 0 requests
+
   Scenario: A stream that broke off waits for a slot at another upstream
     Given a gateway before upstream "u1" that will "cut_events"
     And upstream "u2" that will "events"
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from behave import given, then, when
+from support.scripted_upstreams import Upstream
 from support.silent_processes import SilentProcesses
 
 from peridotfront.core.gateway_events import SlotReleased
@@ -10,6 +11,11 @@
 DURATION_S = 12.0
 
 
+@given('an upstream "{name}" of version "{version}" that will "{step}"')
+def add_upstream_of_version(context, name, version, step):
+    context.upstreams.append(Upstream(name, [step], software_version=version))
+
+
 @given("every repeat is refused as overloaded for {busy:d} ms")
 def refuse_repeats(context, busy):
     context.slot_options = {"busy_ms": busy}
@@ -20,6 +26,11 @@
     context.slot_options = {"repeat_delay_ms": delay}
 
 
+@given("the first repeat is granted after {delay:d} ms and each later one is refused")
+def delay_one_repeat(context, delay):
+    context.slot_options = {"repeat_delay_ms": delay, "grants_one_repeat": True}
+
+
 @then("the answer has its end")
 def has_end(context):
     assert context.answer.is_complete, context.answer
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -72,6 +72,7 @@
     :param frozen_ms: time for which the process is frozen after each grant.
     :param busy_ms: time from the first repeat for which it refuses repeats.
     :param repeat_delay_ms: time after which it grants a repeat.
+    :param grants_one_repeat: whether it refuses all repeats but the first.
 
     ``relay`` is the host through which it lets requests be sent; empty for none.
     """
@@ -87,6 +88,7 @@
         frozen_ms=0,
         busy_ms=0,
         repeat_delay_ms=0,
+        grants_one_repeat=False,
     ):
         self.upstreams = upstreams
         self.route_table = table
@@ -96,6 +98,8 @@
         self.frozen_ms = frozen_ms
         self.busy_ms = busy_ms
         self.repeat_delay_ms = repeat_delay_ms
+        self.grants_one_repeat = grants_one_repeat
+        self.repeats = 0
         self.granted = []
         self.busy_until_s = None
         self.relay = ""
@@ -108,6 +112,9 @@
             return self._refuse(slot_request, "unknown_origin", 300)
         if self.refusal_reason:
             return self._refuse(slot_request, self.refusal_reason, 500)
+        self.repeats += slot_request.is_repeat
+        if self.grants_one_repeat and slot_request.is_repeat and self.repeats > 1:
+            return self._refuse(slot_request, "overloaded", 5000)
         if slot_request.is_repeat and self._is_busy():
             return self._refuse(slot_request, "overloaded", 100)
         free = [u for u in self.upstreams if self._suits(u, slot_request)]
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -8,7 +8,9 @@
 from socket import SO_LINGER, SOL_SOCKET
 
 SILENCE_S = 1.9
+BEGIN_SILENCE_S = 1.62
 LONG_INTERVAL_S = 0.8
+SHORT_SILENCE_S = 0.9
 
 
 class ReservedPort:
@@ -258,6 +260,15 @@
         self._write_unnumbered(writer)
         writer.write(b"0\r\n\r\n")
 
+    async def _begin_after_silence(self, received, reader, writer):
+        await asyncio.sleep(BEGIN_SILENCE_S)
+        self._start_events(received, writer)
+        for number in (1, 2, 3):
+            self._event(writer, number)
+        await writer.drain()
+        writer.close()
+        raise ConnectionError
+
     async def _cut_long_events(self, received, reader, writer):
         self._start_events(received, writer)
         for number in (1, 2, 3):
@@ -273,6 +284,10 @@
         await asyncio.sleep(SILENCE_S)
         await self._answer(received, reader, writer)
 
+    async def _reset_after_silence(self, received, reader, writer):
+        await asyncio.sleep(SHORT_SILENCE_S)
+        await self._reset(received, reader, writer)
+
     async def _cut_events(self, received, reader, writer):
         self._start_events(received, writer)
         for number in (1, 2, 3):
--- a/src/peridotfront/failover.py
+++ b/src/peridotfront/failover.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from .core.attempts import failover_timeout_ms, min_service_time_ms
+from .core.gateway_events import SlotRefused
 from .exchanges import Exchange
 from .request_log import RequestLog
 from .routed_requests import AdmittedRequest
@@ -42,12 +43,16 @@
         self._may_continue = may_continue
         self._log = log
         self._timeout_ms = failover_timeout_ms(admitted.route)
+        self._search: asyncio.Task | None = None
+        self._is_searching_start = False
 
     async def watch(
         self, sending: asyncio.Task, attempt: SendAttempt, sends: int
     ) -> GrantedSlot | None:
         """Wait until a send ends, or until another upstream is to have the request.
 
+        A search that is under way when the send ends goes on, see :meth:`take`.
+
         :param sending: task that sends the request and passes on its answer.
         :param sends: number of sends of the request so far.
         :return: a slot at another upstream; None if the send has ended.
@@ -55,6 +60,7 @@
         is_reported = False
         while not sending.done():
             if not attempt.is_silent(self._timeout_ms):
+                self.abandon()
                 await _wait(sending, self._until_silent_ms(attempt))
                 continue
             if not self._may_search():
@@ -63,11 +69,32 @@
             if not is_reported:
                 is_reported = True
                 self._report(attempt)
-            slot = await self._search(sending, attempt, sends)
+            slot = await self._search_on(sending, attempt, sends)
             if slot is not None:
                 return slot
         return None
 
+    async def take(self) -> GrantedSlot | SlotRefused | None:
+        """Wait for the search that was under way when the send ended.
+
+        :return: its slot or refusal; None if there is none.
+        """
+        if self._is_searching_start and self._exchange.is_started:
+            # The slot may be at another software version than the begun stream's.
+            self.abandon()
+        if self._search is None:
+            return None
+        slot = await self._search
+        self._search = None
+        return slot
+
+    def abandon(self) -> None:
+        """Cancel the search; give back the slot that it may have found already."""
+        if self._search is not None:
+            self._search.cancel()
+            self._search.add_done_callback(self._give_back_found)
+            self._search = None
+
     def _until_silent_ms(self, attempt: SendAttempt) -> int:
         """Return the time after which the upstream may count as silent."""
         if not attempt.is_awaited:
@@ -79,50 +106,41 @@
         min_remaining_ms = 2 * min_service_time_ms(self._admitted.route)
         return remaining_ms >= min_remaining_ms and self._may_continue()
 
-    async def _search(
+    async def _search_on(
         self, sending: asyncio.Task, attempt: SendAttempt, sends: int
     ) -> GrantedSlot | None:
-        """Request another slot once, while the send is silent.
+        """Search for another slot for a moment, while the send is silent.
 
-        :return: the slot; None if there is none now, or if the send goes on.
+        :return: the slot; None if there is none yet, or if the send has ended.
         """
-        upstream = attempt.grant.upstream
-        search = asyncio.ensure_future(
-            self._slot_finder.acquire_beside(upstream, sends, self._exchange.is_started)
-        )
-        slot = None
-        try:
-            while not search.done() and self._is_needed(sending, attempt):
-                await asyncio.wait(
-                    (sending, search),
-                    timeout=POLL_MS / 1000,
-                    return_when=asyncio.FIRST_COMPLETED,
+        if self._search is None:
+            self._is_searching_start = not self._exchange.is_started
+            self._search = asyncio.ensure_future(
+                self._slot_finder.acquire_beside(
+                    attempt.grant.upstream, sends, self._exchange.is_started
                 )
-            if search.done() and self._is_needed(sending, attempt):
-                slot = search.result()
-        finally:
-            if slot is None:
-                self._abandon(search)
+            )
+        await asyncio.wait(
+            (sending, self._search),
+            timeout=POLL_MS / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        is_needed = not sending.done() and attempt.is_silent(self._timeout_ms)
+        if not (self._search.done() and is_needed):
+            return None
+        slot = await self.take()
         if isinstance(slot, GrantedSlot):
             return slot
         refusal = slot.refusal if slot is not None else None
         await _wait(sending, search_interval_ms(refusal))
         return None
 
-    def _abandon(self, search: asyncio.Task) -> None:
-        """Cancel a search; give back the slot that it may have found already."""
-        search.cancel()
-        search.add_done_callback(self._give_back_found)
-
     def _give_back_found(self, search: asyncio.Task) -> None:
         if search.cancelled() or search.exception() is not None:
             return
         if isinstance(search.result(), GrantedSlot):
             self._slot_finder.give_back(search.result())
 
-    def _is_needed(self, sending: asyncio.Task, attempt: SendAttempt) -> bool:
-        return not sending.done() and attempt.is_silent(self._timeout_ms)
-
     def _report(self, attempt: SendAttempt) -> None:
         self._log.write(
             "send_silent",
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -155,6 +155,7 @@
         try:
             await self._run()
         finally:
+            self._failover.abandon()
             if self._next_slot is not None:
                 self._slot_finder.give_back(self._next_slot)
 
@@ -196,6 +197,8 @@
         """Return the slot that was found during the last send, or request one."""
         slot = self._next_slot
         self._next_slot = None
+        if slot is None:
+            slot = await self._failover.take()
         if slot is not None:
             return slot
         return await self._slot_finder.acquire(self.sends, self._exchange.is_started)
