Blame no upstream for a silence that ended, when only its caller reads nothing

Found by the review: when a send ended with its time, the cause was judged by the last wait for the upstream's bytes, also if these had come since and only the caller read nothing. Two such ends open the circuit of a sound upstream. A wait that bytes have ended counts no more.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -60,6 +60,11 @@
     Then the caller gets events "1,2,3" and no end
     And upstream "u2" got 0 requests
 
+  Scenario: An upstream that was late once is not blamed when its caller reads nothing
+    Given a gateway before upstream "u1" that will "pause_and_flood_events"
+    When a caller sends "/resumable/x" with the deadline "1500" and reads nothing
+    Then the first slot ended as "out_of_time"
+
   Scenario: A stream that broke off waits for a slot at another upstream
     Given a gateway before upstream "u1" that will "cut_events"
     And upstream "u2" that will "events"
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -3,12 +3,14 @@
 import asyncio
 
 from behave import given, then, when
+from support.routed_upstreams import POLL_S, request, run_front
 from support.scripted_upstreams import Upstream
 from support.silent_processes import SilentProcesses
 
 from peridotfront.core.gateway_events import SlotReleased
 
 DURATION_S = 12.0
+MAX_WAIT_S = 3.0
 
 
 @given('an upstream "{name}" of version "{version}" that will "{step}"')
@@ -31,6 +33,24 @@
     context.slot_options = {"repeat_delay_ms": delay, "grants_one_repeat": True}
 
 
+@when('a caller sends "{path}" with the deadline "{deadline}" and reads nothing')
+def read_nothing(context, path, deadline):
+    async def work(front):
+        _, writer = await front.open()
+        writer.transport.pause_reading()
+        writer.write(request(path, headers={"X-Deadline-Ms": deadline}))
+        async with asyncio.timeout(MAX_WAIT_S):
+            while not has_released(front):
+                await asyncio.sleep(POLL_S)
+        writer.transport.abort()
+
+    run_front(context, work)
+
+
+def has_released(front):
+    return any(isinstance(event, SlotReleased) for event in front.slot_server.events)
+
+
 @then("the answer has its end")
 def has_end(context):
     assert context.answer.is_complete, context.answer
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -11,6 +11,7 @@
 BEGIN_SILENCE_S = 1.62
 LONG_INTERVAL_S = 0.8
 SHORT_SILENCE_S = 0.9
+FIRST_PAUSE_S = 0.4
 
 
 class ReservedPort:
@@ -382,6 +383,10 @@
         finally:
             received.is_closed = True
 
+    async def _pause_and_flood_events(self, received, reader, writer):
+        await asyncio.sleep(FIRST_PAUSE_S)
+        await self._flood_events(received, reader, writer)
+
     def _write_unnumbered(self, writer):
         data = b"data: piece\n\n"
         writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
--- a/src/peridotfront/send_attempt.py
+++ b/src/peridotfront/send_attempt.py
@@ -31,7 +31,7 @@
 
     @property
     def silent_ms(self) -> int:
-        """Return for how long the upstream's next bytes are, or were last, awaited."""
+        """Return for how long bytes are awaited, or were in a wait that got none."""
         if self.answer is None:
             return now_ms() - self.started_ms
         return self.answer.silent_ms
--- a/src/peridotfront/upstream_answer.py
+++ b/src/peridotfront/upstream_answer.py
@@ -68,7 +68,7 @@
 
     @property
     def silent_ms(self) -> int:
-        """Return for how long the next bytes are, or were last, awaited."""
+        """Return for how long bytes are awaited, or were in a wait that got none."""
         if self._connection is not None:
             self._silent_ms = self._connection.silent_ms
         return self._silent_ms
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -133,7 +133,7 @@
         self._relay_error: RelayLost | None = None
         self._waiter: asyncio.Future | None = None
         self._wait_start_s = 0.0
-        self._wait_end_s = 0.0
+        self._silence_s = 0.0
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
         self._end_s = math.inf
@@ -155,9 +155,9 @@
 
     @property
     def silent_ms(self) -> int:
-        """Return for how long the next bytes are, or were last, awaited."""
-        end_s = self._loop.time() if self.is_awaited else self._wait_end_s
-        return int((end_s - self._wait_start_s) * 1000)
+        """Return for how long bytes are awaited, or were in a wait that got none."""
+        silence_s = self._loop.time() - self._wait_start_s
+        return int(1000 * (silence_s if self.is_awaited else self._silence_s))
 
     @property
     def is_awaited(self) -> bool:
@@ -350,7 +350,9 @@
             await self._waiter
         finally:
             self._waiter = None
-            self._wait_end_s = self._loop.time()
+            self._silence_s = self._loop.time() - self._wait_start_s
+        if self._error is None:
+            self._silence_s = 0.0
 
     # Calls.
 
