Let a request that was sent wait for its next slot as long as it has time

Found by the review: a silent send may now last longer than a caller waits for a first event, but the slot request after it still counted that time from the arrival, and could wait for 1 ms: 504 with 1.9 s left, although a slot was free. A begun stream that was silent for nearly as long was broken off at once, since its wait left less than one interval. The limit is for requests that wait for their first slot. Later ones are bounded by their own time; a caller that leaves earlier ends them.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -65,6 +65,13 @@
     When a caller sends "/resumable/x" with the deadline "1500" and reads nothing
     Then the first slot ended as "out_of_time"
 
+  Scenario: A stream whose silent upstream is lost late may still wait for another one
+    Given a gateway before upstream "u1" that will "reset_after_long_silence"
+    And upstream "u2" that will "events"
+    And every repeat is refused as overloaded for 500 ms, and then granted after 20 ms
+    When a caller sends "/resumable/x" with the deadline "4000"
+    Then the caller gets events "1,2,3,4,5,6" and the end
+
   Scenario: A stream that broke off waits for a slot at another upstream
     Given a gateway before upstream "u1" that will "cut_events"
     And upstream "u2" that will "events"
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -28,6 +28,14 @@
     context.slot_options = {"repeat_delay_ms": delay}
 
 
+@given(
+    "every repeat is refused as overloaded for {busy:d} ms, and then granted after"
+    " {delay:d} ms"
+)
+def refuse_then_delay_repeats(context, busy, delay):
+    context.slot_options = {"busy_ms": busy, "repeat_delay_ms": delay}
+
+
 @given("the first repeat is granted after {delay:d} ms and each later one is refused")
 def delay_one_repeat(context, delay):
     context.slot_options = {"repeat_delay_ms": delay, "grants_one_repeat": True}
--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -12,6 +12,7 @@
 LONG_INTERVAL_S = 0.8
 SHORT_SILENCE_S = 0.9
 FIRST_PAUSE_S = 0.4
+LONG_SILENCE_S = 2.05
 
 
 class ReservedPort:
@@ -289,6 +290,10 @@
         await asyncio.sleep(SHORT_SILENCE_S)
         await self._reset(received, reader, writer)
 
+    async def _reset_after_long_silence(self, received, reader, writer):
+        await asyncio.sleep(LONG_SILENCE_S)
+        await self._reset(received, reader, writer)
+
     async def _cut_events(self, received, reader, writer):
         self._start_events(received, writer)
         for number in (1, 2, 3):
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -170,10 +170,9 @@
         route = admitted.route
         account = admitted.account
         excluded = tuple(self._attempts.excluded)
-        deadline_ms = min(
-            self._patience_ms,
-            admitted.remaining_ms(now_ms()) - min_service_time_ms(route),
-        )
+        deadline_ms = admitted.remaining_ms(now_ms()) - min_service_time_ms(route)
+        if not self._attempts.is_repeat:
+            deadline_ms = min(deadline_ms, self._patience_ms)
         return SlotRequest(
             request_id=f"{request.request_id}.{sends}.{len(excluded)}",
             cell=admitted.service,
@@ -198,9 +197,9 @@
 
     @property
     def _patience_ms(self) -> int:
-        """Return for how long the caller waits for the next part of its answer."""
-        waits_since_ms = self.last_event_ms or self._admitted.began_ms
-        return first_byte_timeout_ms(self._admitted.route) + waits_since_ms - now_ms()
+        """Return for how long the first part of the answer may still be waited for."""
+        began_ms = self._admitted.began_ms
+        return first_byte_timeout_ms(self._admitted.route) + began_ms - now_ms()
 
     @property
     def _goal_ms(self) -> int:
@@ -217,8 +216,7 @@
         if self.last_event_ms is None or refusal.reason not in PASSING_REASONS:
             return None
         # A begun stream ends in the middle if it gets no slot.
-        wait_ms = search_interval_ms(refusal)
-        return wait_ms if wait_ms < self._patience_ms else None
+        return search_interval_ms(refusal)
 
     def _may_become_known(self, refusal: SlotRefusal) -> bool:
         """Return whether to wait until the scheduler knows how a stream began.
