Let a begun stream wait a moment where no upstream may be used just now

Found by the review: an upstream that asks for a pause of 0.7 s is excluded by its host, and a new leader has no list for a moment; both are refused as no_upstream, and a begun stream broke off after 0.06 s. It now waits as it does for an unknown origin: 1.5 s or a third of its time at most, since the upstreams of its version may be gone for good.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -72,13 +72,26 @@
     When a caller sends "/resumable/x" with the deadline "4000"
     Then the caller gets events "1,2,3,4,5,6" and the end
 
-  Scenario: A stream that broke off waits for a slot at another upstream
+  Scenario Outline: A stream that broke off waits for a slot at another upstream
     Given a gateway before upstream "u1" that will "cut_events"
     And upstream "u2" that will "events"
-    And every repeat is refused as overloaded for 700 ms
+    And every repeat is refused as <reason> for 700 ms
     When a caller sends "/resumable/x" with the body "prompt"
     Then the caller gets events "1,2,3,4,5,6" and the end
 
+    Examples: Refusals that pass as "passing refusal"
+      | reason       |
+      | overloaded   |
+      | retry_budget_spent |
+      | no_upstream  |
+
+  Scenario: A stream that no upstream can go on with is broken off before its time limit
+    Given a gateway before upstream "u1" that will "cut_events"
+    And every repeat is refused as no_upstream for 9000 ms
+    When a caller sends "/resumable/x" with the body "prompt"
+    Then the caller gets events "1,2,3" and no end
+    And the answer took at most 1500 ms
+
   Scenario: A stream that broke off late may wait for a slot as long as its caller for an event
     Given a gateway before upstream "u1" that will "cut_long_events"
     And upstream "u2" that will "events"
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -18,9 +18,9 @@
     context.upstreams.append(Upstream(name, [step], software_version=version))
 
 
-@given("every repeat is refused as overloaded for {busy:d} ms")
-def refuse_repeats(context, busy):
-    context.slot_options = {"busy_ms": busy}
+@given("every repeat is refused as {reason} for {busy:d} ms")
+def refuse_repeats(context, reason, busy):
+    context.slot_options = {"busy_ms": busy, "busy_reason": reason}
 
 
 @given("every repeat is granted after {delay:d} ms")
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -9,7 +9,7 @@
 from peridotfront.core.messages import ReleaseCause
 from peridotfront.core.routing_events import UpstreamsListed
 from peridotfront.core.verdicts import Reason
-from peridotfront.slot_finder import ORIGIN_WAIT_MS
+from peridotfront.slot_finder import SHORT_WAIT_MS
 
 EVENT_TOKENS = 6
 STEP_MS = 100
@@ -240,7 +240,7 @@
             if request_id in host.granted:
                 running.remove(stream_id)
                 host.release(request_id)
-            elif is_origin_unknown(host, request_id) and elapsed_ms < ORIGIN_WAIT_MS:
+            elif is_origin_unknown(host, request_id) and elapsed_ms < SHORT_WAIT_MS:
                 del host.refused[request_id]
                 ask(stream_id)
 
--- a/features/support/routed_upstreams.py
+++ b/features/support/routed_upstreams.py
@@ -71,6 +71,7 @@
     :param refusal_reason: reason with which it refuses everything; empty if it grants.
     :param frozen_ms: time for which the process is frozen after each grant.
     :param busy_ms: time from the first repeat for which it refuses repeats.
+    :param busy_reason: reason with which it does so.
     :param repeat_delay_ms: time after which it grants a repeat.
     :param grants_one_repeat: whether it refuses all repeats but the first.
 
@@ -87,6 +88,7 @@
         refusal_reason="",
         frozen_ms=0,
         busy_ms=0,
+        busy_reason="overloaded",
         repeat_delay_ms=0,
         grants_one_repeat=False,
     ):
@@ -97,6 +99,7 @@
         self.refusal_reason = refusal_reason
         self.frozen_ms = frozen_ms
         self.busy_ms = busy_ms
+        self.busy_reason = busy_reason
         self.repeat_delay_ms = repeat_delay_ms
         self.grants_one_repeat = grants_one_repeat
         self.repeats = 0
@@ -116,7 +119,7 @@
         if self.grants_one_repeat and slot_request.is_repeat and self.repeats > 1:
             return self._refuse(slot_request, "overloaded", 5000)
         if slot_request.is_repeat and self._is_busy():
-            return self._refuse(slot_request, "overloaded", 100)
+            return self._refuse(slot_request, self.busy_reason, 100)
         free = [u for u in self.upstreams if self._suits(u, slot_request)]
         if not free:
             return self._refuse(slot_request, "overloaded", 5000)
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -16,7 +16,7 @@
 from .runtime import now_ms
 
 EXHAUSTED_RETRY_MS = 300
-ORIGIN_WAIT_MS = 1500
+SHORT_WAIT_MS = 1500
 ORIGIN_RETRY_MS = 100
 MAX_RETRY_AFTER_RATIO = 1 / 3
 MIN_SEARCH_INTERVAL_MS = 200
@@ -65,7 +65,7 @@
         self._admitted = admitted
         self._attempts = attempts
         self._log = log
-        self._origin_wait_end_ms: int | None = None
+        self._short_wait_end_ms: int | None = None
         self._searches = 0
 
     async def acquire(
@@ -213,10 +213,14 @@
         """Return the time until a refused slot is requested again; None for never."""
         if self._may_become_known(refusal):
             return ORIGIN_RETRY_MS
-        if self.last_event_ms is None or refusal.reason not in PASSING_REASONS:
+        if self.last_event_ms is None:
             return None
         # A begun stream ends in the middle if it gets no slot.
-        return search_interval_ms(refusal)
+        if refusal.reason in PASSING_REASONS:
+            return search_interval_ms(refusal)
+        if refusal.reason is Reason.NO_UPSTREAM and self._may_wait_longer():
+            return MIN_SEARCH_INTERVAL_MS
+        return None
 
     def _may_become_known(self, refusal: SlotRefusal) -> bool:
         """Return whether to wait until the scheduler knows how a stream began.
@@ -225,13 +229,18 @@
         caller does not name never becomes known.
         """
         is_unknown = refusal.reason is Reason.UNKNOWN_ORIGIN
-        if not (is_unknown and self._admitted.stream_id):
-            return False
-        if self._origin_wait_end_ms is None:
+        return is_unknown and bool(self._admitted.stream_id) and self._may_wait_longer()
+
+    def _may_wait_longer(self) -> bool:
+        """Return whether to wait for what a new leader or an upstream makes known soon.
+
+        All such waits of a request end a fixed time after the first one began.
+        """
+        if self._short_wait_end_ms is None:
             remaining_ms = self._admitted.remaining_ms(now_ms())
-            wait_ms = min(ORIGIN_WAIT_MS, int(remaining_ms * MAX_RETRY_AFTER_RATIO))
-            self._origin_wait_end_ms = now_ms() + wait_ms
-        return now_ms() + ORIGIN_RETRY_MS <= self._origin_wait_end_ms
+            wait_ms = min(SHORT_WAIT_MS, int(remaining_ms * MAX_RETRY_AFTER_RATIO))
+            self._short_wait_end_ms = now_ms() + wait_ms
+        return now_ms() + ORIGIN_RETRY_MS <= self._short_wait_end_ms
 
 
 def search_interval_ms(refusal: SlotRefusal | None) -> int:
