Leave a request that crosses the close of its connection unread

Cause: a connection that was closed while idle, or after the last answer of a drain, was half closed and read on for 500 ms, and what came was dropped (caller_bytes_dropped). A caller whose request crossed that close saw an end that looked like that of a request which had been read, so that what may run once could not be sent again.

Change: the connection is no longer read once it is to be closed. It ends as soon as the caller's system has acknowledged the last answer (at once if it has), which resets what crossed. Only a refused request is still read on, or its refusal would be lost.

A half close before the delivery was tried and dropped: behind its end callers see the reset only in the state of their socket.

--- /dev/null
+++ b/features/steps/closing_connections_steps.py
@@ -0,0 +1,151 @@
+"""Steps for requests that cross the close of their connection."""
+
+import asyncio
+import errno
+import socket
+import time
+from functools import partial
+
+from behave import given, then, when
+from http_fixtures import HOST_IP, TIMEOUT_S, run, serve, until
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.001
+RESETS = (errno.ECONNRESET, errno.EPIPE)
+END_OF_CHUNKS = b"0\r\n\r\n"
+
+
+def post(body, path=b"/"):
+    """Return the bytes of a request."""
+    head = b"POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+    return head % (path, len(body)) + body
+
+
+class Caller:
+    """Caller on a socket of its own, which sees a reset where a stream does not.
+
+    :param answers: bytes received.
+    """
+
+    def __init__(self, server):
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        self.answers = b""
+
+    async def connect(self):
+        """Connect, and wait until the server has the connection."""
+        await self._loop.sock_connect(self._socket, (HOST_IP, self._server.port))
+        await until(lambda: self._server.connections)
+
+    async def send(self, data):
+        """Send bytes."""
+        await self._loop.sock_sendall(self._socket, data)
+
+    async def read_until(self, end):
+        """Read until the received bytes end so."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not self.answers.endswith(end):
+                self.answers += await self._loop.sock_recv(self._socket, CHUNK_BYTES)
+
+    async def wait_for_reset(self):
+        """Read until the connection is reset, also after its end.
+
+        :return: the time that it took in milliseconds.
+        """
+        began_s = time.monotonic()
+        async with asyncio.timeout(TIMEOUT_S):
+            while not await self._is_reset():
+                await asyncio.sleep(POLL_S)
+        self._socket.close()
+        return (time.monotonic() - began_s) * 1000
+
+    async def _is_reset(self):
+        # A reset after the end of the stream shows only in the state of the socket.
+        if self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) in RESETS:
+            return True
+        try:
+            self.answers += await self._loop.sock_recv(self._socket, CHUNK_BYTES)
+        except ConnectionResetError:
+            return True
+        return False
+
+
+async def answer(context, exchange):
+    """Repeat the body; on one path in chunks, of which the last waits."""
+    body = exchange.request.body
+    context.bodies.append(body)
+    if exchange.request.path == "/":
+        await exchange.respond(200, [], body)
+        return
+    await exchange.start(200)
+    await exchange.write(b"half")
+    await until(lambda: context.is_released)
+    await exchange.write(body)
+    await exchange.finish()
+
+
+async def cross_idle(context, caller):
+    """Send a request while the idle connection is closed."""
+    await caller.send(post(b"one"))
+    await caller.read_until(b"one")
+    context.server.is_draining = True
+    context.server.close_idle()
+    await caller.send(post(b"crossing"))
+
+
+async def cross_announced(context, caller):
+    """Send a request after an answer that announces the close."""
+    context.server.is_draining = True
+    await caller.send(post(b"one"))
+    await caller.read_until(b"one")
+    await caller.send(post(b"crossing"))
+
+
+async def cross_unannounced(context, caller):
+    """Send a request after an answer that began before the drain."""
+    await caller.send(post(b"one", b"/halves"))
+    await caller.read_until(b"half\r\n")
+    context.server.is_draining = True
+    context.is_released = True
+    await caller.read_until(END_OF_CHUNKS)
+    await caller.send(post(b"crossing"))
+
+
+CROSSINGS = {
+    "it is idle while its host drains": cross_idle,
+    "its answer announced the close": cross_announced,
+    "its answer began before the drain and has ended": cross_unannounced,
+}
+
+
+@given("a server that is about to drain")
+def make_server(context):
+    context.bodies = []
+    context.is_released = False
+    serve(context, partial(answer, context))
+
+
+@when("a request crosses the close of its connection, which ends since {cause}")
+def cross(context, cause):
+    async def play():
+        context.caller = caller = Caller(context.server)
+        await caller.connect()
+        await CROSSINGS[cause](context, caller)
+        context.reset_ms = await caller.wait_for_reset()
+
+    run(context, play())
+
+
+@then("the caller has read the whole answer before it")
+def answer_is_whole(context):
+    answers = context.caller.answers
+    assert answers.count(b"HTTP/1.1 200") == 1, answers
+    assert answers.endswith((b"one", END_OF_CHUNKS)), answers
+
+
+@then("the crossing request was reset within {limit:d} ms, and no handler ran it")
+def reset_soon(context, limit):
+    assert context.bodies == [b"one"], context.bodies
+    assert context.reset_ms <= limit, context.reset_ms
--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import fcntl
 import math
 import select
 import socket
 import struct
+import termios
 from collections import Counter
 from enum import Enum, StrEnum, auto
 from http import HTTPStatus
@@ -28,6 +30,7 @@
 from .runtime import now_ms
 
 LINGER_MS = 500
+DELIVERY_POLL_MS = 5
 MIN_BYTES_PER_CHUNK = 32
 SMALL_CHUNK_ALLOWANCE = 1024
 MAX_WIRE_BYTES_PER_BODY_BYTE = 2
@@ -372,10 +375,10 @@
         self._exchange = None
         self._release_body()
         if self._server.is_draining:
-            self._half_close(CloseCause.DRAINING)
+            self._close_unread(CloseCause.DRAINING)
             return
         if self._http.our_state is not h11.DONE:
-            self._half_close(CloseCause.LAST_ANSWER)
+            self._close_unread(CloseCause.LAST_ANSWER)
             return
         self._http.start_next_cycle()
         self._head = None
@@ -447,7 +450,7 @@
     def close_if_idle(self) -> None:
         """Close unless a request is being read or answered."""
         if self.is_idle:
-            self._half_close(CloseCause.DRAINING)
+            self._close_unread(CloseCause.DRAINING)
 
     def abort(self) -> None:
         """Close immediately and discard unsent data."""
@@ -474,33 +477,52 @@
             return
         self._transport.abort()
 
-    def _half_close(self, cause: CloseCause) -> None:
-        # A close with unread bytes would reset the connection and lose the answer.
-        if not self._transport.can_write_eof():
+    def _close_unread(self, cause: CloseCause) -> None:
+        """Close without reading on, once the caller's system has the last answer.
+
+        A request that crosses the close stays unread, so that the caller is reset and
+        knows it. A reset any sooner would lose the answer.
+        """
+        if self._is_delivered():
             self._close(cause)
             return
         self._begin_closing(cause)
-        self._write_eof()
-        self._linger()
+        self._transport.pause_reading()
+        self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
+        self._close_when_delivered()
+
+    def _close_when_delivered(self) -> None:
+        if self._transport.is_closing():
+            return
+        if self._is_delivered():
+            self._transport.close()
+            return
+        self._loop.call_later(DELIVERY_POLL_MS / 1000, self._close_when_delivered)
+
+    def _is_delivered(self) -> bool:
+        """Return whether the caller's system has acknowledged all output."""
+        if self._transport.get_write_buffer_size():
+            return False
+        sock = self._transport.get_extra_info("socket")
+        unacknowledged = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return not any(unacknowledged)
 
     def _close_after_linger(self) -> None:
+        # The rest of the refused request is read, or a reset would lose the refusal.
         if self._has_received_eof:
             self._close(CloseCause.REFUSED)
             return
         if self._transport.can_write_eof():
             self._write_eof()
         self._begin_closing(CloseCause.REFUSED)
-        self._linger()
+        self._resume_reading()
+        self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
 
     def _write_eof(self) -> None:
         # The caller may have reset the connection in the meantime.
         with contextlib.suppress(OSError):
             self._transport.write_eof()
 
-    def _linger(self) -> None:
-        self._resume_reading()
-        self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
-
     def _begin_closing(self, cause: CloseCause) -> None:
         if self._phase is _Phase.CLOSING:
             return
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -448,7 +448,7 @@
         "caller_bytes_dropped",
         Level.INFO,
         "bytes arrived on a connection that is being closed",
-        "They may begin a request that crossed the close; nothing was sent on. cause"
+        "Mostly the rest of a request that was refused; nothing was sent on. cause"
         " says why the connection was closed, closing_ms for how long it had been.",
     ),
 )
