Let kept connections follow the limits that are in force

Cause: a connection kept the limits with which it began. After a change that raises the idle limit it was closed by the old one, although its caller may use it again until four fifths of the new one; longer bodies and headers that the new limits allow were refused on it with 413 and 431.

Change: each request is read under the limits in force at its first byte. The idle time ends by the longer of the limits at the last request and now, so that a caller that does not know a shorter one yet is not cut off; connections that begin after a change have its limit.

--- a/features/closing_connections.feature
+++ b/features/closing_connections.feature
@@ -13,3 +13,17 @@
       | it is idle while its host drains                |
       | its answer announced the close                  |
       | its answer began before the drain and has ended |
+
+  Scenario Outline: A connection that began before a change of the limits is <result>: <change>
+    Given a server whose limit of "<limit>" is <before>
+    When the limit becomes <after>, and a caller uses its older connection again <idle> ms later
+    Then the connection is <result>
+
+    Examples: Limits as "limit in force"
+      | change                 | limit            | before | after | idle | result   |
+      | a longer idle time     | idle_timeout_ms  | 120    | 5000  | 400  | served   |
+      | a shorter idle time    | idle_timeout_ms  | 5000   | 60    | 400  | served   |
+      | the same idle time     | idle_timeout_ms  | 60     | 60    | 400  | closed   |
+      | longer bodies          | max_body_bytes   | 2000   | 9000  | 0    | served   |
+      | longer headers         | max_header_bytes | 2000   | 9000  | 0    | served   |
+      | shorter bodies         | max_body_bytes   | 9000   | 2000  | 0    | refused  |
--- a/features/steps/closing_connections_steps.py
+++ b/features/steps/closing_connections_steps.py
@@ -1,15 +1,18 @@
 """Steps for requests that cross the close of their connection."""
 
 import asyncio
+import contextlib
 import errno
 import socket
 import time
+from dataclasses import replace
 from functools import partial
 
 from behave import given, then, when
 from http_fixtures import HOST_IP, TIMEOUT_S, run, serve, until
 
 CHUNK_BYTES = 65_536
+LONG_BYTES = 5000
 POLL_S = 0.001
 RESETS = (errno.ECONNRESET, errno.EPIPE)
 END_OF_CHUNKS = b"0\r\n\r\n"
@@ -49,6 +52,13 @@
             while not self.answers.endswith(end):
                 self.answers += await self._loop.sock_recv(self._socket, CHUNK_BYTES)
 
+    async def read_answer(self):
+        """Read until there is something of an answer, or the connection ends."""
+        async with asyncio.timeout(TIMEOUT_S):
+            with contextlib.suppress(ConnectionError):
+                self.answers += await self._loop.sock_recv(self._socket, CHUNK_BYTES)
+        self._socket.close()
+
     async def wait_for_reset(self):
         """Read until the connection is reset, also after its end.
 
@@ -149,3 +159,40 @@
 def reset_soon(context, limit):
     assert context.bodies == [b"one"], context.bodies
     assert context.reset_ms <= limit, context.reset_ms
+
+
+@given('a server whose limit of "{limit}" is {value:d}')
+def make_limited_server(context, limit, value):
+    context.bodies = []
+    context.limit = limit
+    serve(context, partial(answer, context), **{limit: value})
+
+
+@when(
+    "the limit becomes {value:d}, and a caller uses its older connection again"
+    " {idle:d} ms later"
+)
+def change_limit(context, value, idle):
+    async def play():
+        context.caller = caller = Caller(context.server)
+        await caller.connect()
+        await caller.send(post(b"one"))
+        await caller.read_until(b"one")
+        caller.answers = b""
+        limits = context.server.limits
+        context.server.limits = replace(limits, **{context.limit: value})
+        await asyncio.sleep(idle / 1000)
+        size = LONG_BYTES if context.limit != "idle_timeout_ms" else 0
+        is_header = context.limit == "max_header_bytes"
+        long_path = b"/?" + b"x" * (size if is_header else 0)
+        await caller.send(post(b"." * (0 if is_header else size) + b"two", long_path))
+        await caller.read_answer()
+
+    run(context, play())
+
+
+@then("the connection is {result}")
+def connection_is(context, result):
+    answers = context.caller.answers
+    expected = {"served": b"HTTP/1.1 200", "refused": b"HTTP/1.1 413", "closed": b""}
+    assert answers[: len(b"HTTP/1.1 200")] == expected[result], answers
--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -90,9 +90,7 @@
         self._server = server
         self._limits = server.limits
         self._loop = asyncio.get_running_loop()
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
-        )
+        self._http = self._build_parser()
         self._transport: asyncio.Transport | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -144,6 +142,9 @@
         if self._phase is _Phase.CLOSING:
             self._log_dropped(data)
             return
+        if self._phase is _Phase.IDLE:
+            self._renew_limits()
+            self._begin_reading()
         self._http.receive_data(data)
         self._wire_bytes += len(data)
         if self._phase is _Phase.RUNNING:
@@ -151,8 +152,6 @@
                 self._transport.pause_reading()
                 self._is_paused = True
             return
-        if self._phase is _Phase.IDLE:
-            self._begin_reading()
         self._process_events()
 
     def _log_dropped(self, data: bytes) -> None:
@@ -201,10 +200,32 @@
 
     # Reading requests.
 
+    def _build_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    def _renew_limits(self) -> None:
+        """Read the next request under the limits that are in force now."""
+        if self._limits != self._server.limits:
+            self._limits = self._server.limits
+            self._http = self._build_parser()
+
     def _set_idle(self) -> None:
         self._phase = _Phase.IDLE
         self.idle_since_s = self._loop.time()
-        self._phase_deadline_s = self.idle_since_s + self._limits.idle_timeout_ms / 1000
+        self._phase_deadline_s = self._idle_end_s()
+
+    def _idle_end_s(self) -> float:
+        """Return the end of the idle time.
+
+        Of the limits of the last request and now the longer one counts: the caller may
+        not know the new one yet.
+        """
+        limit_ms = max(
+            self._limits.idle_timeout_ms, self._server.limits.idle_timeout_ms
+        )
+        return self.idle_since_s + limit_ms / 1000
 
     def _begin_reading(self) -> None:
         self._phase = _Phase.READING
@@ -442,7 +463,7 @@
         if now_s >= self._write_deadline_s:
             self._check_write_progress()
         elif now_s >= self._phase_deadline_s:
-            self._handle_timeout()
+            self._handle_timeout(now_s)
         elif self._is_paused and self._has_caller_closed():
             # The transport does not detect the close while reading is paused.
             self._transport.abort()
@@ -456,8 +477,10 @@
         """Close immediately and discard unsent data."""
         self._transport.abort()
 
-    def _handle_timeout(self) -> None:
-        if self._phase is _Phase.READING:
+    def _handle_timeout(self, now_s: float) -> None:
+        if self.is_idle and now_s < self._idle_end_s():
+            self._phase_deadline_s = self._idle_end_s()
+        elif self._phase is _Phase.READING:
             status_code = HTTPStatus.REQUEST_TIMEOUT
             self._refuse(
                 status_code, Reason.DEADLINE, "the request was not received in time"
