Answer a request whose handler is cancelled, and log errors with the request's id

Cause: handlers that still run at the end of the time to stop are cancelled, and their callers' connections ended without an answer, also where nothing had been sent to an upstream. An error of the program did lead to 500 or to a visible cut, but its traceback was logged without the request's id, and forwarding_ended said "unfinished" for both.

Change: a cancelled request gets 503 if it was not sent and 502 if it may have run; an answer that has begun is cut.

--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -1,17 +1,20 @@
 """Handler of callers' HTTP requests at an entry host that serves routes."""
 
 import asyncio
+import contextlib
 import hashlib
+import traceback
 from http import HTTPStatus
 
 from . import logs
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import CallerGone, InvalidRequest, RequestRefused
 from .exchanges import Exchange
-from .forwarding import Forwarding, respond_refusal
+from .forwarding import NOT_RUN_STATUS, Forwarding, respond_refusal
 from .gateway_server import GatewayServer
 from .link_checker import LinkChecker
 from .metrics import Metrics
+from .problems import status_code_of
 from .relay_client import UpstreamClients
 from .routed_requests import AdmittedRequest, RequestCodec
 
@@ -47,8 +50,20 @@
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request, as the handler of the callers' HTTP server.
 
+        An error is logged with the request's id. The server then answers with 500, or
+        cuts an answer that has begun.
+
         :raises CallerGone: if the caller disconnects.
         """
+        with logs.request_context(self._codec.request_id(exchange.request)):
+            try:
+                await self._handle(exchange)
+            except (CallerGone, InvalidRequest):
+                raise
+            except Exception as error:
+                _log_error(exchange, error)
+
+    async def _handle(self, exchange: Exchange) -> None:
         try:
             admitted = self._admit(exchange)
             self._begin(admitted)
@@ -56,8 +71,7 @@
             await self._refuse(exchange, error)
             return
         try:
-            with logs.request_context(admitted.request.request_id):
-                await self._serve(exchange, admitted)
+            await self._serve(exchange, admitted)
         finally:
             self._end(admitted)
 
@@ -133,12 +147,41 @@
                 forwarding.outcome = "caller_gone"
                 raise CallerGone("the caller closed its connection")
             forwarding_task.result()
+        except asyncio.CancelledError:
+            forwarding.outcome = "cancelled"
+            await _end_tasks(forwarding_task, gone)
+            await self._refuse_cancelled(exchange, forwarding)
+            raise
+        except CallerGone:
+            raise
+        except Exception:
+            forwarding.outcome = "failed"
+            raise
         finally:
-            forwarding_task.cancel()
-            gone.cancel()
-            await asyncio.wait((forwarding_task, gone))
+            await _end_tasks(forwarding_task, gone)
             self._record_end(admitted, forwarding)
 
+    async def _refuse_cancelled(
+        self, exchange: Exchange, forwarding: Forwarding
+    ) -> None:
+        """Refuse a request whose handler is cancelled, or cut its answer."""
+        logs.write(
+            "handler_cancelled",
+            is_started=exchange.is_started,
+            sends=forwarding.sends,
+            verdict=forwarding.verdict,
+        )
+        if exchange.is_started:
+            exchange.abort()
+            return
+        refusal = Refusal(forwarding.verdict, Reason.LEAVING)
+        forwarding.reason = refusal.reason
+        forwarding.status_code = int(status_code_of(refusal, NOT_RUN_STATUS))
+        with contextlib.suppress(CallerGone):
+            await respond_refusal(
+                exchange, self._codec, forwarding.status_code, refusal
+            )
+
     def _record_end(self, admitted: AdmittedRequest, forwarding: Forwarding) -> None:
         tier = admitted.tier
         self._metrics.count_answer(
@@ -164,6 +207,21 @@
         await respond_refusal(exchange, self._codec, error.status_code, refusal)
 
 
+async def _end_tasks(*tasks: asyncio.Future) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+
+
+def _log_error(exchange: Exchange, error: Exception) -> None:
+    logs.write(
+        "handler_failed",
+        detail=f"{type(error).__name__}: {error}",
+        is_started=exchange.is_started,
+        traceback="".join(traceback.format_exception(error)),
+    )
+
+
 def _refusal_error(
     status: HTTPStatus, reason: Reason, detail: str, retry_after_ms: int = 0
 ) -> RequestRefused:
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -640,6 +640,22 @@
         "The send goes on until another upstream has a free slot; slot_granted or"
         " slot_refused lines of the request say whether it has.",
     ),
+    LogEvent(
+        544,
+        "handler_failed",
+        Level.ERROR,
+        "an error of the program has ended the handling of a request",
+        "A bug. Report it with the line. is_started says whether the answer had begun,"
+        " and so was cut; else the caller got 500.",
+    ),
+    LogEvent(
+        545,
+        "handler_cancelled",
+        Level.WARNING,
+        "a request was ended since its host stops",
+        "The time to stop was over: compare drain_ended. is_started says whether its"
+        " answer had begun, and so was cut; else it was refused with the verdict.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
