Refuse what waits for a service at once when a change drops the service

What callers saw: a request that waited for a slot of a service that a new configuration no longer has got neither a slot nor a refusal until it was late for its goal, and was then refused as "evicted" with 100 ms to come back.

Cause: a scheduler whose service was dropped kept its queue, with upstreams that were leaving. Only the check for lateness emptied it.

Change: ServiceSchedulers refuses the queue of a service that is not in the configuration, as "no_upstream" with 1,000 ms to come back, before the scheduler loses its upstreams. Queues of services whose upstreams have merely left the list are untouched.

--- /dev/null
+++ b/features/steps/changes_under_way_steps.py
@@ -0,0 +1,113 @@
+"""Steps for changes that come into force while requests wait or run."""
+
+import asyncio
+
+from behave import given, then, when
+from support.changing_gateway import CHANGES, ChangingGateway
+from support.routed_group import listed
+
+SLOTS = 4
+ANSWERED_AFTER_S = 2.0
+REFUSED_AFTER_S = 0.5
+
+
+def put(group, version, **fields):
+    """Send a configuration to the leader and wait until each entry host has it."""
+    operation_id = group.put(group.await_leader().name, version, **fields)
+    group.run_until(lambda: operation_id in group.answers)
+    assert group.answers[operation_id].result.status.value == "accepted"
+    group.run_until(lambda: all(e.versions[-1] == version for e in group.entries))
+
+
+@given("slot requests of each entry host fill the upstreams and {waiting:d} more wait")
+def fill(context, waiting):
+    group = context.group
+    first = group.entries[0]
+    for number in range(SLOTS):
+        first.request_slot(f"run-{number}")
+    group.run(200)
+    assert len(first.granted) == SLOTS, first.refused
+    for entry in group.entries:
+        for number in range(waiting):
+            entry.request_slot(f"{entry.name}-{number}", goal_ms=3000)
+    group.run(200)
+    for entry in group.entries:
+        assert not entry.refused, entry.refused
+    assert sum(len(entry.granted) for entry in group.entries) == SLOTS
+
+
+@when("version {version:d} without the service comes into force")
+def drop_service(context, version):
+    group = context.group
+    put(group, version, routes=(), dropped_service="models")
+    context.changed_ms = group.now_ms
+
+
+@then('every slot request that waited is refused as "{reason}" within {limit:d} ms')
+def refused_at_once(context, reason, limit):
+    group = context.group
+    group.run(max(0, context.changed_ms + limit - group.now_ms))
+    for entry in group.entries:
+        waited = {name for name in entry.slot_requests if name not in entry.granted}
+        reasons = {name: r.refusal.reason.value for name, r in entry.refused.items()}
+        assert reasons == dict.fromkeys(waited, reason), (waited, reasons)
+
+
+@then("all slots can be granted again when version {version:d} has the service")
+def granted_again(context, version):
+    group = context.group
+    first, second = group.entries
+    for number in range(SLOTS):
+        first.release(f"run-{number}")
+    put(group, version)
+    group.list_upstreams(listed("m1"))
+    group.run(500)
+    for number in range(SLOTS):
+        second.request_slot(f"again-{number}")
+    group.run(200)
+    assert len(second.granted) == SLOTS, (second.granted, second.refused)
+
+
+@given("a gateway that schedules an upstream by itself")
+def make_gateway(context):
+    context.gateway = ChangingGateway()
+
+
+@when("{change} while requests are under way")
+def play_change(context, change):
+    context.change = change
+    asyncio.run(context.gateway.play(CHANGES[change]))
+
+
+@then(
+    'each request ends as it may, with "{half_read}" for what is read after the change'
+)
+def ended(context, half_read):
+    gateway = context.gateway
+    statuses = {int(status) for status in half_read.split(",")}
+    # What waits can't be served when its service is gone.
+    waiting = {503} if context.change == "the service is gone" else {200}
+    for name, answer in gateway.answers.items():
+        assert answer is not None, f"{name} has no answer"
+        assert answer.is_complete, (name, answer)
+        is_late = name in ("half_read", "kept")
+        allowed = statuses if is_late else waiting if name == "waiting" else {200}
+        assert answer.status in allowed, (name, answer)
+        limit_s = REFUSED_AFTER_S if answer.status == 503 else ANSWERED_AFTER_S
+        assert gateway.duration_s[name] < limit_s, gateway.duration_s
+
+
+@then("only what was answered has run, and once")
+def ran_once(context):
+    gateway = context.gateway
+    for name, answer in gateway.answers.items():
+        runs = gateway.upstream.runs[name]
+        allowed = {200: {1}, 504: {0, 1}}.get(answer.status, {0})
+        assert runs in allowed, (name, runs, answer)
+
+
+@then("all slots are free with the first configuration")
+def slots_free(context):
+    later = context.gateway.later_answers
+    assert [answer.status for answer in later] == [200] * len(later), later
+    assert context.gateway.later_s < 2 * context.gateway.upstream.call_s, later
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -65,7 +65,14 @@
 }
 
 
-def content(version, *, routes=("/a/",), rate=1000, dropped_service=""):
+def content(
+    version,
+    *,
+    routes=("/a/",),
+    rate=1000,
+    dropped_service="",
+    accounts=("club",),
+):
     """Return a configuration in the operators' format."""
     services = [
         {"Name": "models", "Engine": {"Slots": 4, "KvCapacity": 500_000}},
@@ -92,7 +99,10 @@
             "Services": [
                 service for service in services if service["Name"] != dropped_service
             ],
-            "Tenants": [{**ACCOUNT, "RatePerS": rate}],
+            "Tenants": [
+                {**ACCOUNT, "Name": name, "ApiKeys": [f"k-{name}"], "RatePerS": rate}
+                for name in accounts
+            ],
         }
     )
 
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -582,6 +582,11 @@
             yield from self._ends.reinstate(known)
             yield from self._grant_queued(now_ms)
 
+    def refuse_queued(self) -> Iterator[Action]:
+        """Refuse all queued slot requests, since the service exists no more."""
+        for queued in tuple(self._queues):
+            yield self._shedder.refuse(queued, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+
     def _check_slots(self, now_ms: int) -> Iterator[Action]:
         for slot in tuple(self._slots.values()):
             if slot.lease_until_ms <= now_ms:
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -168,6 +168,9 @@
             )
             if fleet == scheduler.fleet:
                 continue
+            if name not in services:
+                # Their routes are gone too, and they would wait until they are late.
+                yield from self._track_charges(scheduler.refuse_queued(), now_ms)
             changed = FleetChanged(fleet)
             yield from self._track_charges(scheduler.handle(changed, now_ms), now_ms)
 
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -116,7 +116,7 @@
             self.server, self.clients, self.link_checker, adapter.codec, metrics
         )
         self.caller_server = HttpServer(
-            self.gateway.handle, _build_http_limits(CallerLimits())
+            self.gateway.handle, build_http_limits(CallerLimits())
         )
         self.readiness_server = HttpServer(self._answer_ready)
         self.metrics_server = HttpServer(build_metrics_handler(metrics))
@@ -182,7 +182,7 @@
         return not self.is_leaving and self.role.directory.has_address(address)
 
     def _apply_routing(self, routing: RoutingConfig) -> None:
-        self.caller_server.limits = _build_http_limits(routing.caller_limits)
+        self.caller_server.limits = build_http_limits(routing.caller_limits)
 
     def _apply_settings(self, settings: RoutedSettings) -> None:
         self.server.feed(SeedsChanged(settings.seed_hosts))
@@ -215,7 +215,8 @@
         self.server.on_frame(frame)
 
 
-def _build_http_limits(caller_limits: CallerLimits) -> HttpLimits:
+def build_http_limits(caller_limits: CallerLimits) -> HttpLimits:
+    """Return the limits of the callers' server under a configuration."""
     return HttpLimits(
         max_header_bytes=caller_limits.max_header_bytes,
         max_body_bytes=caller_limits.max_body_bytes,
