--- a/features/changes_under_way.feature
+++ b/features/changes_under_way.feature
@@ -48,3 +48,18 @@
       | fewer connections may be open            | 200       |
       | the configuration can't be read          | 200       |
       | an older configuration arrives           | 200       |
+
+  Scenario Outline: A kept connection obeys the newest limits on <what>
+    Given a gateway that schedules an upstream by itself
+    And a configuration in force that limits <what>
+    And a connection on which a request was answered
+    When a configuration without that limit comes into force
+    And the caller sends a request with <request> on the same connection
+    Then the request on the kept connection is answered with 200
+
+    Examples: Limits as "limit"
+      | what              | request               |
+      | bodies            | a long body           |
+      | headers           | long header fields    |
+      | idle connections  | a pause before it     |
+
--- a/features/steps/changes_under_way_steps.py
+++ b/features/steps/changes_under_way_steps.py
@@ -11,6 +11,16 @@
 GONE_MS = 200
 ANSWERED_AFTER_S = 2.0
 REFUSED_AFTER_S = 0.5
+NARROW_LIMITS = {
+    "bodies": {"MaxBodyBytes": 100},
+    "headers": {"MaxHeaderBytes": 500},
+    "idle connections": {"IdleTimeoutMs": 300},
+}
+KEPT_REQUESTS = {
+    "a long body": {"body": b"x" * 1000},
+    "long header fields": {"header": "x" * 1000},
+    "a pause before it": {"pause_s": 0.8},
+}
 
 
 def put(group, version, **fields):
@@ -143,3 +153,27 @@
     later = context.gateway.later_answers
     assert [answer.status for answer in later] == [200] * len(later), later
     assert context.gateway.later_s < 2 * context.gateway.upstream.call_s, later
+
+
+@given("a configuration in force that limits {what}")
+def limit(context, what):
+    context.narrow_limits = NARROW_LIMITS[what]
+
+
+@given("a connection on which a request was answered")
+@when("a configuration without that limit comes into force")
+def keep_connection(context):
+    """Leave it to the request, since all runs in one event loop."""
+
+
+@when("the caller sends a request with {what} on the same connection")
+def send_on_kept(context, what):
+    options = KEPT_REQUESTS[what]
+    asyncio.run(context.gateway.play_kept(context.narrow_limits, **options))
+
+
+@then("the request on the kept connection is answered with {status:d}")
+def answered_on_kept(context, status):
+    answer = context.gateway.answers["kept"]
+    assert answer is not None, "the connection ended without an answer"
+    assert answer.status == status, answer
--- a/features/support/changing_gateway.py
+++ b/features/support/changing_gateway.py
@@ -166,9 +166,16 @@
 
     async def play(self, change):
         """Let a change come into force while requests are under way."""
+        await self._run(self._play(change))
+
+    async def play_kept(self, limits, *, body=BODY, header="", pause_s=0.0):
+        """Lift the limits of the callers while a connection is kept, and use it."""
+        await self._run(self._play_kept(limits, body, header, pause_s))
+
+    async def _run(self, work):
         await self._start()
         try:
-            await self._play(change)
+            await work
         finally:
             self._ticks.cancel()
             await self.http.close()
@@ -238,6 +245,17 @@
         await asyncio.gather(*calls)
         await self._play_later()
 
+    async def _play_kept(self, limits, body, header, pause_s):
+        narrow = configuration(CHANGED_VERSION, Limits=limits)
+        await self._put(narrow, CHANGED_VERSION)
+        kept = await asyncio.open_connection("127.0.0.1", self.http.port)
+        await self._answer(kept, "first", "/look-up/x")
+        await self._put(configuration(LAST_VERSION), LAST_VERSION)
+        await asyncio.sleep(pause_s)
+        fields = {**_id("kept"), "X-Padding": header}
+        kept[1].write(request("/look-up/x", "POST", body, fields) + body)
+        await self._answer(kept, "kept")
+
     def _change(self, change):
         version = change.pop("Version", CHANGED_VERSION)
         connections = change.pop("connections", None)
