Play changes of routes and limits at the real programs at nine tenths of capacity

3 control hosts, 6 entry hosts and 6 upstreams of 4 slots; streams at nine tenths of what these serve, on kept connections; every 0.5 s a configuration that differs in time limit, priority, limits on bodies, header fields and idle connections, and in a route and a service that come and go, with SIGHUP to three hosts at the same moment.

--- a/features/changes_under_way.feature
+++ b/features/changes_under_way.feature
@@ -63,3 +63,10 @@
       | headers           | long header fields    |
       | idle connections  | a pause before it     |
 
+  Scenario: The real programs answer whole while routes, limits and time limits change
+    Given changing programs of 3 control hosts and 6 entry hosts before 6 upstreams
+    When streams are sent for 4 s while all that may change does so every 500 ms
+    Then no request is left without an answer
+    And no request that was sent is given up
+    And each answer is whole, with all its events in order
+    And the route that comes and goes is answered with 200 or 404 or 503
--- a/features/steps/changes_under_way_steps.py
+++ b/features/steps/changes_under_way_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from support.changing_gateway import CHANGES, ChangingGateway
+from support.changing_processes import ChangingProcesses
 from support.routed_group import listed
 
 SLOTS = 4
@@ -11,6 +12,7 @@
 GONE_MS = 200
 ANSWERED_AFTER_S = 2.0
 REFUSED_AFTER_S = 0.5
+MIN_CHANGES = 6
 NARROW_LIMITS = {
     "bodies": {"MaxBodyBytes": 100},
     "headers": {"MaxHeaderBytes": 500},
@@ -177,3 +179,26 @@
     answer = context.gateway.answers["kept"]
     assert answer is not None, "the connection ended without an answer"
     assert answer.status == status, answer
+
+
+@given(
+    "changing programs of {controls:d} control hosts and {entries:d} entry hosts before"
+    " {upstreams:d} upstreams"
+)
+def make_changing_programs(context, controls, entries, upstreams):
+    context.programs = ChangingProcesses(controls, entries, upstreams)
+
+
+@when(
+    "streams are sent for {duration:d} s while all that may change does so every 500 ms"
+)
+def play_changes(context, duration):
+    asyncio.run(context.programs.play(duration))
+
+
+@then("the route that comes and goes is answered with 200 or 404 or 503")
+def passing_answered(context):
+    programs = context.programs
+    assert programs.changes >= MIN_CHANGES, programs.changes
+    assert programs.passing[200] and programs.passing[404], programs.passing
+    assert programs.passing.keys() <= {200, 404, 503}, programs.passing
--- a/features/support/silent_processes.py
+++ b/features/support/silent_processes.py
@@ -73,11 +73,10 @@
     def _build_upstreams(self):
         runs = Counter()
         running = Counter()
-        service = "models" if self.path in STREAM_PATHS else "ledger"
         return [
             RunningUpstream(
                 f"u{number}",
-                service,
+                self.service,
                 f"{NETWORK}.8.{number}",
                 runs,
                 event_interval_s=EVENT_INTERVAL_S,
@@ -87,6 +86,11 @@
             for number in range(1, self.engines + 1)
         ]
 
+    @property
+    def service(self):
+        """Return the service that the upstreams provide."""
+        return "models" if self.path in STREAM_PATHS else "ledger"
+
     @property
     def _step_s(self):
         """Return the time between two requests."""
@@ -125,27 +129,31 @@
 
     async def _request(self, client, deployment, number):
         request_id = f"q-{number}"
+        try:
+            answer = await self._send(client, deployment, self.path, request_id)
+        except PeridotfrontError:
+            self.lost.append(request_id)
+            return
+        self._record(request_id, *answer)
+
+    async def _send(self, client, deployment, path, request_id):
+        """Send a request to any entry host, and return the status and the body."""
         host = self._random.choice(deployment.entries)
         headers = [
             ("X-Attempt-Id", request_id),
             ("X-Deadline-Ms", str(DEADLINE_MS)),
             ("Api-Key", KEY),
         ]
-        try:
-            answer = await client.send(
-                f"{host.ip}:{CALLERS_PORT}",
-                "POST",
-                self.path,
-                headers,
-                request_id.encode(),
-                host=HOST,
-                timeouts=TIMEOUTS,
-            )
-            body = await answer.read()
-        except PeridotfrontError:
-            self.lost.append(request_id)
-            return
-        self._record(request_id, answer.status_code, body)
+        answer = await client.send(
+            f"{host.ip}:{CALLERS_PORT}",
+            "POST",
+            path,
+            headers,
+            request_id.encode(),
+            host=HOST,
+            timeouts=TIMEOUTS,
+        )
+        return answer.status_code, await answer.read()
 
     def _record(self, request_id, status, body):
         if status in NOT_RUN_STATUSES:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -212,9 +212,13 @@
 
 
 class Operator:
-    """Operator client that changes and reads the configuration."""
+    """Operator client that changes and reads the configuration.
+
+    ``build`` returns the configuration with a version.
+    """
 
     def __init__(self, hosts, record, random):
+        self.build = configuration
         self._hosts = hosts
         self._record = record
         self._random = random
@@ -224,7 +228,7 @@
     async def change(self, timeout_s=10.0):
         """Send the next version to random hosts until it is acknowledged."""
         self._version += self._random.randint(1, 5)
-        body = json.dumps(configuration(self._version)).encode()
+        body = json.dumps(self.build(self._version)).encode()
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_s
         while loop.time() < end_s:
