Play the loss of a leader right after a change that adds a service

Two moments in virtual time: when the change is acknowledged, and when all entry hosts have it. Each slot request of the new service is granted or refused within 1,000 ms.

--- a/features/changes_under_way.feature
+++ b/features/changes_under_way.feature
@@ -12,6 +12,18 @@
     Then every slot request that waited is refused as "no_upstream" within 500 ms
     And all slots can be granted again when version 11 has the service
 
+  Scenario Outline: A leader lost right after it added a service leaves no request without a reply
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And version 7 without "ledger" is in force, whose upstreams are listed
+    When version 9 adds "ledger" and the leader is lost <moment>
+    And each entry host asks for a slot of "ledger" every 50 ms for 3000 ms
+    Then every slot request was granted or refused within 1000 ms
+
+    Examples: Moments as "moment"
+      | moment                           |
+      | when it has acknowledged it      |
+      | when all entry hosts activate it |
+
   Scenario: An account that is gone and back does not spend its allowance twice
     Given a routed group of 3 control hosts and 2 entry hosts
     And 40 upstreams are listed
--- a/features/steps/changes_under_way_steps.py
+++ b/features/steps/changes_under_way_steps.py
@@ -10,6 +10,8 @@
 SLOTS = 4
 ROUND_MS = 800
 GONE_MS = 200
+STEP_MS = 10
+PATIENCE_MS = 2000
 ANSWERED_AFTER_S = 2.0
 REFUSED_AFTER_S = 0.5
 MIN_CHANGES = 6
@@ -25,11 +27,16 @@
 }
 
 
-def put(group, version, **fields):
-    """Send a configuration to the leader and wait until each entry host has it."""
+def acknowledge(group, version, **fields):
+    """Send a configuration to the leader and wait until it is acknowledged."""
     operation_id = group.put(group.await_leader().name, version, **fields)
     group.run_until(lambda: operation_id in group.answers)
     assert group.answers[operation_id].result.status.value == "accepted"
+
+
+def put(group, version, **fields):
+    """Send a configuration to the leader and wait until each entry host has it."""
+    acknowledge(group, version, **fields)
     group.run_until(lambda: all(e.versions[-1] == version for e in group.entries))
 
 
@@ -82,6 +89,62 @@
     assert len(second.granted) == SLOTS, (second.granted, second.refused)
 
 
+@given(
+    'version {version:d} without "{service}" is in force, whose upstreams are listed'
+)
+def without_service(context, version, service):
+    group = context.group
+    group.list_upstreams(listed("m1"), listed("l1", service, slots=50))
+    group.run(500)
+    put(group, version, dropped_service=service)
+
+
+@when('version {version:d} adds "{service}" and the leader is lost {moment}')
+def lose_leader(context, version, service, moment):
+    group = context.group
+    leader = group.leader().name
+    change = put if moment == "when all entry hosts activate it" else acknowledge
+    change(group, version)
+    group.down.add(leader)
+
+
+@when(
+    'each entry host asks for a slot of "{service}" every {gap:d} ms for'
+    " {duration:d} ms"
+)
+def ask_regularly(context, service, gap, duration):
+    group = context.group
+    context.asked_ms = {}
+    context.replied_ms = {}
+    for step in range(0, duration + PATIENCE_MS, STEP_MS):
+        for entry in group.entries:
+            if step < duration and step % gap == 0:
+                request_id = f"{entry.name}-{step}"
+                entry.request_slot(request_id, cell=service)
+                context.asked_ms[request_id] = group.now_ms
+        group.run(STEP_MS)
+        for entry in group.entries:
+            note_replies(context, entry)
+
+
+def note_replies(context, entry):
+    """Note the time of new replies, and release the slots that were granted."""
+    for request_id in (*entry.granted, *entry.refused):
+        if request_id in context.replied_ms:
+            continue
+        asked_ms = context.asked_ms[request_id]
+        context.replied_ms[request_id] = context.group.now_ms - asked_ms
+        if request_id in entry.granted:
+            entry.release(request_id)
+
+
+@then("every slot request was granted or refused within {limit:d} ms")
+def replied(context, limit):
+    missing = context.asked_ms.keys() - context.replied_ms.keys()
+    assert not missing, sorted(missing)
+    assert max(context.replied_ms.values()) <= limit, context.replied_ms
+
+
 @when(
     "each entry host asks for {units:d} units every {gap:d} ms while the account is"
     " gone {count:d} times"
