Play two builds side by side in the soak

Hosts are replaced one after the other while old and new builds serve together. The soak had no way to run a part of the hosts from another source folder.

--old-source names the source folder of an older build. What a process runs is in its PYTHONPATH; the linked entry hosts get the same one.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 
 import fire
 
+from .builds import Builds
 from .burdens import LIMITS, Burdens
 from .callers import VERSIONS, Callers, Operator, Record
 from .deployment import Deployment
@@ -48,10 +49,15 @@
 
 
 class Soak:
-    """Run of a seed."""
+    """Run of a seed.
 
     def __init__(self, seed, seconds, sizes):
         self.seed = seed
+    :param old_source: source folder of an older build that runs a part of the hosts;
+        empty for none.
+    """
+
+    def __init__(self, seed, seconds, sizes, old_source=""):
         self.random = random.Random(seed)
         self.seconds = seconds
         self.sizes = sizes
@@ -82,6 +88,9 @@
         if random.Random(f"links {seed}").random() < LINKED_SHARE:
             self.links = Links(self.deployment, [u.ip for u in self.upstreams])
             self.faults = (*FAULTS, Soak.lose_links, Soak.lose_links)
+        self.builds = None
+        if old_source:
+            self.builds = Builds(self.deployment, old_source, seed, self._log)
 
     def _upstream(self, name, service, number, **options):
         draws = random.Random(self.random.random())
@@ -135,6 +144,7 @@
             self._inject(self.faults, MAX_PAUSE_S, end_s),
             self._inject((Soak.answer_untruly,), MAX_UNTRUE_PAUSE_S, end_s),
             self._fall_silent(end_s),
+            self._replace_hosts(end_s),
         )
         self.quiet_s = loop.time()
         served = self.record.served
@@ -167,6 +177,10 @@
             await asyncio.sleep(self.random.uniform(MIN_PAUSE_S, max_pause_s))
         await asyncio.gather(*fault_tasks)
 
+    async def _replace_hosts(self, end_s):
+        if self.builds is not None:
+            await self.builds.replace_hosts(end_s)
+
     async def _check_read(self):
         for _ in range(50):
             if await self.operator.read():
@@ -205,6 +219,11 @@
         kinds = [note.partition(" ")[0] for note in notes]
         return {kind: kinds.count(kind) for kind in UNTRUE_ANSWERS}
 
+    @property
+    def replacements(self):
+        """Return the numbers of restarts with another build, by direction."""
+        return dict(self.builds.restarts) if self.builds is not None else {}
+
     @property
     def peak_kb(self):
         """Return the peak memory of each entry host."""
@@ -357,20 +376,28 @@
 )
 
 
-def play(seeds: str = "1", seconds: float = 15.0, first: int = 0, count: int = 0):
+def play(
+    seeds: str = "1",
+    seconds: float = 15.0,
+    first: int = 0,
+    count: int = 0,
+    old_source: str = "",
+):
     """Run seeds one after the other; exit with 1 if a guarantee was violated.
 
     :param seeds: seeds, separated by commas.
     :param seconds: duration of the fault injection for each seed.
     :param first: first seed, with ``count``.
     :param count: number of consecutive seeds; 0 uses ``seeds``.
+    :param old_source: source folder of an older build that runs a part of the hosts
+        until they are replaced.
     """
     seed_numbers = seeds if isinstance(seeds, (tuple, list)) else str(seeds).split(",")
     if count:
         seed_numbers = range(first, first + count)
     failed = []
     for seed in seed_numbers:
-        soak = Soak(int(seed), seconds, Sizes())
+        soak = Soak(int(seed), seconds, Sizes(), old_source)
         faults = asyncio.run(soak.run())
         record = soak.record
         print(
@@ -378,7 +405,8 @@
             f"refused {len(record.refused)}, faults {len(faults)}; untrue answers "
             f"{soak.played}, refused but executed {soak.refused_but_ran}, "
             f"peak memory in KB {soak.peak_kb}, crashes by a part "
-            f"{len(soak.burdens.crashes_s)}, limits {soak.burdens.limits}",
+            f"{len(soak.burdens.crashes_s)}, limits {soak.burdens.limits}, "
+            f"replacements {soak.replacements}",
             flush=True,
         )
         if faults:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -49,8 +49,9 @@
 class Host:
     """Host process with its settings and the proxy for its peer address.
 
-    ``module`` is the program, and ``variables`` are its environment variables beside
-    the inherited ones.
+    ``module`` is the program, ``source`` the source folder of the build that runs it
+    from the next start on, and ``variables`` are its environment variables beside the
+    inherited ones.
     """
 
     def __init__(self, role, number, seeds, folder):
@@ -60,7 +61,8 @@
         self.proxy = Proxy(self.ip, PEER_PORT, REAL_PEER_PORT)
         self.peak_kb = 0
         self.module = f"peridotfront.platform.{role}"
-        self.variables = {"PYTHONPATH": str(ROOT / "src")}
+        self.source = ROOT / "src"
+        self.variables = {}
         self._seeds = seeds
         self._folder = folder
         self._process = None
@@ -87,6 +89,7 @@
         environment = {
             **os.environ,
             **self.variables,
+            "PYTHONPATH": os.pathsep.join([str(self.source), str(ROOT)]),
             "PERIDOTFRONT_SETTINGS": str(settings),
         }
         with open(self._folder / f"{self.name}.log", "ab") as log:
--- a/soak/links.py
+++ b/soak/links.py
@@ -1,11 +1,9 @@
 """Links between one host and one upstream, which can fail in several ways."""
 
 import asyncio
-import os
 import socket
 from enum import StrEnum
 
-from .deployment import ROOT
 from .world import NETWORK, UPSTREAM_PORT
 
 CHUNK_BYTES = 65_536
@@ -159,7 +157,6 @@
             host.variables = {
                 "LINKED_UPSTREAMS": f"{NETWORK}.8.",
                 "LINKS_OF_HOST": prefix,
-                "PYTHONPATH": os.pathsep.join([str(ROOT / "src"), str(ROOT)]),
             }
             for ip in upstream_ips:
                 address = prefix + ip.rpartition(".")[2]
