--- /dev/null
+++ b/features/mixed_builds.feature
@@ -0,0 +1,42 @@
+Feature: Hosts of two builds read each other's messages and disks
+  While hosts are replaced one after the other, builds run side by side. The recordings of
+  older builds are in `features/recorded`, each under its commit. A build is recorded by
+
+      PYTHONPATH=SOURCE .venv/bin/python tools/record_build.py features/recorded/COMMIT
+
+  and whether another build reads it is told by the same command with `--read`.
+
+  Scenario Outline: Messages of an older build are read with other values: <build>
+    Given the recording of the build <build>
+    When all its messages are decoded
+    Then each field has the value that was sent
+    And each field that it doesn't know has its default
+
+    Examples: Builds
+      | build   |
+      | 770f6cc |
+      | 5bb71e4 |
+      | 273f88b |
+
+  Scenario Outline: A control host starts on the disk of an older build: <build>
+    Given the recording of the build <build>
+    When its data folder is opened
+    Then configuration, term, vote, members and log are those that it wrote
+    And the data folder accepts and preserves new entries
+
+    Examples: Builds
+      | build   |
+      | 770f6cc |
+      | 5bb71e4 |
+      | 273f88b |
+
+  Scenario Outline: A number of a field means something else than in an older build: <build>
+    Given the recording of the build <build>
+    Then no field number has another name or type than in that build
+    And this build has all messages and fields of that build
+
+    Examples: Builds
+      | build   |
+      | 770f6cc |
+      | 5bb71e4 |
+      | 273f88b |
--- /dev/null
+++ b/features/steps/mixed_builds_steps.py
@@ -0,0 +1,86 @@
+"""Steps for messages and data folders of older builds."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from support import recordings
+
+from peridotfront.core.messages import LogEntry, NoOp
+from peridotfront.core.raft_types import AppendEntries
+from peridotfront.storage import Storage
+
+RECORDED = Path(__file__).resolve().parent.parent / "recorded"
+
+
+@given("the recording of the build {build}")
+def recorded_build(context, build):
+    context.recording = RECORDED / build
+
+
+@when("all its messages are decoded")
+def decode_all(context):
+    context.messages = list(recordings.recorded_messages(context.recording))
+    assert len(context.messages) > 100, len(context.messages)
+
+
+@then("each field has the value that was sent")
+def same_values(context):
+    faults = [f for m in context.messages for f in recordings.misread_values(m)]
+    assert faults == [], faults[:5]
+
+
+@then("each field that it doesn't know has its default")
+def defaults(context):
+    faults = [f for m in context.messages for f in recordings.misread_gaps(m)]
+    assert faults == [], faults[:5]
+
+
+@when("its data folder is opened")
+def open_folder(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name) / "data"
+    shutil.copytree(context.recording / recordings.DATA_FOLDER, context.folder)
+    context.content = recordings.read_data_folder(context.folder)
+
+
+@then("configuration, term, vote, members and log are those that it wrote")
+def same_content(context):
+    expected = recordings.recorded_content(context.recording)
+    assert expected["configuration"] and expected["hard_state"]["voted_for"]
+    faults = list(recordings.differences(expected, context.content))
+    assert faults == [], faults
+
+
+@then("the data folder accepts and preserves new entries")
+def continue_folder(context):
+    storage = Storage.open(context.folder)
+    last = storage.state.entries[-1]
+    entry = LogEntry(last.index + 1, last.term, NoOp())
+    storage.apply_changes([AppendEntries((entry,))])
+    storage.close()
+    content = recordings.read_data_folder(context.folder)
+    assert content["entries"].pop() == recordings.values_of(entry)
+    assert content == context.content
+
+
+@then("no field number has another name or type than in that build")
+def same_numbers(context):
+    present = recordings.present_fields()
+    recorded = recordings.recorded_fields(context.recording)
+    changed = {
+        place: (recorded[place], present[place])
+        for place in recorded.keys() & present.keys()
+        if recorded[place] != present[place]
+    }
+    assert changed == {}, changed
+
+
+@then("this build has all messages and fields of that build")
+def no_field_gone(context):
+    recorded = recordings.recorded_fields(context.recording)
+    assert len(recorded) > 100, len(recorded)
+    gone = recorded.keys() - recordings.present_fields().keys()
+    assert gone == set(), gone
