Take upstreams for no brittle ones when an older build says nothing of it

A host of a build before doesn't know Release.rejections_per_s. Protobuf reads a missing number as 0, not as the default of the class, so a newer leader took each upstream of such a host for one that bears no rejection: after a few rejections it granted a slot at it only each 8 s. A report of such a host also replaced the number that newer hosts had reported. It lasts as long as older entry hosts run beside a newer leader.

The field is optional on the wire now, and a missing one is None, which changes nothing. Field number and encoding stay: older builds read the value as before. A default for all missing numbers was ruled out: builds with implicit presence send a true 0 or False by leaving it out (slow_tokens, is_end_certain, is_known).

The scenario fails if a missing number is taken for 0.

--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -40,3 +40,20 @@
       | 770f6cc |
       | 5bb71e4 |
       | 273f88b |
+
+  Scenario: Upstreams count as brittle since a host of an older build says nothing of it
+    Given the recording of the build 5bb71e4
+    When upstreams without room reject requests for 300 ms and have room again
+    And the same happens while that build reports every second end of a request
+    Then as many requests are served as without these reports
+
+  Scenario: A host of an older build lifts what brittle upstreams have said
+    Given the recording of the build 5bb71e4
+    And 6 entry hosts in virtual time before 4 brittle upstreams
+    When all upstreams say that they fall over at 6 rejections in a second
+    And every second end of a request is reported by a host of that build
+    And 3000 ms of requests pass, one each 60 ms at each host
+    And each upstream has room for 2 requests
+    And 10000 ms of requests pass, one each 60 ms at each host
+    Then the upstreams fell over at most 2 times
+    And half of the room was used
--- a/features/steps/mixed_builds_steps.py
+++ b/features/steps/mixed_builds_steps.py
@@ -1,16 +1,19 @@
 """Steps for messages and data folders of older builds."""
 
+import dataclasses
 import shutil
 import tempfile
 from pathlib import Path
 
 from behave import given, then, when
 from support import recordings
+from support.brittle_world import BrittleWorld
 
 from peridotfront.core.messages import LogEntry, NoOp
 from peridotfront.core.raft_types import AppendEntries
 from peridotfront.storage import Storage
 
+GAP_MS = 60
 RECORDED = Path(__file__).resolve().parent.parent / "recorded"
 
 
@@ -84,3 +87,52 @@
     assert len(recorded) > 100, len(recorded)
     gone = recorded.keys() - recordings.present_fields().keys()
     assert gone == set(), gone
+
+
+def report_as_older(context, world):
+    """Let every second release be read as one of the recorded build."""
+    number = next(
+        recordings.decode(message.group, message.data).rejections_per_s
+        for message in recordings.recorded_messages(context.recording)
+        if message.kind == "Release"
+    )
+
+    def read_release(release):
+        return dataclasses.replace(release, rejections_per_s=number)
+
+    world.told_by_older = read_release
+
+
+@when("every second end of a request is reported by a host of that build")
+def older_reports(context):
+    report_as_older(context, context.world)
+
+
+def count_served_after_rejections(world, duration_ms):
+    world.run(3000, GAP_MS)
+    world.room = 0
+    world.run(duration_ms, GAP_MS)
+    world.room = None
+    world.reset()
+    world.run(5000, GAP_MS)
+    return world.served.total()
+
+
+@when("upstreams without room reject requests for {duration:d} ms and have room again")
+def reject_for_a_time(context, duration):
+    context.duration = duration
+    world = BrittleWorld(6, 4)
+    context.served_alone = count_served_after_rejections(world, duration)
+
+
+@when("the same happens while that build reports every second end of a request")
+def reject_beside_older(context):
+    world = BrittleWorld(6, 4)
+    report_as_older(context, world)
+    context.served = count_served_after_rejections(world, context.duration)
+
+
+@then("as many requests are served as without these reports")
+def as_many_served(context):
+    counts = (context.served, context.served_alone)
+    assert context.served == context.served_alone > 0, counts
--- a/features/support/brittle_world.py
+++ b/features/support/brittle_world.py
@@ -19,7 +19,8 @@
 
     ``allowed`` is the number of rejections in a second that they name, and ``room`` how
     many requests each takes at the same time. ``falls`` counts how often each fell,
-    from ``CONTACT_MS`` after it had named the number.
+    from ``CONTACT_MS`` after it had named the number. ``told_by_older`` is how the
+    leader reads a release of an older build, which reports every second one.
     """
 
     def __init__(self, entries, upstreams):
@@ -30,6 +31,8 @@
         self.named_ms = 0
         self.falls = Counter()
         self.rejections_ms = {name: [] for name in self.names}
+        self.told_by_older = None
+        self._is_older = False
         self._in_progress = {name: [] for name in self.names}
         self._back_ms = {}
 
@@ -62,6 +65,10 @@
 
     def _build_release(self, slot_request, upstream, cause):
         allowed = -1 if self.allowed is None else self.allowed
-        return build_release(
+        release = build_release(
             slot_request, upstream, cause, rejections_per_s=float(allowed)
         )
+        if self.told_by_older is None:
+            return release
+        self._is_older = not self._is_older
+        return self.told_by_older(release) if self._is_older else release
--- a/features/support/recordings.py
+++ b/features/support/recordings.py
@@ -52,6 +52,9 @@
 DATA_FOLDER = "data"
 DATA_FILE = "data.json"
 SEGMENT_SIZE_BYTES = 300
+# Fields whose zero value older builds sent by leaving it out, as builds do that don't
+# know the field. It is read as None.
+UNMARKED_ZEROS = {("Release", "rejections_per_s")}
 REPLICAS = (Replica("control-1", 7), Replica("control-2", 8))
 
 
@@ -267,6 +270,8 @@
     """
     if isinstance(recorded, dict) and isinstance(present, dict):
         for name in recorded.keys() & present.keys():
+            if is_unmarked_zero(recorded, present, name):
+                continue
             yield from differences(recorded[name], present[name], f"{where}.{name}")
     elif isinstance(recorded, list) and isinstance(present, list):
         if len(recorded) != len(present):
@@ -277,6 +282,12 @@
         yield f"{where}: {present!r} instead of {recorded!r}"
 
 
+def is_unmarked_zero(recorded, present, name):
+    """Return whether a build sent a zero that can't be told from an unknown field."""
+    is_unmarked = (recorded.get("kind"), name) in UNMARKED_ZEROS
+    return is_unmarked and recorded[name] == 0 and present[name] is None
+
+
 def faulty_defaults(recorded, message, where=""):
     """Yield fields unknown to the recorded build that don't have their default.
 
--- a/src/peridotfront/core/end_recorder.py
+++ b/src/peridotfront/core/end_recorder.py
@@ -97,8 +97,9 @@
     ) -> Iterator[Log]:
         cause = release.cause
         health = upstream.health
-        if cause in OWN_ANSWER_CAUSES:
-            self._brittle.record_answer(slot.upstream, release.rejections_per_s, now_ms)
+        rejections_per_s = release.rejections_per_s
+        if cause in OWN_ANSWER_CAUSES and rejections_per_s is not None:
+            self._brittle.record_answer(slot.upstream, rejections_per_s, now_ms)
         if cause is ReleaseCause.REJECTED and self._is_expected_rejection(
             upstream, slot, now_ms
         ):
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -179,7 +179,8 @@
     :param is_end_certain: whether the end of the answer was marked, by its length or
         in its body; else it is only the end of its connection.
     :param rejections_per_s: rejections in a second at which the upstream says that it
-        falls over if there are more; negative if it says none.
+        falls over if there are more; negative if it says none. None if the sender
+        doesn't know the field, which changes nothing that was said before.
     """
 
     request_id: str
@@ -193,7 +194,7 @@
     duration_ms: int
     slow_tokens: int = -1
     is_end_certain: bool = True
-    rejections_per_s: float = -1.0
+    rejections_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
