Read this build's messages as older builds do, and always send the number of rejections

The default is -1 again, and None is only ever read.

All examples of this build are now decoded by the recorded description of each older build, and each field that it knows must have the value that was sent; what it doesn't know is left out.

--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -41,6 +41,22 @@
       | 5bb71e4 |
       | 273f88b |
 
+  Scenario Outline: An older build reads this build's messages otherwise: <build>
+    Given the recording of the build <build>
+    When examples of all messages are decoded as that build does
+    Then each field that it knows has the value that was sent
+
+    Examples: Builds
+      | build   |
+      | 770f6cc |
+      | 5bb71e4 |
+      | 273f88b |
+
+  Scenario: An end that names no rejections is read as none at all by an older build
+    Given the recording of the build 770f6cc
+    When a release that names no rejections is decoded as that build does
+    Then it reads -1 rejections a second
+
   Scenario: Upstreams count as brittle since a host of an older build says nothing of it
     Given the recording of the build 5bb71e4
     When upstreams without room reject requests for 300 ms and have room again
--- a/features/steps/mixed_builds_steps.py
+++ b/features/steps/mixed_builds_steps.py
@@ -9,8 +9,10 @@
 from support import recordings
 from support.brittle_world import BrittleWorld
 
-from peridotfront.core.messages import LogEntry, NoOp
+from peridotfront import wire
+from peridotfront.core.messages import Grant, LogEntry, NoOp
 from peridotfront.core.raft_types import AppendEntries
+from peridotfront.core.releases import build_unsent_release
 from peridotfront.storage import Storage
 
 GAP_MS = 60
@@ -89,6 +91,31 @@
     assert gone == set(), gone
 
 
+@when("examples of all messages are decoded as that build does")
+def decode_as_older(context):
+    reader = recordings.OlderReader(context.recording)
+    messages = list(recordings.example_messages())
+    assert len(messages) > 100, len(messages)
+    context.faults = [f for m in messages for f in reader.misread_values(m)]
+
+
+@then("each field that it knows has the value that was sent")
+def read_alike(context):
+    assert context.faults == [], context.faults[:5]
+
+
+@when("a release that names no rejections is decoded as that build does")
+def decode_release(context):
+    release = build_unsent_release(Grant("r1", "models", "m1", 3000, 0))
+    reader = recordings.OlderReader(context.recording)
+    context.read = reader.read("Release", wire.encode(release))
+
+
+@then("it reads {number:d} rejections a second")
+def check_rejections(context, number):
+    assert context.read["rejections_per_s"] == number, context.read
+
+
 def report_as_older(context, world):
     """Let every second release be read as one of the recorded build."""
     number = next(
--- a/features/support/recordings.py
+++ b/features/support/recordings.py
@@ -20,6 +20,7 @@
 from enum import Enum
 from pathlib import Path
 
+from google.protobuf import descriptor_pool, json_format, message_factory
 from google.protobuf.descriptor_pb2 import FileDescriptorProto
 
 from peridotfront import storage as storage_module
@@ -289,7 +290,7 @@
 
 
 def faulty_defaults(recorded, message, where=""):
-    """Yield fields unknown to the recorded build that don't have their default.
+    """Yield fields unknown to the recorded build with neither default nor None.
 
     :param recorded: field values of the message as the other build recorded them.
     :param message: the message as this build decoded it.
@@ -304,7 +305,7 @@
         value = getattr(message, field.name)
         if name in recorded:
             yield from faulty_defaults(recorded[name], value, f"{where}.{name}")
-        elif value != default_of(field):
+        elif value is not None and value != default_of(field):
             yield f"{where}.{name}: {value!r} instead of {default_of(field)!r}"
 
 
@@ -347,6 +348,40 @@
         yield from differences(recorded_content(folder), read_data_folder(copy))
 
 
+class OlderReader:
+    """Reader of messages by the description that another build has recorded."""
+
+    def __init__(self, folder):
+        pool = descriptor_pool.DescriptorPool()
+        pool.AddSerializedFile((Path(folder) / DESCRIPTOR_FILE).read_bytes())
+        self._pool = pool
+
+    def read(self, name, data):
+        """Return the field values of an encoded message, also of those left out.
+
+        :param name: outer name of its class, or ``Frame`` or ``Command``.
+        """
+        descriptor = self._pool.FindMessageTypeByName(f"peridotfront.{name}")
+        proto = message_factory.GetMessageClass(descriptor).FromString(data)
+        return dict_of(proto)
+
+    def misread_values(self, message):
+        """Yield the fields of a message of this build that are read otherwise."""
+        name = "Frame" if message.group == "Message" else message.group
+        present = getattr(peridotfront_pb2, name).FromString(message.data)
+        older = self.read(name, message.data)
+        yield from differences(dict_of(present), older, message.kind)
+
+
+def dict_of(proto):
+    """Return the field values of a protobuf message, also of those left out."""
+    return json_format.MessageToDict(
+        proto,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=True,
+    )
+
+
 def recorded_fields(folder):
     """Return name, type and label of each field of a recorded build.
 
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -179,8 +179,8 @@
     :param is_end_certain: whether the end of the answer was marked, by its length or
         in its body; else it is only the end of its connection.
     :param rejections_per_s: rejections in a second at which the upstream says that it
-        falls over if there are more; negative if it says none. None if the sender
-        doesn't know the field, which changes nothing that was said before.
+        falls over if there are more; negative if it says none. None, which is only
+        read and never sent, if the sender's build doesn't know the field.
     """
 
     request_id: str
@@ -194,7 +194,7 @@
     duration_ms: int
     slow_tokens: int = -1
     is_end_certain: bool = True
-    rejections_per_s: float | None = None
+    rejections_per_s: float | None = -1.0
 
 
 @dataclass(frozen=True, slots=True)
