Leave out the one message that only a newer build knows, not all of its stream

A message of an unknown kind, with an unknown value of an enumeration or with an unknown command of the log ended the stream that it came on: the reader raised KeyError or ValueError inside the gRPC call, the frame was lost, and the sender dropped its queue and connected again after 200 ms. Builds up to do so; from this build on a newer one can add messages and values. A control host that starts again on the disk of a newer build ended with a KeyError if the log held a command that it doesn't know.

wire.read_frame leaves out what can't be read, message by message, and the transport logs it as frame_invalid (205, a warning now), within the rate limit. An unknown command is never left out of a log: appends with it are not accepted, and the folder doesn't open, with StorageDamaged naming the file and the command.

--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -57,6 +57,24 @@
     When a release that names no rejections is decoded as that build does
     Then it reads -1 rejections a second
 
+  Scenario Outline: One message of a newer build breaks the stream of its host: <message>
+    Given a host that receives frames
+    When a frame holds a message <message> between two others
+    Then both other messages arrive, and those of the next frame
+    And the log tells once that the peer's message was left out
+
+    Examples: Messages
+      | message                          |
+      | of an unknown kind               |
+      | with an unknown value            |
+      | with a command of unknown kind   |
+
+  Scenario: A control host reads the disk of a newer build with a command left out
+    Given the recording of the build 770f6cc
+    When its data folder is opened
+    And a newer build adds a command of an unknown kind to it
+    Then it can't be opened, and the error names the file and the command
+
   Scenario: Upstreams count as brittle since a host of an older build says nothing of it
     Given the recording of the build 5bb71e4
     When upstreams without room reject requests for 300 ms and have room again
--- a/features/steps/mixed_builds_steps.py
+++ b/features/steps/mixed_builds_steps.py
@@ -1,21 +1,46 @@
 """Steps for messages and data folders of older builds."""
 
+import asyncio
+import contextlib
 import dataclasses
+import io
+import json
 import shutil
 import tempfile
+from asyncio import InvalidStateError
 from pathlib import Path
 
+import grpc
 from behave import given, then, when
 from support import recordings
 from support.brittle_world import BrittleWorld
-
-from peridotfront import wire
-from peridotfront.core.messages import Grant, LogEntry, NoOp
+from support.deployment import free_port
+
+from peridotfront import logs, wire
+from peridotfront.core.messages import (
+    AppendRequest,
+    Frame,
+    Grant,
+    JoinRequest,
+    LogEntry,
+    NoOp,
+    StorageRecord,
+)
 from peridotfront.core.raft_types import AppendEntries
 from peridotfront.core.releases import build_unsent_release
+from peridotfront.exceptions import StorageDamaged
+from peridotfront.log_settings import LogSection
+from peridotfront.proto import peridotfront_pb2, peridotfront_pb2_grpc
+from peridotfront.records import frame as frame_record
+from peridotfront.records import read_frames
 from peridotfront.storage import Storage
+from peridotfront.transport import Transport
 
 GAP_MS = 60
+ARRIVAL_TIMEOUT_S = 2.0
+LAST = 9
+# Field 999, without content.
+UNKNOWN_FIELD = b"\xba\x3e\x00"
 RECORDED = Path(__file__).resolve().parent.parent / "recorded"
 
 
@@ -116,6 +141,108 @@
     assert context.read["rejections_per_s"] == number, context.read
 
 
+@given("a host that receives frames")
+def receiving_host(context):
+    context.port = free_port()
+
+
+@when("a frame holds a message {newer} between two others")
+def send_newer(context, newer):
+    stream = io.StringIO()
+    logs.configure(LogSection(), "a", stream)
+    context.received = asyncio.run(exchange(context.port, NEWER_MESSAGES[newer]()))
+    logs.configure(LogSection(), "")
+    lines = stream.getvalue().splitlines()
+    context.lines = [json.loads(line) for line in lines]
+
+
+async def exchange(port, newer_message):
+    """Return the messages that arrive of a frame and of the one after it."""
+    received = []
+    done = asyncio.Event()
+
+    def on_frame(frame):
+        received.extend(message.incarnation for message in frame.messages)
+        if received[-1:] == [LAST]:
+            done.set()
+
+    receiver = Transport("a", 1, [], on_frame, allow_unlisted_peers=True)
+    await receiver.start(f"127.0.0.1:{port}")
+    async with grpc.aio.insecure_channel(f"127.0.0.1:{port}") as channel:
+        call = peridotfront_pb2_grpc.PeerStub(channel).Exchange()
+        mixed = wire.to_proto(Frame("b", 2, (JoinRequest(1), JoinRequest(2))))
+        last = mixed.messages.pop()
+        mixed.messages.extend([newer_message, last])
+        with contextlib.suppress(grpc.RpcError, TimeoutError, InvalidStateError):
+            await call.write(mixed)
+            await call.write(wire.to_proto(Frame("b", 2, (JoinRequest(LAST),))))
+            await asyncio.wait_for(done.wait(), ARRIVAL_TIMEOUT_S)
+        call.cancel()
+    await receiver.stop()
+    return received
+
+
+def unknown_kind():
+    return peridotfront_pb2.Message.FromString(UNKNOWN_FIELD)
+
+
+def unknown_value():
+    release = build_unsent_release(Grant("r1", "models", "m1", 3000, 0))
+    message = wire.to_proto(Frame("b", 2, (release,))).messages[0]
+    message.release.cause = "cause of a newer build"
+    return message
+
+
+def unknown_command():
+    entries = (LogEntry(1, 1, NoOp()),)
+    request = AppendRequest(1, 1, 0, 0, entries, 0, 1)
+    message = wire.to_proto(Frame("b", 2, (request,))).messages[0]
+    message.append_request.entries[0].command.ParseFromString(UNKNOWN_FIELD)
+    return message
+
+
+NEWER_MESSAGES = {
+    "of an unknown kind": unknown_kind,
+    "with an unknown value": unknown_value,
+    "with a command of unknown kind": unknown_command,
+}
+
+
+@then("both other messages arrive, and those of the next frame")
+def others_arrive(context):
+    assert context.received == [1, 2, LAST], context.received
+
+
+@then("the log tells once that the peer's message was left out")
+def log_tells(context):
+    lines = [line for line in context.lines if line["name"] == "frame_invalid"]
+    assert [line["peer"] for line in lines] == ["b"], context.lines
+
+
+@when("a newer build adds a command of an unknown kind to it")
+def add_unknown_command(context):
+    path = max(context.folder.glob("segment-*"))
+    last = list(read_frames(path.read_bytes()))[-1]
+    entry = LogEntry(len(context.content["entries"]), 3, NoOp())
+    record = wire.to_proto(StorageRecord(entry=entry))
+    record.entry.command.ParseFromString(UNKNOWN_FIELD)
+    body = record.SerializeToString()
+    with path.open("ab") as segment:
+        segment.write(frame_record(body, last.batch + 1, True))
+    context.damaged_file = str(path)
+
+
+@then("it can't be opened, and the error names the file and the command")
+def not_opened(context):
+    try:
+        Storage.open(context.folder).close()
+    except StorageDamaged as error:
+        assert error.file == context.damaged_file, error
+        assert "Command" in error.detail, error
+        return
+    raise AssertionError("the folder was opened")
+
+
 def report_as_older(context, world):
     """Let every second release be read as one of the recorded build."""
     number = next(
--- a/src/peridotfront/exceptions.py
+++ b/src/peridotfront/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions of peridotfront; all derive from :class:`PeridotfrontError`."""
 
+from google.protobuf.message import DecodeError
+
 from .core.verdicts import Reason, Refusal, Verdict
 
 
@@ -27,6 +29,10 @@
     """Log event that the catalogue does not list."""
 
 
+class MessageUnknown(PeridotfrontError, DecodeError):
+    """Message of a newer build, with a kind or value that this one doesn't know."""
+
+
 class CallerGone(PeridotfrontError):
     """Connection that the caller has closed; it accepts no more data."""
 
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -168,9 +168,10 @@
     LogEvent(
         205,
         "frame_invalid",
-        Level.ERROR,
+        Level.WARNING,
         "a message from a peer could not be decoded",
-        "The message was dropped. Check that both hosts run compatible releases.",
+        "The message was left out; the peer runs a newer release. Expected while hosts "
+        "are replaced; if it goes on, upgrade this host.",
     ),
     LogEvent(
         206,
--- a/src/peridotfront/transport.py
+++ b/src/peridotfront/transport.py
@@ -188,7 +188,7 @@
                 if not self._is_authenticated(proto.sender, context):
                     logs.write("peer_unauthenticated", peer=proto.sender)
                     break
-                self._on_frame(wire.from_proto(Frame, proto))
+                self._on_frame(_read_frame(proto))
         return peridotfront_pb2.Received()
 
     async def Relay(self, request_iterator, context):  # noqa: N802
@@ -208,6 +208,13 @@
         return sender.encode() in (context.peer_identities() or ())
 
 
+def _read_frame(proto: peridotfront_pb2.Frame) -> Frame:
+    frame, errors = wire.read_frame(proto)
+    for error in errors:
+        logs.write_rate_limited("frame_invalid", peer=frame.sender, detail=str(error))
+    return frame
+
+
 class Transport:
     """Streams between a process and all its peers.
 
--- a/src/peridotfront/wire.py
+++ b/src/peridotfront/wire.py
@@ -13,6 +13,7 @@
 
 from .core import messages
 from .core.messages import proto_name_of
+from .exceptions import MessageUnknown
 from .proto import peridotfront_pb2
 
 ONEOF_TYPES = {"Message": messages.Message, "Command": messages.Command}
@@ -39,6 +40,7 @@
     :param data: bytes made by :func:`encode`.
     :return: an instance of ``kind``.
     :raises google.protobuf.message.DecodeError: if the bytes are damaged.
+    :raises MessageUnknown: if a newer build made them and they need it.
     """
     proto = getattr(peridotfront_pb2, proto_name_of(kind))()
     proto.ParseFromString(data)
@@ -59,6 +61,23 @@
     return _oneof_reader("Command")(proto)
 
 
+def read_frame(proto: Any) -> tuple[messages.Frame, tuple[MessageUnknown, ...]]:
+    """Convert a protobuf frame, without the messages that only a newer build knows.
+
+    :return: the frame, and an error for each message that was left out.
+    """
+    read = _oneof_reader("Message")
+    known: list[messages.Message] = []
+    errors: list[MessageUnknown] = []
+    for item in proto.messages:
+        try:
+            known.append(read(item))
+        except MessageUnknown as error:
+            errors.append(error)
+    frame = messages.Frame(proto.sender, proto.incarnation, tuple(known))
+    return frame, tuple(errors)
+
+
 def to_proto(message: Any) -> Any:
     """Convert a data class instance to its protobuf message."""
     proto = getattr(peridotfront_pb2, proto_name_of(type(message)))()
@@ -197,6 +216,8 @@
 
     def read(proto: Any) -> Any:
         chosen = proto.WhichOneof("kind")
+        if chosen is None:
+            raise MessageUnknown(f"a {name} of a kind that this build doesn't know")
         return _reader(kinds[chosen])(getattr(proto, chosen))
 
     return read
@@ -233,5 +254,15 @@
     if is_dataclass(hint):
         return _reader(hint)
     if isinstance(hint, type) and issubclass(hint, Enum):
-        return hint
+        return _enum_reader(hint)
     return lambda value: value
+
+
+def _enum_reader(kind: type[Enum]) -> Reader:
+    def read(value: str) -> Enum:
+        try:
+            return kind(value)
+        except ValueError as error:
+            raise MessageUnknown(str(error)) from error
+
+    return read
