--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,13 +51,12 @@
 class Soak:
     """Run of a seed.
 
-    def __init__(self, seed, seconds, sizes):
-        self.seed = seed
     :param old_source: source folder of an older build that runs a part of the hosts;
         empty for none.
     """
 
     def __init__(self, seed, seconds, sizes, old_source=""):
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.sizes = sizes
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers and an operator that check every answer against the guarantees."""
 
 import asyncio
+import contextlib
 import json
 from dataclasses import dataclass, field
 
@@ -14,6 +15,7 @@
 
 KEY = "key-of-club"
 HOST = "h.example"
+CONFIG_PATH = "/peridotfront/config"
 KINDS = {
     "transfer": ("non_idempotent", {}),
     "look-up": ("idempotent", {"Attempts": 2}),
@@ -32,8 +34,11 @@
 )
 
 
-def configuration(version):
-    """Return the configuration with a version, as the operator sends it."""
+def configuration(version, accounts=0):
+    """Return the configuration with a version, as the operator sends it.
+
+    :param accounts: number of client accounts beside the one that the callers use.
+    """
     routes = [
         {
             "Name": name,
@@ -52,7 +57,10 @@
         "Version": version,
         "Routes": routes,
         "Services": [{"Name": "models", "Engine": engine}, {"Name": "ledger"}],
-        "Tenants": [{"Name": "club", "ApiKeys": [KEY]}],
+        "Tenants": [
+            {"Name": "club", "ApiKeys": [KEY]},
+            *[{"Name": f"a{n}", "ApiKeys": [f"key-{n}"]} for n in range(accounts)],
+        ],
     }
 
 
@@ -226,7 +234,10 @@
         self._version = 0
 
     async def change(self, timeout_s=10.0):
-        """Send the next version to random hosts until it is acknowledged."""
+        """Send the next version to random hosts until it is acknowledged.
+
+        :return: whether it was acknowledged in time.
+        """
         self._version += self._random.randint(1, 5)
         body = json.dumps(self.build(self._version)).encode()
         loop = asyncio.get_running_loop()
@@ -235,11 +246,12 @@
             answer = await self._send("PUT", body)
             if answer is not None and answer[0] == 200:
                 self._record.acknowledged = self._version
-                return
+                return True
             if answer is not None and answer[0] == 400:
                 self._record.faults.append("a valid configuration was rejected")
-                return
+                return False
             await asyncio.sleep(0.2)
+        return False
 
     async def read(self):
         """Read the configuration and check that it is not outdated.
@@ -255,17 +267,29 @@
             self._record.faults.append(f"read {version} after {acknowledged}")
         return True
 
+    async def find_leader(self):
+        """Return the host that answers operators itself, or None."""
+        for host in self._hosts:
+            address = f"{host.ip}:{OPERATORS_PORT}"
+            with contextlib.suppress(PeridotfrontError):
+                answer = await self._client.send(
+                    address, "GET", CONFIG_PATH, timeouts=OPERATOR_TIMEOUTS
+                )
+                await answer.read()
+                if answer.status_code == 200:
+                    return host
+        return None
+
     async def close(self):
         """Close the connections."""
         await self._client.close()
 
     async def _send(self, method, body):
         address = f"{self._random.choice(self._hosts).ip}:{OPERATORS_PORT}"
-        path = "/peridotfront/config"
         try:
             for _ in range(3):
                 answer = await self._client.send(
-                    address, method, path, (), body, timeouts=OPERATOR_TIMEOUTS
+                    address, method, CONFIG_PATH, (), body, timeouts=OPERATOR_TIMEOUTS
                 )
                 content = await answer.read()
                 if answer.status_code != 307:
