List the messages and values that older builds don't know

Values are compared in the fields of messages; those nested in other records (Verdict) are not covered.

--- a/features/steps/mixed_builds_steps.py
+++ b/features/steps/mixed_builds_steps.py
@@ -129,6 +129,31 @@
     assert context.faults == [], context.faults[:5]
 
 
+def joined(names):
+    """Return sorted names as a text, which is "none" without any."""
+    return ", ".join(sorted(names)) or "none"
+
+
+@then("of this build's messages it doesn't know \"{names}\"")
+def check_unknown_messages(context, names):
+    recorded = recordings.recorded_messages(context.recording)
+    present = recordings.example_messages()
+    unknown = {(m.group, m.kind) for m in present} - {
+        (m.group, m.kind) for m in recorded
+    }
+    assert joined(kind for _, kind in unknown) == names, unknown
+
+
+@then("of this build's values it doesn't know \"{names}\"")
+def check_unknown_values(context, names):
+    recorded = recordings.recorded_messages(context.recording)
+    known = set(recordings.enum_values(recorded))
+    present = set(recordings.enum_values(recordings.example_messages()))
+    kinds = {message for message, _, _ in known}
+    unknown = {v for v in present - known if v[0] in kinds}
+    assert joined(value for _, _, value in unknown) == names, unknown
+
+
 @when("a release that names no rejections is decoded as that build does")
 def decode_release(context):
     release = build_unsent_release(Grant("r1", "models", "m1", 3000, 0))
--- a/features/support/recordings.py
+++ b/features/support/recordings.py
@@ -264,6 +264,24 @@
         yield RecordedMessage(group, kind, b64decode(data), values)
 
 
+def enum_values(recorded_messages):
+    """Yield message, field and value of each enumeration in a field of a message."""
+    kinds = {
+        (group, messages.proto_name_of(kind)): kind
+        for group, union in wire.ONEOF_TYPES.items()
+        for kind in typing.get_args(union)
+    }
+    for recorded in recorded_messages:
+        kind = kinds[recorded.group, recorded.kind]
+        hints = field_types(kind)
+        for field in fields(kind):
+            hint = hints[field.name]
+            name = wire.proto_field_name(field)
+            is_enum = isinstance(hint, type) and issubclass(hint, Enum)
+            if is_enum and name in recorded.values:
+                yield recorded.kind, name, recorded.values[name]
+
+
 def differences(recorded, present, where=""):
     """Yield where a value that another build recorded is read as another one.
 
