Refund a retry at the time at which it was counted

What was seen: a service can get more retries in a window than its budget. 10 retries that are counted at 0 ms and refunded at 1,500 ms leave 20 free of 10 from 10,100 to 11,590 ms.

Cause: a refund subtracts from the bucket of the current time. When the bucket of the retry leaves the window, the refund stays in it for another 1.5 s, and buckets go negative. Searches beside silent upstreams are often refunded.

Change: a charge keeps the time at which the budget was charged, and the refund goes to the bucket of that time, or nowhere if that has left the window. The time of the allowance's charge can't serve, since a grant moves it. Buckets that another host reported may overlap: the oldest that covers the time is used, so that no retry that is left expires early.

Tests: the figures above, and a property test of random first sends, repeats, give-backs and ends. Both fail without the change ("(10100, 11590, 20.0)", and 12 repeats in a window whose limit is 11.6) and pass with it, in 5 s together. The 23 scenarios of shared_bounds pass.

--- a/src/peridotfront/core/retry_budgets.py
+++ b/src/peridotfront/core/retry_budgets.py
@@ -47,6 +47,18 @@
             self.buckets.append(_Bucket(now_ms))
         return self.buckets[-1]
 
+    def remove_retry(self, at_ms: int) -> None:
+        """Remove a retry that was counted at a time.
+
+        Inserted buckets overlap others. The retry is taken from the oldest bucket that
+        covers the time, so that none of the retries that are left expires too early.
+        """
+        for bucket in self.buckets:
+            is_covered = bucket.started_ms <= at_ms < bucket.started_ms + BUCKET_MS
+            if is_covered and bucket.retries:
+                bucket.retries -= 1
+                return
+
     def insert(self, bucket: _Bucket) -> None:
         """Add a bucket of past sends."""
         by_age = sorted((*self.buckets, bucket), key=lambda bucket: bucket.started_ms)
@@ -76,10 +88,13 @@
         bucket.retries += 1
         return True
 
-    def refund(self, service: str, now_ms: int) -> None:
-        """Refund a retry that was not sent."""
-        bucket = self._current(service, now_ms)
-        bucket.retries -= 1
+    def refund(self, service: str, at_ms: int, now_ms: int) -> None:
+        """Refund a retry that was not sent, unless it has left the window.
+
+        :param at_ms: time at which it was counted.
+        """
+        self._current(service, now_ms)
+        self._windows[service].remove_retry(at_ms)
 
     def record(self, service: str, retries: int, at_ms: int, now_ms: int) -> None:
         """Count retries that another scheduler granted in the past."""
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -74,7 +74,8 @@
     """Charge of a slot request to its account's allowance.
 
     :param is_repeat: whether it was charged to its service's retry budget too.
-    :param charged_ms: time from which the charge counts.
+    :param arrived_ms: time at which the retry budget was charged.
+    :param charged_ms: time from which the charge to the allowance counts.
     :param is_spent: whether the slot was granted, so that the request is sent.
     """
 
@@ -82,6 +83,7 @@
     units: float
     service: str
     is_repeat: bool
+    arrived_ms: int
     charged_ms: int
     is_spent: bool = False
 
@@ -302,6 +304,7 @@
             slot_request.cell,
             slot_request.is_repeat,
             now_ms,
+            now_ms,
         )
         return None
 
@@ -317,7 +320,7 @@
 
     def _refund_retry(self, charge: Charge, now_ms: int) -> None:
         if charge.is_repeat:
-            self.retries.refund(charge.service, now_ms)
+            self.retries.refund(charge.service, charge.arrived_ms, now_ms)
 
     def _track_charges(self, actions: Iterator[Any], now_ms: int) -> Iterator[Any]:
         for action in actions:
