Charge a repeat to the retry budget at its grant

What was seen: a retry of a dead send is refused with "retry_budget_spent" while searches beside silent upstreams wait for a slot and send nothing. With 30 first sends and 16 searches that wait, a retry gets that refusal.

Cause: a repeat is charged when its slot request arrives, and holds the charge for as long as it waits. The charge also ages from the arrival: repeats that are granted later are sent in a window in which their charge no longer counts.

Weighed: to keep the charge at the arrival and give searches a part of the budget of their own leaves the ageing as it is and adds a limit. To hold repeats back in the queues while the budget is spent needs the budget in the placement. Chosen: a repeat is refused at its arrival if the budget is spent, and charged at its grant. If the budget was spent between, the grant is not sent, the slot is given back in the same step and the repeat is refused. Grants are withdrawn one after the other, not nested, since each frees a slot for the next.

Open: a first send still counts from its slot request on, also if it is refused.

--- a/features/repeats.feature
+++ b/features/repeats.feature
@@ -10,7 +10,33 @@
     When 10 retries are charged, and refunded 1500 ms later
     Then no more than 10 retries ever fit the budget within the next 25000 ms
 
-  Scenario: Random charges, grants and refunds keep retries within their limit
-    Given a service with 40 upstreams of 10 slots
+  Scenario Outline: Random charges, grants and refunds keep retries within their limit
+    Given a service with <upstreams> upstreams of <slots> slots
     When first sends and repeats are charged, granted and given back in any order
     Then in any window the repeats that were sent are within the limit
+
+    Examples: Slots for all, and so few that slot requests wait
+      | upstreams | slots |
+      | 40        | 10    |
+      | 2         | 3     |
+
+  Scenario: Searches that wait for a slot leave the retry budget to a retry
+    A search that only waits sends nothing. If it were charged while it waits, the retry
+    of a send that failed would be refused.
+
+    Given a service with 2 upstreams of 15 slots
+    And all its slots are held
+    When 16 searches wait for a slot
+    And a retry of a send that failed arrives
+    Then the retry waits too
+
+  Scenario: Repeats that waited together send no more than the retry budget allows
+    30 first sends and the slack allow 16 repeats. A slot that is granted beyond them
+    is free again at once.
+
+    Given a service with 2 upstreams of 15 slots
+    And all its slots are held
+    When 20 searches wait for a slot
+    And 25 slots are given up while 20 repeats wait
+    Then 16 repeats were sent, and 4 were refused for the retry budget
+    And 9 slots are free
--- a/features/steps/repeats_steps.py
+++ b/features/steps/repeats_steps.py
@@ -7,6 +7,7 @@
 from support.repeat_world import SERVICE, RepeatWorld
 
 from peridotfront.core.retry_budgets import RetryBudgets, RetryLimits
+from peridotfront.core.verdicts import Reason
 
 RATIO = 0.2
 SLACK = 10
@@ -55,7 +56,9 @@
 REPEAT_STEPS = st.lists(
     st.tuples(
         st.integers(0, 400),
-        st.sampled_from(("first", "repeat", "repeat", "repeat", "back", "back", "end")),
+        st.sampled_from(
+            ("first", "first", *["repeat"] * 4, "cancel", "back", "back", "end", "end")
+        ),
         st.integers(0, 200),
     ),
     min_size=60,
@@ -78,24 +81,25 @@
 
 def play_steps(world, steps):
     """Return the times of the first sends and of the repeats that were sent."""
-    open_ids = []
     unsent = set()
     for number, (wait_ms, step, pick) in enumerate(steps):
         world.pass_time(wait_ms)
-        request_id = f"{step}{number}"
         if step in ("first", "repeat"):
-            world.ask(request_id, is_repeat=step == "repeat")
-            if request_id in world.granted:
-                open_ids.append(request_id)
-        elif open_ids:
-            request_id = open_ids.pop(pick % len(open_ids))
+            world.ask(f"{step}{number}", is_repeat=step == "repeat")
+        elif step == "cancel":
+            if world.waiting:
+                world.cancel(world.waiting[pick % len(world.waiting)])
+        elif world.held:
+            request_id = world.held[pick % len(world.held)]
             if step == "back" and request_id.startswith("repeat"):
                 world.give_back(request_id)
                 unsent.add(request_id)
             else:
                 world.release(request_id)
     sent = {name: at for name, at in world.granted_ms.items() if name not in unsent}
-    first_sends = [at for name, at in sent.items() if name.startswith("first")]
+    first_sends = [
+        at for name, at in world.asked_ms.items() if name.startswith("first")
+    ]
     repeats = [at for name, at in sent.items() if name.startswith("repeat")]
     return first_sends, repeats
 
@@ -113,3 +117,54 @@
 def count_in_window(times, end_ms):
     """Return how many times lie in the window that ends at a time."""
     return sum(end_ms - WINDOW_MS < at_ms <= end_ms for at_ms in times)
+
+
+@given("all its slots are held")
+def hold_all(context):
+    for number in range(context.upstreams * context.slots):
+        context.repeats.ask(f"first{number}")
+    assert len(context.repeats.held) == context.upstreams * context.slots
+
+
+@when("{count:d} searches wait for a slot")
+def search(context, count):
+    for number in range(count):
+        context.repeats.ask(f"search{number}", is_repeat=True, goal_ms=2500)
+    assert len(context.repeats.waiting) == count, context.repeats.refused
+
+
+@when("a retry of a send that failed arrives")
+def retry(context):
+    context.repeats.ask("retry", is_repeat=True, goal_ms=2500)
+
+
+@then("the retry waits too")
+def retry_waits(context):
+    assert "retry" in context.repeats.waiting, context.repeats.refused
+
+
+@when("{count:d} slots are given up while {others:d} repeats wait")
+def give_up(context, count, others):
+    world = context.repeats
+    assert len(world.waiting) == others
+    for request_id in world.held[:count]:
+        world.release(request_id)
+
+
+@then("{count:d} repeats were sent, and {refused:d} were refused for the retry budget")
+def sent_repeats(context, count, refused):
+    world = context.repeats
+    sent = [name for name in world.granted if not name.startswith("first")]
+    reasons = [refusal.reason for refusal in world.refused.values()]
+    assert (len(sent), reasons) == (count, [Reason.RETRY_BUDGET] * refused), (
+        len(sent),
+        reasons,
+    )
+
+
+@then("{count:d} slots are free")
+def slots_free(context, count):
+    world = context.repeats
+    for number in range(count):
+        world.ask(f"first-again{number}")
+        assert f"first-again{number}" in world.granted, number
--- a/features/support/repeat_world.py
+++ b/features/support/repeat_world.py
@@ -31,12 +31,16 @@
     :param upstreams: number of upstreams.
     :param slots: slots of each.
 
-    ``granted`` and ``refused`` are the answers by request id, ``granted_ms`` the times
-    of the grants.
+    ``granted`` and ``refused`` are the answers by request id, ``asked_ms`` and
+    ``granted_ms`` the times of the slot requests and of the grants. ``waiting`` are
+    the requests without an answer, and ``held`` those that have a slot.
     """
 
     def __init__(self, upstreams, slots):
         self.now_ms = 0
+        self.waiting = []
+        self.held = []
+        self.asked_ms = {}
         self.granted = {}
         self.granted_ms = {}
         self.refused = {}
@@ -75,14 +79,20 @@
             is_repeat=is_repeat,
         )
         self._slot_requests[request_id] = slot_request
+        self.asked_ms[request_id] = self.now_ms
+        self.waiting.append(request_id)
         self._receive(slot_request)
 
     def cancel(self, request_id):
         """Cancel a slot request, which may have been granted already."""
+        held = self.waiting if request_id in self.waiting else self.held
+        held.remove(request_id)
         self._receive(CancelSlotRequest(request_id, SERVICE))
 
     def release(self, request_id, cause=ReleaseCause.COMPLETED):
         """End a request that was granted a slot."""
+        if request_id in self.held:
+            self.held.remove(request_id)
         slot_request = self._slot_requests[request_id]
         upstream = self.granted[request_id].upstream
         self._receive(build_release(slot_request, upstream, cause, duration_ms=20))
@@ -108,5 +118,8 @@
             if isinstance(message, Grant):
                 self.granted[message.request_id] = message
                 self.granted_ms[message.request_id] = self.now_ms
+                self.waiting.remove(message.request_id)
+                self.held.append(message.request_id)
             elif isinstance(message, SlotRefusal):
                 self.refused[message.request_id] = message
+                self.waiting.remove(message.request_id)
--- a/src/peridotfront/core/retry_budgets.py
+++ b/src/peridotfront/core/retry_budgets.py
@@ -80,12 +80,15 @@
         """Count a first send."""
         self._current(service, now_ms).first_sends += 1
 
+    def allows(self, service: str, now_ms: int) -> bool:
+        """Return whether a retry fits the budget now."""
+        return self.remaining(service, now_ms) >= 1
+
     def take(self, service: str, now_ms: int) -> bool:
         """Count a retry if it fits the budget, and return whether it does."""
-        bucket = self._current(service, now_ms)
-        if self.remaining(service, now_ms) < 1:
+        if not self.allows(service, now_ms):
             return False
-        bucket.retries += 1
+        self._current(service, now_ms).retries += 1
         return True
 
     def refund(self, service: str, at_ms: int, now_ms: int) -> None:
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -4,6 +4,7 @@
 cannot reach the leader schedules its own requests, with its share of each limit.
 """
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -26,7 +27,7 @@
     SlotRequest,
     Spending,
 )
-from .releases import NOT_EXECUTED_CAUSES, UNSENT_CAUSES
+from .releases import NOT_EXECUTED_CAUSES, UNSENT_CAUSES, build_unsent_release
 from .retry_budgets import RetryBudgets, RetryLimits
 from .routes import RoutedService, RoutingConfig
 from .scheduler import CellScheduler
@@ -73,9 +74,9 @@
 class Charge:
     """Charge of a slot request to its account's allowance.
 
-    :param is_repeat: whether it was charged to its service's retry budget too.
-    :param arrived_ms: time at which the retry budget was charged.
-    :param charged_ms: time from which the charge to the allowance counts.
+    :param is_repeat: whether it is charged to its service's retry budget too, at the
+        grant.
+    :param charged_ms: time from which the charge counts.
     :param is_spent: whether the slot was granted, so that the request is sent.
     """
 
@@ -83,7 +84,6 @@
     units: float
     service: str
     is_repeat: bool
-    arrived_ms: int
     charged_ms: int
     is_spent: bool = False
 
@@ -286,14 +286,18 @@
     def _charge(
         self, slot_request: SlotRequest, event: Received, now_ms: int
     ) -> Send | None:
-        """Charge a slot request to its allowance and retry budget, or refuse it."""
+        """Charge a slot request to its allowance, or refuse it.
+
+        A repeat is refused if the retry budget is spent, but charged at its grant:
+        searches that wait must not keep others from a retry.
+        """
         units = slot_request.allowance_units
         wait_ms = self.allowances.charge(slot_request.client_account, units, now_ms)
         if wait_ms:
             return _build_refusal(event, slot_request, Reason.RATE_LIMITED, wait_ms)
         if not slot_request.is_repeat:
             self.retries.count_first_send(slot_request.cell, now_ms)
-        elif not self.retries.take(slot_request.cell, now_ms):
+        elif not self.retries.allows(slot_request.cell, now_ms):
             self.allowances.refund(slot_request.client_account, units, now_ms, now_ms)
             return _build_refusal(
                 event, slot_request, Reason.RETRY_BUDGET, NO_BUDGET_RETRY_MS
@@ -304,7 +308,6 @@
             slot_request.cell,
             slot_request.is_repeat,
             now_ms,
-            now_ms,
         )
         return None
 
@@ -319,26 +322,61 @@
         self.allowances.refund(charge.account, charge.units, charge.charged_ms, now_ms)
 
     def _refund_retry(self, charge: Charge, now_ms: int) -> None:
-        if charge.is_repeat:
-            self.retries.refund(charge.service, charge.arrived_ms, now_ms)
+        if charge.is_repeat and charge.is_spent:
+            self.retries.refund(charge.service, charge.charged_ms, now_ms)
 
     def _track_charges(self, actions: Iterator[Any], now_ms: int) -> Iterator[Any]:
+        withdrawn: deque[Send] = deque()
+        yield from self._spend_charges(actions, withdrawn, now_ms)
+        while withdrawn:
+            actions = self._withdraw(withdrawn.popleft(), now_ms)
+            yield from self._spend_charges(actions, withdrawn, now_ms)
+
+    def _spend_charges(
+        self, actions: Iterator[Any], withdrawn: deque[Send], now_ms: int
+    ) -> Iterator[Any]:
+        """Spend the charges of grants, and refund those of refusals.
+
+        :param withdrawn: grants that the retry budget doesn't allow are added to it.
+        """
         for action in actions:
-            if isinstance(action, Send) and isinstance(action.message, SlotRefusal):
-                self._refund_charge(action.message.request_id, now_ms)
-            elif isinstance(action, Send) and isinstance(action.message, Grant):
-                self._mark_spent(action.message.request_id, now_ms)
+            message = action.message if isinstance(action, Send) else None
+            if isinstance(message, SlotRefusal):
+                self._refund_charge(message.request_id, now_ms)
+            elif isinstance(message, Grant) and not self._spend(message, now_ms):
+                withdrawn.append(action)
+                continue
             yield action
 
-    def _mark_spent(self, request_id: str, now_ms: int) -> None:
-        """Move a charge to the time of the grant, since its request is sent then."""
-        charge = self._charges.get(request_id)
+    def _withdraw(self, granted: Send, now_ms: int) -> Iterator[Any]:
+        """Refuse a slot request whose grant was not sent, and free its slot."""
+        grant = granted.message
+        yield Send(
+            granted.to_host,
+            SlotRefusal(
+                grant.request_id, grant.cell, Reason.RETRY_BUDGET, NO_BUDGET_RETRY_MS
+            ),
+        )
+        release = Received(granted.to_host, 0, build_unsent_release(grant))
+        yield from self.schedulers[grant.cell].handle(release, now_ms)
+
+    def _spend(self, grant: Grant, now_ms: int) -> bool:
+        """Charge a grant, since its request is sent now.
+
+        :return: whether the retry budget allows it.
+        """
+        charge = self._charges.get(grant.request_id)
         if charge is None or charge.is_spent:
-            return
+            return True
+        if charge.is_repeat and not self.retries.take(charge.service, now_ms):
+            return False
         self.allowances.move_charge(
             charge.account, charge.units, charge.charged_ms, now_ms
         )
-        self._charges[request_id] = replace(charge, charged_ms=now_ms, is_spent=True)
+        self._charges[grant.request_id] = replace(
+            charge, charged_ms=now_ms, is_spent=True
+        )
+        return True
 
     def _purge_charges(self, now_ms: int) -> None:
         self._purged_ms = now_ms
