Refund an upstream's limit when a cancellation frees a granted slot

What was seen: an upstream that has named a limit of 2 requests a second and gets none: of 30 searches, one each 30 ms, 30 are granted a slot if each slot is given back, and 2 if a cancellation meets each grant first. Others are then refused although the limit is unused.

Cause: the cancellation of a slot request that was granted meanwhile frees the slot without a refund of the limit. The give-back that follows finds no slot, and refunds nothing.

Change: the cancellation refunds the limit. A host cancels only what it has no grant for, so that nothing was sent; the give-back that follows still finds nothing, so that the limit is refunded once.

Tests: the figures above, in virtual time.

--- a/features/repeats.feature
+++ b/features/repeats.feature
@@ -40,3 +40,18 @@
     And 25 slots are given up while 20 repeats wait
     Then 16 repeats were sent, and 4 were refused for the retry budget
     And 9 slots are free
+
+  Scenario Outline: Slots that are not used take nothing of an upstream's limit
+    A search is cancelled when its upstream goes on. Its grant may have been on the way,
+    so that its slot is freed by the cancellation, or when the grant comes.
+
+    Given a service with 1 upstreams of 10 slots
+    And its upstream names the limit 2
+    When 30 searches in 30 ms steps find a slot that is not used, and <end>
+    Then 30 searches were granted a slot
+
+    Examples: Ends of a search with a slot
+      | end                                     |
+      | is given back                           |
+      | is cancelled                            |
+      | is cancelled before it is given back    |
--- a/features/steps/repeats_steps.py
+++ b/features/steps/repeats_steps.py
@@ -13,6 +13,8 @@
 SLACK = 10
 WINDOW_MS = 10_000
 STEP_MS = 10
+# Time in which a limit of 2 a second allows one request.
+LIMIT_FILLED_MS = 600
 
 
 @given(
@@ -168,3 +170,31 @@
     for number in range(count):
         world.ask(f"first-again{number}")
         assert f"first-again{number}" in world.granted, number
+
+
+@given("its upstream names the limit {limit:g}")
+def name_limit(context, limit):
+    context.repeats.name_limit("u1", limit)
+    context.repeats.pass_time(LIMIT_FILLED_MS)
+
+
+@when(
+    "{count:d} searches in {step:d} ms steps find a slot that is not used, and {end}",
+)
+def find_unused(context, count, step, end):
+    world = context.repeats
+    for number in range(count):
+        search_id = f"search{number}"
+        world.ask(search_id, is_repeat=True, goal_ms=2500)
+        if search_id in world.granted:
+            if end.startswith("is cancelled"):
+                world.cancel(search_id)
+            if end.endswith("is given back"):
+                world.give_back(search_id)
+        world.pass_time(step)
+
+
+@then("{count:d} searches were granted a slot")
+def granted_searches(context, count):
+    granted = len(context.repeats.granted)
+    assert granted == count, granted
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -285,6 +285,7 @@
             self._queues.discard(queued)
         slot = self._slots.get(cancel.request_id)
         if slot is not None and slot.host == sender:
+            self._limits.refund(slot.upstream)
             self._vacate(slot)
             yield from self._grant_queued(now_ms)
 
