Keep refused searches out of the announced retry times and the demand

What callers saw: times to come back that grow with the searches beside silent upstreams. With 6 slots in use and 8 searches that are refused 4 times within 800 ms, a new caller is told 10,225 ms, and 151 ms without the searches.

Causes, measured one by one. Each refused search takes a place among the announced retries, which nobody fills: a search is asked again within a second under another id. And each of its slot requests counts as an arrival, so that the demand that goes before a late request grows without end. With the first mended alone the time is 9,402 ms.

Change: a repeat is told the time of the next place but takes none, and counts as demand when it is granted, not each time that it asks. A repeat that a caller is told to bring back has no place of its own either; for services a place changes no decision.

Test: a new caller is told the same time with the searches as without them; it fails before (10,225 against 151) and passes with the change.

--- a/features/repeats.feature
+++ b/features/repeats.feature
@@ -55,3 +55,14 @@
       | is given back                           |
       | is cancelled                            |
       | is cancelled before it is given back    |
+
+  Scenario: Refused searches don't put off the retries of other callers
+    A search that is refused is repeated within a second, whatever time it is told, under
+    another id. A place for it among the announced retries stays empty, and each one more
+    is no further demand.
+
+    Given a service with 2 upstreams of 3 slots
+    And it has served requests of 300 ms, and all its slots are held
+    When 8 searches are refused 4 times, each 200 ms
+    And a new request is refused
+    Then it is told the same time to come back as without the searches
--- a/features/steps/repeats_steps.py
+++ b/features/steps/repeats_steps.py
@@ -15,6 +15,8 @@
 STEP_MS = 10
 # Time in which a limit of 2 a second allows one request.
 LIMIT_FILLED_MS = 600
+SERVED_REQUESTS = 30
+REFUSED_MS = 20
 
 
 @given(
@@ -198,3 +200,59 @@
 def granted_searches(context, count):
     granted = len(context.repeats.granted)
     assert granted == count, granted
+
+
+@given("it has served requests of {duration:d} ms, and all its slots are held")
+def serve(context, duration):
+    context.duration_ms = duration
+    serve_requests(context.repeats, duration)
+
+
+def serve_requests(world, duration_ms):
+    """Serve requests one after the other, then fill all slots."""
+    for number in range(SERVED_REQUESTS):
+        world.ask(f"first{number}")
+        world.pass_time(duration_ms)
+        world.release(f"first{number}", duration_ms=duration_ms)
+    number = 0
+    while not world.waiting:
+        world.ask(f"last{number}")
+        number += 1
+    world.cancel(world.waiting[0])
+
+
+@when("{count:d} searches are refused {times:d} times, each {gap:d} ms")
+def refuse_searches(context, count, times, gap):
+    world = context.repeats
+    for time in range(times):
+        for number in range(count):
+            name = f"search{number}.{time}"
+            world.ask(name, is_repeat=True, goal_ms=0, deadline_ms=REFUSED_MS)
+        world.pass_time(gap)
+    assert len(world.refused) == count * times, world.refused
+    reasons = {refusal.reason for refusal in world.refused.values()}
+    assert reasons <= {Reason.OVERLOADED, Reason.EVICTED}, reasons
+    context.searched_ms = times * gap
+
+
+@when("a new request is refused")
+def refuse_new(context):
+    context.retry_after_ms = refuse_request(context.repeats)
+
+
+def refuse_request(world):
+    """Return the time after which a refused request is told to come back."""
+    world.ask("new", goal_ms=0, deadline_ms=REFUSED_MS)
+    world.pass_time(REFUSED_MS)
+    refusal = world.refused["new"]
+    assert refusal.reason in (Reason.OVERLOADED, Reason.EVICTED), refusal
+    return refusal.retry_after_ms
+
+
+@then("it is told the same time to come back as without the searches")
+def same_retry_time(context):
+    world = RepeatWorld(context.upstreams, context.slots)
+    serve_requests(world, context.duration_ms)
+    world.pass_time(context.searched_ms)
+    alone_ms = refuse_request(world)
+    assert context.retry_after_ms == alone_ms, (context.retry_after_ms, alone_ms)
--- a/features/support/repeat_world.py
+++ b/features/support/repeat_world.py
@@ -89,13 +89,15 @@
         held.remove(request_id)
         self._receive(CancelSlotRequest(request_id, SERVICE))
 
-    def release(self, request_id, cause=ReleaseCause.COMPLETED):
+    def release(self, request_id, cause=ReleaseCause.COMPLETED, duration_ms=20):
         """End a request that was granted a slot."""
         if request_id in self.held:
             self.held.remove(request_id)
         slot_request = self._slot_requests[request_id]
         upstream = self.granted[request_id].upstream
-        self._receive(build_release(slot_request, upstream, cause, duration_ms=20))
+        self._receive(
+            build_release(slot_request, upstream, cause, duration_ms=duration_ms)
+        )
 
     def give_back(self, request_id):
         """Release a slot for which no request was sent."""
--- a/src/peridotfront/core/load_shedding.py
+++ b/src/peridotfront/core/load_shedding.py
@@ -189,6 +189,8 @@
             earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
             interval_ms=self._drain_rate.interval_ms(slot_request, candidates, now_ms),
             latest_ms=now_ms + MAX_RETRY_AFTER_MS,
+            # An entry host repeats it within a second, whatever time it is told.
+            takes_place=not slot_request.is_repeat,
         )
         return due_ms - now_ms
 
--- a/src/peridotfront/core/retry_schedule.py
+++ b/src/peridotfront/core/retry_schedule.py
@@ -25,6 +25,7 @@
         earliest_ms: float,
         interval_ms: float,
         latest_ms: float,
+        takes_place: bool = True,
     ) -> int:
         """Schedule the retry of a refused slot request and return its time.
 
@@ -32,9 +33,12 @@
         :param earliest_ms: earliest time at which it may be accepted.
         :param interval_ms: time between two grants to such slot requests.
         :param latest_ms: latest time that may be announced.
+        :param takes_place: whether later retries are scheduled after this one.
         """
         due_ms = max(earliest_ms, self._last_due_ms.get(queue, 0.0) + interval_ms)
         due_ms = min(due_ms, latest_ms)
+        if not takes_place:
+            return int(due_ms)
         self._last_due_ms[queue] = due_ms
         self._due_ms[request_id] = int(due_ms)
         self._due_ms.move_to_end(request_id)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -271,7 +271,8 @@
             return
         self._shedder.prepare(queued, now_ms)
         self._queues.add(queued)
-        self._drain_rate.arrived(slot_request, now_ms)
+        if not slot_request.is_repeat:
+            self._drain_rate.arrived(slot_request, now_ms)
         if self._is_settled(now_ms):
             yield from self._grant_queued(now_ms)
             yield from self._shedder.shed(slot_request.model, now_ms)
@@ -482,6 +483,9 @@
         if choice.upstream.health.state is HealthState.DOWN:
             self._reach.record_test(slot.upstream, now_ms)
             choice.upstream.health.probe_early()
+        if slot_request.is_repeat:
+            # A search that is refused is asked again and again, and is no more demand.
+            self._drain_rate.arrived(slot_request, now_ms)
         self._drain_rate.granted(
             slot_request.prompt_tokens, choice.predicted_prefix_tokens
         )
