Use an upstream again that goes on after two timeouts

What callers saw: two requests that leave a sound, silent engine take it out for 1 s or more, though it goes on with its other streams. In virtual time, with 6 streams at an upstream of 8 slots that is silent for 800 ms, and 2 that are given up after 600 ms, the next slot is granted 2,020 ms after these timeouts.

A circuit that timeouts have opened ignores the progress of other streams, unlike one that a broken connection has opened. Its probe has one slot, and the streams that go on hold more than that, so that no probe is sent; their tokens count only once the time of the probe has come. And the scheduler can't tell when tokens were produced: a slot is reported once a second, so that a report after the timeouts may tell of tokens before them.

Ruled out: any late answer as proof of life. Nor does a second report after the timeouts do, which comes no earlier than the probe.

Tokens of 100 ms and more after the last timeout ramp the upstream up from two slots, as after a probe. They don't after a failed probe, errors, a crash or a refused connection, and the backoff goes on doubling until the ramp is done, so that one that fails again stays out for longer.

Tests, 11 scenarios: tokens after the timeouts; reports that were on the way, stale, of no progress or without an age; later timeouts; one that is dead or stuck until its probe; a failed probe; and an entry host's own reports, with an upstream that goes on and one that is stuck. Without the change 3 fail (one with an error, since the parameter is missing); without the check of the age 4 fail, without the exception for a failed probe 1. With it all pass, and the slot above is granted 1,020 ms after the timeouts.

An upstream that sends a token now and then counts as alive after each of them, as before at its probe. The change of the circuit by a report is not logged, as before after a probe.

--- a/features/steps/cell_fixtures.py
+++ b/features/steps/cell_fixtures.py
@@ -95,9 +95,10 @@
         )
         return self.receive(host or send.to_host, release)
 
-    def hold(self, request_id, host, upstream, produced_tokens=0):
+    def hold(self, request_id, host, upstream, produced_tokens=0, **fields):
         slot_request = self.slot_requests[request_id]
-        return self.receive(host, HeldSlot(slot_request, upstream, produced_tokens))
+        held = HeldSlot(slot_request, upstream, produced_tokens, **fields)
+        return self.receive(host, held)
 
     def pass_time(self, duration_ms, renew_slots=False):
         end_ms = self.now_ms + duration_ms
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -86,6 +86,14 @@
 class _SlotLease:
     slot: HeldSlot
     reported_ms: int
+    progress_ms: int = -1
+
+    def report(self, now_ms: int) -> HeldSlot:
+        """Return a report of the slot, which counts as sent now."""
+        self.reported_ms = now_ms
+        if self.progress_ms < 0:
+            return self.slot
+        return replace(self.slot, token_age_ms=now_ms - self.progress_ms)
 
 
 class GatewayRole:
@@ -229,11 +237,11 @@
             return
         is_first = held.slot.produced_tokens == 0
         held.slot = replace(held.slot, produced_tokens=event.produced_tokens)
+        held.progress_ms = now_ms
         if is_first:
             self._origins.record_held(held.slot, now_ms)
         if is_first or now_ms - held.reported_ms >= SLOT_RENEWAL_MS:
-            held.reported_ms = now_ms
-            yield from self._pass_to_scheduler(held.slot, now_ms)
+            yield from self._pass_to_scheduler(held.report(now_ms), now_ms)
 
     @_handle.register
     def _(self, event: UpstreamLeaving, now_ms: int) -> Iterator[Any]:
@@ -438,8 +446,7 @@
         for named in self._limits.all():
             yield Send(self.leader, named)
         for held in self._held.values():
-            held.reported_ms = now_ms
-            yield Send(self.leader, held.slot)
+            yield Send(self.leader, held.report(now_ms))
         for pending in self._pending.values():
             pending.asked_ms = now_ms
             yield Send(self.leader, _with_remaining_times(pending, now_ms))
@@ -459,7 +466,7 @@
         yield from self._local_schedulers.handle(HostLost(self.host, True), now_ms)
         yield from self._apply_local_upstreams(now_ms)
         for held in self._held.values():
-            yield from self._pass_to_scheduler(held.slot, now_ms)
+            yield from self._pass_to_scheduler(held.report(now_ms), now_ms)
         for pending in tuple(self._pending.values()):
             yield from self._pass_to_scheduler(
                 _with_remaining_times(pending, now_ms), now_ms
@@ -504,8 +511,7 @@
     def _renew_slots(self, now_ms: int) -> Iterator[Any]:
         for held in tuple(self._held.values()):
             if now_ms - held.reported_ms >= SLOT_RENEWAL_MS:
-                held.reported_ms = now_ms
-                yield from self._pass_to_scheduler(held.slot, now_ms)
+                yield from self._pass_to_scheduler(held.report(now_ms), now_ms)
 
 
 def _build_limit_log(named: NamedLimit) -> Log:
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -48,6 +48,8 @@
         self._timeouts = 0
         self._progress_ms = -1
         self._is_early_probe = False
+        self._is_timed_out = False
+        self._timed_out_ms = -1
 
     def slots(self, limit: int, now_ms: int) -> int:
         """Return how many of the upstream's slots may be used.
@@ -95,31 +97,45 @@
         """Record an error or timeout.
 
         A failed probe, or several failures without progress between them, open the
-        circuit.
+        circuit. Later tokens close it again if there were several timeouts, but not
+        after a failed probe: they don't show that new requests are answered.
         """
         self._count_failure(now_ms)
         if is_timeout:
             self._timeouts += 1
+            self._timed_out_ms = now_ms
         else:
             self._errors += 1
         is_probe = self.state is HealthState.PROBING
         too_many = self._timeouts >= TIMEOUTS_TO_OPEN or self._errors >= ERRORS_TO_OPEN
         if is_probe or too_many:
+            is_timed_out = is_timeout and not is_probe
+            if self.state is HealthState.DOWN:
+                is_timed_out = self._is_timed_out
             self._open_circuit(now_ms)
+            self._is_timed_out = is_timed_out
 
     def completed(self) -> None:
         """Record that a request got its complete answer."""
         self._failure_share -= self._failure_share * FAILURE_GAIN
 
-    def progressed(self, granted_ms: int, limit: int, now_ms: int) -> None:
+    def progressed(
+        self,
+        granted_ms: int,
+        limit: int,
+        now_ms: int,
+        produced_ms: int | None = None,
+    ) -> None:
         """Record that a request got tokens or completed, and ramp up a recovery.
 
         Progress of a request that was granted before the upstream was considered dead
         shows that only a connection had broken. It counts from ``LATE_PROGRESS_MS``
-        after that time on.
+        after that time on. Tokens that were produced so long after the last timeout
+        show that an upstream was silent for a moment only.
 
         :param granted_ms: time at which the request was granted.
         :param limit: slot limit at which the upstream counts as healthy again.
+        :param produced_ms: time at which the last token was produced; None if unknown.
         """
         if granted_ms <= self.down_ms:
             if now_ms - self.down_ms >= LATE_PROGRESS_MS:
@@ -128,7 +144,7 @@
         self._progress_ms = now_ms
         self._errors = 0
         self._timeouts = 0
-        if self.state in (HealthState.PROBING, HealthState.SUSPECT):
+        if self._is_recovering(produced_ms):
             self.state = HealthState.RAMPING
             self.ramp_slots = INITIAL_RAMP_SLOTS
         elif self.state is HealthState.RAMPING:
@@ -136,6 +152,16 @@
         if self.state is HealthState.RAMPING and self.ramp_slots >= limit:
             self._recover()
 
+    def _is_recovering(self, produced_ms: int | None) -> bool:
+        """Return whether progress shows that an upstream works that was doubted."""
+        if self.state is HealthState.DOWN:
+            return (
+                self._is_timed_out
+                and produced_ms is not None
+                and produced_ms >= self._timed_out_ms + LATE_PROGRESS_MS
+            )
+        return self.state in (HealthState.PROBING, HealthState.SUSPECT)
+
     def failure_share(self, now_ms: int) -> float:
         """Return the recent share of requests that failed at the upstream.
 
@@ -187,6 +213,7 @@
         is_early_probe = self._is_early_probe and self.state is HealthState.PROBING
         self.state = HealthState.DOWN
         self._is_early_probe = False
+        self._is_timed_out = False
         if is_early_probe:
             return
         self._probe_at_ms = now_ms + self._backoff_ms
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -157,6 +157,8 @@
         policy's ``slow_token_ms``; -1 if that was not measured.
     :param software_version: version of the upstream's software; empty if unknown.
     :param relay: entry host through which the request was sent; empty for none.
+    :param token_age_ms: time since the last of the tokens arrived; None if unknown, as
+        in reports of older builds.
     """
 
     slot_request: SlotRequest = field(metadata={"proto_name": "want"})
@@ -165,6 +167,7 @@
     slow_tokens: int = -1
     software_version: str = ""
     relay: str = ""
+    token_age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -544,7 +544,9 @@
             self._reach.record_answer(slot.sender, slot.upstream, now_ms)
             self._crashes.record_life(slot.upstream, now_ms)
             limit = int(upstream.capacity.limit_slots)
-            upstream.health.progressed(slot.granted_ms, limit, now_ms)
+            age_ms = held.token_age_ms
+            produced_ms = None if age_ms is None else now_ms - age_ms
+            upstream.health.progressed(slot.granted_ms, limit, now_ms, produced_ms)
         upstream.capacity.record_progress(
             slot, held.produced_tokens, held.slow_tokens, now_ms
         )
