--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -14,3 +14,9 @@
       | entries  | 4        |
       | controls | 4        |
       | relays   | 1        |
+
+  Scenario: Requests that outlast the time to stop are answered before their host ends
+    Given programs whose upstreams hang, with 5 s to stop
+    When 24 requests are sent while their host stops
+    Then each gets 503 if no upstream has it, or 502
+    And the host ended by itself
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from behave import given, then, when
-from support.draining_processes import DrainingProcesses
+from support.draining_processes import DrainingProcesses, OutlastingRequests
 
 
 @given("programs whose callers keep their connections")
@@ -35,3 +35,30 @@
     programs = context.programs
     assert not programs.untrue_refusals(), programs.untrue_refusals()
     assert not programs.repeated(), programs.repeated()
+
+
+@given("programs whose upstreams hang, with {grace:d} s to stop")
+def make_hanging(context, grace):
+    context.programs = OutlastingRequests(grace_s=grace)
+
+
+@when("{count:d} requests are sent while their host stops")
+def send_in_stop(context, count):
+    context.programs.callers = count
+    asyncio.run(context.programs.play(0))
+
+
+@then("each gets 503 if no upstream has it, or 502")
+def all_answered(context):
+    programs = context.programs
+    waited = [programs.runs[name] == 0 for name in programs.answers_by_id]
+    assert any(waited) and not all(waited), programs.runs
+    expected = {
+        name: 502 if programs.runs[name] else 503 for name in programs.answers_by_id
+    }
+    assert programs.answers_by_id == expected, programs.answers_by_id
+
+
+@then("the host ended by itself")
+def host_ended(context):
+    assert context.programs.stopped_s < context.programs.grace_s
--- a/features/support/draining_processes.py
+++ b/features/support/draining_processes.py
@@ -21,6 +21,7 @@
 MISSES_OUT = 2
 LINK_FAULT_S = 1.0
 CUT_HOSTS = 2
+SEND_AFTER_S = 1.0
 SLOW_EVENT_S = 0.1
 SERVICES = ("ledger", "models")
 PATHS = ("/look-up/x", "/transfer/x", "/stream/x", "/resumable/x")
@@ -210,16 +211,11 @@
         loop = asyncio.get_running_loop()
         if path in ("/transfer/x", "/stream/x"):
             self.once.add(request_id)
-        body = request_id.encode()
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
-            f"X-Deadline-Ms: {DEADLINE_MS}\r\nApi-Key: {KEY}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        ).encode()
+        data = build_request(path, request_id)
         answer = bytearray()
         began_s = sent_s = loop.time()
         try:
-            await self._send_in_parts(writer, head + body)
+            await self._send_in_parts(writer, data)
             sent_s = loop.time()
             async with asyncio.timeout(TIMEOUT_S):
                 status, is_kept = await read_whole(reader, answer)
@@ -266,6 +262,17 @@
         return [name for name in self.once if self.runs[name] > 1]
 
 
+def build_request(path, request_id):
+    """Return the bytes of a request whose body is its id."""
+    body = request_id.encode()
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: {DEADLINE_MS}\r\nApi-Key: {KEY}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 async def read_whole(reader, answer):
     """Read an answer into a buffer.
 
@@ -284,3 +291,47 @@
             size = int(line, 16)
             answer += await reader.readexactly(size + 2)
     return int(head.split()[1]), b"connection: close" not in fields
+
+
+@dataclass
+class OutlastingRequests(DrainingProcesses):
+    """One entry host that is stopped before upstreams that never answer.
+
+    :param grace_s: time to stop.
+    :param answers_by_id: statuses by request id; 0 for a connection that ended.
+    :param stopped_s: time from SIGTERM to the end of the process.
+    """
+
+    entries: int = 1
+    grace_s: int = 5
+    answers_by_id: dict = field(default_factory=dict)
+    stopped_s: float = 0.0
+
+    def _build_deployment(self, folder):
+        deployment = super()._build_deployment(folder)
+        for host in deployment.entries:
+            host.grace_s = self.grace_s
+        return deployment
+
+    async def _load(self, deployment, duration_s):
+        for upstream in self.upstreams:
+            upstream.fault = "hang"
+        host = deployment.entries[0]
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        stopping = asyncio.create_task(host.stop(timeout_s=self.grace_s))
+        await asyncio.sleep(SEND_AFTER_S)
+        calls = [self._call_once(host, f"o{number}") for number in range(self.callers)]
+        await asyncio.gather(*calls)
+        await stopping
+        self.stopped_s = loop.time() - began_s
+
+    async def _call_once(self, host, request_id):
+        reader, writer = await asyncio.open_connection(host.ip, CALLERS_PORT)
+        writer.write(build_request("/transfer/x", request_id))
+        status = 0
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(TIMEOUT_S):
+                status, _ = await read_whole(reader, bytearray())
+        self.answers_by_id[request_id] = status
+        writer.close()
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -51,7 +51,7 @@
 
     ``module`` is the program, ``source`` the source folder of the build that runs it
     from the next start on, and ``variables`` are its environment variables beside the
-    inherited ones.
+    inherited ones. ``grace_s`` is the time to stop in its settings.
     """
 
     def __init__(self, role, number, seeds, folder):
@@ -60,6 +60,7 @@
         self.ip = f"{NETWORK}.{0 if role == 'control' else 1}.{number}"
         self.proxy = Proxy(self.ip, PEER_PORT, REAL_PEER_PORT)
         self.peak_kb = 0
+        self.grace_s = GRACE_S
         self.module = f"peridotfront.platform.{role}"
         self.source = ROOT / "src"
         self.variables = {}
@@ -146,7 +147,7 @@
             is_first_start=str(is_first_start).lower(),
             folder=self._folder / self.name if is_control else "",
             list_address=":".join(str(part) for part in LIST_ADDRESS),
-            grace_s=GRACE_S,
+            grace_s=self.grace_s,
         )
 
 
