Leave a new connection a moment for its first request when idle ones are closed

Cause: a host that stops closes all idle connections at one moment, also one that a caller has just opened for a request that is on its way: it was accepted and then reset.

Change: a connection without a request so far has 100 ms from its beginning.

--- a/features/closing_connections.feature
+++ b/features/closing_connections.feature
@@ -39,3 +39,14 @@
       | longer bodies          | max_body_bytes   | 2000   | 9000  | 0    | served   |
       | longer headers         | max_header_bytes | 2000   | 9000  | 0    | served   |
       | shorter bodies         | max_body_bytes   | 9000   | 2000  | 0    | refused  |
+
+  Scenario: A caller that leaves within an answer that announces the close is noticed
+    Given a server that is about to drain
+    When a caller leaves within an answer that announces the close
+    Then the handler is told within 500 ms, and no connection is left
+
+  Scenario: A caller that has just connected when idle connections are closed is served
+    Given a server that is about to drain
+    When a caller connects, idle connections are closed, and it sends its first request
+    Then it is answered, and the answer announces the close
+    And a connection on which nothing comes is closed within 500 ms
--- a/features/steps/closing_connections_steps.py
+++ b/features/steps/closing_connections_steps.py
@@ -54,6 +54,10 @@
             while not self.answers.endswith(end):
                 self.answers += await self._loop.sock_recv(self._socket, CHUNK_BYTES)
 
+    def close(self):
+        """Close the connection."""
+        self._socket.close()
+
     async def read_to_end(self):
         """Read until the connection ends, or is reset."""
         async with asyncio.timeout(TIMEOUT_S):
@@ -105,6 +109,10 @@
         await until(lambda: context.is_released)
     await exchange.start(200)
     await exchange.write(b"half")
+    if exchange.request.path == "/until-gone":
+        await exchange.gone.wait()
+        context.is_gone = True
+        return
     await until(lambda: context.is_released)
     await exchange.write(body)
     await exchange.finish()
@@ -160,6 +168,7 @@
 def make_server(context):
     context.bodies = []
     context.is_released = False
+    context.is_gone = False
     serve(context, partial(answer, context))
 
 
@@ -263,3 +272,57 @@
     answers = context.caller.answers
     expected = {"served": b"HTTP/1.1 200", "refused": b"HTTP/1.1 413", "closed": b""}
     assert answers[: len(b"HTTP/1.1 200")] == expected[result], answers
+
+
+@when("a caller leaves within an answer that announces the close")
+def leave(context):
+    async def play():
+        caller = Caller(context.server)
+        await caller.connect()
+        context.server.is_draining = True
+        await caller.send(post(b"one", b"/until-gone"))
+        await caller.read_until(b"half\r\n")
+        caller.close()
+        left_s = time.monotonic()
+        await until(lambda: context.is_gone)
+        context.noticed_ms = (time.monotonic() - left_s) * 1000
+        await until(lambda: not context.server.connections)
+
+    run(context, play())
+
+
+@then("the handler is told within {limit:d} ms, and no connection is left")
+def noticed(context, limit):
+    assert context.noticed_ms <= limit, context.noticed_ms
+    assert not context.server.connections
+
+
+@when("a caller connects, idle connections are closed, and it sends its first request")
+def connect_late(context):
+    async def play():
+        context.caller = caller = Caller(context.server)
+        other = Caller(context.server)
+        await caller.connect()
+        await other.connect()
+        await until(lambda: context.server.connections == 2)
+        context.server.is_draining = True
+        context.server.close_idle()
+        await caller.send(post(b"one"))
+        await caller.read_to_end()
+        closed_s = time.monotonic()
+        await other.read_to_end()
+        context.closed_ms = (time.monotonic() - closed_s) * 1000
+
+    run(context, play())
+
+
+@then("it is answered, and the answer announces the close")
+def answered_late(context):
+    answers = context.caller.answers
+    assert answers.startswith(b"HTTP/1.1 200") and answers.endswith(b"one"), answers
+    assert b"connection: close" in answers.lower(), answers
+
+
+@then("a connection on which nothing comes is closed within {limit:d} ms")
+def closed_soon(context, limit):
+    assert context.closed_ms <= limit, context.closed_ms
--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -30,6 +30,8 @@
 from .runtime import now_ms
 
 LINGER_MS = 500
+# Callers send their first request right after they have connected.
+FIRST_REQUEST_MS = 100
 DELIVERY_POLL_MS = 5
 MIN_BYTES_PER_CHUNK = 32
 SMALL_CHUNK_ALLOWANCE = 1024
@@ -474,9 +476,18 @@
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close unless a request is being read or answered."""
-        if self.is_idle:
-            self._close_unread(CloseCause.DRAINING)
+        """Close unless a request is being read or answered.
+
+        A new connection has a moment left for its first request.
+        """
+        if not self.is_idle:
+            return
+        age_s = self._loop.time() - self.idle_since_s
+        left_s = FIRST_REQUEST_MS / 1000 - age_s
+        if self._request_count == 0 and left_s > 0:
+            self._loop.call_later(left_s, self.close_if_idle)
+            return
+        self._close_unread(CloseCause.DRAINING)
 
     def abort(self) -> None:
         """Close immediately and discard unsent data."""
