--- a/features/closing_connections.feature
+++ b/features/closing_connections.feature
@@ -10,6 +10,7 @@
 
     Examples:
       | cause                                           |
+      | its idle time is over                           |
       | it is idle while its host drains                |
       | its answer announced the close                  |
       | its answer began before the drain and has ended |
--- a/features/steps/closing_connections_steps.py
+++ b/features/steps/closing_connections_steps.py
@@ -13,6 +13,7 @@
 
 CHUNK_BYTES = 65_536
 LONG_BYTES = 5000
+AFTER_ALL_LIMITS_S = 1e12
 POLL_S = 0.001
 RESETS = (errno.ECONNRESET, errno.EPIPE)
 END_OF_CHUNKS = b"0\r\n\r\n"
@@ -127,6 +128,15 @@
     await caller.send(post(b"crossing"))
 
 
+async def cross_idle_end(context, caller):
+    """Send a request when the idle time of the connection is over."""
+    await caller.send(post(b"one"))
+    await caller.read_until(b"one")
+    for connection in list(context.server._open):
+        connection.check_deadlines(AFTER_ALL_LIMITS_S)
+    await caller.send(post(b"crossing"))
+
+
 async def cross_announced(context, caller):
     """Send a request after an answer that announces the close."""
     context.server.is_draining = True
@@ -157,6 +167,7 @@
 
 
 CROSSINGS = {
+    "its idle time is over": cross_idle_end,
     "the answer that runs announced the close": cross_running,
     "it is idle while its host drains": cross_idle,
     "its answer announced the close": cross_announced,
