Close only the storage's own files after a segment that could not begin

What would be seen: a control host whose disk failed just as a new segment of its log began closed a file number that it no longer had when it stopped. It ended with OSError in place of its exit code for storage faults and its log line, or closed a file or socket of another part that had got the number.

Cause: the old segment is closed before the new one is opened and its name synced. When that sync failed the number of the old segment stayed noted, and the new file stayed open.

Change: the number is forgotten at the close, and a file whose name can't be synced is closed. "A storage that failed while it began a segment closes only its own files" failed before with EBADF. features/storage.feature passes.

--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -140,6 +140,16 @@
     close_at_end(context)
 
 
+@given(
+    "a data folder with {count:d} entries that was opened while another file was open"
+)
+def folder_opened_later(context, count):
+    other_fd = os.open(os.devnull, os.O_RDONLY)
+    folder_with_entries(context, count)
+    os.close(other_fd)
+    context.open_files = os.listdir("/proc/self/fd")
+
+
 @given("a data folder with several segments and a snapshot")
 def several_segments(context):
     small_segments(context)
@@ -478,6 +488,20 @@
     assert {snapshot, segment, "incarnation"} <= listings[-1]
 
 
+@then("the storage is closed without an error, and closes no file of others")
+def closes_its_own(context):
+    own = {"segment", "lock"}
+    closed = len(context.open_files) - len(own)
+    # One of these may get the number of a file that the storage has closed already.
+    others = [os.open(os.devnull, os.O_RDONLY) for _ in range(len(own))]
+    context.storage.close()
+    for fd in others:
+        os.fstat(fd)
+        os.close(fd)
+    left = os.listdir("/proc/self/fd")
+    assert len(left) == closed, (context.open_files, left)
+
+
 @then("one segment and one snapshot file are left")
 def few_files(context):
     assert len(segments(context)) == 1
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -131,6 +131,11 @@
       | 4    |
       | 5    |
 
+  Scenario: A storage that failed while it began a segment closes only its own files
+    Given a data folder with 5 entries that was opened while another file was open
+    When the disk fails at step 7 of installing a snapshot of entry 3
+    Then the storage is closed without an error, and closes no file of others
+
   Scenario: A snapshot of another term than the log's entry replaces the whole log
     Given a data folder with 5 entries
     When a snapshot of entry 3 of term 9 is installed and only its file reached the disk
--- a/src/peridotfront/storage.py
+++ b/src/peridotfront/storage.py
@@ -198,6 +198,7 @@
     def _open_segment(self, number: int) -> None:
         if self._segment_fd >= 0:
             os.close(self._segment_fd)
+            self._segment_fd = -1
         self._segment_fd = self._files.open_to_append(_segment_name(number))
         self._segment_number = number
         self._segment_bytes = os.fstat(self._segment_fd).st_size
@@ -296,7 +297,11 @@
         """Open a file to append to it and sync the folder, in case the file is new."""
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         fd = os.open(self._folder / name, flags, 0o600)
-        self.sync_folder()
+        try:
+            self.sync_folder()
+        except OSError:
+            os.close(fd)
+            raise
         return fd
 
     def sync_folder(self) -> None:
