Sync the folder that a new data folder is in before anything is written

What would be lost: a control host that creates its data folder synced all that is in it, but not the entry of the folder in its parent. If the file system keeps or loses each entry that was not synced, a loss of power takes the whole folder with the log, the vote and the identity. If all hosts lose power at the same moment, as they may right after the first change was acknowledged, no host has the configuration any more, and since none may found a group again, none ever leads.

Cause: mkdir with parents, and no sync of a parent.

Change: each folder that is created is synced into its parent, and the parent of a folder that has no identity yet is synced too, in case a process ended in between. Folders with an identity are not touched, so that a restart costs nothing.

--- a/src/peridotfront/storage.py
+++ b/src/peridotfront/storage.py
@@ -12,6 +12,7 @@
 is truncated.
 """
 
+import contextlib
 import fcntl
 import os
 import secrets
@@ -46,6 +47,7 @@
 SEGMENT_SIZE_BYTES = 8 * 1024 * 1024
 LOG_START_BYTES = 256
 FOUNDING_FILE = "founding"
+INCARNATION_FILE = "incarnation"
 TEMPORARY_SUFFIX = ".tmp"
 
 Write = Callable[[int, bytes], int]
@@ -103,7 +105,7 @@
         """
         path = Path(folder)
         try:
-            path.mkdir(parents=True, exist_ok=True)
+            _create_folder(path, sync)
             storage = cls(path, _lock(path), write, sync)
         except OSError as error:
             raise StorageFailed(f"{path}: {error}") from error
@@ -242,7 +244,7 @@
         )
 
     def _load_incarnation(self) -> None:
-        path = self._folder / "incarnation"
+        path = self._folder / INCARNATION_FILE
         if path.exists():
             record = read_frame(path.read_bytes(), 0)
             if record is None:
@@ -306,11 +308,7 @@
 
     def sync_folder(self) -> None:
         """Sync the folder, which holds the names of the files."""
-        fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            self.sync(fd)
-        finally:
-            os.close(fd)
+        _sync_folder(self._folder, self.sync)
 
     def _write_all(self, fd: int, data: bytes) -> None:
         view = memoryview(data)
@@ -448,6 +446,34 @@
         return tuple(self._entries[position:])
 
 
+def _create_folder(path: Path, sync: Sync) -> None:
+    """Create a folder and its missing parents, so that they outlive a power loss.
+
+    The file with the identity is written after this, so that a folder which has one is
+    in its parent for good.
+    """
+    if (path / INCARNATION_FILE).exists():
+        return
+    missing = [folder for folder in (path, *path.parents) if not folder.exists()]
+    for folder in reversed(missing):
+        folder.mkdir(exist_ok=True)
+        _sync_folder(folder.parent, sync)
+    if missing:
+        return
+    # Another process may have created it and ended before it synced the parent. A
+    # parent that can't be read was not written by this program.
+    with contextlib.suppress(PermissionError):
+        _sync_folder(path.parent, sync)
+
+
+def _sync_folder(path: Path, sync: Sync) -> None:
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        sync(fd)
+    finally:
+        os.close(fd)
+
+
 def _lock(folder: Path) -> int:
     fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
     try:
