Look for upstreams open to the highest tier once for each placement

Cause: a prompt that keeps an engine busy for longer than the headroom may begin only while another upstream is open to tier 1.

Ruled out: the search itself, which ends at the first open upstream; the list of the others is what grew.

Change: `core/headroom.py` looks for two open upstreams once for each placement; the chosen one is idle, hence open itself, so a second one is another.

--- /dev/null
+++ b/features/decision_cost.feature
@@ -0,0 +1,17 @@
+Feature: The leader decides at a cost that fits large fleets
+  One leader decides for all hosts. Costs are counted in bytecode instructions, which
+  depend on no clock and no other load.
+
+  Scenario Outline: The cost of a decision grows at most in proportion to the upstreams
+    When a decision with <load> is counted at 39, 150 and 400 upstreams
+    Then its instructions grow at most in proportion to the upstreams
+
+    Examples: Loads of the leader
+      | load          |
+      | short prompts |
+      | long prompts  |
+      | refusals      |
+
+  Scenario: What is computed at less cost decides as the plain rules do
+    When seeded loads are played with the plain rules and with ours
+    Then both send the same messages at the same times
--- /dev/null
+++ b/features/steps/decision_cost_steps.py
@@ -0,0 +1,80 @@
+"""Steps that count what a decision of the leader costs."""
+
+from unittest.mock import patch
+
+from behave import then, when
+from support.engine_load import EngineLoad
+from support.plain_decisions import RULES, plain_rules
+
+from benchmarks.instruction_count import InstructionCounter
+from benchmarks.leader_cost import LONG_PROMPT_TOKENS, SLOTS, LeaderLoad
+from benchmarks.scenarios import QUICK_MS, Scenario, our_driver, simulate
+from peridotfront.core.scheduler import CellScheduler
+
+DECISIONS = 4
+SEED = 1
+ENGINE_LOADS = ((6, 0.8), (6, 2.0), (39, 2.0))
+ENGINE_LOAD_MS = 4000
+
+
+def count_of(work):
+    """Return the instructions of a piece of work, after the same work before it."""
+    work()
+    return InstructionCounter().run(lambda: [work() for _ in range(DECISIONS)])
+
+
+def count_decision(kind, upstreams):
+    """Return the instructions of decisions under a kind of load."""
+    if kind == "long prompts":
+        load = LeaderLoad(upstreams, prompt_tokens=LONG_PROMPT_TOKENS)
+    else:
+        load = LeaderLoad(upstreams)
+    load.fill(upstreams * SLOTS if kind == "refusals" else 0)
+    refused = load.refused
+    count = count_of(load.refuse if kind == "refusals" else load.decide)
+    assert (load.refused > refused) == (kind == "refusals"), load.refused
+    return count
+
+
+@when("a decision with {kind} is counted at 39, 150 and 400 upstreams")
+def count_decisions(context, kind):
+    context.counts = {n: count_decision(kind, n) for n in (39, 150, 400)}
+
+
+@then("its instructions grow at most in proportion to the upstreams")
+def proportional(context):
+    few = min(context.counts)
+    for upstreams, count in context.counts.items():
+        assert count <= context.counts[few] * upstreams / few, context.counts
+
+
+def play_loads():
+    """Return all that the schedulers do in seeded loads, with the times."""
+    actions = []
+    handle = CellScheduler.handle
+
+    def recorded(scheduler, event, now_ms):
+        for action in handle(scheduler, event, now_ms):
+            actions.append((now_ms, action))
+            yield action
+
+    with patch.object(CellScheduler, "handle", recorded):
+        simulate(Scenario("load", "gold", 2.0), our_driver(), SEED, QUICK_MS)
+        for engines, load in ENGINE_LOADS:
+            EngineLoad(engines, load, SEED).run(ENGINE_LOAD_MS)
+    return actions
+
+
+@when("seeded loads are played with the plain rules and with ours")
+def play_both(context):
+    used = set()
+    with plain_rules(used):
+        context.plain = play_loads()
+    assert used == {rule.__name__ for _, _, rule in RULES}, used
+    context.ours = play_loads()
+
+
+@then("both send the same messages at the same times")
+def same_messages(context):
+    assert len(context.ours) > 0
+    assert context.ours == context.plain
--- /dev/null
+++ b/features/support/plain_decisions.py
@@ -0,0 +1,49 @@
+"""Plain forms of the rules that the scheduler computes at less cost."""
+
+from contextlib import ExitStack, contextmanager
+from unittest.mock import patch
+
+from peridotfront.core.headroom import OPEN_BACKLOG_SHARE, Headroom
+
+
+def is_headroom_kept(headroom, upstream, predicted_prefix_tokens, slot_request):
+    """Return whether a grant leaves headroom, by a look at each other upstream."""
+    now_ms = headroom._now_ms
+    capacity = upstream.capacity
+    backlog_ms = capacity.backlog_ms(now_ms)
+    prefill_ms = capacity.prefill_ms(
+        slot_request.prompt_tokens - predicted_prefix_tokens
+    )
+    if backlog_ms + prefill_ms <= headroom._headroom_ms:
+        return True
+    if backlog_ms > 0:
+        return False
+    max_other_ms = headroom._headroom_ms * OPEN_BACKLOG_SHARE
+    others = [other for other in headroom._upstreams if other is not upstream]
+    return not others or any(
+        not other.is_leaving and other.capacity.backlog_ms(now_ms) <= max_other_ms
+        for other in others
+    )
+
+
+RULES = ((Headroom, "is_kept", is_headroom_kept),)
+
+
+@contextmanager
+def plain_rules(used):
+    """Replace the rules by their plain forms.
+
+    :param used: set to which the name of each plain rule is added that was asked.
+    """
+    with ExitStack() as stack:
+        for owner, name, rule in RULES:
+            stack.enter_context(patch.object(owner, name, _recorded(rule, used)))
+        yield
+
+
+def _recorded(rule, used):
+    def ask(*arguments):
+        used.add(rule.__name__)
+        return rule(*arguments)
+
+    return ask
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -5,6 +5,7 @@
 
 from .brittle_upstreams import BrittleUpstreams
 from .fleet import Policy, UpstreamKind, UpstreamSpec
+from .headroom import Headroom
 from .health import Health, HealthState
 from .host_reach import HostReach
 from .messages import SlotRequest
@@ -26,7 +27,6 @@
 HIGHEST_TIER = 1
 SLOW_ENGINE_SHARE = 0.3
 SLOW_MIN_WAIT_RATIO = 0.5
-OPEN_BACKLOG_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -169,13 +169,12 @@
         may_defer = bool(queued.slot_request.prefix_hashes) and self._may_defer(
             queued, is_urgent, now_ms
         )
+        headroom = Headroom(self._policy, upstreams, now_ms)
         best = best_deferred = None
         for upstream, availability in zip(upstreams, availabilities, strict=True):
             if availability is Availability.AVAILABLE:
                 choice = self._score(upstream, queued, now_ms)
-                if is_highest or self._keeps_headroom(
-                    choice, upstreams, queued.slot_request, now_ms
-                ):
+                if is_highest or _keeps_headroom(choice, headroom, queued):
                     best = _cheaper(best, choice)
                 elif may_defer:
                     best_deferred = _cheaper(
@@ -295,33 +294,6 @@
         )
         return Choice(upstream, hit_tokens, cost_ms)
 
-    def _keeps_headroom(
-        self,
-        choice: Choice,
-        upstreams: list[Upstream],
-        slot_request: SlotRequest,
-        now_ms: int,
-    ) -> bool:
-        upstream = choice.upstream
-        if upstream.spec.kind is UpstreamKind.SERVICE:
-            return True
-        capacity = upstream.capacity
-        headroom_ms = self._policy.headroom_ms
-        backlog_ms = capacity.backlog_ms(now_ms)
-        prefill_ms = capacity.prefill_ms(
-            slot_request.prompt_tokens - choice.predicted_prefix_tokens
-        )
-        if backlog_ms + prefill_ms <= headroom_ms:
-            return True
-        if backlog_ms > 0:
-            return False
-        max_other_ms = headroom_ms * OPEN_BACKLOG_SHARE
-        others = [other for other in upstreams if other is not upstream]
-        return not others or any(
-            not other.is_leaving and other.capacity.backlog_ms(now_ms) <= max_other_ms
-            for other in others
-        )
-
 
 def _is_remote(upstream: Upstream, queued: QueuedSlotRequest) -> bool:
     """Return whether an upstream is known to be in another data centre."""
@@ -329,6 +301,17 @@
     return data_centre not in ("", upstream.spec.data_centre)
 
 
+def _keeps_headroom(
+    choice: Choice, headroom: Headroom, queued: QueuedSlotRequest
+) -> bool:
+    upstream = choice.upstream
+    if upstream.spec.kind is UpstreamKind.SERVICE:
+        return True
+    return headroom.is_kept(
+        upstream, choice.predicted_prefix_tokens, queued.slot_request
+    )
+
+
 def _has_prefix_hit(upstream: Upstream, slot_request: SlotRequest) -> bool:
     return upstream.hit_tokens(slot_request) >= MIN_DEFER_HIT_TOKENS
 
