Compute once for a placement what is the same for all upstreams

Most of it was the same for all of them: whether the request excludes any, is a suspect, fits the memory, whether any limit is named, any upstream brittle, any link of the host lost. Before that, each request was compared with all upstreams up to three times, to find one that suits, is not leaving and is large enough.

Ruled out: scanning fewer upstreams, as each may be the best one by its backlog and cache; a cache of the costs, as each grant changes them.

Change: a placement begins with a search that holds what is common; the decays of the failure and slow shares are computed only where there was a failure or slow token; the check for an upstream that suits ends at the first one; upstreams reserved for a higher tier are taken out only if there are any. The order of all checks and sums is kept.

--- a/features/decision_cost.feature
+++ b/features/decision_cost.feature
@@ -12,6 +12,10 @@
       | long prompts  |
       | refusals      |
 
+  Scenario: It isn't asked of each upstream whether it suits a request that all suit
+    When a decision with short prompts is played at 39 and 400 upstreams
+    Then as many upstreams are asked at both sizes whether they suit it
+
   Scenario: What is computed at less cost decides as the plain rules do
     When seeded loads are played with the plain rules and with ours
     Then both send the same messages at the same times
--- a/features/steps/decision_cost_steps.py
+++ b/features/steps/decision_cost_steps.py
@@ -9,6 +9,7 @@
 from benchmarks.instruction_count import InstructionCounter
 from benchmarks.leader_cost import LONG_PROMPT_TOKENS, SLOTS, LeaderLoad
 from benchmarks.scenarios import QUICK_MS, Scenario, our_driver, simulate
+from peridotfront.core.placement import Upstream
 from peridotfront.core.scheduler import CellScheduler
 
 DECISIONS = 4
@@ -48,6 +49,26 @@
         assert count <= context.counts[few] * upstreams / few, context.counts
 
 
+def count_asked(upstreams):
+    """Return how many upstreams are asked in a decision whether they suit it."""
+    load = LeaderLoad(upstreams)
+    load.fill(0)
+    with patch.object(Upstream, "suits", return_value=True) as suits:
+        load.decide()
+    return suits.call_count
+
+
+@when("a decision with short prompts is played at 39 and 400 upstreams")
+def count_asked_upstreams(context):
+    context.asked = [count_asked(39), count_asked(400)]
+
+
+@then("as many upstreams are asked at both sizes whether they suit it")
+def as_many_asked(context):
+    few, many = context.asked
+    assert few == many, context.asked
+
+
 def play_loads():
     """Return all that the schedulers do in seeded loads, with the times."""
     actions = []
--- a/src/peridotfront/core/brittle_upstreams.py
+++ b/src/peridotfront/core/brittle_upstreams.py
@@ -45,6 +45,9 @@
         self.share = 1.0
         self._upstreams: dict[str, _Brittle] = {}
 
+    def __len__(self) -> int:
+        return len(self._upstreams)
+
     def record_answer(
         self, upstream: str, rejections_per_s: float, now_ms: int
     ) -> None:
--- a/src/peridotfront/core/health.py
+++ b/src/peridotfront/core/health.py
@@ -167,6 +167,8 @@
 
         It falls with time too: an upstream that is passed by completes no request.
         """
+        if not self._failure_share:
+            return 0.0
         elapsed_ms = now_ms - self._failure_share_ms
         return self._failure_share * 0.5 ** (elapsed_ms / FAILURE_HALF_LIFE_MS)
 
--- a/src/peridotfront/core/host_reach.py
+++ b/src/peridotfront/core/host_reach.py
@@ -212,6 +212,11 @@
 
     # Use
 
+    def has_lost_links(self, host: str) -> bool:
+        """Return whether a host has lost its link to any upstream, lately or not."""
+        links = self._hosts.get(host)
+        return links is not None and (links.is_cut_off or bool(links.lost_ms))
+
     def has_lost_link(self, host: str, upstream: str, now_ms: int) -> bool:
         """Return whether a host should not connect to an upstream by itself."""
         links = self._hosts.get(host)
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
 from .brittle_upstreams import BrittleUpstreams
 from .fleet import Policy, UpstreamKind, UpstreamSpec
@@ -50,7 +51,7 @@
 
     def is_slow(self, now_ms: int) -> bool:
         """Return whether too large a share of its tokens is slow."""
-        return self.capacity.slow_share(now_ms) > SLOW_ENGINE_SHARE
+        return self.capacity.is_slow(SLOW_ENGINE_SHARE, now_ms)
 
     def limit(self, policy: Policy, is_urgent: bool, now_ms: int) -> int:
         """Return the maximum number of slots in use after a grant."""
@@ -63,6 +64,8 @@
 
     def hit_tokens(self, slot_request: SlotRequest) -> int:
         """Return the prompt tokens that the upstream's cache is expected to hold."""
+        if not slot_request.prefix_hashes:
+            return 0
         return self.prefixes.hit_tokens(
             slot_request.prefix_hashes,
             slot_request.prompt_tokens,
@@ -84,8 +87,7 @@
         return required_tokens <= self.spec.kv_capacity_tokens
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(NamedTuple):
     """Upstream that was chosen for a slot request.
 
     :param predicted_prefix_tokens: prompt tokens that its cache is expected to hold.
@@ -107,6 +109,30 @@
     upstream: Upstream | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Search:
+    """Search of an upstream for a slot request, with what is the same for all.
+
+    :param required_tokens: memory of an engine that the request may use.
+    :param is_selective: whether it does not allow all upstreams.
+    :param is_suspect: whether it may crash upstreams.
+    :param has_lost_links: whether its host has lost the link to any upstream.
+    :param has_limits: whether any upstream has named a limit.
+    :param has_brittle: whether any upstream must not reject many requests.
+    """
+
+    queued: QueuedSlotRequest
+    slot_request: SlotRequest
+    now_ms: int
+    required_tokens: int
+    is_urgent: bool
+    is_selective: bool
+    is_suspect: bool
+    has_lost_links: bool
+    has_limits: bool
+    has_brittle: bool
+
+
 class Availability(Enum):
     """Availability of an upstream for a slot request."""
 
@@ -159,21 +185,20 @@
             use the headroom.
         :return: None if all upstreams are full or unavailable.
         """
-        is_urgent = queued.deadline_at_ms - now_ms < self._policy.urgent_ms
+        search = self._begin_search(queued, now_ms)
         availabilities = [
-            self._availability(upstream, queued, is_urgent, now_ms)
-            for upstream in upstreams
+            self._availability(upstream, search) for upstream in upstreams
         ]
         if Availability.AVAILABLE not in availabilities:
             return Deferral() if Availability.UNSUITABLE in availabilities else None
         may_defer = bool(queued.slot_request.prefix_hashes) and self._may_defer(
-            queued, is_urgent, now_ms
+            queued, search.is_urgent, now_ms
         )
         headroom = Headroom(self._policy, upstreams, now_ms)
         best = best_deferred = None
         for upstream, availability in zip(upstreams, availabilities, strict=True):
             if availability is Availability.AVAILABLE:
-                choice = self._score(upstream, queued, now_ms)
+                choice = self._score(upstream, search)
                 if is_highest or _keeps_headroom(choice, headroom, queued):
                     best = _cheaper(best, choice)
                 elif may_defer:
@@ -185,7 +210,7 @@
                 and availability is Availability.FULL
                 and _has_prefix_hit(upstream, queued.slot_request)
             ):
-                choice = self._score(upstream, queued, now_ms)
+                choice = self._score(upstream, search)
                 best_deferred = _cheaper(best_deferred, self._add_wait(choice, now_ms))
         if best is None:
             return Deferral()
@@ -207,57 +232,65 @@
         cost_ms = choice.cost_ms + wait_ms
         return Choice(choice.upstream, choice.predicted_prefix_tokens, cost_ms)
 
-    def _availability(
-        self,
-        upstream: Upstream,
-        queued: QueuedSlotRequest,
-        is_urgent: bool,
-        now_ms: int,
-    ) -> Availability:
-        capacity = upstream.capacity
+    def _begin_search(self, queued: QueuedSlotRequest, now_ms: int) -> _Search:
         slot_request = queued.slot_request
+        return _Search(
+            queued=queued,
+            slot_request=slot_request,
+            now_ms=now_ms,
+            required_tokens=slot_request.prompt_tokens + slot_request.output_tokens,
+            is_urgent=queued.deadline_at_ms - now_ms < self._policy.urgent_ms,
+            is_selective=bool(slot_request.excluded or slot_request.software_version),
+            is_suspect=self._poison_detector.is_suspect(slot_request.fingerprint),
+            has_lost_links=self._reach.has_lost_links(queued.host),
+            has_limits=len(self._limits) > 0,
+            has_brittle=len(self._brittle) > 0,
+        )
+
+    def _availability(self, upstream: Upstream, search: _Search) -> Availability:
         if upstream.is_leaving:
             return Availability.UNAVAILABLE
-        limit = self._limit(upstream, queued, is_urgent, now_ms)
-        if limit == 0 or not upstream.fits_when_empty(slot_request):
+        limit = upstream.limit(self._policy, search.is_urgent, search.now_ms)
+        if limit == 0 or search.has_brittle:
+            limit = self._exceptional_limit(upstream, limit, search)
+        if limit == 0:
             return Availability.UNAVAILABLE
-        if not self._limits.allows(upstream.name, now_ms):
+        spec = upstream.spec
+        is_engine = spec.kind is not UpstreamKind.SERVICE
+        if is_engine and search.required_tokens > spec.kv_capacity_tokens:
             return Availability.UNAVAILABLE
-        if len(capacity.slots) >= limit:
+        if search.has_limits and not self._limits.allows(spec.name, search.now_ms):
+            return Availability.UNAVAILABLE
+        if len(upstream.capacity.slots) >= limit:
             return Availability.FULL
-        if not upstream.suits(slot_request):
+        if search.is_selective and not upstream.suits(search.slot_request):
             return Availability.UNSUITABLE
-        if upstream.suspects and self._poison_detector.is_suspect(
-            slot_request.fingerprint
-        ):
+        if search.is_suspect and upstream.suspects:
             return Availability.UNSUITABLE
-        if upstream.spec.kind is UpstreamKind.SERVICE:
-            return Availability.AVAILABLE
-        if capacity.slots and not self._fits_memory(upstream, slot_request):
+        if is_engine:
+            return self._engine_availability(upstream, search)
+        return Availability.AVAILABLE
+
+    def _engine_availability(self, upstream: Upstream, search: _Search) -> Availability:
+        """Return the availability of an engine with a free slot."""
+        capacity = upstream.capacity
+        now_ms = search.now_ms
+        if capacity.slots and not _fits_memory(upstream, search):
             return Availability.FULL
-        if upstream.is_slow(now_ms) and not self._accepts_slow(queued, now_ms):
+        if upstream.is_slow(now_ms) and not self._accepts_slow(search.queued, now_ms):
             return Availability.UNSUITABLE
         has_short_queue = capacity.backlog_ms(now_ms) <= self._policy.engine_queue_ms
         return Availability.AVAILABLE if has_short_queue else Availability.FULL
 
-    def _limit(
-        self,
-        upstream: Upstream,
-        queued: QueuedSlotRequest,
-        is_urgent: bool,
-        now_ms: int,
+    def _exceptional_limit(
+        self, upstream: Upstream, limit: int, search: _Search
     ) -> int:
-        limit = upstream.limit(self._policy, is_urgent, now_ms)
-        if limit == 0 and self._reach.may_test(queued.host, upstream.name, now_ms):
+        """Return the limit of an upstream that is out of service, or is brittle."""
+        name = upstream.name
+        now_ms = search.now_ms
+        if limit == 0 and self._reach.may_test(search.queued.host, name, now_ms):
             limit = int(upstream.capacity.limit_slots)
-        return self._brittle.usable_slots(upstream.name, limit, now_ms)
-
-    def _fits_memory(self, upstream: Upstream, slot_request: SlotRequest) -> bool:
-        if upstream.capacity.fits_memory(slot_request, 0):
-            return True
-        return upstream.capacity.fits_memory(
-            slot_request, upstream.hit_tokens(slot_request)
-        )
+        return self._brittle.usable_slots(name, limit, now_ms)
 
     def _accepts_slow(self, queued: QueuedSlotRequest, now_ms: int) -> bool:
         if queued.slot_request.tier == HIGHEST_TIER:
@@ -265,17 +298,12 @@
         max_wait_ms = queued.deadline_at_ms - queued.since_ms
         return now_ms - queued.since_ms >= max_wait_ms * SLOW_MIN_WAIT_RATIO
 
-    def _score(
-        self, upstream: Upstream, queued: QueuedSlotRequest, now_ms: int
-    ) -> Choice:
-        slot_request = queued.slot_request
+    def _score(self, upstream: Upstream, search: _Search) -> Choice:
+        queued = search.queued
+        now_ms = search.now_ms
+        slot_request = search.slot_request
         capacity = upstream.capacity
-        fill_ms = FILL_COST_MS * len(capacity.slots) / max(1.0, capacity.limit_slots)
-        failure_cost_ms = upstream.health.failure_share(now_ms) * FAILURE_COST_MS
-        remote_cost_ms = REMOTE_COST_MS * _is_remote(upstream, queued)
-        if self._reach.has_lost_link(queued.host, upstream.name, now_ms):
-            remote_cost_ms += RELAY_COST_MS
-        fixed_cost_ms = fill_ms + failure_cost_ms + remote_cost_ms
+        fixed_cost_ms = self._fixed_cost_ms(upstream, search)
         if upstream.spec.kind is UpstreamKind.SERVICE:
             return Choice(upstream, 0, capacity.call_ms(now_ms) + fixed_cost_ms)
         prefixes = upstream.prefixes
@@ -294,11 +322,29 @@
         )
         return Choice(upstream, hit_tokens, cost_ms)
 
+    def _fixed_cost_ms(self, upstream: Upstream, search: _Search) -> float:
+        """Return the costs that do not depend on the size of the request."""
+        capacity = upstream.capacity
+        now_ms = search.now_ms
+        fill_ms = FILL_COST_MS * len(capacity.slots) / max(1.0, capacity.limit_slots)
+        failure_cost_ms = upstream.health.failure_share(now_ms) * FAILURE_COST_MS
+        spec = upstream.spec
+        data_centre = search.queued.data_centre
+        is_remote = data_centre not in ("", spec.data_centre)
+        link_cost_ms = REMOTE_COST_MS if is_remote else 0.0
+        if search.has_lost_links and self._reach.has_lost_link(
+            search.queued.host, spec.name, now_ms
+        ):
+            link_cost_ms += RELAY_COST_MS
+        return fill_ms + failure_cost_ms + link_cost_ms
+
 
-def _is_remote(upstream: Upstream, queued: QueuedSlotRequest) -> bool:
-    """Return whether an upstream is known to be in another data centre."""
-    data_centre = queued.data_centre
-    return data_centre not in ("", upstream.spec.data_centre)
+def _fits_memory(upstream: Upstream, search: _Search) -> bool:
+    capacity = upstream.capacity
+    if capacity.fits_memory(search.required_tokens):
+        return True
+    hit_tokens = upstream.hit_tokens(search.slot_request)
+    return capacity.fits_memory(search.required_tokens - hit_tokens)
 
 
 def _keeps_headroom(
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -369,16 +369,15 @@
     def _rejection_reason(self, slot_request: SlotRequest) -> Reason:
         if self._poison_detector.is_poison(slot_request.fingerprint):
             return Reason.POISON
-        candidates = [
-            upstream
-            for upstream in self._upstreams_by_model.get(slot_request.model, ())
-            if upstream.suits(slot_request)
-        ]
-        if all(upstream.is_leaving for upstream in candidates):
-            return Reason.NO_UPSTREAM
-        if not any(upstream.fits_when_empty(slot_request) for upstream in candidates):
-            return Reason.TOO_LARGE
-        return Reason.NONE
+        is_served = is_fitting = False
+        for upstream in self._candidates(slot_request.model):
+            if not upstream.suits(slot_request):
+                continue
+            is_served = is_served or not upstream.is_leaving
+            is_fitting = is_fitting or upstream.fits_when_empty(slot_request)
+            if is_served and is_fitting:
+                return Reason.NONE
+        return Reason.TOO_LARGE if is_served else Reason.NO_UPSTREAM
 
     def _refuse_stranded(self) -> Iterator[Action]:
         """Refuse the queued slot requests whose software version has left."""
@@ -428,10 +427,11 @@
         for tier in self._queues.tiers():
             for model, queue in self._queues.models(tier):
                 queue.demote_missed_goals(now_ms)
-                candidates = self._candidates(model)
-                free = [
-                    upstream for upstream in candidates if upstream.name not in blocked
-                ]
+                free = self._candidates(model)
+                if blocked:
+                    free = [
+                        upstream for upstream in free if upstream.name not in blocked
+                    ]
                 while free and len(queue):
                     granted = self._grant_next(queue, free, blocked, now_ms)
                     if granted is None:
--- a/src/peridotfront/core/upstream_capacity.py
+++ b/src/peridotfront/core/upstream_capacity.py
@@ -128,8 +128,17 @@
 
     def slow_share(self, now_ms: int) -> float:
         """Return the recent share of slow tokens, which decays without new tokens."""
+        if not self._slow_share:
+            return 0.0
         return self._slow_share * exp((self._slow_share_ms - now_ms) / SLOW_DECAY_MS)
 
+    def is_slow(self, min_share: float, now_ms: int) -> bool:
+        """Return whether more than a share of the recent tokens is slow.
+
+        The share only falls with time, so most upstreams need no look at the decay.
+        """
+        return self._slow_share > min_share and self.slow_share(now_ms) > min_share
+
     def call_ms(self, now_ms: int) -> float:
         """Return the expected duration of a call to a plain service.
 
@@ -156,14 +165,8 @@
         """Return the time that the upstream takes to process prompt tokens."""
         return tokens * 1000.0 / self.prefill_tokens_per_s
 
-    def fits_memory(self, slot_request: SlotRequest, cached_tokens: int) -> bool:
-        """Return whether a slot request's tokens fit beside those of the held slots.
-
-        :param cached_tokens: prompt tokens that the upstream's cache holds.
-        """
-        required_tokens = (
-            slot_request.prompt_tokens - cached_tokens + slot_request.output_tokens
-        )
+    def fits_memory(self, required_tokens: int) -> bool:
+        """Return whether so many tokens fit beside those of the held slots."""
         return (
             self.kv_tokens + required_tokens <= self.kv_capacity_tokens * MAX_KV_SHARE
         )
