Keep the lowest tier in use at each upstream, so that a refusal looks at no slot

Cause: each refusal asks whether a request of a lower tier runs anywhere.

Ruled out: the queues of lower tiers, which are asked for their lengths only.

Change: an upstream's capacity counts its slots by tier and keeps the lowest; upstreams without lower tiers are passed by.

--- a/benchmarks/leader_cost.py
+++ b/benchmarks/leader_cost.py
@@ -61,6 +61,7 @@
     :param accounts: number of client accounts.
     :param prompt_tokens: length of each prompt.
     :param lowest_tier: lowest tier of the requests.
+    :param slots: slots of each upstream.
     """
 
     def __init__(
@@ -69,9 +70,10 @@
         accounts: int = 5,
         prompt_tokens: int = PROMPT_TOKENS,
         lowest_tier: int = TIERS,
+        slots: int = SLOTS,
     ):
         self.now_ms = 0
-        self.slots = upstreams * SLOTS
+        self.slots = upstreams * slots
         self.grants: deque[Grant] = deque()
         self.refused = 0
         self.waiting = 0
@@ -84,11 +86,11 @@
         self.schedulers = ServiceSchedulers(
             SharedLimits(), StreamOrigins(), guard, UpstreamLimits()
         )
-        self._configure(upstreams)
+        self._configure(upstreams, slots)
         self._step(Tick())
         self.now_ms = 1000
 
-    def _configure(self, upstreams: int) -> None:
+    def _configure(self, upstreams: int, slots: int) -> None:
         service = RoutedService(SERVICE, EngineProperties(64, 10**6))
         names = [f"a{number}" for number in range(self.accounts)]
         routing = RoutingConfig(
@@ -97,7 +99,7 @@
             accounts=tuple([RoutedAccount(name, ()) for name in names]),
         )
         listed = [
-            ListedUpstream(f"u{number}", SERVICE, "", "", SLOTS, False)
+            ListedUpstream(f"u{number}", SERVICE, "", "", slots, False)
             for number in range(upstreams)
         ]
         tuple(self.schedulers.apply_routing(routing, 0))
--- a/features/steps/decision_cost_steps.py
+++ b/features/steps/decision_cost_steps.py
@@ -49,6 +49,27 @@
         assert count <= context.counts[few] * upstreams / few, context.counts
 
 
+def count_lowest_refusal(slots):
+    """Return the instructions of refusals where only their own tier runs."""
+    load = LeaderLoad(39, lowest_tier=1, slots=slots)
+    load.fill(load.slots)
+    refused = load.refused
+    count = count_of(load.refuse)
+    assert load.refused == refused + DECISIONS + 1, load.refused
+    return count
+
+
+@when("a refusal of the lowest tier is counted at 39 upstreams of 6 and 24 slots")
+def count_lowest_refusals(context):
+    context.refusal_counts = [count_lowest_refusal(6), count_lowest_refusal(24)]
+
+
+@then("its instructions grow by at most {percent:d} in 100")
+def grow_little(context, percent):
+    few, many = context.refusal_counts
+    assert many <= few * (1 + percent / 100), context.refusal_counts
+
+
 def count_asked(upstreams):
     """Return how many upstreams are asked in a decision whether they suit it."""
     load = LeaderLoad(upstreams)
--- a/features/support/plain_decisions.py
+++ b/features/support/plain_decisions.py
@@ -3,6 +3,7 @@
 from contextlib import ExitStack, contextmanager
 from unittest.mock import patch
 
+from peridotfront.core import load_shedding
 from peridotfront.core.headroom import OPEN_BACKLOG_SHARE, Headroom
 
 
@@ -26,7 +27,18 @@
     )
 
 
-RULES = ((Headroom, "is_kept", is_headroom_kept),)
+def find_lower_tier_slots(tier, upstreams):
+    """Yield the slots of lower tiers, by a look at each slot."""
+    for upstream in upstreams:
+        if not upstream.is_leaving:
+            slots = upstream.capacity.slots.values()
+            yield from [slot for slot in slots if slot.slot_request.tier > tier]
+
+
+RULES = (
+    (Headroom, "is_kept", is_headroom_kept),
+    (load_shedding, "lower_tier_slots", find_lower_tier_slots),
+)
 
 
 @contextmanager
--- a/src/peridotfront/core/load_shedding.py
+++ b/src/peridotfront/core/load_shedding.py
@@ -220,7 +220,7 @@
 def lower_tier_slots(tier: int, upstreams: Iterable[Upstream]) -> Iterator[Slot]:
     """Yield the slots of lower tiers at upstreams that a slot request could use."""
     for upstream in upstreams:
-        if upstream.is_leaving:
+        if upstream.is_leaving or upstream.capacity.lowest_tier <= tier:
             continue
         for slot in upstream.capacity.slots.values():
             if slot.slot_request.tier > tier:
--- a/src/peridotfront/core/upstream_capacity.py
+++ b/src/peridotfront/core/upstream_capacity.py
@@ -1,5 +1,6 @@
 """Slots in use at one upstream, and its capacity as learned from its progress."""
 
+from collections import Counter
 from dataclasses import dataclass
 from math import ceil, exp
 
@@ -76,6 +77,8 @@
     :param target_gap_ms: longest time between two tokens that callers accept.
     :param learns: whether the estimated rates follow the upstream's progress.
     :param learns_slots: whether the slot limit follows the progress too.
+
+    ``lowest_tier`` is the lowest tier of the slots in use; 0 if there are none.
     """
 
     def __init__(
@@ -100,6 +103,8 @@
         if not self.learns_slots:
             self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
+        self.lowest_tier = 0
+        self._tier_slots: Counter[int] = Counter()
         self.kv_tokens = 0
         self.hold_ms = INITIAL_HOLD_MS
         self._call_measured_ms = 0
@@ -175,6 +180,9 @@
         """Add a slot and queue its prefill."""
         self.slots[slot.slot_request.request_id] = slot
         self.kv_tokens += slot.kv_tokens
+        tier = slot.slot_request.tier
+        self._tier_slots[tier] += 1
+        self.lowest_tier = max(self.lowest_tier, tier)
         if slot.prefill_tokens > 0:
             self._queue_prefill(slot, now_ms)
         slot.progress_ms = now_ms
@@ -193,9 +201,17 @@
         """Remove a slot and its pending prefill."""
         slot = self.slots.pop(request_id)
         self.kv_tokens -= slot.kv_tokens
+        self._forget_tier(slot.slot_request.tier)
         self._pending_total_ms -= self._pending_prefill_ms.pop(request_id, 0.0)
         return slot
 
+    def _forget_tier(self, tier: int) -> None:
+        """Count a slot of a tier less."""
+        self._tier_slots[tier] -= 1
+        if not self._tier_slots[tier]:
+            del self._tier_slots[tier]
+            self.lowest_tier = max(self._tier_slots, default=0)
+
     def record_first_token(self, slot: Slot, now_ms: int) -> None:
         """Record the first token of a request and update the prefill rate.
 
