Compute no share of the queue for an account that waits for nothing

Cause: whether a new slot request can meet its goal depends on the share of the queue that is granted before its account's turn.

Ruled out: a running sum of the loads, as the share needs the lesser of each and the account's own.

Change: the share is 0 for an account without punctual slot requests in the queue; else it is computed as before, in one walk less.

Open: an account that has slot requests in the queue still costs a walk over all that wait, as does the choice of a late slot request to refuse.

--- a/features/decision_cost.feature
+++ b/features/decision_cost.feature
@@ -16,6 +16,10 @@
     When a refusal of the lowest tier is counted at 39 upstreams of 6 and 24 slots
     Then its instructions grow by at most 5 in 100
 
+  Scenario: A decision for an account that waits for nothing doesn't walk over all others
+    When a decision is counted where 5 and 1000 accounts wait
+    Then its instructions grow by at most 5 in 100
+
   Scenario: It isn't asked of each upstream whether it suits a request that all suit
     When a decision with short prompts is played at 39 and 400 upstreams
     Then as many upstreams are asked at both sizes whether they suit it
--- a/features/steps/decision_cost_steps.py
+++ b/features/steps/decision_cost_steps.py
@@ -13,6 +13,7 @@
 from peridotfront.core.scheduler import CellScheduler
 
 DECISIONS = 4
+WAITING = 1000
 SEED = 1
 ENGINE_LOADS = ((6, 0.8), (6, 2.0), (39, 2.0))
 ENGINE_LOAD_MS = 4000
@@ -61,13 +62,26 @@
 
 @when("a refusal of the lowest tier is counted at 39 upstreams of 6 and 24 slots")
 def count_lowest_refusals(context):
-    context.refusal_counts = [count_lowest_refusal(6), count_lowest_refusal(24)]
+    context.pair = [count_lowest_refusal(6), count_lowest_refusal(24)]
+
+
+def count_beside_accounts(accounts):
+    """Return the instructions of decisions while slot requests of accounts wait."""
+    load = LeaderLoad(39, accounts)
+    load.fill(WAITING)
+    assert load.waiting > WAITING / 2, load.waiting
+    return count_of(load.decide)
+
+
+@when("a decision is counted where 5 and 1000 accounts wait")
+def count_beside_waiting(context):
+    context.pair = [count_beside_accounts(5), count_beside_accounts(3100)]
 
 
 @then("its instructions grow by at most {percent:d} in 100")
 def grow_little(context, percent):
-    few, many = context.refusal_counts
-    assert many <= few * (1 + percent / 100), context.refusal_counts
+    few, many = context.pair
+    assert many <= few * (1 + percent / 100), context.pair
 
 
 def count_asked(upstreams):
--- a/features/support/plain_decisions.py
+++ b/features/support/plain_decisions.py
@@ -5,6 +5,7 @@
 
 from peridotfront.core import load_shedding
 from peridotfront.core.headroom import OPEN_BACKLOG_SHARE, Headroom
+from peridotfront.core.queues import FairQueue
 
 
 def is_headroom_kept(headroom, upstream, predicted_prefix_tokens, slot_request):
@@ -35,9 +36,23 @@
             yield from [slot for slot in slots if slot.slot_request.tier > tier]
 
 
+def share_ahead(queue, name):
+    """Return the share of the punctual demand before an account's, by all accounts."""
+    tokens = {
+        other: (account.queued_tokens - account.late_tokens) / account.weight
+        for other, account in queue._accounts.items()
+    }
+    total_tokens = sum(tokens.values())
+    if total_tokens <= 0:
+        return 1.0
+    own_tokens = tokens.get(name, 0.0)
+    return sum(min(own_tokens, other) for other in tokens.values()) / total_tokens
+
+
 RULES = (
     (Headroom, "is_kept", is_headroom_kept),
     (load_shedding, "lower_tier_slots", find_lower_tier_slots),
+    (FairQueue, "share_ahead", share_ahead),
 )
 
 
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -79,6 +79,11 @@
         """Return the queued tokens per unit of weight."""
         return self.queued_tokens / self.weight
 
+    @property
+    def punctual_load(self) -> float:
+        """Return the queued tokens that can meet their goals per unit of weight."""
+        return (self.queued_tokens - self.late_tokens) / self.weight
+
     def add(self, queued: QueuedSlotRequest, sequence: int) -> None:
         """Add a slot request; the sequence number keeps equal times in order."""
         request_id = queued.slot_request.request_id
@@ -229,15 +234,14 @@
 
         All accounts get their turns, so one with little queued does not wait for all.
         """
-        tokens = {
-            other: (account.queued_tokens - account.late_tokens) / account.weight
-            for other, account in self._accounts.items()
-        }
-        total_tokens = sum(tokens.values())
-        if total_tokens <= 0:
+        if len(self) == self._late_count:
             return 1.0
-        own_tokens = tokens.get(name, 0.0)
-        return sum(min(own_tokens, other) for other in tokens.values()) / total_tokens
+        own = self._accounts.get(name)
+        if own is None or own.punctual_load == 0:
+            return 0.0
+        own_load = own.punctual_load
+        loads = [account.punctual_load for account in self._accounts.values()]
+        return sum(min(own_load, load) for load in loads) / sum(loads)
 
     def newest_late(self) -> QueuedSlotRequest | None:
         """Return the newest late slot request of the account with the highest load."""
