Let no two runs on one machine share a loopback network

The network of a run came from its process id modulo 200, so that two runs beside each other could get the same one, and the second could bind no address. A run now reserves its network by a bound socket and takes the next one if it is taken: three processes with the same id modulo 200 get three networks.

--- a/soak/world.py
+++ b/soak/world.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import socket
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -16,8 +17,26 @@
 EVENT_INTERVAL_S = 0.02
 CALL_S = 0.02
 SILENCE_STEP_S = 0.01
-# Concurrent runs on one machine must not share an address.
-NETWORK = f"127.{10 + os.getpid() % 200}"
+FIRST_NETWORK = 10
+NETWORKS = 200
+LOCK_PORT = 7599
+
+
+def _reserve_network():
+    """Return a network that no other run on this machine uses, and its lock."""
+    for offset in range(NETWORKS):
+        number = FIRST_NETWORK + (os.getpid() + offset) % NETWORKS
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.255.254", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return f"127.{number}", lock
+    raise RuntimeError("all loopback networks are in use")
+
+
+NETWORK, _NETWORK_LOCK = _reserve_network()
 LIST_ADDRESS = (f"{NETWORK}.9.1", 8225)
 UPSTREAM_PORT = 8080
 CHUNK_BYTES = 65_536
