Close cleanly after the last answer that a caller asked for

Such bytes are read and dropped again; only a close of ours leaves them unread. 65 scenarios of http_fuzz, callers and closing_connections pass.

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -358,7 +358,7 @@
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
         self._transport.write(b"".join(parts))
-        self._close_after_linger()
+        self._close_after_linger(CloseCause.REFUSED)
 
     # Sending answers.
 
@@ -402,7 +402,7 @@
             self._close_unread(CloseCause.DRAINING)
             return
         if self._http.our_state is not h11.DONE:
-            self._close_unread(CloseCause.LAST_ANSWER)
+            self._close_after_linger(CloseCause.LAST_ANSWER)
             return
         self._http.start_next_cycle()
         self._head = None
@@ -546,14 +546,15 @@
         unacknowledged = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
         return not any(unacknowledged)
 
-    def _close_after_linger(self) -> None:
-        # The rest of the refused request is read, or a reset would lose the refusal.
+    def _close_after_linger(self, cause: CloseCause) -> None:
+        # The rest of a refused request is read, or a reset would lose the refusal, and
+        # so is what a caller sends behind a request that it called its last one.
         if self._has_received_eof:
-            self._close(CloseCause.REFUSED)
+            self._close(cause)
             return
         if self._transport.can_write_eof():
             self._write_eof()
-        self._begin_closing(CloseCause.REFUSED)
+        self._begin_closing(cause)
         self._resume_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
 
