--- a/src/peridotfront/failover.py
+++ b/src/peridotfront/failover.py
@@ -5,7 +5,9 @@
 
 from .core.attempts import failover_timeout_ms, min_service_time_ms
 from .core.gateway_events import SlotRefused
+from .exceptions import UpstreamTimedOut
 from .exchanges import Exchange
+from .link_checker import LinkChecker
 from .request_log import RequestLog
 from .routed_requests import AdmittedRequest
 from .runtime import now_ms
@@ -22,6 +24,7 @@
     until another upstream has a free slot.
 
     :param slot_finder: finder of slots for the request.
+    :param links: checker of this host's links to the upstreams.
     :param admitted: the request with its route, service and account.
     :param exchange: exchange with the caller.
     :param may_continue: function that returns whether another upstream can go on with
@@ -32,12 +35,14 @@
     def __init__(
         self,
         slot_finder: SlotFinder,
+        links: LinkChecker,
         admitted: AdmittedRequest,
         exchange: Exchange,
         may_continue: Callable[[], bool],
         log: RequestLog,
     ):
         self._slot_finder = slot_finder
+        self._links = links
         self._admitted = admitted
         self._exchange = exchange
         self._may_continue = may_continue
@@ -56,6 +61,7 @@
         :param sending: task that sends the request and passes on its answer.
         :param sends: number of sends of the request so far.
         :return: a slot at another upstream; None if the send has ended.
+        :raises UpstreamTimedOut: if the upstream is silent and can't be reached.
         """
         is_reported = False
         while not sending.done():
@@ -69,11 +75,23 @@
             if not is_reported:
                 is_reported = True
                 self._report(attempt)
+                await self._check_link(attempt)
             slot = await self._search_on(sending, attempt, sends)
             if slot is not None:
                 return slot
         return None
 
+    async def _check_link(self, attempt: SendAttempt) -> None:
+        """Fail the send if no connection opens to its silent upstream either.
+
+        On a lost link nothing would ever come, and the send would keep its slot.
+        """
+        grant = attempt.grant
+        if grant.relay or await self._links.is_open(grant.upstream, grant.address):
+            return
+        if attempt.is_silent(self._timeout_ms):
+            raise UpstreamTimedOut("silent and out of reach", grant.address)
+
     async def take(self) -> GrantedSlot | SlotRefused | None:
         """Wait for the search that was under way when the send ended.
 
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -119,7 +119,7 @@
         self._log = RequestLog()
         self._slot_finder = SlotFinder(server, admitted, self._attempts, self._log)
         self._failover = Failover(
-            self._slot_finder, admitted, exchange, self._may_continue, self._log
+            self._slot_finder, links, admitted, exchange, self._may_continue, self._log
         )
         self._events = EventRelay(
             server, admitted, exchange, self._slot_finder, self._on_stream_started
--- a/src/peridotfront/link_checker.py
+++ b/src/peridotfront/link_checker.py
@@ -76,6 +76,16 @@
         if now_ms() - self._last_check_ms >= MIN_INTERVAL_MS and self._begin(upstream):
             self._tasks.start(self._check_return(upstream, address, health_path))
 
+    async def is_open(self, upstream: str, address: str) -> bool:
+        """Return whether a new connection opens to an upstream that is silent."""
+        try:
+            await self._client.connect(address, CONNECT_MS)
+        except ConnectFailed as error:
+            self._client.close_idle(address)
+            self._report(upstream, LinkState.LOST, str(error))
+            return False
+        return True
+
     def _begin(self, upstream: str) -> bool:
         """Return whether a check is due, and record that it begins."""
         at_ms = now_ms()
