--- a/src/peridotfront/link_checker.py
+++ b/src/peridotfront/link_checker.py
@@ -77,7 +77,10 @@
             self._tasks.start(self._check_return(upstream, address, health_path))
 
     async def is_open(self, upstream: str, address: str) -> bool:
-        """Return whether a new connection opens to an upstream that is silent."""
+        """Return whether a new connection opens to an upstream that is silent.
+
+        A lost link is reported.
+        """
         try:
             await self._client.connect(address, CONNECT_MS)
         except ConnectFailed as error:
@@ -96,15 +99,8 @@
         return True
 
     async def _check_late(self, upstream: str, address: str) -> None:
-        state = LinkState.SILENT
-        detail = ""
-        try:
-            await self._client.connect(address, CONNECT_MS)
-        except ConnectFailed as error:
-            state = LinkState.LOST
-            detail = str(error)
-            self._client.close_idle(address)
-        self._report(upstream, state, detail)
+        if await self.is_open(upstream, address):
+            self._report(upstream, LinkState.SILENT, "")
 
     async def _check_return(
         self, upstream: str, address: str, health_path: str
