Keep the slot that a search has found in one place

Forwarding kept a found slot beside the search that found it, with a give-back of its own and two checks for it. The search keeps it now: watch says whether there is one, take returns it, and abandon gives it back. 169 scenarios of the features that send, close and end requests pass, and 21 of silent_upstreams.

--- a/src/peridotfront/failover.py
+++ b/src/peridotfront/failover.py
@@ -53,14 +53,15 @@
 
     async def watch(
         self, sending: asyncio.Task, attempt: SendAttempt, sends: int
-    ) -> GrantedSlot | None:
+    ) -> bool:
         """Wait until a send ends, or until another upstream is to have the request.
 
-        A search that is under way when the send ends goes on, see :meth:`take`.
+        A search that is under way when the send ends goes on.
 
         :param sending: task that sends the request and passes on its answer.
         :param sends: number of sends of the request so far.
-        :return: a slot at another upstream; None if the send has ended.
+        :return: whether :meth:`take` has a slot at another upstream; else the send has
+            ended.
         :raises UpstreamTimedOut: if the upstream is silent and can't be reached.
         """
         is_reported = False
@@ -71,15 +72,14 @@
                 continue
             if not self._may_search():
                 await asyncio.wait((sending,))
-                return None
+                return False
             if not is_reported:
                 is_reported = True
                 self._report(attempt)
                 await self._check_link(attempt)
-            slot = await self._search_on(sending, attempt, sends)
-            if slot is not None:
-                return slot
-        return None
+            if await self._search_on(sending, attempt, sends):
+                return True
+        return False
 
     async def _check_link(self, attempt: SendAttempt) -> None:
         """Fail the send if no connection opens to its silent upstream either.
@@ -93,9 +93,9 @@
             raise UpstreamTimedOut("silent and out of reach", grant.address)
 
     async def take(self) -> GrantedSlot | SlotRefused | None:
-        """Wait for the search that was under way when the send ended.
+        """Return what the search has found, and wait for one that is under way.
 
-        :return: its slot or refusal; None if there is none.
+        :return: the slot or the refusal; None if there is none.
         """
         if self._is_searching_start and self._exchange.is_started:
             # The slot may be at another software version than the begun stream's.
@@ -126,10 +126,10 @@
 
     async def _search_on(
         self, sending: asyncio.Task, attempt: SendAttempt, sends: int
-    ) -> GrantedSlot | None:
+    ) -> bool:
         """Search for another slot for a moment, while the send is silent.
 
-        :return: the slot; None if there is none yet, or if the send has ended.
+        :return: whether it is found, and the send is still silent.
         """
         if self._search is None:
             self._is_searching_start = not self._exchange.is_started
@@ -145,13 +145,14 @@
         )
         is_needed = not sending.done() and attempt.is_silent(self._timeout_ms)
         if not (self._search.done() and is_needed):
-            return None
-        slot = await self.take()
+            return False
+        slot = self._search.result()
         if isinstance(slot, GrantedSlot):
-            return slot
+            return True
+        self._search = None
         refusal = slot.refusal if slot is not None else None
         await _wait(sending, search_interval_ms(refusal))
-        return None
+        return False
 
     def _give_back_found(self, search: asyncio.Task) -> None:
         if search.cancelled() or search.exception() is not None:
--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -124,7 +124,6 @@
         self._events = EventRelay(
             server, admitted, exchange, self._slot_finder, self._on_stream_started
         )
-        self._next_slot: GrantedSlot | None = None
         self._failure: tuple[int, tuple[Header, ...], bytes] | None = None
         self.outcome = "unfinished"
         self.reason = Reason.NONE
@@ -156,13 +155,10 @@
             await self._run()
         finally:
             self._failover.abandon()
-            if self._next_slot is not None:
-                self._slot_finder.give_back(self._next_slot)
 
     async def _run(self) -> None:
         while True:
-            is_late = self._remaining_ms() < min_service_time_ms(self._admitted.route)
-            if is_late and self._next_slot is None:
+            if self._remaining_ms() < min_service_time_ms(self._admitted.route):
                 await self._give_up(Reason.DEADLINE, 0)
                 return
             slot = await self._take_slot()
@@ -195,10 +191,7 @@
 
     async def _take_slot(self) -> GrantedSlot | SlotRefused | None:
         """Return the slot that was found during the last send, or request one."""
-        slot = self._next_slot
-        self._next_slot = None
-        if slot is None:
-            slot = await self._failover.take()
+        slot = await self._failover.take()
         if slot is not None:
             return slot
         return await self._slot_finder.acquire(self.sends, self._exchange.is_started)
@@ -277,11 +270,11 @@
             return await self._forward(attempt)
         sending = asyncio.ensure_future(self._forward(attempt))
         try:
-            self._next_slot = await self._failover.watch(sending, attempt, self.sends)
+            is_found = await self._failover.watch(sending, attempt, self.sends)
         finally:
             sending.cancel()
             await asyncio.gather(sending, return_exceptions=True)
-        if self._next_slot is None:
+        if not is_found:
             return sending.result()
         raise UpstreamTimedOut(
             "the upstream was silent, and another one has a free slot",
