Refuse a cancelled request by the code that refuses any other

The gateway built the refusal of a request whose handler is cancelled by itself, with the status rules of forwarding. Forwarding does it now, beside its other refusals.

--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -447,6 +447,21 @@
             reason,
             max(0, min(retry_after_ms, max_retry_after_ms)),
         )
+        await self._refuse(refusal)
+
+    async def end_cancelled(self) -> None:
+        """Refuse the request, whose handler is cancelled, or cut its answer.
+
+        :raises CallerGone: if the caller's connection is closed.
+        """
+        self.outcome = "cancelled"
+        if self._exchange.is_started:
+            self._exchange.abort()
+            return
+        self.reason = Reason.LEAVING
+        await self._refuse(Refusal(self.verdict, self.reason))
+
+    async def _refuse(self, refusal: Refusal) -> None:
         self.status_code = int(status_code_of(refusal, NOT_RUN_STATUS))
         await respond_refusal(self._exchange, self._codec, self.status_code, refusal)
 
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -10,11 +10,10 @@
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import CallerGone, InvalidRequest, RequestRefused
 from .exchanges import Exchange
-from .forwarding import NOT_RUN_STATUS, Forwarding, respond_refusal
+from .forwarding import Forwarding, respond_refusal
 from .gateway_server import GatewayServer
 from .link_checker import LinkChecker
 from .metrics import Metrics
-from .problems import status_code_of
 from .relay_client import UpstreamClients
 from .routed_requests import AdmittedRequest, RequestCodec
 
@@ -148,9 +147,15 @@
                 raise CallerGone("the caller closed its connection")
             forwarding_task.result()
         except asyncio.CancelledError:
-            forwarding.outcome = "cancelled"
             await _end_tasks(forwarding_task, gone)
-            await self._refuse_cancelled(exchange, forwarding)
+            logs.write(
+                "handler_cancelled",
+                is_started=exchange.is_started,
+                sends=forwarding.sends,
+                verdict=forwarding.verdict,
+            )
+            with contextlib.suppress(CallerGone):
+                await forwarding.end_cancelled()
             raise
         except CallerGone:
             raise
@@ -161,27 +166,6 @@
             await _end_tasks(forwarding_task, gone)
             self._record_end(admitted, forwarding)
 
-    async def _refuse_cancelled(
-        self, exchange: Exchange, forwarding: Forwarding
-    ) -> None:
-        """Refuse a request whose handler is cancelled, or cut its answer."""
-        logs.write(
-            "handler_cancelled",
-            is_started=exchange.is_started,
-            sends=forwarding.sends,
-            verdict=forwarding.verdict,
-        )
-        if exchange.is_started:
-            exchange.abort()
-            return
-        refusal = Refusal(forwarding.verdict, Reason.LEAVING)
-        forwarding.reason = refusal.reason
-        forwarding.status_code = int(status_code_of(refusal, NOT_RUN_STATUS))
-        with contextlib.suppress(CallerGone):
-            await respond_refusal(
-                exchange, self._codec, forwarding.status_code, refusal
-            )
-
     def _record_end(self, admitted: AdmittedRequest, forwarding: Forwarding) -> None:
         tier = admitted.tier
         self._metrics.count_answer(
