--- a/features/callers.feature
+++ b/features/callers.feature
@@ -149,6 +149,11 @@
     When it is drained right after a request on a keep-alive connection
     Then a request on that connection is served during the drain
 
+  Scenario: A caller over TLS that asked for the close is not kept waiting for it
+    Given a server with a certificate
+    When a caller reads an answer over TLS by HTTP/1.0
+    Then its connection has ended within 300 ms, with the end of TLS
+
   Scenario: Callers are served over TLS
     Given a server with a certificate
     When a client that trusts it sends a megabyte
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -5,6 +5,7 @@
 import socket
 import ssl
 import tempfile
+import time
 from functools import partial
 from pathlib import Path
 
@@ -590,6 +591,19 @@
     )
 
 
+@when("a caller reads an answer over TLS by HTTP/1.0")
+def read_answer_over_tls(context):
+    started_s = time.monotonic()
+    read_stream_over_tls(context)
+    context.duration_s = time.monotonic() - started_s
+
+
+@then("its connection has ended within {limit:d} ms, with the end of TLS")
+def tls_ended_in_time(context, limit):
+    assert context.end is None, context.end
+    assert context.duration_s * 1000 <= limit, context.duration_s
+
+
 @then("its connection ends without the end of TLS")
 def tls_is_not_ended(context):
     assert context.end is not None
--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -402,7 +402,7 @@
             self._close_unread(CloseCause.DRAINING)
             return
         if self._http.our_state is not h11.DONE:
-            self._close_after_linger(CloseCause.LAST_ANSWER)
+            self._half_close(CloseCause.LAST_ANSWER)
             return
         self._http.start_next_cycle()
         self._head = None
@@ -546,9 +546,18 @@
         unacknowledged = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
         return not any(unacknowledged)
 
+    def _half_close(self, cause: CloseCause) -> None:
+        """Close, and read what a caller sends behind what it called its last request.
+
+        A close with unread bytes would reset the connection and lose the answer.
+        """
+        if self._transport.can_write_eof():
+            self._close_after_linger(cause)
+        else:
+            self._close(cause)
+
     def _close_after_linger(self, cause: CloseCause) -> None:
-        # The rest of a refused request is read, or a reset would lose the refusal, and
-        # so is what a caller sends behind a request that it called its last one.
+        # The rest of a refused request is read, or a reset would lose the refusal.
         if self._has_received_eof:
             self._close(cause)
             return
