Build plain slot requests, and play a load with disturbances, in one place each, in tests

Three worlds of tests wrote the same slot request, and the programs under changes repeated the load loop of those before silent upstreams.

--- a/features/support/changing_processes.py
+++ b/features/support/changing_processes.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from peridotfront.exceptions import PeridotfrontError
-from peridotfront.http_client import ClientLimits, HttpClient
 from soak.callers import configuration
 
 from .silent_processes import SilentProcesses
@@ -30,25 +29,19 @@
     :param passing: number of answers on the route that comes and goes, by status.
     """
 
+    keep_alive_ms: int = KEEP_ALIVE_MS
     passing: Counter = field(default_factory=Counter)
     changes: int = 0
 
     async def _load(self, deployment, duration_s):
         self.operator.build = self._build_configuration
-        client = HttpClient(ClientLimits(keep_alive_ms=KEEP_ALIVE_MS))
-        helpers = [
-            asyncio.create_task(self._change_forever(deployment)),
-            asyncio.create_task(self._use_passing_route(client, deployment)),
-        ]
-        calls = set()
-        for number in range(int(duration_s / self._step_s)):
-            calls.add(asyncio.create_task(self._request(client, deployment, number)))
-            await asyncio.sleep(self._step_s)
-        await asyncio.gather(*calls)
-        for helper in helpers:
-            helper.cancel()
-        await asyncio.wait(helpers)
-        await client.close()
+        await super()._load(deployment, duration_s)
+
+    def _disturbances(self, client, deployment):
+        return (
+            self._change_forever(deployment),
+            self._use_passing_route(client, deployment),
+        )
 
     async def _change_forever(self, deployment):
         while True:
--- a/features/support/leaderless_host.py
+++ b/features/support/leaderless_host.py
@@ -12,7 +12,7 @@
     UpstreamLeaving,
 )
 from peridotfront.core.gateway_role import GatewayRole
-from peridotfront.core.messages import ListedUpstream, ReleaseCause, SlotRequest
+from peridotfront.core.messages import ListedUpstream, ReleaseCause
 from peridotfront.core.releases import build_release
 from peridotfront.core.retry_budgets import RetryLimits
 from peridotfront.core.routes import RouteTable
@@ -20,6 +20,7 @@
 from peridotfront.core.service_schedulers import SharedLimits
 
 from .routed_upstreams import routing
+from .slot_requests import plain_slot_request
 
 MAX_ACTIONS = 5000
 CAUSES = (
@@ -72,27 +73,13 @@
             draw = self.random.random()
             next(kind for limit, kind in kinds if draw < limit)()
 
-    def _slot_request(self, request_id, excluded=()):
-        return SlotRequest(
-            request_id=request_id,
-            cell="s",
-            model="",
-            tier=1,
-            client_account="club",
-            prompt_tokens=0,
-            output_tokens=0,
-            prefix_hashes=(),
-            fingerprint=0,
-            deadline_ms=3000,
-            goal_ms=300,
-            excluded=excluded,
-        )
-
     def _request(self):
         self.requests += 1
         count = self.random.choice((0, 0, 0, 1))
         excluded = tuple(self.random.sample(self.names, count))
-        self.feed(SlotRequested(self._slot_request(f"r{self.requests}", excluded)))
+        self.feed(
+            SlotRequested(plain_slot_request(f"r{self.requests}", excluded=excluded))
+        )
 
     def _release(self):
         if not self.granted:
@@ -102,7 +89,7 @@
         cause = self.random.choice(CAUSES)
         if cause is ReleaseCause.REJECTED:
             self.feed(UpstreamBusy(grant.upstream, 700))
-        slot_request = self._slot_request(request_id)
+        slot_request = plain_slot_request(request_id)
         release = build_release(slot_request, grant.upstream, cause, duration_ms=10)
         self.feed(SlotReleased(release))
 
--- a/features/support/repeat_world.py
+++ b/features/support/repeat_world.py
@@ -10,7 +10,6 @@
     NamedLimit,
     ReleaseCause,
     SlotRefusal,
-    SlotRequest,
 )
 from peridotfront.core.releases import build_release
 from peridotfront.core.service_schedulers import ServiceSchedulers, SharedLimits
@@ -18,6 +17,7 @@
 from peridotfront.core.upstream_limits import UpstreamLimits
 
 from .routed_upstreams import routing
+from .slot_requests import plain_slot_request
 
 SERVICE = "s"
 HOST = "e1"
@@ -64,16 +64,9 @@
 
     def ask(self, request_id, *, is_repeat=False, deadline_ms=3000, goal_ms=300):
         """Ask for a slot."""
-        slot_request = SlotRequest(
-            request_id=request_id,
+        slot_request = plain_slot_request(
+            request_id,
             cell=SERVICE,
-            model="",
-            tier=1,
-            client_account="club",
-            prompt_tokens=0,
-            output_tokens=0,
-            prefix_hashes=(),
-            fingerprint=0,
             deadline_ms=deadline_ms,
             goal_ms=goal_ms,
             is_repeat=is_repeat,
--- a/features/support/silent_processes.py
+++ b/features/support/silent_processes.py
@@ -49,6 +49,7 @@
 class SilentProcesses(PromptProcesses):
     """Control and entry host processes before upstreams that fall silent at times.
 
+    :param keep_alive_ms: time for which callers keep an idle connection.
     :param path: path of all requests.
     :param silence_s: time for which one upstream at a time passes no bytes.
     :param load: requests sent, as a share of what the upstreams serve.
@@ -60,6 +61,7 @@
         out of order or not at all.
     """
 
+    keep_alive_ms: int = 10_000
     path: str = "/resumable/x"
     silence_s: float = 1.9
     load: float = 0.9
@@ -99,21 +101,25 @@
         return run_s / (self.engines * SLOTS * self.load)
 
     async def _load(self, deployment, duration_s):
-        client = HttpClient(ClientLimits(keep_alive_ms=10_000))
-        helpers = [
-            asyncio.create_task(self._change_forever(deployment)),
-            asyncio.create_task(self._silence_forever()),
+        client = HttpClient(ClientLimits(keep_alive_ms=self.keep_alive_ms))
+        disturbances = [
+            asyncio.create_task(disturbance)
+            for disturbance in self._disturbances(client, deployment)
         ]
         calls = set()
         for number in range(int(duration_s / self._step_s)):
             calls.add(asyncio.create_task(self._request(client, deployment, number)))
             await asyncio.sleep(self._step_s)
         await asyncio.gather(*calls)
-        for helper in helpers:
-            helper.cancel()
-        await asyncio.wait(helpers)
+        for disturbance in disturbances:
+            disturbance.cancel()
+        await asyncio.wait(disturbances)
         await client.close()
 
+    def _disturbances(self, client, deployment):
+        """Return the coroutines that run beside the load until it ends."""
+        return self._change_forever(deployment), self._silence_forever()
+
     async def _change_forever(self, deployment):
         while True:
             await self.operator.change()
--- a/features/support/silent_world.py
+++ b/features/support/silent_world.py
@@ -9,7 +9,7 @@
     SlotRequested,
 )
 from peridotfront.core.gateway_role import GatewayRole
-from peridotfront.core.messages import ListedUpstream, ReleaseCause, SlotRequest
+from peridotfront.core.messages import ListedUpstream, ReleaseCause
 from peridotfront.core.releases import build_release
 from peridotfront.core.retry_budgets import RetryLimits
 from peridotfront.core.routes import RouteTable
@@ -17,6 +17,7 @@
 from peridotfront.core.service_schedulers import SharedLimits
 
 from .routed_upstreams import routing
+from .slot_requests import plain_slot_request
 
 UPSTREAM = "u1"
 TICK_MS = 10
@@ -62,19 +63,7 @@
 
     def ask(self, name):
         """Ask for a slot, and return whether it is granted at once."""
-        slot_request = SlotRequest(
-            request_id=name,
-            cell="s",
-            model="",
-            tier=1,
-            client_account="club",
-            prompt_tokens=0,
-            output_tokens=0,
-            prefix_hashes=(),
-            fingerprint=0,
-            deadline_ms=3000,
-            goal_ms=300,
-        )
+        slot_request = plain_slot_request(name)
         self._slot_requests[name] = slot_request
         self._feed(SlotRequested(slot_request))
         return name in self.granted
