Roll a service out to a new version, and back if it is bad

Cause: operators had no way to move a service to another software version; the scheduler granted slots at upstreams of any version as soon as they were listed.

Change: an order is a command of the replicated log, acknowledged once it is committed. Entry hosts know the stages, so that one without a leader gives an unproven version nothing. POST and GET of /peridotfront/rollouts, settings section rollouts, log events 1000 to 1005. Without the settings nothing changes. The table of messages that older builds don't know names the new ones; they are sent only after an order.

--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -53,17 +53,18 @@
       | 273f88b |
 
   Scenario Outline: A new message or value breaks the streams to an older build: <build>
-    Builds up to 770f6cc end the stream on which one comes that they don't know.
+    Builds up to 770f6cc end the stream on which one comes that they don't know. Those of
+    rollouts are sent only after an operator has ordered one.
 
     Given the recording of the build <build>
     Then of this build's messages it doesn't know "<messages>"
     And of this build's values it doesn't know "<values>"
 
     Examples: Builds
-      | build   | messages   | values                        |
-      | 770f6cc | none       | none                          |
-      | 5bb71e4 | LinkReport | relay_lost, relay_unreachable |
-      | 273f88b | LinkReport | relay_lost, relay_unreachable |
+      | build   | messages                                                        | values                        |
+      | 770f6cc | RolloutEnd, RolloutOrder, RolloutStages, RolloutUsage             | none                          |
+      | 5bb71e4 | LinkReport, RolloutEnd, RolloutOrder, RolloutStages, RolloutUsage | relay_lost, relay_unreachable |
+      | 273f88b | LinkReport, RolloutEnd, RolloutOrder, RolloutStages, RolloutUsage | relay_lost, relay_unreachable |
 
   Scenario: An end that names no rejections is read as none at all by an older build
     Given the recording of the build 770f6cc
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -13,6 +13,8 @@
     ControlTiming,
     OperatorProposal,
     OperatorProposalResult,
+    OperatorRollout,
+    OperatorRolloutResult,
     OperatorStateQuery,
     OperatorStateResult,
     OperatorUnavailable,
@@ -161,7 +163,7 @@
             lambda data: wire.decode(ControlSnapshot, data),
             ControlTiming(snapshot_entries=20),
         )
-        self.role = Coordinator(self.name, controller, LIMITS)
+        self.role = Coordinator(self.name, controller, self.group.limits)
         self.incarnation = self.disk.incarnation
 
     def act(self, action):
@@ -171,7 +173,11 @@
             routing = parse_routing(action.content, action.version)
             self.group.feed(self.name, RoutingChanged(routing))
         elif isinstance(
-            action, OperatorProposalResult | OperatorStateResult | OperatorUnavailable
+            action,
+            OperatorProposalResult
+            | OperatorRolloutResult
+            | OperatorStateResult
+            | OperatorUnavailable,
         ):
             self.group.answers[action.operation_id] = action
         elif isinstance(action, Log):
@@ -192,7 +198,11 @@
     def start(self):
         self.incarnation = self.group.random.getrandbits(62) or 1
         self.role = GatewayRole(
-            self.name, self.incarnation, self.data_centre, self.group.seeds, LIMITS
+            self.name,
+            self.incarnation,
+            self.data_centre,
+            self.group.seeds,
+            self.group.limits,
         )
         self.logs = []
         self.versions = []
@@ -251,11 +261,18 @@
     :param entries: data centre by entry host name.
     :param seed: seed of all randomness.
     :param tick_ms: time between two ticks of each host.
+    :param limits: limits that all hosts share.
     """
 
     def __init__(
-        self, controls=("c1", "c2", "c3"), entries=None, seed=0, tick_ms=TICK_MS
+        self,
+        controls=("c1", "c2", "c3"),
+        entries=None,
+        seed=0,
+        tick_ms=TICK_MS,
+        limits=LIMITS,
     ):
+        self.limits = limits
         self.random = random.Random(seed)
         self.tick_ms = tick_ms
         self.now_ms = 0
@@ -337,6 +354,14 @@
         self.feed(host, OperatorProposal(self.operation_id, proposal))
         return self.operation_id
 
+    def order_rollout(self, host, service, version, period_ms):
+        self.operation_id += 1
+        order = OperatorRollout(
+            self.operation_id, f"o{self.operation_id}", service, version, period_ms
+        )
+        self.feed(host, order)
+        return self.operation_id
+
     def read(self, host):
         self.operation_id += 1
         self.feed(host, OperatorStateQuery(self.operation_id))
--- a/src/peridotfront/core/control_state.py
+++ b/src/peridotfront/core/control_state.py
@@ -13,9 +13,12 @@
     ControlSnapshot,
     CrashBatch,
     OrderIssued,
+    RolloutEnd,
+    RolloutOrder,
     StrikeBatch,
 )
 from .order_table import OrderTable
+from .rollouts.table import RolloutTable
 from .single_dispatch import dispatchmethod
 from .strikes import Strikes
 
@@ -24,7 +27,7 @@
 
 
 class ControlState:
-    """State machine composed of configuration, claims, strikes, orders and crashes."""
+    """State machine composed of the tables that the control group replicates."""
 
     def __init__(self):
         self.configuration = Configuration()
@@ -32,6 +35,7 @@
         self.strikes = Strikes()
         self.orders = OrderTable()
         self.crashes = CrashHistory()
+        self.rollouts = RolloutTable()
 
     @dispatchmethod
     def apply(self, command: Command) -> Any:
@@ -61,6 +65,14 @@
     def _(self, command: CrashBatch):
         return self.crashes.apply(command)
 
+    @apply.register
+    def _(self, command: RolloutOrder):
+        return self.rollouts.order(command)
+
+    @apply.register
+    def _(self, command: RolloutEnd):
+        return self.rollouts.end(command)
+
     def snapshot(self) -> ControlSnapshot:
         """Return the whole state as one record."""
         return ControlSnapshot(
@@ -69,6 +81,7 @@
             strikes=self.strikes.snapshot(),
             orders=self.orders.orders,
             crashes=self.crashes.snapshot(),
+            rollouts=self.rollouts.snapshot(),
         )
 
     def restore(self, snapshot: ControlSnapshot) -> None:
@@ -78,3 +91,4 @@
         self.strikes.restore(snapshot.strikes)
         self.orders.restore(snapshot.orders)
         self.crashes.restore(snapshot.crashes)
+        self.rollouts.restore(snapshot.rollouts)
--- a/src/peridotfront/core/control_types.py
+++ b/src/peridotfront/core/control_types.py
@@ -10,6 +10,8 @@
     ConfigResult,
     OrderIssued,
     Replica,
+    RolloutOrderStatus,
+    RolloutRecord,
 )
 
 
@@ -89,6 +91,20 @@
     proposal: ConfigProposal
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorRollout:
+    """Event: an operator's order to move a service to a software version.
+
+    :param order_id: unique id of this proposal.
+    """
+
+    operation_id: int
+    order_id: str
+    service: str
+    version: str
+    period_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class HostView:
     """Operator's view of a host.
@@ -115,6 +131,7 @@
     :param history: configuration versions in the history, oldest first.
     :param laggards: entry hosts that have not confirmed the current version.
     :param is_leader: whether the answering replica is the leader.
+    :param rollouts: latest rollout of each service.
     """
 
     host: str
@@ -133,6 +150,7 @@
     open_claims: int
     claims_size_bytes: int
     struck_requests: int
+    rollouts: tuple[RolloutRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +210,18 @@
     leader: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorRolloutResult:
+    """Action: answer an :class:`OperatorRollout` with its committed result.
+
+    :param record: rollout that was started, or that goes on already.
+    """
+
+    operation_id: int
+    status: RolloutOrderStatus
+    record: RolloutRecord
+
+
 @dataclass(frozen=True, slots=True)
 class ControllerDump:
     """Diagnostic view of a replica, whose state may be out of date.
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -25,6 +25,8 @@
     OperatorClaimResult,
     OperatorProposal,
     OperatorProposalResult,
+    OperatorRollout,
+    OperatorRolloutResult,
     OperatorStateQuery,
     OperatorStateResult,
     OperatorUnavailable,
@@ -52,12 +54,15 @@
     OutcomeReport,
     PartsCleared,
     Replica,
+    RolloutEnd,
+    RolloutOrder,
     StrikeBatch,
     StrikeReport,
     StrikeUpdate,
 )
 from .messages.raft import RAFT_MESSAGES
 from .orders import OrderCommitted, ProposeOrder
+from .pending_proposals import PendingProposal, PendingProposals
 from .raft_types import (
     Committed,
     ProposalDropped,
@@ -68,6 +73,7 @@
     Restore,
     RoleChanged,
 )
+from .rollouts.table import RolloutOrderResult
 from .single_dispatch import dispatchmethod
 from .snapshot_builder import SnapshotBuilder
 
@@ -95,21 +101,6 @@
     host: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingProposal:
-    """Proposal that waits for its result.
-
-    :param operation_id: identifier of the operator's operation; None for a proposal
-        that a host sent.
-    :param host: host that sent the proposal; empty for an operator's.
-    """
-
-    change_id: str
-    operation_id: int | None
-    host: str
-    deadline_ms: int
-
-
 class Controller:
     """Service for claims, outcomes, proposals and reads on the replicated state.
 
@@ -155,12 +146,12 @@
         self._is_leader = False
         self._announced_version = 0
         self._leader_since_ms = 0
-        self._claims_clock_base_ms = 0
+        self._replicated_clock_base_ms = 0
         self._sequence = 0
         self._heartbeat_sent_ms: int | None = None
         self._pending_reads: dict[int, _PendingRead] = {}
         self._next_read_id = 1
-        self._pending_proposals: list[_PendingProposal] = []
+        self._pending_proposals = PendingProposals()
         self._entries_since_snapshot = 0
         self._bytes_since_snapshot = 0
         self._snapshot_due_bytes = self._timing.snapshot_bytes
@@ -211,6 +202,7 @@
             open_claims=state.claims.open_count,
             claims_size_bytes=state.claims.size_bytes,
             struck_requests=len(state.strikes),
+            rollouts=state.rollouts.records,
         )
 
     def dump(self, now_ms: int) -> ControllerDump:
@@ -270,6 +262,32 @@
     def _(self, event: ProposeOrder, now_ms: int) -> Iterator[Any]:
         yield from self._run_raft(Propose(event.order), now_ms)
 
+    @_handle.register
+    def _(self, event: OperatorRollout, now_ms: int) -> Iterator[Any]:
+        pending = PendingProposal(
+            event.order_id,
+            event.operation_id,
+            "",
+            now_ms + self._timing.operator_timeout_ms,
+            is_config=False,
+        )
+        if not self._is_leader:
+            yield self._unavailable_result(pending)
+            return
+        self._pending_proposals.add(pending)
+        order = RolloutOrder(
+            event.order_id,
+            event.service,
+            event.version,
+            event.period_ms,
+            self.replicated_time_ms(now_ms),
+        )
+        yield from self._run_raft(Propose(order), now_ms)
+
+    @_handle.register
+    def _(self, event: RolloutEnd, now_ms: int) -> Iterator[Any]:
+        yield from self._run_raft(Propose(event), now_ms)
+
     # Messages
 
     @dispatchmethod
@@ -378,6 +396,8 @@
     def _(self, action: ProposalDropped, now_ms: int) -> Iterator[Any]:
         if isinstance(action.command, ConfigChange):
             yield from self._refuse_proposals(action.command.proposal.change_id)
+        elif isinstance(action.command, RolloutOrder):
+            yield from self._refuse_proposals(action.command.order_id)
         elif isinstance(action.command, ClaimBatch):
             self._batcher.on_committed(action.command)
             for request in action.command.claims:
@@ -390,8 +410,10 @@
         is_leader = self._raft.is_leader
         if is_leader and not self._is_leader:
             self._leader_since_ms = now_ms
-            self._claims_clock_base_ms = max(
-                self._state.claims.time_ms, self._state.crashes.time_ms
+            self._replicated_clock_base_ms = max(
+                self._state.claims.time_ms,
+                self._state.crashes.time_ms,
+                self._state.rollouts.time_ms,
             )
             for host in self._hosts.hosts():
                 host.strikes_sent = False
@@ -462,6 +484,16 @@
         if self._is_leader and command.term == self._raft.term:
             yield OrderCommitted(command)
 
+    @_answer_command.register
+    def _(self, command: RolloutOrder, result: Any, now_ms: int) -> Iterator[Any]:
+        yield from self._answer_rollout_order(result)
+
+    def _answer_rollout_order(self, result: RolloutOrderResult) -> Iterator[Any]:
+        for pending in self._pending_proposals.take(result.order_id):
+            yield OperatorRolloutResult(
+                pending.operation_id, result.status, result.record
+            )
+
     def _answer_batch(self, batch: ClaimBatch, result: ClaimsResult) -> Iterator[Any]:
         for report, ack in zip(batch.outcomes, result.acks, strict=True):
             yield Send(report.holder_host, ack)
@@ -469,7 +501,7 @@
             yield Send(request.claim.holder_host, reply)
 
     def _answer_proposal(self, result: ConfigResult) -> Iterator[Any]:
-        for pending in self._take_proposals(result.change_id):
+        for pending in self._pending_proposals.take(result.change_id):
             if pending.operation_id is None:
                 yield Send(pending.host, result)
             else:
@@ -506,32 +538,25 @@
         self, proposal: ConfigProposal, operation_id: int | None, host: str, now_ms: int
     ) -> Iterator[Any]:
         deadline_ms = now_ms + self._timing.operator_timeout_ms
-        pending = _PendingProposal(proposal.change_id, operation_id, host, deadline_ms)
+        pending = PendingProposal(proposal.change_id, operation_id, host, deadline_ms)
         if not self._is_leader:
             yield self._unavailable_result(pending)
             return
-        self._pending_proposals.append(pending)
+        self._pending_proposals.add(pending)
         change = ConfigChange(now_ms + self._wall_clock_offset_ms, proposal)
         yield from self._run_raft(Propose(change), now_ms)
 
-    def _take_proposals(self, change_id: str | None) -> list[_PendingProposal]:
-        taken = [p for p in self._pending_proposals if change_id in (None, p.change_id)]
-        self._pending_proposals = [p for p in self._pending_proposals if p not in taken]
-        return taken
-
     def _refuse_proposals(self, change_id: str | None) -> Iterator[Any]:
-        for pending in self._take_proposals(change_id):
+        for pending in self._pending_proposals.take(change_id):
             yield self._unavailable_result(pending)
 
     def _expire_proposals(self, now_ms: int) -> Iterator[Any]:
-        expired = [p for p in self._pending_proposals if p.deadline_ms <= now_ms]
-        self._pending_proposals = [
-            p for p in self._pending_proposals if p.deadline_ms > now_ms
-        ]
-        for pending in expired:
+        for pending in self._pending_proposals.take_expired(now_ms):
             yield self._unavailable_result(pending)
 
-    def _unavailable_result(self, pending: _PendingProposal) -> Any:
+    def _unavailable_result(self, pending: PendingProposal) -> Any:
+        if not pending.is_config:
+            return OperatorUnavailable(pending.operation_id, self._leader_hint())
         current = self._state.configuration.current
         result = ConfigResult(
             change_id=pending.change_id,
@@ -575,7 +600,7 @@
         while self._batcher.is_due(now_ms):
             parts = self._batcher.take()
             batch = ClaimBatch(
-                time_ms=self._claims_time_ms(now_ms),
+                time_ms=self.replicated_time_ms(now_ms),
                 claims=parts.claims,
                 outcomes=parts.outcomes,
                 dead_holders=self._dead_holders(parts.claims, now_ms),
@@ -587,7 +612,7 @@
             yield from self._run_raft(Propose(batch), now_ms)
         strikes = self._batcher.take_strikes()
         if strikes:
-            batch = StrikeBatch(self._claims_time_ms(now_ms), strikes)
+            batch = StrikeBatch(self.replicated_time_ms(now_ms), strikes)
             yield from self._run_raft(Propose(batch), now_ms)
         if self._crash_reports:
             yield from self._propose_crashes(now_ms)
@@ -596,19 +621,19 @@
         reports = self._crash_reports
         self._crash_reports = []
         batch = CrashBatch(
-            self._claims_time_ms(now_ms),
+            self.replicated_time_ms(now_ms),
             tuple([report for report in reports if isinstance(report, CrashReport)]),
             tuple([report for report in reports if isinstance(report, PartsCleared)]),
         )
         yield from self._run_raft(Propose(batch), now_ms)
 
-    def _claims_time_ms(self, now_ms: int) -> int:
-        """Return the time for the next batch, on the replicated clock of the claims.
+    def replicated_time_ms(self, now_ms: int) -> int:
+        """Return the time for the next command, on the replicated clock.
 
-        It continues from the last batch applied before this host became leader and
+        It continues from the last command applied before this host became leader and
         advances with the local monotonic clock. The wall clock is not used.
         """
-        return self._claims_clock_base_ms + now_ms - self._leader_since_ms
+        return self._replicated_clock_base_ms + now_ms - self._leader_since_ms
 
     def _dead_holders(
         self, claims: tuple[ClaimRequest, ...], now_ms: int
@@ -651,6 +676,11 @@
             control_hosts=self.control_hosts,
         )
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether this leader has applied all entries of earlier terms."""
+        return self._is_leader and self._raft.is_settled
+
     @property
     def control_hosts(self) -> tuple[str, ...]:
         """Return the hosts of all voters and learners, sorted by name."""
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -23,6 +23,7 @@
     NamedLimit,
     NamedLimits,
     Release,
+    RolloutUsage,
     SentRepeats,
     SlotRequest,
     Spending,
@@ -31,6 +32,8 @@
 )
 from .raft_types import Role, RoleChanged
 from .retry_budgets import LEADERLESS_RETRY_SHARE
+from .rollouts.gates import VersionGates
+from .rollouts.manager import ProposeRolloutEnd, RolloutManager
 from .routes import RoutingConfig
 from .routing_events import RoutingChanged, UpstreamsListed
 from .scheduler_events import CrashesChanged, HostLost
@@ -54,6 +57,9 @@
 NEW_TERM_MS = 10_000
 SHARES_INTERVAL_MS = 100
 LOST_HOST_RETENTION_MS = 60_000
+RESEND_STAGES_MS = 300
+# A host that is cut off may go on with its requests for so long.
+UNKNOWN_SLOTS_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -64,6 +70,8 @@
     :param upstreams_version: version of the upstream list that it has.
     :param list_sent_ms: time at which the list was last sent to it.
     :param shares_version: version of the ceilings that it knows; 0 for none.
+    :param stages_version: version of the stages of rollouts that it knows; 0 for none.
+    :param stages_sent_ms: time at which the stages were last sent to it.
     """
 
     incarnation: int
@@ -71,6 +79,8 @@
     upstreams_version: int = 0
     list_sent_ms: int = -RESEND_LIST_MS
     shares_version: int = 0
+    stages_version: int = 0
+    stages_sent_ms: int = -RESEND_STAGES_MS
 
 
 class Coordinator:
@@ -102,6 +112,9 @@
         self._has_new_limits = False
         self._crash_guard = CrashGuard(controller.state.crashes, allows_tests=True)
         self._crashing_groups: tuple[CrashingGroup, ...] = ()
+        self._gates = VersionGates()
+        self._usages: dict[str, RolloutUsage] = {}
+        self.rollouts: RolloutManager | None = None
 
     @property
     def is_leading(self) -> bool:
@@ -138,6 +151,7 @@
         if now_ms - self._origins_sent_ms >= ORIGINS_INTERVAL_MS:
             yield from self._send_origins_to_replicas(now_ms)
         yield from self._send_limits(now_ms)
+        yield from self._advance_rollouts(now_ms)
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -161,6 +175,8 @@
         yield from self.service_schedulers.apply_upstreams(
             self.directory.upstreams, now_ms
         )
+        if self.rollouts is not None:
+            yield from self.rollouts.apply_upstreams(event.upstreams, now_ms)
         yield from self._send_list_to_replicas(now_ms)
         for name, entry in self._entry_hosts.items():
             if entry.upstreams_version == update.base_version:
@@ -197,6 +213,11 @@
             self.directory.apply(message)
         yield from ()
 
+    @_on_message.register
+    def _(self, message: RolloutUsage, event: Received, now_ms: int) -> Iterator[Any]:
+        self._usages[message.service] = message
+        yield from ()
+
     @_on_message.register
     def _(self, message: StreamsBegun, event: Received, now_ms: int) -> Iterator[Any]:
         for stream in message.streams:
@@ -253,23 +274,86 @@
     def _on_role_changed(self, action: RoleChanged, now_ms: int) -> Iterator[Any]:
         if action.role is not Role.LEADER:
             self.service_schedulers = None
+            self.rollouts = None
             self._entry_hosts.clear()
             return
         self._leader_since_ms = now_ms
         self._lost_ms.clear()
         self._list_sent_ms = now_ms
         self.service_schedulers = ServiceSchedulers(
-            self._shared_limits, self._origins, self._crash_guard, self._limits
+            self._shared_limits,
+            self._origins,
+            self._crash_guard,
+            self._limits,
+            self._gates,
         )
         self._limits.restart(now_ms)
         self._ceilings = AllowanceCeilings(action.term * EPOCH_VERSIONS)
         self.service_schedulers.retries.share = NEW_TERM_RETRY_SHARE
+        if self._shared_limits.rollouts.share > 0:
+            self._gates.replace(())
+            self.rollouts = RolloutManager(
+                self._shared_limits.rollouts,
+                self._gates,
+                action.term * EPOCH_VERSIONS,
+                self._usages,
+            )
         upstreams = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
         self.directory.replace(upstreams)
+        if self.rollouts is not None:
+            yield from self.rollouts.apply_upstreams(upstreams, now_ms)
         yield from self.service_schedulers.apply_upstreams(upstreams, now_ms)
         yield from self.service_schedulers.apply_routing(self._routing, now_ms)
 
+    def _advance_rollouts(self, now_ms: int) -> Iterator[Any]:
+        if self.rollouts is None or not self.controller.is_settled:
+            return
+        time_ms = self.controller.replicated_time_ms(now_ms)
+        records = self.controller.state.rollouts.records
+        yield from self.rollouts.apply_records(records, time_ms, now_ms)
+        actions = self.rollouts.advance(
+            self.service_schedulers.schedulers,
+            self._has_unknown_slots(now_ms),
+            time_ms,
+            now_ms,
+        )
+        for action in actions:
+            if isinstance(action, ProposeRolloutEnd):
+                yield from self._run_controller(action.end, now_ms)
+            else:
+                yield action
+        if self.rollouts is None:
+            return
+        for usage in self.rollouts.take_usages(now_ms):
+            yield from self._send_to_replicas(usage)
+        for name, entry in self._entry_hosts.items():
+            yield from self._send_stages(name, entry, now_ms)
+
+    def _has_unknown_slots(self, now_ms: int) -> bool:
+        """Return whether hosts may hold slots of which this leader doesn't know.
+
+        A host without a leader sends its requests to other upstreams, unless it knows
+        the stages of the rollouts.
+        """
+        if now_ms - self._leader_since_ms < ENTRY_TIMEOUT_MS:
+            return True
+        version = self.rollouts.stages.version
+        if any(e.stages_version != version for e in self._entry_hosts.values()):
+            return True
+        newest_ms = max(self._lost_ms.values(), default=now_ms - UNKNOWN_SLOTS_MS)
+        return now_ms - newest_ms < UNKNOWN_SLOTS_MS
+
+    def _send_stages(self, name: str, entry: EntryHost, now_ms: int) -> Iterator[Send]:
+        """Send the stages of all rollouts to an entry host that knows others."""
+        if self.rollouts is None:
+            return
+        stages = self.rollouts.stages
+        is_due = now_ms - entry.stages_sent_ms >= RESEND_STAGES_MS
+        if stages.version != entry.stages_version and stages.version and is_due:
+            entry.stages_sent_ms = now_ms
+            yield Send(name, stages)
+
     def _entry_host_count(self, now_ms: int) -> int:
         """Return the number of entry hosts; 0 while some may not have joined yet."""
         if not self.is_leading or now_ms - self._leader_since_ms < ENTRY_TIMEOUT_MS:
@@ -331,6 +415,8 @@
         entry.last_seen_ms = now_ms
         entry.upstreams_version = message.upstreams_version
         entry.shares_version = message.shares_version
+        entry.stages_version = message.stages_version
+        yield from self._send_stages(event.sender, entry, now_ms)
         self.service_schedulers.reach.set_leaving(event.sender, message.is_leaving)
         is_outdated = message.upstreams_version != self.directory.version
         if is_outdated and now_ms - entry.list_sent_ms >= RESEND_LIST_MS:
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -46,6 +46,7 @@
     NamedLimit,
     NamedLimits,
     PartsCleared,
+    RolloutStages,
     SlotRefusal,
     SlotRequest,
     StreamsBegun,
@@ -54,6 +55,7 @@
 )
 from .releases import build_unsent_release
 from .retry_budgets import LEADERLESS_RETRY_SHARE
+from .rollouts.gates import VersionGates
 from .routing_events import RoutingChanged, UpstreamsListed
 from .scheduler_events import CrashesChanged, HostLost
 from .service_schedulers import ServiceSchedulers, SharedLimits
@@ -130,8 +132,10 @@
         self._unreported_crashes: deque[tuple[int, CrashReport]] = deque(
             maxlen=CRASHES_KEPT
         )
+        self._gates = VersionGates()
+        self._stages_version = 0
         self._local_schedulers = ServiceSchedulers(
-            shared_limits, self._origins, self._crash_guard, self._limits
+            shared_limits, self._origins, self._crash_guard, self._limits, self._gates
         )
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
@@ -316,6 +320,13 @@
             self._crash_guard.announce(message.groups)
         yield from ()
 
+    @_receive.register
+    def _(self, message: RolloutStages, event: Received, now_ms: int) -> Iterator:
+        if message.version > self._stages_version:
+            self._stages_version = message.version
+            self._gates.replace(message.rollouts)
+        yield from ()
+
     @_receive.register
     def _(self, message: NamedLimits, event: Received, now_ms: int) -> Iterator:
         if event.sender == self.leader:
@@ -498,6 +509,7 @@
             upstreams_version=self.directory.version,
             crashing_parts_digest=self._crash_guard.announced_digest,
             shares_version=self._control.shares_version,
+            stages_version=self._stages_version,
         )
         for host in self._control.begin_round(now_ms):
             yield Send(host, heartbeat)
--- a/src/peridotfront/core/messages/__init__.py
+++ b/src/peridotfront/core/messages/__init__.py
@@ -93,9 +93,27 @@
     VoteRequest,
 )
 from .records import HardState, LogStart, Snapshot, StorageRecord, Truncation
+from .rollouts import (
+    ROLLOUT_MESSAGES,
+    RolloutEnd,
+    RolloutOrder,
+    RolloutOrderStatus,
+    RolloutRecord,
+    RolloutsSnapshot,
+    RolloutStage,
+    RolloutStages,
+    RolloutState,
+    RolloutUsage,
+    StagedVersion,
+)
 
 MESSAGE_TYPES = (
-    RAFT_MESSAGES + CONTROL_MESSAGES + CELL_MESSAGES + ANSWER_MESSAGES + CRASH_MESSAGES
+    RAFT_MESSAGES
+    + CONTROL_MESSAGES
+    + CELL_MESSAGES
+    + ANSWER_MESSAGES
+    + CRASH_MESSAGES
+    + ROLLOUT_MESSAGES
 )
 Message = Union[MESSAGE_TYPES]  # noqa: UP007
 
@@ -181,6 +199,15 @@
     "Release",
     "ReleaseCause",
     "Replica",
+    "RolloutEnd",
+    "RolloutOrder",
+    "RolloutOrderStatus",
+    "RolloutRecord",
+    "RolloutStage",
+    "RolloutStages",
+    "RolloutState",
+    "RolloutUsage",
+    "RolloutsSnapshot",
     "SentRepeats",
     "SlotRefusal",
     "SlotRequest",
@@ -188,6 +215,7 @@
     "SnapshotChunk",
     "SnapshotReply",
     "Spending",
+    "StagedVersion",
     "StorageRecord",
     "StreamsBegun",
     "StrikeBatch",
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -69,6 +69,7 @@
         know it.
     :param shared_parts: hashes of the parts of the prompt that other requests may
         have too, each by itself.
+    :param route: name of the request's route; empty in requests of older builds.
     """
 
     proto_name: ClassVar[str] = "Want"
@@ -92,6 +93,7 @@
     is_resumed: bool = False
     software_version: str = ""
     shared_parts: tuple[int, ...] = ()
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -6,6 +6,7 @@
 
 from ..verdicts import Reason, Verdict
 from .crashes import CrashBatch, CrashesSnapshot
+from .rollouts import RolloutEnd, RolloutOrder, RolloutsSnapshot
 
 
 class ClaimStatus(StrEnum):
@@ -224,6 +225,8 @@
     :param crashing_parts_digest: hash of the parts known to the sender that crash
         upstreams; 0 if there are none, or if it is not an entry host.
     :param shares_version: version of the ceilings that the sender knows; 0 for none.
+    :param stages_version: version of the stages of rollouts that the sender knows; 0
+        for none.
     """
 
     data_centre: str
@@ -241,6 +244,7 @@
     )
     crashing_parts_digest: int = 0
     shares_version: int = 0
+    stages_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -451,6 +455,7 @@
     strikes: StrikesSnapshot
     orders: tuple[OrderIssued, ...] = ()
     crashes: CrashesSnapshot = field(default_factory=CrashesSnapshot)
+    rollouts: RolloutsSnapshot = field(default_factory=RolloutsSnapshot)
 
 
 Command = Union[  # noqa: UP007
@@ -461,6 +466,8 @@
     StrikeBatch,
     OrderIssued,
     CrashBatch,
+    RolloutOrder,
+    RolloutEnd,
 ]
 
 CONTROL_MESSAGES = (
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -1,5 +1,6 @@
 """Scheduler of a cell, which grants slots at upstreams to slot requests."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from typing import Any
@@ -26,12 +27,20 @@
     SlotRequest,
     UpstreamReport,
 )
-from .placement import HIGHEST_TIER, Choice, Placement, Upstream, new_slot
+from .placement import (
+    HIGHEST_TIER,
+    Choice,
+    Deferral,
+    Placement,
+    Upstream,
+    new_slot,
+)
 from .poison_detection import PoisonDetector
 from .prefix_cache import PrefixCacheModel
 from .queues import FairQueue, QueuedSlotRequest, TierQueues
 from .releases import UNSENT_CAUSES
 from .retry_schedule import RetrySchedule
+from .rollouts.gates import VersionGate, VersionGates
 from .scheduler_dump import CellDump, CellStats, dump_queue, dump_upstream
 from .scheduler_events import (
     CrashesChanged,
@@ -80,6 +89,7 @@
     :param limits: limits that upstreams have named.
     :param reach: evidence on the links between entry hosts and upstreams.
     :param brittle: upstreams that must not reject many requests.
+    :param gates: software versions that requests may go to, by cell.
     """
 
     def __init__(
@@ -91,6 +101,7 @@
         limits: UpstreamLimits | None = None,
         reach: HostReach | None = None,
         brittle: BrittleUpstreams | None = None,
+        gates: VersionGates | None = None,
     ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
@@ -99,6 +110,10 @@
         self._weights: dict[str, int] = {}
         self._upstreams: dict[str, Upstream] = {}
         self._upstreams_by_model: dict[str, list[Upstream]] = {}
+        # Those that requests may go to which name no software version.
+        self._usable_by_model: dict[str, list[Upstream]] = {}
+        self._gates = VersionGates() if gates is None else gates
+        self._gates_revision = self._gates.revision
         self._slots: dict[str, Slot] = {}
         self._leaving_until_ms: dict[str, int] = {}
         self._queues = TierQueues(lambda account: self._weights.get(account, 1))
@@ -143,6 +158,8 @@
         if self._settled_at_ms is None:
             self._settled_at_ms = now_ms + self._fleet.policy.settle_ms
         self._now_ms = now_ms
+        if self._gates_revision != self._gates.revision:
+            self._apply_gate()
         yield from self._handle_event(event, now_ms)
 
     @property
@@ -155,6 +172,18 @@
         """Return whether any slot request waits in a queue."""
         return len(self._queues) > 0
 
+    @property
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return all upstreams, also those that have left but have slots in use."""
+        return tuple(self._upstreams.values())
+
+    def used_slots_by_version(self) -> Counter[str]:
+        """Return the number of slots in use by the upstreams' software version."""
+        return Counter(
+            self._upstreams[slot.upstream].spec.software_version
+            for slot in self._slots.values()
+        )
+
     def dump(self) -> CellDump:
         """Return a dump of the state for operators, as of the last event."""
         now_ms = self._now_ms
@@ -265,7 +294,7 @@
             )
             return
         if self._drain_rate.is_infeasible(
-            queued, self._upstreams_by_model[slot_request.model], now_ms
+            queued, self._candidates(slot_request.model), now_ms
         ):
             yield self._shedder.build_refusal(queued, Reason.DEADLINE, 0)
             return
@@ -311,7 +340,10 @@
         self._learn_from_release(slot, release, now_ms)
         if release.cause in UNSENT_CAUSES:
             self._limits.refund(slot.upstream)
+        ended_at = self._upstreams[slot.upstream]
         self._vacate(slot)
+        if self._gate is not None:
+            self._gate.ended(slot, ended_at, release, now_ms)
         upstream = self._upstreams.get(slot.upstream)
         if upstream is not None:
             yield from self._ends.record(upstream, slot, release, now_ms)
@@ -370,7 +402,7 @@
         if self._poison_detector.is_poison(slot_request.fingerprint):
             return Reason.POISON
         is_served = is_fitting = False
-        for upstream in self._candidates(slot_request.model):
+        for upstream in self._upstreams_for(slot_request):
             if not upstream.suits(slot_request):
                 continue
             is_served = is_served or not upstream.is_leaving
@@ -453,9 +485,7 @@
         reserved: set[str] = set()
         for queued in queue.candidates(MAX_CANDIDATES_PER_ACCOUNT):
             is_highest = queued.slot_request.tier == HIGHEST_TIER
-            choice = self._placement.choose(
-                queued, upstreams, is_highest=is_highest, now_ms=now_ms
-            )
+            choice = self._choose(queued, upstreams, is_highest, now_ms)
             if isinstance(choice, Choice):
                 return self._grant(queued, choice, now_ms)
             if choice is None:
@@ -470,6 +500,28 @@
         blocked.update(reserved)
         return None
 
+    def _choose(
+        self,
+        queued: QueuedSlotRequest,
+        upstreams: list[Upstream],
+        is_highest: bool,
+        now_ms: int,
+    ) -> Choice | Deferral | None:
+        slot_request = queued.slot_request
+        if self._gate is not None and slot_request.software_version:
+            upstreams = self._upstreams_for(slot_request)
+        elif self._gate is not None:
+            every = self._upstreams_by_model.get(slot_request.model, [])
+            trial = self._gate.trial(slot_request, every)
+            choice = trial and self._placement.choose(
+                queued, trial, is_highest=is_highest, now_ms=now_ms
+            )
+            if isinstance(choice, Choice):
+                return choice
+        return self._placement.choose(
+            queued, upstreams, is_highest=is_highest, now_ms=now_ms
+        )
+
     def _grant(self, queued: QueuedSlotRequest, choice: Choice, now_ms: int) -> Action:
         slot_request = queued.slot_request
         self._queues.take(queued)
@@ -480,6 +532,8 @@
         )
         self._occupy(slot, now_ms)
         self._limits.take(slot.upstream, now_ms)
+        if self._gate is not None:
+            self._gate.granted(slot, choice.upstream, now_ms)
         if choice.upstream.health.state is HealthState.DOWN:
             self._reach.record_test(slot.upstream, now_ms)
             choice.upstream.health.probe_early()
@@ -665,8 +719,33 @@
     def _is_settled(self, now_ms: int) -> bool:
         return self._settled_at_ms is not None and now_ms >= self._settled_at_ms
 
+    @property
+    def _gate(self) -> VersionGate | None:
+        return self._gates.get(self.cell) if len(self._gates) else None
+
     def _candidates(self, model: str) -> list[Upstream]:
-        return self._upstreams_by_model.get(model, [])
+        return self._usable_by_model.get(model, [])
+
+    def _upstreams_for(self, slot_request: SlotRequest) -> list[Upstream]:
+        """Return the upstreams that a slot request may go to by its version."""
+        version = slot_request.software_version
+        if self._gate is None or not version:
+            return self._candidates(slot_request.model)
+        if not self._gate.may_resume_at(version):
+            return []
+        return self._upstreams_by_model.get(slot_request.model, [])
+
+    def _apply_gate(self) -> None:
+        self._gates_revision = self._gates.revision
+        gate = self._gate
+        if gate is None:
+            self._usable_by_model = self._upstreams_by_model
+        else:
+            self._usable_by_model = {
+                model: gate.usable(upstreams)
+                for model, upstreams in self._upstreams_by_model.items()
+            }
+        self._drain_rate.invalidate_capacities()
 
     def _all_upstreams(self) -> Iterable[Upstream]:
         return tuple(self._upstreams.values())
@@ -696,7 +775,7 @@
         for upstream in self._upstreams.values():
             for model in ("",) if self._is_service else upstream.spec.models:
                 self._upstreams_by_model.setdefault(model, []).append(upstream)
-        self._drain_rate.invalidate_capacities()
+        self._apply_gate()
 
     def _apply_spec(self, name: str, spec: UpstreamSpec) -> None:
         upstream = self._upstreams.get(name)
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -29,6 +29,8 @@
 )
 from .releases import NOT_EXECUTED_CAUSES, UNSENT_CAUSES, build_unsent_release
 from .retry_budgets import RetryBudgets, RetryLimits
+from .rollouts.exposure import RolloutLimits
+from .rollouts.gates import VersionGates
 from .routes import RoutedService, RoutingConfig
 from .scheduler import CellScheduler
 from .scheduler_events import CrashesChanged, FleetChanged, HostLost
@@ -68,6 +70,7 @@
 
     retries: RetryLimits = field(default_factory=RetryLimits)
     allowances: AllowanceLimits = field(default_factory=AllowanceLimits)
+    rollouts: RolloutLimits = field(default_factory=RolloutLimits)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +98,7 @@
     :param origins: versions at which the streams began that callers may resume.
     :param crash_guard: filter of requests that crash upstreams.
     :param limits: limits that upstreams have named.
+    :param gates: software versions that requests may go to, by service.
     """
 
     def __init__(
@@ -103,7 +107,9 @@
         origins: StreamOrigins,
         crash_guard: CrashGuard,
         limits: UpstreamLimits,
+        gates: VersionGates | None = None,
     ):
+        self._gates = VersionGates() if gates is None else gates
         self._origins = origins
         self._crash_guard = crash_guard
         self._limits = limits
@@ -159,6 +165,7 @@
                 self._limits,
                 self.reach,
                 self.brittle,
+                self._gates,
             )
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -850,6 +850,56 @@
     ),
 )
 
+ROLLOUT_EVENTS = (
+    LogEvent(
+        1000,
+        "rollout_ordered",
+        Level.INFO,
+        "an operator has ordered a rollout",
+        "It is replicated. The status tells whether it was started, repeats one that"
+        " goes on or has ended, or was refused since another one goes on.",
+    ),
+    LogEvent(
+        1001,
+        "rollout_refused",
+        Level.WARNING,
+        "an order of a rollout is invalid and was refused",
+        "Nothing has changed. Correct the order as the detail says.",
+    ),
+    LogEvent(
+        1002,
+        "rollout_stage",
+        Level.INFO,
+        "a rollout has entered a stage",
+        "canary: a small share of the requests goes to the new version; check: as many"
+        " as an unproven version may get; shift: all new requests.",
+    ),
+    LogEvent(
+        1003,
+        "rollout_progress",
+        Level.INFO,
+        "evidence on the new version of a rollout",
+        "routes lists route:answers:failed:slow of the new version; unproven lists the"
+        " routes on which more answers are needed.",
+    ),
+    LogEvent(
+        1004,
+        "rollout_ended",
+        Level.WARNING,
+        "a rollout is complete or reverted",
+        "The reason says what decided it. After complete the upstreams of other"
+        " versions may be stopped, after reverted those of the new one.",
+    ),
+    LogEvent(
+        1005,
+        "version_held",
+        Level.INFO,
+        "a software version that was just listed gets no requests yet",
+        "An operator may be about to order its rollout. Without an order it is used"
+        " after some seconds.",
+    ),
+)
+
 EVENTS = (
     PROCESS_EVENTS
     + OUTPUT_EVENTS
@@ -862,5 +912,6 @@
     + SCHEDULING_EVENTS
     + OPERATOR_EVENTS
     + ORDER_EVENTS
+    + ROLLOUT_EVENTS
 )
 EVENTS_BY_NAME = {event.name: event for event in EVENTS}
--- a/src/peridotfront/platform/control.py
+++ b/src/peridotfront/platform/control.py
@@ -16,7 +16,11 @@
     adapter = ControlAdapter(
         parse=parse_routing,
         list_client=lambda address: UpstreamListClient(HttpClient(), address),
-        operators=lambda server, port: OperatorEndpoint(server, port).handle,
+        operators=lambda server, port: (
+            OperatorEndpoint(
+                server, port, allows_rollouts=settings.rollouts.share > 0
+            ).handle
+        ),
     )
     return await RoutedControl(settings, settings_path(), storage, adapter).run()
 
--- a/src/peridotfront/platform/operators.py
+++ b/src/peridotfront/platform/operators.py
@@ -1,4 +1,4 @@
-"""HTTP endpoint of the platform's operators: set and read the configuration."""
+"""HTTP endpoint of the platform's operators: configuration and rollouts."""
 
 from http import HTTPStatus
 
@@ -9,6 +9,7 @@
 from ..replica_server import ReplicaServer
 from ..runtime import new_request_id
 from .configuration import parse_configuration
+from .rollouts import ROLLOUTS_PATH, RolloutEndpoint
 
 CONFIG_PATH = "/peridotfront/config"
 JSON_HEADER = ("content-type", "application/json")
@@ -22,29 +23,38 @@
 
     :param server: server of the local replica.
     :param port: port at which every control host serves this endpoint.
+    :param allows_rollouts: whether operators may order rollouts.
     """
 
-    def __init__(self, server: ReplicaServer, port: int):
+    def __init__(
+        self, server: ReplicaServer, port: int, *, allows_rollouts: bool = False
+    ):
         self._server = server
         self._port = port
+        self._rollouts = RolloutEndpoint(server, allows_rollouts)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
-        request = exchange.request
-        if request.path != CONFIG_PATH:
-            await exchange.respond(HTTPStatus.NOT_FOUND)
-            return
-        if request.method not in ("GET", "PUT"):
-            await exchange.respond(HTTPStatus.METHOD_NOT_ALLOWED)
-            return
+        path = exchange.request.path
         try:
-            if request.method == "PUT":
-                await self._put(exchange)
+            if path == CONFIG_PATH:
+                await self._handle_config(exchange)
+            elif path == ROLLOUTS_PATH or path.startswith(f"{ROLLOUTS_PATH}/"):
+                await self._rollouts.handle(exchange)
             else:
-                await self._get(exchange)
+                await exchange.respond(HTTPStatus.NOT_FOUND)
         except NotLeader as error:
             await self._redirect(exchange, error.leader)
 
+    async def _handle_config(self, exchange: Exchange) -> None:
+        method = exchange.request.method
+        if method == "PUT":
+            await self._put(exchange)
+        elif method == "GET":
+            await self._get(exchange)
+        else:
+            await exchange.respond(HTTPStatus.METHOD_NOT_ALLOWED)
+
     async def _put(self, exchange: Exchange) -> None:
         body = exchange.request.body
         try:
--- a/src/peridotfront/replica_server.py
+++ b/src/peridotfront/replica_server.py
@@ -15,6 +15,8 @@
     OperatorClaimResult,
     OperatorProposal,
     OperatorProposalResult,
+    OperatorRollout,
+    OperatorRolloutResult,
     OperatorStateQuery,
     OperatorStateResult,
     OperatorUnavailable,
@@ -29,7 +31,7 @@
 from .core.raft_types import PersistAction, Role, RoleChanged
 from .exceptions import DataFolderLocked, NotLeader, StorageDamaged, StorageFailed
 from .metrics import Metrics
-from .runtime import StopSignal, now_ms
+from .runtime import StopSignal, new_request_id, now_ms
 from .storage import Storage
 
 EXIT_STORAGE = 3
@@ -123,6 +125,21 @@
             lambda operation_id: OperatorProposal(operation_id, proposal)
         )
 
+    async def start_rollout(
+        self, service: str, version: str, period_ms: int
+    ) -> OperatorRolloutResult:
+        """Order the rollout of a software version and return the committed result.
+
+        :raises NotLeader: if this host is not the leader, or lost its quorum; the order
+            may still be accepted.
+        """
+        order_id = new_request_id()
+        return await self._await_result(
+            lambda operation_id: OperatorRollout(
+                operation_id, order_id, service, version, period_ms
+            )
+        )
+
     def on_role_changed(self, action: RoleChanged) -> None:
         """Handle a change of the role, the term or the leader; does nothing here."""
 
@@ -196,6 +213,10 @@
             return
         self._resolve(action.operation_id, action.result)
 
+    @_run.register
+    def _(self, action: OperatorRolloutResult) -> None:
+        self._resolve(action.operation_id, action)
+
     @_run.register
     def _(self, action: OperatorUnavailable) -> None:
         self._reject(action.operation_id, NotLeader(action.leader))
--- a/src/peridotfront/routed_settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -7,6 +7,7 @@
 
 from .core.allowances import AllowanceLimits
 from .core.retry_budgets import RetryLimits
+from .core.rollouts.exposure import RolloutLimits
 from .core.service_schedulers import SharedLimits
 from .exceptions import SettingsInvalid
 from .ini import Fault, Ini, Section, Words
@@ -98,6 +99,18 @@
     window_s: float = 8.0
 
 
+class RolloutsSection(Section):
+    """Limits on a software version that a rollout has not proven yet.
+
+    :param share: share of the requests of its service that it may get, over all hosts;
+        0 if operators order no rollouts.
+    :param slack: number of requests beyond that share.
+    """
+
+    share: float = Field(default=0.0, ge=0, le=1)
+    slack: int = Field(default=0, ge=0)
+
+
 class ShutdownSection(Section):
     """Time limit for the shutdown of a process.
 
@@ -118,6 +131,7 @@
     upstream_list: UpstreamListSection
     retries: RetriesSection
     allowances: AllowancesSection
+    rollouts: RolloutsSection
     shutdown: ShutdownSection
 
     @property
@@ -159,6 +173,7 @@
                 allowances.slack,
                 int(allowances.window_s * MS_PER_S),
             ),
+            RolloutLimits(self.rollouts.share, self.rollouts.slack),
         )
 
 
@@ -170,6 +185,7 @@
     "upstream_list": UpstreamListSection,
     "retries": RetriesSection,
     "allowances": AllowancesSection,
+    "rollouts": RolloutsSection,
     "shutdown": ShutdownSection,
 }
 
--- a/src/peridotfront/slot_finder.py
+++ b/src/peridotfront/slot_finder.py
@@ -193,6 +193,7 @@
             is_resumed=admitted.is_resumed or is_started,
             software_version=self.software_version,
             shared_parts=request.shared_parts,
+            route=route.name,
         )
 
     @property
