Compare answers of versions under the load of their own upstreams

Change: the effect of load is measured against each upstream's own usual time, and the faster upstreams of both versions are compared.

--- a/src/peridotfront/core/rollouts/evidence.py
+++ b/src/peridotfront/core/rollouts/evidence.py
@@ -7,15 +7,15 @@
 
 Upstreams of one version differ in speed, some by several times. So an answer is slow
 by comparison with other answers of the same upstream. A version all of whose answers
-are slow shows in the mean speed of its upstreams.
+are slow shows in the speed of its faster upstreams.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum, auto
-from math import log, sqrt
-from statistics import fmean, median, pvariance
+from math import log
+from statistics import median
 
 from .samples import Sample
 
@@ -42,9 +42,8 @@
 BUSY_QUANTILE = 0.7
 MIN_UPSTREAM_SAMPLES = 4
 MIN_SLOW_RATIO = log(2.0)
-MIN_MEAN_RATIO = log(2.0)
-MEAN_DEVIATIONS = 3.5
-MIN_MEAN_UPSTREAMS = 4
+FAST_QUANTILE = 0.25
+MIN_COMPARED_UPSTREAMS = 5
 
 
 class Verdict(Enum):
@@ -189,21 +188,20 @@
         return False
 
     def _has_slow_upstreams(self) -> bool:
-        """Return whether the upstreams' usual speeds are below the baseline's.
+        """Return whether the faster upstreams are slow against the baseline's.
 
-        The difference must exceed what their own variety explains.
+        The faster ones of many are alike, however many slow ones there are by chance.
         """
         for field in ("first", "pace"):
             base = [v[field] for v in self._usual_by_upstream(self._baseline)]
             new = [v[field] for v in self._usual_by_upstream(self._trial)]
             base = [value for value in base if value is not None]
             new = [value for value in new if value is not None]
-            if min(len(base), len(new)) < MIN_MEAN_UPSTREAMS:
+            if min(len(base), len(new)) < MIN_COMPARED_UPSTREAMS:
                 continue
-            variance = max(pvariance(base), 0.01)
-            error = sqrt(variance / len(base) + variance / len(new))
-            limit = max(MIN_MEAN_RATIO, MEAN_DEVIATIONS * error)
-            if fmean(new) - fmean(base) > limit:
+            fast_base = _quantile(sorted(base), FAST_QUANTILE)
+            fast_new = _quantile(sorted(new), FAST_QUANTILE)
+            if fast_new - fast_base > MIN_SLOW_RATIO:
                 return True
         return False
 
@@ -302,13 +300,15 @@
     def _find_load_medians(self) -> dict[tuple[str, int], float]:
         """Return the medians of the baseline's times by field and load.
 
-        A load without enough samples has the median of the next lower one.
+        They are those against each upstream's usual time, as fast upstreams are the
+        busier ones. A load without enough samples has the median of the next lower one.
         """
         medians: dict[tuple[str, int], float] = {}
+        usual = self._usual_values(self._baseline)
         for field in ("first", "pace"):
             values: dict[int, list[float]] = defaultdict(list)
             for sample in self._baseline:
-                value = self._relative(sample, field)
+                value = self._residual(sample, field, usual)
                 if value is not None:
                     values[_load_step(sample)].append(value)
             last = 0.0
