--- a/src/peridotfront/core/rollouts/evidence.py
+++ b/src/peridotfront/core/rollouts/evidence.py
@@ -34,8 +34,9 @@
 # A version with ``BAD_SHARE`` passes one test with a probability of e^-3 at most.
 PROOF_LLR = 3.0
 # On a single route, few answers are enough if all routes together are proven.
-ROUTE_SLOW_LLR = 1.0
+ROUTE_SLOW_LLR = 2.0
 MIN_BASELINE_SAMPLES = 20
+FIELDS = ("first", "pace")
 LOAD_STEPS = 4
 MIN_LOAD_SAMPLES = 10
 # Upstreams that take over all requests are as full as the busier ones before them.
@@ -151,7 +152,8 @@
                 and judged.sample.load >= min_load
             ]
             unproven = frozenset(self._unproven(active_routes))
-            if not unproven and self._is_proven(recent, PROOF_LLR):
+            is_fast = not self._has_slow_upstreams([j.sample for j in recent], 1)
+            if not unproven and is_fast and self._is_proven(recent, PROOF_LLR):
                 verdict = Verdict.PROVEN
         routes = tuple(self._route_evidence())
         return Finding(verdict, reason, bad_answers, routes, unproven)
@@ -160,6 +162,18 @@
         loads = sorted([sample.load for sample in self._baseline])
         return _quantile(loads, BUSY_QUANTILE) if loads else 0.0
 
+    def fastest_upstreams(self) -> list[str]:
+        """Return the new version's upstreams with known times, fast first."""
+        usual = self._usual_values(self._trial)
+        upstreams = {upstream for upstream, _ in usual}
+        return sorted(
+            upstreams,
+            key=lambda upstream: (
+                sum(usual.get((upstream, field), 0.0) for field in FIELDS),
+                upstream,
+            ),
+        )
+
     # Conviction
 
     def _conviction(self) -> str:
@@ -177,7 +191,9 @@
                     _without_worst_upstream(values), kind
                 ):
                     return f"{kind} answers on {name}"
-        return "slow upstreams" if self._has_slow_upstreams() else ""
+        if self._has_slow_upstreams(self._trial, MIN_COMPARED_UPSTREAMS):
+            return "slow upstreams"
+        return ""
 
     def _is_convicted(self, values: list[tuple[_Judged, bool]], kind: str) -> bool:
         total = 0.0
@@ -187,17 +203,19 @@
                 return True
         return False
 
-    def _has_slow_upstreams(self) -> bool:
+    def _has_slow_upstreams(self, samples: list[Sample], min_upstreams: int) -> bool:
         """Return whether the faster upstreams are slow against the baseline's.
 
         The faster ones of many are alike, however many slow ones there are by chance.
+
+        :param min_upstreams: number of upstreams that are compared at least.
         """
-        for field in ("first", "pace"):
+        for field in FIELDS:
             base = [v[field] for v in self._usual_by_upstream(self._baseline)]
-            new = [v[field] for v in self._usual_by_upstream(self._trial)]
+            new = [v[field] for v in self._usual_by_upstream(samples)]
             base = [value for value in base if value is not None]
             new = [value for value in new if value is not None]
-            if min(len(base), len(new)) < MIN_COMPARED_UPSTREAMS:
+            if not base or len(new) < min_upstreams:
                 continue
             fast_base = _quantile(sorted(base), FAST_QUANTILE)
             fast_new = _quantile(sorted(new), FAST_QUANTILE)
@@ -252,7 +270,7 @@
 
     def _judge(self, sample: Sample, usual: dict) -> _Judged:
         is_slow: bool | None = None
-        for field in ("first", "pace"):
+        for field in FIELDS:
             residual = self._residual(sample, field, usual)
             is_busy = sample.load >= self._busy_load
             threshold = self._thresholds[field, is_busy]
@@ -268,7 +286,7 @@
         usual = self._usual_values(self._baseline)
         busy = [s for s in self._baseline if s.load >= self._busy_load]
         thresholds: dict[tuple[str, bool], float | None] = {}
-        for field in ("first", "pace"):
+        for field in FIELDS:
             common = self._threshold(self._baseline, field, usual)
             thresholds[field, False] = common
             own = self._threshold(busy, field, usual)
@@ -305,7 +323,7 @@
         """
         medians: dict[tuple[str, int], float] = {}
         usual = self._usual_values(self._baseline)
-        for field in ("first", "pace"):
+        for field in FIELDS:
             values: dict[int, list[float]] = defaultdict(list)
             for sample in self._baseline:
                 value = self._residual(sample, field, usual)
@@ -322,7 +340,7 @@
         """Return the usual times by upstream and field."""
         values: dict[tuple[str, str], list[float]] = defaultdict(list)
         for sample in samples:
-            for field in ("first", "pace"):
+            for field in FIELDS:
                 value = self._relative(sample, field)
                 if value is not None:
                     values[sample.upstream, field].append(value)
@@ -336,7 +354,7 @@
         usual = self._usual_values(samples)
         upstreams = {upstream for upstream, _ in usual}
         return [
-            {field: usual.get((upstream, field)) for field in ("first", "pace")}
+            {field: usual.get((upstream, field)) for field in FIELDS}
             for upstream in sorted(upstreams)
         ]
 
@@ -356,7 +374,7 @@
 def _route_medians(samples: list[Sample]) -> dict[tuple[str, str], float]:
     values: dict[tuple[str, str], list[float]] = defaultdict(list)
     for sample in samples:
-        for field in ("first", "pace"):
+        for field in FIELDS:
             value = getattr(sample, field)
             if value is not None:
                 values[sample.route, field].append(value)
--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -134,6 +134,7 @@
         self._trial_names: frozenset[str] = frozenset()
         self._broken_ms = now_ms
         self._is_burst = False
+        self._fastest: list[str] = []
 
     def elapsed_ms(self, now_ms: int) -> int:
         """Return the time since the order."""
@@ -278,6 +279,8 @@
             if count >= MIN_ROUTE_REQUESTS
         ]
         comparison = Comparison(baseline, self._trial)
+        if self.stage is RolloutStage.CANARY:
+            self._fastest = comparison.fastest_upstreams()
         self.finding = comparison.finding(
             active,
             self._stage_since_ms,
@@ -368,7 +371,8 @@
         """Choose the upstreams that get trials.
 
         They are spread over the data centres, since one may be cut off. In the check
-        they are few, so that these are under load.
+        they are few, so that these are under load, and the fastest, since a slow one
+        can't be told from one of a bad version.
         """
         new = [
             upstream
@@ -377,9 +381,11 @@
             and not upstream.is_leaving
         ]
         count = max(MIN_TRIAL_UPSTREAMS, ceil(len(new) * TRIAL_SHARE))
+        names = list(_spread(new))[:count]
         if self.stage is RolloutStage.CHECK:
-            count = CHECK_UPSTREAMS
-        self._trial_names = frozenset(list(_spread(new))[:count])
+            fastest = [name for name in self._fastest if name in names]
+            names = list(dict.fromkeys([*fastest, *names]))[:CHECK_UPSTREAMS]
+        self._trial_names = frozenset(names)
 
 
 def _spread(upstreams: list[Upstream]) -> Iterator[str]:
