Add a settings section for options of the scheduling

Cause: parts of the scheduler that answer hard load take effect only where a deployment asks for them, and there was no place to ask.

Change: section scheduling of the settings, passed to the schedulers of routed services. All options are off by default; nothing reads them yet.

--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -48,6 +48,7 @@
     HostLost,
     StrikesChanged,
 )
+from .scheduling_options import SchedulingOptions
 from .single_dispatch import dispatchmethod
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
@@ -90,6 +91,7 @@
     :param reach: evidence on the links between entry hosts and upstreams.
     :param brittle: upstreams that must not reject many requests.
     :param gates: software versions that requests may go to, by cell.
+    :param options: options of the scheduling.
     """
 
     def __init__(
@@ -102,10 +104,12 @@
         reach: HostReach | None = None,
         brittle: BrittleUpstreams | None = None,
         gates: VersionGates | None = None,
+        options: SchedulingOptions | None = None,
     ):
         self.cell = cell
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
         self.stats = CellStats()
+        self._options = SchedulingOptions() if options is None else options
         self._fleet = fleet
         self._weights: dict[str, int] = {}
         self._upstreams: dict[str, Upstream] = {}
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -34,6 +34,7 @@
 from .routes import RoutedService, RoutingConfig
 from .scheduler import CellScheduler
 from .scheduler_events import CrashesChanged, FleetChanged, HostLost
+from .scheduling_options import SchedulingOptions
 from .single_dispatch import dispatchmethod
 from .stream_origins import StreamOrigins
 from .upstream_limits import UpstreamLimits
@@ -66,11 +67,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedLimits:
-    """Limits on what all hosts together may use."""
+    """Limits on what all hosts together may use, and options of its scheduling."""
 
     retries: RetryLimits = field(default_factory=RetryLimits)
     allowances: AllowanceLimits = field(default_factory=AllowanceLimits)
     rollouts: RolloutLimits = field(default_factory=RolloutLimits)
+    scheduling: SchedulingOptions = field(default_factory=SchedulingOptions)
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +115,7 @@
         self._origins = origins
         self._crash_guard = crash_guard
         self._limits = limits
+        self._options = shared_limits.scheduling
         self.allowances = Allowances(shared_limits.allowances)
         self.retries = RetryBudgets(shared_limits.retries)
         self.schedulers: dict[str, CellScheduler] = {}
@@ -166,6 +169,7 @@
                 self.reach,
                 self.brittle,
                 self._gates,
+                self._options,
             )
         # A scheduler whose service has lost all upstreams must be updated too.
         for name, scheduler in self.schedulers.items():
--- a/src/peridotfront/routed_settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -8,6 +8,7 @@
 from .core.allowances import AllowanceLimits
 from .core.retry_budgets import RetryLimits
 from .core.rollouts.exposure import RolloutLimits
+from .core.scheduling_options import SchedulingOptions
 from .core.service_schedulers import SharedLimits
 from .exceptions import SettingsInvalid
 from .ini import Fault, Ini, Section, Words
@@ -111,6 +112,21 @@
     slack: int = Field(default=0, ge=0)
 
 
+class SchedulingSection(Section):
+    """Options of the scheduling.
+
+    :param finds_pace: whether an upstream that has just started or recovered is sent as
+        much as its answers show that it can take.
+    :param shares_accounts: whether client accounts get fair shares of all capacity, also
+        of the slots in use.
+    :param learns_speeds: whether placement goes by the learned speed of each upstream.
+    """
+
+    finds_pace: bool = False
+    shares_accounts: bool = False
+    learns_speeds: bool = False
+
+
 class ShutdownSection(Section):
     """Time limit for the shutdown of a process.
 
@@ -132,6 +148,7 @@
     retries: RetriesSection
     allowances: AllowancesSection
     rollouts: RolloutsSection
+    scheduling: SchedulingSection
     shutdown: ShutdownSection
 
     @property
@@ -174,6 +191,7 @@
                 int(allowances.window_s * MS_PER_S),
             ),
             RolloutLimits(self.rollouts.share, self.rollouts.slack),
+            SchedulingOptions(**self.scheduling.model_dump()),
         )
 
 
@@ -186,6 +204,7 @@
     "retries": RetriesSection,
     "allowances": AllowancesSection,
     "rollouts": RolloutsSection,
+    "scheduling": SchedulingSection,
     "shutdown": ShutdownSection,
 }
 
