--- a/src/peridotfront/routed_settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -117,7 +117,7 @@
 
     :param finds_pace: whether an upstream that has just started or recovered is sent as
         much as its answers show that it can take.
-    :param shares_accounts: whether client accounts get fair shares of all capacity, also
+    :param shares_accounts: whether client accounts get fair shares of all capacity, and
         of the slots in use.
     :param learns_speeds: whether placement goes by the learned speed of each upstream.
     """
