Compare a version that turns slow with its own earlier times

Cause: the usual time of an upstream followed its answers, so that a version all of whose answers turned slow looked usual after some seconds (2 of 8 seeds got requests beyond 5 s after the 50th bad answer).

Change: the lowest usual time of an upstream in a rollout counts.

--- a/src/peridotfront/core/rollouts/evidence.py
+++ b/src/peridotfront/core/rollouts/evidence.py
@@ -112,9 +112,18 @@
 
     :param baseline: samples of the other versions.
     :param trial: samples of the new version, oldest first.
+    :param earlier_usual: usual times of its upstreams by earlier comparisons. The
+        lowest ones count, so that a version that turns slow isn't compared with itself.
+
+    ``usual`` holds the usual times of its upstreams by upstream and field.
     """
 
-    def __init__(self, baseline: Iterable[Sample], trial: Iterable[Sample]):
+    def __init__(
+        self,
+        baseline: Iterable[Sample],
+        trial: Iterable[Sample],
+        earlier_usual: dict[tuple[str, str], float] | None = None,
+    ):
         self._baseline = list(baseline)
         self._trial = list(trial)
         self._busy_load = self._find_busy_load()
@@ -122,8 +131,10 @@
         self._load_medians: dict[tuple[str, int], float] = {}
         self._load_medians = self._find_load_medians()
         self._thresholds = self._find_thresholds()
-        usual = self._usual_values(self._trial)
-        self._judged = [self._judge(sample, usual) for sample in self._trial]
+        self.usual = self._usual_values(self._trial)
+        for key, value in (earlier_usual or {}).items():
+            self.usual[key] = min(value, self.usual.get(key, value))
+        self._judged = [self._judge(sample, self.usual) for sample in self._trial]
         self._failure_tests: dict[str, _Test] = {}
 
     def finding(
--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -134,6 +134,7 @@
         self._trial_names: frozenset[str] = frozenset()
         self._broken_ms = now_ms
         self._is_burst = False
+        self._usual: dict[tuple[str, str], float] = {}
         self._fastest: list[str] = []
 
     def elapsed_ms(self, now_ms: int) -> int:
@@ -278,7 +279,8 @@
             for route, count in self._route_requests.items()
             if count >= MIN_ROUTE_REQUESTS
         ]
-        comparison = Comparison(baseline, self._trial)
+        comparison = Comparison(baseline, self._trial, self._usual)
+        self._usual = comparison.usual
         if self.stage is RolloutStage.CANARY:
             self._fastest = comparison.fastest_upstreams()
         self.finding = comparison.finding(
