Name the failed step in the output of the tests, and add metrics of rollouts

Operators saw the progress of a rollout in the log only.

Change: a hook prints the failed step with its error; the gauge rollout_requests counts the requests of each rollout at the leader.

--- a/features/environment.py
+++ b/features/environment.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from behave import fixture, use_fixture
+from behave.model_type import Status
 from hypothesis import HealthCheck, settings
 
 FEATURES = Path(__file__).resolve().parent
@@ -104,3 +105,9 @@
     if scenario.name in context.known_red:
         print(f"KNOWN RED: {scenario.filename}: {scenario.name}")
         scenario.skip("listed in KNOWN-RED.txt")
+
+
+def after_step(context, step):
+    """Print what failed, which the progress format leaves out."""
+    if step.status in (Status.failed, Status.error):
+        print(f"\nFAILED: {step.location}: {step.name}\n{step.error_message}")
--- a/src/peridotfront/metrics.py
+++ b/src/peridotfront/metrics.py
@@ -84,6 +84,12 @@
             Gauge, "requests_in_progress", "Requests that have not ended yet."
         )
 
+        self._rollouts = self._create_metric(
+            Gauge,
+            "rollout_requests",
+            "Requests since the order of a rollout that goes on, by kind.",
+        )
+
     def add_collector(self, collect: Callable[[], None]) -> None:
         """Add a function that updates metrics before they are rendered."""
         self._collectors.append(collect)
@@ -162,6 +168,17 @@
         """Record how many requests have not ended yet."""
         self._in_progress.set({}, count)
 
+    def set_rollout_requests(
+        self, service: str, stage: str, kind: str, count: int
+    ) -> None:
+        """Record the requests of a rollout.
+
+        :param kind: ``all`` for those of the service, ``exposed`` for those that the
+            new version got, ``bad`` for its failed or slow answers.
+        """
+        labels = {"service": service, "stage": stage, "kind": kind}
+        self._rollouts.set(labels, count)
+
     def render(self) -> bytes:
         """Render all metrics in the text format of Prometheus.
 
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -91,6 +91,7 @@
             {ConfigApplied: self._apply_config},
         )
         ip, port = split_address(settings.listen.operators)
+        metrics.add_collector(lambda: self._collect_rollouts(metrics))
         self.operator_server = HttpServer(
             adapter.operators(self.server, port),
             HttpLimits(max_body_bytes=MAX_CONFIG_BYTES),
@@ -145,6 +146,20 @@
             return
         self.server.feed(RoutingChanged(routing))
 
+    def _collect_rollouts(self, metrics: Metrics) -> None:
+        """Update the metrics of the rollouts that go on, which only a leader knows."""
+        manager = self.coordinator.rollouts
+        for rollout in manager.rollouts if manager else ():
+            counts = {
+                "all": rollout.exposure.requests,
+                "exposed": rollout.exposure.exposed,
+                "bad": rollout.bad_answers,
+            }
+            for kind, count in counts.items():
+                metrics.set_rollout_requests(
+                    rollout.record.service, rollout.stage.value, kind, count
+                )
+
     def _apply_settings(self, settings: RoutedSettings) -> None:
         self.raft.set_configured_hosts(settings.seed_hosts)
 
