Give a version no more trials while nothing is known of its speed

Change: no more than 40 trials until the speed of an upstream is known and usual; the proof waits for overdue requests by route.

--- a/src/peridotfront/core/rollouts/evidence.py
+++ b/src/peridotfront/core/rollouts/evidence.py
@@ -73,6 +73,8 @@
     :param bad_answers: failed and slow answers of the new version.
     :param routes: answers by route.
     :param unproven_routes: routes on which more answers are needed.
+    :param is_fast: whether the faster upstreams are known to be as fast as the
+        baseline's.
     """
 
     verdict: Verdict
@@ -80,6 +82,7 @@
     bad_answers: int
     routes: tuple[RouteEvidence, ...]
     unproven_routes: frozenset[str]
+    is_fast: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,11 +166,14 @@
                 and judged.sample.load >= min_load
             ]
             unproven = frozenset(self._unproven(active_routes))
-            is_fast = not self._has_slow_upstreams([j.sample for j in recent], 1)
-            if not unproven and is_fast and self._is_proven(recent, PROOF_LLR):
+            is_recent_fast = not self._has_slow_upstreams(
+                [judged.sample for judged in recent], 1
+            )
+            if not unproven and is_recent_fast and self._is_proven(recent, PROOF_LLR):
                 verdict = Verdict.PROVEN
         routes = tuple(self._route_evidence())
-        return Finding(verdict, reason, bad_answers, routes, unproven)
+        is_fast = bool(self.usual) and not self._has_slow_upstreams(self._trial, 1)
+        return Finding(verdict, reason, bad_answers, routes, unproven, is_fast)
 
     def _find_busy_load(self) -> float:
         loads = sorted([sample.load for sample in self._baseline])
--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -55,6 +55,8 @@
 OVERDUE_FACTOR = 2
 MAX_OVERDUE_SHARE = 0.1
 MAX_BAD_ANSWERS = 40
+# All of these may be bad, if all answers are slow and no upstream's times are known.
+MAX_UNKNOWN_TRIALS = 40
 MAX_BAD_SHARE = 0.25
 # Callers whose streams have broken off resume them within a moment.
 RESUME_WAIT_MS = 1500
@@ -83,6 +85,7 @@
     :param is_new: whether it was granted at the new version.
     """
 
+    route: str
     expected_ms: float
     load: float
     granted_ms: int
@@ -175,6 +178,9 @@
 
     def _may_try(self, slot_request: SlotRequest) -> bool:
         """Return whether a request may go to the unproven version now."""
+        is_known = self.finding is not None and self.finding.is_fast
+        if not is_known and self._trial_grants.total() >= MAX_UNKNOWN_TRIALS:
+            return False
         if self.stage is RolloutStage.CANARY:
             is_available = self.exposure.available(self._canary_share) > 0
             return is_available and self._is_route_due(slot_request.route)
@@ -219,7 +225,7 @@
         expected_ms = tokens / TOKENS_PER_MS if slot.prefill_tokens else 0.0
         load = len(upstream.capacity.slots) / max(1, upstream.spec.max_slots)
         self._granted[slot.slot_request.request_id] = _Granted(
-            expected_ms, load, now_ms, is_new
+            route, expected_ms, load, now_ms, is_new
         )
 
     def ended(
@@ -315,21 +321,22 @@
         return self.elapsed_ms(now_ms) >= shift_ms and self._has_enough_slots(view)
 
     def _overdue_share(self, now_ms: int) -> float:
-        """Return the share of the stage's trials that take longer than is usual."""
+        """Return the share of the stage's trials that take longer than is usual.
+
+        It is that of the route with the largest one.
+        """
         durations = [sample.duration_ms for sample in self._baseline]
         usual_ms = median(durations) if durations else 0
-        trials = [
-            grant
-            for grant in self._granted.values()
-            if grant.is_new and grant.granted_ms >= self._stage_since_ms
-        ]
-        overdue = [
-            grant
-            for grant in trials
-            if now_ms - grant.granted_ms > OVERDUE_FACTOR * usual_ms
-        ]
-        ended = len(self._trial.since(self._stage_since_ms))
-        return len(overdue) / max(1, len(trials) + ended)
+        trials: Counter[str] = Counter()
+        overdue: Counter[str] = Counter()
+        trials.update(s.route for s in self._trial.since(self._stage_since_ms))
+        for grant in self._granted.values():
+            if not grant.is_new or grant.granted_ms < self._stage_since_ms:
+                continue
+            trials[grant.route] += 1
+            is_overdue = now_ms - grant.granted_ms > OVERDUE_FACTOR * usual_ms
+            overdue[grant.route] += is_overdue
+        return max([overdue[route] / trials[route] for route in overdue], default=0.0)
 
     def _stage_times(self) -> tuple[int, int]:
         """Return the times since the order of the check and of the shift.
