Share the capacity of a service fairly among client accounts

Cause: the queues are fair among accounts in prompt and output tokens alike, and slots in use don't count. So an account with long answers gets several times the slot time of others, a new leader gives an account that holds all slots as much as one that holds none, and a retry at its announced time isn't recognized, since it has a new request id.

Change: package core/shares, used with the option shares_accounts. Output tokens count by the slot times that releases show. A Retry-After time that is announced before the goal reserves a place in half of the account's share. The retry is recognized by account, tier and fingerprint and goes before new work of its tier. The scheduler's dump lists share, work and refusals by account.

--- a/src/peridotfront/core/load_shedding.py
+++ b/src/peridotfront/core/load_shedding.py
@@ -10,11 +10,12 @@
 from .drain_rate import DrainRate
 from .fleet import Policy
 from .goal_admission import GoalAdmission
-from .messages import Preempt, SlotRefusal, SlotRequest
+from .messages import Preempt, SlotRefusal
 from .placement import Upstream
 from .queues import QueuedSlotRequest, TierQueues
 from .retry_schedule import RetrySchedule
 from .scheduler_dump import CellStats
+from .shares.account_shares import NoShares
 from .upstream_capacity import Slot
 from .verdicts import Reason
 
@@ -36,6 +37,7 @@
     :param retry_schedule: schedule of the announced retry times.
     :param candidates: returns the upstreams that serve a model.
     :param stats: counters of the cell.
+    :param shares: work and shares of the client accounts.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         retry_schedule: RetrySchedule,
         candidates: CandidateLookup,
         stats: CellStats,
+        shares: NoShares,
     ):
         self.policy = policy
         self._cell = cell
@@ -55,6 +58,7 @@
         self._retry_schedule = retry_schedule
         self._candidates = candidates
         self._stats = stats
+        self._shares = shares
         self._admission = GoalAdmission(queues, drain_rate, candidates)
 
     def prepare(self, queued: QueuedSlotRequest, now_ms: int) -> None:
@@ -173,19 +177,20 @@
         if not is_new:
             self._stats.evicted[queued.slot_request.tier] += 1
         return self.refuse(
-            queued, reason, self._schedule_retry(queued.slot_request, excess_ms, now_ms)
+            queued, reason, self._schedule_retry(queued, excess_ms, now_ms)
         )
 
     def _schedule_retry(
-        self, slot_request: SlotRequest, excess_ms: float, now_ms: int
+        self, queued: QueuedSlotRequest, excess_ms: float, now_ms: int
     ) -> int:
+        slot_request = queued.slot_request
         candidates = self._candidates(slot_request.model)
         if self._drain_rate.capacity(slot_request.model, candidates, now_ms).slots == 0:
             probes = [upstream.health.next_probe_ms(now_ms) for upstream in candidates]
             return max(MIN_RETRY_AFTER_MS, min(probes))
         due_ms = self._retry_schedule.schedule_retry(
-            slot_request.request_id,
-            (slot_request.tier, slot_request.model),
+            queued,
+            now_ms=now_ms,
             earliest_ms=now_ms + max(MIN_RETRY_AFTER_MS, excess_ms),
             interval_ms=self._drain_rate.interval_ms(slot_request, candidates, now_ms),
             latest_ms=now_ms + MAX_RETRY_AFTER_MS,
@@ -207,6 +212,7 @@
         """Count a refusal and return the message."""
         slot_request = queued.slot_request
         self._stats.refused[slot_request.tier, reason.value] += 1
+        self._shares.refused(slot_request.client_account, reason.value)
         if reason in SHED_REASONS and not self._may_refuse(
             slot_request.tier, slot_request.model
         ):
--- a/src/peridotfront/core/queues.py
+++ b/src/peridotfront/core/queues.py
@@ -35,6 +35,7 @@
     :param data_centre: data centre of the host; empty if it is not known.
     :param goal_at_ms: time by which it should be granted to meet its goal; None if it
         is late, or has no goal.
+    :param output_weight: number of prompt tokens that an output token counts for.
     """
 
     slot_request: SlotRequest
@@ -44,6 +45,7 @@
     is_scheduled_retry: bool = False
     goal_at_ms: int | None = None
     data_centre: str = ""
+    output_weight: int = 1
 
     @property
     def order_ms(self) -> int:
@@ -59,7 +61,8 @@
     @property
     def cost_tokens(self) -> int:
         """Return the tokens that count against the account's share."""
-        return max(1, self.slot_request.prompt_tokens + self.slot_request.output_tokens)
+        output_tokens = self.slot_request.output_tokens * self.output_weight
+        return max(1, self.slot_request.prompt_tokens + output_tokens)
 
 
 @dataclass(slots=True)
@@ -316,10 +319,15 @@
     """Fair queues by tier and model.
 
     :param get_weight: returns the weight of an account.
+    :param build_queue: returns an empty queue; by default a :class:`FairQueue`.
     """
 
-    def __init__(self, get_weight: Callable[[str], int]):
-        self._get_weight = get_weight
+    def __init__(
+        self,
+        get_weight: Callable[[str], int],
+        build_queue: Callable[[], FairQueue] | None = None,
+    ):
+        self._build_queue = build_queue or (lambda: FairQueue(get_weight))
         self._queues: dict[int, dict[str, FairQueue]] = {}
         self._slot_requests: dict[str, QueuedSlotRequest] = {}
 
@@ -396,7 +404,7 @@
     def _queue(self, tier: int, model: str) -> FairQueue:
         models = self._queues.setdefault(tier, {})
         if model not in models:
-            models[model] = FairQueue(self._get_weight)
+            models[model] = self._build_queue()
         return models[model]
 
 
--- a/src/peridotfront/core/retry_schedule.py
+++ b/src/peridotfront/core/retry_schedule.py
@@ -2,6 +2,9 @@
 
 from collections import OrderedDict
 
+from .messages import SlotRequest
+from .queues import QueuedSlotRequest
+
 MAX_SCHEDULED_RETRIES = 10_000
 EARLY_TOLERANCE_MS = 50
 RETENTION_MS = 10_000
@@ -19,9 +22,9 @@
 
     def schedule_retry(
         self,
-        request_id: str,
-        queue: tuple[int, str],
+        queued: QueuedSlotRequest,
         *,
+        now_ms: int,
         earliest_ms: float,
         interval_ms: float,
         latest_ms: float,
@@ -29,12 +32,14 @@
     ) -> int:
         """Schedule the retry of a refused slot request and return its time.
 
-        :param queue: tier and model.
         :param earliest_ms: earliest time at which it may be accepted.
         :param interval_ms: time between two grants to such slot requests.
         :param latest_ms: latest time that may be announced.
         :param takes_place: whether later retries are scheduled after this one.
         """
+        slot_request = queued.slot_request
+        request_id = slot_request.request_id
+        queue = slot_request.tier, slot_request.model
         due_ms = max(earliest_ms, self._last_due_ms.get(queue, 0.0) + interval_ms)
         due_ms = min(due_ms, latest_ms)
         if not takes_place:
@@ -46,12 +51,12 @@
             self._due_ms.popitem(last=False)
         return int(due_ms)
 
-    def take_due(self, request_id: str, now_ms: int) -> bool:
+    def take_due(self, slot_request: SlotRequest, now_ms: int) -> bool:
         """Remove a scheduled retry and return whether it arrived at its time.
 
         It may arrive up to ``EARLY_TOLERANCE_MS`` early or ``RETENTION_MS`` late.
         """
-        due_ms = self._due_ms.pop(request_id, None)
+        due_ms = self._due_ms.pop(slot_request.request_id, None)
         return (
             due_ms is not None
             and due_ms - EARLY_TOLERANCE_MS <= now_ms < due_ms + RETENTION_MS
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
@@ -49,6 +50,9 @@
     StrikesChanged,
 )
 from .scheduling_options import SchedulingOptions
+from .shares.account_shares import AccountShares, NoShares
+from .shares.reservations import Reservations
+from .shares.share_queue import ShareQueue
 from .single_dispatch import dispatchmethod
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
@@ -120,7 +124,14 @@
         self._gates_revision = self._gates.revision
         self._slots: dict[str, Slot] = {}
         self._leaving_until_ms: dict[str, int] = {}
-        self._queues = TierQueues(lambda account: self._weights.get(account, 1))
+        self._shares = NoShares()
+        self._retry_schedule = RetrySchedule()
+        build_queue = None
+        if self._options.shares_accounts:
+            self._shares = AccountShares(self._weight)
+            self._retry_schedule = Reservations(self._shares)
+            build_queue = partial(ShareQueue, self._weight, self._shares)
+        self._queues = TierQueues(self._weight, build_queue)
         self._poison_detector = PoisonDetector(fleet.policy.poison_strikes)
         guard = crash_guard or CrashGuard(CrashHistory())
         self._crashes = CrashRecorder(guard, self._slots)
@@ -137,7 +148,6 @@
             self._crashes,
             self._drain_rate,
         )
-        self._retry_schedule = RetrySchedule()
         self._shedder = LoadShedder(
             cell,
             fleet.policy,
@@ -146,6 +156,7 @@
             self._retry_schedule,
             self._candidates,
             self.stats,
+            self._shares,
         )
         self._settled_at_ms: int | None = None
         self._now_ms = 0
@@ -162,6 +173,7 @@
         if self._settled_at_ms is None:
             self._settled_at_ms = now_ms + self._fleet.policy.settle_ms
         self._now_ms = now_ms
+        self._shares.advance(now_ms)
         if self._gates_revision != self._gates.revision:
             self._apply_gate()
         yield from self._handle_event(event, now_ms)
@@ -212,6 +224,7 @@
             upstreams=tuple(upstreams),
             struck_fingerprints=len(self._poison_detector),
             stats=self.stats,
+            accounts=self._shares.dump(),
         )
 
     # Events
@@ -320,6 +333,7 @@
         slot = self._slots.get(cancel.request_id)
         if slot is not None and slot.host == sender:
             self._limits.refund(slot.upstream)
+            self._shares.refund(cancel.request_id)
             self._vacate(slot)
             yield from self._grant_queued(now_ms)
 
@@ -344,6 +358,7 @@
         self._learn_from_release(slot, release, now_ms)
         if release.cause in UNSENT_CAUSES:
             self._limits.refund(slot.upstream)
+        self._shares.settle(release)
         ended_at = self._upstreams[slot.upstream]
         self._vacate(slot)
         if self._gate is not None:
@@ -379,9 +394,7 @@
         self, slot_request: SlotRequest, sender: str, now_ms: int
     ) -> QueuedSlotRequest:
         max_wait_ms = min(slot_request.deadline_ms, self._fleet.policy.max_queue_ms)
-        is_scheduled_retry = self._retry_schedule.take_due(
-            slot_request.request_id, now_ms
-        )
+        is_scheduled_retry = self._retry_schedule.take_due(slot_request, now_ms)
         return QueuedSlotRequest(
             slot_request,
             sender,
@@ -390,6 +403,7 @@
             is_scheduled_retry,
             self._goal_at_ms(slot_request, now_ms),
             self._reach.data_centre(sender),
+            self._shares.output_weight,
         )
 
     def _goal_at_ms(self, slot_request: SlotRequest, now_ms: int) -> int | None:
@@ -553,6 +567,7 @@
     def _occupy(self, slot: Slot, now_ms: int) -> None:
         upstream = self._upstreams[slot.upstream]
         self._slots[slot.slot_request.request_id] = slot
+        self._shares.started(slot.slot_request)
         upstream.capacity.occupy(slot, now_ms)
         output_tokens = sum(
             active.slot_request.output_tokens
@@ -567,6 +582,7 @@
 
     def _vacate(self, slot: Slot) -> None:
         del self._slots[slot.slot_request.request_id]
+        self._shares.ended(slot.slot_request.request_id)
         upstream = self._upstreams[slot.upstream]
         upstream.capacity.vacate(slot.slot_request.request_id)
         self._count_suspects(upstream)
@@ -605,6 +621,7 @@
             age_ms = held.token_age_ms
             produced_ms = None if age_ms is None else now_ms - age_ms
             upstream.health.progressed(slot.granted_ms, limit, now_ms, produced_ms)
+        self._shares.progressed(slot.slot_request.request_id, held.produced_tokens)
         upstream.capacity.record_progress(
             slot, held.produced_tokens, held.slow_tokens, now_ms
         )
@@ -720,6 +737,9 @@
 
     # Configuration
 
+    def _weight(self, account: str) -> int:
+        return self._weights.get(account, 1)
+
     def _is_settled(self, now_ms: int) -> bool:
         return self._settled_at_ms is not None and now_ms >= self._settled_at_ms
 
@@ -758,6 +778,7 @@
         self._fleet = fleet
         self._shedder.policy = fleet.policy
         self._weights = {account.name: account.weight for account in fleet.accounts}
+        self._shares.reweigh()
         self._poison_detector.limit = fleet.policy.poison_strikes
         self._placement = Placement(
             fleet.policy,
--- a/src/peridotfront/core/scheduler_dump.py
+++ b/src/peridotfront/core/scheduler_dump.py
@@ -66,6 +66,26 @@
     cache_trust: float
 
 
+@dataclass(frozen=True, slots=True)
+class AccountDump:
+    """Dump of the work and the share of a client account.
+
+    :param share: share of the capacity that it may have, from 0 to 1.
+    :param running_tokens: work of its slots in use, in prompt tokens.
+    :param recent_tokens: decaying sum of its work that has ended.
+    :param waiting_tokens: work of its slot requests that wait.
+    :param refused: refusals by reason.
+    """
+
+    name: str
+    weight: int
+    share: float
+    running_tokens: int
+    recent_tokens: int
+    waiting_tokens: int
+    refused: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class CellDump:
     """Dump of the state of a cell's scheduler."""
@@ -77,6 +97,7 @@
     upstreams: tuple[UpstreamDump, ...]
     struck_fingerprints: int
     stats: CellStats
+    accounts: tuple[AccountDump, ...] = ()
 
 
 def dump_queue(tier: int, model: str, queue: FairQueue, wait_ms: float) -> QueueDump:
