Split the speeds of answers from the comparison of versions

Change: the module speeds compares times across unlike upstreams, the module evidence holds the tests.

--- a/src/peridotfront/core/rollouts/__init__.py
+++ b/src/peridotfront/core/rollouts/__init__.py
@@ -4,7 +4,8 @@
 - :mod:`.manager`: all rollouts at the leader.
 - :mod:`.rollout`: the stages of one rollout.
 - :mod:`.exposure`: limit on the requests that an unproven version may get.
-- :mod:`.samples`, :mod:`.evidence`: answers of the versions, and their comparison.
+- :mod:`.samples`: answers of the versions.
+- :mod:`.speeds`, :mod:`.evidence`: comparison of the versions.
 - :mod:`.gates`: versions that requests may go to, as schedulers ask for them.
 - :mod:`.new_versions`: versions that are held back until an order arrives.
 """
