Answer the state of a rollout to operators

Each GET of a rollout's state was answered with 500: the answer was built by the names of its fields, but the model accepts only the keys of the interface. It now accepts both; orders are still read by their keys only.

features/rollout_orders.feature sends orders and reads states over HTTP.

--- a/src/peridotfront/platform/rollouts.py
+++ b/src/peridotfront/platform/rollouts.py
@@ -46,6 +46,9 @@
 class WireRolloutState(WireModel):
     """State of a service's latest rollout."""
 
+    # It is built by the names of its fields; orders are read by their keys only.
+    model_config = WireModel.model_config | {"populate_by_name": True}
+
     state: str
     to: str
 
