Name a time for another try in the answer to an early order

An order of a rollout before the first configuration got 503 without Retry-After, unlike all other 503s of the operators' endpoint. It now has the same field.

The new scenario of features/rollout_orders.feature failed before the change; now all 58 scenarios of the feature pass.

--- a/features/rollout_orders.feature
+++ b/features/rollout_orders.feature
@@ -156,3 +156,10 @@
       | method | path                          |
       | POST   | /peridotfront/rollouts        |
       | GET    | /peridotfront/rollouts/ledger |
+
+  Scenario: An order before the first configuration asks for another try
+    Guards against operators that can't tell when to repeat the order.
+    Given the rollout endpoint of a leader without a configuration
+    When "POST" is sent to the rollout path "/peridotfront/rollouts"
+    Then the rollout answer is 503 with a time for another try
+    And no rollout was ordered
--- a/src/peridotfront/platform/operators.py
+++ b/src/peridotfront/platform/operators.py
@@ -9,11 +9,10 @@
 from ..replica_server import ReplicaServer
 from ..runtime import new_request_id
 from .configuration import parse_configuration
-from .rollouts import ROLLOUTS_PATH, RolloutEndpoint
+from .rollouts import RETRY_AFTER_HEADER, ROLLOUTS_PATH, RolloutEndpoint
 
 CONFIG_PATH = "/peridotfront/config"
 JSON_HEADER = ("content-type", "application/json")
-RETRY_AFTER_HEADER = ("retry-after", "0.5")
 MAX_DETAIL_CHARACTERS = 500
 AUTHOR = "operator"
 
--- a/src/peridotfront/platform/rollouts.py
+++ b/src/peridotfront/platform/rollouts.py
@@ -16,6 +16,7 @@
 ROLLOUTS_PATH = "/peridotfront/rollouts"
 JSON_HEADER = ("content-type", "application/json")
 TEXT_HEADER = ("content-type", "text/plain")
+RETRY_AFTER_HEADER = ("retry-after", "0.5")
 MS_PER_S = 1000
 MAX_PERIOD_S = 86_400.0
 MAX_DETAIL_CHARACTERS = 500
@@ -91,7 +92,7 @@
             return
         view = await self._server.read()
         if view.current.version == 0:
-            await exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+            await exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, [RETRY_AFTER_HEADER])
             return
         routing = parse_routing(view.current.content, view.current.version)
         if order.service not in {service.name for service in routing.services}:
