--- a/src/peridotfront/core/snapshot_builder.py
+++ b/src/peridotfront/core/snapshot_builder.py
@@ -8,6 +8,7 @@
     ConfigurationSnapshot,
     ControlSnapshot,
     CrashesSnapshot,
+    RolloutsSnapshot,
     StrikesSnapshot,
 )
 
@@ -64,6 +65,9 @@
         ),
         strikes=StrikesSnapshot(strikes.time_ms, ()),
         crashes=CrashesSnapshot(snapshot.crashes.time_ms),
+        rollouts=RolloutsSnapshot(
+            snapshot.rollouts.time_ms, snapshot.rollouts.last_number
+        ),
     )
     for records in _chunks(configuration.history, size):
         part = ConfigurationSnapshot(records, ())
@@ -82,6 +86,11 @@
     for records in _chunks(snapshot.crashes.records, size):
         crashes = CrashesSnapshot(0, records)
         yield ControlSnapshot(NO_CONFIGURATION, NO_CLAIMS, NO_STRIKES, crashes=crashes)
+    for records in _chunks(snapshot.rollouts.records, size):
+        rollouts = RolloutsSnapshot(0, 0, records)
+        yield ControlSnapshot(
+            NO_CONFIGURATION, NO_CLAIMS, NO_STRIKES, rollouts=rollouts
+        )
 
 
 def _chunks(records: tuple, size: int) -> Iterator[tuple]:
