Hold a new version back before schedulers see its upstreams

When the list named a version for the first time, the leader gave the list to its schedulers before it held the version back. A waiting request was granted at the new version before any order.

The leader now holds the version back first. The scenario of features/rollout_holds.feature failed before the change and passes now.

--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -172,11 +172,13 @@
             return
         yield _build_list_log(update)
         self._limits.retain(self.directory.names)
+        if self.rollouts is not None:
+            # Schedulers grant waiting requests at new upstreams at once, so a version
+            # has to be held back before.
+            yield from self.rollouts.apply_upstreams(event.upstreams, now_ms)
         yield from self.service_schedulers.apply_upstreams(
             self.directory.upstreams, now_ms
         )
-        if self.rollouts is not None:
-            yield from self.rollouts.apply_upstreams(event.upstreams, now_ms)
         yield from self._send_list_to_replicas(now_ms)
         for name, entry in self._entry_hosts.items():
             if entry.upstreams_version == update.base_version:
