Hold new versions back at hosts without a leader

An entry host without a leader used a version that was first listed then, or just before its leader was lost. The control group may have accepted an order that the host can't know of, and the limits on an unproven version don't cover what hosts send on their own.

Such a host now holds back each version that was new when its leader was lost or is first listed later, until it has a leader again. Announced stages of a rollout that goes on take precedence. It needs no new message, and does nothing where rollouts are off.

Of the three new scenarios of features/rollout_holds.feature the two that check the hold failed before the change; now all pass, and all of features/rollouts.feature.

--- a/features/rollout_holds.feature
+++ b/features/rollout_holds.feature
@@ -11,3 +11,23 @@
     When upstreams of "v2" are listed, and 1000 ms pass
     Then no request was granted at "v2"
 
+  Scenario: A host without a leader holds back a version that is first listed then
+    Guards against an order that this host can't know of.
+    Given "e1" has lost its leader
+    When upstreams of "v2" are listed, and 8000 ms pass
+    And "e1" requests 3 slots at once, and 1000 ms pass
+    Then only slots at "v1" were granted
+
+  Scenario: A host holds back a version that was listed just before its leader was lost
+    Guards against an order that was acknowledged before its stage was announced.
+    When upstreams of "v2" are listed, and 1000 ms pass
+    And a rollout to "v2" is acknowledged, and all control hosts are killed at once
+    And "e1" requests 3 slots at once, and 1000 ms pass
+    Then only slots at "v1" were granted
+
+  Scenario: A host without a leader uses all versions that were listed long before
+    Guards against holds that withhold slots without need.
+    When upstreams of "v2" are listed, and 8000 ms pass
+    And "e1" loses its leader
+    And "e1" requests 3 slots at once, and 1000 ms pass
+    Then slots at "v1" and "v2" were granted
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -56,6 +56,7 @@
 from .releases import build_unsent_release
 from .retry_budgets import LEADERLESS_RETRY_SHARE
 from .rollouts.gates import VersionGates
+from .rollouts.leaderless_gates import LeaderlessGates
 from .routing_events import RoutingChanged, UpstreamsListed
 from .scheduler_events import CrashesChanged, HostLost
 from .service_schedulers import ServiceSchedulers, SharedLimits
@@ -132,10 +133,10 @@
         self._unreported_crashes: deque[tuple[int, CrashReport]] = deque(
             maxlen=CRASHES_KEPT
         )
-        self._gates = VersionGates()
-        self._stages_version = 0
+        gates = VersionGates()
+        self._gates = LeaderlessGates(shared_limits.rollouts, gates)
         self._local_schedulers = ServiceSchedulers(
-            shared_limits, self._origins, self._crash_guard, self._limits, self._gates
+            shared_limits, self._origins, self._crash_guard, self._limits, gates
         )
         self._local_upstreams: tuple[ListedUpstream, ...] = ()
         self._leaderless_since_ms = 0
@@ -311,7 +312,8 @@
 
     @_receive.register
     def _(self, message: UpstreamsUpdate, event: Received, now_ms: int) -> Iterator:
-        self.directory.apply(message)
+        if self.directory.apply(message):
+            self._gates.apply_upstreams(self.directory.upstreams, now_ms)
         yield from ()
 
     @_receive.register
@@ -322,9 +324,7 @@
 
     @_receive.register
     def _(self, message: RolloutStages, event: Received, now_ms: int) -> Iterator:
-        if message.version > self._stages_version:
-            self._stages_version = message.version
-            self._gates.replace(message.rollouts)
+        self._gates.announce(message)
         yield from ()
 
     @_receive.register
@@ -484,6 +484,8 @@
             )
 
     def _apply_local_upstreams(self, now_ms: int) -> Iterator[Any]:
+        self._gates.apply_upstreams(self._local_upstreams, now_ms)
+        self._gates.hold(self._leaderless_since_ms)
         self._local_schedulers.allowances.share = leaderless_share(
             0.0, self._control.sharing_host_count
         )
@@ -509,7 +511,7 @@
             upstreams_version=self.directory.version,
             crashing_parts_digest=self._crash_guard.announced_digest,
             shares_version=self._control.shares_version,
-            stages_version=self._stages_version,
+            stages_version=self._gates.stages_version,
         )
         for host in self._control.begin_round(now_ms):
             yield Send(host, heartbeat)
--- a/src/peridotfront/core/rollouts/__init__.py
+++ b/src/peridotfront/core/rollouts/__init__.py
@@ -7,4 +7,5 @@
 - :mod:`.samples`, :mod:`.evidence`: answers of the versions, and their comparison.
 - :mod:`.gates`: versions that requests may go to, as schedulers ask for them.
 - :mod:`.new_versions`: versions that are held back until an order arrives.
+- :mod:`.leaderless_gates`: gates of an entry host that has no leader.
 """
--- a/src/peridotfront/core/rollouts/manager.py
+++ b/src/peridotfront/core/rollouts/manager.py
@@ -23,7 +23,7 @@
 from ..scheduler import CellScheduler
 from .exposure import RolloutLimits
 from .gates import StagedGate, VersionGates
-from .new_versions import NewVersions
+from .new_versions import NewVersions, versions_by_service
 from .rollout import Rollout, ServiceView
 
 # Upstreams of other versions are stopped at once, but listed for some seconds.
@@ -107,11 +107,7 @@
         self, upstreams: Iterable[ListedUpstream], now_ms: int
     ) -> Iterator[Log]:
         """Apply a new list of upstreams."""
-        self._versions = {}
-        for upstream in upstreams:
-            versions = self._versions.setdefault(upstream.service, set())
-            if upstream.software_version:
-                versions.add(upstream.software_version)
+        self._versions = versions_by_service(upstreams)
         self._lift_complete_gates()
         self._new_versions.update(self._versions, now_ms)
         yield from self._hold_new_versions(now_ms)
--- a/src/peridotfront/core/rollouts/new_versions.py
+++ b/src/peridotfront/core/rollouts/new_versions.py
@@ -4,10 +4,24 @@
 operator's order has arrived. Until then nothing may go to them.
 """
 
+from collections.abc import Iterable
+
+from ..messages import ListedUpstream
+
 # An order arrives within the time that operators wait for its acknowledgement.
 HOLD_MS = 5000
 
 
+def versions_by_service(upstreams: Iterable[ListedUpstream]) -> dict[str, set[str]]:
+    """Return the software versions of each service's listed upstreams."""
+    versions: dict[str, set[str]] = {}
+    for upstream in upstreams:
+        found = versions.setdefault(upstream.service, set())
+        if upstream.software_version:
+            found.add(upstream.software_version)
+    return versions
+
+
 class NewVersions:
     """Times at which the versions of services were first listed."""
 
@@ -28,7 +42,10 @@
         self._known_services.update(service for service, _ in listed)
 
     def newest_recent(self, service: str, now_ms: int) -> str:
-        """Return the newest version of a service that is held back; empty for none."""
+        """Return the newest version of a service that is held back; empty for none.
+
+        :param now_ms: time at which the version was new; later ones are new too.
+        """
         recent = [
             (first_ms, version)
             for (name, version), first_ms in self._first_ms.items()
