Hold new versions back at a new leader too

A new leader took all versions of its first list for old ones, so that a version that was listed just before it led got requests before its order. Each control host now keeps the times at which it first saw the versions, and a leader goes on from them.

The new scenario of features/rollout_holds.feature failed before the change; now its 5 scenarios pass, and all of features/rollouts.feature.

--- a/features/rollout_holds.feature
+++ b/features/rollout_holds.feature
@@ -31,3 +31,11 @@
     And "e1" loses its leader
     And "e1" requests 3 slots at once, and 1000 ms pass
     Then slots at "v1" and "v2" were granted
+
+  Scenario: A new leader holds back a version that was listed just before
+    Guards against a leader that takes all versions of its first list for old ones.
+    Given all slots are in use and a request of "e1" waits
+    When upstreams of "v2" are listed, and 200 ms pass
+    And the leader is killed, and 3000 ms pass
+    Then another host leads
+    And no request was granted at "v2"
--- a/features/steps/rollout_holds_steps.py
+++ b/features/steps/rollout_holds_steps.py
@@ -98,3 +98,18 @@
 @then('slots at "{first}" and "{second}" were granted')
 def both_granted(context, first, second):
     assert set(context.versions) == {first, second}, context.versions
+
+
+@when("the leader is killed, and {time_ms:d} ms pass")
+def kill_leader(context, time_ms):
+    group = context.group
+    context.killed = group.await_leader().name
+    group.down.add(context.killed)
+    group.run(time_ms)
+
+
+@then("another host leads")
+def other_leads(context):
+    leader = context.group.leader()
+    assert leader is not None and leader.name != context.killed, leader
+    assert leader.role.directory.upstreams, "its list is empty"
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -34,6 +34,7 @@
 from .retry_budgets import LEADERLESS_RETRY_SHARE
 from .rollouts.gates import VersionGates
 from .rollouts.manager import ProposeRolloutEnd, RolloutManager
+from .rollouts.new_versions import NewVersions, versions_by_service
 from .routes import RoutingConfig
 from .routing_events import RoutingChanged, UpstreamsListed
 from .scheduler_events import CrashesChanged, HostLost
@@ -114,6 +115,8 @@
         self._crashing_groups: tuple[CrashingGroup, ...] = ()
         self._gates = VersionGates()
         self._usages: dict[str, RolloutUsage] = {}
+        # A later leader holds back what was just listed before it led.
+        self._new_versions = NewVersions()
         self.rollouts: RolloutManager | None = None
 
     @property
@@ -211,8 +214,9 @@
 
     @_on_message.register
     def _(self, message: UpstreamsUpdate, event: Received, now_ms: int) -> Iterator:
-        if self.service_schedulers is None:
-            self.directory.apply(message)
+        if self.service_schedulers is None and self.directory.apply(message):
+            versions = versions_by_service(self.directory.upstreams)
+            self._new_versions.update(versions, now_ms)
         yield from ()
 
     @_on_message.register
@@ -299,6 +303,7 @@
                 self._gates,
                 action.term * EPOCH_VERSIONS,
                 self._usages,
+                self._new_versions,
             )
         upstreams = self.directory.upstreams
         self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
--- a/src/peridotfront/core/rollouts/manager.py
+++ b/src/peridotfront/core/rollouts/manager.py
@@ -53,6 +53,8 @@
     :param epoch: initial version of the announced stages, higher than those of earlier
         leaders.
     :param usages: what earlier leaders announced, by service.
+    :param new_versions: times at which versions were first listed, also to earlier
+        leaders.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         gates: VersionGates,
         epoch: int,
         usages: dict[str, RolloutUsage],
+        new_versions: NewVersions,
     ):
         self._limits = limits
         self._gates = gates
@@ -69,7 +72,7 @@
         self._rollouts: dict[str, Rollout] = {}
         self._ended: dict[str, RolloutRecord] = {}
         self._proposed_ms: dict[str, int] = {}
-        self._new_versions = NewVersions()
+        self._new_versions = new_versions
         self._held: dict[str, str] = {}
         self._versions: dict[str, set[str]] = {}
         self._usage_sent_ms = 0
