--- a/soak/world.py
+++ b/soak/world.py
@@ -189,9 +189,13 @@
                 await exchange.write(event[: len(event) // 2])
                 break
             await exchange.write(event)
-            await asyncio.sleep(self.event_interval_s)
+            await self._pause(exchange)
         await exchange.finish()
 
+    async def _pause(self, exchange):
+        """Wait between two events of a stream."""
+        await asyncio.sleep(self.event_interval_s)
+
 
 class UpstreamList:
     """Server of the list of upstreams, in the platform's format."""
