Let the end of a rollout take precedence over the hold of its version

A version is held back for 5 s from its first listing. A rollout that ended within this time was followed by the hold of its own version: after "complete" requests went to the other versions again, whose upstreams may be stopped by then, and after "reverted" streams that began at the new version went on there. Hosts without a leader did the same.

The hold now leaves out the version of the service's last rollout. The 4 new scenarios of features/rollout_holds.feature failed before the change; now all 9 pass, and all of features/rollouts.feature.

--- a/features/rollout_holds.feature
+++ b/features/rollout_holds.feature
@@ -39,3 +39,19 @@
     And the leader is killed, and 3000 ms pass
     Then another host leads
     And no request was granted at "v2"
+
+  Scenario Outline: A version is not held back once its rollout is <end>: <who>
+    Guards against a hold that takes the place of the end when both are in the same 5 s.
+    When upstreams of "v2" are listed, and 500 ms pass
+    And a rollout to "v2" is ordered and soon <end>
+    And "e1" <event>
+    And "e1" requests 3 slots at once, and 1000 ms pass
+    Then only slots at "<version>" were granted
+    And a stream that began at "v2" <goes on> at "e1"
+
+    Examples:
+      | end      | who                   | event            | version | goes on         |
+      | complete | under a leader        | keeps its leader | v2      | goes on         |
+      | complete | a host without leader | loses its leader | v2      | goes on         |
+      | reverted | under a leader        | keeps its leader | v1      | doesn't go on   |
+      | reverted | a host without leader | loses its leader | v1      | doesn't go on   |
--- a/features/steps/rollout_holds_steps.py
+++ b/features/steps/rollout_holds_steps.py
@@ -6,6 +6,8 @@
 from support.rollout_world import LIMITS
 from support.routed_group import RoutedGroup, listed
 
+from peridotfront.core.messages import RolloutEnd, RolloutState
+
 OLD = listed("old-1", slots=1)
 PERIOD_MS = 3_600_000
 
@@ -113,3 +115,44 @@
     leader = context.group.leader()
     assert leader is not None and leader.name != context.killed, leader
     assert leader.role.directory.upstreams, "its list is empty"
+
+
+@when('a rollout to "v2" is ordered and soon {state}')
+def order_and_end(context, state):
+    group = context.group
+    leader = group.await_leader().name
+    operation_id = group.order_rollout(leader, "models", "v2", PERIOD_MS)
+    group.run_until(lambda: operation_id in group.answers)
+    number = group.answers[operation_id].record.number
+    group.feed(leader, RolloutEnd("models", number, RolloutState(state), "test", 0))
+    # The stage of the end is announced some time after the one before.
+    group.run(1000)
+
+
+@when('"{name}" keeps its leader')
+def keep_leader(context, name):
+    assert context.group.hosts[name].role.leader, "it has no leader"
+
+
+@then('a stream that began at "{version}" goes on at "{name}"')
+def goes_on(context, version, name):
+    assert resume(context, version, name) == version
+
+
+@then('a stream that began at "{version}" doesn\'t go on at "{name}"')
+def goes_on_nowhere(context, version, name):
+    granted_at = resume(context, version, name)
+    assert granted_at is None, granted_at
+
+
+def resume(context, version, name):
+    """Resume a stream, and return the version at which it is granted, if any."""
+    group = context.group
+    host = group.hosts[name]
+    for request_id in tuple(host.granted):
+        host.release(request_id)
+    group.run(100)
+    host.request_slot("resumed", is_resumed=True, software_version=version)
+    group.run(500)
+    granted = host.granted.get("resumed")
+    return None if granted is None else version_of(group, granted)
--- a/src/peridotfront/core/rollouts/leaderless_gates.py
+++ b/src/peridotfront/core/rollouts/leaderless_gates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..messages import ListedUpstream, RolloutStage, RolloutStages
+from ..messages import ListedUpstream, RolloutStage, RolloutStages, StagedVersion
 from .exposure import RolloutLimits
 from .gates import StagedGate, VersionGates
 from .new_versions import NewVersions, versions_by_service
@@ -48,12 +48,19 @@
     def hold(self, leaderless_since_ms: int) -> None:
         """Set the gates for the time without a leader."""
         self._gates.replace(self._stages.rollouts)
-        rolling = {
-            staged.service
-            for staged in self._stages.rollouts
-            if staged.stage not in ENDED_STAGES
-        }
+        announced = {staged.service: staged for staged in self._stages.rollouts}
         for service, versions in self._versions.items():
             held = self._new_versions.newest_recent(service, leaderless_since_ms)
-            if held and len(versions) > 1 and service not in rolling:
+            is_held = held and len(versions) > 1
+            if is_held and not _covers(announced.get(service), held):
                 self._gates.set(service, StagedGate(held, RolloutStage.CANARY))
+
+
+def _covers(staged: StagedVersion | None, version: str) -> bool:
+    """Return whether an announced stage decides on a version that is new.
+
+    That of a rollout that has ended says nothing about a later version.
+    """
+    if staged is None:
+        return False
+    return staged.stage not in ENDED_STAGES or staged.version == version
--- a/src/peridotfront/core/rollouts/manager.py
+++ b/src/peridotfront/core/rollouts/manager.py
@@ -211,6 +211,8 @@
             held = ""
             if service not in self._rollouts and len(versions) > 1:
                 held = self._new_versions.newest_recent(service, now_ms)
+            if self._is_ordered(service, held):
+                held = ""
             if held == self._held.get(service, ""):
                 continue
             if held:
@@ -221,6 +223,14 @@
             elif self._held.pop(service, ""):
                 self._restore_gate(service)
 
+    def _is_ordered(self, service: str, version: str) -> bool:
+        """Return whether the service's last rollout was to a version.
+
+        A rollout may end while its version is still new; its end applies then.
+        """
+        record = self._ended.get(service)
+        return record is not None and record.version == version
+
     def _restore_gate(self, service: str) -> None:
         """Put the gate of the service's last rollout in place of that of a hold."""
         record = self._ended.get(service)
