Order rollouts in part of the soak's seeds

Half of the seeds now turn rollouts on and order one of the ledger to a second version, good or bad, beside the faults. The soak checks that a bad version is never complete, that no request ran at the new version before the order (unless a host was started shortly before), that the order is accepted, and that a state never goes back from an end. Runs with an older build have no rollouts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 from .callers import VERSIONS, Callers, Operator, Record
 from .deployment import Deployment
 from .links import LinkFault, Links
+from .rollouts import SoakRollout
 from .untrue_answers import UNTRUE_ANSWERS, UntrueUpstream
 from .world import NETWORK, UpstreamList
 
@@ -83,9 +84,21 @@
         self._untrue_answers = []
         self.faults = FAULTS
         self.links = None
+        self.rollout = SoakRollout(
+            seed,
+            self.deployment,
+            self.record.faults,
+            self._log,
+            is_allowed=not old_source,
+        )
+        self.rollout.build_upstreams(
+            sizes.services, runs=self.runs, plays=self.plays, burdens=self.burdens
+        )
+        self.listed = list(self.upstreams)
+        self.all_upstreams = [*self.upstreams, *self.rollout.upstreams]
         # Other draws of a seed don't depend on this one.
         if random.Random(f"links {seed}").random() < LINKED_SHARE:
-            self.links = Links(self.deployment, [u.ip for u in self.upstreams])
+            self.links = Links(self.deployment, [u.ip for u in self.all_upstreams])
             self.faults = (*FAULTS, Soak.lose_links, Soak.lose_links)
         self.builds = None
         if old_source:
@@ -107,9 +120,9 @@
 
     async def run(self):
         """Run the seed and return the violated guarantees."""
-        upstream_list = UpstreamList(self.upstreams)
+        upstream_list = UpstreamList(self.listed)
         await upstream_list.start()
-        for upstream in self.upstreams:
+        for upstream in self.all_upstreams:
             await upstream.start()
         if self.links is not None:
             await self.links.start()
@@ -124,7 +137,7 @@
             if self.links is not None:
                 await self.links.stop()
             await asyncio.gather(*self.burdens.tasks)
-            for upstream in self.upstreams:
+            for upstream in self.all_upstreams:
                 await upstream.stop()
             await upstream_list.stop()
         self._check_runs()
@@ -139,6 +152,7 @@
             callers.run(self.seconds + RECOVERY_S, self.sizes.requests_per_s)
         )
         end_s = loop.time() + self.seconds
+        rollout = asyncio.create_task(self.rollout.run(self.listed, end_s + RECOVERY_S))
         await asyncio.gather(
             self._inject(self.faults, MAX_PAUSE_S, end_s),
             self._inject((Soak.answer_untruly,), MAX_UNTRUE_PAUSE_S, end_s),
@@ -148,6 +162,7 @@
         self.quiet_s = loop.time()
         served = self.record.served
         await traffic
+        await rollout
         if self.record.served == served:
             self.record.faults.append("no request was served after the last fault")
         await self._check_read()
@@ -234,7 +249,7 @@
             if peak_kb > MAX_ENTRY_KB:
                 text = f"{name} used {peak_kb} KB of memory, over {MAX_ENTRY_KB}"
                 record.faults.append(text)
-        for upstream in self.upstreams:
+        for upstream in self.all_upstreams:
             for stray in upstream.strays:
                 record.faults.append(f"{upstream.name} got no request: {stray[:80]!r}")
             if upstream.tenants - {("club", "")}:
@@ -405,7 +420,7 @@
             f"{soak.played}, refused but executed {soak.refused_but_ran}, "
             f"peak memory in KB {soak.peak_kb}, crashes by a part "
             f"{len(soak.burdens.crashes_s)}, limits {soak.burdens.limits}, "
-            f"replacements {soak.replacements}",
+            f"replacements {soak.replacements}, rollout {soak.rollout}",
             flush=True,
         )
         if faults:
