--- a/src/peridotfront/core/rollouts/__init__.py
+++ b/src/peridotfront/core/rollouts/__init__.py
@@ -8,4 +8,5 @@
 - :mod:`.speeds`, :mod:`.evidence`: comparison of the versions.
 - :mod:`.gates`: versions that requests may go to, as schedulers ask for them.
 - :mod:`.new_versions`: versions that are held back until an order arrives.
+- :mod:`.leaderless_gates`: gates of an entry host that has no leader.
 """
--- a/src/peridotfront/core/rollouts/manager.py
+++ b/src/peridotfront/core/rollouts/manager.py
@@ -23,7 +23,7 @@
 from ..scheduler import CellScheduler
 from .exposure import RolloutLimits
 from .gates import StagedGate, VersionGates
-from .new_versions import NewVersions
+from .new_versions import NewVersions, versions_by_service
 from .rollout import Rollout, ServiceView
 
 # Upstreams of other versions are stopped at once, but listed for some seconds.
@@ -53,6 +53,8 @@
     :param epoch: initial version of the announced stages, higher than those of earlier
         leaders.
     :param usages: what earlier leaders announced, by service.
+    :param new_versions: times at which versions were first listed, also to earlier
+        leaders.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         gates: VersionGates,
         epoch: int,
         usages: dict[str, RolloutUsage],
+        new_versions: NewVersions,
     ):
         self._limits = limits
         self._gates = gates
@@ -69,7 +72,7 @@
         self._rollouts: dict[str, Rollout] = {}
         self._ended: dict[str, RolloutRecord] = {}
         self._proposed_ms: dict[str, int] = {}
-        self._new_versions = NewVersions()
+        self._new_versions = new_versions
         self._held: dict[str, str] = {}
         self._versions: dict[str, set[str]] = {}
         self._usage_sent_ms = 0
@@ -107,11 +110,7 @@
         self, upstreams: Iterable[ListedUpstream], now_ms: int
     ) -> Iterator[Log]:
         """Apply a new list of upstreams."""
-        self._versions = {}
-        for upstream in upstreams:
-            versions = self._versions.setdefault(upstream.service, set())
-            if upstream.software_version:
-                versions.add(upstream.software_version)
+        self._versions = versions_by_service(upstreams)
         self._lift_complete_gates()
         self._new_versions.update(self._versions, now_ms)
         yield from self._hold_new_versions(now_ms)
@@ -212,6 +211,8 @@
             held = ""
             if service not in self._rollouts and len(versions) > 1:
                 held = self._new_versions.newest_recent(service, now_ms)
+            if self._is_ordered(service, held):
+                held = ""
             if held == self._held.get(service, ""):
                 continue
             if held:
@@ -222,6 +223,14 @@
             elif self._held.pop(service, ""):
                 self._restore_gate(service)
 
+    def _is_ordered(self, service: str, version: str) -> bool:
+        """Return whether the service's last rollout was to a version.
+
+        A rollout may end while its version is still new; its end applies then.
+        """
+        record = self._ended.get(service)
+        return record is not None and record.version == version
+
     def _restore_gate(self, service: str) -> None:
         """Put the gate of the service's last rollout in place of that of a hold."""
         record = self._ended.get(service)
