Free the body of a request once it has ended

Cause: a forwarding and its parts refer to each other, so that the body of each request stayed in memory until a full garbage collection; 162 bodies of 200 kB were found for 24 connections. Change: the parts are dropped after the request is logged.

--- a/src/peridotfront/forwarding.py
+++ b/src/peridotfront/forwarding.py
@@ -156,6 +156,14 @@
         finally:
             self._failover.abandon()
 
+    def release(self) -> None:
+        """Drop the parts that refer to this object, once the request is logged.
+
+        Such a cycle kept the request's body in memory until a full garbage collection,
+        about seven bodies for each connection that sends them without pause.
+        """
+        del self._failover, self._events
+
     async def _run(self) -> None:
         while True:
             if self._remaining_ms() < min_service_time_ms(self._admitted.route):
--- a/src/peridotfront/gateway.py
+++ b/src/peridotfront/gateway.py
@@ -165,6 +165,7 @@
         finally:
             await _end_tasks(forwarding_task, gone)
             self._record_end(admitted, forwarding)
+            forwarding.release()
 
     def _record_end(self, admitted: AdmittedRequest, forwarding: Forwarding) -> None:
         tier = admitted.tier
