Limit the bytes, requests and connections of uncontrolled callers

Cause: a connection was read on after each pipelined request, up to 256 kB for each, and its next request started whether or not the last answer was sent. Nothing limited the sum over connections, and those without a request held their place.

Change: the next request waits until the write buffer has room, and the connection is not read while it holds enough. One account (held_bytes.py) for all HTTP listeners of a process closes the stalled connections that hold the most; without any, a new body is refused with 503. Section connections has the limits; event 546 and three metrics show them.

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -1,24 +1,25 @@
 """Server side of callers' connections: parsing, writing and time limits."""
 
 import asyncio
-import contextlib
-import fcntl
 import math
-import select
-import socket
-import struct
-import termios
-from collections import Counter
-from enum import Enum, StrEnum, auto
 from http import HTTPStatus
-from typing import Protocol
 
 import h11
 
 from . import logs
+from .connection_owner import ConnectionOwner
+from .connection_states import (
+    CloseCause,
+    Phase,
+    close_when_delivered,
+    has_closed,
+    is_delivered,
+    reset_on_close,
+    write_eof,
+)
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import CallerGone
-from .exchanges import Exchange, HttpLimits
+from .exchanges import Exchange
 from .http_messages import (
     HttpRequest,
     decode_headers,
@@ -26,58 +27,17 @@
     origin_target,
     without_hop_headers,
 )
-from .problems import problem
+from .refusal_bytes import build_refusal
 from .runtime import now_ms
 
 LINGER_MS = 500
 # Callers send their first request right after they have connected.
 FIRST_REQUEST_MS = 100
-DELIVERY_POLL_MS = 5
 MIN_BYTES_PER_CHUNK = 32
 SMALL_CHUNK_ALLOWANCE = 1024
 MAX_WIRE_BYTES_PER_BODY_BYTE = 2
 OVERLOAD_RETRY_MS = 1000
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-class ConnectionOwner(Protocol):
-    """Interface of the server as its connections use it."""
-
-    limits: HttpLimits
-    is_draining: bool
-    buffered_body_bytes: int
-    refusals: Counter[int]
-
-    def admit(self, connection: "CallerConnection") -> bool:
-        """Register a connection; return false if there are too many."""
-
-    def remove(self, connection: "CallerConnection") -> None:
-        """Remove a closed connection."""
-
-    def run(self, exchange: Exchange) -> None:
-        """Start the handler for a request."""
-
-    def date(self) -> bytes:
-        """Return the value of the Date header."""
-
-
-class _Phase(Enum):
-    IDLE = auto()
-    READING = auto()
-    RUNNING = auto()
-    CLOSING = auto()
-
-
-class CloseCause(StrEnum):
-    """Reasons for which this host closes a caller's connection."""
-
-    NONE = "none"
-    IDLE = "idle"
-    DRAINING = "draining"
-    LAST_ANSWER = "last_answer"
-    TRUNCATED = "truncated"
-    REFUSED = "refused"
-    PROTOCOL = "protocol"
+NO_ROOM = "too many bytes in progress"
 
 
 class CallerConnection(asyncio.Protocol):
@@ -88,7 +48,7 @@
 
     def __init__(self, server: ConnectionOwner):
         self.idle_since_s = math.inf
-        self._phase = _Phase.IDLE
+        self._phase = Phase.IDLE
         self._server = server
         self._limits = server.limits
         self._loop = asyncio.get_running_loop()
@@ -105,6 +65,8 @@
         self._target = ""
         self._body = bytearray()
         self._counted_body_bytes = 0
+        self._answer_bytes = 0
+        self.progress_s = self._loop.time()
         self._chunk_count = 0
         self._wire_bytes = 0
         self._has_received_eof = False
@@ -127,7 +89,32 @@
     @property
     def is_idle(self) -> bool:
         """Return whether the connection waits for a request."""
-        return self._phase is _Phase.IDLE
+        return self._phase is Phase.IDLE
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes held for requests and answers of the connection."""
+        received_bytes = self._wire_bytes
+        if self._phase is Phase.READING:
+            # Bytes of the body are counted as such, once they are parsed.
+            received_bytes -= min(received_bytes, self._counted_body_bytes)
+        unsent_bytes = self._transport.get_write_buffer_size() + self._answer_bytes
+        return received_bytes + self._counted_body_bytes + unsent_bytes
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the connection waits for its caller."""
+        return self._phase is not Phase.RUNNING or not self.is_writable
+
+    @property
+    def is_sending(self) -> bool:
+        """Return whether the next request waits until the last answer is sent."""
+        return self._phase is Phase.SENDING
+
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request has been received in full."""
+        return self._request_count > 0
 
     # Callbacks of the transport.
 
@@ -136,24 +123,48 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=self._limits.write_buffer_bytes)
         self._set_idle()
-        if not self._server.admit(self):
+        if self._server.admit(self):
+            return
+        if self._server.can_refuse():
             self._refuse_overload("too many connections")
+        else:
+            transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; stop reading if too many arrive during a request."""
-        if self._phase is _Phase.CLOSING:
+        if self._phase is Phase.CLOSING:
             self._log_dropped(data)
             return
-        if self._phase is _Phase.IDLE:
+        if self._phase is Phase.IDLE:
             self._renew_limits()
             self._begin_reading()
         self._http.receive_data(data)
         self._wire_bytes += len(data)
-        if self._phase is _Phase.RUNNING:
+        if self._phase in (Phase.RUNNING, Phase.SENDING):
             if self._wire_bytes > self._limits.max_header_bytes:
                 self._pause_reading()
+            self._keep_within_total()
             return
         self._process_events()
+        self._keep_within_total()
+
+    def _keep_within_total(self) -> None:
+        """Give up this connection if there is no room for what it sends ahead."""
+        if self._has_room() or self._transport.is_closing():
+            return
+        if self._is_paused:
+            self._server.held.close(self, "held_bytes")
+        elif self._phase is Phase.READING:
+            self._refuse_overload(NO_ROOM)
+
+    def _has_room(self) -> bool:
+        self._server.held.update(self)
+        return self._server.held.make_room()
+
+    def close_stalled(self) -> None:
+        """Close immediately, since others need the room."""
+        self._body = bytearray()
+        self._transport.abort()
 
     def _log_dropped(self, data: bytes) -> None:
         logs.write_rate_limited(
@@ -170,7 +181,7 @@
         :return: whether the transport stays open, so that a request which was cut
             short can be refused.
         """
-        if self._phase is not _Phase.READING:
+        if self._phase is not Phase.READING:
             # The transport closes only after the unsent output, which may take long.
             if self._exchange is not None:
                 self._exchange.gone.set()
@@ -182,9 +193,13 @@
 
     def connection_lost(self, exc) -> None:
         """Signal the handler that the caller has disconnected."""
-        self._phase = _Phase.CLOSING
+        self._phase = Phase.CLOSING
         self._writable.set()
         self._server.remove(self)
+        self._server.held.remove(self)
+        # The connection may stay until a garbage collection.
+        self._body = bytearray()
+        self._http = self._build_parser()
         self._release_body()
         if self._exchange is not None:
             self._exchange.gone.set()
@@ -192,12 +207,16 @@
     def pause_writing(self) -> None:
         """Block writers, since the write buffer is full."""
         self._writable.clear()
+        self.progress_s = self._loop.time()
         self._start_write_timeout()
 
     def resume_writing(self) -> None:
         """Unblock writers, since the write buffer has room."""
         self._writable.set()
         self._write_deadline_s = math.inf
+        if self._phase is Phase.SENDING:
+            self.progress_s = self._loop.time()
+            self._start_next_request()
 
     # Reading requests.
 
@@ -213,8 +232,9 @@
             self._http = self._build_parser()
 
     def _set_idle(self) -> None:
-        self._phase = _Phase.IDLE
+        self._phase = Phase.IDLE
         self.idle_since_s = self._loop.time()
+        self._server.held.update(self)
         self._phase_deadline_s = self._idle_end_s()
 
     def _idle_end_s(self) -> float:
@@ -229,14 +249,15 @@
         return self.idle_since_s + limit_ms / 1000
 
     def _begin_reading(self) -> None:
-        self._phase = _Phase.READING
+        self._phase = Phase.READING
+        self.progress_s = self._loop.time()
         self._began_ms = now_ms()
         self._phase_deadline_s = (
             self._loop.time() + self._limits.request_timeout_ms / 1000
         )
 
     def _process_events(self) -> None:
-        while self._phase is _Phase.READING:
+        while self._phase is Phase.READING:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -297,11 +318,20 @@
         max_body_wire_bytes = MAX_WIRE_BYTES_PER_BODY_BYTE * self._limits.max_body_bytes
         if self._wire_bytes > self._limits.max_header_bytes + max_body_wire_bytes:
             self._refuse_long_body()
-        elif self._http.they_are_waiting_for_100_continue:
+            return
+        if self._is_paused:
+            self._resume_reading()
+        if self._http.they_are_waiting_for_100_continue:
             answer = h11.InformationalResponse(status_code=100, headers=[])
             self._transport.write(self._http.send(answer))
 
     def _start_handler(self) -> None:
+        if not self._server.can_run():
+            self._refuse_overload("too many requests in progress")
+            return
+        if self._counted_body_bytes and not self._has_room():
+            self._refuse_overload(NO_ROOM)
+            return
         path, _, query = self._target.partition("?")
         request = HttpRequest(
             method=self._head.method.decode("ascii"),
@@ -314,7 +344,10 @@
         self._body = bytearray()
         self._chunk_count = 0
         self._wire_bytes = len(self._http.trailing_data[0])
-        self._phase = _Phase.RUNNING
+        if self._is_paused and self._wire_bytes <= self._limits.max_header_bytes:
+            self._resume_reading()
+        self._phase = Phase.RUNNING
+        self.progress_s = self._loop.time()
         self._phase_deadline_s = math.inf
         self._request_count += 1
         self._exchange = Exchange(request, self, self._began_ms)
@@ -348,18 +381,21 @@
     ) -> None:
         self._server.refusals[int(status_code)] += 1
         refusal = Refusal(Verdict.NOT_RUN, reason, retry_after_ms, detail)
-        headers, body = problem(status_code, refusal)
-        length = ("content-length", str(len(body)))
-        fields = encode_headers([*headers, length, ("connection", "close")])
-        fields.append((b"date", self._server.date()))
-        response = h11.Response(status_code=status_code, headers=fields)
-        parts = [self._http.send(response)]
-        if self._head is None or self._head.method != b"HEAD":
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(parts))
+        answer = build_refusal(
+            self._http, self._head, status_code, refusal, self._server.date()
+        )
+        self._transport.write(answer)
+        self._drop_received()
         self._close_after_linger(CloseCause.REFUSED)
 
+    def _drop_received(self) -> None:
+        """Free what was received; the rest of the request is read and dropped."""
+        self._http = self._build_parser()
+        self._body = bytearray()
+        self._wire_bytes = 0
+        self._release_body()
+        self._server.held.update(self)
+
     # Sending answers.
 
     def begin_answer(self, status_code: int, headers) -> None:
@@ -383,6 +419,11 @@
             )
         self.flush()
 
+    def hold_answer(self, size_bytes: int) -> None:
+        """Record the bytes of the answer that have yet to be passed on."""
+        self._answer_bytes = size_bytes
+        self._record_held()
+
     async def wait_writable(self) -> None:
         """Wait until the write buffer has room.
 
@@ -398,6 +439,7 @@
         self.flush()
         self._exchange = None
         self._release_body()
+        self.progress_s = self._loop.time()
         if self._server.is_draining and not self._wire_bytes:
             self._close_unread(CloseCause.DRAINING)
             return
@@ -406,19 +448,22 @@
             return
         self._http.start_next_cycle()
         self._head = None
-        self._start_next_request()
+        if self.is_writable:
+            self._start_next_request()
+            return
+        self._phase = Phase.SENDING
+        self._pause_reading()
 
     def truncate(self) -> None:
         """Send the pending output and close without the end of the answer."""
-        if self._phase is _Phase.CLOSING:
+        if self._phase is Phase.CLOSING:
             return
         self.flush()
         if self._http.their_http_version == b"1.1":
             self._close(CloseCause.TRUNCATED)
             return
         # An HTTP/1.0 caller can detect a truncated answer only by a reset.
-        sock = self._transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self._transport)
         if self._transport.get_extra_info("ssl_object") is None:
             self._close(CloseCause.TRUNCATED)
             return
@@ -434,13 +479,21 @@
         if self._pending_output:
             self._transport.write(b"".join(self._pending_output))
             self._pending_output.clear()
+            if self._transport.get_write_buffer_size():
+                self._record_held()
+
+    def _record_held(self) -> None:
+        if self._phase is Phase.CLOSING:
+            # It may be removed already.
+            return
+        self._has_room()
 
     def _start_next_request(self) -> None:
-        self._resume_reading()
         if self._wire_bytes:
             self._begin_reading()
             self._process_events()
             return
+        self._resume_reading()
         self._set_idle()
 
     def _pause_reading(self) -> None:
@@ -451,13 +504,8 @@
         self._is_paused = False
         self._transport.resume_reading()
 
-    def _has_caller_closed(self) -> bool:
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
-        return bool(poll.poll(0))
-
     def _check_connected(self) -> None:
-        if self._phase is not _Phase.RUNNING or self._transport.is_closing():
+        if self._phase is not Phase.RUNNING or self._transport.is_closing():
             raise CallerGone("the caller closed its connection")
 
     # Deadlines and closing.
@@ -471,7 +519,7 @@
             self._check_write_progress()
         elif now_s >= self._phase_deadline_s:
             self._handle_timeout(now_s)
-        elif self._is_paused and self._has_caller_closed():
+        elif self._is_paused and has_closed(self._transport):
             # The transport does not detect the close while reading is paused.
             self._transport.abort()
 
@@ -496,7 +544,7 @@
     def _handle_timeout(self, now_s: float) -> None:
         if self.is_idle and now_s < self._idle_end_s():
             self._phase_deadline_s = self._idle_end_s()
-        elif self._phase is _Phase.READING:
+        elif self._phase is Phase.READING:
             status_code = HTTPStatus.REQUEST_TIMEOUT
             self._refuse(
                 status_code, Reason.DEADLINE, "the request was not received in time"
@@ -522,29 +570,13 @@
         A request that crosses the close stays unread, so that the caller is reset and
         knows it. A reset any sooner would lose the answer.
         """
-        if self._is_delivered():
+        if is_delivered(self._transport):
             self._close(cause)
             return
         self._begin_closing(cause)
         self._transport.pause_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
-        self._close_when_delivered()
-
-    def _close_when_delivered(self) -> None:
-        if self._transport.is_closing():
-            return
-        if self._is_delivered():
-            self._transport.close()
-            return
-        self._loop.call_later(DELIVERY_POLL_MS / 1000, self._close_when_delivered)
-
-    def _is_delivered(self) -> bool:
-        """Return whether the caller's system has acknowledged all output."""
-        if self._transport.get_write_buffer_size():
-            return False
-        sock = self._transport.get_extra_info("socket")
-        unacknowledged = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return not any(unacknowledged)
+        close_when_delivered(self._transport, self._loop)
 
     def _half_close(self, cause: CloseCause) -> None:
         """Close, and read what a caller sends behind what it called its last request.
@@ -562,20 +594,15 @@
             self._close(cause)
             return
         if self._transport.can_write_eof():
-            self._write_eof()
+            write_eof(self._transport)
         self._begin_closing(cause)
         self._resume_reading()
         self._phase_deadline_s = self._loop.time() + LINGER_MS / 1000
 
-    def _write_eof(self) -> None:
-        # The caller may have reset the connection in the meantime.
-        with contextlib.suppress(OSError):
-            self._transport.write_eof()
-
     def _begin_closing(self, cause: CloseCause) -> None:
-        if self._phase is _Phase.CLOSING:
+        if self._phase is Phase.CLOSING:
             return
-        self._phase = _Phase.CLOSING
+        self._phase = Phase.CLOSING
         self._close_cause = cause
         self._closing_since_ms = now_ms()
 
--- a/src/peridotfront/exchanges.py
+++ b/src/peridotfront/exchanges.py
@@ -20,6 +20,9 @@
     :param max_total_body_bytes: limit on the request bodies of all callers that are
         in memory at one time.
     :param max_connections: limit on open connections.
+    :param max_requests: limit on requests in progress.
+    :param max_held_bytes: limit on the bytes in progress of all connections, unless
+        the listeners of a process share one.
     :param idle_timeout_ms: time limit for an idle connection.
     :param request_timeout_ms: time limit from the first byte of a request to its
         last.
@@ -32,6 +35,8 @@
     max_body_bytes: int = 8 * 1024 * 1024
     max_total_body_bytes: int = 256 * 1024 * 1024
     max_connections: int = 1000
+    max_requests: int = 3000
+    max_held_bytes: int = 320 * 1024 * 1024
     idle_timeout_ms: int = 60_000
     request_timeout_ms: int = 15_000
     write_timeout_ms: int = 30_000
@@ -58,6 +63,9 @@
     def send_data(self, data: bytes) -> None:
         """Write a chunk of the body to the transport."""
 
+    def hold_answer(self, size_bytes: int) -> None:
+        """Record the bytes of the answer that have yet to be passed on."""
+
     async def wait_writable(self) -> None:
         """Wait until the write buffer has room."""
 
@@ -143,9 +151,13 @@
                 await connection.wait_writable()
             return
         view = memoryview(data)
-        for offset in range(0, len(data), connection.slice_bytes):
-            connection.send_data(view[offset : offset + connection.slice_bytes])
-            await connection.wait_writable()
+        try:
+            for offset in range(0, len(data), connection.slice_bytes):
+                connection.hold_answer(len(data) - offset)
+                connection.send_data(view[offset : offset + connection.slice_bytes])
+                await connection.wait_writable()
+        finally:
+            connection.hold_answer(0)
 
     async def finish(self) -> None:
         """End the answer, so that the connection can serve the next request.
--- a/src/peridotfront/http_server.py
+++ b/src/peridotfront/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 import ssl
 import time
 from collections import Counter
@@ -14,6 +15,7 @@
 from .core.verdicts import Reason, Refusal, Verdict
 from .exceptions import CallerGone, InvalidRequest
 from .exchanges import Exchange, HttpLimits
+from .held_bytes import SEARCH_INTERVAL_S, HeldBytes, is_stalled
 from .http_messages import Header, HttpRequest
 from .problems import Problem, problem
 
@@ -28,10 +30,16 @@
 ]
 
 LISTEN_BACKLOG = 512
+# Connections accepted at a time. Each takes a descriptor before it is counted.
+ACCEPTS_PER_STEP = 4
 SWEEP_INTERVAL_MS = 250
 SWEEPS_PER_LIMIT = 4
 DRAIN_POLL_MS = 20
 DRAIN_IDLE_MS = 1000
+# At the limit of connections this share of them is closed at once, as far as stalled.
+EVICTED_RATIO = 1 / 16
+# Connections beyond these are closed without an answer.
+MAX_REFUSED_CONNECTIONS = 16
 
 logger = logging.getLogger(__name__)
 
@@ -51,6 +59,8 @@
     :param ssl_context: TLS context; None serves plain TCP.
     :param report_failure: function called with each unhandled exception of a
         handler; the default writes it to the log.
+    :param held: account of the bytes in progress, shared by the listeners of a
+        process; the default is one of its own.
 
     ``refusals`` counts, by status code, the requests that were refused before
     any handler ran; these have no request id.
@@ -63,8 +73,10 @@
         ssl_context: ssl.SSLContext | None = None,
         *,
         report_failure: Callable[[Exception], None] | None = None,
+        held: HeldBytes | None = None,
     ):
         self.limits = limits or HttpLimits()
+        self.held = held or HeldBytes(self.limits.max_held_bytes)
         self.is_draining = False
         self.buffered_body_bytes = 0
         self.refusals: Counter[int] = Counter()
@@ -77,6 +89,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._sweeper: asyncio.TimerHandle | None = None
         self._date = (0, b"")
+        self._next_eviction_s = 0.0
 
     @property
     def port(self) -> int:
@@ -104,14 +117,17 @@
         handshake_s = (
             self.limits.request_timeout_ms / 1000 if self._ssl_context else None
         )
+        family = socket.AF_INET6 if ":" in host_ip else socket.AF_INET
+        sock = socket.create_server((host_ip, port), family=family)
         self._listener = await loop.create_server(
             lambda: CallerConnection(self),
-            host_ip,
-            port,
+            sock=sock,
             ssl=self._ssl_context,
             ssl_handshake_timeout=handshake_s,
-            backlog=LISTEN_BACKLOG,
+            backlog=ACCEPTS_PER_STEP,
         )
+        # The event loop takes its number of accepts from the same argument.
+        sock.listen(LISTEN_BACKLOG)
         self._sweep()
 
     def close_listener(self) -> None:
@@ -158,11 +174,38 @@
     def admit(self, connection: CallerConnection) -> bool:
         """Register a connection; return false if there are too many."""
         self._open.add(connection)
-        if len(self._open) - len(self._refused) <= self.limits.max_connections:
+        if self._has_room():
+            return True
+        self._evict_stalled(connection)
+        if self._has_room():
             return True
         self._refused.add(connection)
         return False
 
+    def can_refuse(self) -> bool:
+        """Return whether a connection too many may be told so before it is closed."""
+        return len(self._refused) <= MAX_REFUSED_CONNECTIONS
+
+    def can_run(self) -> bool:
+        """Return whether one more request may be in progress."""
+        return len(self._tasks) < self.limits.max_requests
+
+    def _has_room(self) -> bool:
+        return len(self._open) - len(self._refused) <= self.limits.max_connections
+
+    def _evict_stalled(self, newest: CallerConnection) -> None:
+        """Close connections without progress, first those that never had a request."""
+        now_s = time.monotonic()
+        if now_s < self._next_eviction_s:
+            return
+        self._next_eviction_s = now_s + SEARCH_INTERVAL_S
+        stalled = [c for c in self._open - {newest} if is_stalled(c, now_s)]
+        stalled.sort(key=lambda c: (c.has_request, c.progress_s))
+        count = max(1, int(EVICTED_RATIO * self.limits.max_connections))
+        for connection in stalled[:count]:
+            self.held.close(connection, "connections")
+            self.remove(connection)
+
     def remove(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
         self._open.discard(connection)
@@ -213,7 +256,8 @@
     def _is_drained(self, now_s: float) -> bool:
         max_last_use_s = now_s - DRAIN_IDLE_MS / 1000
         return not self._tasks and all(
-            connection.is_idle and connection.idle_since_s <= max_last_use_s
+            (connection.is_idle and connection.idle_since_s <= max_last_use_s)
+            or (connection.is_sending and is_stalled(connection, now_s))
             for connection in self._open - self._refused
         )
 
@@ -222,6 +266,8 @@
         now_s = loop.time()
         for connection in list(self._open):
             connection.check_deadlines(now_s)
+        # Connections that were within the time for progress above may be stalled now.
+        self.held.make_room()
         limits = self.limits
         shortest_ms = min(
             limits.idle_timeout_ms, limits.request_timeout_ms, limits.write_timeout_ms
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -688,6 +688,14 @@
         "The time to stop was over: compare drain_ended. is_started says whether its"
         " answer had begun, and so was cut; else it was refused with the verdict.",
     ),
+    LogEvent(
+        546,
+        "caller_closed_for_room",
+        Level.WARNING,
+        "a connection without progress was closed, since a limit was reached",
+        "limit is held_bytes or connections, of section connections. The caller sends"
+        " without reading, or opens connections without requests. Find it and stop it.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/metrics.py
+++ b/src/peridotfront/metrics.py
@@ -84,6 +84,20 @@
             Gauge, "requests_in_progress", "Requests that have not ended yet."
         )
 
+        self._held = self._create_metric(
+            Gauge, "held_bytes", "Bytes in progress on the connections of callers."
+        )
+        self._closed = self._create_metric(
+            Counter,
+            "connections_closed_for_room_total",
+            "Connections without progress closed for others, by the limit reached.",
+        )
+        self._early_refusals = self._create_metric(
+            Counter,
+            "early_refusals_total",
+            "Requests and connections refused before they were handled, by listener.",
+        )
+
     def add_collector(self, collect: Callable[[], None]) -> None:
         """Add a function that updates metrics before they are rendered."""
         self._collectors.append(collect)
@@ -162,6 +176,22 @@
         """Record how many requests have not ended yet."""
         self._in_progress.set({}, count)
 
+    def set_held_bytes(self, size_bytes: int) -> None:
+        """Record the bytes in progress on the connections of callers."""
+        self._held.set({}, size_bytes)
+
+    def set_closed_connections(self, limit: str, count: int) -> None:
+        """Set the total of connections closed for others.
+
+        :param limit: name of the limit that was reached.
+        """
+        self._closed.set({"limit": limit}, count)
+
+    def set_early_refusals(self, listener: str, status_code: int, count: int) -> None:
+        """Set the total of refusals before any handler ran."""
+        labels = {"listener": listener, "status": str(status_code)}
+        self._early_refusals.set(labels, count)
+
     def render(self) -> bytes:
         """Render all metrics in the text format of Prometheus.
 
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -17,7 +17,8 @@
 from .core.routing_events import RoutingChanged
 from .exceptions import SettingsInvalid
 from .gateway_server import RoutingParser
-from .http_server import Handler, HttpLimits, HttpServer
+from .http_server import Handler
+from .listeners import Listeners
 from .metrics import Metrics
 from .metrics_endpoint import build_metrics_handler
 from .replica_server import ReplicaServer, wait_for_shutdown
@@ -30,7 +31,6 @@
 
 LIST_INTERVAL_MS = 800
 FIRST_TIMEOUT_RATIO = 0.25
-MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,12 +91,16 @@
             {ConfigApplied: self._apply_config},
         )
         ip, port = split_address(settings.listen.operators)
-        self.operator_server = HttpServer(
+        listeners = Listeners(settings.connection_limits, metrics)
+        self.operator_server = listeners.build(
+            "operators",
             adapter.operators(self.server, port),
-            HttpLimits(max_body_bytes=MAX_CONFIG_BYTES),
+            listeners.operator_limits(),
         )
         self.operators_address = (ip, port)
-        self.metrics_server = HttpServer(build_metrics_handler(metrics))
+        self.metrics_server = listeners.build(
+            "metrics", build_metrics_handler(metrics), listeners.check_limits()
+        )
         self.poller = UpstreamListPoller(
             adapter.list_client(settings.upstream_list.address),
             self.server.feed,
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -15,8 +15,8 @@
 from .gateway import Gateway
 from .gateway_server import GatewayServer, RoutingParser
 from .http_client import ClientLimits
-from .http_server import HttpLimits, HttpServer
 from .link_checker import LinkChecker
+from .listeners import Listeners, build_http_limits
 from .metrics import Metrics
 from .metrics_endpoint import build_metrics_handler
 from .relay_client import UpstreamClients
@@ -45,10 +45,7 @@
 RELAY_POLL_MS = 50
 KEEP_ALIVE_MS = 4000
 MAX_IDLE_CONNECTIONS = 8
-MIN_REQUEST_TIMEOUT_MS = 15_000
-MAX_CONNECTIONS = 3000
 MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
-MAX_TOTAL_BODY_BYTES = 48 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,11 +112,19 @@
         self.gateway = Gateway(
             self.server, self.clients, self.link_checker, adapter.codec, metrics
         )
-        self.caller_server = HttpServer(
-            self.gateway.handle, build_http_limits(CallerLimits())
+        self.listeners = listeners = Listeners(settings.connection_limits, metrics)
+        self.caller_server = listeners.build(
+            "callers",
+            self.gateway.handle,
+            build_http_limits(CallerLimits(), listeners.limits),
+        )
+        check_limits = listeners.check_limits()
+        self.readiness_server = listeners.build(
+            "readiness", self._answer_ready, check_limits
+        )
+        self.metrics_server = listeners.build(
+            "metrics", build_metrics_handler(metrics), check_limits
         )
-        self.readiness_server = HttpServer(self._answer_ready)
-        self.metrics_server = HttpServer(build_metrics_handler(metrics))
         self.poller = UpstreamListPoller(
             adapter.list_client(settings.upstream_list.address),
             self.server.feed,
@@ -182,7 +187,9 @@
         return not self.is_leaving and self.role.directory.has_address(address)
 
     def _apply_routing(self, routing: RoutingConfig) -> None:
-        self.caller_server.limits = build_http_limits(routing.caller_limits)
+        self.caller_server.limits = build_http_limits(
+            routing.caller_limits, self.listeners.limits
+        )
 
     def _apply_settings(self, settings: RoutedSettings) -> None:
         self.server.feed(SeedsChanged(settings.seed_hosts))
@@ -213,15 +220,3 @@
 
     def _on_frame(self, frame) -> None:
         self.server.on_frame(frame)
-
-
-def build_http_limits(caller_limits: CallerLimits) -> HttpLimits:
-    """Return the limits of the callers' server under a configuration."""
-    return HttpLimits(
-        max_header_bytes=caller_limits.max_header_bytes,
-        max_body_bytes=caller_limits.max_body_bytes,
-        max_total_body_bytes=MAX_TOTAL_BODY_BYTES,
-        max_connections=MAX_CONNECTIONS,
-        idle_timeout_ms=caller_limits.idle_timeout_ms,
-        request_timeout_ms=max(caller_limits.header_timeout_ms, MIN_REQUEST_TIMEOUT_MS),
-    )
--- a/src/peridotfront/routed_settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -12,6 +12,7 @@
 from .core.service_schedulers import SharedLimits
 from .exceptions import SettingsInvalid
 from .ini import Fault, Ini, Section, Words
+from .listeners import BYTES_PER_KIB, ConnectionLimits
 
 MS_PER_S = 1000
 
@@ -127,6 +128,20 @@
     learns_speeds: bool = False
 
 
+class ConnectionsSection(Section):
+    """Limits on callers that keep to no limits; others never meet them.
+
+    :param max_connections: limit on the open connections of a listener.
+    :param max_requests: limit on the requests in progress of a listener.
+    :param max_held_kib: limit on the bytes in progress of all listeners together, of
+        requests and of answers that callers have not read.
+    """
+
+    max_connections: int = Field(default=3000, ge=1)
+    max_requests: int = Field(default=3000, ge=1)
+    max_held_kib: int = Field(default=65_536, ge=1)
+
+
 class ShutdownSection(Section):
     """Time limit for the shutdown of a process.
 
@@ -149,6 +164,7 @@
     allowances: AllowancesSection
     rollouts: RolloutsSection
     scheduling: SchedulingSection
+    connections: ConnectionsSection
     shutdown: ShutdownSection
 
     @property
@@ -177,6 +193,16 @@
         port = self.listen.first_peer_port
         return tuple([f"{s.rpartition(':')[0]}:{port}" for s in self.group.seeds])
 
+    @property
+    def connection_limits(self) -> ConnectionLimits:
+        """Return the limits on the connections of callers."""
+        section = self.connections
+        return ConnectionLimits(
+            section.max_connections,
+            section.max_requests,
+            section.max_held_kib * BYTES_PER_KIB,
+        )
+
     @property
     def shared_limits(self) -> SharedLimits:
         """Return the limits that all hosts share, as the core's type."""
@@ -205,6 +231,7 @@
     "allowances": AllowancesSection,
     "rollouts": RolloutsSection,
     "scheduling": SchedulingSection,
+    "connections": ConnectionsSection,
     "shutdown": ShutdownSection,
 }
 
