--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -51,7 +51,8 @@
 
     ``module`` is the program, ``source`` the source folder of the build that runs it
     from the next start on, and ``variables`` are its environment variables beside the
-    inherited ones. ``grace_s`` is the time to stop in its settings.
+    inherited ones. ``grace_s`` is the time to stop in its settings, and
+    ``extra_settings`` are sections beside the usual ones.
     """
 
     def __init__(self, role, number, seeds, folder):
@@ -61,6 +62,7 @@
         self.proxy = Proxy(self.ip, PEER_PORT, REAL_PEER_PORT)
         self.peak_kb = 0
         self.grace_s = GRACE_S
+        self.extra_settings = ""
         self.module = f"peridotfront.platform.{role}"
         self.source = ROOT / "src"
         self.variables = {}
@@ -134,7 +136,7 @@
 
     def _settings(self, is_first_start):
         is_control = self.role == "control"
-        return SETTINGS_TEMPLATE.format(
+        settings = SETTINGS_TEMPLATE.format(
             name=self.name,
             ip=self.ip,
             callers="" if is_control else f"{self.ip}:{CALLERS_PORT}",
@@ -149,6 +151,7 @@
             list_address=":".join(str(part) for part in LIST_ADDRESS),
             grace_s=self.grace_s,
         )
+        return settings + self.extra_settings
 
 
 class Deployment:
