Collect the body of a request without copying it

Cause: a body of 12 MB that grows in one buffer was copied as it grew: the peak of a control host before incomplete configurations varied from 93452 to 114924 kB, above the bound of 106496 kB. Change: the parts are joined once the request is whole.

--- a/src/peridotfront/caller_connections.py
+++ b/src/peridotfront/caller_connections.py
@@ -63,7 +63,7 @@
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
         self._target = ""
-        self._body = bytearray()
+        self._body: list[bytes] = []
         self._counted_body_bytes = 0
         self._answer_bytes = 0
         self.progress_s = self._loop.time()
@@ -163,7 +163,7 @@
 
     def close_stalled(self) -> None:
         """Close immediately, since others need the room."""
-        self._body = bytearray()
+        self._body = []
         self._transport.abort()
 
     def _log_dropped(self, data: bytes) -> None:
@@ -198,7 +198,7 @@
         self._server.remove(self)
         self._server.held.remove(self)
         # The connection may stay until a garbage collection.
-        self._body = bytearray()
+        self._body = []
         self._http = self._build_parser()
         self._release_body()
         if self._exchange is not None:
@@ -296,17 +296,17 @@
             self._refuse_long_body()
 
     def _handle_data(self, data: bytes) -> None:
-        self._body += data
+        self._body.append(bytes(data))
         self._counted_body_bytes += len(data)
         self._server.buffered_body_bytes += len(data)
         self._chunk_count += 1
-        if len(self._body) > self._limits.max_body_bytes:
+        if self._counted_body_bytes > self._limits.max_body_bytes:
             self._refuse_long_body()
         elif self._server.buffered_body_bytes > self._limits.max_total_body_bytes:
             self._refuse_overload("too many long bodies")
         elif (
             self._chunk_count
-            > SMALL_CHUNK_ALLOWANCE + len(self._body) / MIN_BYTES_PER_CHUNK
+            > SMALL_CHUNK_ALLOWANCE + self._counted_body_bytes / MIN_BYTES_PER_CHUNK
         ):
             self._refuse_invalid("the chunks of the body are too small")
 
@@ -339,9 +339,9 @@
             path=path,
             query=query,
             headers=decode_headers(self._head.headers),
-            body=bytes(self._body),
+            body=b"".join(self._body),
         )
-        self._body = bytearray()
+        self._body = []
         self._chunk_count = 0
         self._wire_bytes = len(self._http.trailing_data[0])
         if self._is_paused and self._wire_bytes <= self._limits.max_header_bytes:
@@ -391,7 +391,7 @@
     def _drop_received(self) -> None:
         """Free what was received; the rest of the request is read and dropped."""
         self._http = self._build_parser()
-        self._body = bytearray()
+        self._body = []
         self._wire_bytes = 0
         self._release_body()
         self._server.held.update(self)
