--- a/features/support/rollout_processes.py
+++ b/features/support/rollout_processes.py
@@ -160,7 +160,7 @@
     def _build_deployment(self, folder):
         deployment = super()._build_deployment(folder)
         for host in deployment.hosts:
-            host.more_settings = ROLLOUT_SETTINGS
+            host.extra_settings = ROLLOUT_SETTINGS
         return deployment
 
     def _build_upstreams(self):
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -62,7 +62,7 @@
         self._is_ordered = False
         if self.is_active:
             for host in deployment.hosts:
-                host.more_settings = ROLLOUT_SETTINGS
+                host.extra_settings = ROLLOUT_SETTINGS
 
     def __str__(self):
         if not self.is_active:
