Find the pace of upstreams that start or recover

Cause: an upstream that has just started was sent as much as the warm ones, so that its answers were late while it was cold. After a failure it got one slot more for each answer, also for a late one.

Change: with the option finds_pace each upstream of a routed service has a slow start (core/slow_start). Answers in time raise its pace, late answers and errors halve it, and without evidence it grows with time. A start is a new name in the list, or a recovery after requests failed there. The dump shows the pace. With the option off nothing changes.

--- a/src/peridotfront/core/end_recorder.py
+++ b/src/peridotfront/core/end_recorder.py
@@ -63,6 +63,10 @@
         earlier_state = upstream.health.state
         if self._record_link(slot, release.cause, now_ms):
             yield from self._record_upstream(upstream, slot, release, now_ms)
+        if upstream.slow_start is not None:
+            upstream.slow_start.observe_health(
+                earlier_state, upstream.health.state, release.cause
+            )
         if upstream.health.state is not earlier_state:
             yield _build_circuit_log(upstream, slot.sender, release.cause)
 
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a slot request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 from typing import NamedTuple
 
@@ -13,6 +13,7 @@
 from .poison_detection import PoisonDetector
 from .prefix_cache import PrefixCacheModel
 from .queues import QueuedSlotRequest
+from .slow_start import SlowStart
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
 
@@ -28,6 +29,9 @@
 HIGHEST_TIER = 1
 SLOW_ENGINE_SHARE = 0.3
 SLOW_MIN_WAIT_RATIO = 0.5
+PACED_STATES = (HealthState.HEALTHY, HealthState.RAMPING)
+# A short wait shows that the other upstreams are full for more than a moment.
+NEED_WAIT_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -35,6 +39,7 @@
     """State of one upstream as its scheduler sees it.
 
     :param suspects: number of slots whose requests are suspected as poison.
+    :param slow_start: its slow start; None if the service has none.
     """
 
     spec: UpstreamSpec
@@ -43,6 +48,7 @@
     health: Health
     is_leaving: bool = False
     suspects: int = 0
+    slow_start: SlowStart | None = None
 
     @property
     def name(self) -> str:
@@ -53,11 +59,18 @@
         """Return whether too large a share of its tokens is slow."""
         return self.capacity.is_slow(SLOW_ENGINE_SHARE, now_ms)
 
-    def limit(self, policy: Policy, is_urgent: bool, now_ms: int) -> int:
-        """Return the maximum number of slots in use after a grant."""
+    def limit(
+        self, policy: Policy, is_urgent: bool, now_ms: int, is_needed: bool = False
+    ) -> int:
+        """Return the maximum number of slots in use after a grant.
+
+        :param is_needed: whether all other upstreams are full and callers wait.
+        """
         limit = self.capacity.limit_slots
         if is_urgent:
             limit *= policy.overfill_ratio
+        if self.slow_start is not None and self.health.state in PACED_STATES:
+            limit = self.slow_start.limit(int(limit), is_needed, now_ms)
         if self.health.state is HealthState.HEALTHY:
             return int(limit)
         return self.health.slots(int(limit), now_ms)
@@ -119,6 +132,7 @@
     :param has_lost_links: whether its host has lost the link to any upstream.
     :param has_limits: whether any upstream has named a limit.
     :param has_brittle: whether any upstream must not reject many requests.
+    :param exceeds_pace: whether it may exceed the pace of upstreams that start.
     """
 
     queued: QueuedSlotRequest
@@ -131,6 +145,7 @@
     has_lost_links: bool
     has_limits: bool
     has_brittle: bool
+    exceeds_pace: bool = False
 
 
 class Availability(Enum):
@@ -186,9 +201,12 @@
         :return: None if all upstreams are full or unavailable.
         """
         search = self._begin_search(queued, now_ms)
-        availabilities = [
-            self._availability(upstream, search) for upstream in upstreams
-        ]
+        availabilities = self._availabilities(upstreams, search)
+        if Availability.AVAILABLE not in availabilities and _needs_starting(
+            queued, upstreams, now_ms
+        ):
+            search = replace(search, exceeds_pace=True)
+            availabilities = self._availabilities(upstreams, search)
         if Availability.AVAILABLE not in availabilities:
             return Deferral() if Availability.UNSUITABLE in availabilities else None
         may_defer = bool(queued.slot_request.prefix_hashes) and self._may_defer(
@@ -247,10 +265,17 @@
             has_brittle=len(self._brittle) > 0,
         )
 
+    def _availabilities(
+        self, upstreams: list[Upstream], search: _Search
+    ) -> list[Availability]:
+        return [self._availability(upstream, search) for upstream in upstreams]
+
     def _availability(self, upstream: Upstream, search: _Search) -> Availability:
         if upstream.is_leaving:
             return Availability.UNAVAILABLE
-        limit = upstream.limit(self._policy, search.is_urgent, search.now_ms)
+        limit = upstream.limit(
+            self._policy, search.is_urgent, search.now_ms, search.exceeds_pace
+        )
         if limit == 0 or search.has_brittle:
             limit = self._exceptional_limit(upstream, limit, search)
         if limit == 0:
@@ -339,6 +364,20 @@
         return fill_ms + failure_cost_ms + link_cost_ms
 
 
+def _needs_starting(
+    queued: QueuedSlotRequest, upstreams: list[Upstream], now_ms: int
+) -> bool:
+    """Return whether a request has waited so long that it needs a starting one."""
+    wait_ms = now_ms - queued.since_ms
+    max_wait_ms = queued.slot_request.goal_ms or queued.slot_request.deadline_ms
+    if wait_ms < max_wait_ms * NEED_WAIT_SHARE:
+        return False
+    return any(
+        upstream.slow_start is not None and upstream.slow_start.is_active
+        for upstream in upstreams
+    )
+
+
 def _fits_memory(upstream: Upstream, search: _Search) -> bool:
     capacity = upstream.capacity
     if capacity.fits_memory(search.required_tokens):
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -50,6 +50,7 @@
 )
 from .scheduling_options import SchedulingOptions
 from .single_dispatch import dispatchmethod
+from .slow_start import SlowStarts, max_answer_ms
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
 from .verdicts import Reason
@@ -110,6 +111,7 @@
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
         self.stats = CellStats()
         self._options = SchedulingOptions() if options is None else options
+        self._slow_starts = SlowStarts() if self._options.finds_pace else None
         self._fleet = fleet
         self._weights: dict[str, int] = {}
         self._upstreams: dict[str, Upstream] = {}
@@ -225,6 +227,8 @@
         if now_ms - self._slots_checked_ms >= CHECK_SLOTS_EVERY_MS:
             self._slots_checked_ms = now_ms
             yield from self._check_slots(now_ms)
+            if self._slow_starts is not None:
+                yield from self._slow_starts.take_logs(now_ms)
             yield from self._refuse_crashing(now_ms)
         if not self._is_settled(now_ms):
             return
@@ -351,6 +355,7 @@
         upstream = self._upstreams.get(slot.upstream)
         if upstream is not None:
             yield from self._ends.record(upstream, slot, release, now_ms)
+            self._record_end_of_start(upstream, slot, release, now_ms)
         if release.cause is ReleaseCause.UPSTREAM_DIED:
             yield from self._apply_strikes(now_ms)
         yield from self._grant_queued(now_ms)
@@ -536,6 +541,7 @@
         )
         self._occupy(slot, now_ms)
         self._limits.take(slot.upstream, now_ms)
+        self._record_paced_grant(slot, choice.upstream, now_ms)
         if self._gate is not None:
             self._gate.granted(slot, choice.upstream, now_ms)
         if choice.upstream.health.state is HealthState.DOWN:
@@ -550,6 +556,18 @@
         self.stats.granted[slot_request.tier] += 1
         return Send(queued.host, self._build_grant(slot))
 
+    def _record_paced_grant(self, slot: Slot, upstream: Upstream, now_ms: int) -> None:
+        if upstream.slow_start is None:
+            return
+        slot_request = slot.slot_request
+        expected_ms = self._answer_times.expected_ms(slot_request)
+        upstream.slow_start.granted(
+            slot_request,
+            max_answer_ms(slot_request, expected_ms),
+            len(upstream.capacity.slots),
+            now_ms,
+        )
+
     def _occupy(self, slot: Slot, now_ms: int) -> None:
         upstream = self._upstreams[slot.upstream]
         self._slots[slot.slot_request.request_id] = slot
@@ -588,6 +606,9 @@
         if held.produced_tokens == 0 and not self._is_service:
             slot.prefill_tokens = slot_request.prompt_tokens
         self._occupy(slot, now_ms)
+        slow_start = self._upstreams[held.upstream].slow_start
+        if slow_start is not None:
+            slow_start.adopted(now_ms)
         return slot
 
     # Slots
@@ -604,11 +625,46 @@
             limit = int(upstream.capacity.limit_slots)
             age_ms = held.token_age_ms
             produced_ms = None if age_ms is None else now_ms - age_ms
+            earlier = upstream.health.state
             upstream.health.progressed(slot.granted_ms, limit, now_ms, produced_ms)
+            if self._slow_starts is not None:
+                self._record_progress_of_start(slot, earlier, is_first, now_ms)
         upstream.capacity.record_progress(
             slot, held.produced_tokens, held.slow_tokens, now_ms
         )
 
+    def _record_progress_of_start(
+        self, slot: Slot, earlier: HealthState, is_first: bool, now_ms: int
+    ) -> None:
+        """Record progress of a request for the upstream's slow start."""
+        upstream = self._upstreams[slot.upstream]
+        if self._slow_starts is None or upstream.slow_start is None:
+            return
+        slow_start = upstream.slow_start
+        if is_first:
+            answer_ms = now_ms - slot.granted_ms
+            slow_start.answered(slot.slot_request.request_id, answer_ms, now_ms)
+        slow_start.observe_health(earlier, upstream.health.state, None)
+        slots = int(upstream.capacity.limit_slots)
+        self._slow_starts.begin_recovered(upstream.name, slots, now_ms)
+
+    def _record_end_of_start(
+        self, upstream: Upstream, slot: Slot, release: Release, now_ms: int
+    ) -> None:
+        """Record the end of a request for the upstream's slow start."""
+        if self._slow_starts is None or upstream.slow_start is None:
+            return
+        slow_start = upstream.slow_start
+        request_id = slot.slot_request.request_id
+        if release.cause is ReleaseCause.COMPLETED:
+            answer_ms = now_ms - slot.granted_ms
+            if release.first_token_ms >= 0 and not self._is_service:
+                answer_ms = release.first_token_ms
+            slow_start.answered(request_id, answer_ms, now_ms)
+        slow_start.ended(request_id, release.cause, now_ms)
+        slots = int(upstream.capacity.limit_slots)
+        self._slow_starts.begin_recovered(upstream.name, slots, now_ms)
+
     def _learn_from_release(self, slot: Slot, release: Release, now_ms: int) -> None:
         upstream = self._upstreams[slot.upstream]
         wasted = self.stats.wasted_prefill_tokens
@@ -773,6 +829,14 @@
                 upstream.is_leaving = True
                 if not upstream.capacity.slots:
                     del self._upstreams[name]
+        if self._slow_starts is not None:
+            slots_by_name = {name: spec.max_slots for name, spec in specs.items()}
+            self._slow_starts.apply_list(
+                slots_by_name,
+                self._upstreams,
+                bool(self._upstreams) and self._is_settled(self._now_ms),
+                self._now_ms,
+            )
         for name, spec in specs.items():
             self._apply_spec(name, spec)
         self._upstreams_by_model = {}
@@ -787,6 +851,7 @@
             self._upstreams[name] = self._new_upstream(spec)
             return
         upstream.spec = spec
+        upstream.slow_start = self._slow_starts and self._slow_starts.add(name)
         upstream.capacity.max_slots = spec.max_slots
         upstream.capacity.target_gap_ms = self._fleet.policy.token_gap_ms
         upstream.is_leaving = spec.is_leaving or name in self._leaving_until_ms
@@ -805,7 +870,15 @@
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixCacheModel(policy.prefix_block_tokens, blocks)
         health = Health(policy.max_backoff_ms, policy.died_backoff_ms)
-        return Upstream(spec, capacity, prefixes, health, spec.is_leaving)
+        slow_start = self._slow_starts and self._slow_starts.add(spec.name)
+        return Upstream(
+            spec,
+            capacity,
+            prefixes,
+            health,
+            spec.is_leaving,
+            slow_start=slow_start,
+        )
 
 
 def _kind_of(cell: str, kind: UpstreamKind | None) -> UpstreamKind:
--- a/src/peridotfront/core/scheduler_dump.py
+++ b/src/peridotfront/core/scheduler_dump.py
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDump:
-    """Dump of a scheduler's view of an upstream."""
+    """Dump of a scheduler's view of an upstream.
+
+    :param pace_slots: pace of its slow start; None if it may use all slots.
+    """
 
     name: str
     health: str
@@ -64,6 +67,7 @@
     token_gap_ms: float
     cached_blocks: int
     cache_trust: float
+    pace_slots: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +98,7 @@
 def dump_upstream(upstream: Upstream, now_ms: int) -> UpstreamDump:
     """Return the dump of an upstream."""
     capacity = upstream.capacity
+    pace = upstream.slow_start and upstream.slow_start.pace
     return UpstreamDump(
         name=upstream.name,
         health=upstream.health.state.value,
@@ -108,4 +113,5 @@
         token_gap_ms=round(capacity.gap_ms, 1),
         cached_blocks=len(upstream.prefixes),
         cache_trust=round(upstream.prefixes.trust, 2),
+        pace_slots=round(pace.slots, 1) if pace else None,
     )
