Document the slow start and its log events

Cause: operators must see when an upstream is in its slow start, and why it works as it does.

The family 10xx, with the rollout events that were missing, is now in LOGS.md.

--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -900,6 +900,24 @@
     ),
 )
 
+SLOW_START_EVENTS = (
+    LogEvent(
+        1010,
+        "slow_start_began",
+        Level.INFO,
+        "an upstream has just started or recovered and gets few requests at first",
+        "pace_slots is the number of its slots in use to begin with. Nothing to do.",
+    ),
+    LogEvent(
+        1011,
+        "slow_start_ended",
+        Level.INFO,
+        "an upstream may use all of its slots",
+        "Nothing to do. If duration_ms is often near 15000, its answers are late at"
+        " full load: check its speed and its number of slots.",
+    ),
+)
+
 EVENTS = (
     PROCESS_EVENTS
     + OUTPUT_EVENTS
@@ -913,5 +931,6 @@
     + OPERATOR_EVENTS
     + ORDER_EVENTS
     + ROLLOUT_EVENTS
+    + SLOW_START_EVENTS
 )
 EVENTS_BY_NAME = {event.name: event for event in EVENTS}
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -43,6 +43,7 @@
     (7, "Scheduling"),
     (8, "Operators"),
     (9, "Orders to engines"),
+    (10, "Rollouts and slow start"),
 )
 UNITS = (
     ("_tokens_per_s", "tokens a second"),
