Test that a new leader finds a cold upstream

Cause: a leader that changes during a slow start does not know the pace, and no test covered how it learns that an upstream is cold.

The new one fails on a copy of the code whose new leaders watch no upstreams.

--- a/features/slow_start.feature
+++ b/features/slow_start.feature
@@ -59,6 +59,12 @@
     When a new leader takes over whose list lacks "u1" for 300 ms
     Then the upstream "u1" may use all of its slots
 
+  Scenario: A new leader finds out that an upstream is cold by its late answers
+    Given 11 plain upstreams at a load of 0.8
+    When another upstream starts cold
+    And a new leader takes over
+    Then its slow start begins within 1500 ms
+
   Scenario: An operator sees the pace and when it ends
     Given 11 upstreams at a load of 0.8
     When another upstream starts cold
--- a/features/steps/slow_start_steps.py
+++ b/features/steps/slow_start_steps.py
@@ -74,6 +74,11 @@
     context.since_ms = context.world.now_ms
 
 
+@given("{servers:d} plain upstreams at a load of {load:g}")
+def begin_plain(context, servers, load):
+    context.world = SlowStartWorld(True, model="plain", servers=servers, load=load)
+
+
 @when("another upstream starts {state}")
 def start_another(context, state):
     cold_ms = COLD_MS if state == "cold" else 0
@@ -121,6 +126,7 @@
 
 @when("a new leader takes over")
 def replace_leader(context):
+    context.world.logs.clear()
     context.world.replace_leader()
     context.world.run(500)
 
@@ -171,6 +177,12 @@
     assert find_logs(context, "slow_start_ended", context.name)
 
 
+@then("its slow start begins within {limit_ms:d} ms")
+def check_began(context, limit_ms):
+    context.world.run(limit_ms)
+    assert find_logs(context, "slow_start_began", context.name)
+
+
 @then("its slow start begins within {begin_ms:d} ms and ends within {end_ms:d} ms")
 def check_both(context, begin_ms, end_ms):
     context.world.run(begin_ms)
