Learn the speed of each upstream and place requests by it

Cause: placement scored the expected time to the first token, and took the tokens of the first report for prefill time, so that learned prefill rates were off by more than a third at 2 of 3 upstreams. Another data centre cost 15 ms whatever its load and the bytes. Memory was counted less the predicted prefix, with the median output, against the size that a report stated.

Change: core/upstream_rates, on with learns_speeds for model services: robust speeds by name and version, a cost of a placement by goal, hold time and scarcity, a price between data centres with hysteresis, and memory counted cautiously from the grant on. Reported memory is ignored with it. The dump shows the speeds.

--- a/src/peridotfront/core/drain_rate.py
+++ b/src/peridotfront/core/drain_rate.py
@@ -81,9 +81,13 @@
 
     :param queues: queues of all tiers.
     :param limits: limits that upstreams have named.
+    :param weighs_speeds: whether a faster upstream counts for more of the work.
     """
 
-    def __init__(self, queues: TierQueues, limits: UpstreamLimits):
+    def __init__(
+        self, queues: TierQueues, limits: UpstreamLimits, weighs_speeds: bool = False
+    ):
+        self._weighs_speeds = weighs_speeds
         self._queues = queues
         self._limits = limits
         self._hold_ratio = 1.0
@@ -127,6 +131,7 @@
         slots = 0.0
         prefill_tokens_per_ms = 0.0
         prompt_token_ms = output_token_ms = max_rate = 0.0
+        prompt_rate = output_rate = 0.0
         for upstream in upstreams:
             capacity = upstream.capacity
             usable_slots = upstream.health.slots(int(capacity.limit_slots), now_ms)
@@ -141,6 +146,12 @@
             max_rate = max(max_rate, rate)
             prompt_token_ms += usable_slots / rate
             output_token_ms += usable_slots * capacity.gap_ms
+            prompt_rate += usable_slots * rate
+            output_rate += usable_slots / capacity.gap_ms
+        if self._weighs_speeds and slots:
+            # A slot that is held for half the time serves twice the requests.
+            prompt_token_ms = slots * slots / prompt_rate
+            output_token_ms = slots * slots / output_rate
         estimate = ModelCapacity(
             slots=slots,
             prefill_tokens_per_ms=prefill_tokens_per_ms,
--- a/src/peridotfront/core/placement.py
+++ b/src/peridotfront/core/placement.py
@@ -15,6 +15,7 @@
 from .queues import QueuedSlotRequest
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
+from .upstream_rates import UpstreamRates, Wait
 
 FILL_COST_MS = 20.0
 FAILURE_COST_MS = 2000.0
@@ -104,9 +105,11 @@
     """Decision that a slot request waits while others may be granted first.
 
     :param upstream: upstream that it waits for; None if any upstream will do.
+    :param fallback: choice that it takes rather than leave the upstream idle.
     """
 
     upstream: Upstream | None = None
+    fallback: Choice | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +156,7 @@
     :param limits: limits that upstreams have named.
     :param reach: evidence on the links between entry hosts and upstreams.
     :param brittle: upstreams that must not reject many requests.
+    :param rates: learned rates of the upstreams; None if placement ignores them.
     """
 
     def __init__(
@@ -162,8 +166,10 @@
         limits: UpstreamLimits,
         reach: HostReach,
         brittle: BrittleUpstreams,
+        rates: UpstreamRates | None = None,
     ):
         self._policy = policy
+        self._rates = rates
         self._limits = limits
         self._reach = reach
         self._brittle = brittle
@@ -216,7 +222,18 @@
             return Deferral()
         if best_deferred is not None and _is_worth_waiting(best_deferred, best):
             return Deferral(best_deferred.upstream)
-        return best
+        return best if self._rates is None else self._wait_or_take(best, search)
+
+    def _wait_or_take(self, best: Choice, search: _Search) -> Choice | Deferral:
+        """Return a deferral if the request waits for a faster or nearer upstream."""
+        queued = search.queued
+        first_token_ms = _first_token_ms(best, search)
+        centre = best.upstream.spec.data_centre
+        costs = self._rates.costs
+        wait = costs.wait(queued, first_token_ms, centre, search.now_ms)
+        if wait is Wait.NO:
+            return best
+        return Deferral(fallback=best if wait is Wait.IF_WANTED else None)
 
     def _may_defer(
         self, queued: QueuedSlotRequest, is_urgent: bool, now_ms: int
@@ -312,6 +329,12 @@
             slot_request.prompt_tokens - hit_tokens * prefixes.trust
         )
         backlog_ms = capacity.backlog_ms(now_ms)
+        if self._rates is not None:
+            first_token_ms = backlog_ms + prefill_ms + capacity.first_report_ms
+            cost_ms = self._rates.costs.cost_ms(
+                capacity, queued, first_token_ms, now_ms
+            )
+            return Choice(upstream, hit_tokens, cost_ms + fixed_cost_ms)
         late_ms = now_ms + backlog_ms + prefill_ms - queued.deadline_at_ms
         cost_ms = (
             backlog_ms
@@ -329,9 +352,10 @@
         fill_ms = FILL_COST_MS * len(capacity.slots) / max(1.0, capacity.limit_slots)
         failure_cost_ms = upstream.health.failure_share(now_ms) * FAILURE_COST_MS
         spec = upstream.spec
-        data_centre = search.queued.data_centre
-        is_remote = data_centre not in ("", spec.data_centre)
+        is_remote = _is_remote(upstream, search.queued)
         link_cost_ms = REMOTE_COST_MS if is_remote else 0.0
+        if is_remote and self._rates is not None:
+            link_cost_ms = self._rates.costs.remote_cost_ms(search.queued)
         if search.has_lost_links and self._reach.has_lost_link(
             search.queued.host, spec.name, now_ms
         ):
@@ -339,8 +363,23 @@
         return fill_ms + failure_cost_ms + link_cost_ms
 
 
+def _is_remote(upstream: Upstream, queued: QueuedSlotRequest) -> bool:
+    return queued.data_centre not in ("", upstream.spec.data_centre)
+
+
+def _first_token_ms(choice: Choice, search: _Search) -> float:
+    capacity = choice.upstream.capacity
+    uncached_tokens = search.slot_request.prompt_tokens - (
+        choice.predicted_prefix_tokens * choice.upstream.prefixes.trust
+    )
+    prefill_ms = capacity.prefill_ms(uncached_tokens) + capacity.first_report_ms
+    return capacity.backlog_ms(search.now_ms) + prefill_ms
+
+
 def _fits_memory(upstream: Upstream, search: _Search) -> bool:
     capacity = upstream.capacity
+    if capacity.memory is not None:
+        return capacity.fits_request(search.slot_request)
     if capacity.fits_memory(search.required_tokens):
         return True
     hit_tokens = upstream.hit_tokens(search.slot_request)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -52,6 +52,7 @@
 from .single_dispatch import dispatchmethod
 from .upstream_capacity import Slot, UpstreamCapacity
 from .upstream_limits import UpstreamLimits
+from .upstream_rates import UpstreamRates
 from .verdicts import Reason
 
 Action = Send | Log
@@ -110,6 +111,8 @@
         self._is_service = _kind_of(cell, kind) is UpstreamKind.SERVICE
         self.stats = CellStats()
         self._options = SchedulingOptions() if options is None else options
+        learns = self._options.learns_speeds and not self._is_service
+        self._rates = UpstreamRates() if learns else None
         self._fleet = fleet
         self._weights: dict[str, int] = {}
         self._upstreams: dict[str, Upstream] = {}
@@ -128,7 +131,7 @@
         self._limits = UpstreamLimits() if limits is None else limits
         self._reach = HostReach() if reach is None else reach
         self._brittle = BrittleUpstreams() if brittle is None else brittle
-        self._drain_rate = DrainRate(self._queues, self._limits)
+        self._drain_rate = DrainRate(self._queues, self._limits, learns)
         self._ends = EndRecorder(
             self._reach,
             self._limits,
@@ -369,7 +372,8 @@
         upstream.prefixes.apply_events(
             report.cache_sequence, report.cached_hashes, report.evicted_hashes
         )
-        if report.capacity_kv_tokens > 0:
+        # A false or old report must not raise or lower what is held there.
+        if report.capacity_kv_tokens > 0 and self._rates is None:
             upstream.capacity.kv_capacity_tokens = report.capacity_kv_tokens
         yield from ()
 
@@ -459,6 +463,8 @@
     def _grant_queued(self, now_ms: int) -> Iterator[Action]:
         if not self._is_settled(now_ms):
             return
+        if self._rates is not None:
+            self._rates.refresh(self._upstreams.values(), now_ms)
         blocked: set[str] = set()
         for tier in self._queues.tiers():
             for model, queue in self._queues.models(tier):
@@ -487,6 +493,7 @@
             added to it.
         """
         reserved: set[str] = set()
+        fallback: tuple[QueuedSlotRequest, Choice] | None = None
         for queued in queue.candidates(MAX_CANDIDATES_PER_ACCOUNT):
             is_highest = queued.slot_request.tier == HIGHEST_TIER
             choice = self._choose(queued, upstreams, is_highest, now_ms)
@@ -501,6 +508,10 @@
                 break
             if choice.upstream is not None:
                 reserved.add(choice.upstream.name)
+            if choice.fallback is not None and fallback is None:
+                fallback = queued, choice.fallback
+        if fallback is not None:
+            return self._grant(*fallback, now_ms)
         blocked.update(reserved)
         return None
 
@@ -585,6 +596,7 @@
         lease_until_ms = now_ms + self._fleet.policy.slot_lease_ms
         slot = Slot(slot_request, sender, held.upstream, now_ms, lease_until_ms)
         slot.relay = held.relay
+        slot.is_adopted = True
         if held.produced_tokens == 0 and not self._is_service:
             slot.prefill_tokens = slot_request.prompt_tokens
         self._occupy(slot, now_ms)
@@ -627,6 +639,9 @@
                 slot.slot_request, release.duration_ms, candidates, now_ms
             )
             self._update_gap(upstream, slot, release, now_ms)
+            if self._rates is not None:
+                self._rates.record_release(upstream.capacity, release)
+                self._rates.sampled(self._upstreams.values())
 
     def _update_gap(
         self, upstream: Upstream, slot: Slot, release: Release, now_ms: int
@@ -765,6 +780,7 @@
             self._limits,
             self._reach,
             self._brittle,
+            self._rates,
         )
         specs = {spec.name: spec for spec in fleet.upstreams if spec.cell == self.cell}
         self._configured = frozenset(specs)
@@ -787,6 +803,8 @@
             self._upstreams[name] = self._new_upstream(spec)
             return
         upstream.spec = spec
+        if self._rates is not None:
+            self._rates.attach(spec, upstream.capacity)
         upstream.capacity.max_slots = spec.max_slots
         upstream.capacity.target_gap_ms = self._fleet.policy.token_gap_ms
         upstream.is_leaving = spec.is_leaving or name in self._leaving_until_ms
@@ -802,6 +820,8 @@
             learns=policy.learns_rates and spec.kind is UpstreamKind.ENGINE,
             learns_slots=policy.learns_slots,
         )
+        if self._rates is not None:
+            self._rates.attach(spec, capacity)
         blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
         prefixes = PrefixCacheModel(policy.prefix_block_tokens, blocks)
         health = Health(policy.max_backoff_ms, policy.died_backoff_ms)
--- a/src/peridotfront/core/scheduler_dump.py
+++ b/src/peridotfront/core/scheduler_dump.py
@@ -49,7 +49,13 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDump:
-    """Dump of a scheduler's view of an upstream."""
+    """Dump of a scheduler's view of an upstream.
+
+    :param speed_samples: number of samples of its learned speed; 0 if none is learned.
+    :param light_step_ms: learned time between tokens while few slots are in use.
+    :param heavy_step_ms: learned time between tokens while most slots are in use.
+    :param held_tokens: memory that its requests may use, by a cautious estimate.
+    """
 
     name: str
     health: str
@@ -64,6 +70,10 @@
     token_gap_ms: float
     cached_blocks: int
     cache_trust: float
+    speed_samples: int = 0
+    light_step_ms: float = 0.0
+    heavy_step_ms: float = 0.0
+    held_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +104,7 @@
 def dump_upstream(upstream: Upstream, now_ms: int) -> UpstreamDump:
     """Return the dump of an upstream."""
     capacity = upstream.capacity
+    speed, memory = capacity.speed, capacity.memory
     return UpstreamDump(
         name=upstream.name,
         health=upstream.health.state.value,
@@ -108,4 +119,8 @@
         token_gap_ms=round(capacity.gap_ms, 1),
         cached_blocks=len(upstream.prefixes),
         cache_trust=round(upstream.prefixes.trust, 2),
+        speed_samples=speed.samples if speed else 0,
+        light_step_ms=round(speed.step_ms(0.0), 2) if speed else 0.0,
+        heavy_step_ms=round(speed.step_ms(1.0), 2) if speed else 0.0,
+        held_tokens=memory.tokens if memory else 0,
     )
--- a/src/peridotfront/core/upstream_capacity.py
+++ b/src/peridotfront/core/upstream_capacity.py
@@ -5,6 +5,8 @@
 from math import ceil, exp
 
 from .messages import SlotRequest
+from .upstream_rates.memory import HeldMemory, cautious_tokens
+from .upstream_rates.speeds import Speed
 
 MIN_RATE_SAMPLE_TOKENS = 300
 RATE_GAIN = 0.15
@@ -39,6 +41,7 @@
     :param first_due_ms: time at which the first token is expected.
     :param slow_tokens: tokens reported as slow.
     :param progress_ms: time of the last progress.
+    :param is_adopted: whether it was granted by another scheduler.
     """
 
     slot_request: SlotRequest
@@ -54,6 +57,7 @@
     progress_ms: int = 0
     is_preempted: bool = False
     relay: str = ""
+    is_adopted: bool = False
 
     @property
     def sender(self) -> str:
@@ -79,6 +83,7 @@
     :param learns_slots: whether the slot limit follows the progress too.
 
     ``lowest_tier`` is the lowest tier of the slots in use; 0 if there are none.
+    ``speed`` and ``memory`` are set where placement goes by the learned speeds.
     """
 
     def __init__(
@@ -104,6 +109,9 @@
             self.limit_slots = float(max_slots)
         self.slots: dict[str, Slot] = {}
         self.lowest_tier = 0
+        self.speed: Speed | None = None
+        self.memory: HeldMemory | None = None
+        self.first_tokens = 1
         self._tier_slots: Counter[int] = Counter()
         self.kv_tokens = 0
         self.hold_ms = INITIAL_HOLD_MS
@@ -176,8 +184,30 @@
             self.kv_tokens + required_tokens <= self.kv_capacity_tokens * MAX_KV_SHARE
         )
 
+    def fits_request(self, slot_request: SlotRequest) -> bool:
+        """Return whether a request fits even if its answer is long and uncached."""
+        required_tokens = self.memory.tokens + cautious_tokens(slot_request)
+        return required_tokens <= self.kv_capacity_tokens * MAX_KV_SHARE
+
+    def apply_speed(self) -> None:
+        """Use the learned speed at the present load."""
+        self.prefill_tokens_per_s = self.speed.prefill_tokens_per_s
+        self.gap_ms = self.speed.step_ms(self._load_share)
+
+    def record_step(self, step_ms: float) -> None:
+        """Update the learned speed by a time between two tokens."""
+        self.speed.record_step(step_ms, self._load_share)
+        self.apply_speed()
+
+    @property
+    def _load_share(self) -> float:
+        return len(self.slots) / max(1, self.max_slots)
+
     def occupy(self, slot: Slot, now_ms: int) -> None:
         """Add a slot and queue its prefill."""
+        if self.memory is not None:
+            self.memory.hold(slot.slot_request)
+            self.apply_speed()
         self.slots[slot.slot_request.request_id] = slot
         self.kv_tokens += slot.kv_tokens
         tier = slot.slot_request.tier
@@ -201,6 +231,9 @@
         """Remove a slot and its pending prefill."""
         slot = self.slots.pop(request_id)
         self.kv_tokens -= slot.kv_tokens
+        if self.memory is not None:
+            self.memory.free(request_id)
+            self.apply_speed()
         self._forget_tier(slot.slot_request.tier)
         self._pending_total_ms -= self._pending_prefill_ms.pop(request_id, 0.0)
         return slot
@@ -212,7 +245,9 @@
             del self._tier_slots[tier]
             self.lowest_tier = max(self._tier_slots, default=0)
 
-    def record_first_token(self, slot: Slot, now_ms: int) -> None:
+    def record_first_token(
+        self, slot: Slot, now_ms: int, produced_tokens: int = 1
+    ) -> None:
         """Record the first token of a request and update the prefill rate.
 
         The upstream processes prompts in order, so those queued before it are done.
@@ -220,6 +255,9 @@
         request_id = slot.slot_request.request_id
         if request_id not in self._pending_prefill_ms:
             return
+        if self.speed is not None:
+            self._learn_prefill(slot, now_ms, produced_tokens)
+            return
         tokens = 0
         for pending_id in tuple(self._pending_prefill_ms):
             self._pending_total_ms -= self._pending_prefill_ms.pop(pending_id)
@@ -232,6 +270,31 @@
         if self.learns and tokens >= MIN_RATE_SAMPLE_TOKENS and duration_ms > 0:
             self._update_prefill_rate(tokens * 1000.0 / duration_ms)
 
+    def _learn_prefill(self, slot: Slot, now_ms: int, produced_tokens: int) -> None:
+        """Learn from the prefill of a request that was next in the queue.
+
+        Its first report may come with several tokens, which were produced after it.
+        """
+        request_id = slot.slot_request.request_id
+        is_next = next(iter(self._pending_prefill_ms)) == request_id
+        for pending_id in tuple(self._pending_prefill_ms):
+            self._pending_total_ms -= self._pending_prefill_ms.pop(pending_id)
+            if pending_id == request_id:
+                break
+        self.first_tokens = produced_tokens
+        end_ms = max(slot.granted_ms, int(now_ms - produced_tokens * self.gap_ms))
+        duration_ms = end_ms - max(slot.granted_ms, self._prefill_start_ms)
+        self._prefill_start_ms = end_ms
+        tokens = slot.prefill_tokens
+        if is_next and not slot.is_adopted and tokens >= MIN_RATE_SAMPLE_TOKENS:
+            self.speed.record_prefill(tokens, max(1.0, duration_ms))
+            self.apply_speed()
+
+    @property
+    def first_report_ms(self) -> float:
+        """Return the time from the end of a prefill to the first report."""
+        return self.first_tokens * self.gap_ms
+
     def record_progress(
         self, slot: Slot, produced_tokens: int, slow_tokens: int, now_ms: int
     ) -> None:
@@ -243,7 +306,7 @@
         tokens = produced_tokens - slot.produced_tokens
         if tokens <= 0:
             return
-        self.record_first_token(slot, now_ms)
+        self.record_first_token(slot, now_ms, produced_tokens)
         if slot.produced_tokens > 0:
             self._observe_gap((now_ms - slot.progress_ms) / tokens)
         new_slow_tokens = self._count_new_slow_tokens(slot, tokens, slow_tokens)
@@ -256,6 +319,8 @@
             self._window_tokens += tokens
         slot.produced_tokens = produced_tokens
         slot.progress_ms = now_ms
+        if self.memory is not None:
+            self.memory.hold(slot.slot_request, produced_tokens)
         if self.learns_slots:
             self._adjust_limit(new_slow_tokens > 0, now_ms)
 
@@ -267,6 +332,9 @@
         return new_slow_tokens
 
     def _observe_gap(self, gap_ms: float) -> None:
+        if self.speed is not None:
+            self.record_step(gap_ms)
+            return
         self.gap_ms += (gap_ms - self.gap_ms) * GAP_GAIN
 
     def _adjust_limit(self, is_slow: bool, now_ms: int) -> None:
