Price slots by the speed of an upstream, not by its present load

Cause: the price of a scarce slot went by the present time between tokens, so that among equal upstreams the less loaded one cost more.

Change: speeds are compared with all slots in use, and count as equal within a factor of two.

--- a/src/peridotfront/core/upstream_rates/costs.py
+++ b/src/peridotfront/core/upstream_rates/costs.py
@@ -3,7 +3,7 @@
 from enum import Enum, auto
 from typing import Any
 
-from .loads import ServiceLoads
+from .loads import FULL_LOAD_SHARE, ServiceLoads
 
 # A first token that misses its goal is worth little, however late it is.
 LATE_COST_MS = 400.0
@@ -13,6 +13,8 @@
 # Cost of a slot of usual speed when none is free; a faster one costs more.
 SLOT_COST_MS = 60.0
 MAX_SPEED_RATIO = 4.0
+# Equal upstreams differ by the load that they have, which must be spread.
+EQUAL_SPEED_RATIO = 2.0
 MAX_GOAL_WAIT_SHARE = 0.5
 # Longer waits behind local requests made some miss their goals in an overload.
 MAX_ORDER_WAIT_SHARE = 0.125
@@ -70,7 +72,9 @@
         scarcity = self._loads.scarcity
         if not scarcity:
             return 0.0
-        ratio = self._loads.usual_step_ms / capacity.gap_ms
+        ratio = self._loads.usual_step_ms / capacity.speed.step_ms(FULL_LOAD_SHARE)
+        if 1 / EQUAL_SPEED_RATIO < ratio < EQUAL_SPEED_RATIO:
+            ratio = 1.0
         return SLOT_COST_MS * scarcity * min(MAX_SPEED_RATIO, ratio)
 
     def remote_cost_ms(self, queued: Any) -> float:
--- a/src/peridotfront/core/upstream_rates/loads.py
+++ b/src/peridotfront/core/upstream_rates/loads.py
@@ -13,6 +13,8 @@
 FULL_SHARE = 0.92
 ROOM_SHARE = 0.75
 SCARCE_SHARE = 0.6
+# Speeds are compared as they are with all slots in use.
+FULL_LOAD_SHARE = 1.0
 
 
 @dataclass(slots=True)
@@ -83,9 +85,10 @@
         if not upstreams:
             return
         capacities = [upstream.capacity for upstream in upstreams]
-        steps = sorted(capacity.gap_ms for capacity in capacities)
-        self.usual_step_ms = steps[len(steps) // 2]
-        fast = [c for c in capacities if c.gap_ms <= self.usual_step_ms]
+        steps = [capacity.speed.step_ms(FULL_LOAD_SHARE) for capacity in capacities]
+        usual_step_ms = self.usual_step_ms = sorted(steps)[len(steps) // 2]
+        pairs = zip(capacities, steps, strict=True)
+        fast = [capacity for capacity, step_ms in pairs if step_ms <= usual_step_ms]
         releases_per_ms = sum(c.limit_slots / max(1.0, c.hold_ms) for c in fast)
         self.slot_wait_ms = 1 / releases_per_ms if releases_per_ms else 0.0
         rates = sorted(c.prefill_tokens_per_s for c in fast)
