--- a/src/peridotfront/core/scheduler_dump.py
+++ b/src/peridotfront/core/scheduler_dump.py
@@ -52,6 +52,10 @@
     """Dump of a scheduler's view of an upstream.
 
     :param pace_slots: pace of its slow start; None if it may use all slots.
+    :param speed_samples: number of samples of its learned speed; 0 if none is learned.
+    :param light_step_ms: learned time between tokens while few slots are in use.
+    :param heavy_step_ms: learned time between tokens while most slots are in use.
+    :param held_tokens: memory that its requests may use, by a cautious estimate.
     """
 
     name: str
@@ -68,6 +72,10 @@
     cached_blocks: int
     cache_trust: float
     pace_slots: float | None = None
+    speed_samples: int = 0
+    light_step_ms: float = 0.0
+    heavy_step_ms: float = 0.0
+    held_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +128,7 @@
     """Return the dump of an upstream."""
     capacity = upstream.capacity
     pace = upstream.slow_start and upstream.slow_start.pace
+    speed, memory = capacity.speed, capacity.memory
     return UpstreamDump(
         name=upstream.name,
         health=upstream.health.state.value,
@@ -135,4 +144,8 @@
         cached_blocks=len(upstream.prefixes),
         cache_trust=round(upstream.prefixes.trust, 2),
         pace_slots=round(pace.slots, 1) if pace else None,
+        speed_samples=speed.samples if speed else 0,
+        light_step_ms=round(speed.step_ms(0.0), 2) if speed else 0.0,
+        heavy_step_ms=round(speed.step_ms(1.0), 2) if speed else 0.0,
+        held_tokens=memory.tokens if memory else 0,
     )
