Name the change of the leader in the tests of unequal upstreams apart

Cause: two features define the step 'another scheduler becomes the leader', so that no feature could be run.

Change: the step of unequal upstreams names them.

Measured: rollouts, slow_start, account_shares, unequal_upstreams, rollout_holds, rollout_records, rollout_orders, scheduler, placement, caller_limits and callers pass.

--- a/features/steps/unequal_upstreams_steps.py
+++ b/features/steps/unequal_upstreams_steps.py
@@ -104,7 +104,7 @@
     context.world.run(duration)
 
 
-@when("another scheduler becomes the leader")
+@when("another scheduler of unequal upstreams becomes the leader")
 def change_leader(context):
     context.world.start_scheduler()
 
--- a/features/unequal_upstreams.feature
+++ b/features/unequal_upstreams.feature
@@ -43,7 +43,7 @@
   Scenario: A new leader knows the speeds soon
     Given a load of 0.9
     When 3000 ms pass
-    And another scheduler becomes the leader
+    And another scheduler of unequal upstreams becomes the leader
     And 1000 ms pass
     Then the speeds of 8 in 10 busy upstreams are known
 
