Give the proof of a new version one more period, and fast answers more room

Cause: real programs with answers that begin at once had 10 of 86 good answers counted as slow, since some ms of jitter doubled their times; a good version with 20 requests a second and a changed leader was reverted as not proven. The field 'number' of the log event collided with the event's own number.

Change: 20 ms are added to both sides of a comparison; an unproven version is given up after two periods, since a late end serves operators better than a revert; the field is called 'rollout'.

--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -38,7 +38,7 @@
 CANARY_LIMIT_SHARE = 0.6
 # A version that isn't proven in time is given up later, not at once: the last answers
 # may be on their way.
-PROOF_GRACE_SHARE = 0.5
+PROOF_GRACE_SHARE = 1.0
 EVALUATE_MS = 200
 MIN_TRIAL_UPSTREAMS = 6
 TRIAL_SHARE = 0.2
--- a/src/peridotfront/core/rollouts/samples.py
+++ b/src/peridotfront/core/rollouts/samples.py
@@ -12,7 +12,7 @@
 WINDOW_MS = 15_000
 MAX_SAMPLES = 600
 # Differences below it are within what timers and links add.
-FIXED_MS = 10.0
+FIXED_MS = 20.0
 FAILED_CAUSES = (
     ReleaseCause.UPSTREAM_ERROR,
     ReleaseCause.UPSTREAM_DIED,
--- a/src/peridotfront/platform/rollouts.py
+++ b/src/peridotfront/platform/rollouts.py
@@ -107,7 +107,7 @@
             version=order.to,
             period_ms=period_ms,
             status=result.status,
-            number=result.record.number,
+            rollout=result.record.number,
         )
         if result.status is RolloutOrderStatus.IN_PROGRESS:
             detail = f"version {result.record.version!r} is being rolled out"
