--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -1,8 +1,6 @@
 """A routed group that rolls out a version under load, in virtual time.
 
-Run by hand over many seeds::
-
-    .venv/bin/python -m features.support.rollout_world --first 1 --count 100
+:mod:`.rollout_runs` plays it by hand over many seeds.
 """
 
 import heapq
--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -32,6 +32,8 @@
 # Time that streams at other versions mostly take to finish.
 DRAIN_MS = 6000
 MIN_SHIFT_SHARE = 0.5
+# Until then a version that all requests go to can still be reverted.
+MIN_COMPLETE_SHARE = 0.8
 CHECK_MS = 2000
 MAX_CHECK_SHARE = 0.15
 # The rest is for the check, which sends many requests at once.
@@ -361,6 +363,10 @@
 
     def _finish(self, view: ServiceView, now_ms: int) -> RolloutState | None:
         may_be_resumed = now_ms - self._broken_ms < RESUME_WAIT_MS
+        if self.elapsed_ms(now_ms) < self.record.period_ms * MIN_COMPLETE_SHARE:
+            return None
+        if self._overdue_share(now_ms) > MAX_OVERDUE_SHARE:
+            return None
         if view.other_slots_used or view.has_unknown_slots or may_be_resumed:
             return None
         self.reason = "proven"
