--- a/features/sizes_of_today.feature
+++ b/features/sizes_of_today.feature
@@ -9,7 +9,7 @@
     Then every completion is complete, byte for byte
     And every transfer ran once and was answered
 
-    Examples:
+    Examples: Sizes
       | replicas |
       | 3        |
       | 5        |
