Let hosts without a leader pick upstreams of the version in service

Cause: an entry host without a leader picks a part of the upstreams first. If none of them was of the old version, it used the new one, although an order may have made that an unproven version.

Change: it picks a part of each: of the versions in service, and of the others, at which only begun streams go on.

Measured: with 1 upstream of the old version and 12 of one listed just before the leader was lost, 16 of 18 slots were granted at the new version before, none after.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -61,6 +61,11 @@
     When an entry host is cut off in the stage "shift"
     Then it sends requests to the new version only
 
+  Scenario: Entry hosts without a leader find the few upstreams of the old version
+    Given 6 entry hosts before 1 upstream of the old version and 12 of one listed since
+    When the entry hosts lose their leader and request slots
+    Then no slot was granted at the version that was just listed
+
   Scenario: A version that is listed before its order gets no requests
     Given servers of a new version that are listed 3000 ms before its order
     Then none of them got a request before the order
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -1,7 +1,8 @@
 """Steps for rollouts in virtual time."""
 
 from behave import given, then, when
-from support.rollout_world import NEW, OLD, Fault, RolloutWorld
+from support.rollout_world import LIMITS, NEW, OLD, Fault, RolloutWorld
+from support.routed_group import RoutedGroup, listed
 
 from peridotfront.core.messages import RolloutStage, RolloutState
 
@@ -143,3 +144,40 @@
 def other_answered(context, status):
     assert context.results[1].status.value == status, context.results
     assert context.world.state is not RolloutState.REVERTED
+
+
+@given(
+    "{hosts:d} entry hosts before 1 upstream of the old version and {count:d} of one"
+    " listed since"
+)
+def list_few_old(context, hosts, count):
+    entries = {f"e{number}": "dc1" for number in range(1, hosts + 1)}
+    group = context.group = RoutedGroup(entries=entries, limits=LIMITS)
+    group.put(group.await_leader().name, 1)
+    old = listed("old", slots=1, software_version=OLD)
+    group.list_upstreams(old)
+    group.run(1500)
+    new = [listed(f"new-{n}", slots=1, software_version=NEW) for n in range(count)]
+    group.list_upstreams(old, *new)
+    group.run(500)
+
+
+@when("the entry hosts lose their leader and request slots")
+def request_leaderless(context):
+    group = context.group
+    group.down.update(host.name for host in group.controls)
+    group.run(3000)
+    for entry in group.entries:
+        for number in range(4):
+            entry.request_slot(f"{entry.name}-{number}")
+    group.run(1000)
+
+
+@then("no slot was granted at the version that was just listed")
+def none_at_new(context):
+    granted = [
+        answer.grant.upstream
+        for entry in context.group.entries
+        for answer in entry.granted.values()
+    ]
+    assert granted and set(granted) == {"old"}, granted
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -494,10 +494,16 @@
         )
         self._limits.share = LEADERLESS_LIMIT_SHARE / self._control.sharing_host_count
         self._local_schedulers.brittle.share = 1 / self._control.sharing_host_count
-        upstreams = leaderless_upstreams(
-            self._local_upstreams, self.host, self.data_centre, self.entry_hosts
-        )
-        yield from self._local_schedulers.apply_upstreams(upstreams, now_ms)
+        # Each host uses a part of the upstreams, which must not be of the new version
+        # only while the old one is in service.
+        upstreams = [
+            upstream
+            for part in self._gates.split(self._local_upstreams)
+            for upstream in leaderless_upstreams(
+                part, self.host, self.data_centre, self.entry_hosts
+            )
+        ]
+        yield from self._local_schedulers.apply_upstreams(tuple(upstreams), now_ms)
 
     def _send_heartbeats(self, now_ms: int) -> Iterator[Send]:
         self._sequence += 1
--- a/src/peridotfront/core/rollouts/gates.py
+++ b/src/peridotfront/core/rollouts/gates.py
@@ -17,6 +17,9 @@
 class VersionGate(Protocol):
     """Interface of a gate as the scheduler of a service uses it."""
 
+    def serves(self, version: str) -> bool:
+        """Return whether requests without a version may go to a version."""
+
     def usable(self, upstreams: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that requests without a version may go to."""
 
@@ -46,12 +49,16 @@
         self.version = version
         self.stage = stage
 
+    def serves(self, version: str) -> bool:
+        """Return whether a version is in service."""
+        return (version == self.version) == (self.stage in NEW_VERSION_STAGES)
+
     def usable(self, upstreams: list[Upstream]) -> list[Upstream]:
         """Return the upstreams of the versions in service.
 
         All are returned if none of these is listed, since there is no other choice.
         """
-        allowed = [u for u in upstreams if self._is_in_service(u)]
+        allowed = [u for u in upstreams if self.serves(u.spec.software_version)]
         if any(not upstream.is_leaving for upstream in allowed):
             return allowed
         return upstreams
@@ -74,10 +81,6 @@
     ) -> None:
         """Do nothing."""
 
-    def _is_in_service(self, upstream: Upstream) -> bool:
-        is_new = upstream.spec.software_version == self.version
-        return is_new == (self.stage in NEW_VERSION_STAGES)
-
 
 class VersionGates:
     """Gates by service.
@@ -96,6 +99,11 @@
         """Return the gate of a service; None if all its versions are in service."""
         return self._gates.get(service)
 
+    def serves(self, service: str, version: str) -> bool:
+        """Return whether requests without a version may go to a version."""
+        gate = self._gates.get(service)
+        return gate is None or gate.serves(version)
+
     def set(self, service: str, gate: VersionGate | None) -> None:
         """Set or remove the gate of a service."""
         if gate is None and service not in self._gates:
--- a/src/peridotfront/core/rollouts/leaderless_gates.py
+++ b/src/peridotfront/core/rollouts/leaderless_gates.py
@@ -45,6 +45,17 @@
             self._versions = versions_by_service(upstreams)
             self._new_versions.update(self._versions, now_ms)
 
+    def split(
+        self, upstreams: Iterable[ListedUpstream]
+    ) -> tuple[list[ListedUpstream], list[ListedUpstream]]:
+        """Return the upstreams of the versions in service, and the others."""
+        in_service: list[ListedUpstream] = []
+        others: list[ListedUpstream] = []
+        for listed in upstreams:
+            is_served = self._gates.serves(listed.service, listed.software_version)
+            (in_service if is_served else others).append(listed)
+        return in_service, others
+
     def hold(self, leaderless_since_ms: int) -> None:
         """Set the gates for the time without a leader."""
         self._gates.replace(self._stages.rollouts)
