Name the results of the sequential tests as the design does

Cause: the module of the evidence spoke of verdicts and convictions, which mean other things in this project.

Change: test result, rejection and rejected; names and comments only.

--- a/src/peridotfront/core/rollouts/evidence.py
+++ b/src/peridotfront/core/rollouts/evidence.py
@@ -19,14 +19,14 @@
 # Share of bad answers that is looked for, beyond that of the baseline.
 BAD_SHARE = 0.2
 MAX_TESTED_SHARE = 0.95
-# A smaller share would let a few failures at once convict a good version.
+# A smaller share would let a few failures at once reject a good version.
 MIN_BASE_SHARE = 0.05
 MAX_BASE_SHARE = 0.6
 # More answers of a good version are slow than of the baseline, since the usual time of
 # an upstream with few answers is known less exactly.
 SLOW_BASE_SHARE = 0.08
-# A good version is convicted with a probability of about e^-9 by each test.
-CONVICTION_LLR = 9.0
+# A good version is rejected with a probability of about e^-9 by each test.
+REJECTION_LLR = 9.0
 # A version with ``BAD_SHARE`` passes one test with a probability of e^-3 at most.
 PROOF_LLR = 3.0
 # On a single route, few answers are enough if all routes together are proven.
@@ -34,7 +34,7 @@
 MIN_COMPARED_UPSTREAMS = 5
 
 
-class Verdict(Enum):
+class TestResult(Enum):
     """What the evidence says of a version."""
 
     OPEN = auto()
@@ -56,7 +56,7 @@
 class Finding:
     """Result of a comparison.
 
-    :param reason: reason for the verdict; empty if it is open.
+    :param reason: reason for the result; empty if it is open.
     :param bad_answers: failed and slow answers of the new version among the samples.
     :param routes: answers by route.
     :param unproven_routes: routes on which more answers are needed.
@@ -64,7 +64,7 @@
         baseline's.
     """
 
-    verdict: Verdict
+    result: TestResult
     reason: str
     bad_answers: int
     routes: tuple[RouteEvidence, ...]
@@ -141,14 +141,14 @@
             at busy upstreams.
         """
         unproven = frozenset(self._unproven(active_routes))
-        reason = self._conviction()
-        verdict = Verdict.BAD if reason else Verdict.OPEN
+        reason = self._rejection_reason()
+        result = TestResult.BAD if reason else TestResult.OPEN
         is_proven = self._is_proven_together(proof_since_ms, under_load)
         if not reason and not unproven and is_proven:
-            verdict = Verdict.PROVEN
+            result = TestResult.PROVEN
         routes = tuple(self._route_evidence())
         return Finding(
-            verdict=verdict,
+            result=result,
             reason=reason,
             bad_answers=len(self.bad_samples),
             routes=routes,
@@ -169,17 +169,17 @@
             totals[upstream] += value
         return sorted(totals, key=lambda upstream: (totals[upstream], upstream))
 
-    # Conviction
+    # Rejection
 
-    def _conviction(self) -> str:
-        """Return why the new version is bad; empty if it is not convicted.
+    def _rejection_reason(self) -> str:
+        """Return why the new version is bad; empty if it is not rejected.
 
-        Each test has to convict without the upstream with the most bad answers too:
+        Each test has to reject it without the upstream with the most bad answers too:
         one upstream may be at fault by itself.
         """
         for name, judged in self._groups():
             for kind, outcomes in self._outcomes(judged):
-                if _is_convicted(outcomes) and _is_convicted(_without_worst(outcomes)):
+                if _is_rejected(outcomes) and _is_rejected(_without_worst(outcomes)):
                     return f"{kind} answers on {name}"
         if self._speeds.has_slow_upstreams(self._trial, MIN_COMPARED_UPSTREAMS):
             return "slow upstreams"
@@ -274,11 +274,11 @@
     return judged.sample.is_failure or bool(judged.is_slow)
 
 
-def _is_convicted(outcomes: list[_Outcome]) -> bool:
+def _is_rejected(outcomes: list[_Outcome]) -> bool:
     total = 0.0
     for outcome in outcomes:
         total = max(0.0, total + outcome.ratio)
-        if total >= CONVICTION_LLR:
+        if total >= REJECTION_LLR:
             return True
     return False
 
--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -1,4 +1,4 @@
-"""One rollout at the leader: its stages, what the new version gets, and the verdict.
+"""One rollout at the leader: its stages, what the new version gets, and the result.
 
 The new version first gets a small share of the requests, on some of its upstreams.
 As late as the end of the period allows, it gets as much as an unproven version may get,
@@ -24,7 +24,7 @@
 )
 from ..placement import Upstream
 from ..upstream_capacity import Slot
-from .evidence import Comparison, Finding, Verdict
+from .evidence import Comparison, Finding, TestResult
 from .exposure import Exposure, RolloutLimits
 from .gates import StagedGate
 from .samples import Sample, SampleWindow, build_sample
@@ -310,7 +310,7 @@
         finding = self.finding
         if finding is None:
             return False
-        if finding.verdict is Verdict.BAD:
+        if finding.result is TestResult.BAD:
             self.reason = finding.reason
             return True
         answers = sum(route.answers for route in finding.routes)
@@ -322,7 +322,7 @@
 
     def _is_next_stage_due(self, view: ServiceView, now_ms: int) -> bool:
         finding = self.finding
-        if finding is None or finding.verdict is not Verdict.PROVEN:
+        if finding is None or finding.result is not TestResult.PROVEN:
             return False
         if self._overdue_share(now_ms) > MAX_OVERDUE_SHARE:
             return False
--- a/src/peridotfront/core/rollouts/speeds.py
+++ b/src/peridotfront/core/rollouts/speeds.py
@@ -51,13 +51,13 @@
         :return: None if none of its times can be compared.
         """
         is_busy = sample.load >= self.busy_load
-        verdicts = []
+        comparisons = []
         for field in FIELDS:
             residual = self._residual(sample, field, usual)
             threshold = self._thresholds[field, is_busy]
             if residual is not None and threshold is not None:
-                verdicts.append(residual > threshold)
-        return any(verdicts) if verdicts else None
+                comparisons.append(residual > threshold)
+        return any(comparisons) if comparisons else None
 
     def has_slow_upstreams(self, samples: Iterable[Sample], min_upstreams: int) -> bool:
         """Return whether the faster upstreams are slow against the baseline's.
