--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -28,6 +28,8 @@
 SERVER_PORT, LIST_PORT = 8080, 8225
 CONFIG_PATH = "/peridotfront/config"
 READY_PATH = "/peridotfront/readyz"
+# How a handler of a connection ends, also at the end of the run.
+ENDED = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
 DEFAULT_BOUNDS = {
     "ContactMs": 3000,
     "AckMs": 4000,
@@ -416,7 +418,7 @@
         self._server = await asyncio.start_server(self._serve, *self._address)
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(*ENDED):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 body = json.dumps({"Instances": self.entries, "NextToken": None})
@@ -515,14 +517,14 @@
                 if request is None:
                     break
                 await self.handle(request, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except ENDED:
             pass
         finally:
             writer.close()
 
     async def handle(self, request, writer):
         """Answer one request."""
-        method, path, headers, body = request
+        _, path, headers, _ = request
         attempt_id = headers.get("x-attempt-id", "")
         if path == "/healthz":
             await write_answer(writer, 200, [("X-Instance-Id", self.id)])
