--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -26,6 +26,8 @@
 FRONT_PORT, READY_PORT, CONTROL_PORT = 8221, 8224, 8229
 PORT_RANGE = (7600, 7615)
 SERVER_PORT, LIST_PORT = 8080, 8225
+LAG_MS = 800
+LIST_STEP_S = 0.05
 CONFIG_PATH = "/peridotfront/config"
 READY_PATH = "/peridotfront/readyz"
 # How a handler of a connection ends, also at the end of the run.
@@ -165,7 +167,7 @@
             "Cloud": {
                 "Addr": f"{self.deployment.network}.9.1:{LIST_PORT}",
                 "RatePerS": 40.0,
-                "LagMs": 800,
+                "LagMs": LAG_MS,
             },
         }
 
@@ -403,25 +405,40 @@
 
 
 class ListServer:
-    """Server of the platform's list of servers.
+    """Server of the platform's list of servers, which lags.
 
-    ``entries`` are the entries that it hands out.
+    ``entries`` are the entries that it hands out, and ``build`` returns them.
     """
 
     def __init__(self, deployment):
         self.entries = []
+        self.build = lambda: self.entries
         self._address = (f"{deployment.network}.9.1", LIST_PORT)
         self._server = None
+        self._shown = []
+        self._task = None
 
     async def start(self):
         """Start serving."""
+        self._shown = self.build()
+        self._task = asyncio.create_task(self._follow())
         self._server = await asyncio.start_server(self._serve, *self._address)
 
+    async def _follow(self):
+        """Show each state of the list after the lag."""
+        states = []
+        while True:
+            now_s = time.monotonic()
+            states.append((now_s + LAG_MS / 1000, self.build()))
+            while states[0][0] <= now_s:
+                self._shown = states.pop(0)[1]
+            await asyncio.sleep(LIST_STEP_S)
+
     async def _serve(self, reader, writer):
         with contextlib.suppress(*ENDED):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
-                body = json.dumps({"Instances": self.entries, "NextToken": None})
+                body = json.dumps({"Instances": self._shown, "NextToken": None})
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                     + f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
@@ -500,6 +517,7 @@
         self.runs = runs
         self.heads = []
         self._server = None
+        self._writers = set()
         self._free = asyncio.Semaphore(slots)
 
     def entry(self):
@@ -510,7 +528,14 @@
         """Start serving."""
         self._server = await asyncio.start_server(self._serve, self.ip, SERVER_PORT)
 
+    async def stop(self):
+        """Stop serving, and close all connections."""
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -520,6 +545,7 @@
         except ENDED:
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def handle(self, request, writer):
