--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,15 +10,14 @@
 
 from standins_2 import (
     BROKEN,
-    FRONT_PORT,
     HELD,
     NOT_RUN,
+    Callers,
     Deployment,
     ListServer,
     Operator,
     Server,
     build_manifest,
-    call,
     is_troubled,
     run_case,
     wait_ready,
@@ -31,7 +30,6 @@
 RECOVER_S = 12.0
 AFTER_S = 10.0
 CONTROL_DOWN_S = 1.0
-REQUEST_INTERVAL_S = 0.05
 MIN_SERVED_SHARE = 0.25
 
 
@@ -64,49 +62,6 @@
         self.is_up = True
 
 
-class Callers:
-    """Clients that send requests all the time.
-
-    ``statuses`` are pairs of the time of sending and the status of the answer.
-    """
-
-    def __init__(self, deployment):
-        self.statuses = []
-        self._entries = deployment.entries
-        self._number = 0
-
-    async def send_for(self, duration_s):
-        """Send requests for a time, and wait for their answers."""
-        end_s = time.monotonic() + duration_s
-        tasks = []
-        while time.monotonic() < end_s:
-            tasks.append(asyncio.create_task(self._send()))
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-        await asyncio.gather(*tasks)
-
-    async def _send(self):
-        self._number += 1
-        entry = self._entries[self._number % len(self._entries)]
-        headers = (("X-Attempt-Id", f"a{self._number}"), ("X-Deadline-Ms", "3000"))
-        sent_s = time.monotonic()
-        answer = await call(
-            entry.ip,
-            FRONT_PORT,
-            "POST",
-            "/p/x",
-            headers,
-            b"body",
-            timeout_s=3.5,
-            host="h.example",
-        )
-        self.statuses.append((sent_s, answer.status))
-
-    def served_share(self, since_s, until_s):
-        """Return the number of requests sent in a time, and the share served."""
-        found = [s for sent_s, s in self.statuses if since_s <= sent_s < until_s]
-        return len(found), found.count(200) / max(1, len(found))
-
-
 async def play(record):
     """Play the case and return its result."""
     deployment = Deployment(("a", "b", "c", "d"), ("a", "b"))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -28,6 +28,7 @@
 SERVER_PORT, LIST_PORT = 8080, 8225
 LAG_MS = 800
 LIST_STEP_S = 0.05
+REQUEST_INTERVAL_S = 0.05
 CONFIG_PATH = "/peridotfront/config"
 READY_PATH = "/peridotfront/readyz"
 # How a handler of a connection ends, also at the end of the run.
@@ -595,3 +596,46 @@
     lines.append(f"Content-Length: {len(body)}")
     writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
     await writer.drain()
+
+
+class Callers:
+    """Clients that send requests to all entry machines in turn.
+
+    ``statuses`` are pairs of the time of sending and the status of the answer.
+    """
+
+    def __init__(self, deployment):
+        self.statuses = []
+        self._entries = deployment.entries
+        self._number = 0
+
+    async def send_for(self, duration_s):
+        """Send requests for a time, and wait for their answers."""
+        end_s = time.monotonic() + duration_s
+        tasks = []
+        while time.monotonic() < end_s:
+            tasks.append(asyncio.create_task(self._send()))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        await asyncio.gather(*tasks)
+
+    async def _send(self):
+        self._number += 1
+        entry = self._entries[self._number % len(self._entries)]
+        headers = (("X-Attempt-Id", f"a{self._number}"), ("X-Deadline-Ms", "3000"))
+        sent_s = time.monotonic()
+        answer = await call(
+            entry.ip,
+            FRONT_PORT,
+            "POST",
+            "/p/x",
+            headers,
+            b"body",
+            timeout_s=3.5,
+            host="h.example",
+        )
+        self.statuses.append((sent_s, answer.status))
+
+    def served_share(self, since_s, until_s):
+        """Return the number of requests sent in a time, and the share served."""
+        found = [s for sent_s, s in self.statuses if since_s <= sent_s < until_s]
+        return len(found), found.count(200) / max(1, len(found))
