--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -173,7 +173,9 @@
         }
 
     def start(self, is_first_start=False):
-        """Start the process with the command of the deploy file."""
+        """Start the process with the command of the deploy file, unless it runs."""
+        if self.is_running:
+            return
         role = self.deployment.deploy["roles"][self.role]
         template = (ROOT / role["template"]).read_text()
         file = self.deployment.folder / f"{self.name}.settings"
