--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A long loss of one machine of the core, then the loss of two disks."""
+"""One machine of the core is cut off for long, and two others lose their disks."""
 
 import asyncio
 import os
@@ -13,6 +13,7 @@
     HELD,
     NOT_RUN,
     Deployment,
+    Links,
     ListServer,
     Operator,
     build_manifest,
@@ -22,7 +23,8 @@
 
 ZONES = ("a", "b", "c", "d", "e")
 JOIN_S = 10.0
-OUTAGE_S = 12.0
+# The whole cut, at most 12 s, ends when the machines without disks are back.
+CUT_S = 11.0
 DOWN_S = 1.0
 RECOVER_S = 15.0
 # The bound of the operator's last read, after the time to recover.
@@ -32,29 +34,32 @@
 async def play(record):
     """Play the case and return its result."""
     deployment = Deployment(ZONES, tolerate=2, bounds={"RecoverS": RECOVER_S})
+    links = Links(deployment)
     listing = ListServer(deployment)
     operator = Operator(deployment)
     try:
         await listing.start()
+        await links.start()
         deployment.start()
         if not await operator.put(build_manifest(1), timeout_s=20):
             record.write("the first manifest was not acknowledged")
             return NOT_RUN
         record.write("version 1 acknowledged")
         await asyncio.sleep(JOIN_S)
-        return await disturb(record, deployment, operator)
+        return await disturb(record, deployment, operator, links)
     finally:
         deployment.stop()
 
 
-async def disturb(record, deployment, operator):
-    """Lose a machine, acknowledge a change, lose two disks, and read back."""
+async def disturb(record, deployment, operator, links):
+    """Cut a machine off, acknowledge a change, lose two disks, and read back."""
     first, second, *_, last = deployment.controls
-    # With TROUBLE=disks two disks are lost, but no machine is away before.
+    cut_s = time.monotonic()
+    # With TROUBLE=disks two disks are lost, but no machine is cut off before.
     if is_troubled() and os.environ.get("TROUBLE") != "disks":
-        last.kill()
-        record.write(f"{last.name} has no power for {OUTAGE_S} s; its disk is kept")
-    await asyncio.sleep(OUTAGE_S - DOWN_S)
+        links.cut = last
+        record.write(f"{last.name} is cut off from the other core machines")
+    await asyncio.sleep(CUT_S - DOWN_S)
     if not await operator.put(build_manifest(7)):
         record.write("version 7 was not acknowledged before the loss of disks")
         return NOT_RUN
@@ -66,9 +71,11 @@
             machine.wipe()
         record.write(f"{first.name} and {second.name} lose power and their disks")
         await asyncio.sleep(DOWN_S)
-        for machine in (*lost, last):
+        for machine in lost:
             machine.start()
-        record.write("all machines are back")
+        links.cut = None
+        record.write("all machines are back, and none is cut off")
+        record.write(f"{time.monotonic() - cut_s:.1f} s after the begin of the cut")
     await asyncio.sleep(RECOVER_S)
     began_s = time.monotonic()
     manifest = await operator.get(timeout_s=READ_S)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -105,6 +105,8 @@
         await sending
     lost = deployment.controls[1]
     before_s = time.monotonic()
+    _, earlier_share = callers.served_share(began_s, before_s)
+    record.write(f"before the final fault {earlier_share:.2f} of all were served")
     lost.kill()
     lost.wipe()
     await asyncio.sleep(CONTROL_DOWN_S)
@@ -120,6 +122,9 @@
         {status for sent_s, status in callers.statuses if sent_s > since_s}
     )
     record.write(f"later: {count} requests, {share:.2f} served, statuses {statuses}")
+    if earlier_share < MIN_SERVED_SHARE:
+        record.write("less than a quarter was served before the final fault")
+        return NOT_RUN
     return HELD if share >= MIN_SERVED_SHARE else BROKEN
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -25,8 +25,10 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 FRONT_PORT, READY_PORT, CONTROL_PORT = 8221, 8224, 8229
 PORT_RANGE = (7600, 7615)
+PROXIED_PORT = 7601
 SERVER_PORT, LIST_PORT = 8080, 8225
 LAG_MS = 800
+MAX_RUN_S = 112
 LIST_STEP_S = 0.05
 REQUEST_INTERVAL_S = 0.05
 CONFIG_PATH = "/peridotfront/config"
@@ -179,7 +181,12 @@
         role = self.deployment.deploy["roles"][self.role]
         template = (ROOT / role["template"]).read_text()
         file = self.deployment.folder / f"{self.name}.settings"
-        file.write_text(fill_in(template, self.settings(is_first_start)))
+        text = fill_in(template, self.settings(is_first_start))
+        if self.deployment.has_links:
+            # Connections of other machines come through a proxy.
+            port = f"first_peer_port = {PORT_RANGE[0]}\n"
+            text = text.replace(port, f"{port}peers = {self.ip}:{PROXIED_PORT}\n")
+        file.write_text(text)
         variables = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -227,6 +234,7 @@
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.tolerate = {"Machines": tolerate, "Zones": 1, "Regions": 0}
         self.bounds = {**DEFAULT_BOUNDS, **(bounds or {})}
+        self.has_links = False
         self.controls = [
             Machine(self, "control", n, zone) for n, zone in enumerate(cores, start=1)
         ]
@@ -256,6 +264,75 @@
         self._lock.close()
 
 
+class Links:
+    """Proxies for the connections between machines, which can cut one off.
+
+    ``cut`` is the machine that is cut off from all others, both ways; None for none.
+    What is sent meanwhile is held up.
+    """
+
+    def __init__(self, deployment):
+        deployment.has_links = True
+        self.cut = None
+        self._deployment = deployment
+
+    async def start(self):
+        """Listen for the connections to all machines."""
+        for machine in self._deployment.machines:
+            await asyncio.start_server(
+                lambda reader, writer, to=machine: self._pass_on(reader, writer, to),
+                machine.ip,
+                PORT_RANGE[0],
+            )
+
+    def _sender(self, port):
+        """Return the machine whose process has a connection with a local port."""
+        inodes = {
+            line.split()[9]
+            for line in Path("/proc/net/tcp").read_text().splitlines()[1:]
+            if int(line.split()[1].split(":")[1], 16) == port
+        }
+        for machine in self._deployment.machines:
+            if not machine.is_running:
+                continue
+            for file in Path(f"/proc/{machine.popen.pid}/fd").glob("*"):
+                with contextlib.suppress(OSError):
+                    if os.readlink(file)[8:-1] in inodes:
+                        return machine
+        return None
+
+    async def _pass_on(self, reader, writer, to):
+        ends = (to, self._sender(writer.get_extra_info("peername")[1]))
+        other = None
+        try:
+            await self._hold(ends)
+            to_reader, other = await asyncio.open_connection(to.ip, PROXIED_PORT)
+            pumps = [
+                asyncio.create_task(self._pump(reader, other, ends)),
+                asyncio.create_task(self._pump(to_reader, writer, ends)),
+            ]
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            for pump in pumps:
+                pump.cancel()
+        except ENDED:
+            pass
+        finally:
+            writer.transport.abort()
+            if other is not None:
+                other.transport.abort()
+
+    async def _pump(self, reader, writer, ends):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                await self._hold(ends)
+                writer.write(data)
+                await writer.drain()
+
+    async def _hold(self, ends):
+        while self.cut is not None and self.cut in ends:
+            await asyncio.sleep(0.05)
+
+
 class Answer:
     """HTTP answer as a client reads it.
 
@@ -495,7 +572,7 @@
     signal.signal(signal.SIGTERM, end)
     record = Record(folder)
     try:
-        result = asyncio.run(play(record))
+        result = asyncio.run(asyncio.wait_for(play(record), MAX_RUN_S))
     except Exception as error:
         record.write(f"could not run: {type(error).__name__}: {error}")
         result = NOT_RUN
