Keep so many voters that the tolerated losses of disks leave a quorum

Cause: a silent voter was removed as long as three voters remained. That the entry was on too few disks was ruled out: two of the three hosts with disks held it, and the loss of two disks alone is borne.

Change: the number of disks that may be lost at once is a setting, filled in from the deploy file and reloaded on change. With T of them, silent voters are removed only above 2 T + 1 voters; at that number a learner on a new host is promoted before the silent voter is removed. A voter whose host has joined with a blank disk is removed first as before, since its disk is one of the lost ones.

Why it works: 2 T + 1 voters less T leave T + 1, which is a quorum, whichever voters are away besides; the same holds for 2 T + 2 in between.

--- a/features/replaced_hosts.feature
+++ b/features/replaced_hosts.feature
@@ -36,3 +36,18 @@
       | a freeze              |
       | a cut                 |
       | any of them           |
+
+  # Guards against a group that shrinks, for want of a silent voter, to so few voters that
+  # the disks whose loss it has to bear leave no quorum for good.
+  Scenario: A group that loses all tolerated disks while hosts are away recovers
+    When 24 control groups lose all tolerated disks while further hosts are away
+    Then the group can bear each loss, and nothing acknowledged is lost
+
+  # Guards against a deployment that raises the losses to bear while its processes run.
+  Scenario: The number of losses to tolerate applies when the settings change
+    Given 5 control hosts in virtual time that tolerate 1 lost disk
+    When one of them is cut off for 12 s
+    Then the group has 4 voters
+    When it is back, and all hosts are set to tolerate 2 lost disks
+    And one of them is cut off for 12 s
+    Then the group has 5 voters
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -40,7 +40,8 @@
 class OpenGroup(Group):
     """Replicas that hosts join and leave, each with seeds of its own."""
 
-    def __init__(self, names, seed):
+    def __init__(self, names, seed, tolerated):
+        self.tolerated = tolerated
         self.seeds = {}
         self.joined_ms = {}
         self.gone_ms = {}
@@ -58,7 +59,7 @@
         return self.seeds.setdefault(name, self.names[:SEEDS])
 
     def policy(self, name):
-        return build_group_policy(may_bootstrap=self.is_first_start)
+        return build_group_policy(self.is_first_start, self.tolerated)
 
     def remove_host(self, name):
         """Take a host away for ever, with its disk."""
@@ -124,7 +125,7 @@
         self.kinds = kinds
         self.gap_ms = gap_ms
         names = tuple([f"c{number}" for number in range(fleet.hosts)])
-        self.group = OpenGroup(names, seed)
+        self.group = OpenGroup(names, seed, fleet.tolerated)
         self.value = 0
         self.added_hosts = 0
         self.write_due_ms = 0
--- a/src/peridotfront/core/raft.py
+++ b/src/peridotfront/core/raft.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -152,6 +153,10 @@
         """Replace the configured control hosts after a change of the settings."""
         self._local.configured_hosts = hosts
 
+    def set_tolerated_losses(self, count: int) -> None:
+        """Replace the number of losses to tolerate after a change of the settings."""
+        self._local.policy = replace(self._local.policy, tolerated_losses=count)
+
     @property
     def leader(self) -> str:
         """Return the leader's host name, or an empty string if none is known."""
--- a/src/peridotfront/core/raft_membership.py
+++ b/src/peridotfront/core/raft_membership.py
@@ -6,8 +6,6 @@
 from .messages import MembershipChange, Replica
 from .raft_types import GroupPolicy
 
-MIN_VOTERS = 3
-
 
 @dataclass(frozen=True, slots=True)
 class MemberStatus:
@@ -70,13 +68,16 @@
 
     Once a learner has caught up, the silent voter with the same host name is removed,
     and a second change promotes the learner. While a voter of the same host answers,
-    the learner replaces nothing, and is removed if it is silent itself. A learner on a
-    new host replaces a silent voter in the same way, so that voters that are gone never
-    add up. It is promoted beside the others once all of them have answered after it had
-    caught up.
+    the learner replaces nothing, and is removed if it is silent itself.
+
+    A learner on a new host replaces a silent voter in the same way if at least
+    ``policy.min_voters`` remain, so that voters that are gone never add up. With fewer
+    it is promoted first: the silent voter may still hold its disk, and the group can't
+    spare it until the learner is a voter. Without silent voters the learner is promoted
+    once all of them have answered after it had caught up.
 
     If no learner requires a change, a silent voter may be removed, if at least
-    ``MIN_VOTERS`` remain. A voter that was removed joins again when it returns.
+    ``policy.min_voters`` remain. A voter that was removed joins again when it returns.
 
     :param statuses: views of all members but the leader.
     """
@@ -100,7 +101,7 @@
     if all others are live and it is unlikely to return.
     """
     silent = _silent_voters(membership, statuses)
-    if not silent or len(membership.voters) <= MIN_VOTERS:
+    if not silent or not _can_spare_voter(membership, policy):
         return None
     is_even = len(membership.voters) % 2 == 0
     limit_ms = policy.remove_voter_after_ms
@@ -111,6 +112,10 @@
     return _without_voter(membership, silent[0].replica)
 
 
+def _can_spare_voter(membership: MembershipChange, policy: GroupPolicy) -> bool:
+    return len(membership.voters) > policy.min_voters
+
+
 def _silent_voters(
     membership: MembershipChange, statuses: Statuses
 ) -> list[MemberStatus]:
@@ -140,11 +145,12 @@
     if not policy.replaces_voters:
         return _with_promoted(membership, learner)
     silent = _silent_voters(membership, statuses)
-    if silent:
+    if silent and _can_spare_voter(membership, policy):
         return _without_voter(membership, silent[0].replica)
     voters = [statuses[voter] for voter in membership.voters if voter in statuses]
+    live = [voter for voter in voters if voter.is_live]
     since_ms = status.caught_up_ms
-    if since_ms is None or any(voter.contact_ms <= since_ms for voter in voters):
+    if since_ms is None or any(voter.contact_ms <= since_ms for voter in live):
         return None
     return _with_promoted(membership, learner)
 
--- a/src/peridotfront/core/raft_types.py
+++ b/src/peridotfront/core/raft_types.py
@@ -14,6 +14,8 @@
 TRAILING_BYTES = 4 * MAX_APPEND_BYTES
 REMOVE_SPARE_VOTER_AFTER_MS = 1500
 REMOVE_VOTER_AFTER_MS = 8000
+DEFAULT_TOLERATED_LOSSES = 1
+MIN_VOTERS = 3
 
 
 class Role(StrEnum):
@@ -38,6 +40,7 @@
         even number of them, which bears no fewer losses without it.
     :param remove_voter_after_ms: silence after which the only silent voter of an odd
         number is removed.
+    :param tolerated_losses: number of voters whose disks may be lost at the same time.
     """
 
     may_bootstrap: bool = True
@@ -45,6 +48,15 @@
     replaces_voters: bool = False
     remove_spare_voter_after_ms: int = REMOVE_SPARE_VOTER_AFTER_MS
     remove_voter_after_ms: int = REMOVE_VOTER_AFTER_MS
+    tolerated_losses: int = DEFAULT_TOLERATED_LOSSES
+
+    @property
+    def min_voters(self) -> int:
+        """Return the number of voters at which a silent one is not removed any more.
+
+        With one voter less the tolerated losses would leave no quorum.
+        """
+        return max(MIN_VOTERS, 2 * self.tolerated_losses + 1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -13,7 +13,7 @@
 from .core.coordinator import Coordinator
 from .core.messages import ControlSnapshot
 from .core.raft import Raft
-from .core.raft_types import GroupPolicy, RaftTiming
+from .core.raft_types import DEFAULT_TOLERATED_LOSSES, GroupPolicy, RaftTiming
 from .core.routing_events import RoutingChanged
 from .exceptions import SettingsInvalid
 from .gateway_server import RoutingParser
@@ -167,15 +167,22 @@
 
     def _apply_settings(self, settings: RoutedSettings) -> None:
         self.raft.set_configured_hosts(settings.seed_hosts)
+        self.raft.set_tolerated_losses(settings.group.tolerated_losses)
 
 
-def build_group_policy(may_bootstrap: bool) -> GroupPolicy:
+def build_group_policy(
+    may_bootstrap: bool, tolerated_losses: int = DEFAULT_TOLERATED_LOSSES
+) -> GroupPolicy:
     """Return the rules of a control group whose hosts come and go.
 
     :param may_bootstrap: whether the local data folder may take part in a bootstrap.
+    :param tolerated_losses: number of hosts whose disks may be lost at the same time.
     """
     return GroupPolicy(
-        may_bootstrap=may_bootstrap, allows_unlisted_hosts=True, replaces_voters=True
+        may_bootstrap=may_bootstrap,
+        allows_unlisted_hosts=True,
+        replaces_voters=True,
+        tolerated_losses=tolerated_losses,
     )
 
 
@@ -187,7 +194,7 @@
         storage.state,
         RaftTiming(first_timeout_ratio=FIRST_TIMEOUT_RATIO),
         random.random,
-        build_group_policy(storage.may_bootstrap),
+        build_group_policy(storage.may_bootstrap, settings.group.tolerated_losses),
     )
 
 
--- a/src/peridotfront/routed_settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -6,6 +6,7 @@
 from pydantic import Field
 
 from .core.allowances import AllowanceLimits
+from .core.raft_types import DEFAULT_TOLERATED_LOSSES
 from .core.retry_budgets import RetryLimits
 from .core.rollouts.exposure import RolloutLimits
 from .core.scheduling_options import SchedulingOptions
@@ -51,10 +52,13 @@
     :param seeds: their addresses for operators' requests.
     :param is_first_start: whether the whole deployment starts for the first
         time.
+    :param tolerated_losses: number of control hosts whose disks may be lost at the same
+        time; the group keeps at least twice as many voters and one.
     """
 
     seeds: Words = ()
     is_first_start: bool = False
+    tolerated_losses: int = Field(default=DEFAULT_TOLERATED_LOSSES, ge=0)
 
 
 class StorageSection(Section):
