Hold the signals of a program from its first line to its end

Cause: the handler of SIGHUP was installed by a task that starts last, that of SIGTERM when the program's work begins, which is after all modules are loaded. The event loop removes its handlers when it closes, so that a second SIGTERM could still change the exit code. The log ends between process_started and process_ready without an error, and the exit code is the signal's; a reload that fails was ruled out, as it leaves settings_unreadable.

Change: the modules that are started hold SIGTERM, SIGINT and SIGHUP before they load the program; a signal waits until it is taken. The handlers outlive the loop and the signals are ignored once the work is over. Holding them in the main thread alone was tried for the end: threads of the gRPC library took them. The programs on the platform stop their gRPC server.

Why it works: no moment is left between that line and the end of the process at which one of the signals has its default action.

--- /dev/null
+++ b/features/signals.feature
@@ -0,0 +1,30 @@
+Feature: Signals at any moment of a program's life have the effect that they should
+  Programs run as processes. Signals are sent every few ms from the first instruction of
+  ours on, which the mask of held signals or the first log line shows.
+
+  # Guards against a program that is ended by a signal which it takes only later on.
+  Scenario Outline: SIGHUP while <program> starts does not end it
+    Given a program of <program>
+    When it starts and gets SIGHUP all the while
+    Then it becomes ready
+
+    Examples: Programs as "hangups"
+      | program                        |
+      | a control host on the platform |
+      | an entry host on the platform  |
+      | a control host by itself       |
+      | an entry host by itself        |
+
+  # Guards against a stop that comes too early for its handler, or too late for it.
+  Scenario Outline: SIGTERM from the start to the end of <program> stops it cleanly
+    Given a program of <program>
+    When it starts and gets SIGTERM all the while
+    Then it ends by itself with code 0
+    And it wrote log lines only, and process_stopped as the last
+
+    Examples: Programs as "stops"
+      | program                        |
+      | a control host on the platform |
+      | an entry host on the platform  |
+      | a control host by itself       |
+      | an entry host by itself        |
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -307,10 +307,15 @@
             if process.program in programs
         ]
 
+    def write_settings(self):
+        """Write the settings files of all processes."""
+        for process in self.processes.values():
+            process.settings_file.write_text(self._settings(process))
+
     def start(self):
         """Start all processes and apply the configuration."""
+        self.write_settings()
         for process in self.processes.values():
-            process.settings_file.write_text(self._settings(process))
             process.start(self.folder)
         self.apply(self.rules())
         for host in self.hosts("entry"):
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -87,6 +87,14 @@
                 await self._start(is_first_start)
 
     async def _start(self, is_first_start):
+        arguments, environment = self.prepare(is_first_start)
+        with open(self._folder / f"{self.name}.log", "ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *arguments, stdout=log, stderr=log, env=environment
+            )
+
+    def prepare(self, is_first_start):
+        """Write the settings; return the arguments and variables of the process."""
         settings = self._folder / f"{self.name}.ini"
         settings.write_text(self._settings(is_first_start))
         environment = {
@@ -95,15 +103,7 @@
             "PYTHONPATH": os.pathsep.join([str(self.source), str(ROOT)]),
             "PERIDOTFRONT_SETTINGS": str(settings),
         }
-        with open(self._folder / f"{self.name}.log", "ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                self.module,
-                stdout=log,
-                stderr=log,
-                env=environment,
-            )
+        return (sys.executable, "-m", self.module), environment
 
     def send_signal(self, signal_number):
         """Send a signal to the process if it runs."""
--- a/src/peridotfront/platform/entry.py
+++ b/src/peridotfront/platform/entry.py
@@ -1,30 +1,14 @@
-"""Program of an entry host on the platform."""
+"""Start of an entry host on the platform."""
 
-from ..http_client import HttpClient
-from ..routed_entry import EntryAdapter, RoutedEntry
-from ..routed_settings import RoutedSettings
-from ..runtime import run
-from .configuration import parse_routing
-from .process import load_or_exit, settings_path
-from .requests import PlatformRequestCodec
-from .upstream_list import UpstreamListClient
-
-READY_PATH = "/peridotfront/readyz"
-
-
-async def _main(settings: RoutedSettings) -> int:
-    adapter = EntryAdapter(
-        codec=PlatformRequestCodec(),
-        parse=parse_routing,
-        list_client=lambda address: UpstreamListClient(HttpClient(), address),
-        ready_path=READY_PATH,
-    )
-    return await RoutedEntry(settings, settings_path(), adapter).run()
+from ..signals import hold_signals
 
 
 def main() -> None:
-    """Run an entry host."""
-    raise SystemExit(run(_main(load_or_exit())))
+    """Hold signals, load the modules of the program and run it."""
+    hold_signals()
+    from .entry_program import run_program
+
+    run_program()
 
 
 if __name__ == "__main__":
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -135,6 +135,7 @@
         logs.write("process_ready", port=self.operator_server.port)
         exit_code = await wait_for_shutdown(self.server, stop)
         self.ticker.stop()
+        await self.transport.stop()
         self.storage.close()
         logs.write("process_stopped")
         return exit_code
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -160,6 +160,8 @@
         logs.write("process_ready", port=self.caller_server.port)
         await stop.wait()
         await self._drain()
+        self.ticker.stop()
+        await self.transport.stop()
         logs.write("process_stopped")
         return 0
 
--- a/src/peridotfront/runtime.py
+++ b/src/peridotfront/runtime.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from . import logs
+from .signals import ignore_signals, take_signal
 
 INCARNATION_BITS = 62
 TICK_MS = 20
@@ -112,7 +113,7 @@
         """Install the signal handlers."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._set)
+            take_signal(loop, number, self._set)
 
     async def wait(self) -> None:
         """Wait for the first signal."""
@@ -131,5 +132,13 @@
     """
     gc.freeze()
     with contextlib.suppress(KeyboardInterrupt):
-        return asyncio.run(main)
+        return asyncio.run(_run_to_end(main))
     return 130
+
+
+async def _run_to_end(main: Coroutine[Any, Any, int]) -> int:
+    try:
+        return await main
+    finally:
+        # A further signal must not change how a process ends that is ending already.
+        ignore_signals()
--- a/src/peridotfront/settings_watcher.py
+++ b/src/peridotfront/settings_watcher.py
@@ -8,6 +8,7 @@
 from . import logs
 from .exceptions import SettingsInvalid
 from .routed_settings import RoutedSettings, load_settings
+from .signals import take_signal
 
 SETTINGS_POLL_S = 1.0
 
@@ -33,7 +34,7 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._reload)
+        take_signal(asyncio.get_running_loop(), signal.SIGHUP, self._reload)
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
             self._reload()
