Reload settings that change before they are first compared

Operators would see: a change of the settings file that comes while a process starts is not applied until the next change.

Cause: the watcher read the file a second time, after the settings in use had been read from it, and took that text for the text of the settings in use.

Change: the watcher compares the file with the settings in use when it starts, and only then waits for SIGHUP and polls.

Measured: the new scenario of signals.feature fails on (no settings applied) and passes.

--- a/features/signals.feature
+++ b/features/signals.feature
@@ -28,3 +28,9 @@
       | an entry host on the platform  |
       | a control host by itself       |
       | an entry host by itself        |
+
+  # Guards against a change that is never seen, since it came before the first comparison.
+  Scenario: Settings that change between their reading and the first SIGHUP are reloaded
+    Given settings that were read and have changed since
+    When a watcher of the settings starts
+    Then the changed settings apply at once
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -1,5 +1,6 @@
 """Steps for signals that reach a program at any moment of its life."""
 
+import asyncio
 import contextlib
 import json
 import re
@@ -13,6 +14,8 @@
 from behave import given, then, when
 from support.deployment import Deployment as OwnDeployment
 
+from peridotfront.routed_settings import load_settings
+from peridotfront.settings_watcher import SettingsWatcher
 from soak.deployment import Deployment as RoutedDeployment
 
 SIGNAL_INTERVAL_S = 0.003
@@ -153,3 +156,53 @@
 def wrote_log_lines(context):
     lines = [json.loads(line) for line in context.program.text().splitlines()]
     assert lines[-1]["name"] == "process_stopped", lines[-1]
+
+
+@given("settings that were read and have changed since")
+def change_settings(context):
+    path = make_folder(context) / "settings.ini"
+    path.write_text(SETTINGS.format(seeds="10.0.0.1:80"))
+    context.settings = load_settings(path)
+    context.path = path
+    path.write_text(SETTINGS.format(seeds="10.0.0.2:80"))
+
+
+@when("a watcher of the settings starts")
+def start_watcher(context):
+    context.seeds = []
+
+    async def watch():
+        watcher = SettingsWatcher(
+            context.path,
+            context.settings,
+            lambda settings: context.seeds.extend(settings.group.seeds),
+        )
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(watch())
+
+
+@then("the changed settings apply at once")
+def applied(context):
+    assert context.seeds == ["10.0.0.2:80"], context.seeds
+
+
+SETTINGS = """\
+[host]
+name = h
+data_centre = z1
+ip = 127.0.0.1
+[listen]
+first_peer_port = 7600
+[group]
+seeds = {seeds}
+[storage]
+[upstream_list]
+address = 127.0.0.1:1
+[retries]
+[allowances]
+[rollouts]
+[shutdown]
+"""
--- a/src/peridotfront/settings_watcher.py
+++ b/src/peridotfront/settings_watcher.py
@@ -30,11 +30,15 @@
         self._settings = settings
         self._on_change = on_change
         self._path = path
-        self._text = self._path.read_text(encoding="utf-8")
+        self._text = ""
 
     async def run(self) -> None:
-        """Watch until cancelled."""
+        """Watch until cancelled.
+
+        The file may have changed since the settings in use were read.
+        """
         take_signal(asyncio.get_running_loop(), signal.SIGHUP, self._reload)
+        self._reload()
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
             self._reload()
