Use upstreams again that have started again under their names

Cause: an entry host that had read in an answer that an upstream leaves avoided its name until it had been unlisted for 10 s. An upstream that starts again under its name is unlisted for less, or not at all. leaving_notice names the upstreams and nothing took it back; the list and the health of the upstreams were ruled out, both were in order.

Change: the reader of the list, the leader or a host without one, counts the lifetimes of an upstream: one that was leaving, and is listed as ready by a later read of the same reader, has started again. Where the list names the time of a start, that is used. The number goes along with the list and to the next leader; a host ends its avoidance, and a pause that was asked for, when it has grown since the notice (log event 547). Only the list in use counts as one in which a name is still listed. The scheduler forgets what the earlier lifetime held.

Why it works: an entry that is older than the notice, at a host that reads the list later or gets a copy from a new leader, never has a higher number, so that nothing is sent to the lifetime that leaves.

--- a/features/routes.feature
+++ b/features/routes.feature
@@ -61,6 +61,11 @@
     When the list is read
     Then it names the 2 valid upstreams
 
+  Scenario: The start of an upstream, where the list names it, tells its lifetimes apart
+    Given a list of upstreams of which one names the time of its start
+    When the list is read
+    Then that upstream has the time of its start as its lifetime
+
   Scenario: A paged list is read to its last page
     Given a list of upstreams in 3 pages
     When the list is read
--- a/features/steps/routes_steps.py
+++ b/features/steps/routes_steps.py
@@ -14,6 +14,7 @@
 from peridotfront.platform.configuration import parse_configuration
 from peridotfront.platform.upstream_list import UpstreamListClient
 
+BORN_MS = 1_790_000_000_000
 VALID_ENTRY = {
     "Id": "i-1",
     "Service": "s",
@@ -182,6 +183,18 @@
     context.pages = {"": (200, data.replace(b"\\ufffd", b"\xff\xfe"))}
 
 
+@given("a list of upstreams of which one names the time of its start")
+def make_born(context):
+    entries = [{**entry(1), "born": BORN_MS}, entry(2)]
+    context.pages = {"": (200, json.dumps({"Instances": entries}).encode())}
+
+
+@then("that upstream has the time of its start as its lifetime")
+def check_lifetimes(context):
+    lifetimes = [upstream.lifetime for upstream in context.listed]
+    assert lifetimes == [BORN_MS, 0], lifetimes
+
+
 @given("a list of upstreams in 3 pages")
 def make_pages(context):
     context.pages = {}
--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -8,6 +8,7 @@
 from support.routed_upstreams import run_front as run
 
 from peridotfront.core.gateway_events import UpstreamBusy, UpstreamLeaving
+from peridotfront.core.upstream_directory import UpstreamDirectory
 
 
 @given("the host schedules the upstreams by itself")
@@ -81,6 +82,55 @@
     context.group.feed(name, UpstreamBusy(upstream, duration_ms))
 
 
+@given("the list is read by {reader}")
+def choose_reader(context, reader):
+    group = context.group
+    if reader == "each entry host":
+        for host in group.controls:
+            group.isolate(host.name)
+        group.run(3000)
+    elif reader == "the next leader":
+        group.down.add(group.await_leader().name)
+        group.await_leader()
+        group.run(2000)
+
+
+@then('no slot of "{name}" is at "{upstream}"')
+def no_slot_is_at(context, name, upstream):
+    grants = context.group.hosts[name].granted.values()
+    assert upstream not in {granted.grant.upstream for granted in grants}, grants
+
+
+@given('a directory of upstreams in which "{name}" was leaving and is gone')
+def make_directory(context, name):
+    context.older = UpstreamDirectory()
+    context.older.replace([listed(name)])
+    context.directory = context.older.renewed(10)
+    context.directory.replace([listed(name, is_leaving=True)])
+    replica = UpstreamDirectory()
+    replica.apply(context.directory.full_update())
+    context.directory.replace([])
+    replica.apply(context.directory.full_update())
+    context.replica = replica
+
+
+@when('another leader goes on with it and lists "{name}" as ready')
+def list_by_next(context, name):
+    context.directory = context.replica.renewed(20)
+    context.directory.replace([listed(name)])
+
+
+@when('a leader with an older copy, which lists "{name}" as ready, goes on')
+def list_by_older(context, name):
+    context.directory = context.older.renewed(30)
+
+
+@then('"{name}" has {which} lifetime')
+def has_lifetime(context, name, which):
+    lifetime = context.directory.get(name).lifetime
+    assert (lifetime > 0) == (which == "another"), lifetime
+
+
 @then('the slots of "{name}" are at "{upstream}"')
 def slots_are_at(context, name, upstream):
     grants = context.group.hosts[name].granted.values()
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -102,6 +102,60 @@
     And "e1" requests a slot for "late"
     Then "late" is granted within 50 ms
 
+  # Guards against upstreams that are restarted in turn and are never used again.
+  Scenario Outline: An upstream that starts again under its name is used again: <read_by>
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    And the list is read by <read_by>
+    When "e1" is told by "m1" that it leaves
+    And "m1" is listed as leaving
+    And 3000 ms pass in the routed group
+    And upstreams "<meanwhile>" are listed again
+    And 2000 ms pass in the routed group
+    And "e1" requests a slot for "early"
+    And upstreams "m1" are listed again
+    And 500 ms pass in the routed group
+    And "e1" requests a slot for "late"
+    Then "late" is granted within 50 ms
+
+    Examples: Readers of the list as "started again"
+      | read_by         | meanwhile |
+      | the leader      | m2        |
+      | each entry host | m2        |
+      | the next leader | m2        |
+      | the leader      | m1        |
+
+  # Guards against an entry of the list that is older than the notice, and is taken for
+  # the start of another lifetime.
+  Scenario Outline: An upstream that is still listed as ready after its notice stays avoided: <after>
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When "e1" is told by "m1" that it leaves
+    And upstreams "m1,m2" are listed again
+    And 1500 ms pass in the routed group
+    And <after>
+    And 3000 ms pass in the routed group
+    And upstreams "m1,m2" are listed again
+    And 1000 ms pass in the routed group
+    And "e1" requests slots for 4 requests
+    And 100 ms pass in the routed group
+    Then no slot of "e1" is at "m1"
+
+    Examples: What happens meanwhile as "still listed"
+      | after                            |
+      | "e1" is cut off from all         |
+      | the leader is cut off from all   |
+      | upstreams "m2" are listed again  |
+
+  Scenario: The replicas keep what they know of lifetimes when another one leads
+    Given a directory of upstreams in which "m1" was leaving and is gone
+    When another leader goes on with it and lists "m1" as ready
+    Then "m1" has another lifetime
+    When a leader with an older copy, which lists "m1" as ready, goes on
+    Then "m1" has its first lifetime
+
   Scenario: Notices of upstreams never keep a host without a leader busy for ever
     A slot at an upstream that has asked for a pause meanwhile is given back, and another
     one requested; the request must not be granted the slot that it gives back.
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -307,9 +307,8 @@
                 self._usages,
                 self._new_versions,
             )
+        self.directory = self.directory.renewed(action.term * EPOCH_VERSIONS)
         upstreams = self.directory.upstreams
-        self.directory = UpstreamDirectory(action.term * EPOCH_VERSIONS)
-        self.directory.replace(upstreams)
         if self.rollouts is not None:
             yield from self.rollouts.apply_upstreams(upstreams, now_ms)
         yield from self.service_schedulers.apply_upstreams(upstreams, now_ms)
--- a/src/peridotfront/core/fleet.py
+++ b/src/peridotfront/core/fleet.py
@@ -27,6 +27,7 @@
     :param role: role that a model engine should have; empty leaves its role.
     :param pool: name of its cell; empty for the cell of its data centre.
     :param software_version: version of its software; empty if unknown.
+    :param lifetime: number that grows when it starts again under its name.
     """
 
     name: str
@@ -44,6 +45,7 @@
     role: str = ""
     pool: str = ""
     software_version: str = ""
+    lifetime: int = 0
 
     @property
     def cell(self) -> str:
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -42,7 +42,6 @@
     Heartbeat,
     HeldSlot,
     LinkReport,
-    ListedUpstream,
     NamedLimit,
     NamedLimits,
     PartsCleared,
@@ -138,7 +137,7 @@
         self._local_schedulers = ServiceSchedulers(
             shared_limits, self._origins, self._crash_guard, self._limits, gates
         )
-        self._local_upstreams: tuple[ListedUpstream, ...] = ()
+        self._local_directory = UpstreamDirectory()
         self._leaderless_since_ms = 0
         self._sequence = 0
         self._is_leaving = False
@@ -201,7 +200,7 @@
         else:
             yield from self._local_schedulers.handle(event, now_ms)
         yield from self._renew_slots(now_ms)
-        self._update_avoided(now_ms)
+        yield from self._update_avoided(now_ms)
 
     @_handle.register
     def _(self, event: Received, now_ms: int) -> Iterator[Any]:
@@ -214,7 +213,7 @@
     @_handle.register
     def _(self, event: UpstreamsListed, now_ms: int) -> Iterator[Any]:
         if not self.leader:
-            self._local_upstreams = event.upstreams
+            self._local_directory.replace(event.upstreams)
             yield from self._apply_local_upstreams(now_ms)
 
     @_handle.register
@@ -252,7 +251,8 @@
     def _(self, event: UpstreamLeaving, now_ms: int) -> Iterator[Any]:
         if event.upstream not in self._avoided:
             yield Log("leaving_notice", (("upstream", event.upstream),))
-        self._avoided.mark_leaving(event.upstream, now_ms)
+        lifetime = self._listed_lifetime(event.upstream)
+        self._avoided.mark_leaving(event.upstream, lifetime, now_ms)
 
     @_handle.register
     def _(self, event: UpstreamBusy, now_ms: int) -> Iterator[Any]:
@@ -346,7 +346,7 @@
             if not self._holds_slot(message):
                 yield from self._give_back(message, event.sender, now_ms)
             return
-        self._update_avoided(now_ms)
+        yield from self._update_avoided(now_ms)
         if message.upstream in self._avoided:
             yield from self._give_back(message, event.sender, now_ms)
             yield from self._request_slot(pending, now_ms)
@@ -408,7 +408,7 @@
 
     def _request_slot(self, pending: _PendingRequest, now_ms: int) -> Iterator[Any]:
         """Request a slot at an upstream that is not avoided now."""
-        self._update_avoided(now_ms)
+        yield from self._update_avoided(now_ms)
         excluded = dict.fromkeys(
             (*pending.slot_request.excluded, *self._avoided.names())
         )
@@ -418,11 +418,17 @@
         slot_request = _with_remaining_times(pending, now_ms)
         yield from self._pass_to_scheduler(slot_request, now_ms)
 
-    def _update_avoided(self, now_ms: int) -> None:
+    def _update_avoided(self, now_ms: int) -> Iterator[Log]:
         if not self._avoided:
             return
-        listed = {upstream.name for upstream in self._local_upstreams}
-        self._avoided.update(listed | self.directory.names, now_ms)
+        for upstream in self._avoided.update(self._listed_lifetime, now_ms):
+            yield Log("upstream_restarted", (("upstream", upstream),))
+
+    def _listed_lifetime(self, name: str) -> int | None:
+        """Return the lifetime of an upstream in the list, or None if it is unlisted."""
+        directory = self.directory if self.leader else self._local_directory
+        listed = directory.get(name)
+        return None if listed is None else listed.lifetime
 
     def _holds_slot(self, grant: Grant) -> bool:
         held = self._held.get(grant.request_id)
@@ -464,7 +470,7 @@
 
     def _start_leaderless(self, now_ms: int) -> Iterator[Any]:
         self._leaderless_since_ms = now_ms
-        self._local_upstreams = self.directory.upstreams
+        self._local_directory = self.directory.renewed(0)
         shares = {
             ceiling.client_account: leaderless_share(
                 ceiling.share, self._control.sharing_host_count
@@ -484,7 +490,8 @@
             )
 
     def _apply_local_upstreams(self, now_ms: int) -> Iterator[Any]:
-        self._gates.apply_upstreams(self._local_upstreams, now_ms)
+        listed = self._local_directory.upstreams
+        self._gates.apply_upstreams(listed, now_ms)
         self._gates.hold(self._leaderless_since_ms)
         self._local_schedulers.allowances.share = leaderless_share(
             0.0, self._control.sharing_host_count
@@ -498,7 +505,7 @@
         # only while the old one is in service.
         upstreams = [
             upstream
-            for part in self._gates.split(self._local_upstreams)
+            for part in self._gates.split(listed)
             for upstream in leaderless_upstreams(
                 part, self.host, self.data_centre, self.entry_hosts
             )
--- a/src/peridotfront/core/messages/cells.py
+++ b/src/peridotfront/core/messages/cells.py
@@ -231,13 +231,15 @@
 class ListedUpstream:
     """Upstream in the platform's list.
 
-    :param name: name of this run of the upstream; a restart gets a new one.
+    :param name: name of the upstream; one that starts again may keep it.
     :param service: service that it provides.
     :param address: IP address and port.
     :param slots: number of requests that it executes concurrently.
     :param is_leaving: whether it accepts no new requests.
     :param software_version: version of its software, not of its models; empty if
         unknown.
+    :param lifetime: number that grows when it starts again under its name; 0 as long
+        as no start was noticed.
     """
 
     name: str
@@ -247,6 +249,7 @@
     slots: int
     is_leaving: bool
     software_version: str = ""
+    lifetime: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/scheduler.py
+++ b/src/peridotfront/core/scheduler.py
@@ -899,6 +899,11 @@
         if upstream is None:
             self._upstreams[name] = self._new_upstream(spec)
             return
+        if spec.lifetime != upstream.spec.lifetime:
+            # It keeps its name and nothing that it held.
+            upstream.prefixes = self._new_prefixes(spec)
+            upstream.health = self._new_health()
+            self._leaving_until_ms.pop(name, None)
         upstream.spec = spec
         upstream.slow_start = self._slow_starts and self._slow_starts.add(name)
         if self._rates is not None:
@@ -920,19 +925,24 @@
         )
         if self._rates is not None:
             self._rates.attach(spec, capacity)
-        blocks = spec.kv_capacity_tokens // policy.prefix_block_tokens
-        prefixes = PrefixCacheModel(policy.prefix_block_tokens, blocks)
-        health = Health(policy.max_backoff_ms, policy.died_backoff_ms)
         slow_start = self._slow_starts and self._slow_starts.add(spec.name)
         return Upstream(
             spec,
             capacity,
-            prefixes,
-            health,
+            self._new_prefixes(spec),
+            self._new_health(),
             spec.is_leaving,
             slow_start=slow_start,
         )
 
+    def _new_prefixes(self, spec: UpstreamSpec) -> PrefixCacheModel:
+        block_tokens = self._fleet.policy.prefix_block_tokens
+        return PrefixCacheModel(block_tokens, spec.kv_capacity_tokens // block_tokens)
+
+    def _new_health(self) -> Health:
+        policy = self._fleet.policy
+        return Health(policy.max_backoff_ms, policy.died_backoff_ms)
+
 
 def _kind_of(cell: str, kind: UpstreamKind | None) -> UpstreamKind:
     if kind is not None:
--- a/src/peridotfront/core/service_schedulers.py
+++ b/src/peridotfront/core/service_schedulers.py
@@ -421,6 +421,7 @@
         max_slots=listed.slots,
         pool=service.name,
         software_version=listed.software_version,
+        lifetime=listed.lifetime,
     )
 
 
--- a/src/peridotfront/core/upstream_directory.py
+++ b/src/peridotfront/core/upstream_directory.py
@@ -1,9 +1,17 @@
-"""Versioned directory of the upstreams in the platform's list."""
+"""Versioned directory of the upstreams in the platform's list.
 
-from collections.abc import Iterable, Set
+An upstream that was leaving and is listed as ready again has started again under its
+name. Only the consecutive reads of one reader tell: a list that was read earlier may
+arrive later. So the reader counts the lifetimes, and passes them on with the list.
+"""
+
+from collections.abc import Iterable, Mapping, Set
+from dataclasses import replace
 
 from .messages import ListedUpstream, UpstreamsUpdate
 
+MAX_ENDED_UPSTREAMS = 1000
+
 
 class UpstreamDirectory:
     """One version of the upstream list; a leader creates versions, others copy them.
@@ -15,6 +23,7 @@
     def __init__(self, epoch: int = 0):
         self.version = epoch
         self._upstreams: dict[str, ListedUpstream] = {}
+        self._ended: dict[str, ListedUpstream] = {}
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -29,6 +38,17 @@
         """Return the names of all upstreams."""
         return self._upstreams.keys()
 
+    def get(self, name: str) -> ListedUpstream | None:
+        """Return the upstream of a name, or None."""
+        return self._upstreams.get(name)
+
+    def renewed(self, epoch: int) -> "UpstreamDirectory":
+        """Return a directory of the same upstreams that begins at another version."""
+        directory = UpstreamDirectory(epoch)
+        directory._ended = dict(self._ended)
+        directory.replace(self.upstreams)
+        return directory
+
     def has_address(self, address: str) -> bool:
         """Return whether an upstream is listed with an address."""
         return any(upstream.address == address for upstream in self._upstreams.values())
@@ -38,7 +58,7 @@
 
         :return: update with the changes; None if nothing changed.
         """
-        new = {upstream.name: upstream for upstream in listed}
+        new = {upstream.name: self._with_lifetime(upstream) for upstream in listed}
         changed = tuple(
             [
                 upstream
@@ -51,7 +71,7 @@
             return None
         base_version = self.version
         self.version += 1
-        self._upstreams = new
+        self._set_upstreams(new)
         return UpstreamsUpdate(self.version, base_version, changed, gone)
 
     def full_update(self) -> UpstreamsUpdate:
@@ -67,11 +87,31 @@
             return False
         if update.base_version not in (0, self.version):
             return False
-        if update.base_version == 0:
-            self._upstreams = {}
-        for upstream in update.changed:
-            self._upstreams[upstream.name] = upstream
+        new = {} if update.base_version == 0 else dict(self._upstreams)
+        new.update({upstream.name: upstream for upstream in update.changed})
         for name in update.gone:
-            self._upstreams.pop(name, None)
+            new.pop(name, None)
+        self._set_upstreams(new)
         self.version = update.version
         return True
+
+    def _with_lifetime(self, upstream: ListedUpstream) -> ListedUpstream:
+        """Return an entry of the list with the lifetime that it belongs to."""
+        name = upstream.name
+        earlier = self._upstreams.get(name) or self._ended.get(name)
+        if earlier is None:
+            return upstream
+        has_restarted = earlier.is_leaving and not upstream.is_leaving
+        lifetime = upstream.lifetime or earlier.lifetime + has_restarted
+        return replace(upstream, lifetime=lifetime)
+
+    def _set_upstreams(self, new: Mapping[str, ListedUpstream]) -> None:
+        """Replace the upstreams, and remember those that were leaving and are gone."""
+        for name, upstream in self._upstreams.items():
+            if upstream.is_leaving and name not in new:
+                self._ended[name] = upstream
+        for name in new.keys() & self._ended.keys():
+            del self._ended[name]
+        while len(self._ended) > MAX_ENDED_UPSTREAMS:
+            del self._ended[next(iter(self._ended))]
+        self._upstreams = dict(new)
--- a/src/peridotfront/log_events.py
+++ b/src/peridotfront/log_events.py
@@ -590,7 +590,8 @@
         "leaving_notice",
         Level.INFO,
         "an upstream said in an answer that it is leaving",
-        "Nothing to do. This host sends no requests to it until it is unlisted.",
+        "Nothing to do. This host sends no requests to it until it is unlisted or has"
+        " started again (upstream_restarted).",
     ),
     LogEvent(
         534,
@@ -696,6 +697,13 @@
         "limit is held_bytes or connections, of section connections. The caller sends"
         " without reading, or opens connections without requests. Find it and stop it.",
     ),
+    LogEvent(
+        547,
+        "upstream_restarted",
+        Level.INFO,
+        "an upstream that was leaving has started again under its name",
+        "Nothing to do. This host sends it requests again. Compare leaving_notice.",
+    ),
 )
 
 UPSTREAM_EVENTS = (
--- a/src/peridotfront/platform/upstream_list.py
+++ b/src/peridotfront/platform/upstream_list.py
@@ -27,6 +27,7 @@
 MAX_ADDRESS_CHARACTERS = 21
 MAX_PORT = 65_535
 MAX_SLOTS = 65_535
+MAX_UNIX_MS = 2**53
 LEAVING_STATES = {"ready": False, "draining": True}
 
 
@@ -59,12 +60,13 @@
 
 
 class WireInstance(WireModel):
-    """Entry of the list; its id identifies one incarnation of an upstream.
+    """Entry of the list; an upstream that starts again may keep its id.
 
     Texts and numbers are limited to what messages, header fields and logs can hold,
     since the entry may come from another writer.
 
     :param version: version of the upstream's software, not of its models.
+    :param born: time of its start in Unix milliseconds; 0 if it is not listed.
     """
 
     model_config = ConfigDict(strict=True)
@@ -76,6 +78,7 @@
     slots: int = Field(ge=1, le=MAX_SLOTS)
     state: str
     version: Text = Field(min_length=1)
+    born: int = Field(alias="born", default=0, ge=0, le=MAX_UNIX_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +167,7 @@
             slots=wire.slots,
             is_leaving=LEAVING_STATES[wire.state],
             software_version=wire.version,
+            lifetime=wire.born,
         )
 
 
