Take an end within the request for the end of an answer only if all was taken

Callers saw: a part of an answer without a length as the whole one, with 200, when the upstream ended its stream while the request was still being written and reset the connection after that, or read no more.

Cause: the end of the stream was the end of such an answer, without regard to the request. A process that dies while it has read all that came so far ends its stream in this way; its system resets the connection only when more of the request arrives. A reset without such an end was looked for on all paths and gave no whole answer.

Change: the end counts only if the upstream has acknowledged the whole request. Else the request is written on for up to 1 s, until it is taken or the connection is reset; over TLS and through a relay the answer is cut at once. A relay tells with the end how many bytes the upstream has taken.

Why it works: bytes that reach an upstream which has died are reset, never acknowledged, so that an answer that ends in order is told from one that is cut.

--- a/src/peridotfront/relay_client.py
+++ b/src/peridotfront/relay_client.py
@@ -34,6 +34,8 @@
         self._may_read = asyncio.Event()
         self._may_read.set()
         self._is_closing = False
+        self._written_bytes = 0
+        self._taken_bytes = 0
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -47,8 +49,13 @@
     def write(self, data: bytes) -> None:
         """Queue bytes for the upstream."""
         if not self._is_closing:
+            self._written_bytes += len(data)
             self._outgoing.put_nowait(bytes(data))
 
+    def get_write_buffer_size(self) -> int:
+        """Return the number of bytes that the upstream is not known to have taken."""
+        return self._written_bytes - self._taken_bytes
+
     def is_closing(self) -> bool:
         """Return whether the connection is closed or about to be."""
         return self._is_closing
@@ -104,6 +111,8 @@
         if message is grpc.aio.EOF:
             self._lose(RelayLost("the relay ended"))
             return
+        # An older build does not tell how many bytes the upstream took.
+        self._taken_bytes = message.taken_bytes or self._written_bytes
         self._protocol.eof_received()
         self._lose(None)
 
--- a/src/peridotfront/relay_server.py
+++ b/src/peridotfront/relay_server.py
@@ -9,7 +9,7 @@
 from . import logs
 from .addresses import split_address
 from .proto import peridotfront_pb2
-from .upstream_connections import enable_keepalive_probes
+from .upstream_connections import enable_keepalive_probes, unsent_bytes
 
 CONNECT_MS = 300
 CHUNK_BYTES = 64 * 1024
@@ -50,13 +50,16 @@
             detail = f"{type(error).__name__}: {error}"
             await context.abort(CONNECT_FAILED, detail)
         enable_keepalive_probes(writer.get_extra_info("socket"))
-        sending = asyncio.ensure_future(_send_all(requests, writer))
+        sender = _Sender(writer)
+        sending = asyncio.ensure_future(sender.send_all(requests))
         self.connections += 1
         try:
             yield peridotfront_pb2.RelayedBytes()
             while data := await reader.read(CHUNK_BYTES):
                 yield peridotfront_pb2.RelayedBytes(data=data)
-            yield peridotfront_pb2.RelayedBytes(is_end=True)
+            yield peridotfront_pb2.RelayedBytes(
+                is_end=True, taken_bytes=sender.taken_bytes
+            )
         except OSError as error:
             logs.write_rate_limited(
                 "relay_broken", address=first.address, detail=str(error)
@@ -68,13 +71,26 @@
             writer.transport.abort()
 
 
-async def _send_all(requests: AsyncIterator[Any], writer: asyncio.StreamWriter) -> None:
-    """Write the bytes of the other host; close the connection when it ends."""
-    try:
-        async for message in requests:
-            writer.write(message.data)
-            await writer.drain()
-    except (OSError, grpc.RpcError) as error:
-        logs.write_rate_limited("relay_broken", address="", detail=str(error))
-    finally:
-        writer.transport.abort()
+class _Sender:
+    """Sender of another host's bytes to an upstream."""
+
+    def __init__(self, writer: asyncio.StreamWriter):
+        self._writer = writer
+        self._written_bytes = 0
+
+    @property
+    def taken_bytes(self) -> int:
+        """Return the number of bytes that the upstream has acknowledged."""
+        return self._written_bytes - unsent_bytes(self._writer.transport)
+
+    async def send_all(self, requests: AsyncIterator[Any]) -> None:
+        """Write the bytes of the other host; close the connection when it ends."""
+        try:
+            async for message in requests:
+                self._written_bytes += len(message.data)
+                self._writer.write(message.data)
+                await self._writer.drain()
+        except (OSError, grpc.RpcError) as error:
+            logs.write_rate_limited("relay_broken", address="", detail=str(error))
+        finally:
+            self._writer.transport.abort()
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import fcntl
 import math
 import re
 import select
 import socket
 import ssl
+import struct
+import termios
 from copy import copy
 from dataclasses import dataclass
 from typing import Protocol
@@ -31,6 +34,9 @@
 KEEP_ALIVE_MARGIN_MS = 1000
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 EVENTS_PER_TURN = 32
+# An upstream that has ended its answer may read the rest of the request for so long.
+REQUEST_END_MS = 1000
+REQUEST_POLL_MS = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +85,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
+def unsent_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the number of written bytes that the peer has not acknowledged."""
+    size_bytes = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        # Where the system does not tell, the buffer of the transport alone counts.
+        with contextlib.suppress(OSError):
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+            size_bytes += struct.unpack("i", queued)[0]
+    return size_bytes
+
+
 class ConnectionPool(Protocol):
     """Interface of the client as its connections use it."""
 
@@ -137,6 +155,7 @@
         self._silence_timeout_ms = 0
         self._deadline_s = math.inf
         self._end_s = math.inf
+        self._request_end_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -217,13 +236,49 @@
         self._notify()
 
     def eof_received(self) -> bool:
-        """Handle the end of the stream, which may be the end of the answer."""
+        """Handle the end of the stream, which may be the end of the answer.
+
+        An upstream that fails within a request also ends the stream, and resets the
+        connection when more of the request arrives. So the end counts as that of the
+        answer only if the upstream has taken the whole request.
+
+        :return: whether the connection stays open for the rest of the request.
+        """
         if not self._has_ended_tls():
             return False
+        if not unsent_bytes(self._transport):
+            self._end_answer()
+            return False
+        if not self._can_stay_open:
+            return False
+        if self._request_end_s == math.inf:
+            self._request_end_s = self._loop.time() + REQUEST_END_MS / 1000
+            self._await_request_end()
+        return True
+
+    @property
+    def _can_stay_open(self) -> bool:
+        """Return whether bytes may be sent after the end of the received stream."""
+        has_socket = self._transport.get_extra_info("socket") is not None
+        return has_socket and self._transport.get_extra_info("ssl_object") is None
+
+    def _await_request_end(self) -> None:
+        """End the answer once the request is taken, or fail the call if it is not."""
+        if self._is_lost or self._error is not None:
+            return
+        if not unsent_bytes(self._transport):
+            self._end_answer()
+            self._notify()
+        elif self._loop.time() < self._request_end_s:
+            self._loop.call_later(REQUEST_POLL_MS / 1000, self._await_request_end)
+        else:
+            self._fail(self._closed_early_error())
+            self._notify()
+
+    def _end_answer(self) -> None:
         with contextlib.suppress(h11.RemoteProtocolError):
             self._http.receive_data(b"")
             self._process_events()
-        return False
 
     def _has_ended_tls(self) -> bool:
         """Return whether the upstream ended TLS, or whether there is no TLS.
--- a/tools/generate_proto.py
+++ b/tools/generate_proto.py
@@ -40,11 +40,13 @@
 }
 
 // Bytes of one connection to an upstream that another host opens. The first message of
-// the caller has only its address, and the first one of the host is empty.
+// the caller has only its address, and the first one of the host is empty. The last one
+// says how many bytes the upstream has taken; 0 is unknown.
 message RelayedBytes {
   string address = 1;
   bytes data = 2;
   bool is_end = 3;
+  int64 taken_bytes = 4;
 }
 """
 
