Refuse statuses beyond HTTP's as no answer

Callers saw: an answer with the status 600 or 999, as its upstream sent it.

Cause: the parser accepts any status of three digits from 100 on. 000 to 099 and other numbers of digits were refused before.

Change: a status beyond 599 is malformed, for all clients. The caller gets 502, which promises nothing: the request may have run.

--- a/features/early_answers.feature
+++ b/features/early_answers.feature
@@ -61,3 +61,23 @@
       | how           |
       | reset_at_once |
       | end_and_reset |
+
+  # Guards against a status that is none, which a caller would take for an answer.
+  Scenario Outline: A status outside of HTTP's is no answer: <status>, <route>
+    Given a gateway before an upstream that answers early and will "answer_with_<status>"
+    And the connections are <route>
+    When a caller sends "/transfer/x" with a body of 10 bytes
+    Then the caller gets 502
+    When a caller sends "/stream/x" with a body of 10 bytes
+    Then the caller gets 502
+
+    Examples: Statuses
+      | status | route   |
+      | 000    | direct  |
+      | 000    | relayed |
+      | 099    | direct  |
+      | 600    | direct  |
+      | 999    | direct  |
+      | 999    | relayed |
+      | 20     | direct  |
+      | 2000   | direct  |
--- a/src/peridotfront/upstream_connections.py
+++ b/src/peridotfront/upstream_connections.py
@@ -37,6 +37,7 @@
 # An upstream that has ended its answer may read the rest of the request for so long.
 REQUEST_END_MS = 1000
 REQUEST_POLL_MS = 20
+MAX_STATUS_CODE = 599
 
 
 @dataclass(frozen=True, slots=True)
@@ -331,6 +332,8 @@
             self._parts.append(event.data)
             self._set_buffered(self._buffered_bytes + len(event.data))
         elif isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS_CODE:
+                raise h11.RemoteProtocolError(f"the status is {event.status_code}")
             self._head = event
         elif isinstance(event, h11.EndOfMessage):
             self._is_complete = True
