Let entries of another writer not replace sound ones of the same names

Cause: the reader of the list kept the last entry of each name. Which services are configured is known only later, and the sound entry was gone by then.

Change: the reader hands on all entries; where several have one name, the directory of upstreams takes one of a configured service, then one whose service and address are those that were listed before, then one that is leaving.

Measured: six scenarios of foreign_entries.feature fail on (a foreign service read by the leader and by hosts without one, another configured service, another address, a ready entry beside one that leaves, the read itself) and pass.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -117,3 +117,38 @@
     Then each named both sound upstreams
     And each upstream that they named can be sent in a message
     And a request can be written for each upstream that they named
+
+  # Guards against entries that replace the sound ones of the same names, so that no
+  # request of their service is served.
+  Scenario Outline: An entry under the name of a sound one does not replace it: <entry>, read by <reader>
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    And the list is read by <reader>
+    When the list has <entry> for "m1" too
+    And 1000 ms pass in the routed group
+    And "e1" requests a slot for "a"
+    Then "a" gets a slot at the address of "m1"
+
+    Examples: Entries of another writer as "same name"
+      | entry                       | reader          |
+      | a service without manifest  | the leader      |
+      | a service without manifest  | each entry host |
+      | another configured service  | the leader      |
+      | another address             | the leader      |
+
+  Scenario: An entry under the name of another keeps an upstream that leaves as leaving
+    Given a routed group of 3 control hosts and 2 entry hosts
+    And upstreams "m1" are listed
+    And version 7 is acknowledged
+    When "m1" is listed as leaving
+    And the list has a ready entry for "m1" too
+    And 1000 ms pass in the routed group
+    And "e1" requests a slot for "a"
+    And 100 ms pass in the routed group
+    Then "a" is refused as not run for "no_upstream"
+
+  Scenario: Entries with one name are all read from the list
+    Given a list of upstreams with two entries of one name
+    When the list is read
+    Then it has both entries
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from hypothesis import settings, strategies
 from support.deployment import free_port
+from support.routed_group import listed
 from support.routed_upstreams import routing
 from support.scripted_upstreams import Upstream
 
@@ -24,6 +25,7 @@
 
 ARRIVAL_TIMEOUT_S = 3.0
 EXAMPLES = 300
+GRANT_LIMIT_MS = 50
 SOUND_ENTRY = {
     "Service": "ledger",
     "Addr": "10.0.0.1:8080",
@@ -292,3 +294,35 @@
             client._build_request(upstream.address, "GET", "/", fields, b"")
             host, _, port = upstream.address.partition(":")
             assert socket.inet_aton(host) and 0 < int(port) < 65_536, upstream
+
+
+@when('the list has {entry} for "{name}" too')
+def add_entry(context, entry, name):
+    (sound,) = context.group.listed
+    foreign = {
+        "a service without manifest": {"service": "legacy"},
+        "another configured service": {"service": "ledger"},
+        "another address": {"address": "10.9.9.9:80"},
+        "a ready entry": {"is_leaving": False},
+    }[entry]
+    context.group.list_upstreams(sound, replace(sound, **foreign))
+
+
+@then('"{request_id}" gets a slot at the address of "{name}"')
+def gets_slot_at(context, request_id, name):
+    granted = context.group.hosts["e1"].granted
+    context.group.run_until(lambda: request_id in granted, GRANT_LIMIT_MS)
+    assert granted[request_id].grant.address == listed(name).address
+
+
+@given("a list of upstreams with two entries of one name")
+def make_doubled(context):
+    sound = {**SOUND_ENTRY, "Id": "i-1"}
+    entries = [sound, {**sound, "Service": "legacy"}]
+    context.pages = {"": (200, json.dumps({"Instances": entries}).encode())}
+
+
+@then("it has both entries")
+def has_both(context):
+    services = [upstream.service for upstream in context.listed]
+    assert len(services) == 2 and services[1] == "legacy", services
--- a/src/peridotfront/core/coordinator.py
+++ b/src/peridotfront/core/coordinator.py
@@ -170,7 +170,7 @@
     def _(self, event: UpstreamsListed, now_ms: int) -> Iterator[Any]:
         if self.service_schedulers is None:
             return
-        update = self.directory.replace(event.upstreams)
+        update = self.directory.replace(event.upstreams, self._routing.service_names)
         if update is None:
             return
         yield _build_list_log(update)
@@ -178,7 +178,7 @@
         if self.rollouts is not None:
             # Schedulers grant waiting requests at new upstreams at once, so a version
             # has to be held back before.
-            yield from self.rollouts.apply_upstreams(event.upstreams, now_ms)
+            yield from self.rollouts.apply_upstreams(self.directory.upstreams, now_ms)
         yield from self.service_schedulers.apply_upstreams(
             self.directory.upstreams, now_ms
         )
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -138,6 +138,7 @@
             shared_limits, self._origins, self._crash_guard, self._limits, gates
         )
         self._local_directory = UpstreamDirectory()
+        self._service_names: frozenset[str] = frozenset()
         self._leaderless_since_ms = 0
         self._sequence = 0
         self._is_leaving = False
@@ -208,12 +209,13 @@
 
     @_handle.register
     def _(self, event: RoutingChanged, now_ms: int) -> Iterator[Any]:
+        self._service_names = event.routing.service_names
         yield from self._local_schedulers.apply_routing(event.routing, now_ms)
 
     @_handle.register
     def _(self, event: UpstreamsListed, now_ms: int) -> Iterator[Any]:
         if not self.leader:
-            self._local_directory.replace(event.upstreams)
+            self._local_directory.replace(event.upstreams, self._service_names)
             yield from self._apply_local_upstreams(now_ms)
 
     @_handle.register
--- a/src/peridotfront/core/routes.py
+++ b/src/peridotfront/core/routes.py
@@ -144,6 +144,11 @@
     accounts: tuple[RoutedAccount, ...] = ()
     caller_limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @property
+    def service_names(self) -> frozenset[str]:
+        """Return the names of all services."""
+        return frozenset([service.name for service in self.services])
+
 
 class RouteTable:
     """Lookup table for the routes of requests and the accounts of keys."""
--- a/src/peridotfront/core/routing_events.py
+++ b/src/peridotfront/core/routing_events.py
@@ -15,6 +15,9 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """Event: the platform's list of upstreams was read."""
+    """Event: the platform's list of upstreams was read.
+
+    :param upstreams: its entries, of which several may have one name.
+    """
 
     upstreams: tuple[ListedUpstream, ...]
--- a/src/peridotfront/core/upstream_directory.py
+++ b/src/peridotfront/core/upstream_directory.py
@@ -5,7 +5,7 @@
 arrive later. So the reader counts the lifetimes, and passes them on with the list.
 """
 
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Container, Iterable, Mapping, Set
 from dataclasses import replace
 
 from .messages import ListedUpstream, UpstreamsUpdate
@@ -53,12 +53,17 @@
         """Return whether an upstream is listed with an address."""
         return any(upstream.address == address for upstream in self._upstreams.values())
 
-    def replace(self, listed: Iterable[ListedUpstream]) -> UpstreamsUpdate | None:
+    def replace(
+        self, listed: Iterable[ListedUpstream], services: Container[str] = ()
+    ) -> UpstreamsUpdate | None:
         """Replace the whole list.
 
+        :param listed: entries of the list, of which several may have one name.
+        :param services: names of the services that are configured.
         :return: update with the changes; None if nothing changed.
         """
-        new = {upstream.name: self._with_lifetime(upstream) for upstream in listed}
+        chosen = self._choose_entries(listed, services)
+        new = {name: self._with_lifetime(entry) for name, entry in chosen.items()}
         changed = tuple(
             [
                 upstream
@@ -95,6 +100,30 @@
         self.version = update.version
         return True
 
+    def _choose_entries(
+        self, listed: Iterable[ListedUpstream], services: Container[str]
+    ) -> dict[str, ListedUpstream]:
+        """Return one entry for each name, least likely that of another writer.
+
+        An entry of a configured service counts before others, then one that fits what
+        was listed before, then one that is leaving.
+        """
+
+        def rank(entry: ListedUpstream) -> tuple[bool, ...]:
+            earlier = self._upstreams.get(entry.name, entry)
+            is_same = (entry.service, entry.address) == (
+                earlier.service,
+                earlier.address,
+            )
+            return entry.service in services, is_same, entry.is_leaving
+
+        chosen: dict[str, ListedUpstream] = {}
+        for entry in listed:
+            rival = chosen.get(entry.name)
+            if rival is None or rank(entry) >= rank(rival):
+                chosen[entry.name] = entry
+        return chosen
+
     def _with_lifetime(self, upstream: ListedUpstream) -> ListedUpstream:
         """Return an entry of the list with the lifetime that it belongs to."""
         name = upstream.name
@@ -103,6 +132,8 @@
             return upstream
         has_restarted = earlier.is_leaving and not upstream.is_leaving
         lifetime = upstream.lifetime or earlier.lifetime + has_restarted
+        if lifetime == upstream.lifetime:
+            return upstream
         return replace(upstream, lifetime=lifetime)
 
     def _set_upstreams(self, new: Mapping[str, ListedUpstream]) -> None:
--- a/src/peridotfront/platform/upstream_list.py
+++ b/src/peridotfront/platform/upstream_list.py
@@ -105,18 +105,20 @@
     async def read(self) -> tuple[ListedUpstream, ...]:
         """Fetch all pages of the list and return its upstreams.
 
+        Several entries may have one name, if some of them come from another writer.
+
         :raises UpstreamError: if a page of the list cannot be read.
         """
-        listed: dict[str, ListedUpstream] = {}
+        listed: dict[ListedUpstream, None] = {}
         token = ""
         for _ in range(MAX_PAGES):
             page = await self._read_page(token)
-            listed.update({upstream.name: upstream for upstream in page.upstreams})
+            listed.update(dict.fromkeys(page.upstreams))
             token = page.next_token
             if len(listed) > MAX_UPSTREAMS:
                 raise AnswerMalformed("the list has too many upstreams", self._address)
             if not token:
-                return tuple(listed.values())
+                return tuple(listed)
         raise AnswerMalformed("the list has too many pages", self._address)
 
     async def _read_page(self, token: str) -> ListPage:
