Remove an attribute of rollouts that nothing reads

Rollout kept its limits twice: the exposure, which is built from them, is what counts against them. The scenarios of rollouts, rollout_holds and rollout_records pass before and after.

--- a/src/peridotfront/core/rollouts/rollout.py
+++ b/src/peridotfront/core/rollouts/rollout.py
@@ -119,7 +119,6 @@
         self.record = record
         self.finding: Finding | None = None
         self.reason = ""
-        self._limits = limits
         self._ordered_ms = now_ms - elapsed_ms
         self._stage_since_ms = now_ms
         self._evaluated_ms = now_ms
