Form the group though one of its hosts was killed at its first start

Cause: its folder lacked the mark of the first start. It answered that it isn't blank, and the other seeds took that for a group that exists.

Change: the answer tells a blank folder without the mark from one that holds a log. A majority of seeds with the mark, whose processes run since the first start, may bootstrap with the others; all seeds must answer and vote, and one with the mark leads.

Why it works: an acknowledged entry is on the disks of a majority of the first members, which are the seeds, so that a majority of blank and marked seeds shows that there is none.

--- a/features/coordination.feature
+++ b/features/coordination.feature
@@ -22,6 +22,35 @@
     Then version 7 is read at the leader
     And the voters are "c1,c2,c3"
 
+  # Guards against a deployment that never begins to work, since one of its hosts was
+  # killed before its folder was marked as one of the first start.
+  Scenario Outline: A host that is killed while all start for the first time does not stop them: <name>
+    Given 3 control hosts that start, of which "<name>" was killed before it had a folder
+    When 3000 ms pass in the routed group
+    Then the voters are "c1,c2,c3"
+
+    Examples: Hosts as "killed at first"
+      | name |
+      | c1   |
+      | c2   |
+      | c3   |
+
+  Scenario Outline: Hosts that may have lost a group bootstrap none: <names>
+    Given 3 control hosts that start, of which "<names>" was killed before it had a folder
+    And then "<restarted>" is killed and starts again
+    When 8000 ms pass in the routed group
+    Then no control host leads
+
+    Examples: Hosts without the mark as "unmarked"
+      | names | restarted |
+      | c1,c2 | none      |
+      | c2,c3 | none      |
+      | c3    | c1,c2     |
+
+  Scenario: Hosts that fail while all start for the first time form one group at most
+    When 80 control groups start for the first time, and hosts are killed, cut off and wiped
+    Then each forms a group that loses nothing, or none if several hosts failed
+
   Scenario: Two blank hosts of three never bootstrap a second group
     Given a routed group of 3 control hosts and 1 entry host
     And version 7 is acknowledged
--- a/features/steps/coordination_steps.py
+++ b/features/steps/coordination_steps.py
@@ -3,6 +3,7 @@
 import json
 
 from behave import given, then, when
+from support.first_starts import FirstStart
 from support.routed_group import RoutedGroup, listed, names_of
 
 from peridotfront.core.control_types import OperatorUnavailable
@@ -18,6 +19,40 @@
     context.group.run(1000)
 
 
+@given(
+    '3 control hosts that start, of which "{names}" was killed before it had a folder'
+)
+def start_with_killed(context, names):
+    context.group = RoutedGroup(("c1", "c2", "c3"), {})
+    for name in names_of(names):
+        context.group.restart(name, is_blank=True)
+
+
+@given('then "{names}" is killed and starts again')
+def restart_some(context, names):
+    for name in names_of(names):
+        if name in context.group.hosts:
+            context.group.restart(name)
+
+
+@when(
+    "{count:d} control groups start for the first time, and hosts are killed, cut off"
+    " and wiped"
+)
+def play_first_starts(context, count):
+    context.failures = {}
+    for seed in range(count):
+        try:
+            FirstStart(seed).play()
+        except AssertionError as error:
+            context.failures[seed] = str(error)
+
+
+@then("each forms a group that loses nothing, or none if several hosts failed")
+def none_failed(context):
+    assert not context.failures, context.failures
+
+
 @given('upstreams "{names}" are listed')
 def list_upstreams(context, names):
     context.names = names_of(names)
--- a/features/support/routed_group.py
+++ b/features/support/routed_group.py
@@ -139,6 +139,7 @@
         self.seeds = seeds
         self.disk = Disk(group.random.getrandbits(62) or 1)
         self.may_bootstrap = is_first_start
+        self.is_first_start = is_first_start
         self.logs = []
         self.start()
 
@@ -150,7 +151,7 @@
             self.disk.load(),
             RaftTiming(first_timeout_ratio=FIRST_TIMEOUT_RATIO),
             self.group.random.random,
-            build_group_policy(self.may_bootstrap),
+            build_group_policy(self.may_bootstrap, is_first_start=self.is_first_start),
         )
         self.raft = raft
         self.applied = []
@@ -316,6 +317,7 @@
         if is_blank:
             host.disk = Disk(self.random.getrandbits(62) or 1)
             host.may_bootstrap = False
+        host.is_first_start = False
         host.start()
 
     def leader(self):
--- a/src/peridotfront/core/messages/raft.py
+++ b/src/peridotfront/core/messages/raft.py
@@ -28,11 +28,14 @@
     :param is_blank: whether the data folder is blank and may take part in a bootstrap.
     :param group_hosts: hosts to send a join request to: the leader or, if none is
         known, the voters; empty if no group is known.
+    :param is_empty: whether the data folder is blank, also if it is not known to be
+        one of the deployment's first start.
     """
 
     incarnation: int
     is_blank: bool
     group_hosts: tuple[str, ...] = ()
+    is_empty: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/peridotfront/core/raft_bootstrap.py
+++ b/src/peridotfront/core/raft_bootstrap.py
@@ -5,6 +5,11 @@
 them, in the term of these votes. Two hosts therefore never bootstrap the group in the
 same term, and a group that exists on any answering host is never bootstrapped again.
 
+A host that is killed during the first start comes back without the mark that its folder
+is one of this start, like one that has lost its disk. A minority of such hosts may take
+part if all others still run since the first start: had a group been formed, a majority
+would hold a log, and one of the others would not be blank. They can't lead it.
+
 A host that is no member asks the hosts that it knows to let it join. Those that don't
 lead name the leader or else the voters, which it asks too. None of the hosts in its
 settings needs to lead.
@@ -35,6 +40,7 @@
     def __init__(self, local: LocalReplica) -> None:
         self._local = local
         self._blank_peers: dict[str, Replica] = {}
+        self._unmarked_peers: dict[str, Replica] = {}
         self._named_hosts: dict[str, tuple[str, ...]] = {}
         self._group_exists = False
         self._query_due_ms = 0.0
@@ -47,17 +53,29 @@
         local = self._local
         if not local.is_blank or not local.policy.may_bootstrap or self._group_exists:
             return False
-        is_lowest = local.identity.host == min(local.configured_hosts)
-        return is_lowest and set(self._blank_peers) == set(local.peer_hosts)
+        peers = self._blank_peers.keys() | self._unmarked_peers.keys()
+        if peers != set(local.peer_hosts):
+            return False
+        marked_hosts = {local.identity.host, *self._blank_peers}
+        if self._unmarked_peers and not self._may_admit_unmarked(len(marked_hosts)):
+            return False
+        founders = marked_hosts.intersection(local.configured_hosts)
+        return bool(founders) and local.identity.host == min(founders)
+
+    def _may_admit_unmarked(self, marked_hosts: int) -> bool:
+        hosts = len(self._local.configured_hosts)
+        return self._local.policy.is_first_start and 2 * marked_hosts > hosts
 
     def initial_members(self) -> MembershipChange:
         """Return the initial members of a group bootstrapped now."""
-        members = [self._local.identity, *self._blank_peers.values()]
+        peers = self._blank_peers | self._unmarked_peers
+        members = [self._local.identity, *peers.values()]
         return MembershipChange(tuple(sorted(members, key=lambda r: r.host)), ())
 
     def clear_replies(self) -> None:
         """Discard all replies, so that every peer is asked again."""
         self._blank_peers = {}
+        self._unmarked_peers = {}
 
     def tick(self, leader: str, now_ms: float) -> Iterator[Log | Send]:
         """Send the bootstrap queries or join requests that are due."""
@@ -123,6 +141,7 @@
             incarnation=local.identity.incarnation,
             is_blank=local.is_blank and self._may_bootstrap,
             group_hosts=(leader,) if leader else voters,
+            is_empty=local.is_blank,
         )
         yield Send(sender, reply)
 
@@ -132,8 +151,12 @@
             self._named_hosts[sender] = reply.group_hosts
         if sender not in self._local.peer_hosts:
             return
-        if reply.is_blank:
-            self._blank_peers[sender] = Replica(sender, reply.incarnation)
-            return
-        self._group_exists = True
         self._blank_peers.pop(sender, None)
+        self._unmarked_peers.pop(sender, None)
+        replica = Replica(sender, reply.incarnation)
+        if reply.is_blank:
+            self._blank_peers[sender] = replica
+        elif reply.is_empty:
+            self._unmarked_peers[sender] = replica
+        else:
+            self._group_exists = True
--- a/src/peridotfront/core/raft_types.py
+++ b/src/peridotfront/core/raft_types.py
@@ -41,6 +41,9 @@
     :param remove_voter_after_ms: silence after which the only silent voter of an odd
         number is removed.
     :param tolerated_losses: number of voters whose disks may be lost at the same time.
+    :param is_first_start: whether this process began with the whole deployment. It may
+        then bootstrap with a minority of hosts whose folders are blank, but not known
+        to be those of the first start.
     """
 
     may_bootstrap: bool = True
@@ -49,6 +52,7 @@
     remove_spare_voter_after_ms: int = REMOVE_SPARE_VOTER_AFTER_MS
     remove_voter_after_ms: int = REMOVE_VOTER_AFTER_MS
     tolerated_losses: int = DEFAULT_TOLERATED_LOSSES
+    is_first_start: bool = False
 
     @property
     def min_voters(self) -> int:
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -172,18 +172,23 @@
 
 
 def build_group_policy(
-    may_bootstrap: bool, tolerated_losses: int = DEFAULT_TOLERATED_LOSSES
+    may_bootstrap: bool,
+    tolerated_losses: int = DEFAULT_TOLERATED_LOSSES,
+    *,
+    is_first_start: bool = False,
 ) -> GroupPolicy:
     """Return the rules of a control group whose hosts come and go.
 
     :param may_bootstrap: whether the local data folder may take part in a bootstrap.
     :param tolerated_losses: number of hosts whose disks may be lost at the same time.
+    :param is_first_start: whether the whole deployment starts for the first time.
     """
     return GroupPolicy(
         may_bootstrap=may_bootstrap,
         allows_unlisted_hosts=True,
         replaces_voters=True,
         tolerated_losses=tolerated_losses,
+        is_first_start=is_first_start,
     )
 
 
@@ -195,7 +200,11 @@
         storage.state,
         RaftTiming(first_timeout_ratio=FIRST_TIMEOUT_RATIO),
         random.random,
-        build_group_policy(storage.may_bootstrap, settings.group.tolerated_losses),
+        build_group_policy(
+            storage.may_bootstrap,
+            settings.group.tolerated_losses,
+            is_first_start=settings.group.is_first_start,
+        ),
     )
 
 
