Take fractions as the bounds on retries and on unproven versions

Cause: the setting was a whole number; the platform's bounds may be fractions.

Change: both slacks are floating-point numbers, as their users already count.

Measured: the new scenario of settings.feature fails before (SettingsInvalid) and passes.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -76,3 +76,10 @@
   Scenario: The generated pages are complete and current
     When the generated pages are checked
     Then no fault is found
+
+  # Guards against a program that does not start, since a bound of the platform is no
+  # whole number.
+  Scenario: Bounds that the platform fills in may be fractions
+    Given settings of a host on the platform with the slack 35.666666666666664
+    When a host on the platform reads them
+    Then the slack of retries and rollouts is 35.666666666666664
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -14,6 +14,7 @@
 
 from peridotfront.ctl_settings import load_ctl
 from peridotfront.exceptions import SettingsInvalid
+from peridotfront.routed_settings import load_settings
 from peridotfront.settings import load_control, load_entry
 from peridotfront.standin_settings import load_standin
 
@@ -174,3 +175,42 @@
     context.faults = undocumented
     if tool.main(["--check"]):
         context.faults.append("a page is not current")
+
+
+@given("settings of a host on the platform with the slack {slack:f}")
+def write_platform_settings(context, slack):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.settings_path = Path(folder.name) / "process.ini"
+    context.settings_path.write_text(PLATFORM_SETTINGS.format(slack=slack))
+
+
+@when("a host on the platform reads them")
+def read_platform_settings(context):
+    context.shared_limits = load_settings(context.settings_path).shared_limits
+
+
+@then("the slack of retries and rollouts is {slack:f}")
+def check_slack(context, slack):
+    limits = context.shared_limits
+    assert (limits.retries.slack, limits.rollouts.slack) == (slack, slack), limits
+
+
+PLATFORM_SETTINGS = """\
+[host]
+name = h
+data_centre = z1
+ip = 127.0.0.1
+[listen]
+first_peer_port = 7600
+[group]
+[storage]
+[upstream_list]
+address = 127.0.0.1:1
+[retries]
+slack = {slack}
+[allowances]
+[rollouts]
+slack = {slack}
+[shutdown]
+"""
--- a/src/peridotfront/core/retry_budgets.py
+++ b/src/peridotfront/core/retry_budgets.py
@@ -21,7 +21,7 @@
     """
 
     ratio: float = 0.2
-    slack: int = 10
+    slack: float = 10.0
     window_ms: int = 10_000
 
 
--- a/src/peridotfront/core/rollouts/exposure.py
+++ b/src/peridotfront/core/rollouts/exposure.py
@@ -21,7 +21,7 @@
     """
 
     share: float = 0.0
-    slack: int = 0
+    slack: float = 0.0
 
 
 class Exposure:
--- a/src/peridotfront/routed_settings.py
+++ b/src/peridotfront/routed_settings.py
@@ -87,7 +87,7 @@
     """
 
     ratio: float = 0.2
-    slack: int = 10
+    slack: float = 10.0
     window_s: float = 10.0
 
 
@@ -114,7 +114,7 @@
     """
 
     share: float = Field(default=0.0, ge=0, le=1)
-    slack: int = Field(default=0, ge=0)
+    slack: float = Field(default=0.0, ge=0)
 
 
 class SchedulingSection(Section):
