Show what large configurations do to hosts on slow links

The scenario has the same in virtual time: each of four hosts on a link of 625 kB/s is sent 6.5 MB, 3.55 MB wait for one host at once, the configuration and the list arrive after 2,540 ms and the leader is taken for lost five times.

--- /dev/null
+++ b/features/slow_links.feature
@@ -0,0 +1,11 @@
+Feature: A large configuration over slow links keeps nothing else waiting
+  Entry hosts have links of 5 Mbit/s. Operators add thousands of routes at once.
+
+  # Guards against DRAIN: copies of a large configuration held up the list of upstreams.
+  Scenario: Hosts on slow links get a large configuration and the list in time
+    Given a group whose 4 entry hosts have slow links, with 2840 routes
+    When two configurations of 4240 routes are accepted and an upstream leaves
+    Then each entry host has the new configuration within 2000 ms
+    And each entry host knows that the upstream leaves within 2000 ms
+    And no entry host loses its leader
+    And at most 600 kB ever wait for one host
