Send a large configuration compressed, and not while a copy is on its way

Callers at hosts on thin links got late answers for seconds, and requests went to an upstream 5,202 ms after it had left (DRAIN), when operators added routes by the thousand. Cause: the whole configuration was sent again every 500 ms, and for each query of a host that was behind (every 300 ms), whatever was still on its way. The copies filled the links and the leader's memory, until it was ended; lists, slots and heartbeats queued behind them.

A configuration is compressed once for all hosts that say that they read it, by their heartbeat or query. The next copy waits for as long as a link of 1 Mbit/s takes, 2 s at most, and queries without an answer become rarer. The reply to another entry host's query follows the same rule. Hosts of an older build get one whole copy.

--- a/src/peridotfront/core/config_follower.py
+++ b/src/peridotfront/core/config_follower.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from .actions import Log, Received, Send, Tick
+from .config_packing import UpdatePacker, transfer_ms, unpack
 from .messages import ConfigQuery, ConfigUpdate, Heartbeat
 from .single_dispatch import dispatchmethod
 
@@ -24,8 +25,10 @@
     """Timeouts and intervals of a configuration follower.
 
     :param host_timeout_ms: silence after which a peer is ignored.
-    :param query_interval_ms: time between two queries; also the delay before the
-        first query for a newer version, since the leader sends it unasked.
+    :param query_interval_ms: time between the first two queries; also the delay
+        before the first query for a newer version, since the leader sends it unasked.
+    :param max_query_interval_ms: longest time between two queries, to which it grows
+        while no answer arrives.
     :param reply_interval_ms: minimum time between two configurations sent to a peer.
     :param min_discovery_ms: minimum time that a blank follower listens for versions.
     :param max_discovery_ms: maximum time that it waits for the newest version.
@@ -33,6 +36,7 @@
 
     host_timeout_ms: int = 1500
     query_interval_ms: int = 300
+    max_query_interval_ms: int = 2400
     reply_interval_ms: int = 200
     min_discovery_ms: int = 500
     max_discovery_ms: int = 3000
@@ -84,6 +88,8 @@
         self._replied_ms: dict[str, int] = {}
         self._queried_ms: dict[str, int] = {}
         self._query_due_ms: int | None = None
+        self._query_interval_ms = self._timing.query_interval_ms
+        self._packer = UpdatePacker()
         self._started_ms: int | None = None
         self._candidate = self._current
 
@@ -148,6 +154,7 @@
         self._sources[sender] = _Source(message.config_version, is_control, now_ms)
         is_behind = message.config_version > self.version
         if is_behind and self._query_due_ms is None:
+            self._query_interval_ms = self._timing.query_interval_ms
             wait_ms = self._timing.query_interval_ms if self.version else 0
             self._query_due_ms = now_ms + wait_ms
             yield from self._handle(Tick(), now_ms)
@@ -156,7 +163,12 @@
     def _(self, message: ConfigUpdate, sender: str, now_ms: int) -> Iterator[Any]:
         if message.version <= max(self.version, self._candidate.version):
             return
-        self._candidate = message
+        try:
+            self._candidate = unpack(message)
+        except ValueError as error:
+            fields = (("version", message.version), ("error", str(error)))
+            yield Log("config_unreadable", fields)
+            return
         if self.version:
             yield from self._activate_candidate()
         else:
@@ -166,11 +178,15 @@
     def _(self, message: ConfigQuery, sender: str, now_ms: int) -> Iterator[Any]:
         if self.version <= message.version:
             return
+        update = self._current
+        if message.reads_packed:
+            update = self._packer.pack(update)
         sent_ms = self._replied_ms.get(sender)
-        if sent_ms is not None and now_ms - sent_ms < self._timing.reply_interval_ms:
+        wait_ms = max(self._timing.reply_interval_ms, transfer_ms(update))
+        if sent_ms is not None and now_ms - sent_ms < wait_ms:
             return
         self._replied_ms[sender] = now_ms
-        yield Send(sender, self._current)
+        yield Send(sender, update)
 
     def _activate_first(self, now_ms: int) -> Iterator[Any]:
         waited_ms = now_ms - self._started_ms
@@ -202,9 +218,12 @@
         if source is None:
             return
         self._queried_ms[source] = now_ms
-        self._query_due_ms = now_ms + self._timing.query_interval_ms
+        self._query_due_ms = now_ms + self._query_interval_ms
+        self._query_interval_ms = min(
+            2 * self._query_interval_ms, self._timing.max_query_interval_ms
+        )
         held_version = max(self.version, self._candidate.version)
-        yield Send(source, ConfigQuery(held_version))
+        yield Send(source, ConfigQuery(held_version, reads_packed=True))
 
     def _next_source(self, now_ms: int) -> str | None:
         """Return the least recently queried source with a newer version.
--- a/src/peridotfront/core/configuration.py
+++ b/src/peridotfront/core/configuration.py
@@ -7,6 +7,7 @@
 import hashlib
 from collections import OrderedDict, deque
 
+from .config_packing import UpdatePacker
 from .messages import (
     ChangeRecord,
     ChangeStatus,
@@ -44,6 +45,7 @@
         self._changes: OrderedDict[str, ChangeRecord] = OrderedDict()
         self._content_bytes = 0
         self._versions_with_content: deque[int] = deque()
+        self._packer = UpdatePacker()
 
     @property
     def current(self) -> ConfigRecord:
@@ -81,15 +83,19 @@
             self._changes.popitem(last=False)
         return result
 
-    def update(self) -> ConfigUpdate:
-        """Return the message that sends the current version to a host."""
+    def update(self, *, is_packed: bool = False) -> ConfigUpdate:
+        """Return the message that sends the current version to a host.
+
+        :param is_packed: whether the host reads compressed configurations.
+        """
         current = self.current
-        return ConfigUpdate(
+        update = ConfigUpdate(
             version=current.version,
             change_id=current.change_id,
             author=current.author,
             content=current.content,
         )
+        return self._packer.pack(update) if is_packed else update
 
     def snapshot(self) -> ConfigurationSnapshot:
         """Return the whole state as one record."""
--- a/src/peridotfront/core/controller.py
+++ b/src/peridotfront/core/controller.py
@@ -13,6 +13,7 @@
 from .actions import Log, Received, Send, Tick
 from .claim_batcher import ClaimBatcher
 from .claims import ClaimsResult
+from .config_packing import transfer_ms
 from .control_state import ControlState, Decode, Encode
 from .control_types import (
     ClaimLimits,
@@ -310,8 +311,13 @@
 
     @_on_message.register
     def _(self, message: ConfigQuery, event: Received, now_ms: int) -> Iterator[Any]:
-        if self._settled_version > message.version:
+        if self._settled_version <= message.version:
+            return
+        host = self._hosts.get(event.sender)
+        if host is None:
             yield Send(event.sender, self._state.configuration.update())
+            return
+        yield from self._send_once(host, message.reads_packed, now_ms)
 
     @_on_message.register
     def _(self, message: ClaimRequest, event: Received, now_ms: int) -> Iterator[Any]:
@@ -575,22 +581,28 @@
         return self._state.configuration.version if self._raft.is_settled else 0
 
     def _send_update(self, host: HostState, now_ms: int) -> Iterator[Any]:
-        """Send the whole configuration to a host that has an older version.
+        """Send the whole configuration to a host that has an older version."""
+        if host.heartbeat.config_version < self._settled_version:
+            reads_packed = host.heartbeat.reads_packed_config
+            yield from self._send_once(host, reads_packed, now_ms)
+
+    def _send_once(
+        self, host: HostState, reads_packed: bool, now_ms: int
+    ) -> Iterator[Any]:
+        """Send the whole configuration, unless a copy may still be on its way.
 
         A message with only the difference would save most of the bytes.
         """
         version = self._settled_version
-        if host.heartbeat.config_version >= version:
-            return
         is_new = host.update_version < version
-        wait_ms = (
-            self._timing.update_interval_ms if is_new else self._timing.update_retry_ms
-        )
+        wait_ms = self._timing.update_interval_ms if is_new else host.update_wait_ms
         if now_ms - host.update_sent_ms < wait_ms:
             return
+        update = self._state.configuration.update(is_packed=reads_packed)
         host.update_sent_ms = now_ms
         host.update_version = version
-        yield Send(host.host, self._state.configuration.update())
+        host.update_wait_ms = max(self._timing.update_retry_ms, transfer_ms(update))
+        yield Send(host.host, update)
 
     # Claims
 
--- a/src/peridotfront/core/gateway_role.py
+++ b/src/peridotfront/core/gateway_role.py
@@ -527,6 +527,7 @@
             crashing_parts_digest=self._crash_guard.announced_digest,
             shares_version=self._control.shares_version,
             stages_version=self._gates.stages_version,
+            reads_packed_config=True,
         )
         for host in self._control.begin_round(now_ms):
             yield Send(host, heartbeat)
--- a/src/peridotfront/core/host_monitor.py
+++ b/src/peridotfront/core/host_monitor.py
@@ -117,6 +117,7 @@
             config_version=self.config_version,
             is_leaving=self.is_leaving,
             leader=self.leader,
+            reads_packed_config=True,
         )
         for peer in self.peers:
             yield Send(peer, heartbeat)
--- a/src/peridotfront/core/host_table.py
+++ b/src/peridotfront/core/host_table.py
@@ -21,6 +21,7 @@
         first heartbeat.
     :param update_sent_ms: time at which a configuration was last sent to it.
     :param update_version: version of that configuration.
+    :param update_wait_ms: time after which the same version may be sent again.
     :param strikes_sent: whether the active strikes were sent to it.
     :param parts_digest: hash of the crashing parts that were last sent to it.
     :param parts_sent_ms: time at which they were sent.
@@ -34,6 +35,7 @@
     leader_confirmed_ms: int
     update_sent_ms: int = NEVER_SENT_MS
     update_version: int = 0
+    update_wait_ms: int = 0
     strikes_sent: bool = False
     parts_digest: int = 0
     parts_sent_ms: int = NEVER_SENT_MS
--- a/src/peridotfront/core/messages/control.py
+++ b/src/peridotfront/core/messages/control.py
@@ -186,12 +186,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigUpdate:
-    """Active configuration, sent to an entry host."""
+    """Active configuration, sent to an entry host.
+
+    :param content: configuration as text; empty if it is packed.
+    :param packed_content: compressed configuration; empty if it is not packed.
+    """
 
     version: int
     change_id: str
     author: str
     content: str
+    packed_content: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +232,7 @@
     :param shares_version: version of the ceilings that the sender knows; 0 for none.
     :param stages_version: version of the stages of rollouts that the sender knows; 0
         for none.
+    :param reads_packed_config: whether the sender reads compressed configurations.
     """
 
     data_centre: str
@@ -245,6 +251,7 @@
     crashing_parts_digest: int = 0
     shares_version: int = 0
     stages_version: int = 0
+    reads_packed_config: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,9 +340,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigQuery:
-    """Query for the configuration of a peer, if newer than the given version."""
+    """Query for the configuration of a peer, if newer than the given version.
+
+    :param reads_packed: whether the sender reads compressed configurations.
+    """
 
     version: int
+    reads_packed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
