Report no stop signal once process_stopped is logged

Cause: signals were ignored only when the program's coroutine had returned, and a handler that waited for its turn ran even then. StopSignal.end() ignores signals and waiting handlers, and the four programs call it before the line.

--- a/features/signals.feature
+++ b/features/signals.feature
@@ -34,3 +34,9 @@
     Given settings that were read and have changed since
     When a watcher of the settings starts
     Then the changed settings apply at once
+
+  # Guards against a log line after process_stopped, which ends a program's log.
+  Scenario: Stop signals at the end of the work are not reported
+    Given a program that was told to stop
+    When stop signals come just before and just after the end of its work
+    Then no repeated signal is reported
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import re
 import signal
 import subprocess
@@ -15,11 +16,14 @@
 from support.deployment import Deployment as OwnDeployment
 
 from peridotfront.routed_settings import load_settings
+from peridotfront.runtime import StopSignal
 from peridotfront.settings_watcher import SettingsWatcher
+from peridotfront.signals import SIGNALS
 from soak.deployment import Deployment as RoutedDeployment
 
 SIGNAL_INTERVAL_S = 0.003
 LIMIT_S = 30.0
+HANDLER_S = 0.05
 BLOCKED_MASK = re.compile(r"SigBlk:\s+([0-9a-f]+)")
 
 
@@ -206,3 +210,33 @@
 [rollouts]
 [shutdown]
 """
+
+
+@given("a program that was told to stop")
+def told_to_stop(context):
+    context.repeats = []
+    handlers = {number: signal.getsignal(number) for number in SIGNALS}
+    for number, handler in handlers.items():
+        context.add_cleanup(signal.signal, number, handler)
+
+
+@when("stop signals come just before and just after the end of its work")
+def stop_again(context):
+    asyncio.run(end_between_signals(context.repeats))
+
+
+async def end_between_signals(repeats):
+    stop = StopSignal(lambda: repeats.append(1))
+    stop.install()
+    os.kill(os.getpid(), signal.SIGTERM)
+    await stop.wait()
+    # The handler of the second signal has no turn before the work ends.
+    os.kill(os.getpid(), signal.SIGTERM)
+    stop.end()
+    os.kill(os.getpid(), signal.SIGTERM)
+    await asyncio.sleep(HANDLER_S)
+
+
+@then("no repeated signal is reported")
+def check_repeats(context):
+    assert not context.repeats, context.repeats
--- a/src/peridotfront/control_program.py
+++ b/src/peridotfront/control_program.py
@@ -89,6 +89,7 @@
         await self.admin_server.close()
         await self.transport.stop()
         self.storage.close()
+        stop.end()
         logs.write("process_stopped")
         return exit_code
 
--- a/src/peridotfront/entry_program.py
+++ b/src/peridotfront/entry_program.py
@@ -121,6 +121,7 @@
         logs.write("process_ready", port=self.caller_server.port)
         await stop.wait()
         await self._drain()
+        stop.end()
         logs.write("process_stopped")
         return 0
 
--- a/src/peridotfront/routed_control.py
+++ b/src/peridotfront/routed_control.py
@@ -137,6 +137,7 @@
         self.ticker.stop()
         await self.transport.stop()
         self.storage.close()
+        stop.end()
         logs.write("process_stopped")
         return exit_code
 
--- a/src/peridotfront/routed_entry.py
+++ b/src/peridotfront/routed_entry.py
@@ -162,6 +162,7 @@
         await self._drain()
         self.ticker.stop()
         await self.transport.stop()
+        stop.end()
         logs.write("process_stopped")
         return 0
 
--- a/src/peridotfront/runtime.py
+++ b/src/peridotfront/runtime.py
@@ -108,6 +108,7 @@
     def __init__(self, on_repeat: Callable[[], None]):
         self._event = asyncio.Event()
         self._on_repeat = on_repeat
+        self._is_over = False
 
     def install(self) -> None:
         """Install the signal handlers."""
@@ -119,8 +120,13 @@
         """Wait for the first signal."""
         await self._event.wait()
 
+    def end(self) -> None:
+        """Ignore all further signals, and those that wait for their handler."""
+        self._is_over = True
+        ignore_signals()
+
     def _set(self) -> None:
-        if self._event.is_set():
+        if self._event.is_set() and not self._is_over:
             self._on_repeat()
         self._event.set()
 
