Measure no memory of a soak's process that is ending

Cause: the status of a process that is ending has no line VmHWM. Such a process is left out now, as one that is gone always was.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -119,6 +119,9 @@
         with contextlib.suppress(OSError):
             status = Path(f"/proc/{self.pid}/status").read_text()
             sizes_kb = {name: int(size) for name, size in MEMORY_KB.findall(status)}
+            if "VmHWM" not in sizes_kb:
+                # A process that is ending has no memory any more.
+                return
             peak_kb = sizes_kb["VmHWM"] - sizes_kb["RssFile"]
             self.peak_kb = max(self.peak_kb, peak_kb)
 
