--- a/features/support/changing_processes.py
+++ b/features/support/changing_processes.py
@@ -59,8 +59,8 @@
             request_id = f"passing-{number}"
             try:
                 answer = await self._send(client, deployment, "/passing/x", request_id)
-            except PeridotfrontError:
-                self.lost.append(request_id)
+            except PeridotfrontError as error:
+                self.lost.append((request_id, repr(error)))
             else:
                 self.passing[answer[0]] += 1
             await asyncio.sleep(PASSING_INTERVAL_S)
--- a/features/support/silent_processes.py
+++ b/features/support/silent_processes.py
@@ -56,7 +56,8 @@
     :param whole: number of requests that got their whole answer.
     :param refused: number of requests that were refused as not run.
     :param given_up: ids of the requests that got another answer.
-    :param lost: ids of the requests whose connection ended without a whole answer.
+    :param lost: ids of the requests whose connection ended without a whole answer,
+        each with its error.
     :param wrong: ids of the requests that got another one's answer, or events twice,
         out of order or not at all.
     """
@@ -137,8 +138,8 @@
         request_id = f"q-{number}"
         try:
             answer = await self._send(client, deployment, self.path, request_id)
-        except PeridotfrontError:
-            self.lost.append(request_id)
+        except PeridotfrontError as error:
+            self.lost.append((request_id, repr(error)))
             return
         self._record(request_id, *answer)
 
