--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from support.generator import load_generator
+from support.platform_settings import platform_settings
 
 from peridotfront.ctl_settings import load_ctl
 from peridotfront.exceptions import SettingsInvalid
@@ -182,7 +183,8 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.settings_path = Path(folder.name) / "process.ini"
-    context.settings_path.write_text(PLATFORM_SETTINGS.format(slack=slack))
+    text = platform_settings(retries={"slack": slack}, rollouts={"slack": slack})
+    context.settings_path.write_text(text)
 
 
 @when("a host on the platform reads them")
@@ -194,23 +196,3 @@
 def check_slack(context, slack):
     limits = context.shared_limits
     assert (limits.retries.slack, limits.rollouts.slack) == (slack, slack), limits
-
-
-PLATFORM_SETTINGS = """\
-[host]
-name = h
-data_centre = z1
-ip = 127.0.0.1
-[listen]
-first_peer_port = 7600
-[group]
-[storage]
-[upstream_list]
-address = 127.0.0.1:1
-[retries]
-slack = {slack}
-[allowances]
-[rollouts]
-slack = {slack}
-[shutdown]
-"""
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -14,6 +14,7 @@
 
 from behave import given, then, when
 from support.deployment import Deployment as OwnDeployment
+from support.platform_settings import platform_settings
 
 from peridotfront.routed_settings import load_settings
 from peridotfront.runtime import StopSignal
@@ -165,10 +166,10 @@
 @given("settings that were read and have changed since")
 def change_settings(context):
     path = make_folder(context) / "settings.ini"
-    path.write_text(SETTINGS.format(seeds="10.0.0.1:80"))
+    path.write_text(platform_settings(group={"seeds": "10.0.0.1:80"}))
     context.settings = load_settings(path)
     context.path = path
-    path.write_text(SETTINGS.format(seeds="10.0.0.2:80"))
+    path.write_text(platform_settings(group={"seeds": "10.0.0.2:80"}))
 
 
 @when("a watcher of the settings starts")
@@ -193,25 +194,6 @@
     assert context.seeds == ["10.0.0.2:80"], context.seeds
 
 
-SETTINGS = """\
-[host]
-name = h
-data_centre = z1
-ip = 127.0.0.1
-[listen]
-first_peer_port = 7600
-[group]
-seeds = {seeds}
-[storage]
-[upstream_list]
-address = 127.0.0.1:1
-[retries]
-[allowances]
-[rollouts]
-[shutdown]
-"""
-
-
 @given("a program that was told to stop")
 def told_to_stop(context):
     context.repeats = []
--- a/features/support/endless_run.py
+++ b/features/support/endless_run.py
@@ -11,6 +11,7 @@
 
 from .endless_host import TIMEOUT_MS
 from .endless_upstreams import ALL_WAYS
+from .platform_settings import platform_settings
 from .scripted_upstreams import Upstream
 
 SOUND = "sound"
@@ -21,24 +22,15 @@
 LIMIT_S = 6
 LARGE_ANSWER_BYTES = 1_000_000
 LAST_CHUNK = b"\r\n0\r\n\r\n"
-SETTINGS = """
-[host]
-name = e1
-data_centre = dc1
-ip = 127.0.0.1
-[listen]
-callers = 127.0.0.1:0
-readiness = 127.0.0.1:0
-first_peer_port = 0
-[group]
-[storage]
-[upstream_list]
-address = 127.0.0.1:1
-[retries]
-[allowances]
-[shutdown]
-grace_s = 4
-"""
+SETTINGS = {
+    "host": {"name": "e1", "data_centre": "dc1"},
+    "listen": {
+        "callers": "127.0.0.1:0",
+        "readiness": "127.0.0.1:0",
+        "first_peer_port": 0,
+    },
+    "shutdown": {"grace_s": 4},
+}
 
 
 @dataclass
@@ -113,7 +105,7 @@
         addresses = await self._await_line("endless_upstreams", lambda fields: fields)
         self.services = [*addresses, SOUND]
         settings = self.folder / "e1.ini"
-        settings.write_text(SETTINGS)
+        settings.write_text(platform_settings(**SETTINGS))
         listed = self.folder / "upstreams.json"
         listed.write_text(json.dumps({**addresses, SOUND: self.sound.address}))
         self.host = self._popen("endless_host", str(settings), str(listed))
