--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -226,7 +226,15 @@
         self.sequence += 1
         actions = []
         for host in self.hosts:
-            heartbeat = Heartbeat("dc", "entry", self.sequence, version, False, "c1")
+            heartbeat = Heartbeat(
+                "dc",
+                "entry",
+                self.sequence,
+                version,
+                False,
+                "c1",
+                reads_packed_config=True,
+            )
             data = wire.encode(Frame(host, 1, (heartbeat,)))
             frame = wire.decode(Frame, data)
             actions += self.handle(Received(host, 1, frame.messages[0]))
