Excuse a request at its time limit only if its slot came too late

A request is excused now only if the log says that it waited for its slot for so long that one silence and a run no longer fit into its limit; any other one at its limit counts as lost, as before.

--- a/features/support/silent_processes.py
+++ b/features/support/silent_processes.py
@@ -1,6 +1,7 @@
 """Real programs before sound upstreams that fall silent for a moment and go on."""
 
 import asyncio
+import json
 from collections import Counter
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -59,7 +60,8 @@
     :param whole: number of requests that got their whole answer.
     :param refused: number of requests that were refused as not run.
     :param given_up: ids of the requests that got another answer.
-    :param timed_out: ids of the requests that ended at their own time limit.
+    :param timed_out: ids of the requests that ended at their own time limit, as their
+        slot came too late for a run with one silence.
     :param lost: ids of the requests whose connection ended without a whole answer
         before, each with its error.
     :param failed_logs: lines of the programs' logs that name the requests that were
@@ -102,12 +104,16 @@
         """Return the service that the upstreams provide."""
         return "models" if self.path in STREAM_PATHS else "ledger"
 
+    @property
+    def _run_s(self):
+        """Return the time for which a request runs without a silence."""
+        is_stream = self.path in STREAM_PATHS
+        return EVENTS * EVENT_INTERVAL_S if is_stream else CALL_INTERVAL_S
+
     @property
     def _step_s(self):
         """Return the time between two requests."""
-        is_stream = self.path in STREAM_PATHS
-        run_s = EVENTS * EVENT_INTERVAL_S if is_stream else CALL_INTERVAL_S
-        return run_s / (self.engines * SLOTS * self.load)
+        return self._run_s / (self.engines * SLOTS * self.load)
 
     async def _load(self, deployment, duration_s):
         client = HttpClient(ClientLimits(keep_alive_ms=self.keep_alive_ms))
@@ -124,15 +130,23 @@
             disturbance.cancel()
         await asyncio.wait(disturbances)
         await client.close()
-        self.failed_logs = list(self._find_failed_logs(deployment))
-
-    def _find_failed_logs(self, deployment):
-        failed = (*self.lost, *self.given_up)
-        names = [f'"{request_id}"' for request_id, _ in failed]
-        for host in deployment.hosts:
-            for line in host.log_path.read_text().splitlines():
-                if any(name in line for name in names):
-                    yield line
+        self._judge_timed_out(deployment)
+        failed_ids = [request_id for request_id, _ in (*self.lost, *self.given_up)]
+        self.failed_logs = list(_find_logs(deployment, failed_ids))
+
+    def _judge_timed_out(self, deployment):
+        """Count as lost what timed out though its slot came in time for a silence."""
+        lines = map(json.loads, _find_logs(deployment, self.timed_out))
+        waited_ms = {
+            line["request_id"]: line["waited_ms"]
+            for line in lines
+            if line["name"] == "forwarding_ended"
+        }
+        least_ms = DEADLINE_MS - 1000 * (self.silence_s + self._run_s)
+        for request_id in tuple(self.timed_out):
+            if waited_ms.get(request_id, 0) < least_ms:
+                self.timed_out.remove(request_id)
+                self.lost.append((request_id, "timed out with a slot in time"))
 
     def _disturbances(self, client, deployment):
         """Return the coroutines that run beside the load until it ends."""
@@ -203,6 +217,15 @@
         return b"".join(events)
 
 
+def _find_logs(deployment, request_ids):
+    """Yield the lines of the programs' logs that name one of some requests."""
+    names = [f'"{request_id}"' for request_id in request_ids]
+    for host in deployment.hosts:
+        for line in host.log_path.read_text().splitlines():
+            if any(name in line for name in names):
+                yield line
+
+
 def _is_at_limit(began_s):
     """Return whether a request that began at a time is at its time limit now."""
     passed_ms = 1000 * (asyncio.get_running_loop().time() - began_s)
