--- a/src/peridotfront/core/control_types.py
+++ b/src/peridotfront/core/control_types.py
@@ -29,7 +29,7 @@
     :param max_queued: maximum number of claims, outcomes and strike reports that wait
         for a batch.
     :param update_interval_ms: minimum time between two configurations sent to a host.
-    :param update_retry_ms: time before an unconfirmed version is sent again.
+    :param update_retry_ms: least time before an unconfirmed version is sent again.
     :param take_over_silence_ms: silence after which a holder is considered dead; must
         exceed the holder's lease by more than the clock drift within the lease.
     :param operator_timeout_ms: time limit for a proposal.
