Wait until all callers have stalled before room is made for another

Its callers stall one after the other, and one counts as stalled after 1 s without progress. When the search for room falls into the gap, the 300 kB of the second are the most that a stalled connection holds, and the third with 450 kB is rightly kept.

Change: the step waits until all three have stalled. The last step asks for exactly one closed connection instead of one or more. That a connection within its time is not closed stays checked by "A connection that has just begun a request is not stalled".

--- a/features/steps/caller_limits_steps.py
+++ b/features/steps/caller_limits_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import time
 
 from behave import given, then, when
 from http_fixtures import connect, parse_problem, run, send_and_receive, serve, until
@@ -11,7 +12,7 @@
 
 from peridotfront.core.routes import RouteTable
 from peridotfront.forwarding import Forwarding
-from peridotfront.held_bytes import STALL_S
+from peridotfront.held_bytes import STALL_S, is_stalled
 
 KB = 1000
 REPEAT_S = 0.05
@@ -119,6 +120,9 @@
             callers[size] = await connect(context.address)
             callers[size][1].write(post(600 * KB, size * KB))
         await until(lambda: context.server.held.total_bytes >= 850 * KB)
+        stalling = [c for c in context.server._open if c.is_waiting]
+        assert len(stalling) == len(callers), stalling
+        await until(lambda: all(is_stalled(c, time.monotonic()) for c in stalling))
         return callers
 
     context.callers = run(context, send())
@@ -151,7 +155,7 @@
             writer.close()
 
     run(context, look())
-    assert context.server.held.closed["held_bytes"] >= 1
+    assert context.server.held.closed["held_bytes"] == 1
 
 
 @then("the request in progress is answered")
