Check early answers and odd statuses on the own interface

Cause: the mended early ends were checked on routed services only. The own interface shares their client, but has its own way from a cut answer to a verdict and to a resumption.

Change: 15 scenarios before a scripted upstream: resets, ends and silence within a request of 3.9 MB, an end in order, and statuses outside of HTTP's, for calls of services and of engines.

--- a/features/early_answers.feature
+++ b/features/early_answers.feature
@@ -81,3 +81,43 @@
       | 999    | relayed |
       | 20     | direct  |
       | 2000   | direct  |
+
+  # The same on the own interface, whose callers are told by a verdict.
+  Scenario Outline: On the own interface such a call has no whole answer: <target>, <how>
+    Given an upstream of the own interface that answers early and will "<how>"
+    When 3900000 bytes of a call to <target> are dispatched to it
+    Then the call has ended once, as may_have_run
+
+    Examples: Failures of own calls as "early own"
+      | target    | how           |
+      | a service | reset_at_once |
+      | a service | end_and_reset |
+      | a service | end_and_stall |
+      | an engine | reset_at_once |
+      | an engine | end_and_reset |
+      | an engine | end_and_stall |
+
+  Scenario Outline: On the own interface an answer that ends in order is whole: <target>
+    Given an upstream of the own interface that answers early and will "end_in_order"
+    When 3900000 bytes of a call to <target> are dispatched to it
+    Then the call has ended once, as completed
+
+    Examples: Sound own calls
+      | target    |
+      | a service |
+      | an engine |
+
+  Scenario Outline: On the own interface a status outside of HTTP's is no answer: <target>, <status>
+    Given an upstream of the own interface that answers early and will "answer_with_<status>"
+    When 10 bytes of a call to <target> are dispatched to it
+    Then the call has ended as may_have_run and its answer has status 0
+
+    Examples: Statuses of own calls
+      | target    | status |
+      | a service | 000    |
+      | a service | 099    |
+      | a service | 600    |
+      | a service | 999    |
+      | an engine | 000    |
+      | an engine | 600    |
+      | an engine | 999    |
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from http_fixtures import client, run, serve
+from support.early_answers import EarlyUpstream
 
 from peridotfront.answers import Answer
 from peridotfront.calls import Call, CallRunner, CallStats
@@ -175,6 +176,16 @@
     assert context.answer.body() == STREAM
 
 
+@given('an upstream of the own interface that answers early and will "{step}"')
+def early_upstream(context, step):
+    """Serve an upstream that resumes nothing."""
+    upstream = EarlyUpstream("e1", [step, "forget"])
+    run(context, upstream.start())
+    context.add_cleanup(upstream.server.close)
+    context.address = upstream.address
+    context.client = client(context)
+
+
 @given("an upstream that answers each call with {status:d}")
 def refusing_upstream(context, status):
     """Serve an upstream that claims in each answer that the request did not run."""
@@ -192,11 +203,23 @@
 
 @when("a call to {target} is dispatched to it")
 def dispatch_call(context, target):
+    dispatch_body(context, target, b"{}")
+
+
+@when("{size:d} bytes of a call to {target} are dispatched to it")
+def dispatch_long_call(context, target, size):
+    dispatch_body(context, target, b"x" * size)
+
+
+def dispatch_body(context, target, body):
     kind = UpstreamKind.ENGINE if target == "an engine" else UpstreamKind.SERVICE
     context.events = []
     plain = admission()
     call_admission = replace(
-        plain, request=replace(plain.request, kind=kind), timeout_ms=5000
+        plain,
+        request=replace(plain.request, kind=kind),
+        body=body,
+        timeout_ms=5000,
     )
     context.answer = Answer("r1", "account/model/k", 1, BUFFER_BYTES)
     upstream = UpstreamSpec("e1", kind, "dc", context.address)
--- a/features/support/early_answers.py
+++ b/features/support/early_answers.py
@@ -85,3 +85,7 @@
         with contextlib.suppress(ConnectionError):
             await reader.read()
         raise ConnectionError
+
+    async def _forget(self, received, reader, writer):
+        """Answer that the request can't be resumed."""
+        writer.write(self._head(received, "404 Not Found", "Content-Length: 0"))
