Close the connections of scripted upstreams when their scenario ends

Cause: the end of a scenario cancels the handler of a scripted upstream, which then skips the close of its writer.

Change: the handler closes its writer however it ends.

--- a/features/support/scripted_upstreams.py
+++ b/features/support/scripted_upstreams.py
@@ -1,7 +1,6 @@
 """Upstreams that answer by a script, completely or with a fault."""
 
 import asyncio
-import contextlib
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -65,7 +64,7 @@
         self.address = f"{host}:{port}"
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        try:
             while True:
                 received = await self._read(reader)
                 if received.line.startswith("GET /healthz "):
@@ -74,7 +73,10 @@
                 self.requests.append(received)
                 step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 await getattr(self, f"_{step}")(received, reader, writer)
-        writer.close()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
 
     async def _read(self, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
