--- a/features/environment.py
+++ b/features/environment.py
@@ -102,7 +102,8 @@
 
 
 def before_scenario(context, scenario):
-    if scenario.name in context.known_red:
+    # Names of examples without a title end in a space.
+    if scenario.name.strip() in context.known_red:
         print(f"KNOWN RED: {scenario.filename}: {scenario.name}")
         scenario.skip("listed in KNOWN-RED.txt")
 
