--- a/features/steps/caller_limits_steps.py
+++ b/features/steps/caller_limits_steps.py
@@ -12,7 +12,7 @@
 
 from peridotfront.core.routes import RouteTable
 from peridotfront.forwarding import Forwarding
-from peridotfront.held_bytes import STALL_S, is_stalled
+from peridotfront.held_bytes import is_stalled
 
 KB = 1000
 REPEAT_S = 0.05
@@ -80,6 +80,11 @@
     return list(context.server._open)
 
 
+async def until_stalled(waiting):
+    """Wait until all of some connections of the server are stalled."""
+    await until(lambda: all(is_stalled(c, time.monotonic()) for c in waiting))
+
+
 @then("the server held at most {limit:d} kB for it")
 def held_little(context, limit):
     assert 0 < context.max_held_bytes <= limit * KB, context.max_held_bytes
@@ -120,9 +125,10 @@
             callers[size] = await connect(context.address)
             callers[size][1].write(post(600 * KB, size * KB))
         await until(lambda: context.server.held.total_bytes >= 850 * KB)
-        stalling = [c for c in context.server._open if c.is_waiting]
+        open_connections = await connections(context, len(callers) + 1)
+        stalling = [c for c in open_connections if c.is_waiting]
         assert len(stalling) == len(callers), stalling
-        await until(lambda: all(is_stalled(c, time.monotonic()) for c in stalling))
+        await until_stalled(stalling)
         return callers
 
     context.callers = run(context, send())
@@ -282,8 +288,7 @@
         await reader.readuntil(b"ok")
         open_connections = await connections(context, 2)
         (kept,) = [c for c in open_connections if c.is_idle]
-        loop = asyncio.get_running_loop()
-        await until(lambda: loop.time() - kept.progress_s > STALL_S)
+        await until_stalled([kept])
         return reader, writer
 
     context.kept = run(context, use())
