--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -27,10 +28,12 @@
 FIRST_PEER_PORT = 7600
 METRICS_PORT = 9464
 RESTART_S = 0.5
+MAX_SCENARIO_S = 112
 MEMORY_POLL_S = 0.1
 KEEP_ALIVE_S = 5
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 VALUE = re.compile(r"\{\{([\w.]+)\}\}")
+started_processes = []
 RESIDENT = re.compile(r"RssAnon:\s+(\d+) kB")
 
 
@@ -167,6 +170,9 @@
                     stderr=log,
                 )
                 self.platform.record.write("start", self.name, self._process.pid)
+                started_processes.append(self._process)
+                if not self.is_wanted:
+                    self.kill()
                 watch = asyncio.ensure_future(self._watch_memory(self._process.pid))
                 code = await self._process.wait()
                 watch.cancel()
@@ -641,6 +647,20 @@
     ]
 
 
+def end_all_processes():
+    """Kill what is left of the processes that were started, after a stop."""
+    for process in started_processes:
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGKILL)
+
+
+async def run_in_time(scenario):
+    """Run a scenario; raise TimeoutError if it takes too long."""
+    async with asyncio.timeout(MAX_SCENARIO_S):
+        return await scenario
+
+
 def run_scenario(scenario):
     """Run a scenario, which returns whether the rule held, and exit by its result."""
     # A machine of the class edge has 4,100 descriptors for a process.
@@ -650,10 +670,14 @@
     record = Record(folder / "record.txt")
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     record.write("trouble", int(is_troubled))
+    # A stop of the script also ends what it has started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        has_held = asyncio.run(scenario(record, is_troubled))
-    except (OSError, TimeoutError, ValueError) as error:
+        has_held = asyncio.run(run_in_time(scenario(record, is_troubled)))
+    except (Exception, KeyboardInterrupt) as error:
         record.write("could not run:", repr(error))
         raise SystemExit(2) from error
+    finally:
+        end_all_processes()
     record.write("the rule", "held" if has_held else "was broken")
     raise SystemExit(0 if has_held else 1)
